Start the repository: layers, style, core basics and the contracts outward

Cause: nothing stood. Establishes the build (CMake, one file a concern), the Mozilla style files, the pausable clock, ids, findings, the public face of the net layer and the interfaces that the stand-ins offer.

--- /dev/null
+++ b/cmake/dependencies.cmake
@@ -0,0 +1,13 @@
+# Libraries, all from Debian's packages; scripts/install_packages lists them.
+find_package(Threads REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(Boost 1.81 EXACT REQUIRED)
+find_package(nlohmann_json 3.11 REQUIRED)
+find_package(gflags REQUIRED)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(LOG4CXX REQUIRED IMPORTED_TARGET liblog4cxx)
+find_library(JUJUBEHEAD_LIBCSV csv REQUIRED)
+if(JUJUBEHEAD_TESTS)
+  pkg_check_modules(CPPUTEST REQUIRED IMPORTED_TARGET cpputest)
+  find_package(rapidcheck REQUIRED)
+endif()
--- /dev/null
+++ b/cmake/sanitizers.cmake
@@ -0,0 +1,12 @@
+# One sanitizer build at a time, chosen by JUJUBEHEAD_SANITIZER.
+if(JUJUBEHEAD_SANITIZER STREQUAL "address")
+  add_compile_options(-fsanitize=address,undefined -fno-omit-frame-pointer -fno-sanitize-recover=all)
+  add_link_options(-fsanitize=address,undefined)
+elseif(JUJUBEHEAD_SANITIZER STREQUAL "thread")
+  # Asio uses std::atomic_thread_fence, which the thread sanitizer of this
+  # compiler does not model and warns of.
+  add_compile_options(-fsanitize=thread -fno-omit-frame-pointer -Wno-tsan)
+  add_link_options(-fsanitize=thread)
+elseif(NOT JUJUBEHEAD_SANITIZER STREQUAL "")
+  message(FATAL_ERROR "JUJUBEHEAD_SANITIZER: unknown '${JUJUBEHEAD_SANITIZER}'")
+endif()
--- /dev/null
+++ b/cmake/warnings.cmake
@@ -0,0 +1,5 @@
+# Strict warnings, as errors.
+add_library(jujubehead_warnings INTERFACE)
+target_compile_options(jujubehead_warnings INTERFACE
+  -Wall -Wextra -Wpedantic -Wshadow -Wconversion -Wnon-virtual-dtor
+  -Wold-style-cast -Woverloaded-virtual -Werror)
--- /dev/null
+++ b/include/jujubehead/net/http_client.hpp
@@ -0,0 +1,79 @@
+#ifndef JUJUBEHEAD_NET_HTTP_CLIENT_HPP
+#define JUJUBEHEAD_NET_HTTP_CLIENT_HPP
+
+#include <memory>      // for unique_ptr
+#include <string>      // for string
+#include <string_view> // for string_view
+
+#include <boost/asio/awaitable.hpp>  // for awaitable
+#include <boost/asio/io_context.hpp> // for io_context
+
+#include "jujubehead/core/runtime_clock.hpp" // for Duration
+#include "jujubehead/net/http_message.hpp"   // for HttpHeaders, HttpResponse
+
+namespace jujubehead::net {
+
+/// @brief A call to make.
+struct HttpCall
+{
+  std::string authority; ///< `address:port`, by IP number.
+  std::string method = "GET";
+  std::string target = "/";
+  HttpHeaders headers;
+  std::string body;
+  core::Duration connect_timeout = std::chrono::seconds(1);
+  /// The longest silence while waiting for the next bytes.
+  core::Duration idle_timeout = std::chrono::seconds(30);
+};
+
+/// @brief A call failed. `dispatched` says whether any byte of the request may
+/// have reached the other side; only `false` allows a refusal `not_run`.
+class HttpCallError : public std::runtime_error
+{
+public:
+  HttpCallError(const std::string& aWhat, bool aDispatched)
+    : std::runtime_error(aWhat)
+    , m_dispatched(aDispatched)
+  {
+  }
+  [[nodiscard]] bool Dispatched() const { return m_dispatched; }
+
+private:
+  bool m_dispatched;
+};
+
+/// @brief A reply whose body is read as it comes. Destroying it before the end
+/// closes its connection, which cancels the run at the other side.
+class HttpStream
+{
+public:
+  virtual ~HttpStream() = default;
+  [[nodiscard]] virtual unsigned Status() const = 0;
+  [[nodiscard]] virtual const HttpHeaders& Headers() const = 0;
+  /// @return the next bytes of the body (valid until the next call); empty at
+  /// its complete end. @throws HttpCallError when it was cut off.
+  virtual boost::asio::awaitable<std::string_view> ReadSome() = 0;
+  /// @brief Closes the connection now; a pending ReadSome() throws.
+  virtual void Cancel() = 0;
+};
+
+/// @brief A client with kept-alive connections, on one io_context.
+/// Pooled connections that turn out closed before any byte of the reply are
+/// replaced by a new one only when nothing was written on them.
+class HttpClient
+{
+public:
+  static std::unique_ptr<HttpClient> Create(boost::asio::io_context& aContext);
+  virtual ~HttpClient() = default;
+
+  /// @brief Makes a call and reads the whole reply. @throws HttpCallError.
+  virtual boost::asio::awaitable<HttpResponse> Fetch(HttpCall aCall) = 0;
+  /// @brief Makes a call; the body is read through the stream.
+  /// @throws HttpCallError.
+  virtual boost::asio::awaitable<std::unique_ptr<HttpStream>> Open(
+    HttpCall aCall) = 0;
+};
+
+} // namespace jujubehead::net
+
+#endif // JUJUBEHEAD_NET_HTTP_CLIENT_HPP
--- /dev/null
+++ b/include/jujubehead/net/http_server.hpp
@@ -0,0 +1,82 @@
+#ifndef JUJUBEHEAD_NET_HTTP_SERVER_HPP
+#define JUJUBEHEAD_NET_HTTP_SERVER_HPP
+
+#include <cstddef>    // for size_t
+#include <cstdint>    // for uint16_t
+#include <functional> // for function
+#include <memory>     // for unique_ptr, shared_ptr
+#include <string>     // for string
+
+#include <boost/asio/awaitable.hpp>  // for awaitable
+#include <boost/asio/io_context.hpp> // for io_context
+
+#include "jujubehead/core/runtime_clock.hpp" // for Duration
+#include "jujubehead/net/http_message.hpp"   // for HttpRequest, HttpResponse
+
+namespace jujubehead::net {
+
+/// @brief One request and its reply, on the thread of its connection.
+///
+/// Either Send() once, or StartStream(), any number of WriteChunk(), and
+/// EndStream(). Writes complete only when the caller's socket took the bytes,
+/// so that a slow reader holds its writer back. All of them throw
+/// boost::system::system_error when the caller is gone.
+class HttpExchange
+{
+public:
+  virtual ~HttpExchange() = default;
+
+  [[nodiscard]] virtual const HttpRequest& Request() const = 0;
+  virtual boost::asio::awaitable<void> Send(HttpResponse aResponse) = 0;
+  virtual boost::asio::awaitable<void> StartStream(unsigned aStatus,
+                                                   HttpHeaders aHeaders) = 0;
+  virtual boost::asio::awaitable<void> WriteChunk(std::string_view aBytes) = 0;
+  virtual boost::asio::awaitable<void> EndStream() = 0;
+  /// @return whether Send() or StartStream() was called.
+  [[nodiscard]] virtual bool HasStarted() const = 0;
+  /// @brief Called once, on this thread, when the caller closes its connection
+  /// before the reply is complete. An empty function removes it.
+  virtual void OnCallerGone(std::function<void()> aCallback) = 0;
+};
+
+using HttpHandler =
+  std::function<boost::asio::awaitable<void>(HttpExchange&)>;
+
+/// @brief Limits and address of a server. Zero port: the system picks one.
+struct HttpServerOptions
+{
+  std::string address = "127.0.0.1";
+  std::uint16_t port = 0;
+  std::size_t header_limit = 16 * 1024;      ///< Bytes.
+  std::size_t body_limit = 8 * 1024 * 1024;  ///< Bytes.
+  core::Duration header_timeout = std::chrono::seconds(10);
+  core::Duration body_timeout = std::chrono::seconds(30);
+  core::Duration idle_timeout = std::chrono::seconds(60);
+  /// A write that makes no progress for this long closes the connection.
+  core::Duration write_timeout = std::chrono::seconds(120);
+  /// Several servers on one port, one a traffic thread.
+  bool reuse_port = false;
+};
+
+/// @brief An HTTP/1.1 server on one io_context.
+class HttpServer
+{
+public:
+  /// @brief Binds and starts accepting.
+  /// @throws boost::system::system_error when the address cannot be bound.
+  static std::unique_ptr<HttpServer> Create(boost::asio::io_context& aContext,
+                                            HttpServerOptions aOptions,
+                                            HttpHandler aHandler);
+  virtual ~HttpServer() = default;
+
+  [[nodiscard]] virtual std::uint16_t Port() const = 0;
+  /// @brief Stops accepting; open exchanges go on to their end, and a
+  /// connection closes after the reply it is at.
+  virtual void StopAccepting() = 0;
+  /// @return connections that are open now.
+  [[nodiscard]] virtual std::size_t OpenConnections() const = 0;
+};
+
+} // namespace jujubehead::net
+
+#endif // JUJUBEHEAD_NET_HTTP_SERVER_HPP
