--- /dev/null
+++ b/include/jujubehead/core/table_diff.hpp
@@ -0,0 +1,53 @@
+#ifndef JUJUBEHEAD_CORE_TABLE_DIFF_HPP
+#define JUJUBEHEAD_CORE_TABLE_DIFF_HPP
+
+#include <string>  // for string
+#include <variant> // for variant
+#include <vector>  // for vector
+
+#include "jujubehead/core/table.hpp" // for Table, TableRow
+
+namespace jujubehead::core {
+
+/// @brief A row that only the new table has.
+struct RowAdded
+{
+  TableRow row;
+};
+
+/// @brief A row that only the old table has.
+struct RowRemoved
+{
+  TableRow row;
+};
+
+/// @brief A row whose cells differ.
+struct RowChanged
+{
+  TableRow before;
+  TableRow after;
+  std::vector<TableColumn> columns; ///< Those whose written cells differ.
+};
+
+using TableChange = std::variant<RowAdded, RowRemoved, RowChanged>;
+
+/// @return what turns one table into the other, in the order of rows. A row
+/// whose own cells stay is not listed, also where a default it inherits moves.
+std::vector<TableChange>
+Diff(const Table& aOld, const Table& aNew);
+
+/// @return an account's share of a model in percent: its weight among those of
+/// all accounts that the model's rows do not bar.
+double
+SharePercent(const Table& aTable,
+             const AccountId& aAccount,
+             const ModelId& aModel);
+
+/// @return the difference as a reviewer reads it, one paragraph a model, with
+/// the shares that move.
+std::string
+RenderReview(const Table& aOld, const Table& aNew);
+
+} // namespace jujubehead::core
+
+#endif // JUJUBEHEAD_CORE_TABLE_DIFF_HPP
