--- a/include/jujubehead/core/finding.hpp
+++ b/include/jujubehead/core/finding.hpp
@@ -39,11 +39,13 @@
 
 /// @brief Renders findings for people, one a line.
 /// @return lines of the form `file:row:column: message (expected ...)`.
-std::string Render(std::span<const Finding> aFindings);
+std::string
+Render(std::span<const Finding> aFindings);
 
 /// Needed by boost::system::result; Checked::value() on findings throws.
-[[noreturn]] void throw_exception_from_error(const Findings& aFindings,
-                                             const boost::source_location&);
+[[noreturn]] void
+throw_exception_from_error(const Findings& aFindings,
+                           const boost::source_location&);
 
 } // namespace jujubehead::core
 
--- a/include/jujubehead/net/http_server.hpp
+++ b/include/jujubehead/net/http_server.hpp
@@ -39,16 +39,15 @@
   virtual void OnCallerGone(std::function<void()> aCallback) = 0;
 };
 
-using HttpHandler =
-  std::function<boost::asio::awaitable<void>(HttpExchange&)>;
+using HttpHandler = std::function<boost::asio::awaitable<void>(HttpExchange&)>;
 
 /// @brief Limits and address of a server. Zero port: the system picks one.
 struct HttpServerOptions
 {
   std::string address = "127.0.0.1";
   std::uint16_t port = 0;
-  std::size_t header_limit = 16 * 1024;      ///< Bytes.
-  std::size_t body_limit = 8 * 1024 * 1024;  ///< Bytes.
+  std::size_t header_limit = 16 * 1024;     ///< Bytes.
+  std::size_t body_limit = 8 * 1024 * 1024; ///< Bytes.
   core::Duration header_timeout = std::chrono::seconds(10);
   core::Duration body_timeout = std::chrono::seconds(30);
   core::Duration idle_timeout = std::chrono::seconds(60);
--- a/include/jujubehead/net/peer_link.hpp
+++ b/include/jujubehead/net/peer_link.hpp
@@ -28,7 +28,7 @@
   std::string secret;
   core::Duration idle_close = std::chrono::seconds(60);
   core::Duration connect_timeout = std::chrono::seconds(1);
-  std::size_t message_limit = 1024 * 1024;     ///< Bytes.
+  std::size_t message_limit = 1024 * 1024;        ///< Bytes.
   std::size_t send_queue_limit = 4 * 1024 * 1024; ///< Bytes waiting, a link.
 };
 
--- a/src/jujubehead/core/runtime_clock_test.cpp
+++ b/src/jujubehead/core/runtime_clock_test.cpp
@@ -5,15 +5,12 @@
 using jujubehead::core::RuntimeClock;
 using namespace std::chrono_literals;
 
-TEST_GROUP(RuntimeClock)
-{
-  void teardown() override
-  {
-    if (RuntimeClock::IsPaused()) {
-      RuntimeClock::Resume();
-    }
-  }
-};
+TEST_GROUP(RuntimeClock){ void teardown() override{
+  if (RuntimeClock::IsPaused()){ RuntimeClock::Resume();
+}
+}
+}
+;
 
 TEST(RuntimeClock, APausedClockMovesOnlyByAdvance)
 {
