--- /dev/null
+++ b/src/jujubehead/core/rendezvous_test.cpp
@@ -0,0 +1,78 @@
+#include "jujubehead/core/rendezvous.hpp"
+
+#include <map>    // for map
+#include <string> // for to_string
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+using namespace jujubehead::core;
+
+namespace {
+
+constexpr std::size_t kKeys = 9000;
+constexpr std::size_t kMembers = 9;
+
+std::vector<InstanceId>
+Members(std::size_t aCount)
+{
+  std::vector<InstanceId> members;
+  for (std::size_t i = 0; i < aCount; ++i) {
+    members.emplace_back("instance-" + std::to_string(i));
+  }
+  return members;
+}
+
+std::vector<ContextKey>
+Keys()
+{
+  const ContextScope scope{ AccountId("a"), ModelId("m"), "1", "" };
+  std::string prompt;
+  for (std::size_t i = 0; i < kKeys; ++i) {
+    prompt += "four";
+  }
+  return ChainKeys(scope, prompt, 4);
+}
+
+} // namespace
+
+TEST_GROUP(Rendezvous){};
+
+TEST(Rendezvous, NobodyIsHomeAmongNoMembers)
+{
+  CHECK(!HomeOf(ContextKey(), {}));
+}
+
+TEST(Rendezvous, SpreadsKeysEvenly)
+{
+  const auto members = Members(kMembers);
+  std::map<InstanceId, std::size_t> counts;
+  for (const ContextKey& key : Keys()) {
+    ++counts[*HomeOf(key, members)];
+  }
+  for (const auto& [member, count] : counts) {
+    CHECK(count > kKeys / kMembers * 85 / 100);
+    CHECK(count < kKeys / kMembers * 115 / 100);
+  }
+}
+
+TEST(Rendezvous, AMemberThatGoesMovesOnlyItsOwnKeys)
+{
+  auto members = Members(kMembers);
+  const auto before = members;
+  const InstanceId gone = members[4];
+  members.erase(members.begin() + 4);
+  for (const ContextKey& key : Keys()) {
+    const auto homes = HomesOf(key, before, 2);
+    const auto expected = homes[0] == gone ? homes[1] : homes[0];
+    CHECK(*HomeOf(key, members) == expected);
+  }
+}
+
+TEST(Rendezvous, TheOrderOfMembersDoesNotMatter)
+{
+  auto members = Members(kMembers);
+  const auto key = Keys().front();
+  const auto home = HomeOf(key, members);
+  std::reverse(members.begin(), members.end());
+  CHECK(HomeOf(key, members) == home);
+}
