Add permits: one target's admission at its owner, and the holder's side

A place at a target comes back only on the word of its holder or, when the holder is silent, of the target itself; a new owner reserves what nobody told of yet. Free places go to accounts by start-time fair queueing over the time that their runs occupy places.

--- /dev/null
+++ b/include/jujubehead/core/permit.hpp
@@ -0,0 +1,163 @@
+#ifndef JUJUBEHEAD_CORE_PERMIT_HPP
+#define JUJUBEHEAD_CORE_PERMIT_HPP
+
+#include <chrono>     // for seconds
+#include <compare>    // for strong_ordering
+#include <cstddef>    // for size_t
+#include <cstdint>    // for uint32_t, uint64_t
+#include <functional> // for hash
+#include <variant>    // for variant
+#include <vector>     // for vector
+
+#include "jujubehead/core/ids.hpp"           // for RequestId, AccountId
+#include "jujubehead/core/runtime_clock.hpp" // for Duration, Instant
+
+namespace jujubehead::core {
+
+/// @brief Names one permission to run one request on one target, once.
+/// Ordered: the owner of a later epoch gives greater ones.
+struct PermitId
+{
+  std::uint64_t epoch = 0; ///< Of the ownership; the fencing number.
+  std::uint64_t number = 0;
+
+  friend auto operator<=>(const PermitId&, const PermitId&) = default;
+};
+
+/// @brief How much of one target an account may take.
+struct AccountShare
+{
+  AccountId account;
+  std::uint32_t weight = 1;
+  std::uint32_t max_running = 0; ///< Never lent beyond this.
+  std::uint32_t max_waiting = 0;
+
+  friend bool operator==(const AccountShare&, const AccountShare&) = default;
+};
+
+/// @brief Asks for one permit. Repeated while it waits (see PermitRules).
+struct PermitRequest
+{
+  /// Unique for this attempt: a resumed or repeated run asks under another.
+  RequestId request;
+  InstanceId holder; ///< The instance that will run it.
+  AccountId account;
+  std::int32_t priority = 0;     ///< Lower goes first within the account.
+  Instant deadline;              ///< Latest useful start, by the owner's clock.
+  std::uint32_t cost_tokens = 1; ///< Expected work, for the service time.
+  /// Opaque to the owner, which echoes the latest: the holder finds by it when
+  /// it sent that message, and starts only within the start window after it.
+  std::uint64_t mark = 0;
+};
+
+/// @brief Why a request was not run.
+enum class RefusalReason : std::uint8_t
+{
+  kDeadline,     ///< It could not start by its deadline.
+  kQueueFull,    ///< The account has max_waiting requests here already.
+  kNoShare,      ///< The account has no share of this target.
+  kStopping,     ///< The target or its owner stops.
+  kHolderSilent, ///< The holder stopped repeating it.
+};
+
+/// @brief The request may start now.
+struct PermitGranted
+{
+  RequestId request;
+  InstanceId holder;
+  PermitId permit;
+  Instant start_by;       ///< By the owner's clock; void afterwards.
+  std::uint64_t mark = 0; ///< Of the latest PermitRequest.
+};
+
+/// @brief The request was not run and will not be.
+struct PermitRefused
+{
+  RequestId request;
+  InstanceId holder;
+  RefusalReason reason = RefusalReason::kDeadline;
+  Duration retry_after{};
+  std::uint64_t mark = 0; ///< Of the latest PermitRequest.
+};
+
+using PermitDecision = std::variant<PermitGranted, PermitRefused>;
+
+/// @brief How busy a target is, for choosing among targets.
+struct PermitQuote
+{
+  std::uint32_t running = 0; ///< Permits out, and those that may be out.
+  std::uint32_t waiting = 0;
+  std::uint32_t limit = 0;
+  Duration expected_wait{}; ///< For a request of the asked account.
+};
+
+/// @brief A permit that a holder has, as owners and holders tell each other.
+struct HeldPermit
+{
+  PermitId permit;
+  RequestId request;
+  InstanceId holder;
+  AccountId account;
+
+  friend bool operator==(const HeldPermit&, const HeldPermit&) = default;
+};
+
+/// @brief Owner to holder: which permits up to this one do you hold?
+struct HoldingsQuery
+{
+  PermitId up_to;
+};
+
+/// @brief Holder to owner: these and no others. From now on the holder starts
+/// nothing under a permit up to `up_to` that is not listed.
+struct HoldingsAnswer
+{
+  InstanceId holder;
+  PermitId up_to;
+  std::vector<HeldPermit> held;
+};
+
+/// @brief What a target itself says it runs.
+struct TargetReport
+{
+  /// By the owner's clock: the report shows the target at this time or later
+  /// (the time of sending an order that the report has seen; never a clock of
+  /// the target).
+  Instant as_of;
+  std::vector<RequestId> running;
+};
+
+/// @brief The times that owners and holders of permits agree on.
+struct PermitRules
+{
+  /// A holder starts a run within this of sending the message that the grant
+  /// answers, or not at all.
+  Duration start_window = std::chrono::seconds(2);
+  /// Covers drift between two clocks over a start window, and the time that a
+  /// dispatched request takes to arrive at the target.
+  Duration margin = std::chrono::seconds(1);
+  /// A waiting request is passed over when its last message is older; holders
+  /// repeat at half of this.
+  Duration repeat_within = std::chrono::seconds(1);
+  /// A waiting request is dropped when its last message is older.
+  Duration drop_after = std::chrono::seconds(5);
+  /// A holder is asked what it holds when it last told longer ago.
+  Duration ask_after = std::chrono::seconds(5);
+  /// A holder that did not speak for so long is taken for gone: the target's
+  /// own report then decides over its permits.
+  Duration silent_after = std::chrono::seconds(10);
+};
+
+} // namespace jujubehead::core
+
+template<>
+struct std::hash<jujubehead::core::PermitId>
+{
+  std::size_t operator()(const jujubehead::core::PermitId& aId) const noexcept
+  {
+    constexpr std::uint64_t kMix = 0x9E3779B97F4A7C15U;
+    return std::hash<std::uint64_t>{}((aId.epoch * kMix) ^ aId.number);
+  }
+};
+
+#endif // JUJUBEHEAD_CORE_PERMIT_HPP
--- /dev/null
+++ b/include/jujubehead/core/permit_holder.hpp
@@ -0,0 +1,72 @@
+#ifndef JUJUBEHEAD_CORE_PERMIT_HOLDER_HPP
+#define JUJUBEHEAD_CORE_PERMIT_HOLDER_HPP
+
+#include <map>     // for map
+#include <variant> // for variant
+#include <vector>  // for vector
+
+#include "jujubehead/core/permit.hpp" // for PermitId, HeldPermit
+
+namespace jujubehead::core {
+
+/// @brief Dispatch now, without another wait in between.
+struct StartRun
+{
+  PermitId permit;
+};
+
+/// @brief Too late, or no longer wanted: release the permit. A request that
+/// still waits is asked for again.
+struct GiveBackPermit
+{
+  PermitId permit;
+};
+
+/// @brief Nothing to do: a repeat, or a permit that the owner has back already.
+struct IgnoreGrant
+{};
+
+using GrantOutcome = std::variant<StartRun, GiveBackPermit, IgnoreGrant>;
+
+/// @brief The holder's side of one target's permits: decides whether a grant
+/// may still be used, and tells owners what is held.
+class PermitHolder
+{
+public:
+  static PermitHolder For(InstanceId aSelf, PermitRules aRules = {});
+
+  /// @brief A request is about to be sent to the owner, or sent again.
+  void Asked(const RequestId& aRequest, const AccountId& aAccount);
+  /// @brief The request was refused or its caller went away.
+  /// @return whether it was waiting for a permit.
+  bool Forget(const RequestId& aRequest);
+  /// @param aSentAt when the message was sent that this grant answers.
+  GrantOutcome OnGranted(const PermitGranted& aGrant,
+                         Instant aSentAt,
+                         Instant aNow);
+  /// @brief The run under this permit is over.
+  void Ended(const PermitId& aPermit);
+  /// @brief Answers an owner, and is bound by the answer.
+  [[nodiscard]] HoldingsAnswer Answer(const HoldingsQuery& aQuery);
+  /// @return the permits under which runs go on.
+  [[nodiscard]] std::vector<HeldPermit> Held() const;
+
+private:
+  PermitHolder(InstanceId aSelf, PermitRules aRules);
+
+  struct Waiting
+  {
+    AccountId account;
+    PermitId given_back; ///< Repeats of grants up to this one are void.
+  };
+
+  InstanceId m_self;
+  PermitRules m_rules;
+  std::map<RequestId, Waiting> m_waiting;
+  std::map<PermitId, HeldPermit> m_held;
+  PermitId m_answered; ///< Grants up to this one are void unless held.
+};
+
+} // namespace jujubehead::core
+
+#endif // JUJUBEHEAD_CORE_PERMIT_HOLDER_HPP
--- /dev/null
+++ b/src/jujubehead/core/permit_book.cpp
@@ -0,0 +1,414 @@
+#include "jujubehead/core/permit_book.hpp"
+
+#include <algorithm> // for max, min
+#include <utility>   // for move
+
+#include "fair_queue.hpp"    // for FairQueue
+#include "permit_ledger.hpp" // for PermitLedger
+
+namespace jujubehead::core {
+
+namespace {
+
+constexpr Duration kLeastRetry = std::chrono::milliseconds(100);
+constexpr Duration kMostRetry = std::chrono::seconds(30);
+
+PermitRefused
+Refusal(const PermitRequest& aRequest, RefusalReason aReason, Duration aWait)
+{
+  return { aRequest.request,
+           aRequest.holder,
+           aReason,
+           std::clamp(aWait, kLeastRetry, kMostRetry),
+           aRequest.mark };
+}
+
+} // namespace
+
+class PermitBook::Impl
+{
+public:
+  Impl(std::uint64_t aEpoch, std::uint32_t aLimit, PermitRules aRules)
+    : m_epoch(aEpoch)
+    , m_limit(aLimit)
+    , m_rules(aRules)
+    , m_ledger(aEpoch, aRules)
+  {
+  }
+
+  void SetShares(std::span<const AccountShare> aShares)
+  {
+    for (const WaitingRequest& waiting : m_queue.SetShares(aShares)) {
+      Refuse(waiting.request, RefusalReason::kNoShare);
+    }
+  }
+
+  void Request(const PermitRequest& aRequest, Instant aNow)
+  {
+    m_ledger.Heard(aRequest.holder, aNow);
+    if (LedgerEntry* entry = m_ledger.Find(aRequest.request)) {
+      entry->mark = aRequest.mark;
+      entry->heard_at = aNow;
+      m_decided.emplace_back(Grant(*entry));
+    } else if (WaitingRequest* waiting = m_queue.Find(aRequest.request)) {
+      waiting->request.mark = aRequest.mark;
+      waiting->heard_at = aNow;
+    } else {
+      Enqueue(aRequest, aNow);
+    }
+  }
+
+  void Withdraw(const RequestId& aRequest, Instant aNow)
+  {
+    m_queue.Remove(aRequest);
+    if (const LedgerEntry* entry = m_ledger.Find(aRequest)) {
+      Release(entry->held.permit, aNow);
+    }
+  }
+
+  void Started(const PermitId& aPermit, Instant aNow)
+  {
+    if (LedgerEntry* entry = m_ledger.Find(aPermit)) {
+      entry->started = true;
+      m_ledger.Heard(entry->held.holder, aNow);
+    }
+  }
+
+  void Release(const PermitId& aPermit, Instant aNow)
+  {
+    if (const auto entry = m_ledger.Release(aPermit)) {
+      m_ledger.Heard(entry->held.holder, aNow);
+      Settle(*entry, aNow);
+    }
+  }
+
+  std::vector<PermitDecision> Decide(Instant aNow)
+  {
+    RefuseHopeless(aNow);
+    while (m_admits && m_ledger.Taken() < m_limit) {
+      auto chosen = m_queue.Pop(aNow - m_rules.repeat_within);
+      if (!chosen) {
+        break;
+      }
+      GrantChosen(*chosen, aNow);
+    }
+    return std::exchange(m_decided, {});
+  }
+
+  [[nodiscard]] PermitQuote Quote(const AccountId& aAccount) const
+  {
+    const std::uint32_t taken = m_ledger.Taken();
+    const auto ahead = m_queue.SizeOf(aAccount);
+    return { taken,
+             m_queue.Size(),
+             m_limit,
+             m_queue.ExpectedWait(aAccount, ahead, Places(), Free()) };
+  }
+
+  void Adopt(std::span<const HeldPermit> aPermits, Instant aNow)
+  {
+    for (const HeldPermit& held : aPermits) {
+      if (held.permit.epoch < m_epoch && m_ledger.Adopt(held, aNow)) {
+        m_queue.CountRunning(held.account);
+      }
+    }
+  }
+
+  void AcceptHolding(const HoldingsAnswer& aAnswer, Instant aNow)
+  {
+    Adopt(aAnswer.held, aNow);
+    for (const LedgerEntry& entry : m_ledger.Accept(aAnswer, aNow)) {
+      Return(entry);
+    }
+  }
+
+  void ObserveTargetReport(const TargetReport& aReport)
+  {
+    for (const LedgerEntry& entry : m_ledger.Observe(aReport)) {
+      Return(entry);
+    }
+  }
+
+  void StopAdmitting()
+  {
+    m_admits = false;
+    for (const WaitingRequest& waiting : m_queue.Clear()) {
+      Refuse(waiting.request, RefusalReason::kStopping);
+    }
+  }
+
+  [[nodiscard]] HoldingsQuery Query() const
+  {
+    return { PermitId{ m_epoch, m_last_number } };
+  }
+
+  std::uint64_t m_epoch;
+  std::uint32_t m_limit;
+  PermitRules m_rules;
+  FairQueue m_queue;
+  PermitLedger m_ledger;
+  bool m_admits = true;
+
+private:
+  /// Places that runs of this book's accounts may use.
+  [[nodiscard]] std::uint32_t Places() const
+  {
+    return m_limit - std::min(m_ledger.Reserved(), m_limit);
+  }
+
+  [[nodiscard]] std::uint32_t Free() const
+  {
+    return m_limit - std::min(m_ledger.Taken(), m_limit);
+  }
+
+  [[nodiscard]] Duration Wait(const PermitRequest& aRequest) const
+  {
+    return m_queue.ExpectedWait(
+      aRequest.account, m_queue.Ahead(aRequest), Places(), Free());
+  }
+
+  void Refuse(const PermitRequest& aRequest, RefusalReason aReason)
+  {
+    m_decided.emplace_back(Refusal(aRequest, aReason, Wait(aRequest)));
+  }
+
+  void Enqueue(const PermitRequest& aRequest, Instant aNow)
+  {
+    const AccountShare* share = m_queue.Share(aRequest.account);
+    if (!m_admits) {
+      Refuse(aRequest, RefusalReason::kStopping);
+    } else if (share == nullptr) {
+      Refuse(aRequest, RefusalReason::kNoShare);
+    } else if (m_queue.SizeOf(aRequest.account) >= share->max_waiting) {
+      Refuse(aRequest, RefusalReason::kQueueFull);
+    } else if (aNow + Wait(aRequest) > aRequest.deadline) {
+      Refuse(aRequest, RefusalReason::kDeadline);
+    } else {
+      m_queue.Push({ aRequest, aNow });
+    }
+  }
+
+  void RefuseHopeless(Instant aNow)
+  {
+    for (const WaitingRequest& waiting :
+         m_queue.TakeHopeless(aNow, aNow - m_rules.drop_after)) {
+      const bool silent = waiting.request.deadline >= aNow;
+      Refuse(waiting.request,
+             silent ? RefusalReason::kHolderSilent : RefusalReason::kDeadline);
+    }
+  }
+
+  [[nodiscard]] PermitGranted Grant(const LedgerEntry& aEntry) const
+  {
+    return { aEntry.held.request,
+             aEntry.held.holder,
+             aEntry.held.permit,
+             aEntry.heard_at + m_rules.start_window,
+             aEntry.mark };
+  }
+
+  void GrantChosen(const ChosenRequest& aChosen, Instant aNow)
+  {
+    const PermitRequest& request = aChosen.waiting.request;
+    LedgerEntry entry;
+    entry.held = { PermitId{ m_epoch, ++m_last_number },
+                   request.request,
+                   request.holder,
+                   request.account };
+    entry.granted_at = aNow;
+    entry.heard_at = aChosen.waiting.heard_at;
+    entry.confirmed_at = aNow;
+    entry.cost_tokens = request.cost_tokens;
+    entry.charged = aChosen.charged;
+    entry.mark = request.mark;
+    m_decided.emplace_back(Grant(entry));
+    m_ledger.Add(std::move(entry));
+  }
+
+  /// A run ended and its length is known.
+  void Settle(const LedgerEntry& aEntry, Instant aNow)
+  {
+    if (aEntry.held.permit.epoch != m_epoch) {
+      m_queue.CountEnded(aEntry.held.account);
+      return;
+    }
+    const Duration used = aNow - aEntry.granted_at;
+    m_queue.Settle(aEntry.held.account, aEntry.charged, used);
+    if (aEntry.started) {
+      m_queue.Learn(aEntry.held.account, aEntry.cost_tokens, used);
+    }
+  }
+
+  /// A place came back; when the run ended is not known.
+  void Return(const LedgerEntry& aEntry)
+  {
+    m_queue.CountEnded(aEntry.held.account);
+  }
+
+  std::uint64_t m_last_number = 0;
+  std::vector<PermitDecision> m_decided;
+};
+
+PermitBook::PermitBook(std::unique_ptr<Impl> aImpl)
+  : m_impl(std::move(aImpl))
+{
+}
+
+PermitBook::PermitBook(PermitBook&&) noexcept = default;
+PermitBook&
+PermitBook::operator=(PermitBook&&) noexcept = default;
+PermitBook::~PermitBook() = default;
+
+PermitBook
+PermitBook::ForEpoch(std::uint64_t aEpoch,
+                     std::uint32_t aLimit,
+                     PermitRules aRules)
+{
+  return PermitBook(std::make_unique<Impl>(aEpoch, aLimit, aRules));
+}
+
+void
+PermitBook::SetLimit(std::uint32_t aLimit)
+{
+  m_impl->m_limit = aLimit;
+}
+
+void
+PermitBook::SetShare(AccountShare aShare)
+{
+  m_impl->m_queue.SetShare(std::move(aShare));
+}
+
+void
+PermitBook::SetShares(std::span<const AccountShare> aShares)
+{
+  m_impl->SetShares(aShares);
+}
+
+bool
+PermitBook::HasShare(const AccountId& aAccount) const
+{
+  return m_impl->m_queue.Share(aAccount) != nullptr;
+}
+
+void
+PermitBook::Request(const PermitRequest& aRequest, Instant aNow)
+{
+  m_impl->Request(aRequest, aNow);
+}
+
+void
+PermitBook::Withdraw(const RequestId& aRequest, Instant aNow)
+{
+  m_impl->Withdraw(aRequest, aNow);
+}
+
+void
+PermitBook::Started(const PermitId& aPermit, Instant aNow)
+{
+  m_impl->Started(aPermit, aNow);
+}
+
+void
+PermitBook::Release(const PermitId& aPermit, Instant aNow)
+{
+  m_impl->Release(aPermit, aNow);
+}
+
+std::vector<PermitDecision>
+PermitBook::Decide(Instant aNow)
+{
+  return m_impl->Decide(aNow);
+}
+
+PermitQuote
+PermitBook::Quote(Instant /*aNow*/, const AccountId& aAccount) const
+{
+  return m_impl->Quote(aAccount);
+}
+
+void
+PermitBook::ReserveUnknown(std::uint32_t aCount, Instant aStartsEnd)
+{
+  m_impl->m_ledger.ReserveUnknown(aCount, aStartsEnd);
+}
+
+void
+PermitBook::Adopt(std::span<const HeldPermit> aPermits, Instant aNow)
+{
+  m_impl->Adopt(aPermits, aNow);
+}
+
+HoldingsQuery
+PermitBook::Query() const
+{
+  return m_impl->Query();
+}
+
+std::vector<InstanceId>
+PermitBook::HoldersToAsk(Instant aNow) const
+{
+  return m_impl->m_ledger.HoldersToAsk(aNow);
+}
+
+void
+PermitBook::AcceptHolding(const HoldingsAnswer& aAnswer, Instant aNow)
+{
+  m_impl->AcceptHolding(aAnswer, aNow);
+}
+
+void
+PermitBook::ObserveTargetReport(const TargetReport& aReport)
+{
+  m_impl->ObserveTargetReport(aReport);
+}
+
+bool
+PermitBook::NeedsTargetReport(Instant aNow) const
+{
+  return m_impl->m_ledger.NeedsTargetReport(aNow);
+}
+
+void
+PermitBook::StopAdmitting()
+{
+  m_impl->StopAdmitting();
+}
+
+bool
+PermitBook::Admits() const
+{
+  return m_impl->m_admits;
+}
+
+std::uint64_t
+PermitBook::Epoch() const
+{
+  return m_impl->m_epoch;
+}
+
+std::uint32_t
+PermitBook::Limit() const
+{
+  return m_impl->m_limit;
+}
+
+std::vector<HeldPermit>
+PermitBook::Held() const
+{
+  return m_impl->m_ledger.Held();
+}
+
+std::uint32_t
+PermitBook::Reserved() const
+{
+  return m_impl->m_ledger.Reserved();
+}
+
+std::uint32_t
+PermitBook::Waiting() const
+{
+  return m_impl->m_queue.Size();
+}
+
+} // namespace jujubehead::core
--- /dev/null
+++ b/src/jujubehead/core/permit_holder.cpp
@@ -0,0 +1,87 @@
+#include "jujubehead/core/permit_holder.hpp"
+
+#include <algorithm> // for max
+#include <utility>   // for move
+
+namespace jujubehead::core {
+
+PermitHolder::PermitHolder(InstanceId aSelf, PermitRules aRules)
+  : m_self(std::move(aSelf))
+  , m_rules(aRules)
+{
+}
+
+PermitHolder
+PermitHolder::For(InstanceId aSelf, PermitRules aRules)
+{
+  return { std::move(aSelf), aRules };
+}
+
+void
+PermitHolder::Asked(const RequestId& aRequest, const AccountId& aAccount)
+{
+  m_waiting.try_emplace(aRequest, Waiting{ aAccount, {} });
+}
+
+bool
+PermitHolder::Forget(const RequestId& aRequest)
+{
+  return m_waiting.erase(aRequest) != 0;
+}
+
+GrantOutcome
+PermitHolder::OnGranted(const PermitGranted& aGrant,
+                        Instant aSentAt,
+                        Instant aNow)
+{
+  const PermitId permit = aGrant.permit;
+  if (m_held.contains(permit) || permit <= m_answered) {
+    return IgnoreGrant{};
+  }
+  const auto waiting = m_waiting.find(aGrant.request);
+  if (waiting == m_waiting.end()) {
+    return GiveBackPermit{ permit };
+  }
+  const bool late = aNow >= aSentAt + m_rules.start_window;
+  if (late || permit <= waiting->second.given_back) {
+    waiting->second.given_back = std::max(waiting->second.given_back, permit);
+    return GiveBackPermit{ permit };
+  }
+  m_held.emplace(
+    permit,
+    HeldPermit{ permit, aGrant.request, m_self, waiting->second.account });
+  m_waiting.erase(waiting);
+  return StartRun{ permit };
+}
+
+void
+PermitHolder::Ended(const PermitId& aPermit)
+{
+  m_held.erase(aPermit);
+}
+
+HoldingsAnswer
+PermitHolder::Answer(const HoldingsQuery& aQuery)
+{
+  m_answered = std::max(m_answered, aQuery.up_to);
+  HoldingsAnswer answer{ m_self, aQuery.up_to, {} };
+  for (const auto& [permit, held] : m_held) {
+    if (permit <= aQuery.up_to) {
+      answer.held.push_back(held);
+    }
+  }
+  return answer;
+}
+
+std::vector<HeldPermit>
+PermitHolder::Held() const
+{
+  std::vector<HeldPermit> held;
+  held.reserve(m_held.size());
+  for (const auto& [permit, entry] : m_held) {
+    held.push_back(entry);
+  }
+  return held;
+}
+
+} // namespace jujubehead::core
