Read, check and change the operators' table, and keep its change sequence

Rows are shared between versions of the table, so a change copies pointers and not rows. Cells left empty stay marked, so that a changed default reaches the accounts that inherit it and a diff shows only what a person wrote.

--- a/include/jujubehead/core/account_key.hpp
+++ b/include/jujubehead/core/account_key.hpp
@@ -21,8 +21,10 @@
 ParseAccountKey(std::string_view aText);
 
 /// @brief Makes the `key_hash` cell of a secret: `h1.<salt>.<hash>`, both in
-/// base64url. The hash is the first 16 bytes of iterated SHA-256.
-/// @param aSalt text from the base64url letters, best of 8 random bytes.
+/// base64url. The hash is 16 bytes of PBKDF2 with HMAC-SHA-256, 100 rounds:
+/// secrets are random text of the command line, not people's passwords.
+/// @param aSalt base64url text of at least 8 letters, fresh for each secret.
+/// @throws std::runtime_error when the library fails.
 std::string
 HashKey(std::string_view aSecret, std::string_view aSalt);
 
@@ -35,11 +37,6 @@
 bool
 IsKeyHash(std::string_view aText);
 
-/// @return random bytes as base64url text.
-/// @throws std::runtime_error when the random source fails.
-std::string
-RandomText(std::size_t aBytes);
-
 } // namespace jujubehead::core
 
 #endif // JUJUBEHEAD_CORE_ACCOUNT_KEY_HPP
--- a/include/jujubehead/core/change_log.hpp
+++ b/include/jujubehead/core/change_log.hpp
@@ -27,6 +27,10 @@
 std::string_view
 StopKindName(StopKind aKind);
 
+/// @return the kind of that word.
+std::optional<StopKind>
+StopKindOf(std::string_view aName);
+
 /// @brief Names what a planned stop is for.
 struct StopSubject
 {
@@ -50,7 +54,10 @@
 {
   TableRow row;
 
-  friend bool operator==(const PutRow&, const PutRow&) = default;
+  friend bool operator==(const PutRow& aLeft, const PutRow& aRight)
+  {
+    return SameCells(aLeft.row, aRight.row);
+  }
 };
 
 /// @brief A row is taken out.
@@ -104,13 +111,6 @@
   std::vector<StopMark> stops; ///< Ordered by subject.
 };
 
-/// @brief An entry is not the next one: those between must be fetched.
-struct VersionGap
-{
-  std::uint64_t have = 0;
-  std::uint64_t got = 0;
-};
-
 /// @brief What TableView::Apply() did.
 enum class Applied : std::uint8_t
 {
--- a/include/jujubehead/core/table.hpp
+++ b/include/jujubehead/core/table.hpp
@@ -51,13 +51,13 @@
   std::string adapter; ///< Empty: none. An account's `-`: none, also when the
                        ///< `*` row names one.
   std::uint32_t weight = 1; ///< Share under contention, against the others'.
-  std::uint32_t max_running = 1; ///< At one target; 0 bars an account.
-  std::uint32_t max_waiting = 0; ///< Before one target.
-  std::int32_t priority = 0;     ///< Lower runs first.
-  Duration deadline{};           ///< Until the first token.
-  double recompute_price = 0;    ///< Of one recomputed token, in microseconds.
-  std::string key_hash;          ///< See core/account_key.hpp.
-  std::uint16_t inherited = 0;   ///< Bit n: cell of TableColumn n is empty.
+  std::uint32_t max_running = 1;  ///< At one target; 0 bars an account.
+  std::uint32_t max_waiting = 64; ///< Before one target.
+  std::int32_t priority = 0;      ///< Lower runs first.
+  Duration deadline = std::chrono::seconds(30); ///< Until the first token.
+  double recompute_price = 100; ///< Of one recomputed token, in microseconds.
+  std::string key_hash;         ///< See core/account_key.hpp.
+  std::uint16_t inherited = 0;  ///< Bit n: cell of TableColumn n is empty.
 
   [[nodiscard]] bool IsInherited(TableColumn aColumn) const
   {
@@ -68,6 +68,20 @@
   friend bool operator==(const TableRow&, const TableRow&) = default;
 };
 
+/// The account of the rows that hold a model's limits and defaults.
+inline constexpr std::string_view kModelDefaultsAccount = "*";
+/// What the model of a plain service begins with.
+inline constexpr std::string_view kServiceModelPrefix = "service:";
+
+/// @brief What tells a row from the others.
+struct TableRowKey
+{
+  AccountId account;
+  ModelId model;
+
+  friend auto operator<=>(const TableRowKey&, const TableRowKey&) = default;
+};
+
 /// @brief Two rows have the same cells as written, whatever they inherit.
 bool
 SameCells(const TableRow& aLeft, const TableRow& aRight);
@@ -112,10 +126,10 @@
   /// @return the table as FromCsv() reads it, in the order of Rows().
   [[nodiscard]] std::string ToCsv() const;
 
-  /// @return this table with the rows added or replaced, and those of
-  /// `aRemoved` (by account and model) taken out; not checked.
+  /// @return this table with the rows of `aRemoved` taken out and those of
+  /// `aPut` added or replaced; not checked.
   [[nodiscard]] Table With(std::span<const TableRow> aPut,
-                           std::span<const TableRow> aRemoved) const;
+                           std::span<const TableRowKey> aRemoved) const;
   /// @return what FromRows() would find about this table's rows together.
   [[nodiscard]] Findings Check(std::string_view aFile) const;
 
--- /dev/null
+++ b/src/jujubehead/core/table.cpp
@@ -0,0 +1,220 @@
+#include "jujubehead/core/table.hpp"
+
+#include <algorithm> // for find_if, lower_bound, stable_sort
+#include <iterator>  // for make_move_iterator
+#include <tuple>     // for tie
+#include <utility>   // for move
+
+#include "csv_reader.hpp"  // for CsvCell
+#include "table_cell.hpp"  // for TableColumns
+#include "table_check.hpp" // for CheckTogether
+#include "table_csv.hpp"   // for ReadTableCsv
+
+namespace jujubehead::core {
+namespace {
+
+using Row = Table::Row;
+using RowSpan = std::span<const Row>;
+
+bool
+IsBefore(const Row& aRow, const TableRowKey& aKey)
+{
+  return std::tie(aRow->account, aRow->model) <
+         std::tie(aKey.account, aKey.model);
+}
+
+RowSpan::iterator
+LowerBound(RowSpan aRows, const TableRowKey& aKey)
+{
+  return std::lower_bound(aRows.begin(), aRows.end(), aKey, IsBefore);
+}
+
+/// Places in the file that a table was read from.
+class CsvPlaces : public detail::RowPlaces
+{
+public:
+  CsvPlaces(std::string_view aFile,
+            const detail::CsvTable& aTable,
+            std::span<const std::size_t> aLines)
+    : m_file(aFile)
+    , m_table(aTable)
+    , m_lines(aLines)
+  {
+  }
+  [[nodiscard]] Place Of(std::size_t aRow, TableColumn aColumn) const override
+  {
+    const detail::CsvTable::Line& line = m_table.lines[m_lines[aRow]];
+    return { m_file,
+             line.line,
+             m_table.positions.at(static_cast<std::size_t>(aColumn)) };
+  }
+
+private:
+  std::string m_file;
+  const detail::CsvTable& m_table;
+  std::span<const std::size_t> m_lines;
+};
+
+/// Places by the index of rows that come from no file.
+class IndexPlaces : public detail::RowPlaces
+{
+public:
+  explicit IndexPlaces(std::string_view aFile)
+    : m_file(aFile)
+  {
+  }
+  [[nodiscard]] Place Of(std::size_t aRow, TableColumn aColumn) const override
+  {
+    return { m_file, aRow + 1, static_cast<std::size_t>(aColumn) + 1 };
+  }
+
+private:
+  std::string m_file;
+};
+
+void
+CheckLines(std::string_view aFile, detail::CsvTable& aTable)
+{
+  std::vector<std::size_t> lines;
+  std::vector<detail::CheckedRow> rows;
+  for (std::size_t i = 0; i < aTable.lines.size(); ++i) {
+    if (aTable.lines[i].has_key) {
+      lines.push_back(i);
+      rows.push_back({ &aTable.lines[i].row, aTable.lines[i].cells_fit });
+    }
+  }
+  const CsvPlaces places(aFile, aTable, lines);
+  Findings together = detail::CheckTogether(rows, places);
+  aTable.findings.insert(aTable.findings.end(),
+                         std::make_move_iterator(together.begin()),
+                         std::make_move_iterator(together.end()));
+}
+
+void
+SortByPlace(Findings& aFindings)
+{
+  std::stable_sort(aFindings.begin(),
+                   aFindings.end(),
+                   [](const Finding& aLeft, const Finding& aRight) {
+                     return std::tie(aLeft.place.row, aLeft.place.column) <
+                            std::tie(aRight.place.row, aRight.place.column);
+                   });
+}
+
+std::vector<TableRow>
+TakeRows(detail::CsvTable& aTable)
+{
+  std::vector<TableRow> rows;
+  rows.reserve(aTable.lines.size());
+  for (detail::CsvTable::Line& line : aTable.lines) {
+    rows.push_back(std::move(line.row));
+  }
+  return rows;
+}
+
+} // namespace
+
+Checked<Table>
+Table::FromCsv(std::string_view aFile, std::string_view aText)
+{
+  detail::CsvTable read = detail::ReadTableCsv(aFile, aText);
+  if (read.header_fits) {
+    CheckLines(aFile, read);
+  }
+  if (!read.findings.empty()) {
+    SortByPlace(read.findings);
+    return std::move(read.findings);
+  }
+  const std::vector<TableRow> rows = TakeRows(read);
+  return Table().With(rows, {});
+}
+
+Checked<Table>
+Table::FromRows(std::string_view aFile, std::vector<TableRow> aRows)
+{
+  std::vector<detail::CheckedRow> checked;
+  checked.reserve(aRows.size());
+  for (const TableRow& row : aRows) {
+    checked.push_back({ &row, true });
+  }
+  Findings findings = detail::CheckTogether(checked, IndexPlaces(aFile));
+  if (!findings.empty()) {
+    return findings;
+  }
+  return Table().With(aRows, {});
+}
+
+Findings
+Table::Check(std::string_view aFile) const
+{
+  std::vector<detail::CheckedRow> checked;
+  checked.reserve(m_rows.size());
+  for (const Row& row : m_rows) {
+    checked.push_back({ row.get(), true });
+  }
+  return detail::CheckTogether(checked, IndexPlaces(aFile));
+}
+
+const TableRow*
+Table::Find(const AccountId& aAccount, const ModelId& aModel) const
+{
+  const RowSpan rows = m_rows;
+  const auto found = LowerBound(rows, { aAccount, aModel });
+  const bool is_it = found != rows.end() && (*found)->account == aAccount &&
+                     (*found)->model == aModel;
+  return is_it ? found->get() : nullptr;
+}
+
+const TableRow*
+Table::ModelDefaults(const ModelId& aModel) const
+{
+  return Find(AccountId(std::string(kModelDefaultsAccount)), aModel);
+}
+
+std::span<const Row>
+Table::RowsOf(const AccountId& aAccount) const
+{
+  const RowSpan rows = m_rows;
+  const auto first = LowerBound(rows, { aAccount, ModelId() });
+  const auto last = std::find_if(first, rows.end(), [&](const Row& aRow) {
+    return aRow->account != aAccount;
+  });
+  return { first, last };
+}
+
+std::span<const Row>
+Table::Models() const
+{
+  return RowsOf(AccountId(std::string(kModelDefaultsAccount)));
+}
+
+std::string_view
+Table::KeyHash(const AccountId& aAccount) const
+{
+  for (const Row& row : RowsOf(aAccount)) {
+    if (!row->key_hash.empty()) {
+      return row->key_hash;
+    }
+  }
+  return {};
+}
+
+std::string
+Table::ToCsv() const
+{
+  std::string text;
+  for (const TableColumn column : detail::TableColumns()) {
+    text += (text.empty() ? "" : ",") + std::string(ColumnName(column));
+  }
+  text += '\n';
+  for (const Row& row : m_rows) {
+    for (const TableColumn column : detail::TableColumns()) {
+      text += column == TableColumn::kAccount ? "" : ",";
+      text += detail::CsvCell(CellText(*row, column));
+    }
+    text += '\n';
+  }
+  return text;
+}
+
+} // namespace jujubehead::core
