--- /dev/null
+++ b/src/jujubehead/core/return_model.cpp
@@ -0,0 +1,340 @@
+#include "jujubehead/core/return_model.hpp"
+
+#include <algorithm>     // for max, min
+#include <array>         // for array
+#include <chrono>        // for duration
+#include <cmath>         // for exp, log
+#include <unordered_map> // for unordered_map
+
+namespace jujubehead::core {
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+/// Spans of idle time: [0, 4 s), [4 s, 8 s), ... and the last one without end.
+constexpr std::size_t kSpans = 18;
+constexpr double kFirstSpanEnd = 4;
+/// Under the prior half of all contexts return within an hour.
+constexpr double kPriorHalfTime = 3600;
+/// Observations of an account after which its rates are worked out anew.
+constexpr int kRefreshAfter = 64;
+
+template<typename T>
+using PerSpan = std::array<T, kSpans>;
+
+double
+ToSeconds(Duration aDuration)
+{
+  return std::max(0.0, std::chrono::duration_cast<Seconds>(aDuration).count());
+}
+
+double
+SpanBegin(std::size_t aSpan)
+{
+  return aSpan == 0 ? 0.0
+                    : std::ldexp(kFirstSpanEnd, static_cast<int>(aSpan) - 1);
+}
+
+/// The last span is taken to be as long as all before it.
+double
+SpanEnd(std::size_t aSpan)
+{
+  return std::ldexp(kFirstSpanEnd, static_cast<int>(aSpan));
+}
+
+std::size_t
+SpanOf(double aAge)
+{
+  if (aAge < kFirstSpanEnd) {
+    return 0;
+  }
+  const auto span =
+    1 + static_cast<std::size_t>(std::ilogb(aAge / kFirstSpanEnd));
+  return std::min(span, kSpans - 1);
+}
+
+struct Counts
+{
+  PerSpan<double> returns{};
+  PerSpan<double> seconds{}; ///< Time at risk.
+};
+
+/// Returns a second, by span of idle time.
+using Rates = PerSpan<double>;
+
+Rates
+Blend(const Counts& aCounts, const Rates& aToward, double aWeight)
+{
+  Rates rates{};
+  for (std::size_t i = 0; i < kSpans; ++i) {
+    rates[i] = (aCounts.returns[i] + aWeight) /
+               (aCounts.seconds[i] + aWeight / aToward[i]);
+  }
+  return rates;
+}
+
+/// Returns seen against those that the rates would have led one to expect.
+double
+Pace(const Counts& aCounts, const Rates& aRates, double aWeight)
+{
+  double seen = aWeight;
+  double expected = aWeight;
+  for (std::size_t i = 0; i < kSpans; ++i) {
+    seen += aCounts.returns[i];
+    expected += aCounts.seconds[i] * aRates[i];
+  }
+  return seen / expected;
+}
+
+/// Draws towards the rates at the pace of the counts: an account that returns
+/// seldom does so in every span, unless it shows otherwise.
+Rates
+BlendAtPace(const Counts& aCounts, const Rates& aToward, double aWeight)
+{
+  const double pace = Pace(aCounts, aToward, aWeight);
+  Rates paced{};
+  for (std::size_t i = 0; i < kSpans; ++i) {
+    paced[i] = aToward[i] * pace;
+  }
+  return Blend(aCounts, paced, aWeight);
+}
+
+Rates
+Prior()
+{
+  Rates rates{};
+  rates.fill(std::log(2.0) / kPriorHalfTime);
+  return rates;
+}
+
+/// Walks on from an age, adding up what the rates say.
+class Outlook
+{
+public:
+  Outlook(const Rates& aRates, double aAge)
+    : m_rates(aRates)
+    , m_age(aAge)
+    , m_span(SpanOf(aAge))
+  {
+  }
+
+  [[nodiscard]] bool AtEnd() const { return m_span == kSpans; }
+  [[nodiscard]] double Chance() const { return 1 - m_idle_chance; }
+  [[nodiscard]] double ExpectedSeconds() const { return m_expected; }
+  [[nodiscard]] double Age() const { return m_age; }
+
+  /// Goes on to the end of the span, at most to aLimit.
+  void Step(double aLimit)
+  {
+    const double end = std::min(SpanEnd(m_span), aLimit);
+    const double length = std::max(0.0, end - m_age);
+    const double left = std::exp(-m_rates[m_span] * length);
+    m_expected += m_idle_chance * (1 - left) / m_rates[m_span];
+    m_idle_chance *= left;
+    m_age = end;
+    ++m_span;
+  }
+
+private:
+  const Rates& m_rates;
+  double m_age;
+  std::size_t m_span;
+  double m_idle_chance = 1;
+  double m_expected = 0; ///< Expected time kept so far.
+};
+
+/// Best ratio of returns to time kept, by span that the age is in.
+double
+BestRate(const Rates& aRates, double aAge)
+{
+  constexpr double kNoLimit = 1e18;
+  Outlook outlook(aRates, aAge);
+  double best = 0;
+  while (!outlook.AtEnd()) {
+    outlook.Step(kNoLimit);
+    if (outlook.ExpectedSeconds() > 0) {
+      best = std::max(best, outlook.Chance() / outlook.ExpectedSeconds());
+    }
+  }
+  return best;
+}
+
+} // namespace
+
+class ReturnModel::Estimator
+{
+public:
+  explicit Estimator(const ReturnModelSettings& aSettings)
+    : m_settings(aSettings)
+  {
+    Refresh();
+  }
+
+  void Observe(const AccountId& aAccount,
+               double aFrom,
+               double aTo,
+               bool aReturned)
+  {
+    Add(m_pool, aFrom, aTo, aReturned);
+    if (Account* account = AccountOf(aAccount)) {
+      Add(account->counts, aFrom, aTo, aReturned);
+      if (++account->unseen >= kRefreshAfter) {
+        Refresh();
+        Refresh(*account);
+      }
+    }
+  }
+
+  void Fade(double aFactor)
+  {
+    Scale(m_pool, aFactor);
+    Refresh();
+    for (auto& [id, account] : m_accounts) {
+      Scale(account.counts, aFactor);
+      Refresh(account);
+    }
+  }
+
+  [[nodiscard]] double Chance(const AccountId& aAccount,
+                              double aIdle,
+                              double aWithin) const
+  {
+    Outlook outlook(RatesOf(aAccount), aIdle);
+    while (!outlook.AtEnd() && outlook.Age() < aIdle + aWithin) {
+      outlook.Step(aIdle + aWithin);
+    }
+    return outlook.Chance();
+  }
+
+  [[nodiscard]] double Rate(const AccountId& aAccount, double aIdle) const
+  {
+    const auto found = m_accounts.find(aAccount);
+    const Rates& best =
+      found == m_accounts.end() ? m_pool_best : found->second.best;
+    return best[SpanOf(aIdle)];
+  }
+
+private:
+  struct Account
+  {
+    Counts counts;
+    Rates rates{};
+    Rates best{}; ///< BestRate by span.
+    int unseen = 0;
+  };
+
+  static void Add(Counts& aCounts, double aFrom, double aTo, bool aReturned)
+  {
+    for (std::size_t span = SpanOf(aFrom); span < kSpans; ++span) {
+      const double begin = std::max(aFrom, SpanBegin(span));
+      const double end =
+        span + 1 == kSpans ? aTo : std::min(aTo, SpanEnd(span));
+      if (begin >= aTo) {
+        break;
+      }
+      aCounts.seconds[span] += end - begin;
+    }
+    if (aReturned) {
+      aCounts.returns[SpanOf(aTo)] += 1;
+    }
+  }
+
+  static void Scale(Counts& aCounts, double aFactor)
+  {
+    for (std::size_t i = 0; i < kSpans; ++i) {
+      aCounts.returns[i] *= aFactor;
+      aCounts.seconds[i] *= aFactor;
+    }
+  }
+
+  /// For each span, from the middle of it.
+  static Rates Best(const Rates& aRates)
+  {
+    Rates best{};
+    for (std::size_t i = 0; i < kSpans; ++i) {
+      best[i] = BestRate(aRates, (SpanBegin(i) + SpanEnd(i)) / 2);
+    }
+    return best;
+  }
+
+  void Refresh()
+  {
+    m_pool_rates = BlendAtPace(m_pool, Prior(), m_settings.prior_weight);
+    m_pool_best = Best(m_pool_rates);
+  }
+
+  void Refresh(Account& aAccount) const
+  {
+    aAccount.unseen = 0;
+    aAccount.rates =
+      BlendAtPace(aAccount.counts, m_pool_rates, m_settings.pool_weight);
+    aAccount.best = Best(aAccount.rates);
+  }
+
+  Account* AccountOf(const AccountId& aAccount)
+  {
+    const auto found = m_accounts.find(aAccount);
+    if (found != m_accounts.end()) {
+      return &found->second;
+    }
+    if (m_accounts.size() >= m_settings.max_accounts) {
+      return nullptr;
+    }
+    Account& account = m_accounts[aAccount];
+    Refresh(account);
+    return &account;
+  }
+
+  [[nodiscard]] const Rates& RatesOf(const AccountId& aAccount) const
+  {
+    const auto found = m_accounts.find(aAccount);
+    return found == m_accounts.end() ? m_pool_rates : found->second.rates;
+  }
+
+  ReturnModelSettings m_settings;
+  Counts m_pool;
+  Rates m_pool_rates{};
+  Rates m_pool_best{};
+  std::unordered_map<AccountId, Account> m_accounts;
+};
+
+ReturnModel::ReturnModel(const ReturnModelSettings& aSettings)
+  : m_estimator(std::make_unique<Estimator>(aSettings))
+{
+}
+
+ReturnModel::~ReturnModel() = default;
+ReturnModel::ReturnModel(ReturnModel&&) noexcept = default;
+ReturnModel&
+ReturnModel::operator=(ReturnModel&&) noexcept = default;
+
+void
+ReturnModel::Observe(const AccountId& aAccount,
+                     Duration aFrom,
+                     Duration aTo,
+                     bool aReturned)
+{
+  m_estimator->Observe(aAccount, ToSeconds(aFrom), ToSeconds(aTo), aReturned);
+}
+
+void
+ReturnModel::Fade(double aFactor)
+{
+  m_estimator->Fade(aFactor);
+}
+
+double
+ReturnModel::ChanceOfReturn(const AccountId& aAccount,
+                            Duration aIdle,
+                            Duration aWithin) const
+{
+  return m_estimator->Chance(aAccount, ToSeconds(aIdle), ToSeconds(aWithin));
+}
+
+double
+ReturnModel::ReturnRate(const AccountId& aAccount, Duration aIdle) const
+{
+  return m_estimator->Rate(aAccount, ToSeconds(aIdle));
+}
+
+} // namespace jujubehead::core
