Add the stand-ins for the platform: models and their HTTP faces

HttpExchange gets Close(): a stand-in that is down or loses its answer closes the connection without a reply.

--- a/include/jujubehead/net/http_server.hpp
+++ b/include/jujubehead/net/http_server.hpp
@@ -37,6 +37,8 @@
   /// @brief Called once, on this thread, when the caller closes its connection
   /// before the reply is complete. An empty function removes it.
   virtual void OnCallerGone(std::function<void()> aCallback) = 0;
+  /// @brief Closes the connection now, without (the rest of) a reply.
+  virtual void Close() = 0;
 };
 
 using HttpHandler = std::function<boost::asio::awaitable<void>(HttpExchange&)>;
--- /dev/null
+++ b/standin/main.cpp
@@ -0,0 +1,187 @@
+#include <csignal>   // for SIGINT, SIGTERM
+#include <cstdlib>   // for _Exit
+#include <cstring>   // for strcmp
+#include <exception> // for exception
+#include <fstream>   // for ifstream, ofstream
+#include <iostream>  // for cerr
+#include <sstream>   // for istringstream
+#include <stdexcept> // for runtime_error
+
+#include <boost/asio/signal_set.hpp> // for signal_set
+#include <gflags/gflags.h>           // for DEFINE_string
+
+#include "standin/stand_in.hpp" // for StandIn
+
+DEFINE_string(address, "127.0.0.1", "Address to listen at");
+DEFINE_int32(port, 0, "Port to listen at; 0: any free one");
+DEFINE_string(ready_file, "", "Gets `address:port` once listening");
+DEFINE_string(model, "jujube-large", "engine: its model");
+DEFINE_string(versions, "v1", "engine: loaded weight versions, by comma");
+DEFINE_string(adapters, "", "engine: loaded adapters, by comma");
+DEFINE_uint64(total_blocks, 4096, "engine: blocks of the prefix cache");
+DEFINE_uint64(batch, 16, "engine: most runs at once");
+DEFINE_uint64(hard_limit, 64, "engine: most runs and waiting requests");
+DEFINE_uint64(prefill_us_per_token, 20, "engine: cost of a prompt token");
+DEFINE_uint64(decode_us_per_step, 5000, "engine: cost of a batching step");
+DEFINE_uint64(kv_bytes_per_token, 1024, "engine: KV cache of a token");
+DEFINE_bool(checks_fencing, true, "engine: refuses old fencing numbers");
+DEFINE_int64(load_ms, 500, "engine: time that loading weights takes");
+DEFINE_int64(load_lag_ms, 50, "engine: lateness of the load report");
+DEFINE_int64(event_lag_ms, 50, "engine, store: lateness of events");
+DEFINE_double(event_gap, 0, "engine, store: share of events never published");
+DEFINE_uint64(seed, 1, "engine, store: seed of the gaps");
+DEFINE_uint64(memory_bytes, 64U << 20U, "store: memory tier");
+DEFINE_uint64(disk_bytes, 1U << 30U, "store: disk tier");
+DEFINE_uint64(link_bytes_per_second, 100U << 20U, "store: rate of its link");
+DEFINE_int64(disk_ms, 20, "store: added to a read from disk");
+DEFINE_double(writes_per_second, 0, "table: most items written; 0: no limit");
+DEFINE_double(reads_per_second, 0, "table: most reads; 0: no limit");
+DEFINE_string(members_file, "", "members: JSON array of the first members");
+DEFINE_string(service, "sync", "service: its name");
+DEFINE_string(id, "service-1", "service: its id");
+DEFINE_int64(work_ms, 0, "service: time that a call takes");
+
+namespace {
+
+using namespace jujubehead::standin;
+namespace asio = boost::asio;
+
+constexpr int kCrashStatus = 70;
+constexpr int kUsageStatus = 2;
+constexpr const char* kUsage =
+  "jujubehead-standin engine|store|table|objects|members|service [flags]";
+
+std::vector<std::string>
+SplitByComma(const std::string& aText)
+{
+  std::vector<std::string> parts;
+  std::istringstream stream(aText);
+  for (std::string part; std::getline(stream, part, ',');) {
+    parts.push_back(part);
+  }
+  return parts;
+}
+
+EventOptions
+EventsFromFlags()
+{
+  EventOptions events;
+  events.lag_ms = FLAGS_event_lag_ms;
+  events.gap = FLAGS_event_gap;
+  events.seed = FLAGS_seed;
+  return events;
+}
+
+EngineOptions
+EngineFromFlags()
+{
+  EngineOptions options;
+  options.model = FLAGS_model;
+  options.versions = SplitByComma(FLAGS_versions);
+  options.adapters = SplitByComma(FLAGS_adapters);
+  options.total_blocks = FLAGS_total_blocks;
+  options.batch = FLAGS_batch;
+  options.hard_limit = FLAGS_hard_limit;
+  options.prefill_per_token =
+    std::chrono::microseconds(FLAGS_prefill_us_per_token);
+  options.decode_per_step = std::chrono::microseconds(FLAGS_decode_us_per_step);
+  options.kv_bytes_per_token = FLAGS_kv_bytes_per_token;
+  options.checks_fencing = FLAGS_checks_fencing;
+  options.load_ms = FLAGS_load_ms;
+  options.load_lag_ms = FLAGS_load_lag_ms;
+  options.events = EventsFromFlags();
+  return options;
+}
+
+StoreOptions
+StoreFromFlags()
+{
+  return { FLAGS_memory_bytes,
+           FLAGS_disk_bytes,
+           FLAGS_link_bytes_per_second,
+           FLAGS_disk_ms,
+           EventsFromFlags() };
+}
+
+nlohmann::json
+MembersFromFlags()
+{
+  if (FLAGS_members_file.empty()) {
+    return nlohmann::json::array();
+  }
+  std::ifstream file(FLAGS_members_file);
+  return nlohmann::json::parse(file);
+}
+
+StandIn
+Create(asio::io_context& aContext, const std::string& aKind)
+{
+  const ListenOptions listen{ FLAGS_address,
+                              static_cast<std::uint16_t>(FLAGS_port) };
+  if (aKind == "engine") {
+    return StandIn::Engine(aContext, EngineFromFlags(), listen);
+  }
+  if (aKind == "store") {
+    return StandIn::Store(aContext, StoreFromFlags(), listen);
+  }
+  if (aKind == "table") {
+    const TableOptions options{ FLAGS_writes_per_second,
+                                FLAGS_reads_per_second };
+    return StandIn::Table(aContext, options, listen);
+  }
+  if (aKind == "objects") {
+    return StandIn::Objects(aContext, listen);
+  }
+  if (aKind == "members") {
+    return StandIn::Members(aContext, MembersFromFlags(), listen);
+  }
+  if (aKind == "service") {
+    return StandIn::Service(
+      aContext, { FLAGS_service, FLAGS_id, FLAGS_work_ms }, listen);
+  }
+  throw std::runtime_error(std::string("usage: ") + kUsage);
+}
+
+// Written under another name first, so that a reader never sees half of it.
+void
+WriteReadyFile(const std::string& aAuthority)
+{
+  if (FLAGS_ready_file.empty()) {
+    return;
+  }
+  const std::string draft = FLAGS_ready_file + ".draft";
+  std::ofstream(draft) << aAuthority << '\n';
+  if (std::rename(draft.c_str(), FLAGS_ready_file.c_str()) != 0) {
+    throw std::runtime_error("cannot write " + FLAGS_ready_file);
+  }
+}
+
+void
+Serve(const std::string& aKind)
+{
+  asio::io_context context(1);
+  StandIn stand_in = Create(context, aKind);
+  stand_in.SetOnCrash([] { std::_Exit(kCrashStatus); });
+  asio::signal_set signals(context, SIGINT, SIGTERM);
+  signals.async_wait([&](const auto&, int) { context.stop(); });
+  std::cerr << "jujubehead-standin: " << aKind << " at " << stand_in.Authority()
+            << std::endl;
+  WriteReadyFile(stand_in.Authority());
+  context.run();
+}
+
+} // namespace
+
+int
+main(int argc, char** argv)
+{
+  gflags::SetUsageMessage(kUsage);
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  try {
+    Serve(argc == 2 ? argv[1] : "");
+  } catch (const std::exception& error) {
+    std::cerr << "jujubehead-standin: " << error.what() << '\n';
+    return kUsageStatus;
+  }
+  return 0;
+}
