--- a/include/jujubehead/net/table_service.hpp
+++ b/include/jujubehead/net/table_service.hpp
@@ -151,11 +151,15 @@
                 Transaction aTransaction,
                 std::size_t aTries = 3);
 
-/// @brief Settles an unknown outcome long after, by reading back: the item
-/// that the transaction put has exactly this body.
-/// @return Committed, or NotWritten when another or no body is there.
-/// A later overwrite by others hides one's own: put the token in the body of
-/// an item that nobody overwrites. @throws TableServiceError.
+/// @brief Settles an unknown outcome by reading back: the item that the
+/// transaction put has exactly this body.
+///
+/// A later overwrite hides one's own: put a token in the body of an item that
+/// nobody overwrites. A write still under way may land after this: NotWritten
+/// is final only once another item that the transaction's conditions named has
+/// moved on.
+/// @return Committed, or NotWritten when another or no item is there.
+/// @throws TableServiceError.
 boost::asio::awaitable<TransactOutcome>
 ReadBack(TableService& aService, Item aOwn);
 
--- a/src/jujubehead/core/change_log_test.cpp
+++ b/src/jujubehead/core/change_log_test.cpp
@@ -1,12 +1,10 @@
 #include "jujubehead/core/change_log.hpp"
 
-#include <rapidcheck.h> // for check
+#include <CppUTest/TestHarness.h> // for TEST
+#include <rapidcheck.h>           // for check
 
 #include "jujubehead/core/table_diff.hpp" // for Diff
 
-// Last: it makes a macro of new.
-#include <CppUTest/TestHarness.h> // for TEST
-
 using namespace jujubehead::core;
 
 namespace {
--- a/src/jujubehead/core/table_test.cpp
+++ b/src/jujubehead/core/table_test.cpp
@@ -5,7 +5,6 @@
 #include "jujubehead/core/account_key.hpp" // for HashKey
 #include "jujubehead/core/table_diff.hpp"  // for Diff
 
-// Last: it makes a macro of new.
 #include <CppUTest/TestHarness.h> // for TEST
 
 using namespace jujubehead::core;
