--- a/src/jujubehead/core/table_check.cpp
+++ b/src/jujubehead/core/table_check.cpp
@@ -85,7 +85,7 @@
     }
     const TableRow& row = Row(aIndex);
     CheckVersions(aIndex);
-    if (!IsService(row) && row.IsInherited(TableColumn::kVersion)) {
+    if (!IsService(row) && row.version.empty()) {
       Add(aIndex, TableColumn::kVersion, "no version", "a weight version");
     }
     if (row.IsInherited(TableColumn::kMaxRunning)) {
@@ -99,7 +99,7 @@
           "the limit of the whole target is 0",
           "a whole number from 1; bar single accounts by 0 in their rows");
     }
-    if (!row.IsInherited(TableColumn::kKeyHash)) {
+    if (!row.key_hash.empty()) {
       Add(aIndex,
           TableColumn::kKeyHash,
           "a model's row has a key",
@@ -136,21 +136,27 @@
     if (!IsService(row)) {
       return;
     }
-    for (const TableColumn column :
-         { TableColumn::kVersion, TableColumn::kAdapter }) {
-      if (!row.IsInherited(column)) {
-        Add(aIndex,
-            column,
-            "a plain service has a " + std::string(ColumnName(column)),
-            "an empty cell");
-      }
+    CheckEmpty(aIndex, TableColumn::kVersion, row.version);
+    CheckEmpty(aIndex, TableColumn::kAdapter, row.adapter);
+  }
+
+  void CheckEmpty(std::size_t aIndex,
+                  TableColumn aColumn,
+                  std::string_view aValue)
+  {
+    if (!aValue.empty()) {
+      Add(aIndex,
+          aColumn,
+          "the row of a plain service names a value for " +
+            std::string(ColumnName(aColumn)),
+          "an empty cell");
     }
   }
 
   void CheckKey(std::size_t aIndex)
   {
     const TableRow& row = Row(aIndex);
-    if (row.IsInherited(TableColumn::kKeyHash)) {
+    if (row.key_hash.empty()) {
       return;
     }
     const auto [first, is_new] = m_keys.try_emplace(row.account.View(), aIndex);
--- /dev/null
+++ b/src/jujubehead/core/table_publish.cpp
@@ -0,0 +1,219 @@
+#include "jujubehead/core/table_publish.hpp"
+
+#include <utility> // for move
+
+#include "jujubehead/core/table_diff.hpp" // for Diff
+
+namespace jujubehead::core {
+namespace {
+
+constexpr unsigned kMaxFailures = 8;
+
+struct HoldsIn
+{
+  const TableSnapshot& snapshot;
+
+  bool operator()(const PutRow& aChange) const
+  {
+    const TableRow* row =
+      snapshot.table.Find(aChange.row.account, aChange.row.model);
+    return row != nullptr && SameCells(*row, aChange.row);
+  }
+  bool operator()(const RemoveRow& aChange) const
+  {
+    return snapshot.table.Find(aChange.account, aChange.model) == nullptr;
+  }
+  bool operator()(const SetStop& aChange) const
+  {
+    const StopMark* mark = FindStop(snapshot, aChange.mark.subject);
+    return mark != nullptr && *mark == aChange.mark;
+  }
+  bool operator()(const ClearStop& aChange) const
+  {
+    return FindStop(snapshot, aChange.subject) == nullptr;
+  }
+};
+
+struct ToChange
+{
+  Change operator()(const RowAdded& aChange) const
+  {
+    return PutRow{ aChange.row };
+  }
+  Change operator()(const RowRemoved& aChange) const
+  {
+    return RemoveRow{ aChange.row.account, aChange.row.model };
+  }
+  Change operator()(const RowChanged& aChange) const
+  {
+    return PutRow{ aChange.after };
+  }
+};
+
+} // namespace
+
+bool
+Holds(const TableSnapshot& aSnapshot, const Change& aChange)
+{
+  return std::visit(HoldsIn{ aSnapshot }, aChange);
+}
+
+std::vector<Change>
+ChangesBetween(const Table& aOld, const Table& aNew)
+{
+  std::vector<Change> changes;
+  for (const TableChange& change : Diff(aOld, aNew)) {
+    changes.push_back(std::visit(ToChange(), change));
+  }
+  return changes;
+}
+
+TablePublish::TablePublish(TableView aBase,
+                           std::vector<Change> aChanges,
+                           std::string aToken,
+                           std::string aAuthor)
+  : m_view(std::move(aBase))
+  , m_changes(std::move(aChanges))
+  , m_token(std::move(aToken))
+  , m_author(std::move(aAuthor))
+{
+}
+
+PublishStep
+TablePublish::Start() const
+{
+  return ReadEntries{ m_view.Version() };
+}
+
+PublishStep
+TablePublish::On(PublishAnswer aAnswer)
+{
+  struct Visitor
+  {
+    TablePublish& self;
+
+    PublishStep operator()(const EntriesRead& aRead) const
+    {
+      return self.OnEntries(aRead);
+    }
+    PublishStep operator()(const CommitDone& /*aDone*/) const
+    {
+      return Published{ self.m_view.Version() + 1 };
+    }
+    PublishStep operator()(const HeadMoved& /*aMoved*/) const
+    {
+      // An earlier try of the same write may be what moved the head: the next
+      // read tells by the token.
+      return self.OnFailure("others keep changing the table");
+    }
+    PublishStep operator()(const CommitUnknown& aUnknown) const
+    {
+      self.m_unsettled = self.m_view.Version() + 1;
+      return self.OnFailure(aUnknown.why);
+    }
+    PublishStep operator()(const Unavailable& aUnavailable) const
+    {
+      return self.OnFailure(aUnavailable.why);
+    }
+    PublishStep operator()(const Continue& /*aContinue*/) const
+    {
+      return self.Start();
+    }
+  };
+  return std::visit(Visitor{ *this }, aAnswer);
+}
+
+PublishStep
+TablePublish::OnFailure(std::string aWhy)
+{
+  ++m_failures;
+  if (m_failures >= kMaxFailures) {
+    return GaveUp{ std::move(aWhy), m_unsettled != 0 };
+  }
+  return WaitAWhile{ m_failures };
+}
+
+PublishStep
+TablePublish::OnEntries(const EntriesRead& aRead)
+{
+  for (const ChangeEntry& entry : aRead.entries) {
+    const Applied applied = m_view.Apply(entry);
+    if (applied == Applied::kGap) {
+      return GaveUp{ "the entries after version " +
+                       std::to_string(m_view.Version()) +
+                       " are gone; start from what is in force now",
+                     m_unsettled != 0 };
+    }
+    if (applied == Applied::kInForce) {
+      m_failures = 0;
+      TakeIn(entry);
+    }
+  }
+  if (m_own_version != 0) {
+    return Published{ m_own_version };
+  }
+  return aRead.at_head ? AtHead() : Start();
+}
+
+void
+TablePublish::TakeIn(const ChangeEntry& aEntry)
+{
+  if (aEntry.token == m_token) {
+    m_own_version = aEntry.version;
+    return;
+  }
+  if (aEntry.version >= m_unsettled) {
+    m_unsettled = 0; // Another took the one place that the write could take.
+  }
+  for (const Change& change : aEntry.changes) {
+    std::string subject = ChangeSubject(change);
+    m_touched[subject] = { subject, aEntry.version, aEntry.author };
+  }
+}
+
+std::vector<Change>
+TablePublish::Missing() const
+{
+  std::vector<Change> missing;
+  for (const Change& change : m_changes) {
+    if (!Holds(*m_view.Current(), change)) {
+      missing.push_back(change);
+    }
+  }
+  return missing;
+}
+
+std::vector<ChangeConflict>
+TablePublish::Conflicts() const
+{
+  std::vector<ChangeConflict> conflicts;
+  for (const Change& change : Missing()) {
+    const auto touched = m_touched.find(ChangeSubject(change));
+    if (touched != m_touched.end()) {
+      conflicts.push_back(touched->second);
+    }
+  }
+  return conflicts;
+}
+
+PublishStep
+TablePublish::AtHead()
+{
+  ChangeEntry entry{ m_view.Version() + 1, m_token, m_author, Missing() };
+  if (entry.changes.empty()) {
+    return AlreadyInForce{ m_view.Version() };
+  }
+  std::vector<ChangeConflict> conflicts = Conflicts();
+  if (!conflicts.empty()) {
+    return Conflicted{ std::move(conflicts) };
+  }
+  TableView after = m_view;
+  after.Apply(entry);
+  Findings findings = after.Current()->table.Check("table");
+  if (!findings.empty()) {
+    return Refused{ std::move(findings) };
+  }
+  return CommitEntry{ std::move(entry) };
+}
+
+} // namespace jujubehead::core
