Add ownership: leases kept alive by two witnesses, without writes

An instance's lease is renewed by messages with two witnesses in other data centres. While either acknowledges, it holds; when both refuse, the first of them takes over under the next epoch, with no need of the table service. All other changes of hands are conditional writes of rows, and state follows from rows alone, so that a lost answer is settled by reading.

--- a/include/jujubehead/core/rendezvous.hpp
+++ b/include/jujubehead/core/rendezvous.hpp
@@ -28,8 +28,18 @@
         std::span<const InstanceId> aInstances,
         std::size_t aCount);
 
+/// @brief As above, for keys that are names.
+std::vector<InstanceId>
+HomesOf(std::string_view aKey,
+        std::span<const InstanceId> aInstances,
+        std::size_t aCount);
+
 namespace detail {
 
+/// @return the hash of a name; the same on every machine.
+std::uint64_t
+HashName(std::string_view aName);
+
 /// @return the weight of a member for a key; the same on every machine.
 std::uint64_t
 RendezvousWeight(const ContextKey& aKey, std::string_view aName);
--- /dev/null
+++ b/src/jujubehead/core/lease_reaper.cpp
@@ -0,0 +1,135 @@
+#include "lease_reaper.hpp"
+
+#include <algorithm> // for all_of
+
+namespace jujubehead::core {
+
+namespace {
+
+constexpr Duration kAskEvery = std::chrono::seconds(1);
+
+} // namespace
+
+std::vector<SendMessage>
+LeaseReaper::Pursue(const LeaseRow& aRow, Instant aNow)
+{
+  Case& pursued = m_cases[aRow.lease];
+  if (pursued.row.rev != aRow.rev) {
+    pursued.replies.clear();
+  }
+  pursued.row = aRow;
+  std::vector<SendMessage> messages;
+  if (pursued.asked_at && aNow < *pursued.asked_at + kAskEvery) {
+    return messages;
+  }
+  pursued.asked_at = aNow;
+  const VoteRequest request{ aRow.lease, m_self, false };
+  messages.push_back({ aRow.lease.instance, request });
+  for (const Incarnation& witness : aRow.witnesses) {
+    messages.push_back({ witness.instance, request });
+  }
+  return messages;
+}
+
+void
+LeaseReaper::OnVoteReply(const VoteReply& aReply)
+{
+  const auto found = m_cases.find(aReply.lease);
+  if (found != m_cases.end()) {
+    found->second.replies.insert_or_assign(aReply.voter.instance, aReply);
+  }
+}
+
+void
+LeaseReaper::Retain(const std::set<Incarnation>& aSuspects)
+{
+  std::erase_if(m_cases, [&aSuspects](const auto& aEntry) {
+    return !aSuspects.contains(aEntry.first);
+  });
+}
+
+bool
+LeaseReaper::IsGone(const Case& aCase,
+                    const Incarnation& aMember,
+                    const Evidence& aEvidence)
+{
+  const auto reply = aCase.replies.find(aMember.instance);
+  if (reply != aCase.replies.end()) {
+    return !reply->second.voter.IsSameProcess(aMember);
+  }
+  return aEvidence.watch.IsGone(aMember.instance, aEvidence.now);
+}
+
+bool
+LeaseReaper::IsAccounted(const Case& aCase,
+                         const Incarnation& aMember,
+                         const Evidence& aEvidence)
+{
+  if (IsGone(aCase, aMember, aEvidence)) {
+    return true;
+  }
+  const auto reply = aCase.replies.find(aMember.instance);
+  if (reply == aCase.replies.end()) {
+    return false;
+  }
+  const VoteReply& said = reply->second;
+  if (said.vote != Vote::kOther) {
+    return said.vote != Vote::kAlive;
+  }
+  // Who took over speaks for itself.
+  return said.voted_for != aMember &&
+         IsAccounted(aCase, said.voted_for, aEvidence);
+}
+
+bool
+LeaseReaper::Collect(const Incarnation& aLease,
+                     const Evidence& aEvidence,
+                     std::map<Incarnation, LeaseRow>& aSet) const
+{
+  if (aSet.contains(aLease)) {
+    return true;
+  }
+  const auto found = m_cases.find(aLease);
+  if (found == m_cases.end()) {
+    return false;
+  }
+  const Case& pursued = found->second;
+  const auto accounted = [&](const Incarnation& aMember) {
+    return IsAccounted(pursued, aMember, aEvidence);
+  };
+  const auto& witnesses = pursued.row.witnesses;
+  if (!accounted(aLease) ||
+      !std::all_of(witnesses.begin(), witnesses.end(), accounted)) {
+    return false;
+  }
+  aSet.emplace(aLease, pursued.row);
+  if (witnesses.empty() || !IsGone(pursued, witnesses.front(), aEvidence)) {
+    return true;
+  }
+  for (const LeaseRow& row :
+       aEvidence.map.LeasesOf(witnesses.front().instance)) {
+    if (row.lease.IsSameProcess(witnesses.front()) &&
+        !Collect(row.lease, aEvidence, aSet)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+std::vector<LeaseRow>
+LeaseReaper::Endable(const Incarnation& aLease,
+                     const OwnerMap& aMap,
+                     MemberWatch& aWatch,
+                     Instant aNow) const
+{
+  std::map<Incarnation, LeaseRow> set;
+  std::vector<LeaseRow> rows;
+  if (Collect(aLease, { aMap, aWatch, aNow }, set)) {
+    for (const auto& [lease, row] : set) {
+      rows.push_back(row);
+    }
+  }
+  return rows;
+}
+
+} // namespace jujubehead::core
--- /dev/null
+++ b/src/jujubehead/core/member_watch.cpp
@@ -0,0 +1,107 @@
+#include "member_watch.hpp"
+
+#include <algorithm> // for stable_sort
+
+#include "jujubehead/core/rendezvous.hpp" // for HomesOf
+
+namespace jujubehead::core {
+
+namespace {
+
+/// A list older than this shows nobody gone.
+constexpr Duration kFreshList = std::chrono::seconds(10);
+
+} // namespace
+
+void
+MemberWatch::Set(std::span<const InstanceMember> aMembers, Instant aNow)
+{
+  std::map<InstanceId, InstanceMember> members;
+  for (const InstanceMember& member : aMembers) {
+    members.emplace(member.id, member);
+    m_absent_since.erase(member.id);
+  }
+  for (const auto& [id, member] : m_members) {
+    if (!members.contains(id)) {
+      m_absent_since.try_emplace(id, aNow);
+    }
+  }
+  if (!m_known || members != m_members) {
+    m_changed_at = aNow;
+  }
+  m_members = std::move(members);
+  m_set_at = aNow;
+  m_known = true;
+}
+
+void
+MemberWatch::Heard(const InstanceId& aFrom, Instant aNow)
+{
+  m_heard[aFrom] = aNow;
+}
+
+bool
+MemberWatch::IsListed(const InstanceId& aInstance) const
+{
+  return m_members.contains(aInstance);
+}
+
+bool
+MemberWatch::IsLeaving(const InstanceId& aInstance) const
+{
+  const auto found = m_members.find(aInstance);
+  return found != m_members.end() && found->second.leaving;
+}
+
+bool
+MemberWatch::IsGone(const InstanceId& aInstance, Instant aNow)
+{
+  if (!m_known || IsListed(aInstance) || aInstance == m_self ||
+      aNow > m_set_at + kFreshList) {
+    return false;
+  }
+  const Instant absent =
+    m_absent_since.try_emplace(aInstance, aNow).first->second;
+  const auto heard = m_heard.find(aInstance);
+  const bool silent =
+    heard == m_heard.end() || aNow >= heard->second + m_rules.gone_after;
+  return silent && aNow >= absent + m_rules.gone_after;
+}
+
+std::vector<InstanceId>
+MemberWatch::Others() const
+{
+  std::vector<InstanceId> others;
+  for (const auto& [id, member] : m_members) {
+    if (id != m_self) {
+      others.push_back(id);
+    }
+  }
+  return others;
+}
+
+std::vector<InstanceId>
+MemberWatch::Order(std::vector<InstanceMember> aMembers) const
+{
+  std::vector<InstanceId> ids;
+  std::map<InstanceId, DataCentreId> centres;
+  for (const InstanceMember& member : aMembers) {
+    ids.push_back(member.id);
+    centres.emplace(member.id, member.data_centre);
+  }
+  std::vector<InstanceId> order = HomesOf(m_self.View(), ids, ids.size());
+  std::map<DataCentreId, int> seen;
+  std::map<InstanceId, int> round;
+  seen[m_data_centre] = static_cast<int>(order.size());
+  for (const InstanceId& id : order) {
+    round[id] = seen[centres.at(id)]++;
+  }
+  std::stable_sort(order.begin(),
+                   order.end(),
+                   [&round](const InstanceId& aLeft, const InstanceId& aRight) {
+                     return round.at(aLeft) < round.at(aRight);
+                   });
+  return order;
+}
+
+} // namespace jujubehead::core
--- /dev/null
+++ b/src/jujubehead/core/owner_map.hpp
@@ -0,0 +1,46 @@
+#ifndef JUJUBEHEAD_SRC_CORE_OWNER_MAP_HPP
+#define JUJUBEHEAD_SRC_CORE_OWNER_MAP_HPP
+
+#include <map>      // for map
+#include <optional> // for optional
+#include <set>      // for set
+#include <vector>   // for vector
+
+#include "jujubehead/core/ownership_messages.hpp" // for GroupRow, LeaseRow
+
+namespace jujubehead::core {
+
+/// @brief What this instance knows of the rows, from reading them and from the
+/// others' announcements.
+class OwnerMap
+{
+public:
+  void Put(const GroupRow& aRow);
+  void Put(const LeaseRow& aRow);
+  void End(const Incarnation& aLease);
+  /// @brief All lease rows, as just read: others are over.
+  void ReplaceLeases(const std::vector<LeaseRow>& aRows);
+
+  [[nodiscard]] const GroupRow* Group(const GroupId& aGroup) const;
+  [[nodiscard]] const LeaseRow* Lease(const Incarnation& aLease) const;
+  /// @return the leases of an instance.
+  [[nodiscard]] std::vector<LeaseRow> LeasesOf(
+    const InstanceId& aInstance) const;
+  [[nodiscard]] const std::map<GroupId, GroupRow>& Groups() const
+  {
+    return m_groups;
+  }
+  [[nodiscard]] const std::map<Incarnation, LeaseRow>& Leases() const
+  {
+    return m_leases;
+  }
+
+private:
+  std::map<GroupId, GroupRow> m_groups;
+  std::map<Incarnation, LeaseRow> m_leases;
+  std::set<Incarnation> m_ended;
+};
+
+} // namespace jujubehead::core
+
+#endif // JUJUBEHEAD_SRC_CORE_OWNER_MAP_HPP
--- /dev/null
+++ b/src/jujubehead/core/ownership_tick.cpp
@@ -0,0 +1,630 @@
+#include <algorithm> // for find, all_of
+#include <utility>   // for move
+
+#include "jujubehead/core/rendezvous.hpp" // for HomesOf
+#include "ownership_impl.hpp"
+
+namespace jujubehead::core {
+
+namespace {
+
+constexpr std::size_t kWitnesses = 2;
+/// Groups in one transaction, leaving room for checks and deletes.
+constexpr std::size_t kGroupsAtOnce = 80;
+/// A claim by the service ends with a multiple of this; takeovers by witnesses
+/// count up in between.
+constexpr std::uint64_t kEpochStride = 16;
+/// How much later the next candidate acts when the first does not.
+constexpr Duration kNextCandidate = std::chrono::seconds(15);
+constexpr std::size_t kCandidates = 3;
+constexpr Duration kLookEvery = std::chrono::seconds(1);
+constexpr Duration kAnnounceEvery = std::chrono::seconds(10);
+
+std::uint64_t
+NextClaim(std::uint64_t aEpoch)
+{
+  return (aEpoch / kEpochStride + 1) * kEpochStride;
+}
+
+} // namespace
+
+void
+Ownership::Impl::Tick(Instant aNow)
+{
+  if (m_left) {
+    return;
+  }
+  KeepLease(aNow);
+  HoldElections(aNow);
+  PickMoves(aNow);
+  UseService(aNow);
+  AnnounceAgain(aNow);
+  ResignIfStuck(aNow);
+}
+
+bool
+Ownership::Impl::HasValidLease(Instant aNow) const
+{
+  if (!m_lease || aNow >= m_lease->Until()) {
+    return false;
+  }
+  return !m_lease->Row().witnesses.empty() || m_watch.Others().empty();
+}
+
+void
+Ownership::Impl::KeepLease(Instant aNow)
+{
+  if (!m_lease) {
+    return;
+  }
+  for (SendMessage& renewal : m_lease->Renew(aNow)) {
+    m_actions.emplace_back(std::move(renewal));
+  }
+  if (aNow < m_lease->Until()) {
+    m_lapsed_since.reset();
+    return;
+  }
+  if (!m_lapsed_since) {
+    m_lapsed_since = aNow;
+  }
+  const auto& witnesses = m_lease->Row().witnesses;
+  const bool refused =
+    std::any_of(witnesses.begin(), witnesses.end(), [this](const auto& aOne) {
+      return m_lease->IsRefusedBy(aOne);
+    });
+  const bool long_lapsed =
+    aNow >= *m_lapsed_since + m_options.rules.witness_lost;
+  if (m_lease->IsRefused() || (refused && long_lapsed)) {
+    LoseLease();
+  }
+}
+
+void
+Ownership::Impl::HoldElections(Instant aNow)
+{
+  if (aNow < m_elect_at || !HasValidLease(aNow) || m_leaving_since) {
+    return;
+  }
+  m_elect_at = aNow + m_options.rules.vote_retry;
+  for (const Candidacy& candidacy : m_witness.Candidacies(aNow)) {
+    if (const auto won = m_witness.Elect(candidacy.lease, aNow)) {
+      Take(*won);
+      continue;
+    }
+    for (const Incarnation& other : candidacy.others) {
+      Send(
+        other.instance, VoteRequest{ candidacy.lease, m_process, true }, aNow);
+    }
+  }
+}
+
+void
+Ownership::Impl::Take(const Succession& aSuccession)
+{
+  m_inherited.insert(aSuccession.lease);
+  for (GroupRow row : aSuccession.groups) {
+    if ((row.epoch + 1) % kEpochStride == 0 || m_held.contains(row.group)) {
+      continue;
+    }
+    ++row.epoch;
+    row.owner = m_lease->Row().lease;
+    StartOwning start;
+    start.previous_end = aSuccession.previous_end;
+    Start(row, false, std::move(start));
+  }
+}
+
+void
+Ownership::Impl::UseService(Instant aNow)
+{
+  if (!m_gate.IsOpen(aNow)) {
+    return;
+  }
+  m_read_asked_at = aNow;
+  if (!m_ready || aNow >= m_scan_at) {
+    ReadAll(aNow);
+    return;
+  }
+  if (aNow >= m_check_at) {
+    m_check_at =
+      aNow + m_options.rules.gone_after + m_gate.Jitter(m_options.rules.jitter);
+    m_must_reread = true;
+  }
+  if (Reread() || OpenLease()) {
+    return;
+  }
+  if (!m_lease) {
+    return;
+  }
+  const bool done = Record() || ChangeWitnesses(aNow) || EndLeases(aNow) ||
+                    Claim(aNow) || Move(aNow) || Close();
+  static_cast<void>(done);
+}
+
+void
+Ownership::Impl::ReadAll(Instant aNow)
+{
+  if (!m_ready && !m_gate.IsHealthy()) {
+    const auto others = m_watch.Others();
+    if (!others.empty()) {
+      const auto pick = static_cast<std::size_t>(
+        m_gate.Jitter(Duration(static_cast<Duration::rep>(others.size() - 1)))
+          .count());
+      Send(others[pick], OwnersAsk{}, aNow);
+    }
+  }
+  m_scan_at = aNow + m_options.rules.scan_every +
+              m_gate.Jitter(m_options.rules.scan_every / 4);
+  m_reading_all = true;
+  m_actions.emplace_back(ReadRows{ m_gate.Begin(), true, {} });
+}
+
+bool
+Ownership::Impl::Reread()
+{
+  if (!m_must_reread) {
+    return false;
+  }
+  m_reading_all = false;
+  m_actions.emplace_back(
+    ReadRows{ m_gate.Begin(), false, { m_reread.begin(), m_reread.end() } });
+  return true;
+}
+
+void
+Ownership::Impl::Write(WriteRows aWrite)
+{
+  if (m_lease) {
+    const bool touched =
+      std::any_of(aWrite.puts.begin(), aWrite.puts.end(), [](const RowPut& aP) {
+        return std::holds_alternative<LeaseRow>(aP);
+      });
+    const bool closing = std::any_of(
+      aWrite.deletes.begin(), aWrite.deletes.end(), [this](const auto& aRow) {
+        return aRow.lease == m_lease->Row().lease;
+      });
+    if (!touched && !closing) {
+      aWrite.checks.push_back(m_lease->Row());
+    }
+  }
+  aWrite.token = m_gate.Begin();
+  m_write = aWrite;
+  m_actions.emplace_back(std::move(aWrite));
+}
+
+std::optional<Incarnation>
+Ownership::Impl::ProcessOf(const InstanceId& aInstance) const
+{
+  const auto said = m_processes.find(aInstance);
+  if (said != m_processes.end()) {
+    return said->second;
+  }
+  const auto rows = m_map.LeasesOf(aInstance);
+  if (rows.empty()) {
+    return std::nullopt;
+  }
+  Incarnation process = rows.back().lease;
+  process.number >>= Incarnation::kLeaseBits;
+  process.number <<= Incarnation::kLeaseBits;
+  return process;
+}
+
+std::vector<Incarnation>
+Ownership::Impl::PickWitnesses(const std::vector<Incarnation>& aKept,
+                               Instant aNow) const
+{
+  std::vector<Incarnation> picked = aKept;
+  const auto order = m_watch.WitnessOrder([&](const InstanceId& aInstance) {
+    const auto avoided = m_avoid.find(aInstance);
+    const bool avoid = avoided != m_avoid.end() &&
+                       aNow < avoided->second + m_options.rules.gone_after;
+    const bool kept = std::any_of(
+      aKept.begin(), aKept.end(), [&aInstance](const Incarnation& aOne) {
+        return aOne.instance == aInstance;
+      });
+    return !avoid && !kept && ProcessOf(aInstance).has_value();
+  });
+  for (const InstanceId& instance : order) {
+    if (picked.size() >= kWitnesses) {
+      break;
+    }
+    picked.push_back(*ProcessOf(instance));
+  }
+  return picked;
+}
+
+bool
+Ownership::Impl::OpenLease()
+{
+  if (m_lease || m_leaving_since || !m_watch.IsKnown()) {
+    return false;
+  }
+  LeaseRow row;
+  row.lease = m_process;
+  row.lease.number += ++m_leases_opened;
+  row.witnesses = PickWitnesses({}, m_read_asked_at);
+  m_opening = row;
+  WriteRows write;
+  write.puts.emplace_back(row);
+  Write(std::move(write));
+  return true;
+}
+
+bool
+Ownership::Impl::Record()
+{
+  WriteRows write;
+  std::size_t left = 0;
+  for (const auto& [group, holding] : m_held) {
+    if (holding.recorded && !holding.uncertain) {
+      continue;
+    }
+    if (write.puts.size() >= kGroupsAtOnce) {
+      ++left;
+      continue;
+    }
+    GroupRow row = holding.row;
+    row.owner = m_lease->Row().lease;
+    row.epoch = holding.epoch;
+    write.puts.emplace_back(row);
+  }
+  if (left == 0) {
+    for (const Incarnation& lease : m_inherited) {
+      if (const LeaseRow* row = m_map.Lease(lease)) {
+        write.deletes.push_back(*row);
+      }
+    }
+  }
+  if (write.puts.empty() && write.deletes.empty()) {
+    return false;
+  }
+  Write(std::move(write));
+  return true;
+}
+
+bool
+Ownership::Impl::IsAllLostSafely(Instant aNow)
+{
+  const auto& witnesses = m_lease->Row().witnesses;
+  for (const Incarnation& witness : witnesses) {
+    const bool gone =
+      m_lease->IsReplaced(witness) || m_watch.IsGone(witness.instance, aNow);
+    if (!gone || m_lease->IsRefusedBy(witness)) {
+      return false;
+    }
+  }
+  // The first may have taken over before it went.
+  const auto rows = m_map.LeasesOf(witnesses.front().instance);
+  const bool succeeded =
+    std::any_of(rows.begin(), rows.end(), [&](const LeaseRow& aRow) {
+      return aRow.lease.IsSameProcess(witnesses.front());
+    });
+  if (succeeded) {
+    return false;
+  }
+  constexpr Duration kFresh = std::chrono::seconds(2);
+  if (aNow > m_leases_known_at + kFresh) {
+    m_must_reread = true;
+    return false;
+  }
+  return true;
+}
+
+bool
+Ownership::Impl::ChangeWitnesses(Instant aNow)
+{
+  const auto& witnesses = m_lease->Row().witnesses;
+  std::vector<Incarnation> kept;
+  std::vector<Incarnation> leaving;
+  for (const Incarnation& witness : witnesses) {
+    if (m_lease->IsLost(witness, aNow)) {
+      m_avoid[witness.instance] = aNow;
+    } else if (m_watch.IsLeaving(witness.instance)) {
+      leaving.push_back(witness);
+    } else {
+      kept.push_back(witness);
+    }
+  }
+  // One at a time: the one that stays is in both rows.
+  if (kept.empty() && !leaving.empty()) {
+    kept.push_back(leaving.front());
+  }
+  const bool has_survivor =
+    std::any_of(kept.begin(), kept.end(), [this](const Incarnation& aOne) {
+      return m_lease->IsUpToDate(aOne);
+    });
+  const bool is_free = witnesses.empty() || !m_lease_used;
+  if (!is_free && !has_survivor && !IsAllLostSafely(aNow)) {
+    return false;
+  }
+  LeaseRow row = m_lease->Row();
+  row.witnesses = PickWitnesses(kept, aNow);
+  const bool fewer = row.witnesses.size() < witnesses.size();
+  if (row.witnesses == witnesses || row.witnesses.empty() ||
+      (fewer && has_survivor)) {
+    return false;
+  }
+  WriteRows write;
+  write.puts.emplace_back(row);
+  Write(std::move(write));
+  return true;
+}
+
+std::optional<LeaseRow>
+Ownership::Impl::LeaseOf(const InstanceId& aInstance) const
+{
+  const auto process = ProcessOf(aInstance);
+  std::optional<LeaseRow> latest;
+  for (const LeaseRow& row : m_map.LeasesOf(aInstance)) {
+    if (process && row.lease.IsSameProcess(*process)) {
+      latest = row;
+    }
+  }
+  return latest;
+}
+
+std::vector<InstanceId>
+Ownership::Impl::OtherHolders() const
+{
+  std::vector<InstanceId> holders;
+  for (const InstanceId& other : m_watch.Others()) {
+    if (!m_watch.IsLeaving(other) && LeaseOf(other)) {
+      holders.push_back(other);
+    }
+  }
+  return holders;
+}
+
+std::vector<InstanceId>
+Ownership::Impl::Candidates(Instant aNow) const
+{
+  std::vector<InstanceId> candidates = OtherHolders();
+  if (!m_leaving_since && HasValidLease(aNow)) {
+    candidates.push_back(m_options.self);
+  }
+  return candidates;
+}
+
+std::optional<Duration>
+Ownership::Impl::DelayFor(std::string_view aKey,
+                          const std::vector<InstanceId>& aCandidates) const
+{
+  const auto homes = HomesOf(aKey, aCandidates, kCandidates);
+  const auto self = std::find(homes.begin(), homes.end(), m_options.self);
+  if (self == homes.end()) {
+    return std::nullopt;
+  }
+  return kNextCandidate * (self - homes.begin());
+}
+
+bool
+Ownership::Impl::IsSuspect(const LeaseRow& aRow, Instant aNow)
+{
+  const Incarnation& lease = aRow.lease;
+  if (m_lease && m_lease->Row().lease == lease) {
+    return false;
+  }
+  if (lease.instance == m_options.self) {
+    return true;
+  }
+  const auto said = m_processes.find(lease.instance);
+  const bool replaced =
+    said != m_processes.end() && !said->second.IsSameProcess(lease);
+  return replaced || m_watch.IsGone(lease.instance, aNow) ||
+         m_map.LeasesOf(lease.instance).size() > 1;
+}
+
+bool
+Ownership::Impl::EndLeases(Instant aNow)
+{
+  std::vector<InstanceId> candidates = OtherHolders();
+  candidates.push_back(m_options.self);
+  std::set<Incarnation> suspects;
+  std::vector<LeaseRow> endable;
+  for (const auto& [lease, row] : m_map.Leases()) {
+    if (!IsSuspect(row, aNow)) {
+      m_due_since.erase(lease.instance.Text());
+      continue;
+    }
+    suspects.insert(lease);
+    const Instant due =
+      m_due_since.try_emplace(lease.instance.Text(), aNow).first->second;
+    const auto delay = DelayFor(lease.instance.View(), candidates);
+    if (!delay || aNow < due + *delay) {
+      continue;
+    }
+    for (SendMessage& ask : m_reaper.Pursue(row, aNow)) {
+      Send(ask.to, std::move(ask.message), aNow);
+    }
+    if (endable.empty()) {
+      endable = m_reaper.Endable(lease, m_map, m_watch, aNow);
+    }
+  }
+  m_reaper.Retain(suspects);
+  if (endable.empty() || endable.size() > kGroupsAtOnce) {
+    return false;
+  }
+  constexpr Duration kFresh = std::chrono::seconds(2);
+  if (aNow > m_leases_known_at + kFresh) {
+    m_must_reread = true;
+    return false;
+  }
+  WriteRows write;
+  write.deletes = std::move(endable);
+  Write(std::move(write));
+  return true;
+}
+
+bool
+Ownership::Impl::IsFree(const GroupRow* aRow) const
+{
+  return aRow == nullptr || aRow->rev == 0 ||
+         m_map.Lease(aRow->owner) == nullptr;
+}
+
+bool
+Ownership::Impl::Claim(Instant aNow)
+{
+  if (aNow < m_claim_at || !HasValidLease(aNow) || m_leaving_since) {
+    return false;
+  }
+  m_claim_at = aNow + kLookEvery;
+  const auto candidates = Candidates(aNow);
+  WriteRows write;
+  std::set<Incarnation> ended;
+  for (const GroupId& group : m_groups) {
+    const GroupRow* known = m_map.Group(group);
+    const std::string key = "group " + group.Text();
+    if (!IsFree(known) || m_held.contains(group)) {
+      m_due_since.erase(key);
+      continue;
+    }
+    const Instant due = m_due_since.try_emplace(key, aNow).first->second;
+    const auto delay = DelayFor(group.View(), candidates);
+    if (!delay || aNow < due + *delay || write.puts.size() >= kGroupsAtOnce) {
+      continue;
+    }
+    GroupRow row = known == nullptr ? GroupRow{ group, {}, 0, 0 } : *known;
+    if (row.rev != 0) {
+      ended.insert(row.owner);
+    }
+    row.owner = m_lease->Row().lease;
+    row.epoch = NextClaim(row.epoch);
+    write.puts.emplace_back(row);
+  }
+  if (write.puts.empty()) {
+    return false;
+  }
+  for (const Incarnation& lease : ended) {
+    write.checks.push_back({ lease, {}, 0 });
+  }
+  Write(std::move(write));
+  return true;
+}
+
+void
+Ownership::Impl::PickMoves(Instant aNow)
+{
+  const bool leaving = m_leaving_since.has_value();
+  const bool settled =
+    aNow >= m_watch.ChangedAt() + m_options.rules.settle || leaving;
+  if (!settled || !m_gate.IsHealthy() || !HasValidLease(aNow)) {
+    return;
+  }
+  const std::size_t most =
+    leaving ? kGroupsAtOnce : m_options.rules.moves_at_once;
+  auto moving = static_cast<std::size_t>(
+    std::count_if(m_held.begin(), m_held.end(), [](const auto& aEntry) {
+      return aEntry.second.moving;
+    }));
+  if (moving != 0) {
+    return;
+  }
+  const auto candidates = Candidates(aNow);
+  for (auto& [group, holding] : m_held) {
+    const auto home = HomesOf(group.View(), candidates, 1);
+    const bool stays = home.empty() || home.front() == m_options.self;
+    if (stays || !holding.recorded || moving >= most) {
+      continue;
+    }
+    holding.moving = true;
+    ++moving;
+  }
+  if (moving == 0) {
+    return;
+  }
+  UpdateList();
+  for (auto& [group, holding] : m_held) {
+    holding.moving_since = m_lease->Version();
+  }
+}
+
+bool
+Ownership::Impl::Move(Instant aNow)
+{
+  const auto candidates = Candidates(aNow);
+  WriteRows write;
+  std::map<Incarnation, LeaseRow> to;
+  for (auto& [group, holding] : m_held) {
+    if (!holding.moving || holding.uncertain ||
+        !m_lease->IsKnown(holding.moving_since)) {
+      continue;
+    }
+    const auto home = HomesOf(group.View(), candidates, 1);
+    if (home.empty() || home.front() == m_options.self) {
+      holding.moving = false;
+      continue;
+    }
+    const LeaseRow lease = *LeaseOf(home.front());
+    GroupRow row = holding.row;
+    row.owner = lease.lease;
+    row.epoch = NextClaim(holding.epoch);
+    write.puts.emplace_back(row);
+    to.emplace(lease.lease, lease);
+  }
+  UpdateList();
+  if (write.puts.empty()) {
+    return false;
+  }
+  for (const auto& [lease, row] : to) {
+    write.checks.push_back(row);
+  }
+  Write(std::move(write));
+  return true;
+}
+
+bool
+Ownership::Impl::Close()
+{
+  if (!m_leaving_since || !m_held.empty() || !m_inherited.empty()) {
+    return false;
+  }
+  WriteRows write;
+  write.deletes.push_back(m_lease->Row());
+  Write(std::move(write));
+  return true;
+}
+
+void
+Ownership::Impl::Leave(Instant aNow)
+{
+  if (!m_leaving_since) {
+    m_leaving_since = aNow;
+  }
+}
+
+void
+Ownership::Impl::ResignIfStuck(Instant aNow)
+{
+  if (!m_leaving_since) {
+    return;
+  }
+  const bool late = aNow >= *m_leaving_since + m_options.rules.resign_after;
+  if (m_lease && !(late && !m_gate.IsHealthy())) {
+    return;
+  }
+  if (m_lease) {
+    for (const Incarnation& witness : m_lease->Row().witnesses) {
+      Send(witness.instance, LeaseResign{ m_lease->Row().lease }, aNow);
+    }
+  }
+  LoseLease();
+  m_left = true;
+}
+
+void
+Ownership::Impl::AnnounceAgain(Instant aNow)
+{
+  if (aNow < m_announce_at) {
+    return;
+  }
+  m_announce_at = aNow + kAnnounceEvery;
+  for (const auto& [group, holding] : m_held) {
+    if (!holding.recorded) {
+      m_news.groups.push_back(holding.row);
+      m_news.groups.back().epoch = holding.epoch;
+    }
+  }
+}
+
+} // namespace jujubehead::core
--- a/src/jujubehead/core/rendezvous.cpp
+++ b/src/jujubehead/core/rendezvous.cpp
@@ -41,6 +41,37 @@
   return word;
 }
 
+std::uint64_t
+Weight(std::uint64_t aKey, std::string_view aName)
+{
+  return Mix(aKey ^ Mix(detail::HashName(aName)));
+}
+
+std::vector<InstanceId>
+Heaviest(std::uint64_t aKey,
+         std::span<const InstanceId> aInstances,
+         std::size_t aCount)
+{
+  std::vector<Weighted> weighted;
+  weighted.reserve(aInstances.size());
+  for (const InstanceId& instance : aInstances) {
+    weighted.emplace_back(Weight(aKey, instance.View()), &instance);
+  }
+  const std::size_t count = std::min(aCount, weighted.size());
+  const auto end = weighted.begin() + static_cast<std::ptrdiff_t>(count);
+  std::partial_sort(weighted.begin(), end, weighted.end(), Before);
+  std::vector<InstanceId> homes;
+  homes.reserve(count);
+  for (auto place = weighted.begin(); place != end; ++place) {
+    homes.push_back(*place->second);
+  }
+  return homes;
+}
+
+} // namespace
+
+namespace detail {
+
 /// FNV-1a.
 std::uint64_t
 HashName(std::string_view aName)
@@ -53,14 +84,10 @@
   return hash;
 }
 
-} // namespace
-
-namespace detail {
-
 std::uint64_t
 RendezvousWeight(const ContextKey& aKey, std::string_view aName)
 {
-  return Mix(FirstWord(aKey) ^ Mix(HashName(aName)));
+  return Weight(FirstWord(aKey), aName);
 }
 
 } // namespace detail
@@ -70,21 +97,15 @@
         std::span<const InstanceId> aInstances,
         std::size_t aCount)
 {
-  std::vector<Weighted> weighted;
-  weighted.reserve(aInstances.size());
-  for (const InstanceId& instance : aInstances) {
-    weighted.emplace_back(detail::RendezvousWeight(aKey, instance.View()),
-                          &instance);
-  }
-  const std::size_t count = std::min(aCount, weighted.size());
-  const auto end = weighted.begin() + static_cast<std::ptrdiff_t>(count);
-  std::partial_sort(weighted.begin(), end, weighted.end(), Before);
-  std::vector<InstanceId> homes;
-  homes.reserve(count);
-  for (auto place = weighted.begin(); place != end; ++place) {
-    homes.push_back(*place->second);
-  }
-  return homes;
+  return Heaviest(FirstWord(aKey), aInstances, aCount);
+}
+
+std::vector<InstanceId>
+HomesOf(std::string_view aKey,
+        std::span<const InstanceId> aInstances,
+        std::size_t aCount)
+{
+  return Heaviest(detail::HashName(aKey), aInstances, aCount);
 }
 
 std::optional<InstanceId>
