--- a/include/jujubehead/core/ownership.hpp
+++ b/include/jujubehead/core/ownership.hpp
@@ -144,6 +144,12 @@
 {
   GroupRow row;
   std::vector<HeldPermit> held;
+
+  template<typename Self>
+  static auto Fields(Self& aSelf)
+  {
+    return std::tie(aSelf.row, aSelf.held);
+  }
 };
 
 /// @brief What an instance owns and witnesses. It never blocks and never reads
--- a/include/jujubehead/core/permit.hpp
+++ b/include/jujubehead/core/permit.hpp
@@ -6,6 +6,7 @@
 #include <cstddef>    // for size_t
 #include <cstdint>    // for uint32_t, uint64_t
 #include <functional> // for hash
+#include <tuple>      // for tie
 #include <variant>    // for variant
 #include <vector>     // for vector
 
@@ -22,6 +23,12 @@
   std::uint64_t number = 0;
 
   friend auto operator<=>(const PermitId&, const PermitId&) = default;
+
+  template<typename Self>
+  static auto Fields(Self& aSelf)
+  {
+    return std::tie(aSelf.epoch, aSelf.number);
+  }
 };
 
 /// @brief How much of one target an account may take.
@@ -100,6 +107,12 @@
   AccountId account;
 
   friend bool operator==(const HeldPermit&, const HeldPermit&) = default;
+
+  template<typename Self>
+  static auto Fields(Self& aSelf)
+  {
+    return std::tie(aSelf.permit, aSelf.request, aSelf.holder, aSelf.account);
+  }
 };
 
 /// @brief Owner to holder: which permits up to this one do you hold?
--- a/include/jujubehead/wire/messages.hpp
+++ b/include/jujubehead/wire/messages.hpp
@@ -8,6 +8,8 @@
 #include <vector>  // for vector
 
 #include "jujubehead/core/ids.hpp"           // for TargetId, AccountId
+#include "jujubehead/core/ownership.hpp"     // for HandedOver, LeaseRenew
+#include "jujubehead/core/permit.hpp"        // for PermitId, HeldPermit
 #include "jujubehead/core/runtime_clock.hpp" // for Duration
 
 /// Messages between instances. Times are durations from the moment of sending:
@@ -278,6 +280,34 @@
   }
 };
 
+/// @brief Owner to entry: which permits of this target do you hold? Answered
+/// by HoldingsAnswer.
+struct HoldingsAsk
+{
+  core::TargetId target;
+  core::PermitId up_to;
+
+  template<typename Self>
+  static auto Fields(Self& aSelf)
+  {
+    return std::tie(aSelf.target, aSelf.up_to);
+  }
+};
+
+/// @brief Entry to owner: these, and none else up to `up_to`.
+struct HoldingsAnswer
+{
+  core::TargetId target;
+  core::PermitId up_to;
+  std::vector<core::HeldPermit> held;
+
+  template<typename Self>
+  static auto Fields(Self& aSelf)
+  {
+    return std::tie(aSelf.target, aSelf.up_to, aSelf.held);
+  }
+};
+
 /// @brief The answer that says no more than "received and done".
 struct Ack
 {
@@ -303,7 +333,17 @@
                              TableHead,
                              TableAsk,
                              TableAnswer,
-                             Ack>;
+                             Ack,
+                             HoldingsAsk,
+                             HoldingsAnswer,
+                             core::HandedOver,
+                             core::LeaseRenew,
+                             core::LeaseAck,
+                             core::LeaseResign,
+                             core::VoteRequest,
+                             core::VoteReply,
+                             core::OwnersAnnounce,
+                             core::OwnersAsk>;
 
 /// @brief A message with what ties an answer to its question.
 struct Envelope
--- a/src/jujubehead/wire/codec_test.cpp
+++ b/src/jujubehead/wire/codec_test.cpp
@@ -65,6 +65,25 @@
 TEST(Codec, AnUnknownTypeIsRefused)
 {
   auto bytes = Encode({ 1, false, wire::Ack{} });
-  bytes.at(1) = 23; // The type is the envelope's first element.
+  // The type is the envelope's first element: now one that needs two bytes.
+  bytes.at(1) = 0x18;
+  bytes.insert(bytes.begin() + 2, 0xFF);
   CHECK_THROWS(DecodeError, Decode(bytes));
 }
+
+TEST(Codec, OwnershipMessagesComeBack)
+{
+  const core::Incarnation holder{ core::InstanceId("i1"), 1ULL << 60U };
+  const core::GroupRow row{ core::GroupId("t1"), holder, 17, 3 };
+  core::VoteReply reply;
+  reply.lease = holder;
+  reply.vote = core::Vote::kOther;
+  reply.lapsed_since = std::chrono::milliseconds(40);
+  reply.list = { 5, { row } };
+  const Envelope back = Decode(Encode({ 0, false, reply }));
+  const auto& message = std::get<core::VoteReply>(back.message);
+  CHECK(message.lease == holder);
+  CHECK(message.vote == core::Vote::kOther);
+  CHECK(message.lapsed_since == reply.lapsed_since);
+  CHECK(message.list == reply.list);
+}
