--- /dev/null
+++ b/src/jujubehead/core/table_follower_test.cpp
@@ -0,0 +1,241 @@
+#include "jujubehead/core/table_follower.hpp"
+
+#include <CppUTest/TestHarness.h> // for TEST
+#include <rapidcheck.h>           // for check
+
+using namespace jujubehead::core;
+using namespace std::chrono_literals;
+
+namespace {
+
+const InstanceId kOld("old");
+const InstanceId kNew("new");
+
+std::vector<ChangeEntry>
+Entries(std::uint64_t aFirst, std::uint64_t aLast)
+{
+  std::vector<ChangeEntry> entries;
+  for (std::uint64_t version = aFirst; version <= aLast; ++version) {
+    const StopSubject subject{ StopKind::kTarget, std::to_string(version) };
+    entries.push_back({ version, "t", "ann", { SetStop{ { subject, 0 } } } });
+  }
+  return entries;
+}
+
+TableSnapshot
+Snapshot(std::uint64_t aVersion)
+{
+  TableView view;
+  view.Apply(Entries(1, aVersion));
+  return *view.Current();
+}
+
+/// A follower to which anything happens.
+class AnyFollower
+{
+public:
+  void Advance()
+  {
+    m_head += *rc::gen::inRange<std::uint64_t>(0, 2);
+    m_now += std::chrono::milliseconds(*rc::gen::inRange(0, 1500));
+    const FollowStep step = m_follower.Next(m_now);
+    Check();
+    const auto up_to = *rc::gen::inRange<std::uint64_t>(0, m_head + 1);
+    if (*rc::gen::arbitrary<bool>()) {
+      Fail(step, up_to);
+    } else {
+      Answer(step, up_to);
+    }
+    Check();
+  }
+
+private:
+  void Fail(const FollowStep& aStep, std::uint64_t aUpTo)
+  {
+    if (const auto* ask = std::get_if<FollowPeer>(&aStep)) {
+      m_follower.OnPeerFailed(m_now, ask->peer);
+    } else if (!std::holds_alternative<FollowIdle>(aStep)) {
+      m_follower.OnServiceFailed(m_now, "down");
+    } else {
+      m_follower.OnPeerVersion(*rc::gen::element(kOld, kNew), aUpTo);
+      Show(aUpTo);
+    }
+  }
+
+  void Answer(const FollowStep& aStep, std::uint64_t aUpTo)
+  {
+    if (const auto* entries = std::get_if<FollowEntries>(&aStep)) {
+      const auto first =
+        *rc::gen::inRange<std::uint64_t>(1, entries->after + 2);
+      m_follower.OnEntries(m_now, Entries(first, aUpTo), aUpTo == m_head);
+      Show(aUpTo < first ? 0 : aUpTo);
+    } else if (std::holds_alternative<FollowSnapshot>(aStep)) {
+      m_follower.OnStoredSnapshot(m_now, Snapshot(aUpTo));
+      Show(aUpTo);
+    } else if (const auto* ask = std::get_if<FollowPeer>(&aStep)) {
+      m_follower.OnPeerSnapshot(m_now, ask->peer, Snapshot(aUpTo));
+      Show(aUpTo);
+    }
+  }
+
+  void Show(std::uint64_t aVersion) { m_shown = std::max(m_shown, aVersion); }
+
+  void Check()
+  {
+    const std::uint64_t version = m_follower.View().Version();
+    const bool ready = !m_follower.NotReady().has_value();
+    RC_ASSERT(version >= m_version);
+    RC_ASSERT(ready || !m_was_ready);
+    RC_ASSERT(m_was_ready || !ready || version >= m_shown);
+    m_version = version;
+    m_was_ready = ready;
+  }
+
+  TableFollower m_follower{ {} };
+  Instant m_now{ 1h };
+  std::uint64_t m_head = 1;
+  std::uint64_t m_version = 0;
+  std::uint64_t m_shown = 0;
+  bool m_was_ready = false;
+};
+
+} // namespace
+
+TEST_GROUP(TableFollower)
+{
+  TableFollower follower{ {} };
+  Instant now{ 1h };
+
+  template<typename Step>
+  bool Wants()
+  {
+    return std::holds_alternative<Step>(follower.Next(now));
+  }
+  void FailService()
+  {
+    follower.Next(now);
+    follower.OnServiceFailed(now, "down");
+  }
+  void Start(std::uint64_t aVersion)
+  {
+    follower.Next(now);
+    follower.OnStoredSnapshot(now, Snapshot(aVersion));
+    follower.Next(now);
+    follower.OnEntries(now, {}, true);
+  }
+};
+
+TEST(TableFollower, StartsFromTheSnapshotAndTheRest)
+{
+  CHECK(Wants<FollowSnapshot>());
+  follower.OnStoredSnapshot(now, Snapshot(5));
+  CHECK_EQUAL(5U, std::get<FollowEntries>(follower.Next(now)).after);
+  CHECK(follower.NotReady().has_value());
+  follower.OnEntries(now, Entries(6, 8), false);
+  CHECK(follower.NotReady().has_value());
+  CHECK_EQUAL(8U, std::get<FollowEntries>(follower.Next(now)).after);
+  follower.OnEntries(now, Entries(9, 9), true);
+  CHECK_FALSE(follower.NotReady().has_value());
+  CHECK_EQUAL(9U, follower.View().Version());
+  CHECK(std::get<FollowIdle>(follower.Next(now)).until == now + 1s);
+  now += 1s;
+  CHECK(Wants<FollowEntries>());
+}
+
+TEST(TableFollower, IsNotReadyBelowWhatAPeerHasShown)
+{
+  follower.OnPeerVersion(kNew, 7);
+  Start(6);
+  CHECK_EQUAL(std::string("the table is at version 6, version 7 has been "
+                          "shown, still reading"),
+              *follower.NotReady());
+  now += 1s;
+  CHECK(Wants<FollowEntries>());
+  follower.OnEntries(now, Entries(7, 7), true);
+  CHECK_FALSE(follower.NotReady().has_value());
+}
+
+TEST(TableFollower, AGapIsFilledFromTheSnapshot)
+{
+  Start(3);
+  now += 1s;
+  CHECK(Wants<FollowEntries>());
+  follower.OnEntries(now, Entries(9, 10), true);
+  now += 1s;
+  CHECK(Wants<FollowSnapshot>());
+  follower.OnStoredSnapshot(now, Snapshot(9));
+  CHECK(Wants<FollowEntries>());
+  follower.OnEntries(now, Entries(10, 10), true);
+  CHECK_EQUAL(10U, follower.View().Version());
+}
+
+TEST(TableFollower, WithTheServiceDownItStartsFromItsNewestPeer)
+{
+  FailService();
+  CHECK_EQUAL(std::string("the table is at version 0, the service failed: "
+                          "down, no peer is known"),
+              *follower.NotReady());
+  follower.OnPeerVersion(kOld, 4);
+  follower.OnPeerVersion(kNew, 6);
+  CHECK(std::get<FollowPeer>(follower.Next(now)).peer == kNew);
+  follower.OnPeerSnapshot(now, kNew, Snapshot(6));
+  CHECK(follower.NotReady().has_value()); // Others may yet show a newer one.
+  now += 3s;
+  follower.Next(now);
+  CHECK_FALSE(follower.NotReady().has_value());
+  CHECK_EQUAL(6U, follower.View().Version());
+}
+
+TEST(TableFollower, APeerThatFailsIsNotAskedAgainAtOnce)
+{
+  FailService();
+  follower.OnPeerVersion(kOld, 4);
+  follower.OnPeerVersion(kNew, 6);
+  CHECK(Wants<FollowPeer>());
+  now += 3s; // It takes too long.
+  CHECK(std::get<FollowPeer>(follower.Next(now)).peer == kOld);
+  follower.OnPeerSnapshot(now, kOld, Snapshot(4));
+  follower.Next(now);
+  CHECK(follower.NotReady().has_value()); // Version 6 has been shown.
+  now += 4s;
+  follower.Next(now);
+  follower.OnServiceFailed(now, "down");
+  CHECK(std::get<FollowPeer>(follower.Next(now)).peer == kNew);
+}
+
+TEST(TableFollower, AReadyInstanceStaysReadyAndLearnsFromPeersInAnOutage)
+{
+  Start(3);
+  now += 1s;
+  FailService();
+  CHECK_FALSE(follower.NotReady().has_value());
+  follower.OnPeerVersion(kNew, 4);
+  CHECK(std::get<FollowPeer>(follower.Next(now)).peer == kNew);
+  follower.OnPeerSnapshot(now, kNew, Snapshot(4));
+  CHECK_EQUAL(4U, follower.View().Version());
+  CHECK(follower.Age(now) == 1s);
+}
+
+TEST(TableFollower, BacksOffFromAFailingService)
+{
+  Duration last{};
+  for (int i = 0; i < 12; ++i) {
+    follower.Next(now);
+    follower.OnServiceFailed(now, "down");
+    const auto until = std::get<FollowIdle>(follower.Next(now)).until;
+    CHECK(until - now >= last);
+    last = until - now;
+    now = until;
+  }
+  CHECK(last == TableFollowerOptions().max_backoff);
+}
+
+TEST(TableFollower, WhateverArrivesItNeverGoesBackOrServesWhatIsOld)
+{
+  CHECK(rc::check([] {
+    AnyFollower any;
+    for (int i = 0; i < 60; ++i) {
+      any.Advance();
+    }
+  }));
+}
