--- a/include/jujubehead/net/table_log.hpp
+++ b/include/jujubehead/net/table_log.hpp
@@ -1,15 +1,17 @@
 #ifndef JUJUBEHEAD_NET_TABLE_LOG_HPP
 #define JUJUBEHEAD_NET_TABLE_LOG_HPP
 
-#include <cstddef>  // for size_t
-#include <cstdint>  // for uint64_t
-#include <memory>   // for unique_ptr
-#include <optional> // for optional
-#include <string>   // for string
+#include <cstddef>    // for size_t
+#include <cstdint>    // for uint64_t
+#include <functional> // for function
+#include <memory>     // for unique_ptr
+#include <optional>   // for optional
+#include <string>     // for string
 
 #include <boost/asio/awaitable.hpp> // for awaitable
 
 #include "jujubehead/core/change_log.hpp"    // for ChangeEntry, TableSnapshot
+#include "jujubehead/core/runtime_clock.hpp" // for Duration
 #include "jujubehead/core/table_publish.hpp" // for PublishAnswer, EntriesRead
 
 namespace jujubehead::net {
@@ -55,11 +57,14 @@
     core::TableSnapshot aSnapshot) = 0;
 };
 
+/// Waits for a time.
+using Sleep = std::function<boost::asio::awaitable<void>(core::Duration aTime)>;
+
 /// @brief Runs a publisher to its end, then keeps a snapshot when it is time.
 /// @return the last step: Published, AlreadyInForce, Conflicted, Refused or
 /// GaveUp.
 boost::asio::awaitable<core::PublishStep>
-Publish(TableLog& aLog, core::TablePublish aPublish);
+Publish(TableLog& aLog, core::TablePublish aPublish, const Sleep& aSleep);
 
 } // namespace jujubehead::net
 
