--- a/standin/completion_json.cpp
+++ b/standin/completion_json.cpp
@@ -10,13 +10,6 @@
 constexpr EpochMs kMsPerSecond = 1000;
 constexpr std::string_view kTokenPlace = "\"@\"";
 
-// Handles and generations come as strings or numbers.
-std::string
-TextOf(const json& aValue)
-{
-  return aValue.is_string() ? aValue.get<std::string>() : aValue.dump();
-}
-
 std::string
 PromptOf(const json& aBody, bool aIsChat)
 {
@@ -81,6 +74,12 @@
 
 } // namespace
 
+std::string
+TextOf(const json& aValue)
+{
+  return aValue.is_string() ? aValue.get<std::string>() : aValue.dump();
+}
+
 CompletionCall
 ParseCompletionCall(std::string_view aBody, bool aIsChat)
 {
--- a/standin/completion_json.hpp
+++ b/standin/completion_json.hpp
@@ -32,6 +32,10 @@
   bool include_usage = false;
 };
 
+/// @return the text of a string, or a number or array as it is written.
+[[nodiscard]] std::string
+TextOf(const nlohmann::json& aValue);
+
 /// @brief Reads the body of a completion or chat completion call.
 /// @throws nlohmann::json::exception when it has another shape.
 [[nodiscard]] CompletionCall
--- a/standin/engine_face.cpp
+++ b/standin/engine_face.cpp
@@ -14,6 +14,7 @@
 #include "jujubehead/net/http_client.hpp" // for HttpClient
 
 #include "standin/completion_json.hpp" // for CompletionCall, CompletionWriter
+#include "standin/engine_transfer.hpp" // for FetchPiece, SendPiece
 
 namespace jujubehead::standin {
 namespace {
@@ -24,7 +25,6 @@
 
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::milliseconds kObservePeriod{ 10 };
-constexpr std::chrono::seconds kExportPatience{ 600 };
 
 const char*
 CodeOf(Refusal aRefusal)
@@ -224,29 +224,8 @@
 
   asio::awaitable<void> Import(const ImportOrder& aOrder, const RunPtr& aRun)
   {
-    std::vector<std::string> keys;
-    std::string salt;
-    try {
-      net::HttpCall call;
-      call.authority = aOrder.store;
-      call.target = "/v1/kv/" + aOrder.handle + '/' + aOrder.generation;
-      if (aOrder.blocks != 0) {
-        call.target += "?blocks=" + std::to_string(aOrder.blocks);
-      }
-      const net::HttpResponse response =
-        co_await m_client->Fetch(std::move(call));
-      const json body = json::parse(response.body);
-      if (response.status == 200) {
-        body.at("keys").get_to(keys);
-        body.at("salt").get_to(salt);
-        if (aOrder.blocks != 0 && keys.size() > aOrder.blocks) {
-          keys.resize(aOrder.blocks);
-        }
-      }
-    } catch (const std::exception&) {
-      keys.clear(); // Without the store's blocks all is computed again.
-    }
-    m_model.FinishImport(aRun, keys, salt, NowMs());
+    const FetchedPiece piece = co_await FetchPiece(*m_client, aOrder);
+    m_model.FinishImport(aRun, piece.keys, piece.salt, NowMs());
   }
 
   asio::awaitable<void> Follow(net::HttpExchange& aExchange,
@@ -337,20 +316,14 @@
       co_await ReplyError(aExchange, 409, "evicted");
       co_return;
     }
-    net::HttpResponse failed;
     const json piece = PieceOf(keys);
-    try {
-      failed = co_await SendPiece(order, piece);
-    } catch (const std::exception&) {
-      failed.status = 502;
-    }
+    const unsigned status = co_await SendPiece(*m_client, order, piece);
     m_model.Unpin(keys);
-    if (failed.status == 200) {
+    if (status == 200) {
       co_await Reply(aExchange, 200, ExportedJson(piece));
     } else {
-      co_await ReplyError(aExchange,
-                          failed.status,
-                          failed.status == 507 ? "full" : "store_failed");
+      co_await ReplyError(
+        aExchange, status, status == 507 ? "full" : "store_failed");
     }
   }
 
@@ -365,30 +338,6 @@
              { "salt", m_model.Find(aKeys.front())->salt } };
   }
 
-  // Begins and commits; returns the last reply.
-  asio::awaitable<net::HttpResponse> SendPiece(const json& aOrder,
-                                               const json& aPiece)
-  {
-    const json& generation = aOrder.at("generation");
-    net::HttpCall call;
-    call.method = "POST";
-    call.authority = aOrder.at("store").get<std::string>();
-    call.idle_timeout = kExportPatience;
-    const std::string path =
-      "/v1/kv/" + aOrder.at("handle").get<std::string>() + '/' +
-      (generation.is_string() ? generation.get<std::string>()
-                              : generation.dump());
-    call.target = path + "/begin";
-    call.body = aPiece.dump();
-    const net::HttpResponse begun = co_await m_client->Fetch(call);
-    if (begun.status != 200) {
-      co_return begun;
-    }
-    call.target = path + "/commit";
-    call.body = "{}";
-    co_return co_await m_client->Fetch(std::move(call));
-  }
-
   EngineModel m_model;
   std::unique_ptr<net::HttpClient> m_client;
   asio::steady_timer m_work;
--- a/standin/engine_model.cpp
+++ b/standin/engine_model.cpp
@@ -7,12 +7,6 @@
 namespace jujubehead::standin {
 namespace {
 
-bool
-Contains(const std::vector<std::string>& aNames, const std::string& aName)
-{
-  return std::ranges::find(aNames, aName) != aNames.end();
-}
-
 Answer
 AnswerOf(const RunRequest& aRequest)
 {
@@ -38,21 +32,22 @@
             { "key", aBlock.key },
             { "bytes", aBlock.bytes } });
       })
+  , m_weights(m_options.versions, m_options.adapters, m_options.load_ms)
 {
 }
 
 std::variant<RunPtr, Refusal>
 EngineModel::Submit(RunRequest aRequest, bool aImports, EpochMs aNow)
 {
-  FinishLoads(aNow);
+  m_weights.Settle(aNow);
   if (!AcceptFencing(aRequest.fencing)) {
     ++m_counters.refused_old_fencing;
     return Refusal::kOldFencing;
   }
-  if (aRequest.version.empty() && !m_options.versions.empty()) {
-    aRequest.version = m_options.versions.back();
+  if (aRequest.version.empty()) {
+    aRequest.version = m_weights.Newest();
   }
-  if (!Knows(aRequest)) {
+  if (!m_weights.Has(aRequest.version, aRequest.adapter)) {
     ++m_counters.refused_wrong_version;
     return Refusal::kWrongVersion;
   }
@@ -147,7 +142,7 @@
 EngineModel::BeginStep(EpochMs aNow)
 {
   m_now = aNow;
-  FinishLoads(aNow);
+  m_weights.Settle(aNow);
   while (m_running.size() < m_options.batch) {
     const RunPtr run = TakeNextWaiting();
     if (run == nullptr) {
@@ -206,7 +201,7 @@
   m_running.clear();
   m_waiting.clear();
   m_planned.clear();
-  m_loads.clear();
+  m_weights.Abandon();
   m_cache.Clear();
   m_events.Add(m_now, { { "kind", "cleared" }, { "key", "" }, { "bytes", 0 } });
   ++m_counters.crashes;
@@ -224,17 +219,15 @@
 bool
 EngineModel::TakeOrder(const nlohmann::json& aOrder, EpochMs aNow)
 {
-  FinishLoads(aNow);
+  m_weights.Settle(aNow);
   const auto order = aOrder.value("order", std::string());
   const auto version = aOrder.value("version", std::string());
   if (order == "load_version") {
-    m_loads.push_back({ false, version, aNow + m_options.load_ms });
+    m_weights.LoadVersion(version, aNow);
   } else if (order == "load_adapter") {
-    m_loads.push_back({ true,
-                        aOrder.value("adapter", std::string()),
-                        aNow + m_options.load_ms });
+    m_weights.LoadAdapter(aOrder.value("adapter", std::string()), aNow);
   } else if (order == "unload_version") {
-    std::erase(m_options.versions, version);
+    m_weights.UnloadVersion(version);
   } else if (order == "set_role") {
     m_role = aOrder.value("role", std::string());
   } else {
@@ -258,7 +251,7 @@
 void
 EngineModel::ObserveLoad(EpochMs aNow)
 {
-  FinishLoads(aNow);
+  m_weights.Settle(aNow);
   m_reports.push_back(LoadNow(aNow));
   while (m_reports.size() > 1 &&
          m_reports[1]["as_of_ms"] <= aNow - m_options.load_lag_ms) {
@@ -282,35 +275,14 @@
 nlohmann::json
 EngineModel::Stats() const
 {
-  return { { "running", m_running.size() },
-           { "waiting", m_waiting.size() },
-           { "cached_blocks", m_cache.Size() },
-           { "max_running_seen", m_counters.max_running_seen },
-           { "max_held_seen", m_counters.max_held_seen },
-           { "prompt_tokens", m_counters.prompt_tokens },
-           { "cached_tokens", m_counters.cached_tokens },
-           { "imported_tokens", m_counters.imported_tokens },
-           { "recomputed_tokens", m_counters.recomputed_tokens },
-           { "answer_tokens", m_counters.answer_tokens },
-           { "done", m_counters.done },
-           { "cut", m_counters.cut },
-           { "crashes", m_counters.crashes },
-           { "refused_old_fencing", m_counters.refused_old_fencing },
-           { "refused_wrong_version", m_counters.refused_wrong_version },
-           { "refused_full", m_counters.refused_full },
-           { "foreign_imports", m_counters.foreign_imports },
-           { "order_seen", m_highest_fencing },
-           { "versions", m_options.versions },
-           { "role", m_role },
-           { "runs_started", m_counters.runs_started } };
-}
-
-bool
-EngineModel::Knows(const RunRequest& aRequest) const
-{
-  return Contains(m_options.versions, aRequest.version) &&
-         (aRequest.adapter.empty() ||
-          Contains(m_options.adapters, aRequest.adapter));
+  nlohmann::json stats = m_counters;
+  stats["running"] = m_running.size();
+  stats["waiting"] = m_waiting.size();
+  stats["cached_blocks"] = m_cache.Size();
+  stats["order_seen"] = m_highest_fencing;
+  stats["versions"] = m_weights.Versions();
+  stats["role"] = m_role;
+  return stats;
 }
 
 std::uint64_t
@@ -340,10 +312,10 @@
            { "free_blocks", m_cache.TotalBlocks() - m_cache.Size() },
            { "total_blocks", m_cache.TotalBlocks() },
            { "model", m_options.model },
-           { "versions", m_options.versions },
-           { "adapters", m_options.adapters },
+           { "versions", m_weights.Versions() },
+           { "adapters", m_weights.Adapters() },
            { "role", m_role },
-           { "loading", !m_loads.empty() } };
+           { "loading", m_weights.IsLoading() } };
 }
 
 RunPtr
@@ -419,18 +391,4 @@
   aRun.pinned = 0;
 }
 
-void
-EngineModel::FinishLoads(EpochMs aNow)
-{
-  for (const PendingLoad& load : m_loads) {
-    auto& names = load.is_adapter ? m_options.adapters : m_options.versions;
-    if (load.ready_at <= aNow && !Contains(names, load.name)) {
-      names.push_back(load.name);
-    }
-  }
-  std::erase_if(m_loads, [aNow](const PendingLoad& aLoad) {
-    return aLoad.ready_at <= aNow;
-  });
-}
-
 } // namespace jujubehead::standin
--- a/standin/engine_model.hpp
+++ b/standin/engine_model.hpp
@@ -1,24 +1,25 @@
 #ifndef JUJUBEHEAD_STANDIN_ENGINE_MODEL_HPP
 #define JUJUBEHEAD_STANDIN_ENGINE_MODEL_HPP
 
-#include <chrono>        // for microseconds
-#include <cstddef>       // for size_t
-#include <cstdint>       // for int64_t, uint64_t
-#include <deque>         // for deque
-#include <list>          // for list
-#include <memory>        // for shared_ptr
-#include <optional>      // for optional
-#include <span>          // for span
-#include <string>        // for string
-#include <unordered_map> // for unordered_map
-#include <variant>       // for variant
-#include <vector>        // for vector
+#include <chrono>   // for microseconds
+#include <cstddef>  // for size_t
+#include <cstdint>  // for int64_t, uint64_t
+#include <deque>    // for deque
+#include <list>     // for list
+#include <memory>   // for shared_ptr
+#include <optional> // for optional
+#include <span>     // for span
+#include <string>   // for string
+#include <variant>  // for variant
+#include <vector>   // for vector
 
 #include <nlohmann/json.hpp> // for json
 
-#include "standin/answer.hpp"       // for Answer
-#include "standin/event_log.hpp"    // for EventLog, EpochMs
-#include "standin/prefix_cache.hpp" // for PrefixCache
+#include "standin/answer.hpp"          // for Answer
+#include "standin/engine_counters.hpp" // for EngineCounters
+#include "standin/engine_weights.hpp"  // for EngineWeights
+#include "standin/event_log.hpp"       // for EventLog, EpochMs
+#include "standin/prefix_cache.hpp"    // for PrefixCache
 
 namespace jujubehead::standin {
 
@@ -158,32 +159,6 @@
   [[nodiscard]] std::int64_t OrderSeen() const { return m_highest_fencing; }
 
 private:
-  struct PendingLoad
-  {
-    bool is_adapter = false;
-    std::string name;
-    EpochMs ready_at = 0;
-  };
-  struct Counters
-  {
-    std::size_t max_running_seen = 0;
-    std::size_t max_held_seen = 0;
-    std::uint64_t prompt_tokens = 0;
-    std::uint64_t cached_tokens = 0;
-    std::uint64_t imported_tokens = 0;
-    std::uint64_t recomputed_tokens = 0;
-    std::uint64_t answer_tokens = 0;
-    std::uint64_t done = 0;
-    std::uint64_t cut = 0;
-    std::uint64_t crashes = 0;
-    std::uint64_t refused_old_fencing = 0;
-    std::uint64_t refused_wrong_version = 0;
-    std::uint64_t refused_full = 0;
-    std::uint64_t foreign_imports = 0;
-    std::unordered_map<std::string, std::uint64_t> runs_started;
-  };
-
-  [[nodiscard]] bool Knows(const RunRequest& aRequest) const;
   [[nodiscard]] std::uint64_t BlockBytes(const Run& aRun) const;
   [[nodiscard]] std::size_t TokensOfBlocks(const Run& aRun,
                                            std::size_t aBlocks) const;
@@ -193,7 +168,6 @@
   void CompletePrefill(Run& aRun);
   void PinCached(Run& aRun);
   void Release(Run& aRun, RunState aState);
-  void FinishLoads(EpochMs aNow);
 
   EngineOptions m_options;
   EpochMs m_now = 0;
@@ -202,12 +176,12 @@
   std::list<RunPtr> m_waiting; // In order of arrival, importing ones too.
   std::vector<RunPtr> m_running;
   std::vector<RunPtr> m_planned; // Runs that this step gives a token.
-  std::vector<PendingLoad> m_loads;
+  EngineWeights m_weights;
   std::deque<nlohmann::json> m_reports;
   std::int64_t m_highest_fencing = 0;
   std::string m_role = "serve";
   std::string m_crash_text;
-  Counters m_counters;
+  EngineCounters m_counters;
 };
 
 } // namespace jujubehead::standin
--- a/standin/stand_in_test.cpp
+++ b/standin/stand_in_test.cpp
@@ -3,11 +3,13 @@
 #include <exception> // for exception_ptr
 #include <utility>   // for move
 
-#include <CppUTest/TestHarness.h>  // for TEST
 #include <boost/asio/co_spawn.hpp> // for co_spawn
 
 #include "jujubehead/net/http_client.hpp" // for HttpClient
 
+// After Asio, whose operators new its macros would break.
+#include <CppUTest/TestHarness.h> // for TEST
+
 using namespace jujubehead;
 using namespace jujubehead::standin;
 using nlohmann::json;
