--- a/include/jujubehead/net/table_log.hpp
+++ b/include/jujubehead/net/table_log.hpp
@@ -58,7 +58,8 @@
 };
 
 /// Waits for a time.
-using SleepFor = std::function<boost::asio::awaitable<void>(core::Duration aTime)>;
+using SleepFor =
+  std::function<boost::asio::awaitable<void>(core::Duration aTime)>;
 
 /// @brief Runs a publisher to its end, then keeps a snapshot when it is time.
 /// @return the last step: Published, AlreadyInForce, Conflicted, Refused or
