--- a/include/jujubehead/core/table_diff.hpp
+++ b/include/jujubehead/core/table_diff.hpp
@@ -1,7 +1,6 @@
 #ifndef JUJUBEHEAD_CORE_TABLE_DIFF_HPP
 #define JUJUBEHEAD_CORE_TABLE_DIFF_HPP
 
-#include <string>  // for string
 #include <variant> // for variant
 #include <vector>  // for vector
 
@@ -36,18 +35,6 @@
 std::vector<TableChange>
 Diff(const Table& aOld, const Table& aNew);
 
-/// @return an account's share of a model in percent: its weight among those of
-/// all accounts that the model's rows do not bar.
-double
-SharePercent(const Table& aTable,
-             const AccountId& aAccount,
-             const ModelId& aModel);
-
-/// @return the difference as a reviewer reads it, one paragraph a model, with
-/// the shares that move.
-std::string
-RenderReview(const Table& aOld, const Table& aNew);
-
 } // namespace jujubehead::core
 
 #endif // JUJUBEHEAD_CORE_TABLE_DIFF_HPP
