--- a/src/jujubehead/app/commands_test.cpp
+++ b/src/jujubehead/app/commands_test.cpp
@@ -36,7 +36,7 @@
   boost::asio::io_context& Context() override { return m_world.context; }
   net::HttpClient& Client() override { return m_world.client; }
   net::TableLog& Log() override { return *m_world.log; }
-  net::Sleep Sleeper() override
+  net::SleepFor Sleeper() override
   {
     return [this](core::Duration aTime) { return Wait(aTime); };
   }
--- a/src/jujubehead/app/platform.cpp
+++ b/src/jujubehead/app/platform.cpp
@@ -24,7 +24,7 @@
   boost::asio::io_context& Context() override { return m_context; }
   net::HttpClient& Client() override { return *m_client; }
   net::TableLog& Log() override { return *m_log; }
-  [[nodiscard]] net::Sleep Sleeper() override
+  [[nodiscard]] net::SleepFor Sleeper() override
   {
     return [this](core::Duration aTime) { return Wait(aTime); };
   }
--- a/src/jujubehead/app/run_drain.cpp
+++ b/src/jujubehead/app/run_drain.cpp
@@ -133,7 +133,7 @@
   const DrainCommand& m_command;
   Tools& m_tools;
   std::unique_ptr<Platform> m_platform;
-  net::Sleep m_sleep;
+  net::SleepFor m_sleep;
   std::string m_name;
   std::uint64_t m_version = 0;
   std::int64_t m_deadline_ms = 0;
--- a/src/jujubehead/app/run_table.cpp
+++ b/src/jujubehead/app/run_table.cpp
@@ -243,7 +243,7 @@
                              net::RandomText(kTokenBytes),
                              aCommand.author.empty() ? aTools.login_name
                                                      : aCommand.author);
-  const net::Sleep sleep = platform->Sleeper();
+  const net::SleepFor sleep = platform->Sleeper();
   return ReportPublish(
     net::RunAwaitable(platform->Context(),
                       net::Publish(platform->Log(), std::move(publish), sleep)),
--- a/src/jujubehead/app/tools.hpp
+++ b/src/jujubehead/app/tools.hpp
@@ -10,7 +10,7 @@
 #include <boost/asio/io_context.hpp> // for io_context
 
 #include "command.hpp"                  // for PlatformOptions
-#include "jujubehead/net/table_log.hpp" // for TableLog, Sleep
+#include "jujubehead/net/table_log.hpp" // for TableLog, SleepFor
 
 namespace jujubehead::net {
 class HttpClient;
@@ -26,7 +26,7 @@
   virtual boost::asio::io_context& Context() = 0;
   virtual net::HttpClient& Client() = 0;
   virtual net::TableLog& Log() = 0;
-  [[nodiscard]] virtual net::Sleep Sleeper() = 0;
+  [[nodiscard]] virtual net::SleepFor Sleeper() = 0;
 };
 
 /// @brief What commands need of the world; tests give their own.
