--- a/src/jujubehead/core/directory.cpp
+++ b/src/jujubehead/core/directory.cpp
@@ -113,6 +113,13 @@
     }
   }
 
+  /// Takes what was heard of a holder other than by its own sequence.
+  void Hear(const Holder& aHolder, CacheEvent aEvent)
+  {
+    aEvent.sequence = m_holders[NumberOf(aHolder)].last_sequence + 1;
+    Apply(aHolder, aEvent);
+  }
+
   void ForgetCopy(const StoreId& aStore, const CopyName& aCopy)
   {
     EndCopy(m_holders[NumberOf(aStore)], aCopy);
@@ -320,6 +327,24 @@
   m_slice->Learn(aTarget, aKeys);
 }
 
+void
+Directory::Unlearn(const TargetId& aTarget, std::span<const ContextKey> aKeys)
+{
+  m_slice->Hear(
+    aTarget,
+    { 0, CacheEventKind::kRemoved, { aKeys.begin(), aKeys.end() }, {} });
+}
+
+void
+Directory::LearnCopy(const StoreId& aStore,
+                     const CopyName& aCopy,
+                     std::span<const ContextKey> aKeys)
+{
+  m_slice->Hear(
+    aStore,
+    { 0, CacheEventKind::kStored, { aKeys.begin(), aKeys.end() }, aCopy });
+}
+
 void
 Directory::ForgetCopy(const StoreId& aStore, const CopyName& aCopy)
 {
--- a/src/jujubehead/core/directory_test.cpp
+++ b/src/jujubehead/core/directory_test.cpp
@@ -182,3 +182,29 @@
     }
   }));
 }
+
+TEST(Directory, AHeardLossAndALaterRunAreTakenInTheirOrder)
+{
+  Directory slice(100);
+  const TargetId holder("t1");
+  const auto chain = ChainKeys({}, std::string(4 * kDefaultBlockBytes, 'x'));
+  slice.Learn(holder, chain);
+  LONGS_EQUAL(4, slice.Lookup(chain).at(0).blocks);
+  slice.Unlearn(holder, std::span(chain).subspan(1, 1));
+  LONGS_EQUAL(1, slice.Lookup(chain).at(0).blocks);
+  slice.Learn(holder, chain);
+  LONGS_EQUAL(4, slice.Lookup(chain).at(0).blocks);
+}
+
+TEST(Directory, AHeardCopyIsHintedUntilItIsForgotten)
+{
+  Directory slice(100);
+  const StoreId holder("s1");
+  const auto chain = ChainKeys({}, std::string(2 * kDefaultBlockBytes, 'x'));
+  slice.LearnCopy(holder, { "h", 3 }, chain);
+  const auto hints = slice.Lookup(chain);
+  LONGS_EQUAL(2, hints.at(0).blocks);
+  CHECK(hints.at(0).copy->generation == 3);
+  slice.ForgetCopy(holder, { "h", 3 });
+  CHECK(slice.Lookup(chain).empty());
+}
--- a/src/jujubehead/core/permit_book.cpp
+++ b/src/jujubehead/core/permit_book.cpp
@@ -375,6 +375,12 @@
   m_impl->StopAdmitting();
 }
 
+void
+PermitBook::ResumeAdmitting()
+{
+  m_impl->m_admits = true;
+}
+
 bool
 PermitBook::Admits() const
 {
