--- a/include/jujubehead/net/api_error.hpp
+++ b/include/jujubehead/net/api_error.hpp
@@ -21,7 +21,8 @@
 };
 
 /// @return the name in replies: `not_run` or `unknown`.
-std::string_view Name(RunState aState);
+std::string_view
+Name(RunState aState);
 
 /// @brief An error reply in the shape of the OpenAI API.
 struct ApiError
@@ -37,11 +38,13 @@
 };
 
 /// @return the error's JSON text, `{"error":{...}}`, with its run state.
-std::string RenderBody(const ApiError& aError);
+std::string
+RenderBody(const ApiError& aError);
 
 /// @return the reply: status, run state header, Retry-After (whole seconds,
 /// rounded up) and JSON body.
-HttpResponse Render(const ApiError& aError);
+HttpResponse
+Render(const ApiError& aError);
 
 } // namespace jujubehead::net
 
--- a/include/jujubehead/net/timer.hpp
+++ b/include/jujubehead/net/timer.hpp
@@ -37,7 +37,8 @@
 
 /// @brief Waits for a time of the RuntimeClock.
 /// @throws boost::system::system_error when cancelled.
-boost::asio::awaitable<void> Sleep(core::Duration aDuration);
+boost::asio::awaitable<void>
+Sleep(core::Duration aDuration);
 
 } // namespace jujubehead::net
 
