--- a/standin/members_face.cpp
+++ b/standin/members_face.cpp
@@ -9,7 +9,7 @@
 namespace asio = boost::asio;
 using nlohmann::json;
 
-constexpr EpochMs kHistoryMs = 10 * 60 * 1000;
+constexpr EpochMs kHistoryMs = 600'000;
 
 class MembersFace final : public Face
 {
--- a/standin/prefix_cache.cpp
+++ b/standin/prefix_cache.cpp
@@ -1,7 +1,7 @@
 #include "standin/prefix_cache.hpp"
 
 #include <algorithm> // for find_if
-#include <ranges>    // for views::reverse
+#include <iterator>  // for prev
 #include <utility>   // for move
 
 namespace jujubehead::standin {
@@ -100,8 +100,8 @@
 void
 PrefixCache::Touch(std::span<const std::string> aKeys)
 {
-  for (const std::string& key : aKeys | std::views::reverse) {
-    const auto found = m_index.find(key);
+  for (auto key = aKeys.rbegin(); key != aKeys.rend(); ++key) {
+    const auto found = m_index.find(*key);
     if (found != m_index.end()) {
       m_order.splice(m_order.begin(), m_order, found->second);
     }
--- a/standin/table_model.cpp
+++ b/standin/table_model.cpp
@@ -10,7 +10,7 @@
 using nlohmann::json;
 
 constexpr std::size_t kMaxTransactItems = 100;
-constexpr EpochMs kTokenLifeMs = 10 * 60 * 1000;
+constexpr EpochMs kTokenLifeMs = 600'000;
 constexpr double kMsPerSecond = 1000;
 
 json
