--- a/bench/benches.hpp
+++ b/bench/benches.hpp
@@ -6,6 +6,11 @@
 // Each bench has read its gflags already, prints its figures to stdout, the
 // summary as the last line, and returns the exit status.
 
+/// @brief One hop through the instances, over real processes; bench/path/run
+/// starts them.
+int
+RunPathBench();
+
 } // namespace jujubehead::bench
 
 #endif // JUJUBEHEAD_BENCH_BENCHES_HPP
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -24,7 +24,9 @@
 const std::vector<Bench>&
 Benches()
 {
-  static const std::vector<Bench> benches{};
+  static const std::vector<Bench> benches{
+    { "path", RunPathBench },
+  };
   return benches;
 }
 
