Link the instances by websockets that both ends authenticate

Cause: wire messages had no way between instances. Both ends prove the shared secret by HMAC over both names and fresh nonces, each with a label of its own so that a proof cannot be handed back. A message that was taken while the link was being made is not counted against the queue a second time when the link opens: with a small queue the greeting's own bytes made the last one fall out, which the test of the full queue showed.

--- a/include/jujubehead/net/peer_link.hpp
+++ b/include/jujubehead/net/peer_link.hpp
@@ -39,8 +39,9 @@
   std::uint64_t messages_received = 0;
   std::uint64_t bytes_sent = 0;
   std::uint64_t bytes_received = 0;
-  std::uint64_t refused = 0; ///< Links refused at authentication.
-  std::uint64_t dropped = 0; ///< Messages dropped: link down or queue full.
+  std::uint64_t refused = 0;    ///< Links refused at authentication.
+  std::uint64_t dropped = 0;    ///< Messages dropped: link down or queue full.
+  std::uint64_t open_links = 0; ///< Links that are open now.
 };
 
 /// @brief Links to the other instances, over websockets on one io_context.
@@ -62,6 +63,7 @@
 
   [[nodiscard]] virtual std::uint16_t Port() const = 0;
   /// @brief Says where an instance is (`address:port`); dialled on first use.
+  /// An empty address forgets the instance.
   virtual void SetAddress(const core::InstanceId& aPeer,
                           std::string aAuthority) = 0;
   /// @brief Sends, dialling if needed.
--- /dev/null
+++ b/src/jujubehead/net/peer_links.cpp
@@ -0,0 +1,426 @@
+#include <algorithm> // for clamp, min
+#include <deque>     // for deque
+#include <map>       // for map
+#include <utility>   // for move
+
+#include "jujubehead/net/peer_link.hpp" // for PeerLinks
+#include "jujubehead/net/timer.hpp"     // for Timer
+
+#include "peer_proof.hpp"         // for PeerGreeting
+#include "websocket_endpoint.hpp" // for WebsocketEndpoint
+
+namespace jujubehead::net {
+namespace {
+
+using core::InstanceId;
+using core::RuntimeClock;
+
+constexpr core::Duration kFirstBackOff = std::chrono::milliseconds(50);
+constexpr core::Duration kLastBackOff = std::chrono::seconds(2);
+constexpr core::Duration kSweepEvery = std::chrono::milliseconds(100);
+constexpr core::Duration kShortestSweep = std::chrono::milliseconds(5);
+/// The end that dialled closes an idle link; the other end only if that fails.
+constexpr int kListenerPatience = 2;
+/// A greeting may take this many connect timeouts.
+constexpr int kGreetingPatience = 2;
+
+/// @brief One websocket connection, from its dial or its accept.
+struct Link
+{
+  bool dialled = false;
+  bool open = false; ///< Both ends have proved that they know the secret.
+  bool closing = false;
+  InstanceId peer; ///< Wanted (dialled) or proved; empty when not known yet.
+  PeerHello hello;
+  Bytes listener_nonce;
+  core::Instant last_used; ///< First the moment of the dial or the accept.
+};
+
+/// @brief What is known of another instance.
+struct Peer
+{
+  std::string authority;
+  WebsocketId link = 0; ///< The link that is sent on, or that is being made.
+  std::deque<Bytes> waiting;
+  std::size_t waiting_bytes = 0;
+  core::Duration back_off{ 0 };
+  core::Instant dial_after;
+};
+
+class Links final : public PeerLinks
+{
+public:
+  Links(boost::asio::io_context& aContext,
+        PeerLinksOptions aOptions,
+        OnMessage aOnMessage)
+    : m_options(std::move(aOptions))
+    , m_on_message(std::move(aOnMessage))
+    , m_sweep(aContext)
+    , m_endpoint(
+        WebsocketEndpoint::Create(aContext, Settings(m_options), Events()))
+  {
+    SweepLater();
+  }
+  Links(const Links&) = delete;
+  Links& operator=(const Links&) = delete;
+  Links(Links&&) = delete;
+  Links& operator=(Links&&) = delete;
+  ~Links() override { Close(); }
+
+  [[nodiscard]] std::uint16_t Port() const override
+  {
+    return m_endpoint->Port();
+  }
+
+  void SetAddress(const InstanceId& aPeer, std::string aAuthority) override
+  {
+    Peer& peer = m_peers[aPeer];
+    const bool moved = peer.authority != aAuthority;
+    peer.authority = std::move(aAuthority);
+    if (moved && peer.link != 0 && m_links[peer.link].dialled) {
+      Retire(peer.link);
+    }
+    ForgetIfNowhere(aPeer);
+  }
+
+  bool Send(const InstanceId& aTo, Bytes aBytes) override
+  {
+    const auto found = m_peers.find(aTo);
+    if (m_closed || found == m_peers.end() ||
+        aBytes.size() > m_options.message_limit) {
+      ++m_counters.dropped;
+      return false;
+    }
+    Peer& peer = found->second;
+    const bool open = peer.link != 0 && m_links[peer.link].open;
+    return open ? SendOn(peer, aBytes) : Keep(aTo, peer, std::move(aBytes));
+  }
+
+  [[nodiscard]] PeerLinksCounters Counters() const override
+  {
+    return m_counters;
+  }
+
+  void Close() override
+  {
+    m_closed = true;
+    m_sweep.cancel();
+    m_endpoint->Close();
+    m_links.clear();
+    m_peers.clear();
+  }
+
+private:
+  static WebsocketSettings Settings(const PeerLinksOptions& aOptions)
+  {
+    return { aOptions.address,
+             aOptions.port,
+             aOptions.message_limit,
+             std::chrono::ceil<std::chrono::milliseconds>(
+               aOptions.connect_timeout) };
+  }
+
+  WebsocketEvents Events()
+  {
+    return { [this](WebsocketId aId, bool aDialled) { OnOpen(aId, aDialled); },
+             [this](
+               WebsocketId aId, const std::uint8_t* aBytes, std::size_t aSize) {
+               OnBytes(aId, { aBytes, aSize });
+             },
+             [this](WebsocketId aId) { OnClosed(aId); } };
+  }
+
+  bool SendOn(Peer& aPeer, const Bytes& aBytes)
+  {
+    const std::size_t waiting = m_endpoint->Waiting(aPeer.link);
+    if (waiting + aBytes.size() > m_options.send_queue_limit) {
+      ++m_counters.dropped;
+      return false;
+    }
+    return HandOver(aPeer, aBytes);
+  }
+
+  bool HandOver(const Peer& aPeer, const Bytes& aBytes)
+  {
+    if (!m_endpoint->Send(aPeer.link, aBytes.data(), aBytes.size())) {
+      ++m_counters.dropped;
+      return false;
+    }
+    m_links[aPeer.link].last_used = RuntimeClock::now();
+    ++m_counters.messages_sent;
+    m_counters.bytes_sent += aBytes.size();
+    return true;
+  }
+
+  /// Keeps a message until the link is there.
+  bool Keep(const InstanceId& aTo, Peer& aPeer, Bytes aBytes)
+  {
+    if (aPeer.waiting_bytes + aBytes.size() > m_options.send_queue_limit) {
+      ++m_counters.dropped;
+      return false;
+    }
+    aPeer.waiting_bytes += aBytes.size();
+    aPeer.waiting.push_back(std::move(aBytes));
+    DialIfDue(aTo, aPeer);
+    return true;
+  }
+
+  void DialIfDue(const InstanceId& aTo, Peer& aPeer)
+  {
+    const core::Instant now = RuntimeClock::now();
+    if (aPeer.link != 0 || aPeer.waiting.empty() || now < aPeer.dial_after) {
+      return;
+    }
+    aPeer.link = m_endpoint->Dial(aPeer.authority);
+    if (aPeer.link == 0) {
+      DialFailed(aPeer);
+      return;
+    }
+    Link& link = m_links[aPeer.link];
+    link.dialled = true;
+    link.peer = aTo;
+    link.last_used = now;
+  }
+
+  void DialFailed(Peer& aPeer)
+  {
+    Drop(aPeer);
+    aPeer.back_off =
+      std::clamp(2 * aPeer.back_off, kFirstBackOff, kLastBackOff);
+    aPeer.dial_after = RuntimeClock::now() + aPeer.back_off;
+  }
+
+  void Drop(Peer& aPeer)
+  {
+    m_counters.dropped += aPeer.waiting.size();
+    aPeer.waiting.clear();
+    aPeer.waiting_bytes = 0;
+  }
+
+  void OnOpen(WebsocketId aId, bool aDialled)
+  {
+    Link& link = m_links[aId];
+    if (!aDialled) {
+      link.last_used = RuntimeClock::now();
+      return;
+    }
+    link.hello = { m_options.self, link.peer, NewNonce() };
+    Greet(aId, link.hello);
+  }
+
+  void Greet(WebsocketId aId, const PeerGreeting& aGreeting)
+  {
+    const Bytes bytes = EncodeGreeting(aGreeting);
+    m_endpoint->Send(aId, bytes.data(), bytes.size());
+  }
+
+  void OnBytes(WebsocketId aId, std::span<const std::uint8_t> aBytes)
+  {
+    Link& link = m_links[aId];
+    if (!link.open) {
+      if (!link.closing && !TakeGreeting(aId, link, aBytes)) {
+        Retire(aId); // Counted as refused when it has closed.
+      }
+      return;
+    }
+    link.last_used = RuntimeClock::now();
+    ++m_counters.messages_received;
+    m_counters.bytes_received += aBytes.size();
+    // A copy, as the callee may close the links.
+    const InstanceId from = link.peer;
+    m_on_message(from, aBytes);
+  }
+
+  bool TakeGreeting(WebsocketId aId,
+                    Link& aLink,
+                    std::span<const std::uint8_t> aBytes)
+  {
+    const auto greeting = DecodeGreeting(aBytes);
+    return greeting &&
+           std::visit(
+             [&](const auto& aPart) { return Take(aId, aLink, aPart); },
+             *greeting);
+  }
+
+  bool Take(WebsocketId aId, Link& aLink, const PeerHello& aHello)
+  {
+    if (aLink.dialled || !aLink.listener_nonce.empty() ||
+        aHello.listener != m_options.self) {
+      return false;
+    }
+    aLink.hello = aHello;
+    aLink.listener_nonce = NewNonce();
+    Greet(aId,
+          PeerChallenge{ aLink.listener_nonce,
+                         ProofOf(PeerEnd::kListener, aLink) });
+    return true;
+  }
+
+  bool Take(WebsocketId aId, Link& aLink, const PeerChallenge& aChallenge)
+  {
+    if (!aLink.dialled) {
+      return false;
+    }
+    aLink.listener_nonce = aChallenge.nonce;
+    if (!SameProof(aChallenge.proof, ProofOf(PeerEnd::kListener, aLink))) {
+      return false;
+    }
+    Greet(aId, PeerProof{ ProofOf(PeerEnd::kDialler, aLink) });
+    Open(aId, aLink);
+    return true;
+  }
+
+  bool Take(WebsocketId aId, Link& aLink, const PeerProof& aProof)
+  {
+    if (aLink.dialled || aLink.listener_nonce.empty() ||
+        !SameProof(aProof.proof, ProofOf(PeerEnd::kDialler, aLink))) {
+      return false;
+    }
+    aLink.peer = aLink.hello.dialler;
+    Open(aId, aLink);
+    return true;
+  }
+
+  [[nodiscard]] Bytes ProofOf(PeerEnd aEnd, const Link& aLink) const
+  {
+    return MakeProof(m_options.secret, aEnd, aLink.hello, aLink.listener_nonce);
+  }
+
+  void Open(WebsocketId aId, Link& aLink)
+  {
+    aLink.open = true;
+    ++m_counters.open_links;
+    aLink.last_used = RuntimeClock::now();
+    Peer& peer = m_peers[aLink.peer];
+    if (peer.link == 0) {
+      peer.link = aId;
+    }
+    if (peer.link != aId) {
+      return; // Both ends dialled: each sends on its own link.
+    }
+    peer.back_off = {};
+    const auto waiting = std::exchange(peer.waiting, {});
+    peer.waiting_bytes = 0;
+    for (const Bytes& bytes : waiting) {
+      HandOver(peer, bytes);
+    }
+  }
+
+  /// Closes a link and uses it no more for sending.
+  void Retire(WebsocketId aId)
+  {
+    Link& link = m_links[aId];
+    link.closing = true;
+    const auto entry = m_peers.find(link.peer);
+    if (link.open && entry != m_peers.end() && entry->second.link == aId) {
+      Unlink(entry->second, link);
+    }
+    m_endpoint->CloseOne(aId);
+  }
+
+  void OnClosed(WebsocketId aId)
+  {
+    const auto found = m_links.find(aId);
+    if (found == m_links.end()) {
+      return;
+    }
+    const Link link = std::move(found->second);
+    m_links.erase(found);
+    m_counters.open_links -= link.open ? 1 : 0;
+    const bool greeted = !link.hello.nonce.empty() || !link.dialled;
+    if (!link.open && greeted) {
+      ++m_counters.refused;
+    }
+    const auto entry = m_peers.find(link.peer);
+    if (entry != m_peers.end() && entry->second.link == aId) {
+      Unlink(entry->second, link);
+    }
+  }
+
+  void Unlink(Peer& aPeer, const Link& aLink)
+  {
+    aPeer.link = 0;
+    for (const auto& [id, other] : m_links) {
+      if (other.open && !other.closing && other.peer == aLink.peer) {
+        aPeer.link = id;
+        return;
+      }
+    }
+    if (!aLink.open) {
+      DialFailed(aPeer);
+    }
+    ForgetIfNowhere(aLink.peer);
+  }
+
+  /// A peer without an address and without a link cannot be reached.
+  void ForgetIfNowhere(const InstanceId& aPeer)
+  {
+    const auto found = m_peers.find(aPeer);
+    if (found != m_peers.end() && found->second.authority.empty() &&
+        found->second.link == 0) {
+      Drop(found->second);
+      m_peers.erase(found);
+    }
+  }
+
+  void SweepLater()
+  {
+    m_sweep.expires_after(
+      std::clamp(m_options.idle_close / 4, kShortestSweep, kSweepEvery));
+    m_sweep.async_wait([this, alive = std::weak_ptr<char>(m_alive)](
+                         const boost::system::error_code& aError) {
+      if (!aError && !alive.expired() && !m_closed) {
+        Sweep(RuntimeClock::now());
+        SweepLater();
+      }
+    });
+  }
+
+  void Sweep(core::Instant aNow)
+  {
+    for (auto& [id, peer] : m_peers) {
+      DialIfDue(id, peer);
+    }
+    std::vector<WebsocketId> over;
+    for (const auto& [id, link] : m_links) {
+      if (!link.closing && aNow - link.last_used > LimitOf(link)) {
+        over.push_back(id);
+      }
+    }
+    for (const WebsocketId id : over) {
+      Retire(id);
+    }
+  }
+
+  [[nodiscard]] core::Duration LimitOf(const Link& aLink) const
+  {
+    if (!aLink.open) {
+      return kGreetingPatience * m_options.connect_timeout;
+    }
+    return aLink.dialled ? m_options.idle_close
+                         : kListenerPatience * m_options.idle_close;
+  }
+
+  PeerLinksOptions m_options;
+  OnMessage m_on_message;
+  Timer m_sweep;
+  std::map<WebsocketId, Link> m_links;
+  std::map<InstanceId, Peer> m_peers;
+  PeerLinksCounters m_counters;
+  bool m_closed = false;
+  std::shared_ptr<char> m_alive = std::make_shared<char>();
+  std::unique_ptr<WebsocketEndpoint> m_endpoint;
+};
+
+} // namespace
+
+std::unique_ptr<PeerLinks>
+PeerLinks::Create(boost::asio::io_context& aContext,
+                  PeerLinksOptions aOptions,
+                  OnMessage aOnMessage)
+{
+  return std::make_unique<Links>(
+    aContext, std::move(aOptions), std::move(aOnMessage));
+}
+
+} // namespace jujubehead::net
