--- a/include/jujubehead/core/change_log.hpp
+++ b/include/jujubehead/core/change_log.hpp
@@ -37,6 +37,7 @@
   StopKind kind = StopKind::kTarget;
   std::string id;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const StopSubject&, const StopSubject&) = default;
 };
 
--- a/include/jujubehead/core/context_key.hpp
+++ b/include/jujubehead/core/context_key.hpp
@@ -56,6 +56,7 @@
   [[nodiscard]] const Bytes& Raw() const { return m_bytes; }
 
   friend bool operator==(const ContextKey&, const ContextKey&) = default;
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const ContextKey&, const ContextKey&) = default;
 
 private:
--- a/include/jujubehead/core/ids.hpp
+++ b/include/jujubehead/core/ids.hpp
@@ -27,6 +27,7 @@
   [[nodiscard]] bool IsEmpty() const { return m_text.empty(); }
 
   friend bool operator==(const Id&, const Id&) = default;
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const Id&, const Id&) = default;
 
 private:
--- a/include/jujubehead/core/ownership.hpp
+++ b/include/jujubehead/core/ownership.hpp
@@ -55,6 +55,7 @@
   DataCentreId data_centre;
   bool leaving = false;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const InstanceMember&,
                           const InstanceMember&) = default;
 };
--- a/include/jujubehead/core/ownership_messages.hpp
+++ b/include/jujubehead/core/ownership_messages.hpp
@@ -34,6 +34,7 @@
            (number >> kLeaseBits) == (aOther.number >> kLeaseBits);
   }
 
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const Incarnation&, const Incarnation&) = default;
 
   template<typename Self>
--- a/include/jujubehead/core/permit.hpp
+++ b/include/jujubehead/core/permit.hpp
@@ -22,6 +22,7 @@
   std::uint64_t epoch = 0; ///< Of the ownership; the fencing number.
   std::uint64_t number = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const PermitId&, const PermitId&) = default;
 
   template<typename Self>
--- a/include/jujubehead/core/table.hpp
+++ b/include/jujubehead/core/table.hpp
@@ -79,6 +79,7 @@
   AccountId account;
   ModelId model;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const TableRowKey&, const TableRowKey&) = default;
 };
 
--- a/include/jujubehead/net/table_service.hpp
+++ b/include/jujubehead/net/table_service.hpp
@@ -25,6 +25,7 @@
   std::string pk;
   std::string sk;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const ItemKey&, const ItemKey&) = default;
 };
 
--- a/src/jujubehead/app/run_drain.cpp
+++ b/src/jujubehead/app/run_drain.cpp
@@ -58,7 +58,7 @@
                                net::RandomText(kTokenBytes),
                                m_command.author.empty() ? m_tools.login_name
                                                         : m_command.author);
-    const core::PublishStep end = net::RunAwaitable(
+    core::PublishStep end = net::RunAwaitable(
       m_platform->Context(),
       net::Publish(m_platform->Log(), std::move(publish), m_sleep));
     if (const auto* published = std::get_if<core::Published>(&end)) {
--- a/src/jujubehead/core/table_publish_test.cpp
+++ b/src/jujubehead/core/table_publish_test.cpp
@@ -286,7 +286,9 @@
 ChangeEntry
 EntryOf(std::uint64_t aVersion, std::vector<Change> aChanges)
 {
-  return { aVersion, "t" + std::to_string(aVersion), "other", aChanges };
+  return {
+    aVersion, "t" + std::to_string(aVersion), "other", std::move(aChanges)
+  };
 }
 
 } // namespace
--- a/src/jujubehead/net/table_log.cpp
+++ b/src/jujubehead/net/table_log.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t kPage = 100;
 constexpr std::uint64_t kSnapshotEvery = 200;
 /// An item of the service may have 400 KB; JSON in JSON grows by its quotes.
-constexpr std::size_t kMaxInlineBytes = 128 * 1024;
+constexpr std::size_t kMaxInlineBytes = std::size_t{ 128 } * 1024;
 constexpr std::string_view kChangePk = "change";
 constexpr std::string_view kTablePk = "table";
 constexpr std::string_view kHeadSk = "head";
--- a/src/jujubehead/node/metrics.cpp
+++ b/src/jujubehead/node/metrics.cpp
@@ -97,6 +97,7 @@
   std::string reason;
   bool not_run = false;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const Refusal&, const Refusal&) = default;
 };
 
--- a/src/jujubehead/node/metrics_test.cpp
+++ b/src/jujubehead/node/metrics_test.cpp
@@ -83,7 +83,7 @@
     }
   });
   while (metrics->Total(Counter::kTokens) < 1000) {
-    metrics->Render();
+    CHECK_FALSE(metrics->Render().empty());
   }
   thread.join();
   CHECK(HasLine("jujubehead_target_between_tokens_seconds_count{target=\"t\"} "
