--- a/src/jujubehead/net/table_service_test.cpp
+++ b/src/jujubehead/net/table_service_test.cpp
@@ -160,8 +160,8 @@
   client.Next(200, std::string(R"({"Item":)") + kItem + "}");
   client.Next(200, "{}");
   const auto read_back = [&](std::string aBody) {
-    return RunAwaitable(context,
-                        ReadBack(*service, { { "p", "s" }, 7, std::move(aBody) }));
+    return RunAwaitable(
+      context, ReadBack(*service, { { "p", "s" }, 7, std::move(aBody) }));
   };
   CHECK(std::holds_alternative<Committed>(read_back("{}")));
   CHECK(std::holds_alternative<NotWritten>(read_back("other")));
