Test the HTTP server and client by their limits, and mend what showed

Found: a request that timed out got a closed connection in place of its 408, as the ended read was taken for a caller that left. The client also refuses a method or target that would end its line early, before anything is sent.

--- a/src/jujubehead/net/http_client.cpp
+++ b/src/jujubehead/net/http_client.cpp
@@ -51,12 +51,18 @@
 std::string
 MessageOf(const HttpCall& aCall)
 {
+  if ((aCall.method + aCall.target).find_first_of(" \r\n") !=
+      std::string::npos) {
+    FailBefore(aCall, "the method or the target would end its line early");
+  }
   std::string text;
   text.append(aCall.method)
     .append(" ")
     .append(aCall.target)
     .append(" HTTP/1.1\r\n");
-  AppendLine(text, "Host", aCall.authority);
+  if (!aCall.headers.Find("Host")) {
+    AppendLine(text, "Host", aCall.authority);
+  }
   AppendLines(text, aCall.headers);
   if (!aCall.body.empty() || aCall.method != "GET") {
     AppendLine(text, "Content-Length", std::to_string(aCall.body.size()));
--- a/src/jujubehead/net/http_connection.cpp
+++ b/src/jujubehead/net/http_connection.cpp
@@ -131,7 +131,7 @@
   while (!parser.is_done()) {
     if (const Error error = co_await ParseMore(parser, needs_bytes)) {
       const bool between_requests = m_phase == Phase::kIdle;
-      if (between_requests || (m_caller_gone && !m_timed_out)) {
+      if (between_requests || m_caller_gone) {
         Close();
         co_return std::nullopt;
       }
@@ -151,7 +151,7 @@
 {
   if (aNeedsBytes) {
     if (const Error error = co_await Fill()) {
-      m_caller_gone = true;
+      m_caller_gone = !m_timed_out;
       co_return error;
     }
   }
--- /dev/null
+++ b/src/jujubehead/net/raw_caller.hpp
@@ -0,0 +1,62 @@
+#ifndef JUJUBEHEAD_NET_RAW_CALLER_HPP
+#define JUJUBEHEAD_NET_RAW_CALLER_HPP
+
+#include <array>       // for array
+#include <cstdint>     // for uint16_t
+#include <string>      // for string
+#include <string_view> // for string_view
+
+#include <boost/asio/as_tuple.hpp>      // for as_tuple
+#include <boost/asio/awaitable.hpp>     // for awaitable
+#include <boost/asio/ip/tcp.hpp>        // for tcp
+#include <boost/asio/use_awaitable.hpp> // for use_awaitable
+#include <boost/asio/write.hpp>         // for async_write
+
+namespace jujubehead::net::test {
+
+/// @brief A caller that sends any bytes, for tests.
+class RawCaller
+{
+public:
+  RawCaller(boost::asio::io_context& aContext, std::uint16_t aPort)
+    : m_socket(aContext)
+  {
+    namespace ip = boost::asio::ip;
+    m_socket.connect({ ip::address_v4::loopback(), aPort });
+  }
+
+  boost::asio::awaitable<void> Write(std::string_view aText)
+  {
+    co_await boost::asio::async_write(
+      m_socket,
+      boost::asio::buffer(aText),
+      boost::asio::as_tuple(boost::asio::use_awaitable));
+  }
+
+  /// @return what came, up to a text or to the end of the connection.
+  boost::asio::awaitable<std::string> ReadTo(std::string_view aText)
+  {
+    std::string all;
+    std::array<char, 4096> part{};
+    while (aText.empty() || all.find(aText) == std::string::npos) {
+      const auto [error, bytes] = co_await m_socket.async_read_some(
+        boost::asio::buffer(part),
+        boost::asio::as_tuple(boost::asio::use_awaitable));
+      all.append(part.data(), bytes);
+      if (error) {
+        break;
+      }
+    }
+    co_return all;
+  }
+
+  boost::asio::awaitable<std::string> ReadAll() { return ReadTo({}); }
+  void Close() { m_socket.close(); }
+
+private:
+  boost::asio::ip::tcp::socket m_socket;
+};
+
+} // namespace jujubehead::net::test
+
+#endif // JUJUBEHEAD_NET_RAW_CALLER_HPP
