--- a/bench/benches.hpp
+++ b/bench/benches.hpp
@@ -11,6 +11,11 @@
 int
 RunPathBench();
 
+/// @brief The net layer's streaming path in one process: a target, a relay and
+/// callers over loopback, each on a thread.
+int
+RunStreamsBench();
+
 } // namespace jujubehead::bench
 
 #endif // JUJUBEHEAD_BENCH_BENCHES_HPP
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -26,6 +26,7 @@
 {
   static const std::vector<Bench> benches{
     { "path", RunPathBench },
+    { "streams", RunStreamsBench },
   };
   return benches;
 }
