--- a/include/jujubehead/core/table.hpp
+++ b/include/jujubehead/core/table.hpp
@@ -131,6 +131,9 @@
   /// `aPut` added or replaced; not checked.
   [[nodiscard]] Table With(std::span<const TableRow> aPut,
                            std::span<const TableRowKey> aRemoved) const;
+  /// @brief As above, without copying rows.
+  [[nodiscard]] Table With(std::vector<Row> aPut,
+                           std::span<const TableRowKey> aRemoved) const;
   /// @return what FromRows() would find about this table's rows together.
   [[nodiscard]] Findings Check(std::string_view aFile) const;
 
--- a/src/jujubehead/core/change_log_codec.cpp
+++ b/src/jujubehead/core/change_log_codec.cpp
@@ -1,12 +1,14 @@
 #include "jujubehead/core/change_log.hpp"
 
-#include <algorithm> // for sort
-#include <utility>   // for move
+#include <algorithm>  // for sort
+#include <functional> // for function
+#include <map>        // for map
+#include <utility>    // for move
 
 #include <nlohmann/json.hpp> // for json
 
-#include "table_cell.hpp" // for ParseCell, TableColumns
-#include "table_csv.hpp"  // for ReadTableCsv
+#include "table_cell.hpp" // for Inherit
+#include "table_csv.hpp"  // for ReadTableCsv, AppendCsvRow
 
 namespace jujubehead::core {
 namespace {
@@ -17,30 +19,6 @@
 struct Malformed
 {};
 
-Json
-RowJson(const TableRow& aRow)
-{
-  Json cells = Json::array();
-  for (const TableColumn column : detail::TableColumns()) {
-    cells.push_back(CellText(aRow, column));
-  }
-  return cells;
-}
-
-TableRow
-RowOf(const Json& aCells)
-{
-  TableRow row;
-  for (const TableColumn column : detail::TableColumns()) {
-    const auto& cell =
-      aCells.at(static_cast<std::size_t>(column)).get_ref<const std::string&>();
-    if (detail::ParseCell(row, column, cell)) {
-      throw Malformed();
-    }
-  }
-  return row;
-}
-
 Json
 SubjectJson(const StopSubject& aSubject)
 {
@@ -71,12 +49,10 @@
   return { SubjectOf(aJson), aJson.at(2).get<std::int64_t>() };
 }
 
-struct ChangeJson
+/// All changes but rows.
+struct OtherJson
 {
-  Json operator()(const PutRow& aChange) const
-  {
-    return { { "put", RowJson(aChange.row) } };
-  }
+  Json operator()(const PutRow& /*aChange*/) const { return nullptr; }
   Json operator()(const RemoveRow& aChange) const
   {
     return { { "remove",
@@ -94,11 +70,8 @@
 };
 
 Change
-ChangeOf(const Json& aJson)
+OtherOf(const Json& aJson)
 {
-  if (aJson.contains("put")) {
-    return PutRow{ RowOf(aJson.at("put")) };
-  }
   if (aJson.contains("remove")) {
     const Json& key = aJson.at("remove");
     return RemoveRow{ AccountId(key.at(0).get<std::string>()),
@@ -110,17 +83,46 @@
   return ClearStop{ SubjectOf(aJson.at("clear_stop")) };
 }
 
+/// Rows as one text: a JSON tree of 46,000 rows would take several times the
+/// memory of the table itself.
+class RowsText
+{
+public:
+  void Add(const TableRow& aRow) { detail::AppendCsvRow(m_text, aRow); }
+  [[nodiscard]] std::string Take() { return std::move(m_text); }
+
+private:
+  std::string m_text = detail::CsvHeader();
+};
+
+void
+ReadRows(const Json& aText, const std::function<void(TableRow)>& aOnRow)
+{
+  const auto& text = aText.get_ref<const std::string&>();
+  const detail::CsvTable read = detail::ReadTableCsv(
+    "rows", text, [&](detail::CsvLine aLine) { aOnRow(std::move(aLine.row)); });
+  if (!read.findings.empty()) {
+    throw Malformed();
+  }
+}
+
 Json
 EntryJson(const ChangeEntry& aEntry)
 {
-  Json changes = Json::array();
+  RowsText rows;
+  Json others = Json::array();
   for (const Change& change : aEntry.changes) {
-    changes.push_back(std::visit(ChangeJson(), change));
+    if (const auto* put = std::get_if<PutRow>(&change)) {
+      rows.Add(put->row);
+    } else {
+      others.push_back(std::visit(OtherJson(), change));
+    }
   }
   return { { "version", aEntry.version },
            { "token", aEntry.token },
            { "author", aEntry.author },
-           { "changes", std::move(changes) } };
+           { "rows", rows.Take() },
+           { "others", std::move(others) } };
 }
 
 ChangeEntry
@@ -130,14 +132,15 @@
   entry.version = aJson.at("version").get<std::uint64_t>();
   entry.token = aJson.at("token").get<std::string>();
   entry.author = aJson.at("author").get<std::string>();
-  for (const Json& change : aJson.at("changes")) {
-    entry.changes.push_back(ChangeOf(change));
+  ReadRows(aJson.at("rows"), [&](TableRow aRow) {
+    entry.changes.emplace_back(PutRow{ std::move(aRow) });
+  });
+  for (const Json& change : aJson.at("others")) {
+    entry.changes.push_back(OtherOf(change));
   }
   return entry;
 }
 
-// The rows travel as one text: a JSON tree of 46,000 rows would take several
-// times the memory of the table itself.
 Json
 SnapshotJson(const TableSnapshot& aSnapshot)
 {
@@ -147,22 +150,27 @@
   }
   return { { "version", aSnapshot.version },
            { "stops", std::move(stops) },
-           { "table", aSnapshot.table.ToCsv() } };
+           { "rows", aSnapshot.table.ToCsv() } };
 }
 
+/// Rows come in order, the `*` rows first, so that the others can be filled
+/// before they are shared and need no copy later.
 Table
-TableOf(const std::string& aCsv)
+TableOf(const Json& aText)
 {
-  detail::CsvTable read = detail::ReadTableCsv("snapshot", aCsv);
-  if (!read.findings.empty()) {
-    throw Malformed();
-  }
-  std::vector<TableRow> rows;
-  rows.reserve(read.lines.size());
-  for (detail::CsvTable::Line& line : read.lines) {
-    rows.push_back(std::move(line.row));
-  }
-  return Table().With(rows, {});
+  std::vector<Table::Row> rows;
+  std::map<ModelId, Table::Row> defaults;
+  ReadRows(aText, [&](TableRow aRow) {
+    const auto found = defaults.find(aRow.model);
+    if (found != defaults.end()) {
+      detail::Inherit(aRow, *found->second);
+    }
+    rows.push_back(std::make_shared<const TableRow>(std::move(aRow)));
+    if (rows.back()->IsModelDefaults()) {
+      defaults.emplace(rows.back()->model, rows.back());
+    }
+  });
+  return Table().With(std::move(rows), {});
 }
 
 TableSnapshot
@@ -170,7 +178,7 @@
 {
   TableSnapshot snapshot;
   snapshot.version = aJson.at("version").get<std::uint64_t>();
-  snapshot.table = TableOf(aJson.at("table").get_ref<const std::string&>());
+  snapshot.table = TableOf(aJson.at("rows"));
   for (const Json& mark : aJson.at("stops")) {
     snapshot.stops.push_back(MarkOf(mark));
   }
--- a/src/jujubehead/core/change_log_test.cpp
+++ b/src/jujubehead/core/change_log_test.cpp
@@ -131,7 +131,7 @@
   CHECK_FALSE(ChangeEntryFromJson("").has_value());
   CHECK_FALSE(ChangeEntryFromJson("[]").has_value());
   CHECK_FALSE(ChangeEntryFromJson("{\"version\":\"x\"}").has_value());
-  CHECK_FALSE(SnapshotFromJson("{\"version\":1,\"stops\":[],\"table\":\"x\"}")
+  CHECK_FALSE(SnapshotFromJson("{\"version\":1,\"stops\":[],\"rows\":\"x\"}")
                 .has_value());
   for (std::size_t size = 0; size < whole.size(); ++size) {
     CHECK_FALSE(ChangeEntryFromJson(whole.substr(0, size)).has_value());
--- a/src/jujubehead/core/table.cpp
+++ b/src/jujubehead/core/table.cpp
@@ -5,10 +5,8 @@
 #include <tuple>     // for tie
 #include <utility>   // for move
 
-#include "csv_reader.hpp"  // for CsvCell
-#include "table_cell.hpp"  // for TableColumns
 #include "table_check.hpp" // for CheckTogether
-#include "table_csv.hpp"   // for ReadTableCsv
+#include "table_csv.hpp"   // for ReadTableCsv, AppendCsvRow
 
 namespace jujubehead::core {
 namespace {
@@ -35,7 +33,7 @@
 public:
   CsvPlaces(std::string_view aFile,
             const detail::CsvTable& aTable,
-            std::span<const std::size_t> aLines)
+            std::span<const detail::CsvLine> aLines)
     : m_file(aFile)
     , m_table(aTable)
     , m_lines(aLines)
@@ -43,16 +41,15 @@
   }
   [[nodiscard]] Place Of(std::size_t aRow, TableColumn aColumn) const override
   {
-    const detail::CsvTable::Line& line = m_table.lines[m_lines[aRow]];
     return { m_file,
-             line.line,
+             m_lines[aRow].line,
              m_table.positions.at(static_cast<std::size_t>(aColumn)) };
   }
 
 private:
   std::string m_file;
   const detail::CsvTable& m_table;
-  std::span<const std::size_t> m_lines;
+  std::span<const detail::CsvLine> m_lines;
 };
 
 /// Places by the index of rows that come from no file.
@@ -72,22 +69,17 @@
   std::string m_file;
 };
 
-void
-CheckLines(std::string_view aFile, detail::CsvTable& aTable)
+Findings
+CheckLines(std::string_view aFile,
+           const detail::CsvTable& aTable,
+           std::span<const detail::CsvLine> aLines)
 {
-  std::vector<std::size_t> lines;
   std::vector<detail::CheckedRow> rows;
-  for (std::size_t i = 0; i < aTable.lines.size(); ++i) {
-    if (aTable.lines[i].has_key) {
-      lines.push_back(i);
-      rows.push_back({ &aTable.lines[i].row, aTable.lines[i].cells_fit });
-    }
+  rows.reserve(aLines.size());
+  for (const detail::CsvLine& line : aLines) {
+    rows.push_back({ &line.row, line.cells_fit });
   }
-  const CsvPlaces places(aFile, aTable, lines);
-  Findings together = detail::CheckTogether(rows, places);
-  aTable.findings.insert(aTable.findings.end(),
-                         std::make_move_iterator(together.begin()),
-                         std::make_move_iterator(together.end()));
+  return detail::CheckTogether(rows, CsvPlaces(aFile, aTable, aLines));
 }
 
 void
@@ -101,32 +93,36 @@
                    });
 }
 
-std::vector<TableRow>
-TakeRows(detail::CsvTable& aTable)
-{
-  std::vector<TableRow> rows;
-  rows.reserve(aTable.lines.size());
-  for (detail::CsvTable::Line& line : aTable.lines) {
-    rows.push_back(std::move(line.row));
-  }
-  return rows;
-}
-
 } // namespace
 
 Checked<Table>
 Table::FromCsv(std::string_view aFile, std::string_view aText)
 {
-  detail::CsvTable read = detail::ReadTableCsv(aFile, aText);
+  std::vector<detail::CsvLine> lines;
+  detail::CsvTable read =
+    detail::ReadTableCsv(aFile, aText, [&](detail::CsvLine aLine) {
+      // A row without account or model can't be checked with others.
+      if (aLine.has_key) {
+        lines.push_back(std::move(aLine));
+      }
+    });
+  Findings findings = std::move(read.findings);
   if (read.header_fits) {
-    CheckLines(aFile, read);
+    Findings together = CheckLines(aFile, read, lines);
+    findings.insert(findings.end(),
+                    std::make_move_iterator(together.begin()),
+                    std::make_move_iterator(together.end()));
+  }
+  if (!findings.empty()) {
+    SortByPlace(findings);
+    return findings;
   }
-  if (!read.findings.empty()) {
-    SortByPlace(read.findings);
-    return std::move(read.findings);
+  std::vector<Row> rows;
+  rows.reserve(lines.size());
+  for (detail::CsvLine& line : lines) {
+    rows.push_back(std::make_shared<const TableRow>(std::move(line.row)));
   }
-  const std::vector<TableRow> rows = TakeRows(read);
-  return Table().With(rows, {});
+  return Table().With(std::move(rows), {});
 }
 
 Checked<Table>
@@ -202,17 +198,9 @@
 std::string
 Table::ToCsv() const
 {
-  std::string text;
-  for (const TableColumn column : detail::TableColumns()) {
-    text += (text.empty() ? "" : ",") + std::string(ColumnName(column));
-  }
-  text += '\n';
+  std::string text = detail::CsvHeader();
   for (const Row& row : m_rows) {
-    for (const TableColumn column : detail::TableColumns()) {
-      text += column == TableColumn::kAccount ? "" : ",";
-      text += detail::CsvCell(CellText(*row, column));
-    }
-    text += '\n';
+    detail::AppendCsvRow(text, *row);
   }
   return text;
 }
--- a/src/jujubehead/core/table_change.cpp
+++ b/src/jujubehead/core/table_change.cpp
@@ -1,10 +1,7 @@
 #include "jujubehead/core/table.hpp"
 
-#include <algorithm> // for lower_bound
-#include <map>       // for map
-#include <optional>  // for optional
+#include <algorithm> // for lower_bound, stable_sort, unique
 #include <set>       // for set
-#include <tuple>     // for tie
 #include <utility>   // for move, pair
 
 #include "table_cell.hpp" // for Inherit
@@ -14,53 +11,74 @@
 
 using Row = Table::Row;
 
-/// What becomes of single rows; nothing: the row is taken out.
-using Edits = std::map<TableRowKey, std::optional<TableRow>>;
+using Key = std::pair<std::string_view, std::string_view>;
 
-auto
-Tied(const TableRow& aRow)
+Key
+KeyOf(const TableRow& aRow)
 {
-  return std::tie(aRow.account, aRow.model);
+  return { aRow.account.View(), aRow.model.View() };
 }
 
-auto
-Tied(const TableRowKey& aKey)
+Key
+KeyOf(const TableRowKey& aKey)
 {
-  return std::tie(aKey.account, aKey.model);
+  return { aKey.account.View(), aKey.model.View() };
 }
 
-Edits
-EditsOf(std::span<const TableRow> aPut, std::span<const TableRowKey> aRemoved)
+/// What becomes of a single row; null: it is taken out.
+struct Edit
 {
-  Edits edits;
+  Key key;
+  Row row;
+};
+
+bool
+IsBefore(const Edit& aLeft, const Edit& aRight)
+{
+  return aLeft.key < aRight.key;
+}
+
+/// @return the edits in order; of several to one row, the last.
+std::vector<Edit>
+EditsOf(std::vector<Row> aPut, std::span<const TableRowKey> aRemoved)
+{
+  std::vector<Edit> edits;
+  edits.reserve(aPut.size() + aRemoved.size());
   for (const TableRowKey& key : aRemoved) {
-    edits[key] = std::nullopt;
+    edits.push_back({ KeyOf(key), nullptr });
   }
-  for (const TableRow& row : aPut) {
-    edits[{ row.account, row.model }] = row;
+  for (Row& row : aPut) {
+    const Key key = KeyOf(*row);
+    edits.push_back({ key, std::move(row) });
   }
+  std::stable_sort(edits.begin(), edits.end(), IsBefore);
+  const auto last = std::unique(
+    edits.rbegin(), edits.rend(), [](const Edit& aLeft, const Edit& aRight) {
+      return aLeft.key == aRight.key;
+    });
+  edits.erase(edits.begin(), last.base());
   return edits;
 }
 
 /// Puts the edits among the rows, both in order.
 std::vector<Row>
-Merge(std::span<const Row> aRows, const Edits& aEdits)
+Merge(std::span<const Row> aRows, std::span<const Edit> aEdits)
 {
   std::vector<Row> merged;
   merged.reserve(aRows.size() + aEdits.size());
   auto row = aRows.begin();
-  for (const auto& [key, edit] : aEdits) {
+  for (const Edit& edit : aEdits) {
     const auto next = std::lower_bound(
-      row, aRows.end(), key, [](const Row& aRow, const TableRowKey& aKey) {
-        return Tied(*aRow) < Tied(aKey);
+      row, aRows.end(), edit.key, [](const Row& aRow, const Key& aKey) {
+        return KeyOf(*aRow) < aKey;
       });
     merged.insert(merged.end(), row, next);
     row = next;
-    if (row != aRows.end() && Tied(**row) == Tied(key)) {
+    if (row != aRows.end() && KeyOf(**row) == edit.key) {
       ++row;
     }
-    if (edit) {
-      merged.push_back(std::make_shared<const TableRow>(*edit));
+    if (edit.row) {
+      merged.push_back(edit.row);
     }
   }
   merged.insert(merged.end(), row, aRows.end());
@@ -82,57 +100,48 @@
 class Filler
 {
 public:
-  Filler(std::vector<Row>& aRows, const Edits& aEdits)
+  Filler(std::vector<Row>& aRows, std::span<const Edit> aEdits)
     : m_rows(aRows)
     , m_edits(aEdits)
   {
-    for (const auto& [key, edit] : aEdits) {
-      if (key.account.View() == kModelDefaultsAccount) {
-        m_edited_models.insert(key.model.View());
+    for (const Edit& edit : aEdits) {
+      if (edit.key.first == kModelDefaultsAccount) {
+        m_edited_models.insert(edit.key.second);
       }
     }
   }
 
   void Run()
   {
+    // The `*` rows come first in both, so that they are filled before those
+    // that inherit from them.
+    for (const Edit& edit : m_edits) {
+      const auto row = Find(edit.key);
+      if (row != m_rows.end()) {
+        Fill(*row);
+      }
+    }
     if (m_edited_models.empty()) {
-      FillEditedRows();
       return;
     }
-    // The `*` rows come first, so that they are filled before the others.
     for (Row& row : m_rows) {
-      if (m_edited_models.contains(row->model.View()) || IsEdited(*row)) {
+      if (m_edited_models.contains(row->model.View())) {
         Fill(row);
       }
     }
   }
 
 private:
-  [[nodiscard]] bool IsEdited(const TableRow& aRow) const
-  {
-    return m_edits.contains({ aRow.account, aRow.model });
-  }
-
-  void FillEditedRows()
-  {
-    for (const auto& [key, edit] : m_edits) {
-      const auto row = Find(key);
-      if (row != m_rows.end()) {
-        Fill(*row);
-      }
-    }
-  }
-
-  std::vector<Row>::iterator Find(const TableRowKey& aKey)
+  std::vector<Row>::iterator Find(const Key& aKey)
   {
     const auto found =
       std::lower_bound(m_rows.begin(),
                        m_rows.end(),
                        aKey,
-                       [](const Row& aRow, const TableRowKey& aWanted) {
-                         return Tied(*aRow) < Tied(aWanted);
+                       [](const Row& aRow, const Key& aWanted) {
+                         return KeyOf(*aRow) < aWanted;
                        });
-    const bool is_it = found != m_rows.end() && Tied(**found) == Tied(aKey);
+    const bool is_it = found != m_rows.end() && KeyOf(**found) == aKey;
     return is_it ? found : m_rows.end();
   }
 
@@ -142,26 +151,37 @@
     const auto defaults =
       aRow->IsModelDefaults()
         ? m_rows.end()
-        : Find({ AccountId(std::string(kModelDefaultsAccount)), aRow->model });
+        : Find({ kModelDefaultsAccount, aRow->model.View() });
     aRow = Filled(aRow, defaults == m_rows.end() ? kBuiltIn : **defaults);
   }
 
   std::vector<Row>& m_rows;
-  const Edits& m_edits;
+  std::span<const Edit> m_edits;
   std::set<std::string_view> m_edited_models;
 };
 
 } // namespace
 
 Table
-Table::With(std::span<const TableRow> aPut,
-            std::span<const TableRowKey> aRemoved) const
+Table::With(std::vector<Row> aPut, std::span<const TableRowKey> aRemoved) const
 {
-  const Edits edits = EditsOf(aPut, aRemoved);
+  const std::vector<Edit> edits = EditsOf(std::move(aPut), aRemoved);
   Table table;
   table.m_rows = Merge(m_rows, edits);
   Filler(table.m_rows, edits).Run();
   return table;
 }
 
+Table
+Table::With(std::span<const TableRow> aPut,
+            std::span<const TableRowKey> aRemoved) const
+{
+  std::vector<Row> put;
+  put.reserve(aPut.size());
+  for (const TableRow& row : aPut) {
+    put.push_back(std::make_shared<const TableRow>(row));
+  }
+  return With(std::move(put), aRemoved);
+}
+
 } // namespace jujubehead::core
--- a/src/jujubehead/core/table_csv.cpp
+++ b/src/jujubehead/core/table_csv.cpp
@@ -3,8 +3,9 @@
 #include <algorithm> // for none_of
 #include <optional>  // for optional
 #include <string>    // for string, to_string
+#include <vector>    // for vector
 
-#include "csv_reader.hpp" // for ReadCsv
+#include "csv_reader.hpp" // for ReadCsv, CsvCell
 #include "table_cell.hpp" // for ParseCell, ColumnOfName
 
 namespace jujubehead::core::detail {
@@ -23,8 +24,9 @@
 class TableReader
 {
 public:
-  explicit TableReader(std::string_view aFile)
+  TableReader(std::string_view aFile, const OnCsvLine& aOnLine)
     : m_file(aFile)
+    , m_on_line(aOnLine)
   {
   }
 
@@ -119,16 +121,16 @@
           "the row has " + std::to_string(aCells.size()) + " cells",
           std::to_string(m_columns.size()) + ", as many as the first line");
     }
-    CsvTable::Line line;
+    CsvLine line;
     line.line = aLine;
     line.cells_fit = aCells.size() == m_columns.size();
     for (const TableColumn column : TableColumns()) {
       ReadCell(line, column, aCells);
     }
-    m_table.lines.push_back(std::move(line));
+    m_on_line(std::move(line));
   }
 
-  void ReadCell(CsvTable::Line& aLine,
+  void ReadCell(CsvLine& aLine,
                 TableColumn aColumn,
                 std::span<const std::string> aCells)
   {
@@ -156,6 +158,7 @@
   }
 
   std::string m_file;
+  const OnCsvLine& m_on_line;
   CsvTable m_table;
   bool m_has_header = false;
   std::vector<std::optional<TableColumn>> m_columns;
@@ -164,9 +167,27 @@
 } // namespace
 
 CsvTable
-ReadTableCsv(std::string_view aFile, std::string_view aText)
+ReadTableCsv(std::string_view aFile,
+             std::string_view aText,
+             const OnCsvLine& aOnLine)
 {
-  return TableReader(aFile).Read(aText);
+  return TableReader(aFile, aOnLine).Read(aText);
+}
+
+std::string
+CsvHeader()
+{
+  return AllColumnNames() + '\n';
+}
+
+void
+AppendCsvRow(std::string& aText, const TableRow& aRow)
+{
+  for (const TableColumn column : TableColumns()) {
+    aText += column == TableColumn::kAccount ? "" : ",";
+    aText += CsvCell(CellText(aRow, column));
+  }
+  aText += '\n';
 }
 
 } // namespace jujubehead::core::detail
--- a/src/jujubehead/core/table_csv.hpp
+++ b/src/jujubehead/core/table_csv.hpp
@@ -2,34 +2,48 @@
 #define JUJUBEHEAD_CORE_TABLE_CSV_HPP
 
 #include <array>       // for array
+#include <functional>  // for function
+#include <string>      // for string
 #include <string_view> // for string_view
-#include <vector>      // for vector
 
-#include "table_check.hpp" // for RowPlaces, CheckedRow
+#include "jujubehead/core/table.hpp" // for TableRow, Findings
 
 namespace jujubehead::core::detail {
 
-/// @brief Rows as read, and what was wrong with single cells.
+/// @brief A row as read.
+struct CsvLine
+{
+  TableRow row;
+  std::size_t line = 0;
+  bool has_key = true;   ///< Account and model could be read.
+  bool cells_fit = true; ///< All cells could be read.
+};
+
+/// Takes rows as they are read, so that not all are held twice.
+using OnCsvLine = std::function<void(CsvLine aLine)>;
+
+/// @brief What was read beside the rows.
 struct CsvTable
 {
-  struct Line
-  {
-    TableRow row;
-    std::size_t line = 0;
-    bool has_key = true;   ///< Account and model could be read.
-    bool cells_fit = true; ///< All cells could be read.
-  };
-
-  std::vector<Line> lines;
   /// Position of each column in the file, from 1; 0: it is missing.
   std::array<std::size_t, kTableColumnCount> positions{};
   bool header_fits = true;
-  Findings findings;
+  Findings findings; ///< About single cells.
 };
 
 /// @brief Reads cells; checks nothing that takes more than one row.
 CsvTable
-ReadTableCsv(std::string_view aFile, std::string_view aText);
+ReadTableCsv(std::string_view aFile,
+             std::string_view aText,
+             const OnCsvLine& aOnLine);
+
+/// @return the first line of a table, with its end.
+std::string
+CsvHeader();
+
+/// @brief Adds a row's line to the text.
+void
+AppendCsvRow(std::string& aText, const TableRow& aRow);
 
 } // namespace jujubehead::core::detail
 
