--- a/src/jujubehead/core/change_log_test.cpp
+++ b/src/jujubehead/core/change_log_test.cpp
@@ -138,6 +138,25 @@
   }
 }
 
+TEST(ChangeLog, AnyBytesAreAValueOrNothing)
+{
+  CHECK(rc::check([] {
+    TableView view;
+    view.Apply(SomeEntries());
+    auto bytes = ToCbor(*view.Current());
+    const auto edits = *rc::gen::inRange(1, 5);
+    for (int i = 0; i < edits; ++i) {
+      bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] =
+        *rc::gen::arbitrary<std::uint8_t>();
+    }
+    bytes.resize(*rc::gen::inRange<std::size_t>(0, bytes.size() + 1));
+    const auto snapshot = SnapshotFromCbor(bytes);
+    const auto entry = ChangeEntryFromCbor(bytes);
+    RC_ASSERT(!entry.has_value());
+    RC_CLASSIFY(snapshot.has_value());
+  }));
+}
+
 TEST(ChangeLog, AnyCutOfTheSequenceGivesTheSameState)
 {
   CHECK(rc::check([] {
--- a/src/jujubehead/core/table_test.cpp
+++ b/src/jujubehead/core/table_test.cpp
@@ -6,6 +6,7 @@
 #include "jujubehead/core/table_diff.hpp"  // for Diff
 
 #include <CppUTest/TestHarness.h> // for TEST
+#include <rapidcheck.h>           // for check
 
 using namespace jujubehead::core;
 
@@ -196,3 +197,32 @@
   CHECK(FindingsOf("*,m,v1,,,8,,,,,\n\"a,m,,,,,,,,,\n") // the quote never ends
           .starts_with("t.csv:3: not comma"));
 }
+
+TEST(Table, WhateverTextComesItIsATableOrFindingsWithPlaces)
+{
+  CHECK(rc::check([] {
+    std::string text =
+      kHeader + "*,m,v1,,1,8,64,0,20000,0.25,\n\"a\",m,,-,3,,,,,,\n";
+    const auto edits = *rc::gen::inRange(0, 6);
+    for (int i = 0; i < edits; ++i) {
+      const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+      const auto length = *rc::gen::inRange<std::size_t>(0, 4);
+      text.replace(at,
+                   length,
+                   *rc::gen::container<std::string>(rc::gen::element(
+                     '"', ',', '\n', '\r', '*', '9', '-', 'a', '\0', ' ')));
+    }
+    const auto table = Table::FromCsv("t.csv", text);
+    if (table.has_error()) {
+      RC_ASSERT(!table.error().empty());
+      for (const Finding& finding : table.error()) {
+        RC_ASSERT(finding.place.row >= 1);
+        RC_ASSERT(finding.place.row <= text.size() + 1);
+      }
+    } else {
+      RC_ASSERT(table->Check("t").empty());
+      RC_ASSERT(
+        Diff(*table, Table::FromCsv("again", table->ToCsv()).value()).empty());
+    }
+  }));
+}
