Part the greeting of a link from the links, and test it on its own

Cause: peer_links.cpp did the exchange of proofs and the bookkeeping of links in one class. The exchange is now a class without input or output.

--- a/include/jujubehead/net/http_client.hpp
+++ b/include/jujubehead/net/http_client.hpp
@@ -28,7 +28,7 @@
   /// The longest silence while waiting for the next bytes.
   core::Duration idle_timeout = std::chrono::seconds(30);
   /// The longest body that Fetch() takes; a longer one fails the call.
-  std::size_t reply_limit = 64 * 1024 * 1024; ///< Bytes.
+  std::size_t reply_limit = 64UL * 1024 * 1024; ///< Bytes.
   /// Ends the call, and its stream, from outside; may be null.
   std::shared_ptr<CallCancel> cancel;
 };
--- a/include/jujubehead/net/http_server.hpp
+++ b/include/jujubehead/net/http_server.hpp
@@ -48,8 +48,8 @@
 {
   std::string address = "127.0.0.1";
   std::uint16_t port = 0;
-  std::size_t header_limit = 16 * 1024;     ///< Bytes.
-  std::size_t body_limit = 8 * 1024 * 1024; ///< Bytes.
+  std::size_t header_limit = 16UL * 1024;     ///< Bytes.
+  std::size_t body_limit = 8UL * 1024 * 1024; ///< Bytes.
   core::Duration header_timeout = std::chrono::seconds(10);
   core::Duration body_timeout = std::chrono::seconds(30);
   core::Duration idle_timeout = std::chrono::seconds(60);
--- a/include/jujubehead/net/peer_link.hpp
+++ b/include/jujubehead/net/peer_link.hpp
@@ -28,8 +28,8 @@
   std::string secret;
   core::Duration idle_close = std::chrono::seconds(60);
   core::Duration connect_timeout = std::chrono::seconds(1);
-  std::size_t message_limit = 1024 * 1024;        ///< Bytes.
-  std::size_t send_queue_limit = 4 * 1024 * 1024; ///< Bytes waiting, a link.
+  std::size_t message_limit = 1024UL * 1024;        ///< Bytes.
+  std::size_t send_queue_limit = 4UL * 1024 * 1024; ///< Bytes waiting, a link.
 };
 
 /// @brief Counters of the links, for metrics.
--- a/src/jujubehead/net/http_connection.cpp
+++ b/src/jujubehead/net/http_connection.cpp
@@ -25,18 +25,18 @@
 /// Bytes that one read asks for, and that a connection at rest keeps.
 constexpr std::size_t kReadBytes = 1024;
 /// A large body is read in steps of this size.
-constexpr std::size_t kBodyReadBytes = 64 * 1024;
+constexpr std::size_t kBodyReadBytes = 64UL * 1024;
 /// Bytes of pipelined requests that are read while a handler runs.
-constexpr std::size_t kPipelineBytes = 8 * 1024;
+constexpr std::size_t kPipelineBytes = 8UL * 1024;
 /// Input that is thrown away after a refusal, so that the caller reads the
 /// refusal before its connection is reset.
-constexpr std::size_t kDiscardBytes = 1024 * 1024;
+constexpr std::size_t kDiscardBytes = 1024UL * 1024;
 constexpr core::Duration kDiscardTime = std::chrono::seconds(1);
 /// How long a connection at rest stays open once the server stops accepting.
 constexpr core::Duration kDrainTime = std::chrono::seconds(1);
 
 /// Room for output that a connection keeps between writes.
-constexpr std::size_t kKeptOutBytes = 4 * 1024;
+constexpr std::size_t kKeptOutBytes = 4UL * 1024;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
 
--- a/src/jujubehead/net/peer_links.cpp
+++ b/src/jujubehead/net/peer_links.cpp
@@ -6,7 +6,7 @@
 #include "jujubehead/net/peer_link.hpp" // for PeerLinks
 #include "jujubehead/net/timer.hpp"     // for Timer
 
-#include "peer_proof.hpp"         // for PeerGreeting
+#include "peer_handshake.hpp"     // for PeerHandshake
 #include "websocket_endpoint.hpp" // for WebsocketEndpoint
 
 namespace jujubehead::net {
@@ -27,12 +27,10 @@
 /// @brief One websocket connection, from its dial or its accept.
 struct Link
 {
-  bool dialled = false;
+  PeerHandshake handshake;
   bool open = false; ///< Both ends have proved that they know the secret.
   bool closing = false;
-  InstanceId peer; ///< Wanted (dialled) or proved; empty when not known yet.
-  PeerHello hello;
-  Bytes listener_nonce;
+  bool greeted = false;    ///< The connection was made, so greetings began.
   core::Instant last_used; ///< First the moment of the dial or the accept.
 };
 
@@ -77,7 +75,7 @@
     Peer& peer = m_peers[aPeer];
     const bool moved = peer.authority != aAuthority;
     peer.authority = std::move(aAuthority);
-    if (moved && peer.link != 0 && m_links[peer.link].dialled) {
+    if (moved && peer.link != 0 && LinkOf(peer.link).handshake.IsDialler()) {
       Retire(peer.link);
     }
     ForgetIfNowhere(aPeer);
@@ -92,7 +90,7 @@
       return false;
     }
     Peer& peer = found->second;
-    const bool open = peer.link != 0 && m_links[peer.link].open;
+    const bool open = peer.link != 0 && LinkOf(peer.link).open;
     return open ? SendOn(peer, aBytes) : Keep(aTo, peer, std::move(aBytes));
   }
 
@@ -146,7 +144,7 @@
       ++m_counters.dropped;
       return false;
     }
-    m_links[aPeer.link].last_used = RuntimeClock::now();
+    LinkOf(aPeer.link).last_used = RuntimeClock::now();
     ++m_counters.messages_sent;
     m_counters.bytes_sent += aBytes.size();
     return true;
@@ -176,10 +174,13 @@
       DialFailed(aPeer);
       return;
     }
-    Link& link = m_links[aPeer.link];
-    link.dialled = true;
-    link.peer = aTo;
-    link.last_used = now;
+    m_links.emplace(
+      aPeer.link,
+      Link{ PeerHandshake::Dialler(m_options.self, aTo, m_options.secret),
+            false,
+            false,
+            false,
+            now });
   }
 
   void DialFailed(Peer& aPeer)
@@ -199,24 +200,27 @@
 
   void OnOpen(WebsocketId aId, bool aDialled)
   {
-    Link& link = m_links[aId];
     if (!aDialled) {
-      link.last_used = RuntimeClock::now();
+      m_links.emplace(
+        aId,
+        Link{ PeerHandshake::Listener(m_options.self, m_options.secret),
+              false,
+              false,
+              true,
+              RuntimeClock::now() });
       return;
     }
-    link.hello = { m_options.self, link.peer, NewNonce() };
-    Greet(aId, link.hello);
+    Link& link = LinkOf(aId);
+    link.greeted = true;
+    const Bytes hello = link.handshake.Begin();
+    m_endpoint->Send(aId, hello.data(), hello.size());
   }
 
-  void Greet(WebsocketId aId, const PeerGreeting& aGreeting)
-  {
-    const Bytes bytes = EncodeGreeting(aGreeting);
-    m_endpoint->Send(aId, bytes.data(), bytes.size());
-  }
+  Link& LinkOf(WebsocketId aId) { return m_links.at(aId); }
 
   void OnBytes(WebsocketId aId, std::span<const std::uint8_t> aBytes)
   {
-    Link& link = m_links[aId];
+    Link& link = LinkOf(aId);
     if (!link.open) {
       if (!link.closing && !TakeGreeting(aId, link, aBytes)) {
         Retire(aId); // Counted as refused when it has closed.
@@ -227,63 +231,23 @@
     ++m_counters.messages_received;
     m_counters.bytes_received += aBytes.size();
     // A copy, as the callee may close the links.
-    const InstanceId from = link.peer;
+    const InstanceId from = link.handshake.Peer();
     m_on_message(from, aBytes);
   }
 
+  /// @return whether the other end may go on.
   bool TakeGreeting(WebsocketId aId,
                     Link& aLink,
                     std::span<const std::uint8_t> aBytes)
   {
-    const auto greeting = DecodeGreeting(aBytes);
-    return greeting &&
-           std::visit(
-             [&](const auto& aPart) { return Take(aId, aLink, aPart); },
-             *greeting);
-  }
-
-  bool Take(WebsocketId aId, Link& aLink, const PeerHello& aHello)
-  {
-    if (aLink.dialled || !aLink.listener_nonce.empty() ||
-        aHello.listener != m_options.self) {
-      return false;
+    const auto [step, reply] = aLink.handshake.Take(aBytes);
+    if (reply) {
+      m_endpoint->Send(aId, reply->data(), reply->size());
     }
-    aLink.hello = aHello;
-    aLink.listener_nonce = NewNonce();
-    Greet(aId,
-          PeerChallenge{ aLink.listener_nonce,
-                         ProofOf(PeerEnd::kListener, aLink) });
-    return true;
-  }
-
-  bool Take(WebsocketId aId, Link& aLink, const PeerChallenge& aChallenge)
-  {
-    if (!aLink.dialled) {
-      return false;
+    if (step == PeerHandshake::Step::kOpen) {
+      Open(aId, aLink);
     }
-    aLink.listener_nonce = aChallenge.nonce;
-    if (!SameProof(aChallenge.proof, ProofOf(PeerEnd::kListener, aLink))) {
-      return false;
-    }
-    Greet(aId, PeerProof{ ProofOf(PeerEnd::kDialler, aLink) });
-    Open(aId, aLink);
-    return true;
-  }
-
-  bool Take(WebsocketId aId, Link& aLink, const PeerProof& aProof)
-  {
-    if (aLink.dialled || aLink.listener_nonce.empty() ||
-        !SameProof(aProof.proof, ProofOf(PeerEnd::kDialler, aLink))) {
-      return false;
-    }
-    aLink.peer = aLink.hello.dialler;
-    Open(aId, aLink);
-    return true;
-  }
-
-  [[nodiscard]] Bytes ProofOf(PeerEnd aEnd, const Link& aLink) const
-  {
-    return MakeProof(m_options.secret, aEnd, aLink.hello, aLink.listener_nonce);
+    return step != PeerHandshake::Step::kRefused;
   }
 
   void Open(WebsocketId aId, Link& aLink)
@@ -291,7 +255,7 @@
     aLink.open = true;
     ++m_counters.open_links;
     aLink.last_used = RuntimeClock::now();
-    Peer& peer = m_peers[aLink.peer];
+    Peer& peer = m_peers[aLink.handshake.Peer()];
     if (peer.link == 0) {
       peer.link = aId;
     }
@@ -309,9 +273,9 @@
   /// Closes a link and uses it no more for sending.
   void Retire(WebsocketId aId)
   {
-    Link& link = m_links[aId];
+    Link& link = LinkOf(aId);
     link.closing = true;
-    const auto entry = m_peers.find(link.peer);
+    const auto entry = m_peers.find(link.handshake.Peer());
     if (link.open && entry != m_peers.end() && entry->second.link == aId) {
       Unlink(entry->second, link);
     }
@@ -327,11 +291,10 @@
     const Link link = std::move(found->second);
     m_links.erase(found);
     m_counters.open_links -= link.open ? 1 : 0;
-    const bool greeted = !link.hello.nonce.empty() || !link.dialled;
-    if (!link.open && greeted) {
+    if (!link.open && link.greeted) {
       ++m_counters.refused;
     }
-    const auto entry = m_peers.find(link.peer);
+    const auto entry = m_peers.find(link.handshake.Peer());
     if (entry != m_peers.end() && entry->second.link == aId) {
       Unlink(entry->second, link);
     }
@@ -341,7 +304,8 @@
   {
     aPeer.link = 0;
     for (const auto& [id, other] : m_links) {
-      if (other.open && !other.closing && other.peer == aLink.peer) {
+      if (other.open && !other.closing &&
+          other.handshake.Peer() == aLink.handshake.Peer()) {
         aPeer.link = id;
         return;
       }
@@ -349,7 +313,7 @@
     if (!aLink.open) {
       DialFailed(aPeer);
     }
-    ForgetIfNowhere(aLink.peer);
+    ForgetIfNowhere(aLink.handshake.Peer());
   }
 
   /// A peer without an address and without a link cannot be reached.
@@ -397,8 +361,9 @@
     if (!aLink.open) {
       return kGreetingPatience * m_options.connect_timeout;
     }
-    return aLink.dialled ? m_options.idle_close
-                         : kListenerPatience * m_options.idle_close;
+    return aLink.handshake.IsDialler()
+             ? m_options.idle_close
+             : kListenerPatience * m_options.idle_close;
   }
 
   PeerLinksOptions m_options;
--- a/src/jujubehead/net/websocket_endpoint.cpp
+++ b/src/jujubehead/net/websocket_endpoint.cpp
@@ -22,6 +22,9 @@
 constexpr int kUnacknowledgedMilliseconds = 5000;
 constexpr std::size_t kReadBufferBytes = 2048;
 
+// NOLINTBEGIN(readability-identifier-naming): the library looks for these
+// names.
+
 /// The library's settings: one thread, no log, small buffers, binary messages.
 struct Config : ws::config::asio_client
 {
@@ -46,6 +49,8 @@
   static const bool silent_close = true;
 };
 
+// NOLINTEND(readability-identifier-naming)
+
 using Server = ws::server<Config>;
 using Client = ws::client<Config>;
 using Connection = Server::connection_ptr;
@@ -98,7 +103,7 @@
   void Listen(const WebsocketSettings& aSettings)
   {
     m_server.set_open_handler(
-      [weak = weak_from_this()](ws::connection_hdl aHandle) {
+      [weak = weak_from_this()](const ws::connection_hdl& aHandle) {
         if (const auto self = weak.lock()) {
           self->OnAccepted(aHandle);
         }
@@ -132,7 +137,7 @@
     }
     const WebsocketId id = Adopt(connection);
     connection->set_open_handler(
-      [weak = weak_from_this(), id](ws::connection_hdl) {
+      [weak = weak_from_this(), id](const ws::connection_hdl&) {
         if (const auto self = weak.lock()) {
           self->OnDialled(id);
         }
@@ -196,12 +201,12 @@
     m_connections.emplace(id, aConnection);
     const auto weak = weak_from_this();
     aConnection->set_message_handler(
-      [weak, id](ws::connection_hdl, const MessagePointer& aMessage) {
+      [weak, id](const ws::connection_hdl&, const MessagePointer& aMessage) {
         if (const auto self = weak.lock()) {
           self->OnMessage(id, aMessage->get_payload());
         }
       });
-    const auto on_end = [weak, id](ws::connection_hdl) {
+    const auto on_end = [weak, id](const ws::connection_hdl&) {
       if (const auto self = weak.lock()) {
         self->OnEnd(id);
       }
