--- a/bench/benches.hpp
+++ b/bench/benches.hpp
@@ -11,6 +11,11 @@
 int
 RunPathBench();
 
+/// @brief How table changes come in force at many instances, on simulated
+/// time: the same code as `serve` over a table service in memory.
+int
+RunTableBench();
+
 /// @brief The net layer's streaming path in one process: a target, a relay and
 /// callers over loopback, each on a thread.
 int
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -27,6 +27,7 @@
   static const std::vector<Bench> benches{
     { "path", RunPathBench },
     { "streams", RunStreamsBench },
+    { "table", RunTableBench },
   };
   return benches;
 }
