--- a/include/jujubehead/net/table_log.hpp
+++ b/include/jujubehead/net/table_log.hpp
@@ -51,10 +51,10 @@
   /// same entry does not write twice. Throws nothing.
   virtual boost::asio::awaitable<core::PublishAnswer> Commit(
     core::ChangeEntry aEntry) = 0;
-  /// @brief Writes a snapshot if the newest kept one is old enough.
+  /// @brief Writes a snapshot if the newest kept one is old, seen from this
+  /// version, and deletes what is too old to look back at.
   /// @return whether it was written. @throws std::runtime_error.
-  virtual boost::asio::awaitable<bool> KeepSnapshot(
-    core::TableSnapshot aSnapshot) = 0;
+  virtual boost::asio::awaitable<bool> KeepSnapshot(std::uint64_t aVersion) = 0;
 };
 
 /// Waits for a time.
--- a/src/jujubehead/net/table_log.cpp
+++ b/src/jujubehead/net/table_log.cpp
@@ -1,69 +1,19 @@
 #include "jujubehead/net/table_log.hpp"
 
-#include <array>   // for array
-#include <cstdio>  // for snprintf
 #include <utility> // for move
 
 #include "jujubehead/net/object_store.hpp"  // for ObjectStore
 #include "jujubehead/net/table_service.hpp" // for TableService, Transaction
+#include "table_layout.hpp"                 // for ChangeKey, HeadIs
+#include "table_retention.hpp"              // for ForgetBefore
 
 namespace jujubehead::net {
 namespace {
 
 using boost::asio::awaitable;
 
-constexpr std::size_t kPage = 100;
-constexpr std::uint64_t kSnapshotEvery = 200;
 /// An item of the service may have 400 KB; JSON in JSON grows by its quotes.
 constexpr std::size_t kMaxInlineBytes = std::size_t{ 128 } * 1024;
-constexpr std::string_view kChangePk = "change";
-constexpr std::string_view kTablePk = "table";
-constexpr std::string_view kHeadSk = "head";
-constexpr std::string_view kSnapshotSk = "snapshot";
-constexpr std::string_view kSnapshotPk = "snapshot";
-
-/// @return the version as text that sorts like the number.
-std::string
-VersionText(std::uint64_t aVersion)
-{
-  std::array<char, 24> text{};
-  std::snprintf(text.data(),
-                text.size(),
-                "%020llu",
-                static_cast<unsigned long long>(aVersion));
-  return text.data();
-}
-
-ItemKey
-ChangeKey(std::uint64_t aVersion)
-{
-  return { std::string(kChangePk), VersionText(aVersion) };
-}
-
-ItemKey
-TableKey(std::string_view aSk)
-{
-  return { std::string(kTablePk), std::string(aSk) };
-}
-
-std::string
-SnapshotObject(std::uint64_t aVersion)
-{
-  return "table/snapshot/" + VersionText(aVersion);
-}
-
-std::string
-ChangesObject(const core::ChangeEntry& aEntry)
-{
-  return "table/change/" + VersionText(aEntry.version) + '.' + aEntry.token;
-}
-
-/// The head's condition: a head of version 0 is absent.
-Condition
-HeadIs(std::uint64_t aVersion)
-{
-  return aVersion == 0 ? Condition(ItemAbsent{}) : Condition(RevIs{ aVersion });
-}
 
 struct ToAnswer
 {
@@ -100,10 +50,12 @@
 
   awaitable<core::EntriesRead> ReadAfter(std::uint64_t aVersion) override
   {
-    const std::vector<Item> items = co_await m_service.Query(
-      std::string(kChangePk), VersionText(aVersion), kPage);
+    const std::vector<Item> items =
+      co_await m_service.Query(std::string(detail::kChangePk),
+                               detail::VersionText(aVersion),
+                               detail::kTablePage);
     core::EntriesRead read;
-    read.at_head = items.size() < kPage;
+    read.at_head = items.size() < detail::kTablePage;
     for (const Item& item : items) {
       read.entries.push_back(co_await EntryOf(item));
     }
@@ -113,7 +65,7 @@
   awaitable<std::optional<core::TableSnapshot>> ReadSnapshot() override
   {
     const std::optional<Item> newest =
-      co_await m_service.Get(TableKey(kSnapshotSk));
+      co_await m_service.Get(detail::TableKey(detail::kSnapshotSk));
     if (!newest) {
       co_return std::nullopt;
     }
@@ -163,7 +115,7 @@
     std::string body = core::ToJson(aEntry);
     if (body.size() > kMaxInlineBytes) {
       try {
-        co_await m_store.Put(ChangesObject(aEntry), std::move(body));
+        co_await m_store.Put(detail::ChangesObject(aEntry), std::move(body));
       } catch (const ObjectStoreError& error) {
         co_return core::Unavailable{ error.what() };
       }
@@ -174,37 +126,43 @@
     // from version to version.
     transaction.token = aEntry.token + '.' + std::to_string(aEntry.version);
     transaction.items = {
-      PutItem{ { TableKey(kHeadSk), aEntry.version, HeadBody(aEntry) },
-               HeadIs(aEntry.version - 1) },
-      PutItem{ { ChangeKey(aEntry.version), aEntry.version, std::move(body) },
-               ItemAbsent{} },
+      PutItem{
+        { detail::TableKey(detail::kHeadSk), aEntry.version, HeadBody(aEntry) },
+        detail::HeadIs(aEntry.version - 1) },
+      PutItem{
+        { detail::ChangeKey(aEntry.version), aEntry.version, std::move(body) },
+        ItemAbsent{} },
     };
     const TransactOutcome outcome =
       co_await m_service.Transact(std::move(transaction));
     co_return std::visit(ToAnswer(), outcome);
   }
 
-  awaitable<bool> KeepSnapshot(core::TableSnapshot aSnapshot) override
+  awaitable<bool> KeepSnapshot(std::uint64_t aVersion) override
   {
-    const std::uint64_t version = aSnapshot.version;
     const std::optional<Item> newest =
-      co_await m_service.Get(TableKey(kSnapshotSk));
+      co_await m_service.Get(detail::TableKey(detail::kSnapshotSk));
     const std::uint64_t kept = newest ? newest->rev : 0;
-    if (version < kept + kSnapshotEvery) {
+    if (aVersion < kept + detail::kSnapshotEvery) {
       co_return false;
     }
-    co_await m_store.Put(SnapshotObject(version), core::ToJson(aSnapshot));
+    const core::TableView view = co_await ReadCurrent();
+    const std::uint64_t version = view.Version();
+    co_await m_store.Put(detail::SnapshotObject(version),
+                         core::ToJson(*view.Current()));
     Transaction transaction;
     transaction.token = "snapshot." + std::to_string(version);
     transaction.items = {
-      PutItem{ { TableKey(kSnapshotSk), version, "{}" },
+      PutItem{ { detail::TableKey(detail::kSnapshotSk), version, "{}" },
                newest ? Condition(RevIs{ kept }) : Condition(ItemAbsent{}) },
-      PutItem{
-        { { std::string(kSnapshotPk), VersionText(version) }, version, "{}" },
-        {} },
+      PutItem{ { detail::SnapshotKey(version), version, "{}" }, {} },
     };
     const TransactOutcome outcome =
       co_await m_service.Transact(std::move(transaction));
+    if (version > detail::kVersionsKept) {
+      co_await detail::ForgetBefore(
+        m_service, m_store, version - detail::kVersionsKept);
+    }
     co_return std::holds_alternative<Committed>(outcome);
   }
 
@@ -225,7 +183,7 @@
   {
     auto entry = core::ChangeEntryFromJson(aItem.body);
     if (entry && entry->changes.empty()) {
-      const auto whole = co_await m_store.Get(ChangesObject(*entry));
+      const auto whole = co_await m_store.Get(detail::ChangesObject(*entry));
       auto stored = whole ? core::ChangeEntryFromJson(*whole) : std::nullopt;
       if (stored) {
         entry->changes = std::move(stored->changes);
@@ -233,7 +191,7 @@
         entry.reset();
       }
     }
-    if (!entry || VersionText(entry->version) != aItem.key.sk) {
+    if (!entry || detail::VersionText(entry->version) != aItem.key.sk) {
       throw TableServiceError("the entry of version " + aItem.key.sk +
                               " is not understood");
     }
@@ -245,11 +203,11 @@
     std::uint64_t aVersion)
   {
     // One lies in this range, unless some were missed.
-    const std::uint64_t reach = 2 * kSnapshotEvery;
+    const std::uint64_t reach = 2 * detail::kSnapshotEvery;
     const std::vector<Item> kept = co_await m_service.Query(
-      std::string(kSnapshotPk),
-      VersionText(aVersion < reach ? 0 : aVersion - reach),
-      kPage);
+      std::string(detail::kSnapshotPk),
+      detail::VersionText(aVersion < reach ? 0 : aVersion - reach),
+      detail::kTablePage);
     std::uint64_t version = 0;
     for (const Item& item : kept) {
       version = item.rev <= aVersion ? item.rev : version;
@@ -263,7 +221,7 @@
   awaitable<std::optional<core::TableSnapshot>> SnapshotAt(
     std::uint64_t aVersion)
   {
-    const auto bytes = co_await m_store.Get(SnapshotObject(aVersion));
+    const auto bytes = co_await m_store.Get(detail::SnapshotObject(aVersion));
     if (!bytes) {
       co_return std::nullopt;
     }
--- a/src/jujubehead/net/table_log_drivers.cpp
+++ b/src/jujubehead/net/table_log_drivers.cpp
@@ -49,11 +49,10 @@
 
 /// A snapshot is a convenience of later readers: not worth an error.
 awaitable<void>
-TryKeepSnapshot(TableLog& aLog)
+TryKeepSnapshot(TableLog& aLog, std::uint64_t aVersion)
 {
   try {
-    const core::TableView view = co_await aLog.ReadCurrent();
-    co_await aLog.KeepSnapshot(*view.Current());
+    co_await aLog.KeepSnapshot(aVersion);
   } catch (const std::runtime_error&) {
   }
 }
@@ -116,8 +115,8 @@
   while (auto answer = co_await AnswerTo(aLog, step, aSleep)) {
     step = aPublish.On(std::move(*answer));
   }
-  if (std::holds_alternative<core::Published>(step)) {
-    co_await TryKeepSnapshot(aLog);
+  if (const auto* published = std::get_if<core::Published>(&step)) {
+    co_await TryKeepSnapshot(aLog, published->version);
   }
   co_return step;
 }
--- a/src/jujubehead/net/table_log_test.cpp
+++ b/src/jujubehead/net/table_log_test.cpp
@@ -6,6 +6,7 @@
 #include "jujubehead/net/fake_platform.hpp"  // for FakeTableService
 #include "jujubehead/net/run_awaitable.hpp"  // for RunAwaitable
 #include "jujubehead/net/table_follow.hpp"   // for FollowOnce
+#include "table_retention.hpp"               // for ForgetBefore
 
 using namespace jujubehead::core;
 using namespace jujubehead::net;
@@ -53,6 +54,11 @@
   {
     return RunAwaitable(context, log->ReadCurrent());
   }
+  boost::asio::awaitable<bool> Forget(std::uint64_t aVersion)
+  {
+    co_await jujubehead::net::detail::ForgetBefore(service, store, aVersion);
+    co_return true;
+  }
   std::uint64_t Weight(const char* aAccount)
   {
     const TableView view = Current();
@@ -127,6 +133,26 @@
   CHECK_FALSE(RunAwaitable(context, log->ReadAt(999)).has_value());
 }
 
+TEST(TableLog, WhatIsTooOldToLookBackAtIsDeleted)
+{
+  ApplyNow({ PutRow{ SomeRow("*", 1) } });
+  for (std::uint32_t i = 2; i <= 850; ++i) {
+    ApplyNow({ PutRow{ SomeRow("a", i) } });
+  }
+  const std::size_t objects = store.objects.size();
+  for (int i = 0; i < 3; ++i) {
+    // One call deletes some pages only.
+    RunAwaitable(context, Forget(500));
+  }
+  CHECK_EQUAL(850U, Current().Version());
+  CHECK_FALSE(RunAwaitable(context, log->ReadAt(450)).has_value());
+  CHECK_EQUAL(700U, RunAwaitable(context, log->ReadAt(700))->Version());
+  CHECK(store.objects.size() < objects);
+  CHECK_EQUAL(
+    std::string("00000000000000000500"),
+    RunAwaitable(context, service.Query("change", "", 1)).at(0).key.sk);
+}
+
 TEST(TableLog, AnUnreadableServiceIsSaid)
 {
   service.down = true;
