Offer TLS to callers and mutual TLS between instances

One credentials object is read, checked as a whole and reloaded; servers and links take its present context for each new connection.

--- a/include/jujubehead/net/http_server.hpp
+++ b/include/jujubehead/net/http_server.hpp
@@ -12,6 +12,7 @@
 
 #include "jujubehead/core/runtime_clock.hpp" // for Duration
 #include "jujubehead/net/http_message.hpp"   // for HttpRequest, HttpResponse
+#include "jujubehead/net/tls.hpp"            // for TlsCredentials
 
 namespace jujubehead::net {
 
@@ -57,6 +58,8 @@
   core::Duration write_timeout = std::chrono::seconds(120);
   /// Several servers on one port, one a traffic thread.
   bool reuse_port = false;
+  /// Speaks TLS with these; null: plain.
+  std::shared_ptr<const TlsCredentials> tls = nullptr;
 };
 
 /// @brief An HTTP/1.1 server on one io_context.
--- a/include/jujubehead/net/peer_link.hpp
+++ b/include/jujubehead/net/peer_link.hpp
@@ -13,6 +13,7 @@
 
 #include "jujubehead/core/ids.hpp"           // for InstanceId
 #include "jujubehead/core/runtime_clock.hpp" // for Duration
+#include "jujubehead/net/tls.hpp"            // for TlsCredentials
 
 namespace jujubehead::net {
 
@@ -30,6 +31,8 @@
   core::Duration connect_timeout = std::chrono::seconds(1);
   std::size_t message_limit = 1024UL * 1024;        ///< Bytes.
   std::size_t send_queue_limit = 4UL * 1024 * 1024; ///< Bytes waiting, a link.
+  /// Speaks TLS with these, at both ends; null: plain.
+  std::shared_ptr<const TlsCredentials> tls = nullptr;
 };
 
 /// @brief Counters of the links, for metrics.
--- a/src/jujubehead/net/byte_stream.hpp
+++ b/src/jujubehead/net/byte_stream.hpp
@@ -2,7 +2,7 @@
 #define JUJUBEHEAD_NET_BYTE_STREAM_HPP
 
 #include <cstddef> // for size_t
-#include <memory>  // for unique_ptr
+#include <memory>  // for shared_ptr, unique_ptr
 #include <utility> // for forward, move
 #include <variant> // for variant, visit
 
@@ -24,8 +24,10 @@
     : m_stream(std::move(aSocket))
   {
   }
-  explicit ByteStream(std::unique_ptr<Secure> aSecure)
-    : m_stream(std::move(aSecure))
+  /// @param aContext is kept as long as the stream.
+  ByteStream(Plain aSocket, std::shared_ptr<boost::asio::ssl::context> aContext)
+    : m_context(std::move(aContext))
+    , m_stream(std::make_unique<Secure>(std::move(aSocket), *m_context))
   {
   }
 
@@ -75,6 +77,7 @@
 private:
   using Signature = void(boost::system::error_code, std::size_t);
 
+  std::shared_ptr<boost::asio::ssl::context> m_context;
   std::variant<Plain, std::unique_ptr<Secure>> m_stream;
 };
 
--- a/src/jujubehead/net/http_connection.cpp
+++ b/src/jujubehead/net/http_connection.cpp
@@ -70,6 +70,7 @@
 HttpConnection::Run()
 {
   try {
+    co_await ShakeHands();
     while (co_await ServeOne()) {
     }
   } catch (const std::exception&) {
@@ -96,6 +97,16 @@
   }
 }
 
+asio::awaitable<void>
+HttpConnection::ShakeHands()
+{
+  if (ByteStream::Secure* const tls = m_stream.Tls()) {
+    m_deadline.Set(m_shared->options.header_timeout);
+    co_await tls->async_handshake(asio::ssl::stream_base::server,
+                                  asio::use_awaitable);
+  }
+}
+
 asio::awaitable<bool>
 HttpConnection::ServeOne()
 {
--- a/src/jujubehead/net/http_connection.hpp
+++ b/src/jujubehead/net/http_connection.hpp
@@ -65,6 +65,7 @@
     kHandling, ///< The handler runs; deadlines are those of writes.
   };
 
+  boost::asio::awaitable<void> ShakeHands();
   boost::asio::awaitable<bool> ServeOne();
   boost::asio::awaitable<std::optional<ApiError>> ReadRequest();
   boost::asio::awaitable<Error> ParseMore(Parser& aParser, bool& aNeedsBytes);
--- a/src/jujubehead/net/http_server.cpp
+++ b/src/jujubehead/net/http_server.cpp
@@ -93,8 +93,11 @@
     boost::system::error_code ignored;
     aSocket.set_option(tcp::no_delay(true), ignored);
     const auto executor = aSocket.get_executor();
+    const auto& tls = m_shared->options.tls;
     auto connection = std::make_shared<HttpConnection>(
-      ByteStream(std::move(aSocket)), m_shared);
+      tls ? ByteStream(std::move(aSocket), tls->Current())
+          : ByteStream(std::move(aSocket)),
+      m_shared);
     Remember(connection);
     asio::co_spawn(
       executor, RunCounted(std::move(connection), m_open), asio::detached);
--- a/src/jujubehead/net/peer_links.cpp
+++ b/src/jujubehead/net/peer_links.cpp
@@ -111,11 +111,16 @@
 private:
   static WebsocketSettings Settings(const PeerLinksOptions& aOptions)
   {
-    return { aOptions.address,
-             aOptions.port,
-             aOptions.message_limit,
-             std::chrono::ceil<std::chrono::milliseconds>(
-               aOptions.connect_timeout) };
+    WebsocketSettings settings;
+    settings.address = aOptions.address;
+    settings.port = aOptions.port;
+    settings.message_limit = aOptions.message_limit;
+    settings.connect_timeout =
+      std::chrono::ceil<std::chrono::milliseconds>(aOptions.connect_timeout);
+    if (aOptions.tls) {
+      settings.tls = [tls = aOptions.tls] { return tls->Current(); };
+    }
+    return settings;
   }
 
   WebsocketEvents Events()
--- a/src/jujubehead/net/websocket_endpoint.cpp
+++ b/src/jujubehead/net/websocket_endpoint.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/post.hpp>                       // for post
 #include <websocketpp/client.hpp>                    // for client
 #include <websocketpp/concurrency/none.hpp>          // for none
+#include <websocketpp/config/asio_client.hpp>        // for asio_tls_client
 #include <websocketpp/config/asio_no_tls_client.hpp> // for asio_client
 #include <websocketpp/server.hpp>                    // for server
 
@@ -26,15 +27,16 @@
 // names.
 
 /// The library's settings: one thread, no log, small buffers, binary messages.
-struct Config : ws::config::asio_client
+template<typename Base>
+struct Config : Base
 {
   using type = Config;
-  using base = ws::config::asio_client;
+  using base = Base;
   using concurrency_type = ws::concurrency::none;
   using alog_type = ws::log::basic<concurrency_type, ws::log::alevel>;
   using elog_type = ws::log::basic<concurrency_type, ws::log::elevel>;
 
-  struct transport_config : base::transport_config
+  struct transport_config : Base::transport_config
   {
     using concurrency_type = type::concurrency_type;
     using alog_type = type::alog_type;
@@ -51,12 +53,38 @@
 
 // NOLINTEND(readability-identifier-naming)
 
-using Server = ws::server<Config>;
-using Client = ws::client<Config>;
-using Connection = Server::connection_ptr;
-using MessagePointer = Server::message_ptr;
+using PlainConfig = Config<ws::config::asio_client>;
+using TlsConfig = Config<ws::config::asio_tls_client>;
 
-static_assert(std::is_same_v<Connection, Client::connection_ptr>);
+const char*
+SchemeOf(const PlainConfig* /*aTag*/)
+{
+  return "ws://";
+}
+
+const char*
+SchemeOf(const TlsConfig* /*aTag*/)
+{
+  return "wss://";
+}
+
+template<typename Endpoint>
+void
+SetUpTls(Endpoint& /*aEndpoint*/,
+         const WebsocketSettings& /*aSettings*/,
+         const PlainConfig* /*aTag*/)
+{
+}
+
+template<typename Endpoint>
+void
+SetUpTls(Endpoint& aEndpoint,
+         const WebsocketSettings& aSettings,
+         const TlsConfig* /*aTag*/)
+{
+  aEndpoint.set_tls_init_handler(
+    [tls = aSettings.tls](const ws::connection_hdl&) { return tls(); });
+}
 
 template<typename Endpoint>
 void
@@ -73,11 +101,12 @@
   aEndpoint.set_close_handshake_timeout(timeout);
 }
 
+template<typename Connection>
 void
 SetSocketOptions(Connection& aConnection)
 {
   boost::system::error_code ignored;
-  tcp::socket& socket = aConnection->get_raw_socket();
+  auto& socket = aConnection->get_raw_socket();
   socket.set_option(tcp::no_delay(true), ignored);
   using UserTimeout =
     boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
@@ -86,9 +115,17 @@
 
 /// The library's two endpoints and their connections. Pending operations of the
 /// library point into it, so it is kept until they have ended.
-class State : public std::enable_shared_from_this<State>
+template<typename ConfigType>
+class State : public std::enable_shared_from_this<State<ConfigType>>
 {
 public:
+  using Server = ws::server<ConfigType>;
+  using Client = ws::client<ConfigType>;
+  using Connection = typename Server::connection_ptr;
+  using MessagePointer = typename Server::message_ptr;
+
+  static_assert(std::is_same_v<Connection, typename Client::connection_ptr>);
+
   State(boost::asio::io_context& aContext,
         const WebsocketSettings& aSettings,
         WebsocketEvents aEvents)
@@ -97,13 +134,15 @@
   {
     SetUp(m_server, aContext, aSettings);
     SetUp(m_client, aContext, aSettings);
+    SetUpTls(m_server, aSettings, kTag);
+    SetUpTls(m_client, aSettings, kTag);
     m_server.set_reuse_addr(true);
   }
 
   void Listen(const WebsocketSettings& aSettings)
   {
     m_server.set_open_handler(
-      [weak = weak_from_this()](const ws::connection_hdl& aHandle) {
+      [weak = this->weak_from_this()](const ws::connection_hdl& aHandle) {
         if (const auto self = weak.lock()) {
           self->OnAccepted(aHandle);
         }
@@ -131,13 +170,13 @@
   {
     ws::lib::error_code error;
     const Connection connection =
-      m_client.get_connection("ws://" + aAuthority + "/", error);
+      m_client.get_connection(SchemeOf(kTag) + aAuthority + "/", error);
     if (error) {
       return 0;
     }
     const WebsocketId id = Adopt(connection);
     connection->set_open_handler(
-      [weak = weak_from_this(), id](const ws::connection_hdl&) {
+      [weak = this->weak_from_this(), id](const ws::connection_hdl&) {
         if (const auto self = weak.lock()) {
           self->OnDialled(id);
         }
@@ -183,12 +222,15 @@
       Close(entry.second);
     }
     // The accept that was pending ends before what is posted after it.
-    boost::asio::post(m_context, [self = shared_from_this()] {
+    boost::asio::post(m_context, [self = this->shared_from_this()] {
       boost::asio::post(self->m_context, [self] {});
     });
   }
 
 private:
+  /// Chooses between functions by the configuration.
+  static constexpr const ConfigType* kTag = nullptr;
+
   static void Close(const Connection& aConnection)
   {
     ws::lib::error_code ignored;
@@ -199,7 +241,7 @@
   {
     const WebsocketId id = ++m_last_id;
     m_connections.emplace(id, aConnection);
-    const auto weak = weak_from_this();
+    const auto weak = this->weak_from_this();
     aConnection->set_message_handler(
       [weak, id](const ws::connection_hdl&, const MessagePointer& aMessage) {
         if (const auto self = weak.lock()) {
@@ -264,12 +306,18 @@
   bool m_closed = false;
 };
 
+template<typename ConfigType>
 class Endpoint final : public WebsocketEndpoint
 {
 public:
-  explicit Endpoint(std::shared_ptr<State> aState)
-    : m_state(std::move(aState))
+  Endpoint(boost::asio::io_context& aContext,
+           const WebsocketSettings& aSettings,
+           WebsocketEvents aEvents)
+    : m_state(std::make_shared<State<ConfigType>>(aContext,
+                                                  aSettings,
+                                                  std::move(aEvents)))
   {
+    m_state->Listen(aSettings);
   }
   Endpoint(const Endpoint&) = delete;
   Endpoint& operator=(const Endpoint&) = delete;
@@ -296,7 +344,7 @@
   void Close() override { m_state->Close(); }
 
 private:
-  std::shared_ptr<State> m_state;
+  std::shared_ptr<State<ConfigType>> m_state;
 };
 
 } // namespace
@@ -306,9 +354,12 @@
                           const WebsocketSettings& aSettings,
                           WebsocketEvents aEvents)
 {
-  auto state = std::make_shared<State>(aContext, aSettings, std::move(aEvents));
-  state->Listen(aSettings);
-  return std::make_unique<Endpoint>(std::move(state));
+  if (aSettings.tls) {
+    return std::make_unique<Endpoint<TlsConfig>>(
+      aContext, aSettings, std::move(aEvents));
+  }
+  return std::make_unique<Endpoint<PlainConfig>>(
+    aContext, aSettings, std::move(aEvents));
 }
 
 } // namespace jujubehead::net
--- a/src/jujubehead/net/websocket_endpoint.hpp
+++ b/src/jujubehead/net/websocket_endpoint.hpp
@@ -8,10 +8,11 @@
 #include <cstddef>    // for size_t
 #include <cstdint>    // for uint8_t, uint16_t, uint64_t
 #include <functional> // for function
-#include <memory>     // for unique_ptr
+#include <memory>     // for shared_ptr, unique_ptr
 #include <string>     // for string
 
-#include <boost/asio/io_context.hpp> // for io_context
+#include <boost/asio/io_context.hpp>  // for io_context
+#include <boost/asio/ssl/context.hpp> // for ssl::context
 
 namespace jujubehead::net {
 
@@ -24,6 +25,8 @@
   std::uint16_t port = 0;
   std::size_t message_limit = 0; ///< Bytes; a longer one ends the connection.
   std::chrono::milliseconds connect_timeout{ 0 };
+  /// Gives the TLS context of each new connection; empty: plain.
+  std::function<std::shared_ptr<boost::asio::ssl::context>()> tls;
 };
 
 /// @brief What an endpoint reports, on the thread of its io_context.
