--- a/src/jujubehead/app/settings_check.cpp
+++ b/src/jujubehead/app/settings_check.cpp
@@ -1,19 +1,19 @@
 #include "settings_check.hpp"
 
-#include <algorithm> // for all_of
-#include <charconv>  // for from_chars
-#include <fstream>   // for ifstream
-#include <sstream>   // for istringstream, ostringstream
-#include <utility>   // for move
+#include <charconv> // for from_chars
+#include <fstream>  // for ifstream
+#include <sstream>  // for istringstream, ostringstream
+#include <utility>  // for move
 
 #include <boost/asio/ip/address.hpp> // for make_address
 
+#include "jujubehead/core/name_rule.hpp" // for IsName
+
 namespace jujubehead::app {
 namespace {
 
 constexpr std::uint32_t kMaxPort = 65535;
 constexpr std::size_t kMinSecretLetters = 16;
-constexpr std::size_t kMaxNameLetters = 64;
 
 bool
 IsAddress(const std::string& aText)
@@ -50,14 +50,6 @@
          IsPort(std::string_view(aText).substr(colon + 1));
 }
 
-bool
-IsNameLetter(char aChar)
-{
-  return (aChar >= 'a' && aChar <= 'z') || (aChar >= 'A' && aChar <= 'Z') ||
-         (aChar >= '0' && aChar <= '9') || aChar == '-' || aChar == '_' ||
-         aChar == '.';
-}
-
 std::string
 WithoutLineEnd(std::string aText)
 {
@@ -103,13 +95,8 @@
 std::string
 SettingsCheck::Name(std::string_view aFlag, const std::string& aValue)
 {
-  const bool fits = aValue.size() <= kMaxNameLetters &&
-                    std::all_of(aValue.begin(), aValue.end(), IsNameLetter);
-  if (!fits) {
-    Add(aFlag,
-        "'" + aValue + "'",
-        "1 to " + std::to_string(kMaxNameLetters) +
-          " of the letters a-z A-Z 0-9 - _ .");
+  if (!aValue.empty() && !core::IsName(aValue)) {
+    Add(aFlag, "'" + aValue + "'", core::NameRule());
   }
   return Required(aFlag, aValue);
 }
--- a/src/jujubehead/core/table_cell_parse.cpp
+++ b/src/jujubehead/core/table_cell_parse.cpp
@@ -1,15 +1,14 @@
 #include "table_cell.hpp"
 
-#include <algorithm> // for all_of
-#include <charconv>  // for from_chars
-#include <cmath>     // for isfinite
+#include <charconv> // for from_chars
+#include <cmath>    // for isfinite
 
 #include "jujubehead/core/account_key.hpp" // for IsKeyHash
+#include "jujubehead/core/name_rule.hpp"   // for IsName, IsModelName
 
 namespace jujubehead::core::detail {
 namespace {
 
-constexpr std::size_t kMaxNameLength = 64;
 constexpr std::uint32_t kMaxWeight = 1'000'000;
 constexpr std::uint32_t kMaxRequests = 100'000;
 constexpr std::int32_t kMaxPriority = 1000;
@@ -18,40 +17,11 @@
 
 using Expected = std::optional<std::string>;
 
-bool
-IsNameLetter(char aChar)
-{
-  return (aChar >= 'a' && aChar <= 'z') || (aChar >= 'A' && aChar <= 'Z') ||
-         (aChar >= '0' && aChar <= '9') || aChar == '-' || aChar == '_' ||
-         aChar == '.';
-}
-
-bool
-IsModelLetter(char aChar)
-{
-  return IsNameLetter(aChar) || aChar == '/' || aChar == ':';
-}
-
-template<typename IsLetter>
-bool
-IsName(std::string_view aText, IsLetter aIsLetter)
-{
-  return !aText.empty() && aText.size() <= kMaxNameLength &&
-         std::all_of(aText.begin(), aText.end(), aIsLetter);
-}
-
-std::string
-NameRule(std::string_view aLetters)
-{
-  return "1 to " + std::to_string(kMaxNameLength) + " of the letters " +
-         std::string(aLetters);
-}
-
 Expected
 ParseAccount(AccountId& aCell, std::string_view aText)
 {
-  if (aText != kModelDefaultsAccount && !IsName(aText, IsNameLetter)) {
-    return "'*' or " + NameRule("a-z A-Z 0-9 - _ .");
+  if (aText != kModelDefaultsAccount && !IsName(aText)) {
+    return "'*' or " + NameRule();
   }
   aCell = AccountId(std::string(aText));
   return std::nullopt;
@@ -60,8 +30,8 @@
 Expected
 ParseModel(ModelId& aCell, std::string_view aText)
 {
-  if (!IsName(aText, IsModelLetter)) {
-    return NameRule("a-z A-Z 0-9 - _ . / :");
+  if (!IsModelName(aText)) {
+    return ModelNameRule();
   }
   aCell = ModelId(std::string(aText));
   return std::nullopt;
@@ -70,8 +40,8 @@
 Expected
 ParseName(std::string& aCell, std::string_view aText)
 {
-  if (!IsName(aText, IsModelLetter)) {
-    return NameRule("a-z A-Z 0-9 - _ . / :");
+  if (!IsModelName(aText)) {
+    return ModelNameRule();
   }
   aCell = aText;
   return std::nullopt;
