Serve: the whole path from a caller to a target and back

Cause: the layers stood apart. One control thread (entry, owner, ownership, directory, table, members) and traffic threads serve completions, plain services and operators' pages; permits are asked for by repeated messages, streams are resumed at another target, a run that was cut is aborted at its target before its place is given back.

Found on the way, by gdb and the object code: g++ 12 laid out one coroutine's frame in two ways, as a reply was built from nested temporaries inside a co_await expression; the server's first page crashed. Ruled out: the connection's memory (valgrind showed no earlier fault). Replies are now named before they are awaited.

--- a/src/jujubehead/app/main.cpp
+++ b/src/jujubehead/app/main.cpp
@@ -6,7 +6,8 @@
 
 #include "command_line.hpp" // for ReadCommandLine
 #include "run.hpp"          // for Run
-#include "serve.hpp"        // for Serve
+
+#include "jujubehead/node/serve.hpp" // for Serve
 
 namespace {
 
@@ -43,7 +44,7 @@
     std::cerr << core::Render(command.error()) << "see `jujubehead help`\n";
     return static_cast<int>(app::ExitCode::kFindings);
   }
-  app::Tools tools{ std::cout,  std::cerr,   app::ConnectPlatform,
-                    app::Serve, LoginName(), NowMs };
+  app::Tools tools{ std::cout,   std::cerr,   app::ConnectPlatform,
+                    node::Serve, LoginName(), NowMs };
   return static_cast<int>(app::Run(*command, tools));
 }
--- /dev/null
+++ b/src/jujubehead/node/entry_service.cpp
@@ -0,0 +1,455 @@
+#include "jujubehead/node/entry_service.hpp"
+
+#include <algorithm>  // for find, shuffle, min
+#include <functional> // for hash
+
+#include <boost/asio/co_spawn.hpp>       // for co_spawn
+#include <boost/asio/detached.hpp>       // for detached
+#include <boost/asio/redirect_error.hpp> // for redirect_error
+#include <boost/asio/use_awaitable.hpp>  // for use_awaitable
+
+#include "jujubehead/core/sparse_depths.hpp"     // for SparseKeys
+#include "jujubehead/net/timer.hpp"              // for Timer
+#include "jujubehead/node/directory_service.hpp" // for DirectoryService, RawKey
+#include "jujubehead/node/member_book.hpp"       // for MemberBook
+#include "jujubehead/node/peer_calls.hpp"        // for PeerCalls
+
+namespace jujubehead::node {
+namespace {
+
+namespace asio = boost::asio;
+using core::RuntimeClock;
+
+constexpr core::Duration kQuoteTimeout = std::chrono::milliseconds(250);
+constexpr std::size_t kHolderCandidates = 2;
+constexpr std::size_t kRandomCandidates = 2;
+// Fewer targets than this are all asked: that costs little.
+constexpr std::size_t kAskAll = 4;
+// Plans to try before a refusal.
+constexpr std::size_t kMaxPlans = 3;
+// Until the store's owner tells the state of its link.
+constexpr double kAssumedLinkBytesPerSecond = 200e6;
+constexpr std::uint32_t kAssumedBytesPerBlock = 1024 * 1024;
+
+bool
+Contains(const std::vector<core::TargetId>& aList, const core::TargetId& aOne)
+{
+  return std::find(aList.begin(), aList.end(), aOne) != aList.end();
+}
+
+core::StoredCopy
+CopyOf(const wire::StoreHolder& aHolder)
+{
+  core::StoredCopy copy;
+  copy.store = aHolder.store;
+  copy.handle = aHolder.handle;
+  copy.generation = aHolder.generation;
+  copy.blocks = core::BlocksOfSparse(aHolder.keys);
+  copy.bytes_per_second = kAssumedLinkBytesPerSecond;
+  copy.bytes_per_block = kAssumedBytesPerBlock;
+  return copy;
+}
+
+NotAdmitted
+Refusal(const std::optional<wire::PermitAnswer>& aAnswer)
+{
+  if (!aAnswer || aAnswer->outcome == wire::PermitOutcome::kNotOwner) {
+    return { NotAdmittedReason::kUnreachable, std::chrono::seconds(1) };
+  }
+  switch (static_cast<core::RefusalReason>(aAnswer->reason)) {
+    case core::RefusalReason::kNoShare:
+      return { NotAdmittedReason::kNoShare, aAnswer->retry_after };
+    case core::RefusalReason::kStopping:
+      return { NotAdmittedReason::kNoTarget, aAnswer->retry_after };
+    case core::RefusalReason::kDeadline:
+    case core::RefusalReason::kQueueFull:
+    case core::RefusalReason::kHolderSilent:
+      break;
+  }
+  return { NotAdmittedReason::kOverload, aAnswer->retry_after };
+}
+
+std::uint64_t
+MarkOf(core::Instant aInstant)
+{
+  return static_cast<std::uint64_t>(aInstant.time_since_epoch().count());
+}
+
+core::Instant
+InstantOf(std::uint64_t aMark)
+{
+  return core::Instant(core::Duration(static_cast<std::int64_t>(aMark)));
+}
+
+} // namespace
+
+struct EntryService::Waiter
+{
+  explicit Waiter(asio::io_context& aContext)
+    : timer(aContext)
+  {
+  }
+
+  net::Timer timer;
+  core::TargetId target;
+  std::optional<wire::PermitAnswer> answer;
+  bool abandoned = false;
+};
+
+struct EntryService::Candidates
+{
+  std::vector<core::TargetId> targets;
+  std::map<core::TargetId, std::uint32_t> cached_blocks;
+};
+
+EntryService::EntryService(PeerCalls& aPeers,
+                           const MemberBook& aMembers,
+                           const core::TableView& aTable,
+                           const OwnerMap& aOwners,
+                           DirectoryService& aDirectory)
+  : m_peers(aPeers)
+  , m_members(aMembers)
+  , m_table(aTable)
+  , m_owners(aOwners)
+  , m_directory(aDirectory)
+  , m_random(std::hash<core::InstanceId>{}(aPeers.Self()))
+{
+}
+
+EntryService::~EntryService() = default;
+
+asio::awaitable<Admission>
+EntryService::Admit(AdmissionAsk aAsk)
+{
+  ++m_counters.asked;
+  const auto until = RuntimeClock::now() + aAsk.deadline;
+  const auto waiter = std::make_shared<Waiter>(m_peers.Context());
+  m_waiting.emplace(aAsk.attempt, waiter);
+
+  const wire::HoldersAnswer holders =
+    co_await m_directory.FindHolders(core::SparseKeys(aAsk.chain));
+  const Candidates candidates = ChooseCandidates(aAsk, holders);
+  const auto quotes = co_await Quotes(aAsk, candidates.targets);
+
+  std::vector<core::TargetView> views;
+  for (const wire::TargetQuote& quote : quotes) {
+    const auto cached = candidates.cached_blocks.find(quote.target);
+    const net::Member* member = m_members.Find(quote.target.View());
+    views.push_back(
+      { quote.target,
+        member == nullptr ? core::DataCentreId() : member->data_centre,
+        quote.expected_wait,
+        static_cast<double>(quote.prefill_tokens_per_second),
+        cached == candidates.cached_blocks.end() ? 0 : cached->second,
+        quote.admits,
+        quote.running,
+        quote.limit });
+  }
+  std::vector<core::StoredCopy> copies;
+  for (const wire::StoreHolder& holder : holders.stores) {
+    if (m_members.Find(holder.store.View()) != nullptr) {
+      copies.push_back(CopyOf(holder));
+    }
+  }
+  core::RouteQuery query;
+  query.blocks = static_cast<std::uint32_t>(aAsk.chain.size());
+  query.tokens_per_block = aAsk.tokens_per_block;
+  query.tail_tokens = aAsk.tail_tokens;
+  query.recompute_price = aAsk.recompute_price;
+  const auto plans = core::RankRoutes(query, views, copies);
+
+  NotAdmitted refusal;
+  for (std::size_t i = 0; i < plans.size() && i < kMaxPlans; ++i) {
+    const auto answer = co_await AskPermit(aAsk, plans[i].target, until);
+    if (answer && answer->outcome == wire::PermitOutcome::kGranted) {
+      m_waiting.erase(aAsk.attempt);
+      ++m_counters.admitted;
+      co_return MakeAdmitted(aAsk, plans[i], *answer);
+    }
+    refusal = Refusal(answer);
+    if (waiter->abandoned || RuntimeClock::now() >= until) {
+      break;
+    }
+  }
+  m_waiting.erase(aAsk.attempt);
+  ++m_counters.refused;
+  co_return refusal;
+}
+
+EntryService::Candidates
+EntryService::ChooseCandidates(const AdmissionAsk& aAsk,
+                               const wire::HoldersAnswer& aHolders)
+{
+  std::vector<core::TargetId> usable;
+  for (const net::Member* member : m_members.TargetsOf(aAsk.model)) {
+    core::TargetId target(member->id);
+    const auto kind = member->kind == net::MemberKind::kService
+                        ? core::StopKind::kService
+                        : core::StopKind::kTarget;
+    const bool stops =
+      member->leaving || m_table.FindStop({ kind, member->id }) != nullptr;
+    if (!stops && !Contains(aAsk.avoid, target)) {
+      usable.push_back(std::move(target));
+    }
+  }
+  Candidates candidates;
+  for (const wire::TargetHolder& holder : aHolders.targets) {
+    candidates.cached_blocks[holder.target] = core::BlocksOfSparse(holder.keys);
+    if (candidates.targets.size() < kHolderCandidates &&
+        Contains(usable, holder.target)) {
+      candidates.targets.push_back(holder.target);
+    }
+  }
+  std::shuffle(usable.begin(), usable.end(), m_random);
+  const std::size_t wanted = usable.size() <= kAskAll
+                               ? usable.size()
+                               : candidates.targets.size() + kRandomCandidates;
+  for (const core::TargetId& target : usable) {
+    if (candidates.targets.size() >= wanted) {
+      break;
+    }
+    if (!Contains(candidates.targets, target)) {
+      candidates.targets.push_back(target);
+    }
+  }
+  return candidates;
+}
+
+asio::awaitable<std::vector<wire::TargetQuote>>
+EntryService::Quotes(const AdmissionAsk& aAsk,
+                     std::vector<core::TargetId> aTargets)
+{
+  std::map<core::InstanceId, wire::QuoteAsk> asks;
+  for (core::TargetId& target : aTargets) {
+    const auto owner = m_owners.OwnerOf(target);
+    if (!owner) {
+      continue;
+    }
+    wire::QuoteAsk& ask = asks[*owner];
+    ask.account = aAsk.account;
+    ask.version = aAsk.version;
+    ask.adapter = aAsk.adapter;
+    ask.targets.push_back(std::move(target));
+  }
+  // All owners are asked at once; the answers are gathered as they come.
+  struct Gathering
+  {
+    explicit Gathering(asio::io_context& aContext)
+      : done(aContext)
+    {
+    }
+    net::Timer done;
+    std::size_t open = 0;
+    std::vector<wire::TargetQuote> quotes;
+  };
+  const auto gathering = std::make_shared<Gathering>(m_peers.Context());
+  gathering->open = asks.size();
+  gathering->done.expires_after(2 * kQuoteTimeout);
+  for (auto& [owner, ask] : asks) {
+    asio::co_spawn(
+      m_peers.Context(),
+      [this, gathering, to = owner, message = std::move(ask)]() mutable
+      -> asio::awaitable<void> {
+        const auto answer =
+          co_await m_peers.Ask(to, std::move(message), kQuoteTimeout);
+        if (answer) {
+          if (const auto* got = std::get_if<wire::QuoteAnswer>(&*answer)) {
+            gathering->quotes.insert(
+              gathering->quotes.end(), got->quotes.begin(), got->quotes.end());
+          }
+        }
+        if (--gathering->open == 0) {
+          gathering->done.cancel();
+        }
+      },
+      asio::detached);
+  }
+  if (gathering->open > 0) {
+    boost::system::error_code ignored;
+    co_await gathering->done.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+  }
+  co_return std::move(gathering->quotes);
+}
+
+asio::awaitable<std::optional<wire::PermitAnswer>>
+EntryService::AskPermit(const AdmissionAsk& aAsk,
+                        core::TargetId aTarget,
+                        core::Instant aUntil)
+{
+  const core::PermitRules rules;
+  const auto waiter = m_waiting.at(aAsk.attempt);
+  waiter->target = aTarget;
+  waiter->answer.reset();
+  // The owner refuses at the deadline; its word may take one repeat to come.
+  const auto give_up = aUntil + rules.repeat_within;
+  while (!waiter->abandoned && !waiter->answer &&
+         RuntimeClock::now() < give_up) {
+    SendAsk(aAsk, aTarget, aUntil);
+    waiter->timer.expires_after(rules.repeat_within / 2);
+    boost::system::error_code ignored;
+    co_await waiter->timer.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+  }
+  if (!waiter->answer) {
+    HolderOf(aTarget).Forget(aAsk.attempt);
+    TellOwner(aTarget, wire::PermitWithdraw{ aTarget, aAsk.attempt });
+  }
+  co_return waiter->answer;
+}
+
+void
+EntryService::SendAsk(const AdmissionAsk& aAsk,
+                      const core::TargetId& aTarget,
+                      core::Instant aUntil)
+{
+  const auto now = RuntimeClock::now();
+  HolderOf(aTarget).Asked(aAsk.attempt, aAsk.account);
+  TellOwner(aTarget,
+            wire::PermitAsk{ aTarget,
+                             aAsk.attempt,
+                             aAsk.account,
+                             aAsk.priority,
+                             std::max(aUntil - now, core::Duration::zero()),
+                             aAsk.cost_tokens,
+                             MarkOf(now) });
+}
+
+void
+EntryService::OnAnswer(const wire::PermitAnswer& aAnswer)
+{
+  const auto found = m_waiting.find(aAnswer.request);
+  Waiter* waiter = found == m_waiting.end() ? nullptr : found->second.get();
+  const bool waits = waiter != nullptr && waiter->target == aAnswer.target;
+  if (aAnswer.outcome == wire::PermitOutcome::kGranted) {
+    const core::PermitGranted grant{ aAnswer.request,
+                                     m_peers.Self(),
+                                     { aAnswer.epoch, aAnswer.number },
+                                     {},
+                                     aAnswer.mark };
+    const auto outcome =
+      HolderOf(aAnswer.target)
+        .OnGranted(grant, InstantOf(aAnswer.mark), RuntimeClock::now());
+    if (std::holds_alternative<core::GiveBackPermit>(outcome)) {
+      ++m_counters.permits_too_late;
+      wire::PermitRelease release;
+      release.target = aAnswer.target;
+      release.epoch = aAnswer.epoch;
+      release.number = aAnswer.number;
+      TellOwner(aAnswer.target, std::move(release));
+    }
+    if (!std::holds_alternative<core::StartRun>(outcome)) {
+      return;
+    }
+    if (!waits) {
+      wire::PermitRelease unused;
+      unused.target = aAnswer.target;
+      unused.epoch = aAnswer.epoch;
+      unused.number = aAnswer.number;
+      Release(std::move(unused));
+      return;
+    }
+  } else if (waits) {
+    HolderOf(aAnswer.target).Forget(aAnswer.request);
+  }
+  if (aAnswer.outcome == wire::PermitOutcome::kNotOwner) {
+    ++m_counters.not_owner;
+  }
+  if (waits) {
+    waiter->answer = aAnswer;
+    waiter->timer.cancel();
+  }
+}
+
+wire::HoldingsAnswer
+EntryService::Holdings(const wire::HoldingsAsk& aAsk)
+{
+  core::HoldingsAnswer told = HolderOf(aAsk.target).Answer({ aAsk.up_to });
+  return { aAsk.target, told.up_to, std::move(told.held) };
+}
+
+std::vector<RunsStatus>
+EntryService::Runs() const
+{
+  std::vector<RunsStatus> runs;
+  for (const auto& [target, holder] : m_holders) {
+    const std::size_t count = holder.Held().size();
+    if (count > 0) {
+      runs.push_back({ target.Text(), count });
+    }
+  }
+  return runs;
+}
+
+void
+EntryService::Abandon(const core::RequestId& aAttempt)
+{
+  const auto found = m_waiting.find(aAttempt);
+  if (found == m_waiting.end()) {
+    return;
+  }
+  found->second->abandoned = true;
+  found->second->timer.cancel();
+}
+
+void
+EntryService::Started(const core::TargetId& aTarget,
+                      const core::PermitId& aPermit)
+{
+  TellOwner(aTarget,
+            wire::PermitStarted{ aTarget, aPermit.epoch, aPermit.number });
+}
+
+void
+EntryService::Release(wire::PermitRelease aRelease)
+{
+  HolderOf(aRelease.target).Ended({ aRelease.epoch, aRelease.number });
+  const core::TargetId target = aRelease.target;
+  TellOwner(target, std::move(aRelease));
+}
+
+Admitted
+EntryService::MakeAdmitted(const AdmissionAsk& aAsk,
+                           const core::RoutePlan& aPlan,
+                           const wire::PermitAnswer& aAnswer) const
+{
+  const core::PermitRules rules;
+  Admitted admitted;
+  admitted.target = aPlan.target;
+  admitted.permit = { aAnswer.epoch, aAnswer.number };
+  admitted.start_by = InstantOf(aAnswer.mark) + rules.start_window;
+  admitted.plan = aPlan;
+  if (const auto* target = m_members.Find(aPlan.target.View())) {
+    admitted.authority = target->address;
+  }
+  if (aPlan.import) {
+    if (const auto* store = m_members.Find(aPlan.import->store.View())) {
+      admitted.import_authority = store->address;
+    }
+  }
+  for (const core::ContextKey& key : core::SparseKeys(aAsk.chain)) {
+    admitted.sparse_keys.push_back(RawKey(key));
+  }
+  return admitted;
+}
+
+core::PermitHolder&
+EntryService::HolderOf(const core::TargetId& aTarget)
+{
+  const auto found = m_holders.find(aTarget);
+  if (found != m_holders.end()) {
+    return found->second;
+  }
+  return m_holders.emplace(aTarget, core::PermitHolder::For(m_peers.Self()))
+    .first->second;
+}
+
+void
+EntryService::TellOwner(const core::TargetId& aTarget, wire::Message aMessage)
+{
+  if (const auto owner = m_owners.OwnerOf(aTarget)) {
+    m_peers.Tell(*owner, std::move(aMessage));
+  }
+}
+
+} // namespace jujubehead::node
--- /dev/null
+++ b/src/jujubehead/node/ownership_service.hpp
@@ -0,0 +1,63 @@
+#ifndef JUJUBEHEAD_NODE_OWNERSHIP_SERVICE_HPP
+#define JUJUBEHEAD_NODE_OWNERSHIP_SERVICE_HPP
+
+#include <optional> // for optional
+
+#include <boost/asio/awaitable.hpp> // for awaitable
+
+#include "jujubehead/core/ownership.hpp"      // for Ownership
+#include "jujubehead/net/ownership_store.hpp" // for OwnershipStore
+#include "jujubehead/node/owner_map.hpp"      // for OwnerMap
+
+namespace jujubehead::node {
+
+class MemberBook;
+class OwnerService;
+class PeerCalls;
+
+/// @brief Carries out what core::Ownership decides: the messages, the rows of
+/// the table service, and which targets this instance admits work to.
+class OwnershipService : public OwnerMap
+{
+public:
+  /// @param aPeers, aMembers, aStore, aOwner outlive this.
+  OwnershipService(PeerCalls& aPeers,
+                   const MemberBook& aMembers,
+                   net::OwnershipStore& aStore,
+                   OwnerService& aOwner,
+                   core::DataCentreId aDataCentre);
+
+  /// @brief Ticks for as long as the context runs.
+  boost::asio::awaitable<void> Run();
+
+  /// @brief The platform's list changed.
+  void OnMembers();
+  void OnMessage(const core::InstanceId& aFrom,
+                 const core::OwnershipMessage& aMessage);
+  void OnHandedOver(const core::HandedOver& aHanded);
+  /// @brief Planned stop of this instance: hands everything over.
+  void Leave();
+
+  [[nodiscard]] std::optional<core::InstanceId> OwnerOf(
+    const core::TargetId& aTarget) const override;
+  [[nodiscard]] bool MayAdmit(const core::TargetId& aTarget) const;
+  [[nodiscard]] bool IsReady() const { return m_ownership.IsReady(); }
+  [[nodiscard]] bool HasLeft() const { return m_ownership.HasLeft(); }
+
+private:
+  struct CarryOut;
+
+  void TakeActions();
+  boost::asio::awaitable<void> Write(core::WriteRows aWrite);
+  boost::asio::awaitable<void> Read(core::ReadRows aRead);
+
+  PeerCalls& m_peers;
+  const MemberBook& m_members;
+  net::OwnershipStore& m_store;
+  OwnerService& m_owner;
+  core::Ownership m_ownership;
+};
+
+} // namespace jujubehead::node
+
+#endif // JUJUBEHEAD_NODE_OWNERSHIP_SERVICE_HPP
--- /dev/null
+++ b/src/jujubehead/node/table_watch.cpp
@@ -0,0 +1,131 @@
+#include "jujubehead/node/table_watch.hpp"
+
+#include <algorithm> // for max, shuffle
+#include <random>    // for mt19937_64
+
+#include <boost/asio/co_spawn.hpp> // for co_spawn
+#include <boost/asio/detached.hpp> // for detached
+
+#include "jujubehead/net/table_follow.hpp" // for FollowOnce
+#include "jujubehead/net/timer.hpp"        // for Sleep
+#include "jujubehead/node/member_book.hpp" // for MemberBook
+#include "jujubehead/node/peer_calls.hpp"  // for PeerCalls
+
+namespace jujubehead::node {
+namespace {
+
+namespace asio = boost::asio;
+using core::RuntimeClock;
+
+constexpr core::Duration kHeadTimeout = std::chrono::seconds(1);
+constexpr core::Duration kSnapshotTimeout = std::chrono::seconds(3);
+constexpr core::Duration kAskInterval = std::chrono::seconds(1);
+// A starting instance asks so many peers at a time what they have.
+constexpr std::size_t kPeersAsked = 16;
+// Follower steps are looked for at least this often.
+constexpr core::Duration kLongestSleep = std::chrono::seconds(1);
+constexpr core::Duration kShortestSleep = std::chrono::milliseconds(5);
+
+core::TableFollowerOptions
+FollowerOptions(const core::InstanceId& aSelf)
+{
+  constexpr double kJitterSteps = 1000;
+  core::TableFollowerOptions options;
+  const auto hash = std::hash<core::InstanceId>{}(aSelf);
+  options.jitter =
+    static_cast<double>(hash % static_cast<std::size_t>(kJitterSteps)) /
+    kJitterSteps;
+  return options;
+}
+
+} // namespace
+
+TableWatch::TableWatch(net::TableLog& aLog,
+                       PeerCalls& aPeers,
+                       const MemberBook& aMembers,
+                       std::function<void()> aOnChange)
+  : m_log(aLog)
+  , m_peers(aPeers)
+  , m_members(aMembers)
+  , m_on_change(std::move(aOnChange))
+  , m_follower(FollowerOptions(aPeers.Self()))
+{
+}
+
+asio::awaitable<void>
+TableWatch::Run()
+{
+  asio::co_spawn(m_peers.Context(), AskPeersUntilReady(), asio::detached);
+  for (;;) {
+    const std::uint64_t before = View().Version();
+    const core::Instant until = co_await net::FollowOnce(
+      m_log, m_follower, [this](core::InstanceId aPeer) {
+        return AskSnapshot(std::move(aPeer));
+      });
+    if (View().Version() != before) {
+      m_on_change();
+    }
+    const core::Duration wait = until - RuntimeClock::now();
+    co_await net::Sleep(std::clamp(wait, kShortestSleep, kLongestSleep));
+  }
+}
+
+wire::TableHead
+TableWatch::Head() const
+{
+  return { NotReady() ? 0 : View().Version() };
+}
+
+wire::TableAnswer
+TableWatch::Snapshot() const
+{
+  const auto bytes = core::ToCbor(*View().Current());
+  return { { bytes.begin(), bytes.end() } };
+}
+
+asio::awaitable<void>
+TableWatch::AskPeersUntilReady()
+{
+  std::mt19937_64 random(std::hash<core::InstanceId>{}(m_peers.Self()));
+  while (NotReady()) {
+    std::vector<core::InstanceId> peers = m_members.LiveInstances();
+    std::erase(peers, m_peers.Self());
+    std::shuffle(peers.begin(), peers.end(), random);
+    peers.resize(std::min(peers.size(), kPeersAsked));
+    for (core::InstanceId& peer : peers) {
+      asio::co_spawn(
+        m_peers.Context(), AskHead(std::move(peer)), asio::detached);
+    }
+    co_await net::Sleep(kAskInterval);
+  }
+}
+
+asio::awaitable<void>
+TableWatch::AskHead(core::InstanceId aPeer)
+{
+  wire::Message ask = wire::TableHead{ 0 };
+  const auto answer = co_await m_peers.Ask(aPeer, std::move(ask), kHeadTimeout);
+  if (!answer) {
+    co_return;
+  }
+  if (const auto* head = std::get_if<wire::TableHead>(&*answer)) {
+    m_follower.OnPeerVersion(aPeer, head->version);
+  }
+}
+
+asio::awaitable<std::optional<std::string>>
+TableWatch::AskSnapshot(core::InstanceId aPeer)
+{
+  wire::Message ask = wire::TableAsk{};
+  auto answer = co_await m_peers.Ask(aPeer, std::move(ask), kSnapshotTimeout);
+  if (!answer) {
+    co_return std::nullopt;
+  }
+  auto* snapshot = std::get_if<wire::TableAnswer>(&*answer);
+  if (snapshot == nullptr) {
+    co_return std::nullopt;
+  }
+  co_return std::move(snapshot->snapshot);
+}
+
+} // namespace jujubehead::node
