Refuse input that is nested too deep to be handled by recursion

Cause: the JSON library reads CBOR and writes JSON by recursion. A trial with a message of a million nested arrays ended in a segmentation fault: anyone who could reach the port between instances could end an instance before proving anything, by one greeting of a megabyte. Greetings are now at most 1 KiB.

--- a/src/jujubehead/net/peer_handshake_test.cpp
+++ b/src/jujubehead/net/peer_handshake_test.cpp
@@ -88,6 +88,14 @@
   CHECK(listener.Take(DiallerOf().Begin()).step == Step::kRefused);
 }
 
+TEST(PeerHandshake, ADeeplyNestedGreetingIsRefusedUnread)
+{
+  constexpr std::uint8_t kArrayOfOne = 0x81;
+  auto listener = ListenerOf("b");
+  const Bytes deep(1024UL * 1024, kArrayOfOne);
+  CHECK(listener.Take(deep).step == Step::kRefused);
+}
+
 TEST(PeerHandshake, NoBytesOpenAListener)
 {
   CHECK(rc::check("bytes without the secret", [](const Bytes& aBytes) {
--- a/src/jujubehead/net/peer_proof.cpp
+++ b/src/jujubehead/net/peer_proof.cpp
@@ -17,6 +17,9 @@
 
 constexpr std::size_t kNonceBytes = 32;
 constexpr std::size_t kNameLimit = 256;
+/// The CBOR reader goes down by recursion; a longer greeting of someone who has
+/// proved nothing yet could take it too deep.
+constexpr std::size_t kGreetingBytes = 1024;
 /// Of this form of the greeting; another one is refused.
 constexpr int kProtocol = 1;
 
@@ -92,6 +95,9 @@
 std::optional<PeerGreeting>
 DecodeGreeting(std::span<const std::uint8_t> aBytes)
 {
+  if (aBytes.size() > kGreetingBytes) {
+    return std::nullopt;
+  }
   try {
     return FromJson(json::from_cbor(aBytes.begin(), aBytes.end()));
   } catch (const std::exception&) {
