Tell a holder's processes apart, and hand reservations over

Random schedules found four faults: - a restarted instance answered for the permits of its earlier process, whose runs may go on at the target: a permit now names the holder's process, and the target's own report decides over those of an earlier one; - a group handed over while places were still reserved lost the reservation: the hand-over says whether its list is complete; - a witness that was asked for its vote before the first renewal reached it refused that lease for good: it now waits out a lease first; - a witness that was replaced could still finish an election: the row names it as a former one until the other witness knows the new row.

--- a/bench/agreement/fake_engine.hpp
+++ b/bench/agreement/fake_engine.hpp
@@ -42,6 +42,10 @@
   {
     return static_cast<std::uint32_t>(m_running.size());
   }
+  [[nodiscard]] const std::map<core::RequestId, core::PermitId>& All() const
+  {
+    return m_running;
+  }
   [[nodiscard]] std::uint64_t Overshoot() const { return m_overshoot; }
   [[nodiscard]] std::vector<core::RequestId> Requests() const
   {
--- a/bench/agreement/sim_node.cpp
+++ b/bench/agreement/sim_node.cpp
@@ -228,6 +228,7 @@
   ask.account = kAccount;
   ask.deadline = aPending.deadline - now;
   ask.cost_tokens = 1;
+  ask.process = m_process;
   Post(*owner, wire::Envelope{ m_last_call, false, ask });
 }
 
@@ -239,8 +240,9 @@
     return found->second;
   }
   return m_holders
-    .emplace(aGroup,
-             core::PermitHolder::For(m_id, HolderRules(m_world.Options())))
+    .emplace(
+      aGroup,
+      core::PermitHolder::For(m_id, HolderRules(m_world.Options()), m_process))
     .first->second;
 }
 
@@ -264,7 +266,8 @@
                          aAsk.priority,
                          now + aAsk.deadline,
                          aAsk.cost_tokens,
-                         aCall },
+                         aCall,
+                         aAsk.process },
                        now);
   Decide(group);
 }
@@ -416,7 +419,9 @@
     }
   } else if constexpr (std::is_same_v<Message, wire::HoldingsAsk>) {
     auto& holder = Holder(GroupOf(aMessage.target));
-    wire::HoldingsAnswer answer{ aMessage.target, aMessage.up_to, {} };
+    wire::HoldingsAnswer answer{
+      aMessage.target, aMessage.up_to, {}, m_process
+    };
     answer.held = m_world.Options().breaks.ignore_answers
                     ? holder.Held()
                     : holder.Answer({ aMessage.up_to }).held;
@@ -424,7 +429,8 @@
   } else if constexpr (std::is_same_v<Message, wire::HoldingsAnswer>) {
     const auto book = m_books.find(GroupOf(aMessage.target));
     if (book != m_books.end()) {
-      book->second.AcceptHolding({ aFrom, aMessage.up_to, aMessage.held }, now);
+      book->second.AcceptHolding(
+        { aFrom, aMessage.up_to, aMessage.held, aMessage.process }, now);
       Decide(book->first);
     }
   }
@@ -488,12 +494,12 @@
   auto book =
     core::PermitBook::ForEpoch(aAction.epoch, options.limit, options.permits);
   book.SetShare({ kAccount, 1, options.limit, 1000 });
-  if (aAction.is_handed) {
-    book.Adopt(aAction.held, m_world.Now());
-  } else if (!aAction.is_first && !options.breaks.forget_unknown) {
+  const bool complete = aAction.is_first || aAction.is_handed;
+  if (!complete && !options.breaks.forget_unknown) {
     book.ReserveUnknown(options.limit,
                         aAction.previous_end + options.permits.start_window);
   }
+  book.Adopt(aAction.held, m_world.Now());
   m_books.insert_or_assign(aAction.group, std::move(book));
   m_grants.erase(aAction.group);
   Out([this, aAction] {
@@ -519,7 +525,8 @@
     return;
   }
   Post(aAction.row.owner.instance,
-       core::HandedOver{ aAction.row, book->second.Held() });
+       core::HandedOver{
+         aAction.row, book->second.Held(), book->second.Reserved() == 0 });
   m_books.erase(book);
 }
 
@@ -595,6 +602,15 @@
   text += !m_alive ? " dead" : m_paused ? " paused" : "";
   text += m_own.IsReady() ? "" : " not-ready";
   text += m_own.LeaseUntil() > m_world.Now() ? " valid" : " lapsed";
+  text += " " + std::to_string(m_process >> core::Incarnation::kLeaseBits);
+  if (const auto lease = m_own.Lease()) {
+    text += " rev " + std::to_string(lease->rev) + " witnesses";
+    for (const core::Incarnation& witness : lease->witnesses) {
+      text += " " + witness.instance.Text() + "/" +
+              std::to_string(witness.number >> core::Incarnation::kLeaseBits);
+    }
+    text += ";";
+  }
   for (const GroupId& group : m_own.Owned()) {
     text += " " + group.Text() + "@" + std::to_string(*m_own.EpochOf(group));
     text += m_own.MayAdmit(group, m_world.Now()) ? "" : "(held back)";
--- a/include/jujubehead/core/ownership.hpp
+++ b/include/jujubehead/core/ownership.hpp
@@ -111,9 +111,9 @@
 {
   GroupId group;
   std::uint64_t epoch = 0;
-  bool is_first = false;  ///< Never owned before: no earlier permits.
-  bool is_handed = false; ///< `held` are all permits of earlier owners.
-  std::vector<HeldPermit> held;
+  bool is_first = false;        ///< Never owned before: no earlier permits.
+  bool is_handed = false;       ///< `held` are all permits of earlier owners.
+  std::vector<HeldPermit> held; ///< Permits that are known to be out.
   /// No earlier owner granted anything after this, by this instance's clock.
   Instant previous_end;
 };
@@ -140,16 +140,17 @@
                                      StopOwning,
                                      HandOverGroup>;
 
-/// @brief Previous owner to the next: all permits that are out.
+/// @brief Previous owner to the next: the permits that are out.
 struct HandedOver
 {
   GroupRow row;
   std::vector<HeldPermit> held;
+  bool complete = false; ///< Nothing was reserved for unknown ones.
 
   template<typename Self>
   static auto Fields(Self& aSelf)
   {
-    return std::tie(aSelf.row, aSelf.held);
+    return std::tie(aSelf.row, aSelf.held, aSelf.complete);
   }
 };
 
@@ -193,6 +194,8 @@
   [[nodiscard]] std::vector<GroupId> Owned() const;
   /// @return when this instance must stop admitting, by its own clock.
   [[nodiscard]] Instant LeaseUntil() const;
+  /// @return this instance's lease as the table service has it.
+  [[nodiscard]] std::optional<LeaseRow> Lease() const;
   /// @return whether all rows were read once.
   [[nodiscard]] bool IsReady() const;
   /// @return after Leave(): nothing is owned any more.
--- a/include/jujubehead/core/ownership_messages.hpp
+++ b/include/jujubehead/core/ownership_messages.hpp
@@ -67,14 +67,16 @@
 {
   Incarnation lease;
   std::vector<Incarnation> witnesses; ///< The first may take over.
-  std::uint64_t rev = 0;              ///< Of the row; 0: there is none.
+  /// Replaced, but a takeover that they began may be under way.
+  std::vector<Incarnation> former;
+  std::uint64_t rev = 0; ///< Of the row; 0: there is none.
 
   friend bool operator==(const LeaseRow&, const LeaseRow&) = default;
 
   template<typename Self>
   static auto Fields(Self& aSelf)
   {
-    return std::tie(aSelf.lease, aSelf.witnesses, aSelf.rev);
+    return std::tie(aSelf.lease, aSelf.witnesses, aSelf.former, aSelf.rev);
   }
 };
 
--- a/include/jujubehead/core/permit.hpp
+++ b/include/jujubehead/core/permit.hpp
@@ -56,6 +56,7 @@
   /// Opaque to the owner, which echoes the latest: the holder finds by it when
   /// it sent that message, and starts only within the start window after it.
   std::uint64_t mark = 0;
+  std::uint64_t process = 0; ///< Of the holder: drawn when it starts.
 };
 
 /// @brief Why a request was not run.
@@ -106,13 +107,15 @@
   RequestId request;
   InstanceId holder;
   AccountId account;
+  std::uint64_t process = 0; ///< Of the holder.
 
   friend bool operator==(const HeldPermit&, const HeldPermit&) = default;
 
   template<typename Self>
   static auto Fields(Self& aSelf)
   {
-    return std::tie(aSelf.permit, aSelf.request, aSelf.holder, aSelf.account);
+    return std::tie(
+      aSelf.permit, aSelf.request, aSelf.holder, aSelf.account, aSelf.process);
   }
 };
 
@@ -123,12 +126,15 @@
 };
 
 /// @brief Holder to owner: these and no others. From now on the holder starts
-/// nothing under a permit up to `up_to` that is not listed.
+/// nothing under a permit up to `up_to` that is not listed. It speaks for its
+/// own process only: runs that an earlier process of the instance began may
+/// still go on.
 struct HoldingsAnswer
 {
   InstanceId holder;
   PermitId up_to;
   std::vector<HeldPermit> held;
+  std::uint64_t process = 0;
 };
 
 /// @brief What a target itself says it runs.
--- a/include/jujubehead/core/permit_holder.hpp
+++ b/include/jujubehead/core/permit_holder.hpp
@@ -1,6 +1,7 @@
 #ifndef JUJUBEHEAD_CORE_PERMIT_HOLDER_HPP
 #define JUJUBEHEAD_CORE_PERMIT_HOLDER_HPP
 
+#include <cstdint> // for uint64_t
 #include <map>     // for map
 #include <variant> // for variant
 #include <vector>  // for vector
@@ -33,7 +34,10 @@
 class PermitHolder
 {
 public:
-  static PermitHolder For(InstanceId aSelf, PermitRules aRules = {});
+  /// @param aProcess drawn at random when the process starts.
+  static PermitHolder For(InstanceId aSelf,
+                          PermitRules aRules = {},
+                          std::uint64_t aProcess = 0);
 
   /// @brief A request is about to be sent to the owner, or sent again.
   void Asked(const RequestId& aRequest, const AccountId& aAccount);
@@ -52,7 +56,7 @@
   [[nodiscard]] std::vector<HeldPermit> Held() const;
 
 private:
-  PermitHolder(InstanceId aSelf, PermitRules aRules);
+  PermitHolder(InstanceId aSelf, PermitRules aRules, std::uint64_t aProcess);
 
   struct Waiting
   {
@@ -62,6 +66,7 @@
 
   InstanceId m_self;
   PermitRules m_rules;
+  std::uint64_t m_process;
   std::map<RequestId, Waiting> m_waiting;
   std::map<PermitId, HeldPermit> m_held;
   PermitId m_answered; ///< Grants up to this one are void unless held.
--- a/include/jujubehead/wire/messages.hpp
+++ b/include/jujubehead/wire/messages.hpp
@@ -81,6 +81,7 @@
   core::Duration deadline{}; ///< How long the request may wait from now.
   std::uint32_t cost_tokens = 0;
   std::uint64_t mark = 0; ///< When this message was sent, by its sender.
+  std::uint64_t process = 0; ///< Of the entry: drawn when it starts.
 
   template<typename Self>
   static auto Fields(Self& aSelf)
@@ -91,7 +92,8 @@
                     aSelf.priority,
                     aSelf.deadline,
                     aSelf.cost_tokens,
-                    aSelf.mark);
+                    aSelf.mark,
+                    aSelf.process);
   }
 };
 
@@ -317,11 +319,12 @@
   core::TargetId target;
   core::PermitId up_to;
   std::vector<core::HeldPermit> held;
+  std::uint64_t process = 0;
 
   template<typename Self>
   static auto Fields(Self& aSelf)
   {
-    return std::tie(aSelf.target, aSelf.up_to, aSelf.held);
+    return std::tie(aSelf.target, aSelf.up_to, aSelf.held, aSelf.process);
   }
 };
 
--- a/src/jujubehead/core/lease_holder.cpp
+++ b/src/jujubehead/core/lease_holder.cpp
@@ -56,13 +56,14 @@
   std::vector<Slot> slots;
   const bool survivor =
     std::any_of(m_slots.begin(), m_slots.end(), [&aRow](const Slot& aSlot) {
-      return std::find(aRow.witnesses.begin(),
-                       aRow.witnesses.end(),
-                       aSlot.witness) != aRow.witnesses.end();
+      return aSlot.counts && std::find(aRow.witnesses.begin(),
+                                       aRow.witnesses.end(),
+                                       aSlot.witness) != aRow.witnesses.end();
     });
   for (const Incarnation& witness : aRow.witnesses) {
     if (const Slot* known = Find(witness)) {
       slots.push_back(*known);
+      slots.back().counts = known->counts || !survivor;
       continue;
     }
     Slot slot;
@@ -152,15 +153,20 @@
       slot.version = std::max(slot.version, aAck.version);
     }
   }
-  const bool known =
-    std::any_of(m_slots.begin(), m_slots.end(), [this](const Slot& aSlot) {
-      return aSlot.counts && aSlot.config >= m_row.rev;
-    });
+  const bool confirmed = IsConfirmed();
   for (Slot& slot : m_slots) {
-    slot.counts = slot.counts || known;
+    slot.counts = slot.counts || confirmed;
   }
 }
 
+bool
+LeaseHolder::IsConfirmed() const
+{
+  return std::any_of(m_slots.begin(), m_slots.end(), [this](const Slot& aSlot) {
+    return aSlot.counts && aSlot.config >= m_row.rev;
+  });
+}
+
 const LeaseHolder::Slot*
 LeaseHolder::Find(const Incarnation& aWitness) const
 {
--- a/src/jujubehead/core/lease_holder.hpp
+++ b/src/jujubehead/core/lease_holder.hpp
@@ -28,6 +28,8 @@
   [[nodiscard]] bool IsKnown(std::uint64_t aVersion) const;
   /// @return whether that witness keeps the list as it is now.
   [[nodiscard]] bool IsUpToDate(const Incarnation& aWitness) const;
+  /// @return whether a witness of the row before knows the row as it is now.
+  [[nodiscard]] bool IsConfirmed() const;
   /// @return renewals that are due, at once after a change of the list.
   std::vector<SendMessage> Renew(Instant aNow);
   void OnAck(const LeaseAck& aAck, Instant aNow);
--- a/src/jujubehead/core/lease_reaper.cpp
+++ b/src/jujubehead/core/lease_reaper.cpp
@@ -8,6 +8,14 @@
 
 constexpr Duration kAskEvery = std::chrono::seconds(1);
 
+std::vector<Incarnation>
+Witnesses(const LeaseRow& aRow)
+{
+  std::vector<Incarnation> all = aRow.witnesses;
+  all.insert(all.end(), aRow.former.begin(), aRow.former.end());
+  return all;
+}
+
 } // namespace
 
 std::vector<SendMessage>
@@ -25,7 +33,7 @@
   pursued.asked_at = aNow;
   const VoteRequest request{ aRow.lease, m_self, false };
   messages.push_back({ aRow.lease.instance, request });
-  for (const Incarnation& witness : aRow.witnesses) {
+  for (const Incarnation& witness : Witnesses(aRow)) {
     messages.push_back({ witness.instance, request });
   }
   return messages;
@@ -97,18 +105,26 @@
   const auto accounted = [&](const Incarnation& aMember) {
     return IsAccounted(pursued, aMember, aEvidence);
   };
-  const auto& witnesses = pursued.row.witnesses;
+  const auto witnesses = Witnesses(pursued.row);
   if (!accounted(aLease) ||
       !std::all_of(witnesses.begin(), witnesses.end(), accounted)) {
     return false;
   }
   aSet.emplace(aLease, pursued.row);
-  if (witnesses.empty() || !IsGone(pursued, witnesses.front(), aEvidence)) {
-    return true;
-  }
-  for (const LeaseRow& row :
-       aEvidence.map.LeasesOf(witnesses.front().instance)) {
-    if (row.lease.IsSameProcess(witnesses.front()) &&
+  return std::all_of(
+    witnesses.begin(), witnesses.end(), [&](const Incarnation& aWitness) {
+      return !IsGone(pursued, aWitness, aEvidence) ||
+             CollectOf(aWitness, aEvidence, aSet);
+    });
+}
+
+bool
+LeaseReaper::CollectOf(const Incarnation& aProcess,
+                       const Evidence& aEvidence,
+                       std::map<Incarnation, LeaseRow>& aSet) const
+{
+  for (const LeaseRow& row : aEvidence.map.LeasesOf(aProcess.instance)) {
+    if (row.lease.IsSameProcess(aProcess) &&
         !Collect(row.lease, aEvidence, aSet)) {
       return false;
     }
--- a/src/jujubehead/core/lease_reaper.hpp
+++ b/src/jujubehead/core/lease_reaper.hpp
@@ -61,6 +61,10 @@
   [[nodiscard]] bool Collect(const Incarnation& aLease,
                              const Evidence& aEvidence,
                              std::map<Incarnation, LeaseRow>& aSet) const;
+  /// Who went may have taken over before.
+  [[nodiscard]] bool CollectOf(const Incarnation& aProcess,
+                               const Evidence& aEvidence,
+                               std::map<Incarnation, LeaseRow>& aSet) const;
 
   Incarnation m_self;
   std::map<Incarnation, Case> m_cases;
--- a/src/jujubehead/core/lease_witness.cpp
+++ b/src/jujubehead/core/lease_witness.cpp
@@ -72,7 +72,8 @@
   auto [at, is_new] = m_records.try_emplace(aRequest.lease);
   Record& record = at->second;
   if (is_new) {
-    record.lapses_at = aNow;
+    // Its holder may be about to renew it here for the first time.
+    record.lapses_at = aNow + m_rules.lease + m_rules.drift;
   }
   VoteReply reply;
   reply.lease = aRequest.lease;
@@ -118,23 +119,15 @@
     return;
   }
   Record& record = found->second;
-  if (aReply.config > record.row.rev) {
-    // The holder replaced this witness, or changed the other: wait for its
-    // renewal, or for those who know the newer row.
+  if (aReply.vote == Vote::kGranted) {
+    record.agreed[aReply.voter] = aNow - aReply.lapsed_since;
+    if (aReply.list.version > record.list.version) {
+      record.list = aReply.list;
+    }
+  } else if (aReply.config > record.row.rev) {
+    // The holder replaced this witness meanwhile.
     record.row.witnesses.clear();
     record.row.rev = aReply.config;
-    return;
-  }
-  if (aReply.vote != Vote::kGranted || aReply.config != record.row.rev) {
-    return;
-  }
-  if (record.agreed_config != aReply.config) {
-    record.agreed.clear();
-    record.agreed_config = aReply.config;
-  }
-  record.agreed[aReply.voter] = aNow - aReply.lapsed_since;
-  if (aReply.list.version > record.list.version) {
-    record.list = aReply.list;
   }
 }
 
@@ -157,8 +150,7 @@
       continue;
     }
     const auto agreed = record.agreed.find(witness);
-    if (agreed == record.agreed.end() ||
-        record.agreed_config != record.row.rev) {
+    if (agreed == record.agreed.end()) {
       return std::nullopt;
     }
     previous_end = std::max(previous_end, agreed->second);
--- a/src/jujubehead/core/lease_witness.hpp
+++ b/src/jujubehead/core/lease_witness.hpp
@@ -63,8 +63,8 @@
     Instant lapses_at;
     Standing standing = Standing::kRenewing;
     Incarnation voted_for;
-    std::map<Incarnation, Instant> agreed; ///< With when it lapsed there.
-    std::uint64_t agreed_config = 0;
+    /// Witnesses that refuse it for good, with when it lapsed there.
+    std::map<Incarnation, Instant> agreed;
   };
 
   [[nodiscard]] bool IsFirst(const Record& aRecord) const;
--- a/src/jujubehead/core/ownership.cpp
+++ b/src/jujubehead/core/ownership.cpp
@@ -108,6 +108,12 @@
   return m_impl->LeaseUntil();
 }
 
+std::optional<LeaseRow>
+Ownership::Lease() const
+{
+  return m_impl->Lease();
+}
+
 bool
 Ownership::IsReady() const
 {
--- a/src/jujubehead/core/ownership_impl.cpp
+++ b/src/jujubehead/core/ownership_impl.cpp
@@ -182,7 +182,7 @@
     return;
   }
   StartOwning start;
-  start.is_handed = true;
+  start.is_handed = aHanded.complete;
   start.held = aHanded.held;
   start.previous_end = aNow;
   Start(row, true, std::move(start));
@@ -466,6 +466,15 @@
   return owned;
 }
 
+std::optional<LeaseRow>
+Ownership::Impl::Lease() const
+{
+  if (!m_lease) {
+    return std::nullopt;
+  }
+  return m_lease->Row();
+}
+
 Instant
 Ownership::Impl::LeaseUntil() const
 {
--- a/src/jujubehead/core/ownership_impl.hpp
+++ b/src/jujubehead/core/ownership_impl.hpp
@@ -42,6 +42,7 @@
   [[nodiscard]] std::optional<InstanceId> OwnerOf(const GroupId& aGroup) const;
   [[nodiscard]] std::vector<GroupId> Owned() const;
   [[nodiscard]] Instant LeaseUntil() const;
+  [[nodiscard]] std::optional<LeaseRow> Lease() const;
   [[nodiscard]] bool IsReady() const { return m_ready; }
   [[nodiscard]] bool HasLeft() const { return m_left; }
 
@@ -86,6 +87,7 @@
   bool OpenLease();
   bool Record();
   bool ChangeWitnesses(Instant aNow);
+  [[nodiscard]] std::optional<LeaseRow> NextWitnesses(Instant aNow);
   bool EndLeases(Instant aNow);
   bool Claim(Instant aNow);
   bool Move(Instant aNow);
--- a/src/jujubehead/core/ownership_tick.cpp
+++ b/src/jujubehead/core/ownership_tick.cpp
@@ -20,6 +20,23 @@
 constexpr Duration kLookEvery = std::chrono::seconds(1);
 constexpr Duration kAnnounceEvery = std::chrono::seconds(10);
 
+/// Witnesses that are not in the next row, but may have to be asked.
+std::vector<Incarnation>
+Dropped(const LeaseRow& aRow, const LeaseRow& aNext, bool aConfirmed)
+{
+  std::vector<Incarnation> dropped;
+  if (!aConfirmed) {
+    dropped = aRow.former;
+  }
+  for (const Incarnation& witness : aRow.witnesses) {
+    const auto& next = aNext.witnesses;
+    if (std::find(next.begin(), next.end(), witness) == next.end()) {
+      dropped.push_back(witness);
+    }
+  }
+  return dropped;
+}
+
 std::uint64_t
 NextClaim(std::uint64_t aEpoch)
 {
@@ -285,22 +302,26 @@
 bool
 Ownership::Impl::IsAllLostSafely(Instant aNow)
 {
-  const auto& witnesses = m_lease->Row().witnesses;
+  std::vector<Incarnation> witnesses = m_lease->Row().witnesses;
+  const auto& former = m_lease->Row().former;
+  witnesses.insert(witnesses.end(), former.begin(), former.end());
   for (const Incarnation& witness : witnesses) {
-    const bool gone =
-      m_lease->IsReplaced(witness) || m_watch.IsGone(witness.instance, aNow);
+    const auto said = m_processes.find(witness.instance);
+    const bool replaced =
+      said != m_processes.end() && !said->second.IsSameProcess(witness);
+    const bool gone = replaced || m_watch.IsGone(witness.instance, aNow);
     if (!gone || m_lease->IsRefusedBy(witness)) {
       return false;
     }
-  }
-  // The first may have taken over before it went.
-  const auto rows = m_map.LeasesOf(witnesses.front().instance);
-  const bool succeeded =
-    std::any_of(rows.begin(), rows.end(), [&](const LeaseRow& aRow) {
-      return aRow.lease.IsSameProcess(witnesses.front());
-    });
-  if (succeeded) {
-    return false;
+    // It may have taken over before it went.
+    const auto rows = m_map.LeasesOf(witness.instance);
+    const bool may_own =
+      std::any_of(rows.begin(), rows.end(), [&](const LeaseRow& aRow) {
+        return aRow.lease.IsSameProcess(witness);
+      });
+    if (may_own) {
+      return false;
+    }
   }
   constexpr Duration kFresh = std::chrono::seconds(2);
   if (aNow > m_leases_known_at + kFresh) {
@@ -310,13 +331,13 @@
   return true;
 }
 
-bool
-Ownership::Impl::ChangeWitnesses(Instant aNow)
+std::optional<LeaseRow>
+Ownership::Impl::NextWitnesses(Instant aNow)
 {
-  const auto& witnesses = m_lease->Row().witnesses;
+  const LeaseRow& row = m_lease->Row();
   std::vector<Incarnation> kept;
   std::vector<Incarnation> leaving;
-  for (const Incarnation& witness : witnesses) {
+  for (const Incarnation& witness : row.witnesses) {
     if (m_lease->IsLost(witness, aNow)) {
       m_avoid[witness.instance] = aNow;
     } else if (m_watch.IsLeaving(witness.instance)) {
@@ -333,19 +354,32 @@
     std::any_of(kept.begin(), kept.end(), [this](const Incarnation& aOne) {
       return m_lease->IsUpToDate(aOne);
     });
-  const bool is_free = witnesses.empty() || !m_lease_used;
+  const bool is_free = row.witnesses.empty() || !m_lease_used;
   if (!is_free && !has_survivor && !IsAllLostSafely(aNow)) {
-    return false;
+    return std::nullopt;
+  }
+  LeaseRow next = row;
+  next.witnesses = PickWitnesses(kept, aNow);
+  next.former.clear();
+  const bool fewer = next.witnesses.size() < row.witnesses.size();
+  if (next.witnesses.empty() || (fewer && has_survivor)) {
+    return std::nullopt;
+  }
+  if (has_survivor && !is_free) {
+    next.former = Dropped(row, next, m_lease->IsConfirmed());
   }
-  LeaseRow row = m_lease->Row();
-  row.witnesses = PickWitnesses(kept, aNow);
-  const bool fewer = row.witnesses.size() < witnesses.size();
-  if (row.witnesses == witnesses || row.witnesses.empty() ||
-      (fewer && has_survivor)) {
+  return next;
+}
+
+bool
+Ownership::Impl::ChangeWitnesses(Instant aNow)
+{
+  const auto next = NextWitnesses(aNow);
+  if (!next || *next == m_lease->Row()) {
     return false;
   }
   WriteRows write;
-  write.puts.emplace_back(row);
+  write.puts.emplace_back(*next);
   Write(std::move(write));
   return true;
 }
@@ -410,8 +444,12 @@
   const auto said = m_processes.find(lease.instance);
   const bool replaced =
     said != m_processes.end() && !said->second.IsSameProcess(lease);
-  return replaced || m_watch.IsGone(lease.instance, aNow) ||
-         m_map.LeasesOf(lease.instance).size() > 1;
+  const auto rows = m_map.LeasesOf(lease.instance);
+  const bool followed =
+    std::any_of(rows.begin(), rows.end(), [&lease](const LeaseRow& aOther) {
+      return aOther.lease.IsSameProcess(lease) && aOther.lease > lease;
+    });
+  return replaced || followed || m_watch.IsGone(lease.instance, aNow);
 }
 
 bool
@@ -496,7 +534,7 @@
     return false;
   }
   for (const Incarnation& lease : ended) {
-    write.checks.push_back({ lease, {}, 0 });
+    write.checks.push_back({ lease, {}, {}, 0 });
   }
   Write(std::move(write));
   return true;
--- a/src/jujubehead/core/permit_book.cpp
+++ b/src/jujubehead/core/permit_book.cpp
@@ -45,7 +45,7 @@
 
   void Request(const PermitRequest& aRequest, Instant aNow)
   {
-    m_ledger.Heard(aRequest.holder, aNow);
+    m_ledger.Heard(aRequest.holder, aRequest.process, aNow);
     if (LedgerEntry* entry = m_ledger.Find(aRequest.request)) {
       entry->mark = aRequest.mark;
       entry->heard_at = aNow;
@@ -70,14 +70,14 @@
   {
     if (LedgerEntry* entry = m_ledger.Find(aPermit)) {
       entry->started = true;
-      m_ledger.Heard(entry->held.holder, aNow);
+      m_ledger.Heard(entry->held.holder, entry->held.process, aNow);
     }
   }
 
   void Release(const PermitId& aPermit, Instant aNow)
   {
     if (const auto entry = m_ledger.Release(aPermit)) {
-      m_ledger.Heard(entry->held.holder, aNow);
+      m_ledger.Heard(entry->held.holder, entry->held.process, aNow);
       Settle(*entry, aNow);
     }
   }
@@ -214,7 +214,8 @@
     entry.held = { PermitId{ m_epoch, ++m_last_number },
                    request.request,
                    request.holder,
-                   request.account };
+                   request.account,
+                   request.process };
     entry.granted_at = aNow;
     entry.heard_at = aChosen.waiting.heard_at;
     entry.confirmed_at = aNow;
--- a/src/jujubehead/core/permit_holder.cpp
+++ b/src/jujubehead/core/permit_holder.cpp
@@ -5,16 +5,19 @@
 
 namespace jujubehead::core {
 
-PermitHolder::PermitHolder(InstanceId aSelf, PermitRules aRules)
+PermitHolder::PermitHolder(InstanceId aSelf,
+                           PermitRules aRules,
+                           std::uint64_t aProcess)
   : m_self(std::move(aSelf))
   , m_rules(aRules)
+  , m_process(aProcess)
 {
 }
 
 PermitHolder
-PermitHolder::For(InstanceId aSelf, PermitRules aRules)
+PermitHolder::For(InstanceId aSelf, PermitRules aRules, std::uint64_t aProcess)
 {
-  return { std::move(aSelf), aRules };
+  return { std::move(aSelf), aRules, aProcess };
 }
 
 void
@@ -49,7 +52,8 @@
   }
   m_held.emplace(
     permit,
-    HeldPermit{ permit, aGrant.request, m_self, waiting->second.account });
+    HeldPermit{
+      permit, aGrant.request, m_self, waiting->second.account, m_process });
   m_waiting.erase(waiting);
   return StartRun{ permit };
 }
@@ -64,7 +68,7 @@
 PermitHolder::Answer(const HoldingsQuery& aQuery)
 {
   m_answered = std::max(m_answered, aQuery.up_to);
-  HoldingsAnswer answer{ m_self, aQuery.up_to, {} };
+  HoldingsAnswer answer{ m_self, aQuery.up_to, {}, m_process };
   for (const auto& [permit, held] : m_held) {
     if (permit <= aQuery.up_to) {
       answer.held.push_back(held);
--- a/src/jujubehead/core/permit_ledger.cpp
+++ b/src/jujubehead/core/permit_ledger.cpp
@@ -22,7 +22,8 @@
 {
   const PermitId permit = aEntry.held.permit;
   m_by_request.insert_or_assign(aEntry.held.request, permit);
-  m_heard.try_emplace(aEntry.held.holder, aEntry.heard_at);
+  m_heard.try_emplace(aEntry.held.holder,
+                      Contact{ aEntry.held.process, aEntry.heard_at });
   m_out.emplace(permit, std::move(aEntry));
 }
 
@@ -69,11 +70,13 @@
 }
 
 void
-PermitLedger::Heard(const InstanceId& aHolder, Instant aNow)
+PermitLedger::Heard(const InstanceId& aHolder,
+                    std::uint64_t aProcess,
+                    Instant aNow)
 {
   const auto found = m_heard.find(aHolder);
   if (found != m_heard.end()) {
-    found->second = std::max(found->second, aNow);
+    found->second = { aProcess, std::max(found->second.at, aNow) };
   }
 }
 
@@ -108,14 +111,16 @@
 std::vector<LedgerEntry>
 PermitLedger::Accept(const HoldingsAnswer& aAnswer, Instant aNow)
 {
-  Heard(aAnswer.holder, aNow);
+  Heard(aAnswer.holder, aAnswer.process, aNow);
   std::set<PermitId> listed;
   for (const HeldPermit& held : aAnswer.held) {
     listed.insert(held.permit);
   }
   std::vector<PermitId> gone;
   for (auto& [permit, entry] : m_out) {
-    if (entry.held.holder != aAnswer.holder || permit > aAnswer.up_to) {
+    const bool of_it = entry.held.holder == aAnswer.holder &&
+                       entry.held.process == aAnswer.process;
+    if (!of_it || permit > aAnswer.up_to) {
       continue;
     }
     if (listed.contains(permit)) {
@@ -152,8 +157,7 @@
   std::vector<PermitId> gone;
   for (const auto& [permit, entry] : m_out) {
     const Instant starts_end = entry.heard_at + m_rules.start_window;
-    if (IsSilent(entry.held.holder, aAsOf) &&
-        aAsOf >= starts_end + m_rules.margin &&
+    if (IsSilent(entry.held, aAsOf) && aAsOf >= starts_end + m_rules.margin &&
         !aRunning.contains(entry.held.request)) {
       gone.push_back(permit);
     }
@@ -178,10 +182,11 @@
 }
 
 bool
-PermitLedger::IsSilent(const InstanceId& aHolder, Instant aNow) const
+PermitLedger::IsSilent(const HeldPermit& aHeld, Instant aNow) const
 {
-  const auto found = m_heard.find(aHolder);
-  return found == m_heard.end() || found->second + m_rules.silent_after <= aNow;
+  const auto found = m_heard.find(aHeld.holder);
+  return found == m_heard.end() || found->second.process != aHeld.process ||
+         found->second.at + m_rules.silent_after <= aNow;
 }
 
 std::vector<InstanceId>
@@ -203,7 +208,7 @@
     return true;
   }
   return std::any_of(m_out.begin(), m_out.end(), [&](const auto& aEntry) {
-    return IsSilent(aEntry.second.held.holder, aNow);
+    return IsSilent(aEntry.second.held, aNow);
   });
 }
 
--- a/src/jujubehead/core/permit_ledger.hpp
+++ b/src/jujubehead/core/permit_ledger.hpp
@@ -44,7 +44,7 @@
   [[nodiscard]] LedgerEntry* Find(const RequestId& aRequest);
   [[nodiscard]] LedgerEntry* Find(const PermitId& aPermit);
   std::optional<LedgerEntry> Release(const PermitId& aPermit);
-  void Heard(const InstanceId& aHolder, Instant aNow);
+  void Heard(const InstanceId& aHolder, std::uint64_t aProcess, Instant aNow);
 
   void ReserveUnknown(std::uint32_t aCount, Instant aStartsEnd);
   /// @return whether it was not known before.
@@ -59,7 +59,14 @@
   [[nodiscard]] std::vector<HeldPermit> Held() const;
 
 private:
-  [[nodiscard]] bool IsSilent(const InstanceId& aHolder, Instant aNow) const;
+  struct Contact
+  {
+    std::uint64_t process = 0;
+    Instant at;
+  };
+
+  /// @return whether the holder's process is gone or did not speak for long.
+  [[nodiscard]] bool IsSilent(const HeldPermit& aHeld, Instant aNow) const;
   void SettleUnknown(const std::set<RequestId>& aRunning, Instant aAsOf);
   std::vector<LedgerEntry> DropVanished(const std::set<RequestId>& aRunning,
                                         Instant aAsOf);
@@ -69,7 +76,7 @@
   PermitRules m_rules;
   std::map<PermitId, LedgerEntry> m_out;
   std::unordered_map<RequestId, PermitId> m_by_request;
-  std::map<InstanceId, Instant> m_heard;
+  std::map<InstanceId, Contact> m_heard;
   /// Of earlier epochs: released, so that a late answer does not revive them.
   std::set<PermitId> m_ended_before;
   std::uint32_t m_unknown = 0;
