--- a/bench/agreement/sim_node.cpp
+++ b/bench/agreement/sim_node.cpp
@@ -179,9 +179,6 @@
       }
       ++it;
     }
-    std::erase_if(m_calls, [this](const auto& aEntry) {
-      return !m_pending.contains(aEntry.second.request);
-    });
   });
 }
 
@@ -221,15 +218,15 @@
     return;
   }
   Holder(aPending.group).Asked(aRequest, kAccount);
-  m_calls[++m_last_call] = { aRequest, aPending.group, now };
   wire::PermitAsk ask;
   ask.target = TargetOf(aPending.group);
   ask.request = aRequest;
   ask.account = kAccount;
   ask.deadline = aPending.deadline - now;
   ask.cost_tokens = 1;
+  ask.mark = static_cast<std::uint64_t>(now.time_since_epoch().count());
   ask.process = m_process;
-  Post(*owner, wire::Envelope{ m_last_call, false, ask });
+  Post(*owner, ask);
 }
 
 core::PermitHolder&
@@ -247,9 +244,7 @@
 }
 
 void
-SimNode::OnAsk(const InstanceId& aFrom,
-               std::uint64_t aCall,
-               const wire::PermitAsk& aAsk)
+SimNode::OnAsk(const InstanceId& aFrom, const wire::PermitAsk& aAsk)
 {
   const GroupId group = GroupOf(aAsk.target);
   const Instant now = m_world.Now();
@@ -257,7 +252,11 @@
   const bool admits =
     m_own.MayAdmit(group, now) || m_world.Options().breaks.ignore_lease;
   if (book == m_books.end() || !admits) {
-    Post(aFrom, wire::Envelope{ aCall, true, wire::PermitAnswer{} });
+    wire::PermitAnswer answer;
+    answer.target = aAsk.target;
+    answer.request = aAsk.request;
+    answer.mark = aAsk.mark;
+    Post(aFrom, answer);
     return;
   }
   book->second.Request({ aAsk.request,
@@ -266,7 +265,7 @@
                          aAsk.priority,
                          now + aAsk.deadline,
                          aAsk.cost_tokens,
-                         aCall,
+                         aAsk.mark,
                          aAsk.process },
                        now);
   Decide(group);
@@ -284,34 +283,37 @@
   }
   for (const core::PermitDecision& decision : book->second.Decide(now)) {
     wire::PermitAnswer answer;
+    answer.target = TargetOf(aGroup);
     if (const auto* grant = std::get_if<core::PermitGranted>(&decision)) {
       m_world.NoteGrant(aGroup, grant->permit.epoch);
       m_grants[aGroup].try_emplace(grant->permit, Grant{ now });
       answer.outcome = wire::PermitOutcome::kGranted;
       answer.epoch = grant->permit.epoch;
       answer.number = grant->permit.number;
-      Post(grant->holder, wire::Envelope{ grant->mark, true, answer });
+      answer.request = grant->request;
+      answer.mark = grant->mark;
+      Post(grant->holder, answer);
     } else {
       const auto& refused = std::get<core::PermitRefused>(decision);
       answer.outcome = wire::PermitOutcome::kRefused;
       answer.reason = static_cast<std::uint8_t>(refused.reason);
       answer.retry_after = refused.retry_after;
-      Post(refused.holder, wire::Envelope{ refused.mark, true, answer });
+      answer.request = refused.request;
+      answer.mark = refused.mark;
+      Post(refused.holder, answer);
     }
   }
 }
 
 void
-SimNode::OnAnswer(std::uint64_t aCall, const wire::PermitAnswer& aAnswer)
+SimNode::OnAnswer(const wire::PermitAnswer& aAnswer)
 {
-  const auto found = m_calls.find(aCall);
-  if (found == m_calls.end()) {
-    return;
-  }
-  const Call call = found->second;
+  const Run run{ aAnswer.request, GroupOf(aAnswer.target) };
+  const Instant sent_at(
+    core::Duration(static_cast<core::Duration::rep>(aAnswer.mark)));
   if (aAnswer.outcome == wire::PermitOutcome::kRefused) {
-    Holder(call.group).Forget(call.request);
-    m_pending.erase(call.request);
+    Holder(run.group).Forget(run.request);
+    m_pending.erase(run.request);
     ++m_world.Mutable().refused;
     return;
   }
@@ -319,49 +321,49 @@
     return;
   }
   core::PermitGranted grant;
-  grant.request = call.request;
+  grant.request = run.request;
   grant.holder = m_id;
   grant.permit = { aAnswer.epoch, aAnswer.number };
   const auto outcome =
-    Holder(call.group).OnGranted(grant, call.sent_at, m_world.Now());
+    Holder(run.group).OnGranted(grant, sent_at, m_world.Now());
   if (std::holds_alternative<core::StartRun>(outcome)) {
-    m_pending.erase(call.request);
-    Begin(call, grant.permit);
+    m_pending.erase(run.request);
+    Begin(run, grant.permit);
   } else if (std::holds_alternative<core::GiveBackPermit>(outcome)) {
-    SendRelease(call.group, grant.permit);
+    SendRelease(run.group, grant.permit);
   }
 }
 
 void
-SimNode::Begin(const Call& aCall, const PermitId& aPermit)
+SimNode::Begin(const Run& aRun, const PermitId& aPermit)
 {
-  FakeEngine& engine = m_world.Engine(aCall.group);
+  FakeEngine& engine = m_world.Engine(aRun.group);
   ++m_world.Mutable().granted;
-  if (!engine.Begin(aCall.request, aPermit)) {
-    Ended(aCall, aPermit);
+  if (!engine.Begin(aRun.request, aPermit)) {
+    Ended(aRun, aPermit);
     return;
   }
-  if (const auto owner = m_own.OwnerOf(aCall.group)) {
+  if (const auto owner = m_own.OwnerOf(aRun.group)) {
     Post(*owner,
          wire::PermitStarted{
-           TargetOf(aCall.group), aPermit.epoch, aPermit.number });
+           TargetOf(aRun.group), aPermit.epoch, aPermit.number });
   }
   const auto& options = m_world.Options();
-  const core::Duration run =
+  const core::Duration time =
     m_world.Rand().Between(options.run_least, options.run_most);
   // The run goes on at the target also when this instance is dead.
-  m_world.Queue().After(run, [this, &engine, aCall, aPermit] {
-    engine.End(aCall.request);
+  m_world.Queue().After(time, [this, &engine, aRun, aPermit] {
+    engine.End(aRun.request);
     ++m_world.Mutable().completed;
-    Do([this, aCall, aPermit] { Ended(aCall, aPermit); });
+    Do([this, aRun, aPermit] { Ended(aRun, aPermit); });
   });
 }
 
 void
-SimNode::Ended(const Call& aCall, const PermitId& aPermit)
+SimNode::Ended(const Run& aRun, const PermitId& aPermit)
 {
-  Holder(aCall.group).Ended(aPermit);
-  SendRelease(aCall.group, aPermit);
+  Holder(aRun.group).Ended(aPermit);
+  SendRelease(aRun.group, aPermit);
 }
 
 void
@@ -405,9 +407,9 @@
   } else if constexpr (std::is_same_v<Message, HandedOver>) {
     m_own.OnHandedOver(aMessage, now);
   } else if constexpr (std::is_same_v<Message, wire::PermitAsk>) {
-    OnAsk(aFrom, aCall, aMessage);
+    OnAsk(aFrom, aMessage);
   } else if constexpr (std::is_same_v<Message, wire::PermitAnswer>) {
-    OnAnswer(aCall, aMessage);
+    OnAnswer(aMessage);
   } else if constexpr (std::is_same_v<Message, wire::PermitRelease>) {
     OnRelease(aMessage);
   } else if constexpr (std::is_same_v<Message, wire::PermitStarted>) {
--- a/bench/agreement/sim_node.hpp
+++ b/bench/agreement/sim_node.hpp
@@ -51,11 +51,10 @@
     core::Instant ask_at;
   };
 
-  struct Call
+  struct Run
   {
     core::RequestId request;
     core::GroupId group;
-    core::Instant sent_at;
   };
 
   struct Grant
@@ -89,15 +88,13 @@
   void On(const core::InstanceId& aFrom,
           std::uint64_t aCall,
           const Message& aMessage);
-  void OnAsk(const core::InstanceId& aFrom,
-             std::uint64_t aCall,
-             const wire::PermitAsk& aAsk);
-  void OnAnswer(std::uint64_t aCall, const wire::PermitAnswer& aAnswer);
+  void OnAsk(const core::InstanceId& aFrom, const wire::PermitAsk& aAsk);
+  void OnAnswer(const wire::PermitAnswer& aAnswer);
   void OnRelease(const wire::PermitRelease& aRelease);
   void Decide(const core::GroupId& aGroup);
   void Ask(const core::RequestId& aRequest, Pending& aPending);
-  void Begin(const Call& aCall, const core::PermitId& aPermit);
-  void Ended(const Call& aCall, const core::PermitId& aPermit);
+  void Begin(const Run& aRun, const core::PermitId& aPermit);
+  void Ended(const Run& aRun, const core::PermitId& aPermit);
   void SendRelease(const core::GroupId& aGroup, const core::PermitId& aPermit);
   void LookAfterBooks();
   void AskHolders(const core::GroupId& aGroup, core::PermitBook& aBook);
@@ -113,9 +110,7 @@
   std::map<core::GroupId, core::PermitBook> m_books;
   std::map<core::GroupId, core::PermitHolder> m_holders;
   std::map<core::RequestId, Pending> m_pending;
-  std::map<std::uint64_t, Call> m_calls;
   std::map<core::GroupId, std::map<core::PermitId, Grant>> m_grants;
-  std::uint64_t m_last_call = 0;
   std::uint64_t m_offered = 0;
   core::Instant m_slow_tick_at;
   bool m_alive = true;
--- a/src/jujubehead/core/lease_holder.cpp
+++ b/src/jujubehead/core/lease_holder.cpp
@@ -201,6 +201,14 @@
   return slot != nullptr && slot->replaced;
 }
 
+bool
+LeaseHolder::IsAcking(const Incarnation& aWitness, Instant aNow) const
+{
+  const Slot* slot = Find(aWitness);
+  return slot != nullptr && !slot->refused && slot->acked &&
+         aNow < *slot->acked + m_rules.lease;
+}
+
 bool
 LeaseHolder::IsRefusedBy(const Incarnation& aWitness) const
 {
--- a/src/jujubehead/core/lease_holder.hpp
+++ b/src/jujubehead/core/lease_holder.hpp
@@ -41,6 +41,8 @@
   [[nodiscard]] bool IsLost(const Incarnation& aWitness, Instant aNow) const;
   /// @return whether that witness is known to have restarted.
   [[nodiscard]] bool IsReplaced(const Incarnation& aWitness) const;
+  /// @return whether that witness acknowledged of late, counting or not.
+  [[nodiscard]] bool IsAcking(const Incarnation& aWitness, Instant aNow) const;
   [[nodiscard]] bool IsRefusedBy(const Incarnation& aWitness) const;
 
 private:
--- a/src/jujubehead/core/ownership_tick.cpp
+++ b/src/jujubehead/core/ownership_tick.cpp
@@ -310,6 +310,9 @@
     const bool replaced =
       said != m_processes.end() && !said->second.IsSameProcess(witness);
     const bool gone = replaced || m_watch.IsGone(witness.instance, aNow);
+    if (!gone && m_lease->IsAcking(witness, aNow)) {
+      continue;
+    }
     if (!gone || m_lease->IsRefusedBy(witness)) {
       return false;
     }
