--- a/include/jujubehead/wire/messages.hpp
+++ b/include/jujubehead/wire/messages.hpp
@@ -80,7 +80,7 @@
   std::int32_t priority = 0;
   core::Duration deadline{}; ///< How long the request may wait from now.
   std::uint32_t cost_tokens = 0;
-  std::uint64_t mark = 0; ///< When this message was sent, by its sender.
+  std::uint64_t mark = 0;    ///< When this message was sent, by its sender.
   std::uint64_t process = 0; ///< Of the entry: drawn when it starts.
 
   template<typename Self>
