Refuse callers' JSON that is nested too deep

Cause: the body is written again for the target by recursion; a trial with a million nested arrays ended in a segmentation fault, so one request of 2 MB by any caller with a key ended the instance.

--- a/src/jujubehead/net/openai_request.cpp
+++ b/src/jujubehead/net/openai_request.cpp
@@ -3,6 +3,8 @@
 #include <array>   // for array
 #include <utility> // for move
 
+#include "jujubehead/net/json_depth.hpp" // for NestsDeeperThan
+
 namespace jujubehead::net {
 namespace {
 
@@ -312,6 +314,9 @@
 std::variant<CompletionRequest, ApiError>
 ParseCompletion(std::string_view aPath, std::string_view aBody)
 {
+  if (NestsDeeperThan(aBody)) {
+    return ErrorFor("", "The JSON body of your request is nested too deep");
+  }
   Json body = Json::parse(aBody, nullptr, false);
   if (body.is_discarded()) {
     return ErrorFor("", "We could not parse the JSON body of your request");
