--- a/src/jujubehead/net/openai_request_test.cpp
+++ b/src/jujubehead/net/openai_request_test.cpp
@@ -91,6 +91,13 @@
   STRCMP_EQUAL("", FaultyField(kChat, "[]").c_str());
 }
 
+TEST(OpenAiRequest, DeepNestingIsRefused)
+{
+  constexpr std::size_t kDepth = 1000000;
+  const std::string deep = std::string(kDepth, '[') + std::string(kDepth, ']');
+  STRCMP_EQUAL("", FaultyField(kChat, Chat(R"(,"x":)" + deep)).c_str());
+}
+
 TEST(OpenAiRequest, TheFieldForTargetsCannotBeGivenByACaller)
 {
   const auto request = Accepted(kChat, Chat(R"(,"jujubehead":{"fencing":9})"));
