Name a context also by what else may change its tokens

Cause: block names were made of the prompt's text alone. The same messages with other tools, or a text prompt that looks like a list of tokens, got the same names although their tokens differ, so a block imported by name could have gone into a wrong answer. All fields that are not known to stay outside the prompt are now part of the name (fields that nobody knows too); a plain chat's names are as before.

--- a/include/jujubehead/net/openai_request.hpp
+++ b/include/jujubehead/net/openai_request.hpp
@@ -20,6 +20,9 @@
   core::ModelId model;
   /// The text that names the context: the prompt, or the messages as JSON.
   std::string prompt;
+  /// What else may decide the tokens that a target makes of the prompt, such as
+  /// tools; contexts are the same only if this is too. Empty for plain chats.
+  std::string prompt_form;
   bool stream = false;
   bool include_usage = false;
   std::optional<std::uint32_t> max_tokens;
--- a/src/jujubehead/net/openai_request.cpp
+++ b/src/jujubehead/net/openai_request.cpp
@@ -1,7 +1,8 @@
 #include "jujubehead/net/openai_request.hpp"
 
-#include <array>   // for array
-#include <utility> // for move
+#include <algorithm> // for binary_search
+#include <array>     // for array
+#include <utility>   // for move
 
 #include "jujubehead/net/json_depth.hpp" // for NestsDeeperThan
 
@@ -287,6 +288,55 @@
   return include != nullptr && include->get<bool>();
 }
 
+/// Fields that no target writes into the prompt. Any other one might be, so
+/// that a context is taken for the same only if all of those are equal.
+constexpr std::array<std::string_view, 27> kOutsidePrompt = {
+  "best_of",
+  "echo",
+  "frequency_penalty",
+  "logit_bias",
+  "logprobs",
+  "max_completion_tokens",
+  "max_tokens",
+  "messages",
+  "metadata",
+  "min_p",
+  "model",
+  "n",
+  "parallel_tool_calls",
+  "presence_penalty",
+  "prompt",
+  "prompt_cache_key",
+  "safety_identifier",
+  "seed",
+  "service_tier",
+  "stop",
+  "store",
+  "stream",
+  "stream_options",
+  "temperature",
+  "top_logprobs",
+  "top_p",
+  "user",
+};
+
+std::string
+FormOf(const Json& aBody, bool aIsChat)
+{
+  Json form = Json::object();
+  for (const auto& [name, value] : aBody.items()) {
+    if (!std::ranges::binary_search(kOutsidePrompt, std::string_view(name)) &&
+        !value.is_null()) {
+      form[name] = value;
+    }
+  }
+  if (!aIsChat) {
+    // A prompt of text and one of tokens may look the same when written.
+    form["prompt"] = aBody.at("prompt").is_string() ? "text" : "list";
+  }
+  return form.empty() ? std::string() : form.dump();
+}
+
 CompletionRequest
 Read(std::string_view aPath, Json aBody)
 {
@@ -305,6 +355,7 @@
   request.include_usage = ReadIncludeUsage(aBody, request.stream);
   // The field is between this system and its targets.
   aBody.erase("jujubehead");
+  request.prompt_form = FormOf(aBody, chat);
   request.body = std::move(aBody);
   return request;
 }
--- a/src/jujubehead/net/openai_request_test.cpp
+++ b/src/jujubehead/net/openai_request_test.cpp
@@ -61,6 +61,27 @@
   CHECK(second.prompt.starts_with(first.prompt));
 }
 
+TEST(OpenAiRequest, WhatMayChangeThePromptsTokensIsPartOfItsForm)
+{
+  const auto form = [](const std::string& aRest) {
+    return Accepted(kChat, Chat(aRest)).prompt_form;
+  };
+  CHECK(form("").empty());
+  CHECK(form(R"(,"temperature":1,"seed":3,"user":"u","tools":null)").empty());
+  const std::string tools = form(R"(,"tools":[{"type":"function"}])");
+  CHECK(!tools.empty());
+  CHECK(tools != form(R"(,"tools":[{"type":"other"}])"));
+  CHECK(!form(R"(,"some_template_option":true)").empty());
+}
+
+TEST(OpenAiRequest, APromptOfTextIsNotOneOfTokensThatLooksTheSame)
+{
+  const auto text = Accepted(kText, R"({"model":"m","prompt":"[1,2]"})");
+  const auto list = Accepted(kText, R"({"model":"m","prompt":[1,2]})");
+  STRCMP_EQUAL(text.prompt.c_str(), list.prompt.c_str());
+  CHECK(text.prompt_form != list.prompt_form);
+}
+
 TEST(OpenAiRequest, NamesTheFieldAtFault)
 {
   STRCMP_EQUAL("model", FaultyField(kText, R"({"prompt":"x"})").c_str());
--- a/src/jujubehead/node/completion_run.cpp
+++ b/src/jujubehead/node/completion_run.cpp
@@ -73,6 +73,16 @@
   return error;
 }
 
+/// The same text in another form (with other tools, say) is another context.
+core::ContextScope
+KeyScope(core::ContextScope aScope, const std::string& aPromptForm)
+{
+  if (!aPromptForm.empty()) {
+    aScope.adapter.append("\n").append(aPromptForm);
+  }
+  return aScope;
+}
+
 class CompletionRun
 {
 public:
@@ -85,7 +95,8 @@
     , m_exchange(aExchange)
     , m_request(std::move(aRequest))
     , m_scope{ aCaller.account, aRow.model, aRow.version, aRow.adapter }
-    , m_chain(core::ChainKeys(m_scope, m_request.prompt))
+    , m_key_scope(KeyScope(m_scope, m_request.prompt_form))
+    , m_chain(core::ChainKeys(m_key_scope, m_request.prompt))
     , m_attempts(aThread,
                  aExchange,
                  AskOf(aRow),
@@ -192,7 +203,7 @@
     for (const core::ContextKey& key : m_chain) {
       keys.push_back(key.Hex());
     }
-    own["context"] = { { "salt", core::Salt(m_scope) },
+    own["context"] = { { "salt", core::Salt(m_key_scope) },
                        { "block_bytes", core::kDefaultBlockBytes },
                        { "keys", std::move(keys) } };
     if (place.plan.import && !place.import_authority.empty()) {
@@ -358,6 +369,7 @@
   net::HttpExchange& m_exchange;
   net::CompletionRequest m_request;
   core::ContextScope m_scope;
+  core::ContextScope m_key_scope; ///< For the names of blocks.
   std::vector<core::ContextKey> m_chain;
   Attempts m_attempts;
   std::int32_t m_priority;
