--- a/src/jujubehead/node/metrics.cpp
+++ b/src/jujubehead/node/metrics.cpp
@@ -11,7 +11,9 @@
 // g++ 12 with the address sanitizer takes this library's index for one that is
 // read before it is set.
 #pragma GCC diagnostic push
+#ifndef __clang__ // does not know it
 #pragma GCC diagnostic ignored "-Wmaybe-uninitialized"
+#endif
 #include <boost/histogram.hpp> // for make_histogram_with
 #pragma GCC diagnostic pop
 
