Make no aggregate in the call that is awaited

g++ 12 copies an aggregate that is initialised in an awaited call bit by bit and destroys it twice. Lines of the log carry a date in one form.

--- a/src/jujubehead/net/ownership_store.cpp
+++ b/src/jujubehead/net/ownership_store.cpp
@@ -225,7 +225,9 @@
       items = co_await ReadAll(kGroupPk);
     }
     for (const core::GroupId& group : aRead.groups) {
-      if (auto item = co_await m_service.Get({ kGroupPk, group.Text() })) {
+      // Named: g++ 12 destroys an aggregate made in the call itself twice.
+      ItemKey key{ kGroupPk, group.Text() };
+      if (auto item = co_await m_service.Get(std::move(key))) {
         items.push_back(std::move(*item));
       }
     }
--- a/src/jujubehead/node/log.cpp
+++ b/src/jujubehead/node/log.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr const char* kPattern =
-  "%d{yyyy-MM-dd'T'HH:mm:ss.SSS'Z'}{GMT} %-5p %c: %m%n";
+  "%d{yyyy-MM-dd HH:mm:ss.SSS}{GMT} UTC %-5p %c: %m%n";
 
 log4cxx::LoggerPtr
 LoggerOf(std::string_view aName)
--- a/standin/objects_face.cpp
+++ b/standin/objects_face.cpp
@@ -29,12 +29,20 @@
       co_await aExchange.Send(Get(name));
     } else if (request.method == "DELETE") {
       m_objects.erase(name);
-      co_await aExchange.Send({ 204, {}, {} });
+      co_await aExchange.Send(Empty(204));
     } else {
-      co_await aExchange.Send({ 405, {}, {} });
+      co_await aExchange.Send(Empty(405));
     }
   }
 
+  // Not made in the call itself: g++ 12 destroys an aggregate twice there.
+  static net::HttpResponse Empty(unsigned aStatus)
+  {
+    net::HttpResponse response;
+    response.status = aStatus;
+    return response;
+  }
+
   net::HttpResponse Put(const std::string& aName,
                         const net::HttpRequest& aRequest)
   {
