--- a/src/jujubehead/net/http_connection.cpp
+++ b/src/jujubehead/net/http_connection.cpp
@@ -1,19 +1,13 @@
 #include "http_connection.hpp"
 
 #include <algorithm> // for max, min
-#include <array>     // for array
-#include <charconv>  // for to_chars
 #include <utility>   // for exchange, move
 
-#include <boost/asio/as_tuple.hpp>            // for as_tuple
-#include <boost/asio/redirect_error.hpp>      // for redirect_error
-#include <boost/asio/use_awaitable.hpp>       // for use_awaitable
-#include <boost/asio/write.hpp>               // for async_write
-#include <boost/beast/core/buffer_traits.hpp> // for buffer_bytes
-#include <boost/beast/http/message.hpp>       // for response
-#include <boost/system/system_error.hpp>      // for system_error
+#include <boost/asio/as_tuple.hpp>      // for as_tuple
+#include <boost/asio/use_awaitable.hpp> // for use_awaitable
+#include <boost/beast/core/string.hpp>  // for iequals
 
-#include "http_fields.hpp"  // for FromFields, AppendLines
+#include "http_fields.hpp"  // for FromFields
 #include "http_refusal.hpp" // for RefusalOf
 
 namespace jujubehead::net {
@@ -35,26 +29,10 @@
 /// How long a connection at rest stays open once the server stops accepting.
 constexpr core::Duration kDrainTime = std::chrono::seconds(1);
 
-/// Room for output that a connection keeps between writes.
-constexpr std::size_t kKeptOutBytes = 4UL * 1024;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-constexpr std::string_view kLastChunk = "0\r\n\r\n";
 
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 
-void
-AppendChunk(std::string& aText, std::string_view aBytes)
-{
-  std::array<char, 2 * sizeof(std::size_t)> size{};
-  constexpr int kHexadecimal = 16;
-  const auto end = std::to_chars(
-    size.data(), size.data() + size.size(), aBytes.size(), kHexadecimal);
-  aText.append(size.data(), end.ptr)
-    .append("\r\n")
-    .append(aBytes)
-    .append("\r\n");
-}
-
 } // namespace
 
 HttpConnection::HttpConnection(ByteStream aStream,
@@ -321,124 +299,4 @@
   m_stream.Socket().cancel(ignored);
 }
 
-asio::awaitable<void>
-HttpConnection::WriteOut()
-{
-  if (m_caller_gone || m_closed) {
-    throw boost::system::system_error(asio::error::connection_reset);
-  }
-  m_deadline.Set(m_shared->options.write_timeout);
-  const auto [error, bytes] =
-    co_await asio::async_write(m_stream, asio::buffer(m_out), kTuple);
-  m_deadline.Clear();
-  m_out.clear();
-  if (m_out.capacity() > kKeptOutBytes) {
-    m_out.shrink_to_fit();
-  }
-  if (error) {
-    m_keep_alive = false;
-    throw boost::system::system_error(error);
-  }
-}
-
-const HttpRequest&
-HttpConnection::Request() const
-{
-  return m_request;
-}
-
-void
-HttpConnection::BeginHead(unsigned aStatus, const HttpHeaders& aHeaders)
-{
-  const std::string_view reason =
-    http::obsolete_reason(static_cast<http::status>(aStatus));
-  m_out.append(m_http_1_0 ? "HTTP/1.0 " : "HTTP/1.1 ")
-    .append(std::to_string(aStatus))
-    .append(" ")
-    .append(reason)
-    .append("\r\n");
-  AppendLines(m_out, aHeaders);
-  if (!m_keep_alive) {
-    AppendLine(m_out, "Connection", "close");
-  } else if (m_http_1_0) {
-    AppendLine(m_out, "Connection", "keep-alive");
-  }
-}
-
-asio::awaitable<void>
-HttpConnection::Send(HttpResponse aResponse)
-{
-  m_started = true;
-  m_keep_alive = m_keep_alive && !m_shared->stopping;
-  BeginHead(aResponse.status, aResponse.headers);
-  AppendLine(m_out, "Content-Length", std::to_string(aResponse.body.size()));
-  m_out.append("\r\n");
-  if (m_request.method != "HEAD") {
-    m_out.append(aResponse.body);
-  }
-  co_await WriteOut();
-  FinishReply();
-}
-
-asio::awaitable<void>
-HttpConnection::StartStream(unsigned aStatus, HttpHeaders aHeaders)
-{
-  m_started = true;
-  m_keep_alive = m_keep_alive && !m_shared->stopping && !m_http_1_0;
-  BeginHead(aStatus, aHeaders);
-  // HTTP/1.0 has no chunks: there the end of the connection ends the body.
-  if (!m_http_1_0) {
-    AppendLine(m_out, "Transfer-Encoding", "chunked");
-  }
-  m_out.append("\r\n");
-  co_await WriteOut();
-}
-
-asio::awaitable<void>
-HttpConnection::WriteChunk(std::string_view aBytes)
-{
-  if (aBytes.empty()) {
-    co_return; // An empty chunk would end the body.
-  }
-  if (m_http_1_0) {
-    m_out.append(aBytes);
-  } else {
-    AppendChunk(m_out, aBytes);
-  }
-  co_await WriteOut();
-}
-
-asio::awaitable<void>
-HttpConnection::EndStream()
-{
-  if (!m_http_1_0) {
-    m_out.append(kLastChunk);
-    co_await WriteOut();
-  }
-  FinishReply();
-}
-
-bool
-HttpConnection::HasStarted() const
-{
-  return m_started;
-}
-
-void
-HttpConnection::OnCallerGone(std::function<void()> aCallback)
-{
-  if (m_caller_gone && aCallback) {
-    aCallback();
-    return;
-  }
-  m_on_caller_gone = std::move(aCallback);
-}
-
-void
-HttpConnection::FinishReply()
-{
-  m_complete = true;
-  m_on_caller_gone = nullptr;
-}
-
 } // namespace jujubehead::net
--- a/src/jujubehead/net/peer_links.cpp
+++ b/src/jujubehead/net/peer_links.cpp
@@ -1,5 +1,4 @@
 #include <algorithm> // for clamp, min
-#include <deque>     // for deque
 #include <map>       // for map
 #include <utility>   // for move
 
@@ -7,6 +6,7 @@
 #include "jujubehead/net/timer.hpp"     // for Timer
 
 #include "peer_handshake.hpp"     // for PeerHandshake
+#include "peer_outbox.hpp"        // for PeerOutbox
 #include "websocket_endpoint.hpp" // for WebsocketEndpoint
 
 namespace jujubehead::net {
@@ -15,8 +15,6 @@
 using core::InstanceId;
 using core::RuntimeClock;
 
-constexpr core::Duration kFirstBackOff = std::chrono::milliseconds(50);
-constexpr core::Duration kLastBackOff = std::chrono::seconds(2);
 constexpr core::Duration kSweepEvery = std::chrono::milliseconds(100);
 constexpr core::Duration kShortestSweep = std::chrono::milliseconds(5);
 /// The end that dialled closes an idle link; the other end only if that fails.
@@ -39,10 +37,7 @@
 {
   std::string authority;
   WebsocketId link = 0; ///< The link that is sent on, or that is being made.
-  std::deque<Bytes> waiting;
-  std::size_t waiting_bytes = 0;
-  core::Duration back_off{ 0 };
-  core::Instant dial_after;
+  PeerOutbox outbox;
 };
 
 class Links final : public PeerLinks
@@ -158,12 +153,10 @@
   /// Keeps a message until the link is there.
   bool Keep(const InstanceId& aTo, Peer& aPeer, Bytes aBytes)
   {
-    if (aPeer.waiting_bytes + aBytes.size() > m_options.send_queue_limit) {
+    if (!aPeer.outbox.Put(std::move(aBytes), m_options.send_queue_limit)) {
       ++m_counters.dropped;
       return false;
     }
-    aPeer.waiting_bytes += aBytes.size();
-    aPeer.waiting.push_back(std::move(aBytes));
     DialIfDue(aTo, aPeer);
     return true;
   }
@@ -171,7 +164,7 @@
   void DialIfDue(const InstanceId& aTo, Peer& aPeer)
   {
     const core::Instant now = RuntimeClock::now();
-    if (aPeer.link != 0 || aPeer.waiting.empty() || now < aPeer.dial_after) {
+    if (aPeer.link != 0 || !aPeer.outbox.WantsLink(now)) {
       return;
     }
     aPeer.link = m_endpoint->Dial(aPeer.authority);
@@ -190,17 +183,7 @@
 
   void DialFailed(Peer& aPeer)
   {
-    Drop(aPeer);
-    aPeer.back_off =
-      std::clamp(2 * aPeer.back_off, kFirstBackOff, kLastBackOff);
-    aPeer.dial_after = RuntimeClock::now() + aPeer.back_off;
-  }
-
-  void Drop(Peer& aPeer)
-  {
-    m_counters.dropped += aPeer.waiting.size();
-    aPeer.waiting.clear();
-    aPeer.waiting_bytes = 0;
+    m_counters.dropped += aPeer.outbox.Fail(RuntimeClock::now());
   }
 
   void OnOpen(WebsocketId aId, bool aDialled)
@@ -267,10 +250,7 @@
     if (peer.link != aId) {
       return; // Both ends dialled: each sends on its own link.
     }
-    peer.back_off = {};
-    const auto waiting = std::exchange(peer.waiting, {});
-    peer.waiting_bytes = 0;
-    for (const Bytes& bytes : waiting) {
+    for (const Bytes& bytes : peer.outbox.Open()) {
       HandOver(peer, bytes);
     }
   }
@@ -327,7 +307,7 @@
     const auto found = m_peers.find(aPeer);
     if (found != m_peers.end() && found->second.authority.empty() &&
         found->second.link == 0) {
-      Drop(found->second);
+      m_counters.dropped += found->second.outbox.Drop();
       m_peers.erase(found);
     }
   }
