Check the type of every field that the completion API documents

Cause: half of the documented fields went on unlooked at, lists of prompts too, and one code stood for all faults. Types are checked from one list; type, range and absence are told apart by code as the API does.

Tests: 3 more pass (21 fields, forms of prompts, codes).

--- a/src/jujubehead/net/openai_request.cpp
+++ b/src/jujubehead/net/openai_request.cpp
@@ -1,9 +1,11 @@
 #include "jujubehead/net/openai_request.hpp"
 
-#include <algorithm> // for binary_search
+#include <algorithm> // for all_of, binary_search
 #include <array>     // for array
 #include <utility>   // for move
 
+#include "openai_fields.hpp" // for CheckType, CheckNumber, CheckInteger
+
 #include "jujubehead/net/json_depth.hpp" // for NestsDeeperThan
 
 namespace jujubehead::net {
@@ -18,122 +20,21 @@
 constexpr std::int64_t kMaxTopLogprobs = 20;
 constexpr std::size_t kMaxStops = 4;
 
-/// Thrown inside this file only; the caller gets an ApiError.
-struct FieldError
-{
-  std::string field;
-  std::string message;
-};
-
 ApiError
-ErrorFor(const std::string& aField, std::string aMessage)
+ErrorFor(const std::string& aField,
+         std::string aMessage,
+         std::string aCode = "invalid_json")
 {
   ApiError error;
   error.status = 400;
   error.message = std::move(aMessage);
   error.type = "invalid_request_error";
   error.param = aField;
-  error.code = "invalid_value";
+  error.code = std::move(aCode);
   error.run_state = RunState::kNotRun;
   return error;
 }
 
-[[noreturn]] void
-Fail(const std::string& aField, const std::string& aExpected)
-{
-  throw FieldError{ aField, "Invalid '" + aField + "': expected " + aExpected };
-}
-
-/// @return the field, or null when it is absent or null.
-const Json*
-Find(const Json& aBody, const std::string& aField)
-{
-  const auto found = aBody.find(aField);
-  return found == aBody.end() || found->is_null() ? nullptr : &*found;
-}
-
-void
-CheckNumber(const Json& aBody,
-            const std::string& aField,
-            double aLeast,
-            double aMost)
-{
-  const Json* value = Find(aBody, aField);
-  if (value == nullptr) {
-    return;
-  }
-  const bool fits = value->is_number() && value->get<double>() >= aLeast &&
-                    value->get<double>() <= aMost;
-  if (!fits) {
-    Fail(aField,
-         "a number from " + Json(aLeast).dump() + " to " + Json(aMost).dump());
-  }
-}
-
-std::optional<std::int64_t>
-CheckInteger(const Json& aBody,
-             const std::string& aField,
-             std::int64_t aLeast,
-             std::int64_t aMost)
-{
-  const Json* value = Find(aBody, aField);
-  if (value == nullptr) {
-    return std::nullopt;
-  }
-  // A number above the signed range would wrap when read as signed.
-  const bool fits =
-    value->is_number_integer() &&
-    (!value->is_number_unsigned() ||
-     value->get<std::uint64_t>() <= static_cast<std::uint64_t>(aMost)) &&
-    value->get<std::int64_t>() >= aLeast && value->get<std::int64_t>() <= aMost;
-  if (!fits) {
-    Fail(aField,
-         "an integer from " + std::to_string(aLeast) + " to " +
-           std::to_string(aMost));
-  }
-  return value->get<std::int64_t>();
-}
-
-bool
-CheckBool(const Json& aBody, const std::string& aField)
-{
-  const Json* value = Find(aBody, aField);
-  if (value == nullptr) {
-    return false;
-  }
-  if (!value->is_boolean()) {
-    Fail(aField, "a boolean");
-  }
-  return value->get<bool>();
-}
-
-void
-CheckString(const Json& aBody, const std::string& aField)
-{
-  const Json* value = Find(aBody, aField);
-  if (value != nullptr && !value->is_string()) {
-    Fail(aField, "a string");
-  }
-}
-
-void
-CheckObject(const Json& aBody, const std::string& aField)
-{
-  const Json* value = Find(aBody, aField);
-  if (value != nullptr && !value->is_object()) {
-    Fail(aField, "an object");
-  }
-}
-
-void
-CheckArray(const Json& aBody, const std::string& aField)
-{
-  const Json* value = Find(aBody, aField);
-  if (value != nullptr && !value->is_array()) {
-    Fail(aField, "an array");
-  }
-}
-
 void
 CheckStop(const Json& aBody)
 {
@@ -157,7 +58,7 @@
 {
   const Json* model = Find(aBody, "model");
   if (model == nullptr) {
-    throw FieldError{ "model", "you must provide a model parameter" };
+    FailMissing("model");
   }
   if (!model->is_string() || model->get_ref<const std::string&>().empty()) {
     Fail("model", "a string");
@@ -190,7 +91,7 @@
 {
   const Json* messages = Find(aBody, "messages");
   if (messages == nullptr) {
-    throw FieldError{ "messages", "Missing required parameter: 'messages'" };
+    FailMissing("messages");
   }
   if (!messages->is_array() || messages->empty()) {
     Fail("messages", "a non-empty array of messages");
@@ -205,22 +106,87 @@
   return text;
 }
 
+bool
+IsTokenList(const Json& aValue)
+{
+  return aValue.is_array() && !aValue.empty() &&
+         std::ranges::all_of(aValue, [](const Json& aToken) {
+           return aToken.is_number_unsigned();
+         });
+}
+
+void
+CheckPromptList(const Json& aPrompt)
+{
+  const bool fits =
+    IsTokenList(aPrompt) || (aPrompt.is_array() && !aPrompt.empty() &&
+                             (std::ranges::all_of(aPrompt, &Json::is_string) ||
+                              std::ranges::all_of(aPrompt, IsTokenList)));
+  if (!fits) {
+    FailType("prompt",
+             "a string, or an array of strings, of tokens or of token arrays",
+             aPrompt);
+  }
+}
+
 std::string
 ReadPrompt(const Json& aBody)
 {
   const Json* prompt = Find(aBody, "prompt");
   if (prompt == nullptr) {
-    throw FieldError{ "prompt", "Missing required parameter: 'prompt'" };
+    FailMissing("prompt");
   }
   if (prompt->is_string()) {
     return prompt->get<std::string>();
   }
-  if (!prompt->is_array() || prompt->empty()) {
-    Fail("prompt", "a string or a non-empty array");
-  }
+  CheckPromptList(*prompt);
   return prompt->dump();
 }
 
+/// Fields of which only the type is looked at, and where they belong.
+struct TypedField
+{
+  std::string_view name;
+  JsonTypes types;
+  bool chat_only = false;
+};
+
+constexpr std::array kTypedFields = {
+  TypedField{ "audio", kJsonObject, true },
+  TypedField{ "echo", kJsonBool },
+  TypedField{ "function_call", kJsonString | kJsonObject, true },
+  TypedField{ "functions", kJsonArray, true },
+  TypedField{ "logit_bias", kJsonObject },
+  TypedField{ "metadata", kJsonObject },
+  TypedField{ "modalities", kJsonArray, true },
+  TypedField{ "parallel_tool_calls", kJsonBool, true },
+  TypedField{ "prediction", kJsonObject, true },
+  TypedField{ "prompt_cache_key", kJsonString },
+  TypedField{ "reasoning_effort", kJsonString, true },
+  TypedField{ "response_format", kJsonObject, true },
+  TypedField{ "safety_identifier", kJsonString },
+  TypedField{ "service_tier", kJsonString },
+  TypedField{ "store", kJsonBool },
+  TypedField{ "stream", kJsonBool },
+  TypedField{ "stream_options", kJsonObject },
+  TypedField{ "suffix", kJsonString },
+  TypedField{ "tool_choice", kJsonString | kJsonObject, true },
+  TypedField{ "tools", kJsonArray, true },
+  TypedField{ "user", kJsonString },
+  TypedField{ "verbosity", kJsonString, true },
+  TypedField{ "web_search_options", kJsonObject, true },
+};
+
+void
+CheckTypes(const Json& aBody, bool aIsChat)
+{
+  for (const TypedField& field : kTypedFields) {
+    if (aIsChat || !field.chat_only) {
+      CheckType(aBody, std::string(field.name), field.types);
+    }
+  }
+}
+
 void
 CheckSampling(const Json& aBody)
 {
@@ -230,28 +196,19 @@
   CheckNumber(aBody, "frequency_penalty", -kMaxPenalty, kMaxPenalty);
   CheckInteger(aBody, "n", 1, kMaxChoices);
   CheckInteger(aBody, "seed", INT64_MIN, INT64_MAX);
-  CheckObject(aBody, "logit_bias");
-  CheckString(aBody, "user");
   CheckStop(aBody);
 }
 
 void
-CheckChatOnly(const Json& aBody)
-{
-  CheckBool(aBody, "logprobs");
-  CheckInteger(aBody, "top_logprobs", 0, kMaxTopLogprobs);
-  CheckArray(aBody, "tools");
-  CheckObject(aBody, "response_format");
-  CheckBool(aBody, "parallel_tool_calls");
-}
-
-void
-CheckTextOnly(const Json& aBody)
+CheckLogprobs(const Json& aBody, bool aIsChat)
 {
-  CheckInteger(aBody, "logprobs", 0, kMaxTopLogprobs);
-  CheckBool(aBody, "echo");
-  CheckString(aBody, "suffix");
-  CheckInteger(aBody, "best_of", 1, kMaxChoices);
+  if (aIsChat) {
+    CheckType(aBody, "logprobs", kJsonBool);
+    CheckInteger(aBody, "top_logprobs", 0, kMaxTopLogprobs);
+  } else {
+    CheckInteger(aBody, "logprobs", 0, kMaxTopLogprobs);
+    CheckInteger(aBody, "best_of", 1, kMaxChoices);
+  }
 }
 
 std::optional<std::uint32_t>
@@ -274,16 +231,16 @@
   if (options == nullptr) {
     return false;
   }
-  CheckObject(aBody, "stream_options");
   if (!aStream) {
     throw FieldError{
       "stream_options",
-      "The 'stream_options' parameter is only allowed when 'stream' is enabled"
+      "The 'stream_options' parameter is only allowed when 'stream' is enabled",
+      "invalid_value"
     };
   }
   const Json* include = Find(*options, "include_usage");
   if (include != nullptr && !include->is_boolean()) {
-    Fail("stream_options.include_usage", "a boolean");
+    FailType("stream_options.include_usage", "a boolean", *include);
   }
   return include != nullptr && include->get<bool>();
 }
@@ -344,14 +301,12 @@
   request.model = core::ModelId(ReadModel(aBody));
   const bool chat = aPath == kChatPath;
   request.prompt = chat ? ReadMessages(aBody) : ReadPrompt(aBody);
+  CheckTypes(aBody, chat);
   CheckSampling(aBody);
-  if (chat) {
-    CheckChatOnly(aBody);
-  } else {
-    CheckTextOnly(aBody);
-  }
+  CheckLogprobs(aBody, chat);
   request.max_tokens = ReadMaxTokens(aBody);
-  request.stream = CheckBool(aBody, "stream");
+  const Json* stream = Find(aBody, "stream");
+  request.stream = stream != nullptr && stream->get<bool>();
   request.include_usage = ReadIncludeUsage(aBody, request.stream);
   // The field is between this system and its targets.
   aBody.erase("jujubehead");
@@ -378,7 +333,7 @@
   try {
     return Read(aPath, std::move(body));
   } catch (const FieldError& error) {
-    return ErrorFor(error.field, error.message);
+    return ErrorFor(error.field, error.message, error.code);
   } catch (const Json::exception& error) {
     return ErrorFor("", error.what());
   }
--- a/src/jujubehead/net/openai_request_test.cpp
+++ b/src/jujubehead/net/openai_request_test.cpp
@@ -106,6 +106,61 @@
       .c_str());
 }
 
+TEST(OpenAiRequest, ChecksTheTypeOfEveryFieldThatTheApiHas)
+{
+  for (const std::string field : { "audio",
+                                   "function_call",
+                                   "functions",
+                                   "logit_bias",
+                                   "metadata",
+                                   "modalities",
+                                   "prediction",
+                                   "response_format",
+                                   "tool_choice",
+                                   "tools",
+                                   "user",
+                                   "verbosity",
+                                   "stream",
+                                   "stream_options",
+                                   "parallel_tool_calls",
+                                   "store",
+                                   "service_tier",
+                                   "reasoning_effort",
+                                   "top_logprobs",
+                                   "logprobs",
+                                   "web_search_options" }) {
+    STRCMP_EQUAL(field.c_str(),
+                 FaultyField(kChat, Chat(",\"" + field + "\":1.5")).c_str());
+    Accepted(kChat, Chat(",\"" + field + "\":null"));
+  }
+}
+
+TEST(OpenAiRequest, TellsKindsOfFaultsApart)
+{
+  const auto code = [](const std::string& aRest) {
+    return std::get<ApiError>(ParseCompletion(kChat, Chat(aRest))).code;
+  };
+  STRCMP_EQUAL("invalid_type", code(R"(,"temperature":"hot")").c_str());
+  STRCMP_EQUAL("invalid_value", code(R"(,"temperature":3)").c_str());
+  const auto missing = ParseCompletion(kChat, R"({"model":"m"})");
+  STRCMP_EQUAL("missing_required_parameter",
+               std::get<ApiError>(missing).code.c_str());
+}
+
+TEST(OpenAiRequest, TakesPromptsOfEachForm)
+{
+  for (const std::string prompt :
+       { R"("a")", R"(["a","b"])", "[1,2]", "[[1],[2,3]]" }) {
+    Accepted(kText, R"({"model":"m","prompt":)" + prompt + "}");
+  }
+  for (const std::string prompt :
+       { "1", "{}", "[]", "[-1]", R"([1,"a"])", "[[]]", "[null]" }) {
+    STRCMP_EQUAL(
+      "prompt",
+      FaultyField(kText, R"({"model":"m","prompt":)" + prompt + "}").c_str());
+  }
+}
+
 TEST(OpenAiRequest, WhatIsNoObjectIsRefused)
 {
   STRCMP_EQUAL("", FaultyField(kChat, "{").c_str());
