Keep contexts in stores and watch what targets say of themselves

Cause: a context that every engine had evicted was computed again. Entries now offer a finished context to the owner of its store, which weighs it (chance of return, bytes, cost of computing it), schedules the link and gives the engine the order; copies are hinted only after their commit, and hints go before a copy is deleted. Owners read load, versions and evictions of their targets, and tell each engine the fencing number of its new owner.

--- a/include/jujubehead/core/link_schedule.hpp
+++ b/include/jujubehead/core/link_schedule.hpp
@@ -74,6 +74,10 @@
   /// @return the link's rate, learnt from the transfers that ended.
   [[nodiscard]] double BytesPerSecond() const;
 
+  /// @return share of time that the link is busy with a kind of transfer, the
+  /// last minutes weighing most.
+  [[nodiscard]] double Use(TransferKind aKind, Instant aNow) const;
+
   /// @return transfers of a kind that wait.
   [[nodiscard]] std::size_t Waiting(TransferKind aKind) const;
   /// @return transfers of a kind that run.
--- a/include/jujubehead/core/router.hpp
+++ b/include/jujubehead/core/router.hpp
@@ -23,6 +23,8 @@
   bool admits = false;                  ///< Limits allow the request.
   std::uint32_t running = 0;
   std::uint32_t limit = 0;
+  /// The engine computes the first missing blocks while later ones arrive.
+  bool computes_during_import = false;
 };
 
 /// @brief One committed copy of a prefix in a store.
@@ -35,6 +37,7 @@
   Duration link_wait{};        ///< Until an import could start.
   double bytes_per_second = 0; ///< Of the store's link.
   std::uint32_t bytes_per_block = 0;
+  double link_use = 0; ///< Share of time that the link is busy, 0 to 1.
 
   friend bool operator==(const StoredCopy&, const StoredCopy&) = default;
 };
@@ -57,6 +60,9 @@
   std::uint32_t cached_blocks = 0;
   std::uint32_t imported_blocks = 0;
   std::uint32_t recomputed_blocks = 0;
+  /// First block to import: those between the cached ones and it are computed
+  /// while the import runs. Only where the engine can; else cached_blocks.
+  std::uint32_t import_from = 0;
   std::optional<StoredCopy> import;
   Duration expected_first_token{};
   double cost = 0; ///< Seconds.
@@ -66,8 +72,9 @@
 ///
 /// For each target the cheapest way to have the context: what is cached there,
 /// blocks from a store, the rest computed. The cost in seconds is the expected
-/// time to first token plus the price of the tokens that are computed although
-/// the context may have been seen before.
+/// time to first token, plus the price of the tokens that are computed although
+/// the context may have been seen before, plus the delay that an import causes
+/// to later ones, which grows as the link fills up.
 /// @return one plan a target that admits the request, cheapest first; equal
 /// costs by fewer running requests a limit, then by name.
 std::vector<RoutePlan>
--- a/include/jujubehead/wire/messages.hpp
+++ b/include/jujubehead/wire/messages.hpp
@@ -328,6 +328,72 @@
   }
 };
 
+/// @brief Entry to a store's owner: a target holds this context now; keep a
+/// copy if that is worth it.
+struct KeepOffer
+{
+  core::StoreId store;
+  core::TargetId target;
+  std::uint64_t fencing = 0; ///< Of the target's owner, for the order.
+  core::AccountId account;
+  std::vector<std::string> keys; ///< One a full block, as raw bytes.
+  std::uint32_t tokens = 0;      ///< Of all blocks together.
+  double recompute_price = 0;    ///< Seconds that a token saved is worth.
+
+  template<typename Self>
+  static auto Fields(Self& aSelf)
+  {
+    return std::tie(aSelf.store,
+                    aSelf.target,
+                    aSelf.fencing,
+                    aSelf.account,
+                    aSelf.keys,
+                    aSelf.tokens,
+                    aSelf.recompute_price);
+  }
+};
+
+/// @brief Entry to a store's owner: how soon could an import cross its link?
+struct LinkAsk
+{
+  core::StoreId store;
+  core::AccountId account;
+
+  template<typename Self>
+  static auto Fields(Self& aSelf)
+  {
+    return std::tie(aSelf.store, aSelf.account);
+  }
+};
+
+/// @brief A store's owner to an entry. A rate of 0: it is not the owner.
+struct LinkQuote
+{
+  core::Duration wait{};
+  std::uint64_t bytes_per_second = 0;
+  std::uint32_t bytes_per_block = 0;
+
+  template<typename Self>
+  static auto Fields(Self& aSelf)
+  {
+    return std::tie(aSelf.wait, aSelf.bytes_per_second, aSelf.bytes_per_block);
+  }
+};
+
+/// @brief Entry to a store's owner: a copy could not be read.
+struct CopyMissing
+{
+  core::StoreId store;
+  std::string handle;
+  std::uint64_t generation = 0;
+
+  template<typename Self>
+  static auto Fields(Self& aSelf)
+  {
+    return std::tie(aSelf.store, aSelf.handle, aSelf.generation);
+  }
+};
+
 /// @brief The answer that says no more than "received and done".
 struct Ack
 {
@@ -363,7 +429,11 @@
                              core::VoteRequest,
                              core::VoteReply,
                              core::OwnersAnnounce,
-                             core::OwnersAsk>;
+                             core::OwnersAsk,
+                             KeepOffer,
+                             LinkAsk,
+                             LinkQuote,
+                             CopyMissing>;
 
 /// @brief A message with what ties an answer to its question.
 struct Envelope
--- /dev/null
+++ b/src/jujubehead/core/keep_policy.cpp
@@ -0,0 +1,80 @@
+#include "jujubehead/core/keep_policy.hpp"
+
+#include <algorithm> // for clamp, sort
+#include <numeric>   // for iota
+
+namespace jujubehead::core {
+namespace {
+
+/// The queue of a link is taken to be no longer than at this use.
+constexpr double kMostUse = 0.95;
+
+} // namespace
+
+double
+ReturnValue(double aSeconds, double aTokens, double aRecomputePrice)
+{
+  const double tokens = aTokens * aRecomputePrice;
+  const double weight = aSeconds > 0 ? tokens / aSeconds : 0;
+  return aSeconds * aSeconds / (1 + weight * weight) + tokens;
+}
+
+double
+KeepPrice(const ReturnModel& aModel, const KeptValue& aValue)
+{
+  if (aValue.bytes == 0) {
+    return 0;
+  }
+  return aModel.ReturnRate(aValue.account, aValue.idle) * aValue.saved /
+         static_cast<double>(aValue.bytes);
+}
+
+double
+ExportGain(const ReturnModel& aModel, const ExportView& aView)
+{
+  if (aView.bytes_per_second <= 0 || aView.value.bytes == 0) {
+    return 0;
+  }
+  const double chance = aModel.ChanceOfReturn(
+    aView.value.account, aView.value.idle, aView.kept_for);
+  const double use = std::clamp(aView.link_use, 0.0, kMostUse);
+  const double moving =
+    static_cast<double>(aView.bytes_to_move) / aView.bytes_per_second;
+  const double missing = static_cast<double>(aView.bytes_to_move) /
+                         static_cast<double>(aView.value.bytes);
+  const double importing = moving / (1 - use);
+  const double saved = missing * aView.value.recompute_seconds - importing;
+  const double delay = moving * use / (1 - use);
+  return chance * saved - delay;
+}
+
+std::optional<std::vector<std::size_t>>
+ChooseVictims(std::span<const VictimView> aCopies,
+              std::uint64_t aBytesNeeded,
+              double aNewcomerPrice)
+{
+  std::vector<std::size_t> order(aCopies.size());
+  std::iota(order.begin(), order.end(), std::size_t{ 0 });
+  std::sort(
+    order.begin(), order.end(), [&](std::size_t aLeft, std::size_t aRight) {
+      return aCopies[aLeft].price < aCopies[aRight].price;
+    });
+  std::vector<std::size_t> victims;
+  std::uint64_t freed = 0;
+  for (const std::size_t index : order) {
+    if (freed >= aBytesNeeded) {
+      break;
+    }
+    if (aCopies[index].price >= aNewcomerPrice) {
+      return std::nullopt;
+    }
+    freed += aCopies[index].bytes;
+    victims.push_back(index);
+  }
+  if (freed < aBytesNeeded) {
+    return std::nullopt;
+  }
+  return victims;
+}
+
+} // namespace jujubehead::core
--- a/src/jujubehead/core/link_schedule.cpp
+++ b/src/jujubehead/core/link_schedule.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>     // for find_if, min_element
 #include <array>         // for array
 #include <chrono>        // for duration
+#include <cmath>         // for exp
 #include <unordered_map> // for unordered_map
 
 namespace jujubehead::core {
@@ -12,6 +13,8 @@
 
 /// Weight of the newest transfer in the learnt rate.
 constexpr double kRateGain = 0.2;
+/// Seconds over which the use of the link is averaged.
+constexpr double kUseWindow = 120;
 
 double
 ToSeconds(Duration aDuration)
@@ -196,6 +199,13 @@
 
   [[nodiscard]] double Rate() const { return m_rate; }
 
+  [[nodiscard]] double Use(TransferKind aKind, Instant aNow) const
+  {
+    const double busy = Running(aKind) > 0 ? 1 : 0;
+    const double old = std::exp(-ToSeconds(aNow - m_charged) / kUseWindow);
+    return busy + (m_use[static_cast<std::size_t>(aKind)] - busy) * old;
+  }
+
   [[nodiscard]] std::size_t Waiting(TransferKind aKind) const
   {
     return Queue(aKind).Size();
@@ -251,7 +261,11 @@
     for (Runner& runner : m_running) {
       runner.link_seconds += share;
     }
-    m_charged = std::max(m_charged, aNow);
+    if (aNow > m_charged) {
+      m_use = { Use(TransferKind::kImport, aNow),
+                Use(TransferKind::kExport, aNow) };
+      m_charged = aNow;
+    }
   }
 
   [[nodiscard]] double ShareSince(Instant aNow) const
@@ -282,6 +296,7 @@
   LinkSettings m_settings;
   double m_rate;
   Instant m_charged;
+  std::array<double, kKinds> m_use{};
   std::array<FairQueue, kKinds> m_waiting;
   Runners m_running;
 };
@@ -340,6 +355,12 @@
   return m_queues->Rate();
 }
 
+double
+LinkSchedule::Use(TransferKind aKind, Instant aNow) const
+{
+  return m_queues->Use(aKind, aNow);
+}
+
 std::size_t
 LinkSchedule::Waiting(TransferKind aKind) const
 {
--- a/src/jujubehead/core/router.cpp
+++ b/src/jujubehead/core/router.cpp
@@ -1,6 +1,6 @@
 #include "jujubehead/core/router.hpp"
 
-#include <algorithm> // for max, min, sort
+#include <algorithm> // for clamp, max, min, sort
 #include <chrono>    // for duration
 #include <limits>    // for numeric_limits
 
@@ -13,6 +13,10 @@
 constexpr double kOtherDataCentre = 0.002;
 /// Stands for the rate of a target whose rate is not known.
 constexpr double kUnknownRate = 1.0;
+/// No block crosses a link quicker, in seconds.
+constexpr double kShortestBlock = 1e-9;
+/// A link is taken to be no busier than this.
+constexpr double kMostUse = 0.95;
 
 double
 ToSeconds(Duration aDuration)
@@ -56,27 +60,43 @@
 
   [[nodiscard]] RoutePlan Recompute() const
   {
-    return Plan(m_cached, m_start, nullptr);
+    return Plan(0, m_start, m_cached);
   }
 
-  /// The cheapest number of blocks to import from the copy. An import may run
-  /// while the request waits, so the cost is convex in the number of blocks,
-  /// with its only bend where the import takes as long as the wait.
+  /// The cheapest way to use the copy. The cost is linear in the block where
+  /// the import begins, and in the one where it ends, but for one bend: where
+  /// the import takes as long as the work that goes on beside it.
   [[nodiscard]] RoutePlan Import(const StoredCopy& aCopy) const
   {
-    const std::uint32_t most = std::min(aCopy.blocks, m_query.blocks);
-    if (most <= m_cached || aCopy.bytes_per_second <= 0) {
+    const std::uint32_t end = std::min(aCopy.blocks, m_query.blocks);
+    if (end <= m_cached || aCopy.bytes_per_second <= 0) {
       return Recompute();
     }
-    const RoutePlan whole = ImportUpTo(aCopy, most);
-    const RoutePlan hidden = ImportUpTo(aCopy, HiddenByWait(aCopy, most));
-    return hidden.cost < whole.cost ? hidden : whole;
+    RoutePlan best = ImportRange(aCopy, m_cached, end);
+    TakeCheaper(best, ImportRange(aCopy, m_cached, HiddenByWait(aCopy, end)));
+    if (m_target.computes_during_import) {
+      TakeCheaper(best, ImportRange(aCopy, MeetingBlock(aCopy, end), end));
+    }
+    return best;
   }
 
 private:
+  static void TakeCheaper(RoutePlan& aBest, RoutePlan aOther)
+  {
+    if (aOther.cost < aBest.cost) {
+      aBest = std::move(aOther);
+    }
+  }
+
   [[nodiscard]] double BlockSeconds(const StoredCopy& aCopy) const
   {
-    return aCopy.bytes_per_block / aCopy.bytes_per_second;
+    return std::max(aCopy.bytes_per_block / aCopy.bytes_per_second,
+                    kShortestBlock);
+  }
+
+  [[nodiscard]] double ComputeSeconds(double aBlocks) const
+  {
+    return aBlocks * m_query.tokens_per_block / m_rate;
   }
 
   /// The last block whose import still ends before the wait does.
@@ -84,39 +104,62 @@
                                            std::uint32_t aMost) const
   {
     const double room = std::max(0.0, m_start - ToSeconds(aCopy.link_wait));
-    const double blocks = room / std::max(BlockSeconds(aCopy), 1e-9);
-    const double end = std::min<double>(aMost, m_cached + blocks);
-    return std::max(m_cached, static_cast<std::uint32_t>(end));
+    return Clamp(m_cached + room / BlockSeconds(aCopy), aMost);
+  }
+
+  /// The block where computing from the front meets importing from the back.
+  [[nodiscard]] std::uint32_t MeetingBlock(const StoredCopy& aCopy,
+                                           std::uint32_t aEnd) const
+  {
+    const double importing =
+      ToSeconds(aCopy.link_wait) + (aEnd - m_cached) * BlockSeconds(aCopy);
+    const double ahead = std::max(0.0, importing - m_start);
+    const double both = BlockSeconds(aCopy) + ComputeSeconds(1);
+    return Clamp(m_cached + ahead / both, aEnd);
   }
 
-  [[nodiscard]] RoutePlan ImportUpTo(const StoredCopy& aCopy,
-                                     std::uint32_t aEnd) const
+  [[nodiscard]] std::uint32_t Clamp(double aBlock, std::uint32_t aMost) const
   {
-    if (aEnd <= m_cached) {
+    const double block = std::min<double>(aMost, aBlock);
+    return std::max(m_cached, static_cast<std::uint32_t>(block));
+  }
+
+  /// Computes up to aFrom, imports from there to aEnd, computes the rest.
+  [[nodiscard]] RoutePlan ImportRange(const StoredCopy& aCopy,
+                                      std::uint32_t aFrom,
+                                      std::uint32_t aEnd) const
+  {
+    if (aEnd <= aFrom) {
       return Recompute();
     }
-    const double arrived =
-      ToSeconds(aCopy.link_wait) + (aEnd - m_cached) * BlockSeconds(aCopy);
-    return Plan(aEnd, std::max(m_start, arrived), &aCopy);
+    const double link = (aEnd - aFrom) * BlockSeconds(aCopy);
+    const double arrived = ToSeconds(aCopy.link_wait) + link;
+    const double computed = m_start + ComputeSeconds(aFrom - m_cached);
+    const double use = std::clamp(aCopy.link_use, 0.0, kMostUse);
+    RoutePlan plan = Plan(aEnd - aFrom, std::max(computed, arrived), aEnd);
+    plan.import = aCopy;
+    plan.import_from = aFrom;
+    plan.cost += link * use / (1 - use);
+    return plan;
   }
 
-  [[nodiscard]] RoutePlan Plan(std::uint32_t aPresent,
-                               double aStart,
-                               const StoredCopy* aCopy) const
+  /// @param aReady when the blocks before aEnd are all there.
+  [[nodiscard]] RoutePlan Plan(std::uint32_t aImported,
+                               double aReady,
+                               std::uint32_t aEnd) const
   {
     RoutePlan plan;
     plan.target = m_target.target;
     plan.cached_blocks = m_cached;
-    plan.imported_blocks = aPresent - m_cached;
-    plan.recomputed_blocks = m_query.blocks - aPresent;
-    if (aCopy != nullptr) {
-      plan.import = *aCopy;
-    }
-    const double again =
+    plan.imported_blocks = aImported;
+    plan.recomputed_blocks = m_query.blocks - m_cached - aImported;
+    plan.import_from = m_cached;
+    const double tokens =
       static_cast<double>(plan.recomputed_blocks) * m_query.tokens_per_block;
-    const double first = aStart + (again + m_query.tail_tokens) / m_rate;
+    const double first = aReady + ComputeSeconds(m_query.blocks - aEnd) +
+                         m_query.tail_tokens / m_rate;
     plan.expected_first_token = ToDuration(first);
-    plan.cost = first + again * m_query.recompute_price;
+    plan.cost = first + tokens * m_query.recompute_price;
     return plan;
   }
 
--- a/src/jujubehead/node/completion_run.cpp
+++ b/src/jujubehead/node/completion_run.cpp
@@ -3,6 +3,8 @@
 #include <utility> // for move
 #include <variant> // for variant, visit
 
+#include <boost/asio/post.hpp> // for post
+
 #include <nlohmann/json.hpp> // for json
 
 #include "jujubehead/core/context_key.hpp"     // for ChainKeys, Salt
@@ -10,6 +12,8 @@
 #include "jujubehead/net/openai_request.hpp"   // for CompletionRequest
 #include "jujubehead/net/sse_reader.hpp"       // for SseReader
 #include "jujubehead/node/attempts.hpp"        // for Attempts
+#include "jujubehead/node/control.hpp"         // for Control
+#include "jujubehead/node/request_claim.hpp"   // for RequestClaim
 #include "jujubehead/node/send_error.hpp"      // for SendError
 #include "jujubehead/node/stream_progress.hpp" // for StreamProgress
 #include "jujubehead/node/traffic_thread.hpp"  // for TrafficThread
@@ -24,6 +28,7 @@
 constexpr std::uint32_t kBlockBytes = core::kDefaultBlockBytes;
 constexpr std::uint32_t kTokensPerBlock = kBlockBytes / kBytesPerToken;
 constexpr double kMicrosecondsPerSecond = 1e6;
+constexpr std::size_t kMinKeptBlocks = 4;
 // A stream that is silent for longer is taken for broken.
 constexpr core::Duration kStreamSilence = std::chrono::seconds(30);
 // A whole answer says nothing until it is complete.
@@ -101,12 +106,23 @@
                  aExchange,
                  AskOf(aRow),
                  AccountClass(aCaller.table->table, aRow))
+    , m_claim(aThread)
     , m_priority(aRow.priority)
+    , m_recompute_price(aRow.recompute_price / kMicrosecondsPerSecond)
   {
   }
 
   asio::awaitable<void> Serve()
   {
+    auto barred = co_await m_claim.Take(
+      m_exchange.Request(), m_scope.account, m_scope.model);
+    if (barred) {
+      co_await Refuse(std::move(*barred));
+      co_return;
+    }
+    if (m_claim.IsHeld()) {
+      m_attempts.OnlyOnce();
+    }
     for (;;) {
       Attempts::Next next = co_await m_attempts.Start();
       if (auto* error = std::get_if<net::ApiError>(&next)) {
@@ -119,6 +135,7 @@
         co_return;
       }
       if (const auto* pass = std::get_if<PassOn>(&end)) {
+        co_await m_claim.Refused(net::RunState::kNotRun);
         co_await m_exchange.Send(pass->response);
         co_return;
       }
@@ -336,6 +353,7 @@
     aRun.SetEnd(RunEnd::kComplete);
     aRun.NoteCached();
     m_thread.metrics.Add(Counter::kAnswers);
+    OfferToKeep(aRun, aUsage);
     if (!aUsage) {
       return;
     }
@@ -347,14 +365,49 @@
     m_thread.metrics.Add(Counter::kRecomputedTokens, aUsage->recomputed_tokens);
   }
 
+  /// Short contexts are computed sooner than they are moved.
+  void OfferToKeep(const HeldRun& aRun,
+                   const std::optional<AnswerUsage>& aUsage)
+  {
+    if (m_chain.size() < kMinKeptBlocks) {
+      return;
+    }
+    const Admitted& place = aRun.Place();
+    wire::KeepOffer offer;
+    offer.target = place.target;
+    offer.fencing = place.permit.epoch;
+    offer.account = m_scope.account;
+    for (const core::ContextKey& key : m_chain) {
+      offer.keys.push_back(RawKey(key));
+    }
+    offer.tokens = static_cast<std::uint32_t>(m_chain.size()) * kTokensPerBlock;
+    offer.recompute_price = m_recompute_price;
+    const bool missing =
+      place.plan.import && aUsage && aUsage->imported_tokens == 0;
+    std::optional<core::StoredCopy> copy;
+    if (missing) {
+      copy = place.plan.import;
+    }
+    asio::post(m_thread.control.Context(),
+               [&control = m_thread.control,
+                offered = std::move(offer),
+                wrong = std::move(copy)]() mutable {
+                 if (wrong) {
+                   control.Entry().ReportMissing(*wrong);
+                 }
+                 control.Entry().OfferToKeep(std::move(offered));
+               });
+  }
+
   /// A stream that has begun can only go on where it was.
   [[nodiscard]] bool CanGoOn() const
   {
     return !m_exchange.HasStarted() || m_progress.CanResume();
   }
 
-  asio::awaitable<void> Refuse(const net::ApiError& aError)
+  asio::awaitable<void> Refuse(net::ApiError aError)
   {
+    co_await m_claim.Refused(aError.run_state);
     if (!m_exchange.HasStarted()) {
       co_await SendError(m_exchange, aError);
       co_return;
@@ -372,7 +425,9 @@
   core::ContextScope m_key_scope; ///< For the names of blocks.
   std::vector<core::ContextKey> m_chain;
   Attempts m_attempts;
+  RequestClaim m_claim;
   std::int32_t m_priority;
+  double m_recompute_price; ///< Seconds a token.
   StreamProgress m_progress;
   std::uint32_t m_tokens_noted = 0;
   core::Instant m_last_token_at{};
--- a/src/jujubehead/node/control.cpp
+++ b/src/jujubehead/node/control.cpp
@@ -16,6 +16,19 @@
 // Every instance's address is set on each reading, so links follow restarts.
 constexpr core::Duration kMembersTimeout = std::chrono::seconds(2);
 
+net::ClaimStoreOptions
+ClaimOptions()
+{
+  net::ClaimStoreOptions options;
+  // Claims of all instances expire by the same clock, not by the runtime's.
+  options.now_ms = [] {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+  };
+  return options;
+}
+
 net::PeerLinksOptions
 LinkOptions(const ServeOptions& aOptions)
 {
@@ -47,18 +60,23 @@
       net::TableService::Create(*m_client, aOptions.table_service))
   , m_object_store(net::ObjectStore::Create(*m_client, aOptions.object_store))
   , m_log(net::TableLog::Create(*m_table_service, *m_object_store))
+  , m_claims(
+      net::ClaimStore::Create(m_context, *m_table_service, ClaimOptions()))
   , m_peers(m_context, LinkOptions(aOptions))
   , m_table(*m_log, m_peers, m_members, [this] { OnTableChanged(); })
   , m_directory(m_peers, m_members)
   , m_owner(m_peers, m_members, m_table.View(), m_directory)
+  , m_stores(m_peers, *m_client, m_members, m_directory, *m_metrics)
   , m_ownership_store(net::OwnershipStore::Create(*m_table_service,
                                                   net::RandomText(kTokenBytes)))
   , m_ownership(m_peers,
                 m_members,
                 *m_ownership_store,
                 m_owner,
+                m_stores,
                 aOptions.data_centre)
   , m_entry(m_peers, m_members, m_table.View(), m_ownership, m_directory)
+  , m_target_watch(m_context, *m_client, m_members, m_owner)
 {
   m_published.Set(m_table.View().Current());
   m_owner.SetMayAdmit([this](const core::TargetId& aTarget) {
@@ -81,6 +99,7 @@
   asio::co_spawn(m_context, m_table.Run(), asio::detached);
   asio::co_spawn(m_context, TickOwners(), asio::detached);
   asio::co_spawn(m_context, m_ownership.Run(), asio::detached);
+  asio::co_spawn(m_context, m_target_watch.Run(), asio::detached);
   m_thread = std::thread([this] { m_context.run(); });
 }
 
@@ -156,6 +175,20 @@
   {
     return self.m_table.Head();
   }
+  wire::Message operator()(const wire::KeepOffer& aOffer) const
+  {
+    self.m_stores.OnOffer(aOffer);
+    return wire::Ack{};
+  }
+  wire::Message operator()(const wire::CopyMissing& aMissing) const
+  {
+    self.m_stores.OnMissing(aMissing);
+    return wire::Ack{};
+  }
+  wire::Message operator()(const wire::LinkAsk& aAsk) const
+  {
+    return self.m_stores.Quote(aAsk);
+  }
   wire::Message operator()(const core::HandedOver& aHanded) const
   {
     self.m_ownership.OnHandedOver(aHanded);
@@ -203,6 +236,7 @@
 {
   for (;;) {
     m_owner.Tick();
+    m_stores.Tick();
     co_await net::Sleep(kOwnerTick);
   }
 }
@@ -257,6 +291,7 @@
   status.table_version = m_table.View().Version();
   status.open_requests = m_open_requests.load();
   status.targets = m_owner.Status();
+  status.stores = m_stores.Status();
   status.runs = m_entry.Runs();
   for (const core::StopMark& mark : m_table.View().Current()->stops) {
     status.stops.push_back({ std::string(core::StopKindName(mark.subject.kind)),
--- a/src/jujubehead/node/control.hpp
+++ b/src/jujubehead/node/control.hpp
@@ -13,6 +13,7 @@
 #include <boost/asio/use_awaitable.hpp>       // for use_awaitable
 
 #include "jujubehead/core/change_log.hpp"        // for TableSnapshot, TableView
+#include "jujubehead/net/claim_store.hpp"        // for ClaimStore
 #include "jujubehead/net/http_client.hpp"        // for HttpClient
 #include "jujubehead/net/member_list.hpp"        // for MemberList
 #include "jujubehead/net/object_store.hpp"       // for ObjectStore
@@ -27,7 +28,9 @@
 #include "jujubehead/node/published.hpp"         // for Published
 #include "jujubehead/node/serve_options.hpp"     // for ServeOptions
 #include "jujubehead/node/status.hpp"            // for InstanceStatus
+#include "jujubehead/node/store_service.hpp"     // for StoreService
 #include "jujubehead/node/table_watch.hpp"       // for TableWatch
+#include "jujubehead/node/target_watch.hpp"      // for TargetWatch
 
 namespace jujubehead::node {
 
@@ -64,6 +67,7 @@
   // On the control thread only.
   [[nodiscard]] EntryService& Entry() { return m_entry; }
   [[nodiscard]] OwnerService& Owner() { return m_owner; }
+  [[nodiscard]] net::ClaimStore& Claims() { return *m_claims; }
   [[nodiscard]] const MemberBook& Members() const { return m_members; }
   /// @return why this instance cannot serve yet; empty when it can.
   [[nodiscard]] std::string NotReadyBecause() const;
@@ -97,15 +101,18 @@
   std::unique_ptr<net::TableService> m_table_service;
   std::unique_ptr<net::ObjectStore> m_object_store;
   std::unique_ptr<net::TableLog> m_log;
+  std::unique_ptr<net::ClaimStore> m_claims;
   Published<core::TableSnapshot> m_published;
   MemberBook m_members;
   PeerCalls m_peers;
   TableWatch m_table;
   DirectoryService m_directory;
   OwnerService m_owner;
+  StoreService m_stores;
   std::unique_ptr<net::OwnershipStore> m_ownership_store;
   OwnershipService m_ownership;
   EntryService m_entry;
+  TargetWatch m_target_watch;
   std::thread m_thread;
 };
 
--- a/src/jujubehead/node/entry_service.cpp
+++ b/src/jujubehead/node/entry_service.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/redirect_error.hpp> // for redirect_error
 #include <boost/asio/use_awaitable.hpp>  // for use_awaitable
 
+#include "jujubehead/core/rendezvous.hpp"        // for HomeOf
 #include "jujubehead/core/sparse_depths.hpp"     // for SparseKeys
 #include "jujubehead/net/timer.hpp"              // for Timer
 #include "jujubehead/node/directory_service.hpp" // for DirectoryService, RawKey
@@ -27,9 +28,8 @@
 constexpr std::size_t kAskAll = 4;
 // Plans to try before a refusal.
 constexpr std::size_t kMaxPlans = 3;
-// Until the store's owner tells the state of its link.
-constexpr double kAssumedLinkBytesPerSecond = 200e6;
-constexpr std::uint32_t kAssumedBytesPerBlock = 1024 * 1024;
+// Copies of a prefix to ask about: the longest come first.
+constexpr std::size_t kMaxCopies = 2;
 
 bool
 Contains(const std::vector<core::TargetId>& aList, const core::TargetId& aOne)
@@ -38,15 +38,16 @@
 }
 
 core::StoredCopy
-CopyOf(const wire::StoreHolder& aHolder)
+CopyOf(const wire::StoreHolder& aHolder, const wire::LinkQuote& aQuote)
 {
   core::StoredCopy copy;
   copy.store = aHolder.store;
   copy.handle = aHolder.handle;
   copy.generation = aHolder.generation;
   copy.blocks = core::BlocksOfSparse(aHolder.keys);
-  copy.bytes_per_second = kAssumedLinkBytesPerSecond;
-  copy.bytes_per_block = kAssumedBytesPerBlock;
+  copy.link_wait = aQuote.wait;
+  copy.bytes_per_second = static_cast<double>(aQuote.bytes_per_second);
+  copy.bytes_per_block = aQuote.bytes_per_block;
   return copy;
 }
 
@@ -145,12 +146,7 @@
         quote.running,
         quote.limit });
   }
-  std::vector<core::StoredCopy> copies;
-  for (const wire::StoreHolder& holder : holders.stores) {
-    if (m_members.Find(holder.store.View()) != nullptr) {
-      copies.push_back(CopyOf(holder));
-    }
-  }
+  const auto copies = co_await Copies(aAsk.account, holders.stores);
   core::RouteQuery query;
   query.blocks = static_cast<std::uint32_t>(aAsk.chain.size());
   query.tokens_per_block = aAsk.tokens_per_block;
@@ -272,6 +268,29 @@
   co_return std::move(gathering->quotes);
 }
 
+asio::awaitable<std::vector<core::StoredCopy>>
+EntryService::Copies(core::AccountId aAccount,
+                     std::vector<wire::StoreHolder> aHolders)
+{
+  std::vector<core::StoredCopy> copies;
+  for (const wire::StoreHolder& holder : aHolders) {
+    const auto owner = m_owners.OwnerOf(holder.store);
+    const bool known = m_members.Find(holder.store.View()) != nullptr;
+    if (!owner || !known || copies.size() >= kMaxCopies) {
+      continue;
+    }
+    wire::Message ask = wire::LinkAsk{ holder.store, aAccount };
+    const auto answer =
+      co_await m_peers.Ask(*owner, std::move(ask), kQuoteTimeout);
+    const auto* quote =
+      answer ? std::get_if<wire::LinkQuote>(&*answer) : nullptr;
+    if (quote != nullptr && quote->bytes_per_second > 0) {
+      copies.push_back(CopyOf(holder, *quote));
+    }
+  }
+  co_return copies;
+}
+
 asio::awaitable<std::optional<wire::PermitAnswer>>
 EntryService::AskPermit(const AdmissionAsk& aAsk,
                         core::TargetId aTarget,
@@ -315,6 +334,36 @@
                              MarkOf(now) });
 }
 
+void
+EntryService::OfferToKeep(wire::KeepOffer aOffer)
+{
+  std::vector<core::InstanceId> stores;
+  for (const net::Member* store : m_members.Stores()) {
+    if (!store->leaving) {
+      stores.emplace_back(store->id);
+    }
+  }
+  // The same store for the same context, so that its owner sees the gaps
+  // between its uses.
+  const auto home = core::HomeOf(KeyOfRaw(aOffer.keys.front()), stores);
+  if (!home) {
+    return;
+  }
+  aOffer.store = core::StoreId(home->Text());
+  if (const auto owner = m_owners.OwnerOf(aOffer.store)) {
+    m_peers.Tell(*owner, std::move(aOffer));
+  }
+}
+
+void
+EntryService::ReportMissing(const core::StoredCopy& aCopy)
+{
+  if (const auto owner = m_owners.OwnerOf(aCopy.store)) {
+    m_peers.Tell(
+      *owner, wire::CopyMissing{ aCopy.store, aCopy.handle, aCopy.generation });
+  }
+}
+
 void
 EntryService::OnAnswer(const wire::PermitAnswer& aAnswer)
 {
--- a/src/jujubehead/node/entry_service.hpp
+++ b/src/jujubehead/node/entry_service.hpp
@@ -104,6 +104,11 @@
   /// @brief The run is over, or will never begin.
   void Release(wire::PermitRelease aRelease);
 
+  /// @brief A run ended whole: its context may be worth keeping in a store.
+  void OfferToKeep(wire::KeepOffer aOffer);
+  /// @brief An import brought nothing: the hint of the copy was wrong.
+  void ReportMissing(const core::StoredCopy& aCopy);
+
   /// @brief Messages from owners.
   void OnAnswer(const wire::PermitAnswer& aAnswer);
   [[nodiscard]] wire::HoldingsAnswer Holdings(const wire::HoldingsAsk& aAsk);
@@ -122,6 +127,9 @@
   boost::asio::awaitable<std::vector<wire::TargetQuote>> Quotes(
     const AdmissionAsk& aAsk,
     std::vector<core::TargetId> aTargets);
+  boost::asio::awaitable<std::vector<core::StoredCopy>> Copies(
+    core::AccountId aAccount,
+    std::vector<wire::StoreHolder> aHolders);
   boost::asio::awaitable<std::optional<wire::PermitAnswer>> AskPermit(
     const AdmissionAsk& aAsk,
     core::TargetId aTarget,
--- a/src/jujubehead/node/owner_map.hpp
+++ b/src/jujubehead/node/owner_map.hpp
@@ -8,7 +8,7 @@
 
 namespace jujubehead::node {
 
-/// @brief Whom to ask for a permit of a target.
+/// @brief Whom to ask for a permit of a target, or for a store's link.
 class OwnerMap
 {
 public:
@@ -16,6 +16,8 @@
   /// @return the owner as far as this instance knows; nothing when unknown.
   [[nodiscard]] virtual std::optional<core::InstanceId> OwnerOf(
     const core::TargetId& aTarget) const = 0;
+  [[nodiscard]] virtual std::optional<core::InstanceId> OwnerOf(
+    const core::StoreId& aStore) const = 0;
 };
 
 } // namespace jujubehead::node
--- a/src/jujubehead/node/owner_service.cpp
+++ b/src/jujubehead/node/owner_service.cpp
@@ -112,6 +112,16 @@
   return m_owned.contains(aTarget);
 }
 
+std::optional<std::uint64_t>
+OwnerService::EpochOf(const core::TargetId& aTarget) const
+{
+  const auto found = m_owned.find(aTarget);
+  if (found == m_owned.end()) {
+    return std::nullopt;
+  }
+  return found->second.book.Epoch();
+}
+
 std::vector<core::TargetId>
 OwnerService::Owned() const
 {
@@ -271,14 +281,6 @@
   Decide(aTarget, found->second);
 }
 
-bool
-OwnerService::NeedsReport(const core::TargetId& aTarget) const
-{
-  const auto found = m_owned.find(aTarget);
-  return found != m_owned.end() &&
-         found->second.book.NeedsTargetReport(RuntimeClock::now());
-}
-
 void
 OwnerService::OnEvicted(const core::TargetId& aTarget,
                         std::span<const core::ContextKey> aKeys)
@@ -306,6 +308,20 @@
   }
 }
 
+void
+OwnerService::OnCleared(const core::TargetId& aTarget)
+{
+  const auto found = m_owned.find(aTarget);
+  if (found == m_owned.end()) {
+    return;
+  }
+  std::vector<core::ContextKey> keys;
+  for (const auto& [key, first] : found->second.first_key) {
+    keys.push_back(key);
+  }
+  OnEvicted(aTarget, keys);
+}
+
 void
 OwnerService::ApplyTable()
 {
--- a/src/jujubehead/node/owner_service.hpp
+++ b/src/jujubehead/node/owner_service.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>    // for uint64_t
 #include <functional> // for function
 #include <map>        // for map
+#include <optional>   // for optional
 #include <span>       // for span
 #include <vector>     // for vector
 
@@ -43,6 +44,9 @@
   void Own(const core::TargetId& aTarget, const core::StartOwning& aStart);
   void Disown(const core::TargetId& aTarget);
   [[nodiscard]] bool Owns(const core::TargetId& aTarget) const;
+  /// @return the epoch of the ownership, which is the fencing number.
+  [[nodiscard]] std::optional<std::uint64_t> EpochOf(
+    const core::TargetId& aTarget) const;
   [[nodiscard]] std::vector<core::TargetId> Owned() const;
   /// @return all permits of a target that are out.
   [[nodiscard]] std::vector<core::HeldPermit> Held(
@@ -59,12 +63,13 @@
   /// @brief Takes in which requests the target runs.
   void OnReport(const core::TargetId& aTarget,
                 const core::TargetReport& aReport);
-  /// @return whether a causal report of the target is wanted.
-  [[nodiscard]] bool NeedsReport(const core::TargetId& aTarget) const;
   /// @brief Takes in keys that the target evicted.
   void OnEvicted(const core::TargetId& aTarget,
                  std::span<const core::ContextKey> aKeys);
 
+  /// @brief Takes in that the target lost its whole cache.
+  void OnCleared(const core::TargetId& aTarget);
+
   /// @brief Applies limits and planned stops of the table in force.
   void ApplyTable();
   /// @brief Sends what is due by time: grants, refusals. Also asks holders.
--- a/src/jujubehead/node/ownership_service.cpp
+++ b/src/jujubehead/node/ownership_service.cpp
@@ -10,6 +10,7 @@
 #include "jujubehead/node/member_book.hpp"   // for MemberBook
 #include "jujubehead/node/owner_service.hpp" // for OwnerService
 #include "jujubehead/node/peer_calls.hpp"    // for PeerCalls
+#include "jujubehead/node/store_service.hpp" // for StoreService
 
 namespace jujubehead::node {
 namespace {
@@ -61,13 +62,10 @@
     asio::co_spawn(
       self.m_peers.Context(), self.Read(std::move(aRead)), asio::detached);
   }
-  void operator()(const core::StartOwning& aStart) const
-  {
-    self.m_owner.Own(TargetOf(aStart.group), aStart);
-  }
+  void operator()(const core::StartOwning& aStart) const { self.Start(aStart); }
   void operator()(const core::StopOwning& aStop) const
   {
-    self.m_owner.Disown(TargetOf(aStop.group));
+    self.Stop(aStop.group);
   }
   void operator()(const core::HandOverGroup& aHandOver) const
   {
@@ -75,7 +73,7 @@
     self.m_peers.Tell(
       aHandOver.row.owner.instance,
       core::HandedOver{ aHandOver.row, self.m_owner.Held(target) });
-    self.m_owner.Disown(target);
+    self.Stop(aHandOver.row.group);
   }
 };
 
@@ -83,11 +81,13 @@
                                    const MemberBook& aMembers,
                                    net::OwnershipStore& aStore,
                                    OwnerService& aOwner,
+                                   StoreService& aStores,
                                    core::DataCentreId aDataCentre)
   : m_peers(aPeers)
   , m_members(aMembers)
   , m_store(aStore)
   , m_owner(aOwner)
+  , m_stores(aStores)
   , m_ownership(
       core::Ownership::Create(OptionsFor(aPeers.Self(), std::move(aDataCentre)),
                               RuntimeClock::now()))
@@ -116,11 +116,38 @@
   for (const net::Member* member : m_members.Targets()) {
     groups.emplace_back(member->id);
   }
+  for (const net::Member* member : m_members.Stores()) {
+    groups.emplace_back(member->id);
+  }
   m_ownership.SetMembers(instances, RuntimeClock::now());
   m_ownership.SetGroups(groups, RuntimeClock::now());
   TakeActions();
 }
 
+bool
+OwnershipService::IsStore(const core::GroupId& aGroup) const
+{
+  const net::Member* member = m_members.Find(aGroup.View());
+  return member != nullptr && member->kind == net::MemberKind::kStore;
+}
+
+void
+OwnershipService::Start(const core::StartOwning& aStart)
+{
+  if (IsStore(aStart.group)) {
+    m_stores.Own(core::StoreId(aStart.group.Text()), aStart.epoch);
+  } else {
+    m_owner.Own(TargetOf(aStart.group), aStart);
+  }
+}
+
+void
+OwnershipService::Stop(const core::GroupId& aGroup)
+{
+  m_stores.Disown(core::StoreId(aGroup.Text()));
+  m_owner.Disown(TargetOf(aGroup));
+}
+
 void
 OwnershipService::OnMessage(const core::InstanceId& aFrom,
                             const core::OwnershipMessage& aMessage)
@@ -149,6 +176,12 @@
   return m_ownership.OwnerOf(core::GroupId(aTarget.Text()));
 }
 
+std::optional<core::InstanceId>
+OwnershipService::OwnerOf(const core::StoreId& aStore) const
+{
+  return m_ownership.OwnerOf(core::GroupId(aStore.Text()));
+}
+
 bool
 OwnershipService::MayAdmit(const core::TargetId& aTarget) const
 {
--- a/src/jujubehead/node/ownership_service.hpp
+++ b/src/jujubehead/node/ownership_service.hpp
@@ -14,17 +14,19 @@
 class MemberBook;
 class OwnerService;
 class PeerCalls;
+class StoreService;
 
 /// @brief Carries out what core::Ownership decides: the messages, the rows of
 /// the table service, and which targets this instance admits work to.
 class OwnershipService : public OwnerMap
 {
 public:
-  /// @param aPeers, aMembers, aStore, aOwner outlive this.
+  /// @param aPeers, aMembers, aStore, aOwner, aStores outlive this.
   OwnershipService(PeerCalls& aPeers,
                    const MemberBook& aMembers,
                    net::OwnershipStore& aStore,
                    OwnerService& aOwner,
+                   StoreService& aStores,
                    core::DataCentreId aDataCentre);
 
   /// @brief Ticks for as long as the context runs.
@@ -40,6 +42,8 @@
 
   [[nodiscard]] std::optional<core::InstanceId> OwnerOf(
     const core::TargetId& aTarget) const override;
+  [[nodiscard]] std::optional<core::InstanceId> OwnerOf(
+    const core::StoreId& aStore) const override;
   [[nodiscard]] bool MayAdmit(const core::TargetId& aTarget) const;
   [[nodiscard]] bool IsReady() const { return m_ownership.IsReady(); }
   [[nodiscard]] bool HasLeft() const { return m_ownership.HasLeft(); }
@@ -47,6 +51,10 @@
 private:
   struct CarryOut;
 
+  /// @brief Begins to admit work to a target, or to schedule a store's link.
+  void Start(const core::StartOwning& aStart);
+  void Stop(const core::GroupId& aGroup);
+  [[nodiscard]] bool IsStore(const core::GroupId& aGroup) const;
   void TakeActions();
   boost::asio::awaitable<void> Write(core::WriteRows aWrite);
   boost::asio::awaitable<void> Read(core::ReadRows aRead);
@@ -55,6 +63,7 @@
   const MemberBook& m_members;
   net::OwnershipStore& m_store;
   OwnerService& m_owner;
+  StoreService& m_stores;
   core::Ownership m_ownership;
 };
 
--- a/src/jujubehead/node/service_run.cpp
+++ b/src/jujubehead/node/service_run.cpp
@@ -10,6 +10,7 @@
 
 #include "jujubehead/net/http_client.hpp"     // for HttpCall, HttpClient
 #include "jujubehead/node/attempts.hpp"       // for Attempts
+#include "jujubehead/node/request_claim.hpp"  // for RequestClaim
 #include "jujubehead/node/send_error.hpp"     // for SendError
 #include "jujubehead/node/traffic_thread.hpp" // for TrafficThread
 
@@ -126,10 +127,13 @@
     : m_thread(aThread)
     , m_exchange(aExchange)
     , m_path(std::move(aPath))
+    , m_account(aCaller.account)
+    , m_model(aRow.model)
     , m_attempts(aThread,
                  aExchange,
                  AskFor(aRow, aCaller.account),
                  AccountClass(aCaller.table->table, aRow))
+    , m_claim(aThread)
   {
     if (!IsIdempotent(aExchange.Request().method)) {
       m_attempts.OnlyOnce();
@@ -138,9 +142,19 @@
 
   asio::awaitable<void> Serve()
   {
+    auto barred =
+      co_await m_claim.Take(m_exchange.Request(), m_account, m_model);
+    if (barred) {
+      co_await SendError(m_exchange, std::move(*barred));
+      co_return;
+    }
+    if (m_claim.IsHeld()) {
+      m_attempts.OnlyOnce();
+    }
     for (;;) {
       Attempts::Next next = co_await m_attempts.Start();
       if (auto* error = std::get_if<net::ApiError>(&next)) {
+        co_await m_claim.Refused(error->run_state);
         co_await SendError(m_exchange, *error);
         co_return;
       }
@@ -202,7 +216,10 @@
   TrafficThread& m_thread;
   net::HttpExchange& m_exchange;
   std::string m_path;
+  core::AccountId m_account;
+  core::ModelId m_model;
   Attempts m_attempts;
+  RequestClaim m_claim;
 };
 
 } // namespace
