--- a/bench/benches.hpp
+++ b/bench/benches.hpp
@@ -21,6 +21,10 @@
 int
 RunStreamsBench();
 
+/// @brief Returning context: policies over fakes of targets, links and stores.
+int
+RunContext();
+
 } // namespace jujubehead::bench
 
 #endif // JUJUBEHEAD_BENCH_BENCHES_HPP
--- /dev/null
+++ b/bench/context/keeping_policy.cpp
@@ -0,0 +1,314 @@
+#include "bench/context/keeping_policy.hpp"
+
+#include <algorithm> // for find_if, min
+#include <charconv>  // for from_chars
+#include <chrono>    // for hours
+#include <string>    // for to_string
+
+#include "bench/context/world.hpp"         // for World
+#include "jujubehead/core/keep_policy.hpp" // for ExportGain, KeepPrice
+
+namespace jujubehead::bench {
+namespace {
+
+using core::AccountId;
+using core::StoreId;
+using core::TargetId;
+
+constexpr std::size_t kMaxKeys = 1'000'000;
+constexpr std::size_t kMaxHolders = 3;
+constexpr std::size_t kOthers = 2;
+/// Share of a target's cache that is used before an export is weighed.
+constexpr double kDueShare = 0.6;
+constexpr Duration kKeptFor = std::chrono::hours(6);
+constexpr Duration kForgetAfter = std::chrono::hours(8);
+
+std::size_t
+NumberOf(std::string_view aName)
+{
+  std::size_t number = 0;
+  std::from_chars(aName.data(), aName.data() + aName.size(), number);
+  return number;
+}
+
+TargetId
+NameOf(std::size_t aTarget)
+{
+  return TargetId(std::to_string(aTarget));
+}
+
+} // namespace
+
+KeepingPolicy::KeepingPolicy(const Hardware& aHardware)
+  : m_directory(kMaxKeys)
+  , m_forecasts(aHardware.targets,
+                core::EvictionForecast(aHardware.target_blocks))
+{
+}
+
+Placement
+KeepingPolicy::Route(World& aWorld, const Request& aRequest)
+{
+  Observe(aWorld, aRequest);
+  const std::span keys =
+    std::span(aWorld.Work().keys[aRequest.context]).first(aRequest.blocks);
+  const auto hints = m_directory.Lookup(keys);
+  const core::RouteQuery query{ aRequest.blocks,
+                                aWorld.Parts().tokens_per_block,
+                                aWorld.User().tail_tokens,
+                                aWorld.User().recompute_price,
+                                {} };
+  const auto views = Candidates(aWorld, hints);
+  const auto copies = Copies(aWorld, aRequest, hints);
+  const auto plan = core::RankRoutes(query, views, copies).front();
+  Placement placement;
+  placement.target = NumberOf(plan.target.View());
+  placement.planned_seconds = aWorld.ServiceSeconds(plan.recomputed_blocks);
+  if (plan.cached_blocks > 0) {
+    placement.hinted_blocks = plan.cached_blocks + plan.imported_blocks;
+  }
+  if (plan.import) {
+    const double computing = aWorld.ServiceSeconds(plan.imported_blocks);
+    placement.import = ImportPlan{ NumberOf(plan.import->store.View()),
+                                   plan.cached_blocks + plan.imported_blocks,
+                                   aWorld.Now() + plan.import->link_wait +
+                                     ToDuration(computing) };
+  }
+  return placement;
+}
+
+void
+KeepingPolicy::Observe(World& aWorld, const Request& aRequest)
+{
+  m_known.resize(aWorld.Work().keys.size());
+  Known& known = m_known[aRequest.context];
+  if (known.seen) {
+    m_returns.Observe(AccountId(std::to_string(aRequest.account)),
+                      known.counted - known.last_use,
+                      aWorld.Now() - known.last_use,
+                      true);
+  }
+  m_contexts[aWorld.Work().keys[aRequest.context].front()] = aRequest.context;
+  known = {
+    aRequest.account, aRequest.blocks, aWorld.Now(), aWorld.Now(), true
+  };
+}
+
+std::vector<core::TargetView>
+KeepingPolicy::Candidates(World& aWorld,
+                          const std::vector<core::PrefixHint>& aHints)
+{
+  std::vector<core::TargetView> views;
+  const auto add = [&](const TargetId& aTarget, std::uint32_t aBlocks) {
+    const bool known =
+      std::any_of(views.begin(), views.end(), [&](const auto& aView) {
+        return aView.target == aTarget;
+      });
+    if (!known) {
+      views.push_back({ aTarget,
+                        {},
+                        aWorld.Backlog(NumberOf(aTarget.View())),
+                        aWorld.Parts().prefill_tokens_per_second,
+                        aBlocks,
+                        true,
+                        0,
+                        1 });
+    }
+  };
+  for (const core::PrefixHint& hint : aHints) {
+    const auto* target = std::get_if<TargetId>(&hint.holder);
+    if (target != nullptr && views.size() < kMaxHolders) {
+      add(*target, hint.blocks);
+    }
+  }
+  const std::size_t wanted = views.size() + kOthers;
+  while (views.size() < wanted) {
+    add(NameOf(aWorld.Random()() % aWorld.Targets()), 0);
+  }
+  return views;
+}
+
+std::vector<core::StoredCopy>
+KeepingPolicy::Copies(World& aWorld,
+                      const Request& aRequest,
+                      const std::vector<core::PrefixHint>& aHints)
+{
+  const AccountId account(std::to_string(aRequest.account));
+  std::vector<core::StoredCopy> copies;
+  for (const core::PrefixHint& hint : aHints) {
+    if (const auto* store = std::get_if<StoreId>(&hint.holder)) {
+      const auto& link = aWorld.Link(NumberOf(store->View()));
+      copies.push_back(
+        { *store,
+          hint.copy->handle,
+          hint.copy->generation,
+          hint.blocks,
+          link.ExpectedWait(core::TransferKind::kImport, account, aWorld.Now()),
+          link.BytesPerSecond(),
+          static_cast<std::uint32_t>(aWorld.Parts().bytes_per_block) });
+    }
+  }
+  return copies;
+}
+
+void
+KeepingPolicy::OnRan(World& aWorld,
+                     const Request& aRequest,
+                     std::size_t aTarget)
+{
+  const auto& keys = aWorld.Work().keys[aRequest.context];
+  m_directory.Learn(NameOf(aTarget), std::span(keys).first(aRequest.blocks));
+  auto& forecast = m_forecasts[aTarget];
+  forecast.Used(keys.front(), aRequest.blocks);
+  for (const core::ContextKey& root : forecast.TakeDue(kDueShare)) {
+    ConsiderExport(aWorld, m_contexts.at(root), aTarget);
+  }
+}
+
+void
+KeepingPolicy::ConsiderExport(World& aWorld,
+                              std::uint32_t aContext,
+                              std::size_t aTarget)
+{
+  const Known& known = m_known[aContext];
+  std::optional<std::size_t> chosen;
+  std::uint32_t kept = 0;
+  for (std::size_t i = 0; i < aWorld.Stores(); ++i) {
+    if (aWorld.Store(i).IsLost()) {
+      continue;
+    }
+    const StoredContext* copy = aWorld.Store(i).Find(aContext);
+    if (copy != nullptr && copy->blocks > kept) {
+      kept = copy->blocks;
+      chosen = i;
+    } else if (kept == 0 &&
+               (!chosen || (aContext + i) % aWorld.Stores() == 0)) {
+      chosen = i;
+    }
+  }
+  if (!chosen || kept >= known.blocks) {
+    return;
+  }
+  const double bytes = aWorld.Parts().bytes_per_block;
+  const core::ExportView view{
+    { AccountId(std::to_string(known.account)),
+      aWorld.Now() - known.last_use,
+      static_cast<std::uint64_t>(known.blocks * bytes),
+      aWorld.ServiceSeconds(known.blocks) - aWorld.ServiceSeconds(0) },
+    static_cast<std::uint64_t>((known.blocks - kept) * bytes),
+    aWorld.Link(*chosen).BytesPerSecond(),
+    0,
+    kKeptFor
+  };
+  if (core::ExportGain(m_returns, view) > 0) {
+    aWorld.Export({ aTarget,
+                    *chosen,
+                    aContext,
+                    known.account,
+                    known.blocks,
+                    true,
+                    core::TransferKind::kExport });
+  }
+}
+
+double
+KeepingPolicy::PriceOf(World& aWorld, std::uint32_t aContext) const
+{
+  const Known& known = m_known[aContext];
+  return core::KeepPrice(
+    m_returns,
+    { AccountId(std::to_string(known.account)),
+      aWorld.Now() - known.last_use,
+      static_cast<std::uint64_t>(known.blocks * aWorld.Parts().bytes_per_block),
+      aWorld.ServiceSeconds(known.blocks) - aWorld.ServiceSeconds(0) });
+}
+
+bool
+KeepingPolicy::MakeRoom(World& aWorld,
+                        std::size_t aStore,
+                        std::uint32_t aContext,
+                        std::uint32_t aBlocks)
+{
+  FakeStore& store = aWorld.Store(aStore);
+  const std::uint32_t missing = store.Missing(aBlocks);
+  if (missing == 0) {
+    return true;
+  }
+  std::vector<core::VictimView> views;
+  std::vector<std::uint32_t> contexts;
+  for (const auto& [context, copy] : store.Copies()) {
+    if (context != aContext) {
+      views.push_back({ PriceOf(aWorld, context), copy.blocks });
+      contexts.push_back(context);
+    }
+  }
+  const auto victims =
+    core::ChooseVictims(views, missing, PriceOf(aWorld, aContext));
+  if (!victims) {
+    return false;
+  }
+  for (const std::size_t index : *victims) {
+    const std::uint32_t context = contexts[index];
+    const auto generation = store.Find(context)->generation;
+    m_directory.ForgetCopy(StoreId(std::to_string(aStore)),
+                           { std::to_string(context), generation });
+    store.Free(context);
+  }
+  return true;
+}
+
+void
+KeepingPolicy::FitMemory(World& aWorld, std::size_t aStore)
+{
+  FakeStore& store = aWorld.Store(aStore);
+  if (store.MemoryExcess() == 0) {
+    return;
+  }
+  std::vector<std::pair<double, std::uint32_t>> priced;
+  for (const auto& [context, copy] : store.Copies()) {
+    if (copy.in_memory) {
+      priced.emplace_back(PriceOf(aWorld, context), context);
+    }
+  }
+  std::sort(priced.begin(), priced.end());
+  for (const auto& [price, context] : priced) {
+    if (store.MemoryExcess() == 0) {
+      return;
+    }
+    store.Demote(context);
+  }
+}
+
+void
+KeepingPolicy::OnCacheEvent(std::size_t aTarget, const core::CacheEvent& aEvent)
+{
+  m_directory.Apply(NameOf(aTarget), aEvent);
+}
+
+void
+KeepingPolicy::OnCopy(std::size_t aStore, const core::CacheEvent& aEvent)
+{
+  m_directory.Apply(StoreId(std::to_string(aStore)), aEvent);
+}
+
+void
+KeepingPolicy::OnStoreLost(std::size_t aStore)
+{
+  m_directory.Forget(StoreId(std::to_string(aStore)));
+}
+
+void
+KeepingPolicy::OnMinute(World& aWorld)
+{
+  for (Known& known : m_known) {
+    if (known.seen && aWorld.Now() - known.last_use < kForgetAfter) {
+      m_returns.Observe(AccountId(std::to_string(known.account)),
+                        known.counted - known.last_use,
+                        aWorld.Now() - known.last_use,
+                        false);
+      known.counted = aWorld.Now();
+    }
+  }
+}
+
+} // namespace jujubehead::bench
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -25,6 +25,7 @@
 Benches()
 {
   static const std::vector<Bench> benches{
+    { "context", RunContext },
     { "path", RunPathBench },
     { "streams", RunStreamsBench },
     { "table", RunTableBench },
