--- a/bench/context/keeping_policy.hpp
+++ b/bench/context/keeping_policy.hpp
@@ -9,6 +9,7 @@
 #include "bench/context/placement.hpp"           // for Placement, PolicyBase
 #include "jujubehead/core/directory.hpp"         // for Directory
 #include "jujubehead/core/eviction_forecast.hpp" // for EvictionForecast
+#include "jujubehead/core/keep_policy.hpp"       // for KeptValue
 #include "jujubehead/core/return_model.hpp"      // for ReturnModel
 #include "jujubehead/core/router.hpp"            // for RankRoutes
 
@@ -56,6 +57,7 @@
   void ConsiderExport(World& aWorld,
                       std::uint32_t aContext,
                       std::size_t aTarget);
+  static core::KeptValue ValueOf(const World& aWorld, const Known& aKnown);
   [[nodiscard]] double PriceOf(World& aWorld, std::uint32_t aContext) const;
 
   core::Directory m_directory;
--- a/bench/context/offline_bound.cpp
+++ b/bench/context/offline_bound.cpp
@@ -62,11 +62,11 @@
 {
   const std::uint64_t targets = aHardware.targets * aHardware.target_blocks;
   const std::uint64_t store = aHardware.memory_blocks + aHardware.disk_blocks;
-  const Instant halfway = Instant(aWorkload.end.time_since_epoch() / 2);
   Figures figures;
   Pool pool(aWorkload.keys.size());
   for (const Request& request : aWorkload.requests) {
-    const bool lost = aCondition.store_lost && request.at >= halfway;
+    const bool lost =
+      aCondition.store_lost && request.at >= aWorkload.Halfway();
     const std::uint32_t reused =
       std::min(pool.Blocks(request.context), request.seen_blocks);
     if (request.measured) {
--- a/bench/context/workload.cpp
+++ b/bench/context/workload.cpp
@@ -166,7 +166,7 @@
 /// Numbers contexts from 0, fills in what each request's context had before
 /// and when it comes next.
 void
-LinkUses(Workload& aWorkload, Instant aMeasuredFrom, std::uint64_t aSeed)
+LinkUses(Workload& aWorkload, std::uint64_t aSeed)
 {
   std::unordered_map<std::uint32_t, std::uint32_t> numbers;
   std::vector<std::size_t> last;
@@ -176,7 +176,7 @@
     const auto next = static_cast<std::uint32_t>(numbers.size());
     const auto [place, isNew] = numbers.try_emplace(request.context, next);
     request.context = place->second;
-    request.measured = request.at >= aMeasuredFrom;
+    request.measured = request.at >= aWorkload.measured_from;
     request.next = kNever;
     if (isNew) {
       last.push_back(i);
@@ -220,6 +220,7 @@
              std::uint64_t aSeed)
 {
   Workload workload;
+  workload.measured_from = Instant(aWarmUp);
   workload.end = Instant(aWarmUp + aMeasured);
   const double length = ToSeconds(aWarmUp + aMeasured);
   double rate = 1;
@@ -228,7 +229,7 @@
     rate *= aLoad / LoadOf(workload.requests, aDeployment, aHardware, length);
   }
   workload.requests = Generator(aDeployment, rate, length, aSeed).Generate();
-  LinkUses(workload, Instant(aWarmUp), aSeed);
+  LinkUses(workload, aSeed);
   workload.working_set_blocks = WorkingSet(workload);
   return workload;
 }
--- a/bench/context/workload.hpp
+++ b/bench/context/workload.hpp
@@ -29,7 +29,13 @@
 {
   std::vector<Request> requests;                   ///< In order of time.
   std::vector<std::vector<core::ContextKey>> keys; ///< By context.
+  Instant measured_from;
   Instant end;
+  /// Halfway through the measured time, when a store may die.
+  [[nodiscard]] Instant Halfway() const
+  {
+    return measured_from + (end - measured_from) / 2;
+  }
   double working_set_blocks = 0; ///< Mean of contexts that will return.
 };
 
--- a/include/jujubehead/core/keep_policy.hpp
+++ b/include/jujubehead/core/keep_policy.hpp
@@ -20,8 +20,20 @@
   Duration idle{};              ///< Since its last use.
   std::uint64_t bytes = 0;      ///< Room that it takes.
   double recompute_seconds = 0; ///< Of a target, to compute it again.
+  double saved = 0;             ///< ReturnValue() of not computing it.
 };
 
+/// @brief What it is worth not to compute a context again.
+///
+/// Without a price of recomputed tokens the deployment counts waiting, and a
+/// wait hurts more the longer it is: its square. With a price it counts tokens,
+/// so that the value is in proportion to them.
+/// @param aSeconds of a target, to compute the context.
+/// @param aTokens of the context.
+/// @param aRecomputePrice seconds that a token not recomputed is worth.
+double
+ReturnValue(double aSeconds, double aTokens, double aRecomputePrice);
+
 /// @brief What an export has to reckon with.
 struct ExportView
 {
@@ -32,8 +44,8 @@
   Duration kept_for{};             ///< Expected time in the store.
 };
 
-/// @return seconds of computing saved for each byte and second of room in a
-/// tier. Exports, evictions and tiers all go by this one price.
+/// @return what is saved for each byte and second of room in a tier. Exports,
+/// evictions and tiers all go by this one price.
 double
 KeepPrice(const ReturnModel& aModel, const KeptValue& aValue);
 
--- a/src/jujubehead/core/keep_policy.cpp
+++ b/src/jujubehead/core/keep_policy.cpp
@@ -11,14 +11,22 @@
 
 } // namespace
 
+double
+ReturnValue(double aSeconds, double aTokens, double aRecomputePrice)
+{
+  const double tokens = aTokens * aRecomputePrice;
+  const double weight = aSeconds > 0 ? tokens / aSeconds : 0;
+  return aSeconds * aSeconds / (1 + weight * weight) + tokens;
+}
+
 double
 KeepPrice(const ReturnModel& aModel, const KeptValue& aValue)
 {
   if (aValue.bytes == 0) {
     return 0;
   }
-  return aModel.ReturnRate(aValue.account, aValue.idle) *
-         aValue.recompute_seconds / static_cast<double>(aValue.bytes);
+  return aModel.ReturnRate(aValue.account, aValue.idle) * aValue.saved /
+         static_cast<double>(aValue.bytes);
 }
 
 double
