--- a/bench/context/fake_store.cpp
+++ b/bench/context/fake_store.cpp
@@ -60,6 +60,8 @@
   Free(aContext);
   m_copies[aContext] = { blocks, aGeneration, true, aNow };
   m_in_memory += blocks;
+  m_order.insert({ aNow, aContext });
+  m_memory_order.insert({ aNow, aContext });
   return true;
 }
 
@@ -80,10 +82,15 @@
   if (found == m_copies.end()) {
     return;
   }
-  found->second.last_use = aNow;
-  if (!found->second.in_memory) {
-    found->second.in_memory = true;
-    m_in_memory += found->second.blocks;
+  StoredContext& copy = found->second;
+  m_order.erase({ copy.last_use, aContext });
+  m_memory_order.erase({ copy.last_use, aContext });
+  copy.last_use = aNow;
+  m_order.insert({ aNow, aContext });
+  m_memory_order.insert({ aNow, aContext });
+  if (!copy.in_memory) {
+    copy.in_memory = true;
+    m_in_memory += copy.blocks;
   }
 }
 
@@ -94,6 +101,7 @@
   if (found != m_copies.end() && found->second.in_memory) {
     found->second.in_memory = false;
     m_in_memory -= found->second.blocks;
+    m_memory_order.erase({ found->second.last_use, aContext });
   }
 }
 
@@ -104,6 +112,8 @@
   if (found != m_copies.end()) {
     m_used -= found->second.blocks;
     m_in_memory -= found->second.in_memory ? found->second.blocks : 0;
+    m_order.erase({ found->second.last_use, aContext });
+    m_memory_order.erase({ found->second.last_use, aContext });
     m_copies.erase(found);
   }
 }
@@ -113,6 +123,8 @@
 {
   m_lost = true;
   m_copies.clear();
+  m_order.clear();
+  m_memory_order.clear();
   m_reserved.clear();
   m_used = 0;
   m_in_memory = 0;
--- a/bench/context/fake_store.hpp
+++ b/bench/context/fake_store.hpp
@@ -3,6 +3,8 @@
 
 #include <cstdint> // for uint32_t, uint64_t
 #include <map>     // for map
+#include <set>     // for set
+#include <utility> // for pair
 
 #include "bench/context/deployment.hpp" // for Instant
 
@@ -28,6 +30,17 @@
   {
     return m_copies;
   }
+  /// @return the copies of the memory tier, the one unused for longest first.
+  [[nodiscard]] const std::set<std::pair<Instant, std::uint32_t>>& InMemory()
+    const
+  {
+    return m_memory_order;
+  }
+  /// @return the copies of both tiers, the one unused for longest first.
+  [[nodiscard]] const std::set<std::pair<Instant, std::uint32_t>>& ByUse() const
+  {
+    return m_order;
+  }
   /// @return blocks that are missing to hold so many more.
   [[nodiscard]] std::uint32_t Missing(std::uint32_t aBlocks) const;
   /// @return blocks by which the memory tier is over its size.
@@ -59,6 +72,8 @@
   std::uint64_t m_generation = 0;
   bool m_lost = false;
   std::map<std::uint32_t, StoredContext> m_copies;
+  std::set<std::pair<Instant, std::uint32_t>> m_order;
+  std::set<std::pair<Instant, std::uint32_t>> m_memory_order;
   std::map<std::uint64_t, std::uint32_t> m_reserved; ///< By generation.
 };
 
--- a/bench/context/keeping_policy.cpp
+++ b/bench/context/keeping_policy.cpp
@@ -15,6 +15,7 @@
 using core::StoreId;
 using core::TargetId;
 
+constexpr std::size_t kMaxAccounts = 10;
 constexpr std::size_t kMaxKeys = 1'000'000;
 constexpr std::size_t kMaxHolders = 3;
 constexpr std::size_t kOthers = 2;
@@ -44,6 +45,9 @@
   , m_forecasts(aHardware.targets,
                 core::EvictionForecast(aHardware.target_blocks))
 {
+  for (std::size_t i = 0; i < kMaxAccounts; ++i) {
+    m_accounts.emplace_back(std::to_string(i));
+  }
 }
 
 Placement
@@ -83,7 +87,7 @@
   m_known.resize(aWorld.Work().keys.size());
   Known& known = m_known[aRequest.context];
   if (known.seen) {
-    m_returns.Observe(AccountId(std::to_string(aRequest.account)),
+    m_returns.Observe(m_accounts[aRequest.account],
                       known.counted - known.last_use,
                       aWorld.Now() - known.last_use,
                       true);
@@ -133,7 +137,7 @@
                       const Request& aRequest,
                       const std::vector<core::PrefixHint>& aHints)
 {
-  const AccountId account(std::to_string(aRequest.account));
+  const AccountId& account = m_accounts[aRequest.account];
   std::vector<core::StoredCopy> copies;
   for (const core::PrefixHint& hint : aHints) {
     if (const auto* store = std::get_if<StoreId>(&hint.holder)) {
@@ -208,13 +212,13 @@
 }
 
 core::KeptValue
-KeepingPolicy::ValueOf(const World& aWorld, const Known& aKnown)
+KeepingPolicy::ValueOf(const World& aWorld, const Known& aKnown) const
 {
   const double seconds =
     aWorld.ServiceSeconds(aKnown.blocks) - aWorld.ServiceSeconds(0);
   const double tokens =
     static_cast<double>(aKnown.blocks) * aWorld.Parts().tokens_per_block;
-  return { AccountId(std::to_string(aKnown.account)),
+  return { m_accounts[aKnown.account],
            aWorld.Now() - aKnown.last_use,
            static_cast<std::uint64_t>(aKnown.blocks *
                                       aWorld.Parts().bytes_per_block),
@@ -271,10 +275,8 @@
     return;
   }
   std::vector<std::pair<double, std::uint32_t>> priced;
-  for (const auto& [context, copy] : store.Copies()) {
-    if (copy.in_memory) {
-      priced.emplace_back(PriceOf(aWorld, context), context);
-    }
+  for (const auto& [use, context] : store.InMemory()) {
+    priced.emplace_back(PriceOf(aWorld, context), context);
   }
   std::sort(priced.begin(), priced.end());
   for (const auto& [price, context] : priced) {
@@ -308,7 +310,7 @@
 {
   for (Known& known : m_known) {
     if (known.seen && aWorld.Now() - known.last_use < kForgetAfter) {
-      m_returns.Observe(AccountId(std::to_string(known.account)),
+      m_returns.Observe(m_accounts[known.account],
                         known.counted - known.last_use,
                         aWorld.Now() - known.last_use,
                         false);
--- a/bench/context/keeping_policy.hpp
+++ b/bench/context/keeping_policy.hpp
@@ -57,9 +57,11 @@
   void ConsiderExport(World& aWorld,
                       std::uint32_t aContext,
                       std::size_t aTarget);
-  static core::KeptValue ValueOf(const World& aWorld, const Known& aKnown);
+  [[nodiscard]] core::KeptValue ValueOf(const World& aWorld,
+                                        const Known& aKnown) const;
   [[nodiscard]] double PriceOf(World& aWorld, std::uint32_t aContext) const;
 
+  std::vector<core::AccountId> m_accounts;
   core::Directory m_directory;
   core::ReturnModel m_returns;
   std::vector<core::EvictionForecast> m_forecasts;
--- a/bench/context/naive_policies.cpp
+++ b/bench/context/naive_policies.cpp
@@ -9,22 +9,6 @@
 namespace jujubehead::bench {
 namespace {
 
-/// The copy that was unused for longest, but for one context's.
-std::uint32_t
-LeastRecent(const FakeStore& aStore, std::uint32_t aExcept, bool aInMemory)
-{
-  Instant oldest = kNever;
-  std::uint32_t context = aExcept;
-  for (const auto& [candidate, copy] : aStore.Copies()) {
-    if (candidate != aExcept && copy.last_use < oldest &&
-        (!aInMemory || copy.in_memory)) {
-      oldest = copy.last_use;
-      context = candidate;
-    }
-  }
-  return context;
-}
-
 std::size_t
 LeastLoaded(const World& aWorld)
 {
@@ -137,12 +121,17 @@
                           std::uint32_t aBlocks)
 {
   FakeStore& store = aWorld.Store(aStore);
+  auto victim = store.ByUse().begin();
   while (store.Missing(aBlocks) > 0) {
-    const std::uint32_t victim = LeastRecent(store, aContext, false);
-    if (victim == aContext) {
+    if (victim != store.ByUse().end() && victim->second == aContext) {
+      ++victim;
+    }
+    if (victim == store.ByUse().end()) {
       return false;
     }
-    store.Free(victim);
+    const std::uint32_t context = victim->second;
+    ++victim;
+    store.Free(context);
   }
   return true;
 }
@@ -151,12 +140,8 @@
 ExportAllPolicy::FitMemory(World& aWorld, std::size_t aStore)
 {
   FakeStore& store = aWorld.Store(aStore);
-  while (store.MemoryExcess() > 0) {
-    const std::uint32_t victim = LeastRecent(store, UINT32_MAX, true);
-    if (victim == UINT32_MAX) {
-      return;
-    }
-    store.Demote(victim);
+  while (store.MemoryExcess() > 0 && !store.InMemory().empty()) {
+    store.Demote(store.InMemory().begin()->second);
   }
 }
 
