Choose candidates by holders, homes and one at random; pins keep their place

Pinning for an export no longer renews a context in the fake cache, which had hidden the eviction order.

--- a/bench/context/keeping_policy.cpp
+++ b/bench/context/keeping_policy.cpp
@@ -6,6 +6,7 @@
 #include <string>    // for to_string
 
 #include "bench/context/world.hpp"         // for World
+#include "jujubehead/core/candidates.hpp"  // for PickCandidates
 #include "jujubehead/core/keep_policy.hpp" // for ExportGain, KeepPrice
 
 namespace jujubehead::bench {
@@ -17,8 +18,6 @@
 
 constexpr std::size_t kMaxAccounts = 10;
 constexpr std::size_t kMaxKeys = 1'000'000;
-constexpr std::size_t kMaxHolders = 3;
-constexpr std::size_t kOthers = 2;
 /// Share of a target's cache that is used before an export is weighed.
 constexpr double kDueShare = 0.6;
 constexpr Duration kKeptFor = std::chrono::hours(6);
@@ -45,6 +44,9 @@
   , m_forecasts(aHardware.targets,
                 core::EvictionForecast(aHardware.target_blocks))
 {
+  for (std::size_t i = 0; i < aHardware.targets; ++i) {
+    m_targets.push_back(NameOf(i));
+  }
   for (std::size_t i = 0; i < kMaxAccounts; ++i) {
     m_accounts.emplace_back(std::to_string(i));
   }
@@ -62,7 +64,7 @@
                                 aWorld.User().tail_tokens,
                                 aWorld.User().recompute_price,
                                 {} };
-  const auto views = Candidates(aWorld, hints);
+  const auto views = Candidates(aWorld, keys.front(), hints);
   const auto copies = Copies(aWorld, aRequest, hints);
   const auto plan = core::RankRoutes(query, views, copies).front();
   Placement placement;
@@ -100,34 +102,25 @@
 
 std::vector<core::TargetView>
 KeepingPolicy::Candidates(World& aWorld,
+                          const core::ContextKey& aRoot,
                           const std::vector<core::PrefixHint>& aHints)
 {
+  const auto targets =
+    core::PickCandidates(aHints, aRoot, m_targets, aWorld.Random()());
   std::vector<core::TargetView> views;
-  const auto add = [&](const TargetId& aTarget, std::uint32_t aBlocks) {
-    const bool known =
-      std::any_of(views.begin(), views.end(), [&](const auto& aView) {
-        return aView.target == aTarget;
+  for (const TargetId& target : targets) {
+    const auto hint =
+      std::find_if(aHints.begin(), aHints.end(), [&](const auto& aHint) {
+        return aHint.holder == core::Holder(target);
       });
-    if (!known) {
-      views.push_back({ aTarget,
-                        {},
-                        aWorld.Backlog(NumberOf(aTarget.View())),
-                        aWorld.Parts().prefill_tokens_per_second,
-                        aBlocks,
-                        true,
-                        0,
-                        1 });
-    }
-  };
-  for (const core::PrefixHint& hint : aHints) {
-    const auto* target = std::get_if<TargetId>(&hint.holder);
-    if (target != nullptr && views.size() < kMaxHolders) {
-      add(*target, hint.blocks);
-    }
-  }
-  const std::size_t wanted = views.size() + kOthers;
-  while (views.size() < wanted) {
-    add(NameOf(aWorld.Random()() % aWorld.Targets()), 0);
+    views.push_back({ target,
+                      {},
+                      aWorld.Backlog(NumberOf(target.View())),
+                      aWorld.Parts().prefill_tokens_per_second,
+                      hint == aHints.end() ? 0 : hint->blocks,
+                      true,
+                      0,
+                      1 });
   }
   return views;
 }
--- a/bench/context/keeping_policy.hpp
+++ b/bench/context/keeping_policy.hpp
@@ -49,6 +49,7 @@
   void Observe(World& aWorld, const Request& aRequest);
   std::vector<core::TargetView> Candidates(
     World& aWorld,
+    const core::ContextKey& aRoot,
     const std::vector<core::PrefixHint>& aHints);
   std::vector<core::StoredCopy> Copies(
     World& aWorld,
@@ -61,6 +62,7 @@
                                         const Known& aKnown) const;
   [[nodiscard]] double PriceOf(World& aWorld, std::uint32_t aContext) const;
 
+  std::vector<core::TargetId> m_targets;
   std::vector<core::AccountId> m_accounts;
   core::Directory m_directory;
   core::ReturnModel m_returns;
--- a/bench/context/prefix_cache.cpp
+++ b/bench/context/prefix_cache.cpp
@@ -31,7 +31,8 @@
 void
 PrefixCache::Pin(std::uint32_t aContext)
 {
-  ++Touch(aContext).pins;
+  const auto found = m_places.find(aContext);
+  ++(found == m_places.end() ? Touch(aContext) : *found->second).pins;
 }
 
 void
--- a/bench/context/prefix_cache.hpp
+++ b/bench/context/prefix_cache.hpp
@@ -23,6 +23,7 @@
   [[nodiscard]] std::uint32_t Blocks(std::uint32_t aContext) const;
   /// @brief Makes the context the latest used, with at least so many blocks.
   void Put(std::uint32_t aContext, std::uint32_t aBlocks);
+  /// @brief Holds the context's blocks; its place in the order stays.
   void Pin(std::uint32_t aContext);
   void Unpin(std::uint32_t aContext);
 
