--- a/bench/context/fake_target.cpp
+++ b/bench/context/fake_target.cpp
@@ -19,17 +19,14 @@
   m_queue.push_back(aRun);
 }
 
-void
-FakeTarget::MakeReady(std::uint64_t aRun, bool aPinned)
+Run*
+FakeTarget::Find(std::uint64_t aRun)
 {
   const auto found =
     std::find_if(m_queue.begin(), m_queue.end(), [aRun](const Run& aWaiting) {
       return aWaiting.id == aRun;
     });
-  if (found != m_queue.end()) {
-    found->ready = true;
-    found->pinned = aPinned;
-  }
+  return found == m_queue.end() ? nullptr : &*found;
 }
 
 std::optional<Run>
@@ -38,10 +35,14 @@
   if (m_serving) {
     return std::nullopt;
   }
-  const auto found =
-    std::find_if(m_queue.begin(), m_queue.end(), [](const Run& aWaiting) {
-      return aWaiting.ready;
-    });
+  auto found = std::find_if(m_queue.begin(),
+                            m_queue.end(),
+                            [](const Run& aWaiting) { return aWaiting.ready; });
+  if (found == m_queue.end()) {
+    found = std::find_if(m_queue.begin(),
+                         m_queue.end(),
+                         [](const Run& aWaiting) { return aWaiting.early; });
+  }
   if (found == m_queue.end()) {
     return std::nullopt;
   }
--- a/bench/context/fake_target.hpp
+++ b/bench/context/fake_target.hpp
@@ -17,9 +17,12 @@
 {
   std::uint64_t id = 0;
   const Request* request = nullptr;
-  double planned_seconds = 0; ///< Of the target, as routing expects.
-  bool ready = true;          ///< No import is awaited.
-  bool pinned = false;        ///< Its blocks arrived and are held for it.
+  double planned_seconds = 0;    ///< Of the target, as routing expects.
+  bool ready = true;             ///< No import is awaited.
+  bool early = false;            ///< May start before its import has ended.
+  bool pinned = false;           ///< Its blocks arrived and are held for it.
+  std::uint32_t import_from = 0; ///< What arrived, if anything.
+  std::uint32_t import_to = 0;
 };
 
 /// @brief A cache event and when it happened.
@@ -38,10 +41,10 @@
   FakeTarget& operator=(const FakeTarget&) = delete;
 
   void Enqueue(const Run& aRun);
-  /// @brief The import that the run awaited has ended, with or without blocks.
-  void MakeReady(std::uint64_t aRun, bool aPinned);
-  /// @return the first run that can start, taken off the queue; nothing when
-  /// one is being served or none is ready.
+  /// @return the waiting run of that number; nothing when none is.
+  Run* Find(std::uint64_t aRun);
+  /// @return the first run that is ready, else the first that may start early,
+  /// taken off the queue; nothing when one is being served.
   std::optional<Run> TakeNext();
   void SetBusyUntil(Instant aUntil) { m_busy_until = aUntil; }
   void SetIdle() { m_serving = false; }
--- a/bench/context/keeping_policy.cpp
+++ b/bench/context/keeping_policy.cpp
@@ -71,12 +71,14 @@
   placement.target = NumberOf(plan.target.View());
   placement.planned_seconds = aWorld.ServiceSeconds(plan.recomputed_blocks);
   if (plan.cached_blocks > 0) {
-    placement.hinted_blocks = plan.cached_blocks + plan.imported_blocks;
+    placement.hinted_blocks = plan.cached_blocks;
   }
   if (plan.import) {
     const double computing = aWorld.ServiceSeconds(plan.imported_blocks);
     placement.import = ImportPlan{ NumberOf(plan.import->store.View()),
-                                   plan.cached_blocks + plan.imported_blocks,
+                                   plan.import_from,
+                                   plan.import_from + plan.imported_blocks,
+                                   plan.import_from > plan.cached_blocks,
                                    aWorld.Now() + plan.import->link_wait +
                                      ToDuration(computing) };
   }
@@ -120,7 +122,8 @@
                       hint == aHints.end() ? 0 : hint->blocks,
                       true,
                       0,
-                      1 });
+                      1,
+                      true });
   }
   return views;
 }
@@ -142,7 +145,8 @@
           hint.blocks,
           link.ExpectedWait(core::TransferKind::kImport, account, aWorld.Now()),
           link.BytesPerSecond(),
-          static_cast<std::uint32_t>(aWorld.Parts().bytes_per_block) });
+          static_cast<std::uint32_t>(aWorld.Parts().bytes_per_block),
+          link.Use(core::TransferKind::kImport, aWorld.Now()) });
     }
   }
   return copies;
--- a/bench/context/naive_policies.cpp
+++ b/bench/context/naive_policies.cpp
@@ -87,7 +87,7 @@
   const double computing =
     aWorld.ServiceSeconds(blocks) - aWorld.ServiceSeconds(0);
   if (importing < computing) {
-    placement.import = ImportPlan{ *store, blocks, kNever };
+    placement.import = ImportPlan{ *store, 0, blocks, false, kNever };
     placement.planned_seconds = aWorld.ServiceSeconds(aRequest.blocks - blocks);
   }
   return placement;
--- a/bench/context/placement.hpp
+++ b/bench/context/placement.hpp
@@ -17,7 +17,9 @@
 struct ImportPlan
 {
   std::size_t store = 0;
+  std::uint32_t from = 0;   ///< First block; 0: all that are missing.
   std::uint32_t blocks = 0; ///< Prefix to have once it has arrived.
+  bool early = false;       ///< The target computes while it waits.
   Instant give_up = kNever;
 };
 
--- a/bench/context/world.cpp
+++ b/bench/context/world.cpp
@@ -28,6 +28,7 @@
   , m_policy(aPolicy)
   , m_random(aSeed)
   , m_losses(aSeed + 1)
+  , m_serving(aHardware.targets)
   , m_reports(aHardware.targets)
   , m_copy_events(aHardware.stores)
   , m_ever_kept(aWorkload.keys.size())
@@ -115,6 +116,7 @@
     run.request = &request;
     run.planned_seconds = placement.planned_seconds;
     run.ready = !placement.import.has_value();
+    run.early = placement.import.has_value() && placement.import->early;
     if (placement.hinted_blocks) {
       m_hinted[run.id] = *placement.hinted_blocks;
     }
@@ -126,6 +128,7 @@
                        placement.target,
                        plan.store,
                        request.context,
+                       plan.from,
                        plan.blocks,
                        run.id,
                        0,
@@ -133,7 +136,9 @@
                        false };
       const auto cached =
         Target(placement.target).Cache().Blocks(request.context);
-      const auto blocks = plan.blocks - std::min(plan.blocks, cached);
+      const auto from = std::max(plan.from, cached);
+      const auto blocks = plan.blocks - std::min(plan.blocks, from);
+      m_import_of[run.id] = id;
       Submit(plan.store,
              id,
              TransferKind::kImport,
@@ -154,6 +159,7 @@
                    aPlan.target,
                    aPlan.store,
                    aPlan.context,
+                   0,
                    aPlan.blocks,
                    0,
                    0,
@@ -250,10 +256,12 @@
       cached >= aMoving.blocks) {
     return false;
   }
+  aMoving.from = std::max(aMoving.from, cached);
   aMoving.generation = copy->generation;
   aMoving.started = true;
   cache.Pin(aMoving.context);
-  const double bytes = (aMoving.blocks - cached) * m_hardware.bytes_per_block;
+  const double bytes =
+    (aMoving.blocks - aMoving.from) * m_hardware.bytes_per_block;
   const Duration latency =
     copy->in_memory ? Duration::zero() : m_hardware.disk_latency;
   store.Use(aMoving.context, m_now);
@@ -325,8 +333,8 @@
 World::EndImport(const Moving& aMoving, bool aArrived)
 {
   PrefixCache& cache = Target(aMoving.target).Cache();
+  m_import_of.erase(aMoving.run);
   if (aArrived) {
-    cache.Put(aMoving.context, aMoving.blocks);
     ++m_figures.imports;
   } else {
     ++m_figures.failed_imports;
@@ -334,7 +342,16 @@
       cache.Unpin(aMoving.context);
     }
   }
-  Target(aMoving.target).MakeReady(aMoving.run, aArrived);
+  if (bench::Run* run = Target(aMoving.target).Find(aMoving.run)) {
+    run->ready = true;
+    run->pinned = aArrived;
+    if (aArrived) {
+      run->import_from = aMoving.from;
+      run->import_to = aMoving.blocks;
+    }
+  } else if (aArrived) {
+    TakeArrival(aMoving.target, aMoving);
+  }
   Serve(aMoving.target);
 }
 
@@ -378,6 +395,16 @@
   }
 }
 
+void
+World::CancelTransfer(std::uint64_t aId)
+{
+  const std::size_t store = m_moving.at(aId).store;
+  m_links[store].Stop(aId, m_now);
+  m_schedules[store].Cancel(aId, m_now);
+  DropTransfer(aId);
+  PumpLink(store);
+}
+
 void
 World::Serve(std::size_t aTarget)
 {
@@ -387,64 +414,116 @@
     return;
   }
   const Request& request = *run->request;
-  PrefixCache& cache = target.Cache();
-  const std::uint32_t cached =
-    std::min(cache.Blocks(request.context), request.blocks);
-  cache.Pin(request.context);
-  Count(*run, cached);
-  const double service = ServiceSeconds(request.blocks - cached);
-  const double answer =
-    m_deployment.answer_tokens * m_hardware.decode_seconds_per_token;
-  const Instant first = m_now + ToDuration(service - answer);
-  const Instant end = m_now + ToDuration(service);
-  target.SetBusyUntil(end);
-  if (request.measured) {
-    m_figures.first_token_seconds.push_back(ToSeconds(first - request.at));
-    m_figures.target_seconds += service;
+  Service& service = m_serving[aTarget];
+  service.run = *run;
+  service.started = m_now;
+  service.cached =
+    std::min(target.Cache().Blocks(request.context), request.blocks);
+  target.Cache().Pin(request.context);
+  const std::uint32_t from = std::max(run->import_from, service.cached);
+  const std::uint32_t to = std::min(run->import_to, request.blocks);
+  const std::uint32_t arrived = to > from ? to - from : 0;
+  service.computed = request.blocks - service.cached - arrived;
+  PlanEnd(aTarget);
+}
+
+void
+World::PlanEnd(std::size_t aTarget)
+{
+  Service& service = m_serving[aTarget];
+  const Instant end = std::max(
+    m_now, service.started + ToDuration(ServiceSeconds(service.computed)));
+  m_targets[aTarget]->SetBusyUntil(end);
+  const std::uint64_t version = ++service.version;
+  At(end, [this, aTarget, version] {
+    if (m_serving[aTarget].version == version) {
+      Finish(aTarget);
+    }
+  });
+}
+
+/// An import arrives while its target computes: what is computed already, or
+/// lies before the import, has been or will be computed; the rest is there.
+void
+World::TakeArrival(std::size_t aTarget, const Moving& aMoving)
+{
+  Service& service = m_serving[aTarget];
+  const Request& request = *service.run.request;
+  service.run.pinned = true;
+  const double rate =
+    m_hardware.prefill_tokens_per_second / m_hardware.tokens_per_block;
+  const auto done =
+    service.cached +
+    static_cast<std::uint32_t>(ToSeconds(m_now - service.started) * rate);
+  const std::uint32_t from = std::max(aMoving.from, done + 1);
+  const std::uint32_t to = std::min(aMoving.blocks, request.blocks);
+  if (to > from) {
+    service.computed -= to - from;
+    PlanEnd(aTarget);
   }
-  At(end, [this, aTarget, run = *run] { Finish(aTarget, run); });
 }
 
 void
-World::Finish(std::size_t aTarget, const bench::Run& aRun)
+World::Finish(std::size_t aTarget)
 {
   FakeTarget& target = Target(aTarget);
-  const Request& request = *aRun.request;
+  Service& service = m_serving[aTarget];
+  ++service.version;
+  const bench::Run run = service.run;
+  const Request& request = *run.request;
+  CountRun(service);
   target.Cache().Put(request.context, request.blocks);
   target.Cache().Unpin(request.context);
-  if (aRun.pinned) {
+  if (run.pinned) {
     target.Cache().Unpin(request.context);
   }
   target.SetIdle();
+  const auto import = m_import_of.find(run.id);
+  if (import != m_import_of.end()) {
+    CancelTransfer(import->second);
+  }
   std::visit([&](auto& aPolicy) { aPolicy.OnRan(*this, request, aTarget); },
              m_policy);
   Serve(aTarget);
 }
 
 void
-World::Count(const bench::Run& aRun, std::uint32_t aCached)
+World::CountRun(const Service& aService)
 {
-  const Request& request = *aRun.request;
-  const auto hinted = m_hinted.find(aRun.id);
+  const Request& request = *aService.run.request;
   if (request.measured) {
-    const std::uint32_t reused = std::min(aCached, request.seen_blocks);
+    const double answer =
+      m_deployment.answer_tokens * m_hardware.decode_seconds_per_token;
+    const std::uint32_t reused =
+      std::min(request.blocks - aService.computed, request.seen_blocks);
+    m_figures.first_token_seconds.push_back(ToSeconds(m_now - request.at) -
+                                            answer);
+    m_figures.target_seconds += ToSeconds(m_now - aService.started);
     m_figures.returning_tokens +=
       request.seen_blocks * m_hardware.tokens_per_block;
     m_figures.recomputed_tokens +=
       (request.seen_blocks - reused) * m_hardware.tokens_per_block;
     CountMissed(request, reused);
-    if (hinted != m_hinted.end()) {
-      const double error =
-        static_cast<double>(hinted->second) - static_cast<double>(aCached);
-      ++m_figures.hints;
-      m_figures.true_hints += error <= 0 ? 1 : 0;
-      m_figures.hinted_blocks += hinted->second;
-      m_figures.hint_error_blocks += std::abs(error);
-    }
   }
-  if (hinted != m_hinted.end()) {
-    m_hinted.erase(hinted);
+  CountHint(aService);
+}
+
+void
+World::CountHint(const Service& aService)
+{
+  const auto hinted = m_hinted.find(aService.run.id);
+  if (hinted == m_hinted.end()) {
+    return;
+  }
+  if (aService.run.request->measured) {
+    const double error = static_cast<double>(hinted->second) -
+                         static_cast<double>(aService.cached);
+    ++m_figures.hints;
+    m_figures.true_hints += error <= 0 ? 1 : 0;
+    m_figures.hinted_blocks += hinted->second;
+    m_figures.hint_error_blocks += std::abs(error);
   }
+  m_hinted.erase(hinted);
 }
 
 void
--- a/bench/context/world.hpp
+++ b/bench/context/world.hpp
@@ -73,6 +73,7 @@
     std::size_t target;
     std::size_t store;
     std::uint32_t context;
+    std::uint32_t from; ///< Imports: first block.
     std::uint32_t blocks;
     std::uint64_t run;        ///< Imports.
     std::uint64_t generation; ///< Of the copy read or written.
@@ -80,6 +81,16 @@
     bool started;
   };
 
+  /// The run that a target is at.
+  struct Service
+  {
+    bench::Run run;
+    Instant started;
+    std::uint32_t cached = 0;   ///< Blocks that were there at the start.
+    std::uint32_t computed = 0; ///< Blocks to compute, as far as known.
+    std::uint64_t version = 0;  ///< Of the planned end.
+  };
+
   void At(Instant aWhen, std::function<void()> aAction);
   void Arrive(std::size_t aIndex);
   void Submit(std::size_t aStore,
@@ -97,9 +108,13 @@
   void EndImport(const Moving& aMoving, bool aArrived);
   void EndExport(const Moving& aMoving);
   void DropTransfer(std::uint64_t aId);
+  void CancelTransfer(std::uint64_t aId);
   void Serve(std::size_t aTarget);
-  void Finish(std::size_t aTarget, const bench::Run& aRun);
-  void Count(const bench::Run& aRun, std::uint32_t aCached);
+  void PlanEnd(std::size_t aTarget);
+  void TakeArrival(std::size_t aTarget, const Moving& aMoving);
+  void Finish(std::size_t aTarget);
+  void CountRun(const Service& aService);
+  void CountHint(const Service& aService);
   void Poll();
   void LoseStore(std::size_t aStore);
   void Report();
@@ -119,6 +134,8 @@
   std::uint64_t m_ids = 0;
   std::priority_queue<Event, std::vector<Event>, Later> m_events;
   std::vector<std::unique_ptr<FakeTarget>> m_targets;
+  std::vector<Service> m_serving;                               ///< By target.
+  std::unordered_map<std::uint64_t, std::uint64_t> m_import_of; ///< By run.
   std::vector<Duration> m_reports;
   std::vector<FakeStore> m_stores;
   std::vector<FakeLink> m_links;
