--- a/bench/context/context.cpp
+++ b/bench/context/context.cpp
@@ -1,4 +1,5 @@
 #include <chrono> // for hours
+#include <stdexcept> // for invalid_argument
 #include <thread> // for jthread
 
 #include <gflags/gflags.h> // for DEFINE_uint64
@@ -10,6 +11,8 @@
 
 DEFINE_uint64(context_seed, 20261202, "seed of the context bench's workload");
 
+DEFINE_string(context_condition, "", "only this condition; empty: all four");
+
 namespace jujubehead::bench {
 namespace {
 
@@ -51,7 +54,14 @@
 {
   const Hardware hardware;
   const auto deployments = Deployments();
-  const auto conditions = Conditions();
+  auto conditions = Conditions();
+  std::erase_if(conditions, [](const Condition& aCondition) {
+    return !FLAGS_context_condition.empty() &&
+           aCondition.name != FLAGS_context_condition;
+  });
+  if (conditions.empty()) {
+    throw std::invalid_argument("--context_condition: none has that name");
+  }
   std::vector<Cell> cells;
   for (const Deployment& deployment : deployments) {
     for (const Condition& condition : conditions) {
