--- a/bench/context/context.cpp
+++ b/bench/context/context.cpp
@@ -1,6 +1,6 @@
-#include <chrono> // for hours
+#include <chrono>    // for hours
 #include <stdexcept> // for invalid_argument
-#include <thread> // for jthread
+#include <thread>    // for jthread
 
 #include <gflags/gflags.h> // for DEFINE_uint64
 
--- a/bench/context/keeping_policy.cpp
+++ b/bench/context/keeping_policy.cpp
@@ -19,7 +19,7 @@
 constexpr std::size_t kMaxAccounts = 10;
 constexpr std::size_t kMaxKeys = 1'000'000;
 /// Share of a target's cache that is used before an export is weighed.
-constexpr double kDueShare = 0.6;
+constexpr double kDueShare = 0.8;
 constexpr Duration kKeptFor = std::chrono::hours(6);
 constexpr Duration kForgetAfter = std::chrono::hours(8);
 
--- a/include/jujubehead/core/router.hpp
+++ b/include/jujubehead/core/router.hpp
@@ -76,7 +76,7 @@
 /// the context may have been seen before, plus the delay that an import causes
 /// to later ones, which grows as the link fills up.
 /// @return one plan a target that admits the request, cheapest first; equal
-/// costs by fewer running requests a limit, then by name.
+/// costs by the share of the limit that runs, then in the order given.
 std::vector<RoutePlan>
 RankRoutes(const RouteQuery& aQuery,
            std::span<const TargetView> aTargets,
--- /dev/null
+++ b/src/jujubehead/core/keep_policy_test.cpp
@@ -0,0 +1,89 @@
+#include "jujubehead/core/keep_policy.hpp"
+
+#include <chrono>  // for seconds
+#include <numeric> // for accumulate
+
+#include <rapidcheck.h> // for rc::check
+
+// Last: its macros change the meaning of new.
+#include <CppUTest/TestHarness.h> // for TEST
+
+using namespace jujubehead::core;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t kBytes = 1'000'000;
+
+KeptValue
+Value(const char* aAccount, Duration aIdle, double aSeconds)
+{
+  return { AccountId(aAccount), aIdle, kBytes, aSeconds, aSeconds };
+}
+
+ExportView
+View(double aLinkUse)
+{
+  return { Value("a", 10min, 3), kBytes, kBytes, aLinkUse, 4h };
+}
+
+} // namespace
+
+TEST_GROUP(KeepPolicy)
+{
+  ReturnModel model;
+};
+
+TEST(KeepPolicy, AContextWorthMoreHasTheHigherPrice)
+{
+  for (int i = 0; i < 200; ++i) {
+    model.Observe(AccountId("returning"), 0s, 20min, true);
+    model.Observe(AccountId("leaving"), 0s, 4h, false);
+  }
+  CHECK(KeepPrice(model, Value("returning", 10min, 3)) >
+        KeepPrice(model, Value("leaving", 10min, 3)));
+  CHECK(KeepPrice(model, Value("returning", 10min, 6)) >
+        KeepPrice(model, Value("returning", 10min, 3)));
+}
+
+TEST(KeepPolicy, WithoutAPriceOfTokensLongWaitsCountMore)
+{
+  DOUBLES_EQUAL(4.0, ReturnValue(2, 1000, 0), 1e-9);
+  DOUBLES_EQUAL(16.0, ReturnValue(4, 2000, 0), 1e-9);
+  const double once = ReturnValue(10, 10000, 0.01);
+  const double twice = ReturnValue(20, 20000, 0.01);
+  DOUBLES_EQUAL(2.0, twice / once, 0.05);
+}
+
+TEST(KeepPolicy, ABusyLinkMakesExportsNotWorthTheirDelay)
+{
+  CHECK(ExportGain(model, View(0)) > 0);
+  CHECK(ExportGain(model, View(0.9)) < 0);
+  ExportView slow = View(0);
+  slow.bytes_per_second = kBytes / 4.0; // 4 s to import, 3 s to compute
+  CHECK(ExportGain(model, slow) < 0);
+}
+
+TEST(KeepPolicy, VictimsAreTheCheapestAndNeverDearerThanTheNewcomer)
+{
+  CHECK(rc::check([](const std::vector<std::uint8_t>& aPrices,
+                     std::uint8_t aNeeded,
+                     std::uint8_t aNewcomer) {
+    std::vector<VictimView> copies;
+    for (const auto price : aPrices) {
+      copies.push_back({ static_cast<double>(price), 10 });
+    }
+    const auto victims = ChooseVictims(copies, aNeeded, aNewcomer);
+    const auto below = static_cast<std::uint64_t>(
+      std::count_if(aPrices.begin(), aPrices.end(), [&](auto aPrice) {
+        return aPrice < aNewcomer;
+      }));
+    RC_ASSERT(victims.has_value() == (below * 10 >= aNeeded));
+    if (victims) {
+      RC_ASSERT(victims->size() * 10 < aNeeded + 10U);
+      for (const std::size_t index : *victims) {
+        RC_ASSERT(copies[index].price < aNewcomer);
+      }
+    }
+  }));
+}
--- a/src/jujubehead/core/link_schedule.cpp
+++ b/src/jujubehead/core/link_schedule.cpp
@@ -150,7 +150,8 @@
     Charge(aNow);
     std::vector<Transfer> started;
     StartKind(TransferKind::kImport, started);
-    if (Queue(TransferKind::kImport).Size() == 0) {
+    if (Queue(TransferKind::kImport).Size() == 0 &&
+        Running(TransferKind::kImport) == 0) {
       StartKind(TransferKind::kExport, started);
     }
     return started;
--- a/src/jujubehead/core/return_model.cpp
+++ b/src/jujubehead/core/return_model.cpp
@@ -1,9 +1,9 @@
 #include "jujubehead/core/return_model.hpp"
 
-#include <algorithm>     // for max, min
+#include <algorithm>     // for clamp, max, min
 #include <array>         // for array
 #include <chrono>        // for duration
-#include <cmath>         // for exp, log
+#include <cmath>         // for exp, exp2, log, log2
 #include <unordered_map> // for unordered_map
 
 namespace jujubehead::core {
@@ -11,8 +11,11 @@
 
 using Seconds = std::chrono::duration<double>;
 
-/// Spans of idle time: [0, 4 s), [4 s, 8 s), ... and the last one without end.
-constexpr std::size_t kSpans = 18;
+/// Spans of idle time: [0, 4 s), then two for each doubling; the last one has
+/// no end. Wider spans ranked contexts of one span as equal: at a factor of two
+/// that was everything between 4.5 and 9 hours.
+constexpr std::size_t kSpans = 36;
+constexpr double kSpansPerDoubling = 2;
 constexpr double kFirstSpanEnd = 4;
 /// Under the prior half of all contexts return within an hour.
 constexpr double kPriorHalfTime = 3600;
@@ -28,18 +31,18 @@
   return std::max(0.0, std::chrono::duration_cast<Seconds>(aDuration).count());
 }
 
+/// The last span is taken to be as long as the others in proportion.
 double
-SpanBegin(std::size_t aSpan)
+SpanEnd(std::size_t aSpan)
 {
-  return aSpan == 0 ? 0.0
-                    : std::ldexp(kFirstSpanEnd, static_cast<int>(aSpan) - 1);
+  return kFirstSpanEnd *
+         std::exp2(static_cast<double>(aSpan) / kSpansPerDoubling);
 }
 
-/// The last span is taken to be as long as all before it.
 double
-SpanEnd(std::size_t aSpan)
+SpanBegin(std::size_t aSpan)
 {
-  return std::ldexp(kFirstSpanEnd, static_cast<int>(aSpan));
+  return aSpan == 0 ? 0.0 : SpanEnd(aSpan - 1);
 }
 
 std::size_t
@@ -48,8 +51,8 @@
   if (aAge < kFirstSpanEnd) {
     return 0;
   }
-  const auto span =
-    1 + static_cast<std::size_t>(std::ilogb(aAge / kFirstSpanEnd));
+  const double doublings = std::log2(aAge / kFirstSpanEnd);
+  const auto span = 1 + static_cast<std::size_t>(doublings * kSpansPerDoubling);
   return std::min(span, kSpans - 1);
 }
 
@@ -143,6 +146,21 @@
   double m_expected = 0; ///< Expected time kept so far.
 };
 
+/// Between the middles of two spans, so that age tells contexts apart.
+double
+Between(const Rates& aRates, double aAge)
+{
+  const std::size_t span = SpanOf(aAge);
+  const double share =
+    (aAge - SpanBegin(span)) / (SpanEnd(span) - SpanBegin(span));
+  const double place = std::clamp(
+    static_cast<double>(span) + share - 0.5, 0.0, double{ kSpans - 1 });
+  const auto low = static_cast<std::size_t>(place);
+  const std::size_t high = std::min(low + 1, kSpans - 1);
+  const double weight = place - static_cast<double>(low);
+  return aRates[low] * (1 - weight) + aRates[high] * weight;
+}
+
 /// Best ratio of returns to time kept, by span that the age is in.
 double
 BestRate(const Rates& aRates, double aAge)
@@ -211,7 +229,7 @@
     const auto found = m_accounts.find(aAccount);
     const Rates& best =
       found == m_accounts.end() ? m_pool_best : found->second.best;
-    return best[SpanOf(aIdle)];
+    return Between(best, aIdle);
   }
 
 private:
--- a/src/jujubehead/core/router.cpp
+++ b/src/jujubehead/core/router.cpp
@@ -1,6 +1,6 @@
 #include "jujubehead/core/router.hpp"
 
-#include <algorithm> // for clamp, max, min, sort
+#include <algorithm> // for clamp, max, min, stable_sort
 #include <chrono>    // for duration
 #include <limits>    // for numeric_limits
 
@@ -17,6 +17,10 @@
 constexpr double kShortestBlock = 1e-9;
 /// A link is taken to be no busier than this.
 constexpr double kMostUse = 0.95;
+/// Weight of the delay that an import causes to later ones. At 1 callers left
+/// a holder that was busy for a moment; at 10 they computed what a link had
+/// room for.
+constexpr double kLinkToll = 3;
 
 double
 ToSeconds(Duration aDuration)
@@ -139,7 +143,7 @@
     RoutePlan plan = Plan(aEnd - aFrom, std::max(computed, arrived), aEnd);
     plan.import = aCopy;
     plan.import_from = aFrom;
-    plan.cost += link * use / (1 - use);
+    plan.cost += kLinkToll * link * use / (1 - use);
     return plan;
   }
 
@@ -198,10 +202,7 @@
   if (aLeft.plan.cost != aRight.plan.cost) {
     return aLeft.plan.cost < aRight.plan.cost;
   }
-  if (aLeft.fill != aRight.fill) {
-    return aLeft.fill < aRight.fill;
-  }
-  return aLeft.plan.target < aRight.plan.target;
+  return aLeft.fill < aRight.fill;
 }
 
 } // namespace
@@ -218,7 +219,7 @@
       ranked.push_back({ BestOn(aQuery, target, aCopies), Fill(target) });
     }
   }
-  std::sort(ranked.begin(), ranked.end(), Before);
+  std::stable_sort(ranked.begin(), ranked.end(), Before);
   std::vector<RoutePlan> plans;
   plans.reserve(ranked.size());
   for (Ranked& entry : ranked) {
--- a/src/jujubehead/core/router_test.cpp
+++ b/src/jujubehead/core/router_test.cpp
@@ -93,6 +93,36 @@
   CHECK(plan.expected_first_token == 1550ms);
 }
 
+TEST(Router, ComputesTheFrontWhileTheBackArrives)
+{
+  std::vector targets{ Target("t", 0ms, 0) };
+  const std::vector copies{ Copy(10, 300ms) };
+  const auto whole = RankRoutes(Query(), targets, copies)[0];
+  CHECK_EQUAL(10, whole.imported_blocks);
+  CHECK_EQUAL(0, whole.import_from);
+  targets[0].computes_during_import = true;
+  const auto mixed = RankRoutes(Query(), targets, copies)[0];
+  CHECK_EQUAL(3, mixed.import_from);
+  CHECK_EQUAL(7, mixed.imported_blocks);
+  CHECK_EQUAL(3, mixed.recomputed_blocks);
+  CHECK(mixed.expected_first_token < whole.expected_first_token);
+}
+
+TEST(Router, ABusyLinkIsLeftToThoseWhoNeedItMore)
+{
+  const std::vector targets{ Target("t", 0ms, 0), Target("has", 300ms, 10) };
+  std::vector copies{ Copy(10, 0ms) };
+  CHECK(RankRoutes(Query(), targets, copies)[0].target == TargetId("t"));
+  copies[0].link_use = 0.8;
+  CHECK(RankRoutes(Query(), targets, copies)[0].target == TargetId("has"));
+}
+
+TEST(Router, EqualCostsKeepTheOrderGiven)
+{
+  const std::vector targets{ Target("z", 0ms, 0), Target("a", 0ms, 0) };
+  CHECK(RankRoutes(Query(), targets, {})[0].target == TargetId("z"));
+}
+
 TEST(Router, ATargetThatDoesNotAdmitIsNoPlan)
 {
   auto full = Target("t", 0ms, 10);
