--- a/include/jujubehead/core/table_follower.hpp
+++ b/include/jujubehead/core/table_follower.hpp
@@ -92,6 +92,8 @@
   [[nodiscard]] const TableView& View() const { return m_view; }
   /// @return why the instance may not serve yet; nothing: it may.
   [[nodiscard]] std::optional<std::string> NotReady() const;
+  /// @return whether the last read of the service failed.
+  [[nodiscard]] bool IsServiceAway() const { return m_service_failures != 0; }
   /// @return how long ago the view was known to be the newest.
   [[nodiscard]] Duration Age(Instant aNow) const;
 
--- a/include/jujubehead/wire/messages.hpp
+++ b/include/jujubehead/wire/messages.hpp
@@ -277,25 +277,30 @@
   }
 };
 
-/// @brief Starting instance to a peer: send the table that is in force.
+/// @brief Starting instance to a peer: send a page of the table in force.
 struct TableAsk
 {
+  std::uint64_t version = 0; ///< Of the pages before; 0: the one in force.
+  std::uint64_t offset = 0;  ///< Bytes that are there already.
+
   template<typename Self>
-  static auto Fields(Self& /*aSelf*/)
+  static auto Fields(Self& aSelf)
   {
-    return std::tie();
+    return std::tie(aSelf.version, aSelf.offset);
   }
 };
 
-/// @brief Peer to starting instance: a serialised table snapshot.
+/// @brief Peer to starting instance: a page of a serialised table snapshot.
 struct TableAnswer
 {
-  std::string snapshot;
+  std::uint64_t version = 0; ///< 0: that version is not kept.
+  std::uint64_t size = 0;    ///< Bytes of the whole.
+  std::string bytes;
 
   template<typename Self>
   static auto Fields(Self& aSelf)
   {
-    return std::tie(aSelf.snapshot);
+    return std::tie(aSelf.version, aSelf.size, aSelf.bytes);
   }
 };
 
--- a/src/jujubehead/node/control.cpp
+++ b/src/jujubehead/node/control.cpp
@@ -167,9 +167,9 @@
     self.m_directory.Learn(aHint);
     return wire::Ack{};
   }
-  wire::Message operator()(const wire::TableAsk& /*aAsk*/) const
+  wire::Message operator()(const wire::TableAsk& aAsk) const
   {
-    return self.m_table.Snapshot();
+    return self.m_table.Page(aAsk);
   }
   wire::Message operator()(const wire::TableHead& /*aHead*/) const
   {
--- a/src/jujubehead/node/table_watch.cpp
+++ b/src/jujubehead/node/table_watch.cpp
@@ -20,7 +20,8 @@
 constexpr core::Duration kHeadTimeout = std::chrono::seconds(1);
 constexpr core::Duration kSnapshotTimeout = std::chrono::seconds(3);
 constexpr core::Duration kAskInterval = std::chrono::seconds(1);
-// A starting instance asks so many peers at a time what they have.
+// So many peers at a time are asked what they have, at the start and while the
+// service is away.
 constexpr std::size_t kPeersAsked = 16;
 // Follower steps are looked for at least this often.
 constexpr core::Duration kLongestSleep = std::chrono::seconds(1);
@@ -55,7 +56,7 @@
 asio::awaitable<void>
 TableWatch::Run()
 {
-  asio::co_spawn(m_peers.Context(), AskPeersUntilReady(), asio::detached);
+  asio::co_spawn(m_peers.Context(), AskPeers(), asio::detached);
   for (;;) {
     const std::uint64_t before = View().Version();
     const core::Instant until = co_await net::FollowOnce(
@@ -65,6 +66,7 @@
     if (View().Version() != before) {
       m_on_change();
     }
+    m_pages.DropIfIdle(RuntimeClock::now());
     const core::Duration wait = until - RuntimeClock::now();
     co_await net::Sleep(std::clamp(wait, kShortestSleep, kLongestSleep));
   }
@@ -77,24 +79,28 @@
 }
 
 wire::TableAnswer
-TableWatch::Snapshot() const
+TableWatch::Page(const wire::TableAsk& aAsk)
 {
-  const auto bytes = core::ToCbor(*View().Current());
-  return { { bytes.begin(), bytes.end() } };
+  if (NotReady()) {
+    return {};
+  }
+  return m_pages.Page(aAsk, *View().Current(), RuntimeClock::now());
 }
 
 asio::awaitable<void>
-TableWatch::AskPeersUntilReady()
+TableWatch::AskPeers()
 {
   std::mt19937_64 random(std::hash<core::InstanceId>{}(m_peers.Self()));
-  while (NotReady()) {
-    std::vector<core::InstanceId> peers = m_members.LiveInstances();
-    std::erase(peers, m_peers.Self());
-    std::shuffle(peers.begin(), peers.end(), random);
-    peers.resize(std::min(peers.size(), kPeersAsked));
-    for (core::InstanceId& peer : peers) {
-      asio::co_spawn(
-        m_peers.Context(), AskHead(std::move(peer)), asio::detached);
+  for (;;) {
+    if (NotReady() || m_follower.IsServiceAway()) {
+      std::vector<core::InstanceId> peers = m_members.LiveInstances();
+      std::erase(peers, m_peers.Self());
+      std::shuffle(peers.begin(), peers.end(), random);
+      peers.resize(std::min(peers.size(), kPeersAsked));
+      for (core::InstanceId& peer : peers) {
+        asio::co_spawn(
+          m_peers.Context(), AskHead(std::move(peer)), asio::detached);
+      }
     }
     co_await net::Sleep(kAskInterval);
   }
@@ -116,16 +122,18 @@
 asio::awaitable<std::optional<std::string>>
 TableWatch::AskSnapshot(core::InstanceId aPeer)
 {
-  wire::Message ask = wire::TableAsk{};
-  auto answer = co_await m_peers.Ask(aPeer, std::move(ask), kSnapshotTimeout);
-  if (!answer) {
-    co_return std::nullopt;
-  }
-  auto* snapshot = std::get_if<wire::TableAnswer>(&*answer);
-  if (snapshot == nullptr) {
-    co_return std::nullopt;
+  SnapshotAssembly assembly;
+  while (!assembly.IsWhole()) {
+    wire::Message ask = assembly.Next();
+    const auto answer =
+      co_await m_peers.Ask(aPeer, std::move(ask), kSnapshotTimeout);
+    const auto* page =
+      answer ? std::get_if<wire::TableAnswer>(&*answer) : nullptr;
+    if (page == nullptr || !assembly.Add(*page)) {
+      co_return std::nullopt;
+    }
   }
-  co_return std::move(snapshot->snapshot);
+  co_return assembly.Take();
 }
 
 } // namespace jujubehead::node
--- a/src/jujubehead/node/table_watch.hpp
+++ b/src/jujubehead/node/table_watch.hpp
@@ -10,6 +10,7 @@
 
 #include "jujubehead/core/table_follower.hpp" // for TableFollower
 #include "jujubehead/net/table_log.hpp"       // for TableLog
+#include "jujubehead/node/snapshot_pages.hpp" // for SnapshotPages
 #include "jujubehead/wire/messages.hpp"       // for TableAsk, TableAnswer
 
 namespace jujubehead::node {
@@ -44,10 +45,10 @@
 
   /// @brief What peers are told.
   [[nodiscard]] wire::TableHead Head() const;
-  [[nodiscard]] wire::TableAnswer Snapshot() const;
+  [[nodiscard]] wire::TableAnswer Page(const wire::TableAsk& aAsk);
 
 private:
-  boost::asio::awaitable<void> AskPeersUntilReady();
+  boost::asio::awaitable<void> AskPeers();
   boost::asio::awaitable<void> AskHead(core::InstanceId aPeer);
   boost::asio::awaitable<std::optional<std::string>> AskSnapshot(
     core::InstanceId aPeer);
@@ -57,6 +58,7 @@
   const MemberBook& m_members;
   std::function<void()> m_on_change;
   core::TableFollower m_follower;
+  SnapshotPages m_pages;
 };
 
 } // namespace jujubehead::node
