--- a/src/jujubehead/net/byte_stream.hpp
+++ b/src/jujubehead/net/byte_stream.hpp
@@ -12,6 +12,8 @@
 
 namespace jujubehead::net {
 
+// NOLINTBEGIN(readability-identifier-naming): Asio looks for these names.
+
 /// @brief A connection's bytes, plain or through TLS; an Asio stream.
 class ByteStream
 {
@@ -81,6 +83,8 @@
   std::variant<Plain, std::unique_ptr<Secure>> m_stream;
 };
 
+// NOLINTEND(readability-identifier-naming)
+
 } // namespace jujubehead::net
 
 #endif // JUJUBEHEAD_NET_BYTE_STREAM_HPP
