--- a/include/jujubehead/net/claim_store.hpp
+++ b/include/jujubehead/net/claim_store.hpp
@@ -1,6 +1,7 @@
 #ifndef JUJUBEHEAD_NET_CLAIM_STORE_HPP
 #define JUJUBEHEAD_NET_CLAIM_STORE_HPP
 
+#include <chrono>     // for hours
 #include <cstddef>    // for size_t
 #include <cstdint>    // for int64_t
 #include <functional> // for function
@@ -45,7 +46,8 @@
 struct ClaimStoreOptions
 {
   /// A claim is kept for so long; afterwards its key may be used again.
-  std::int64_t keep_ms = 24 * 60 * 60 * 1000;
+  std::int64_t keep_ms =
+    std::chrono::milliseconds(std::chrono::hours(24)).count();
   std::size_t batch = 50; ///< Claims a transaction at the most.
   /// Milliseconds since the epoch; the platform's services share that clock.
   std::function<std::int64_t()> now_ms;
--- a/include/jujubehead/net/sse_reader.hpp
+++ b/include/jujubehead/net/sse_reader.hpp
@@ -17,8 +17,10 @@
 class SseReader
 {
 public:
+  static constexpr std::size_t kDefaultLimit = 1 << 20U; ///< Bytes.
+
   /// @param aEventLimit bytes of the longest event that is taken.
-  explicit SseReader(std::size_t aEventLimit = 1024 * 1024)
+  explicit SseReader(std::size_t aEventLimit = kDefaultLimit)
     : m_event_limit(aEventLimit)
   {
   }
--- a/src/jujubehead/node/serve.cpp
+++ b/src/jujubehead/node/serve.cpp
@@ -113,7 +113,7 @@
   {
     asio::co_spawn(m_context,
                    PlannedStop(m_control, m_traffic),
-                   [this](std::exception_ptr aError, bool aComplete) {
+                   [this](const std::exception_ptr& aError, bool aComplete) {
                      m_exit_code = !aError && aComplete ? 0 : 1;
                      m_context.stop();
                    });
