--- /dev/null
+++ b/include/jujubehead/core/claims.hpp
@@ -0,0 +1,176 @@
+#ifndef JUJUBEHEAD_CORE_CLAIMS_HPP
+#define JUJUBEHEAD_CORE_CLAIMS_HPP
+
+#include <compare> // for strong_ordering
+#include <cstddef> // for size_t
+#include <cstdint> // for uint64_t
+#include <deque>   // for deque
+#include <map>     // for map
+#include <string>  // for string
+#include <variant> // for variant
+#include <vector>  // for vector
+
+#include "jujubehead/core/ids.hpp"           // for AccountId
+#include "jujubehead/core/runtime_clock.hpp" // for Duration, Instant
+
+namespace jujubehead::core {
+
+/// @brief What a non-idempotent request is known by.
+struct ClaimKey
+{
+  AccountId account;
+  std::string idempotency_key; ///< As the caller gave it.
+
+  friend auto operator<=>(const ClaimKey&, const ClaimKey&) = default;
+};
+
+/// @brief A row that says that somebody runs, or ran, the request. It is
+/// written before anything is dispatched, and never changed.
+struct ClaimRow
+{
+  ClaimKey key;
+  std::string token;    ///< Unique for one attempt to claim.
+  std::int64_t day = 0; ///< Days since the epoch; rows are deleted by it.
+};
+
+/// @brief Times and sizes of claiming.
+struct ClaimRules
+{
+  /// Claims wait so long for others to share their transaction.
+  Duration gather = std::chrono::milliseconds(5);
+  std::size_t most_in_one = 50;
+  std::size_t transactions_at_once = 4;
+  /// A request is refused when its claim is not settled by then.
+  Duration patience = std::chrono::seconds(5);
+  Duration retry_after_failure = std::chrono::milliseconds(100);
+  /// More waiting claims are refused at once.
+  std::size_t most_waiting = 2000;
+};
+
+/// @brief Days for which a claim is kept. A caller that repeats a request
+/// later may have it run again.
+inline constexpr std::int64_t kClaimDays = 7;
+
+/// @return whether the row is so old that it may be deleted.
+[[nodiscard]] bool
+IsClaimExpired(const ClaimRow& aRow, std::int64_t aToday);
+
+/// @brief Put these rows, each on condition that there is none: all or none.
+struct WriteClaims
+{
+  std::uint64_t transaction = 0;
+  std::vector<ClaimRow> rows;
+};
+
+/// @brief Read this row.
+struct ReadClaim
+{
+  std::uint64_t transaction = 0;
+  ClaimKey key;
+};
+
+/// @brief The request may be dispatched, once.
+struct ClaimWon
+{
+  std::string token;
+};
+
+/// @brief Another attempt has the claim: this one must not run.
+struct ClaimTaken
+{
+  std::string token;
+};
+
+/// @brief It is not known to be claimed: not run. The attempt's own row may
+/// still appear, which then blocks the key until it expires.
+struct ClaimFailed
+{
+  std::string token;
+  bool may_be_claimed =
+    false; ///< Tell the caller that a repeat may be refused.
+};
+
+using ClaimAction =
+  std::variant<WriteClaims, ReadClaim, ClaimWon, ClaimTaken, ClaimFailed>;
+
+/// @brief All rows were written.
+struct ClaimsCommitted
+{};
+/// @brief None was written: there are rows already at these places.
+struct ClaimsConflict
+{
+  std::vector<std::size_t> indices;
+};
+/// @brief None was written.
+struct ClaimsNotWritten
+{};
+/// @brief Written or not.
+struct ClaimsUnknown
+{};
+using ClaimsOutcome = std::
+  variant<ClaimsCommitted, ClaimsConflict, ClaimsNotWritten, ClaimsUnknown>;
+
+/// @brief What ReadClaim found.
+struct ClaimRead
+{
+  bool failed = false;
+  bool found = false;
+  std::string token; ///< Of the row.
+};
+
+/// @brief Claims of one instance: gathers several into one transaction, takes
+/// a conflicting one out and writes the rest again, and settles a lost answer
+/// by reading its own token back.
+///
+/// A claim is won only when its own row is known to be there; nothing is ever
+/// dispatched on less, so a request runs at most once.
+class Claims
+{
+public:
+  static Claims Create(ClaimRules aRules = {});
+
+  /// @param aRow its token must be unique over the whole system.
+  void Claim(ClaimRow aRow, Instant aNow);
+  void OnWritten(std::uint64_t aTransaction,
+                 const ClaimsOutcome& aOutcome,
+                 Instant aNow);
+  void OnRead(std::uint64_t aTransaction, const ClaimRead& aRead, Instant aNow);
+  /// @brief Call at least every few milliseconds while claims wait.
+  void Tick(Instant aNow);
+  [[nodiscard]] std::vector<ClaimAction> TakeActions();
+  /// @return claims that are not settled yet.
+  [[nodiscard]] std::size_t Pending() const;
+
+private:
+  struct Attempt
+  {
+    ClaimRow row;
+    Instant since;
+    bool uncertain = false; ///< Its row may be there.
+  };
+
+  explicit Claims(ClaimRules aRules)
+    : m_rules(aRules)
+  {
+  }
+
+  void Settle(const Attempt& aAttempt, const ClaimRead& aRead, Instant aNow);
+  void Fail(const Attempt& aAttempt);
+  void Expire(Instant aNow);
+  void StartWrites(Instant aNow);
+  void ReadOne(Attempt aAttempt);
+  [[nodiscard]] std::vector<Attempt> NextBatch();
+
+  ClaimRules m_rules;
+  std::deque<Attempt> m_waiting;
+  std::map<std::uint64_t, std::vector<Attempt>> m_writing;
+  std::map<std::uint64_t, Attempt> m_reading;
+  std::vector<ClaimAction> m_actions;
+  std::uint64_t m_last = 0;
+  Instant m_write_at;
+  bool m_gathering = false;
+};
+
+} // namespace jujubehead::core
+
+#endif // JUJUBEHEAD_CORE_CLAIMS_HPP
--- a/src/jujubehead/core/ownership_impl.cpp
+++ b/src/jujubehead/core/ownership_impl.cpp
@@ -137,7 +137,7 @@
 void
 Ownership::Impl::On(const InstanceId& aFrom,
                     const OwnersAnnounce& aNews,
-                    Instant /*aNow*/)
+                    Instant aNow)
 {
   for (const LeaseRow& row : aNews.opened) {
     m_map.Put(row);
@@ -154,6 +154,13 @@
     if (held != m_held.end() && row.epoch > held->second.epoch) {
       Stop(row.group);
     }
+    const bool mine = m_lease && row.owner == m_lease->Row().lease;
+    if (mine && !m_held.contains(row.group)) {
+      // Handed over; the list of its permits may be lost.
+      constexpr Duration kUsualHandOver = std::chrono::seconds(1);
+      m_reread.insert(row.group);
+      m_check_at = std::min(m_check_at, aNow + kUsualHandOver);
+    }
   }
 }
 
--- a/src/jujubehead/core/ownership_impl.hpp
+++ b/src/jujubehead/core/ownership_impl.hpp
@@ -82,6 +82,8 @@
   void HoldElections(Instant aNow);
   void Take(const Succession& aSuccession);
   void UseService(Instant aNow);
+  /// Reads the rows that should name this instance but are not held.
+  void LookForOwn(Instant aNow);
   void ReadAll(Instant aNow);
   bool Reread();
   bool OpenLease();
--- a/src/jujubehead/core/ownership_tick.cpp
+++ b/src/jujubehead/core/ownership_tick.cpp
@@ -145,7 +145,7 @@
   if (aNow >= m_check_at) {
     m_check_at =
       aNow + m_options.rules.gone_after + m_gate.Jitter(m_options.rules.jitter);
-    m_must_reread = true;
+    LookForOwn(aNow);
   }
   if (Reread() || OpenLease()) {
     return;
@@ -158,6 +158,20 @@
   static_cast<void>(done);
 }
 
+void
+Ownership::Impl::LookForOwn(Instant aNow)
+{
+  m_must_reread = true;
+  const auto candidates = Candidates(aNow);
+  for (const GroupId& group : m_groups) {
+    const auto home = HomesOf(group.View(), candidates, 1);
+    const bool mine = !home.empty() && home.front() == m_options.self;
+    if (mine && !m_held.contains(group)) {
+      m_reread.insert(group);
+    }
+  }
+}
+
 void
 Ownership::Impl::ReadAll(Instant aNow)
 {
