--- a/bench/agreement/fake_table.hpp
+++ b/bench/agreement/fake_table.hpp
@@ -45,6 +45,12 @@
     return m_groups;
   }
 
+  [[nodiscard]] const std::map<core::Incarnation, core::LeaseRow>& Leases()
+    const
+  {
+    return m_leases;
+  }
+
   void Write(const core::WriteRows& aWrite,
              std::function<void(core::WriteOutcome)> aDone);
   void Read(const core::ReadRows& aRead,
--- a/bench/agreement/sim_node.cpp
+++ b/bench/agreement/sim_node.cpp
@@ -285,7 +285,9 @@
     wire::PermitAnswer answer;
     answer.target = TargetOf(aGroup);
     if (const auto* grant = std::get_if<core::PermitGranted>(&decision)) {
-      m_world.NoteGrant(aGroup, grant->permit.epoch);
+      if (grant->permit.epoch == book->second.Epoch()) {
+        m_world.NoteGrant(aGroup, grant->permit.epoch);
+      }
       m_grants[aGroup].try_emplace(grant->permit, Grant{ now });
       answer.outcome = wire::PermitOutcome::kGranted;
       answer.epoch = grant->permit.epoch;
--- a/src/jujubehead/core/lease_reaper.cpp
+++ b/src/jujubehead/core/lease_reaper.cpp
@@ -48,6 +48,20 @@
   }
 }
 
+bool
+LeaseReaper::HasGranted(const Incarnation& aLease,
+                        const Incarnation& aWitness) const
+{
+  const auto found = m_cases.find(aLease);
+  if (found == m_cases.end()) {
+    return false;
+  }
+  const auto reply = found->second.replies.find(aWitness.instance);
+  return reply != found->second.replies.end() &&
+         reply->second.voter == aWitness &&
+         reply->second.vote == Vote::kGranted;
+}
+
 void
 LeaseReaper::Retain(const std::set<Incarnation>& aSuspects)
 {
@@ -84,9 +98,13 @@
   if (said.vote != Vote::kOther) {
     return said.vote != Vote::kAlive;
   }
+  if (said.voted_for.IsSameProcess(aMember)) {
+    // It took over, under a lease that may be over too.
+    return said.voted_for != aMember &&
+           aEvidence.map.Lease(said.voted_for) == nullptr;
+  }
   // Who took over speaks for itself.
-  return said.voted_for != aMember &&
-         IsAccounted(aCase, said.voted_for, aEvidence);
+  return IsAccounted(aCase, said.voted_for, aEvidence);
 }
 
 bool
--- a/src/jujubehead/core/lease_reaper.hpp
+++ b/src/jujubehead/core/lease_reaper.hpp
@@ -28,6 +28,9 @@
   /// @return what to send.
   std::vector<SendMessage> Pursue(const LeaseRow& aRow, Instant aNow);
   void OnVoteReply(const VoteReply& aReply);
+  /// @return whether that witness gave up the lease and took nothing over.
+  [[nodiscard]] bool HasGranted(const Incarnation& aLease,
+                                const Incarnation& aWitness) const;
   /// @brief Forgets all but these.
   void Retain(const std::set<Incarnation>& aSuspects);
   /// @return leases that may be ended together, this one among them; empty if
--- a/src/jujubehead/core/lease_witness.cpp
+++ b/src/jujubehead/core/lease_witness.cpp
@@ -132,7 +132,9 @@
 }
 
 std::optional<Succession>
-LeaseWitness::Elect(const Incarnation& aLease, Instant aNow)
+LeaseWitness::Elect(const Incarnation& aLease,
+                    const Incarnation& aUnder,
+                    Instant aNow)
 {
   const auto found = m_records.find(aLease);
   if (found == m_records.end()) {
@@ -156,7 +158,7 @@
     previous_end = std::max(previous_end, agreed->second);
   }
   record.standing = Standing::kElection;
-  record.voted_for = m_self;
+  record.voted_for = aUnder;
   return Succession{ aLease, record.list.groups, previous_end };
 }
 
--- a/src/jujubehead/core/lease_witness.hpp
+++ b/src/jujubehead/core/lease_witness.hpp
@@ -44,7 +44,10 @@
   /// @brief Notes another witness's agreement.
   void OnVoteReply(const VoteReply& aReply, Instant aNow);
   /// @return the lease's groups, if this process takes over now.
-  std::optional<Succession> Elect(const Incarnation& aLease, Instant aNow);
+  /// @param aUnder the own lease under which they would be owned.
+  std::optional<Succession> Elect(const Incarnation& aLease,
+                                  const Incarnation& aUnder,
+                                  Instant aNow);
   /// @return leases renewed here of late.
   [[nodiscard]] std::size_t Watched(Instant aNow) const;
 
--- a/src/jujubehead/core/ownership_impl.cpp
+++ b/src/jujubehead/core/ownership_impl.cpp
@@ -150,6 +150,9 @@
   }
   for (const GroupRow& row : aNews.groups) {
     m_map.Put(row);
+    if (row.owner.instance == aFrom) {
+      m_handed.erase(row.group);
+    }
     const auto held = m_held.find(row.group);
     if (held != m_held.end() && row.epoch > held->second.epoch) {
       Stop(row.group);
@@ -278,6 +281,7 @@
   } else if (holding.moving) {
     m_actions.emplace_back(HandOverGroup{ aRow, holding.epoch });
     m_news.groups.push_back(aRow);
+    m_handed.insert_or_assign(aRow.group, Handed{ aRow, aNow });
     m_held.erase(found);
   } else {
     Stop(aRow.group);
--- a/src/jujubehead/core/ownership_impl.hpp
+++ b/src/jujubehead/core/ownership_impl.hpp
@@ -58,6 +58,12 @@
     std::uint64_t moving_since = 0; ///< Version of the list without it.
   };
 
+  struct Handed
+  {
+    GroupRow row;
+    Instant at;
+  };
+
   // ownership_impl.cpp: messages and rows.
   void On(const InstanceId& aFrom, const LeaseRenew& aRenew, Instant aNow);
   void On(const InstanceId& aFrom, const LeaseAck& aAck, Instant aNow);
@@ -91,6 +97,14 @@
   bool ChangeWitnesses(Instant aNow);
   [[nodiscard]] std::optional<LeaseRow> NextWitnesses(Instant aNow);
   bool EndLeases(Instant aNow);
+  /// @return those that this instance is to end, by now.
+  [[nodiscard]] std::set<Incarnation> DueSuspects(
+    const std::set<Incarnation>& aSuspects,
+    Instant aNow);
+  void PursueWithWitnesses(const Incarnation& aLease,
+                           const std::set<Incarnation>& aSuspects,
+                           std::set<Incarnation>& aPursued,
+                           Instant aNow);
   bool Claim(Instant aNow);
   bool Move(Instant aNow);
   bool Close();
@@ -133,6 +147,7 @@
   std::uint64_t m_leases_opened = 0;
   std::map<GroupId, Holding> m_held;
   std::set<GroupId> m_groups;
+  std::map<GroupId, Handed> m_handed; ///< Not announced by the new owner yet.
   std::map<InstanceId, Incarnation> m_processes; ///< As they said themselves.
   std::map<InstanceId, Instant> m_avoid;         ///< Witnesses that were lost.
   std::set<Incarnation> m_inherited; ///< Leases won, whose rows still stand.
--- a/src/jujubehead/core/ownership_tick.cpp
+++ b/src/jujubehead/core/ownership_tick.cpp
@@ -18,7 +18,9 @@
 constexpr Duration kNextCandidate = std::chrono::seconds(15);
 constexpr std::size_t kCandidates = 3;
 constexpr Duration kLookEvery = std::chrono::seconds(1);
-constexpr Duration kAnnounceEvery = std::chrono::seconds(10);
+constexpr Duration kAnnounceEvery = std::chrono::seconds(5);
+/// A new owner that does not announce a group is told of it again for so long.
+constexpr Duration kAnnounceHanded = std::chrono::minutes(2);
 
 /// Witnesses that are not in the next row, but may have to be asked.
 std::vector<Incarnation>
@@ -104,7 +106,8 @@
   }
   m_elect_at = aNow + m_options.rules.vote_retry;
   for (const Candidacy& candidacy : m_witness.Candidacies(aNow)) {
-    if (const auto won = m_witness.Elect(candidacy.lease, aNow)) {
+    if (const auto won =
+          m_witness.Elect(candidacy.lease, m_lease->Row().lease, aNow)) {
       Take(*won);
       continue;
     }
@@ -316,10 +319,16 @@
 bool
 Ownership::Impl::IsAllLostSafely(Instant aNow)
 {
-  std::vector<Incarnation> witnesses = m_lease->Row().witnesses;
-  const auto& former = m_lease->Row().former;
-  witnesses.insert(witnesses.end(), former.begin(), former.end());
+  const LeaseRow& row = m_lease->Row();
+  for (SendMessage& ask : m_reaper.Pursue(row, aNow)) {
+    Send(ask.to, std::move(ask.message), aNow);
+  }
+  std::vector<Incarnation> witnesses = row.witnesses;
+  witnesses.insert(witnesses.end(), row.former.begin(), row.former.end());
   for (const Incarnation& witness : witnesses) {
+    if (m_reaper.HasGranted(row.lease, witness)) {
+      continue;
+    }
     const auto said = m_processes.find(witness.instance);
     const bool replaced =
       said != m_processes.end() && !said->second.IsSameProcess(witness);
@@ -469,32 +478,77 @@
   return replaced || followed || m_watch.IsGone(lease.instance, aNow);
 }
 
-bool
-Ownership::Impl::EndLeases(Instant aNow)
+std::set<Incarnation>
+Ownership::Impl::DueSuspects(const std::set<Incarnation>& aSuspects,
+                             Instant aNow)
 {
   std::vector<InstanceId> candidates = OtherHolders();
   candidates.push_back(m_options.self);
-  std::set<Incarnation> suspects;
-  std::vector<LeaseRow> endable;
-  for (const auto& [lease, row] : m_map.Leases()) {
-    if (!IsSuspect(row, aNow)) {
-      m_due_since.erase(lease.instance.Text());
-      continue;
-    }
-    suspects.insert(lease);
-    const Instant due =
+  std::set<Incarnation> due;
+  for (const Incarnation& lease : aSuspects) {
+    const Instant since =
       m_due_since.try_emplace(lease.instance.Text(), aNow).first->second;
     const auto delay = DelayFor(lease.instance.View(), candidates);
-    if (!delay || aNow < due + *delay) {
-      continue;
+    if (delay && aNow >= since + *delay) {
+      due.insert(lease);
+    }
+  }
+  return due;
+}
+
+void
+Ownership::Impl::PursueWithWitnesses(const Incarnation& aLease,
+                                     const std::set<Incarnation>& aSuspects,
+                                     std::set<Incarnation>& aPursued,
+                                     Instant aNow)
+{
+  const LeaseRow* found = m_map.Lease(aLease);
+  if (found == nullptr || !aPursued.insert(aLease).second) {
+    return;
+  }
+  const LeaseRow row = *found;
+  for (SendMessage& ask : m_reaper.Pursue(row, aNow)) {
+    Send(ask.to, std::move(ask.message), aNow);
+  }
+  // A witness that went may have taken over: its leases end together.
+  std::vector<Incarnation> witnesses = row.witnesses;
+  witnesses.insert(witnesses.end(), row.former.begin(), row.former.end());
+  for (const Incarnation& suspect : aSuspects) {
+    const bool is_witness =
+      std::any_of(witnesses.begin(), witnesses.end(), [&](const auto& aOne) {
+        return aOne.IsSameProcess(suspect);
+      });
+    if (is_witness) {
+      PursueWithWitnesses(suspect, aSuspects, aPursued, aNow);
     }
-    for (SendMessage& ask : m_reaper.Pursue(row, aNow)) {
-      Send(ask.to, std::move(ask.message), aNow);
+  }
+}
+
+bool
+Ownership::Impl::EndLeases(Instant aNow)
+{
+  std::set<Incarnation> suspects;
+  for (const auto& [lease, row] : m_map.Leases()) {
+    if (IsSuspect(row, aNow)) {
+      suspects.insert(lease);
+    } else {
+      m_due_since.erase(lease.instance.Text());
     }
+  }
+  const std::set<Incarnation> due = DueSuspects(suspects, aNow);
+  std::set<Incarnation> pursued;
+  std::vector<LeaseRow> endable;
+  for (const Incarnation& lease : due) {
+    PursueWithWitnesses(lease, suspects, pursued, aNow);
+  }
+  for (const Incarnation& lease : due) {
     if (endable.empty()) {
       endable = m_reaper.Endable(lease, m_map, m_watch, aNow);
     }
   }
+  if (m_lapsed_since) {
+    suspects.insert(m_lease->Row().lease);
+  }
   m_reaper.Retain(suspects);
   if (endable.empty() || endable.size() > kGroupsAtOnce) {
     return false;
@@ -680,6 +734,14 @@
       m_news.groups.back().epoch = holding.epoch;
     }
   }
+  std::erase_if(m_handed, [aNow](const auto& aEntry) {
+    return aNow >= aEntry.second.at + kAnnounceHanded;
+  });
+  for (const auto& [group, handed] : m_handed) {
+    Send(handed.row.owner.instance,
+         OwnersAnnounce{ { handed.row }, {}, {} },
+         aNow);
+  }
 }
 
 } // namespace jujubehead::core
