Let the HTTP client speak TLS

Cause: operators' commands read the instances' pages, which they could not once an instance speaks TLS to its callers. A connection through TLS is not kept: bytes of the protocol itself may come at rest, which looks like a reply nobody asked for. A handshake that fails has dispatched nothing. The TLS tests use this client.

--- a/include/jujubehead/net/http_client.hpp
+++ b/include/jujubehead/net/http_client.hpp
@@ -13,6 +13,7 @@
 #include "jujubehead/core/runtime_clock.hpp" // for Duration
 #include "jujubehead/net/call_cancel.hpp"    // for CallCancel
 #include "jujubehead/net/http_message.hpp"   // for HttpHeaders, HttpResponse
+#include "jujubehead/net/tls.hpp"            // for TlsCredentials
 
 namespace jujubehead::net {
 
@@ -31,6 +32,8 @@
   std::size_t reply_limit = 64UL * 1024 * 1024; ///< Bytes.
   /// Ends the call, and its stream, from outside; may be null.
   std::shared_ptr<CallCancel> cancel;
+  /// Speaks TLS with these, on a connection that is not kept; null: plain.
+  std::shared_ptr<const TlsCredentials> tls;
 };
 
 /// @brief A call failed. `dispatched` says whether any byte of the request may
--- a/include/jujubehead/net/tls.hpp
+++ b/include/jujubehead/net/tls.hpp
@@ -14,8 +14,10 @@
 /// @brief The PEM files of one end of TLS connections.
 struct TlsFiles
 {
-  std::string certificate; ///< Own certificate, then those above it.
-  std::string key;         ///< Its private key.
+  /// Own certificate, then those above it. With no key either: none is shown,
+  /// as callers do.
+  std::string certificate;
+  std::string key; ///< Its private key.
   /// Certificates of those who may sign the other end's certificate. Empty:
   /// the other end shows none (callers). Else it must show one (instances).
   std::string authority;
--- a/src/jujubehead/net/client_connection.cpp
+++ b/src/jujubehead/net/client_connection.cpp
@@ -15,8 +15,10 @@
 } // namespace
 
 ClientConnection::ClientConnection(
-  const boost::asio::any_io_executor& aExecutor)
-  : socket(aExecutor)
+  const boost::asio::any_io_executor& aExecutor,
+  std::shared_ptr<boost::asio::ssl::context> aTls)
+  : stream(aTls ? ByteStream(ByteStream::Plain(aExecutor), std::move(aTls))
+                : ByteStream(ByteStream::Plain(aExecutor)))
   , deadline(aExecutor, [this] {
     timed_out = true;
     Close();
@@ -29,10 +31,10 @@
 {
   char unasked = 0;
   boost::system::error_code error;
-  socket.non_blocking(true, error);
-  socket.receive(boost::asio::buffer(&unasked, 1),
-                 boost::asio::socket_base::message_peek,
-                 error);
+  stream.Socket().non_blocking(true, error);
+  stream.Socket().receive(boost::asio::buffer(&unasked, 1),
+                          boost::asio::socket_base::message_peek,
+                          error);
   return error == boost::asio::error::would_block;
 }
 
@@ -40,7 +42,7 @@
 ClientConnection::Close()
 {
   boost::system::error_code ignored;
-  socket.close(ignored);
+  stream.Socket().close(ignored);
 }
 
 std::shared_ptr<ClientConnection>
--- a/src/jujubehead/net/client_connection.hpp
+++ b/src/jujubehead/net/client_connection.hpp
@@ -6,10 +6,10 @@
 #include <string> // for string
 #include <vector> // for vector
 
-#include <boost/asio/ip/tcp.hpp>            // for tcp
 #include <boost/beast/core/flat_buffer.hpp> // for flat_buffer
 
-#include "deadline.hpp" // for Deadline
+#include "byte_stream.hpp" // for ByteStream
+#include "deadline.hpp"    // for Deadline
 
 #include "jujubehead/core/runtime_clock.hpp" // for Instant
 
@@ -18,13 +18,15 @@
 /// @brief A connection of the client, in use or at rest.
 struct ClientConnection
 {
-  explicit ClientConnection(const boost::asio::any_io_executor& aExecutor);
+  /// @param aTls null on a plain connection.
+  ClientConnection(const boost::asio::any_io_executor& aExecutor,
+                   std::shared_ptr<boost::asio::ssl::context> aTls);
 
   /// @return whether the other side kept it open and sent nothing unasked.
   [[nodiscard]] bool IsAtRest();
   void Close();
 
-  boost::asio::ip::tcp::socket socket;
+  ByteStream stream;
   boost::beast::flat_buffer buffer;
   Deadline deadline; ///< Closes the connection.
   bool timed_out = false;
--- a/src/jujubehead/net/client_stream.cpp
+++ b/src/jujubehead/net/client_stream.cpp
@@ -116,12 +116,12 @@
 ClientStream::Fill()
 {
   const auto connection = m_connection;
-  if (!connection->socket.is_open()) {
+  if (!connection->stream.Socket().is_open()) {
     Fail("was cancelled");
   }
   connection->deadline.Set(m_call.idle_timeout);
   const auto space = connection->buffer.prepare(kBufferBytes);
-  const auto [error, bytes] = co_await connection->socket.async_read_some(
+  const auto [error, bytes] = co_await connection->stream.async_read_some(
     space, asio::as_tuple(asio::use_awaitable));
   connection->deadline.Clear();
   connection->buffer.commit(bytes);
@@ -158,7 +158,8 @@
   if (m_call.cancel) {
     m_call.cancel->OnCancel(nullptr);
   }
-  if (m_parser->keep_alive() && connection->buffer.size() == 0) {
+  const bool plain = connection->stream.Tls() == nullptr;
+  if (plain && m_parser->keep_alive() && connection->buffer.size() == 0) {
     m_pool->Put(m_call.authority, std::move(connection));
   }
 }
--- a/src/jujubehead/net/http_client.cpp
+++ b/src/jujubehead/net/http_client.cpp
@@ -123,7 +123,7 @@
   {
     std::string message = MessageOf(aCall);
     aCall.body = std::string();
-    auto connection = m_pool->Take(aCall.authority);
+    auto connection = aCall.tls ? nullptr : m_pool->Take(aCall.authority);
     bool sent = connection && co_await SendOnPooled(aCall, message, connection);
     if (!sent) {
       connection = co_await Connect(aCall);
@@ -150,20 +150,33 @@
   {
     CheckNotCancelled(aCall);
     const tcp::endpoint endpoint = EndpointOf(aCall);
-    auto connection = std::make_shared<ClientConnection>(m_executor);
+    auto connection = std::make_shared<ClientConnection>(
+      m_executor, aCall.tls ? aCall.tls->Current() : nullptr);
     LetCancelClose(aCall, connection);
     connection->deadline.Set(aCall.connect_timeout);
     const auto [error] =
-      co_await connection->socket.async_connect(endpoint, kTuple);
+      co_await connection->stream.Socket().async_connect(endpoint, kTuple);
+    CheckConnected(aCall, *connection, error);
+    boost::system::error_code ignored;
+    connection->stream.Socket().set_option(tcp::no_delay(true), ignored);
+    if (ByteStream::Secure* const tls = connection->stream.Tls()) {
+      const auto [refusal] =
+        co_await tls->async_handshake(asio::ssl::stream_base::client, kTuple);
+      CheckConnected(aCall, *connection, refusal);
+    }
     connection->deadline.Clear();
-    if (error) {
+    co_return connection;
+  }
+
+  static void CheckConnected(const HttpCall& aCall,
+                             const ClientConnection& aConnection,
+                             const boost::system::error_code& aError)
+  {
+    if (aError) {
       FailBefore(aCall,
-                 connection->timed_out ? "no connection in time"
-                                       : error.message());
+                 aConnection.timed_out ? "no connection in time"
+                                       : aError.message());
     }
-    boost::system::error_code ignored;
-    connection->socket.set_option(tcp::no_delay(true), ignored);
-    co_return connection;
   }
 
   /// @return whether it was sent; false only when not a byte was written and a
@@ -178,7 +191,7 @@
     LetCancelClose(aCall, aConnection);
     aConnection->deadline.Set(aCall.idle_timeout);
     const auto [error, written] = co_await asio::async_write(
-      aConnection->socket, asio::buffer(aMessage), kTuple);
+      aConnection->stream, asio::buffer(aMessage), kTuple);
     aConnection->deadline.Clear();
     if (!error) {
       co_return true;
--- a/src/jujubehead/net/tls.cpp
+++ b/src/jujubehead/net/tls.cpp
@@ -29,13 +29,16 @@
   SSL_CTX_set_min_proto_version(context->native_handle(), TLS1_2_VERSION);
   core::Findings findings;
   boost::system::error_code error;
-  context->use_certificate_chain_file(aFiles.certificate, error);
-  Note(findings, aFiles.certificate, error, "a certificate chain in PEM form");
-  context->use_private_key_file(aFiles.key, ssl::context::pem, error);
-  Note(findings,
-       aFiles.key,
-       error,
-       "the private key, in PEM form, of " + aFiles.certificate);
+  if (!aFiles.certificate.empty() || !aFiles.key.empty()) {
+    context->use_certificate_chain_file(aFiles.certificate, error);
+    Note(
+      findings, aFiles.certificate, error, "a certificate chain in PEM form");
+    context->use_private_key_file(aFiles.key, ssl::context::pem, error);
+    Note(findings,
+         aFiles.key,
+         error,
+         "the private key, in PEM form, of " + aFiles.certificate);
+  }
   if (!aFiles.authority.empty()) {
     context->load_verify_file(aFiles.authority, error);
     Note(findings, aFiles.authority, error, "certificates in PEM form");
--- a/src/jujubehead/net/tls_test.cpp
+++ b/src/jujubehead/net/tls_test.cpp
@@ -4,15 +4,13 @@
 
 #include <filesystem> // for copy_file
 
-#include <boost/asio/connect.hpp>    // for tcp
 #include <boost/asio/io_context.hpp> // for io_context
-#include <boost/asio/read.hpp>       // for async_read
-#include <boost/asio/ssl/stream.hpp> // for ssl::stream
 
 #include "net_test_tools.hpp"    // for RunIn, RunUntil
 #include "raw_caller.hpp"        // for RawCaller
 #include "test_certificates.hpp" // for TestCertificates
 
+#include "jujubehead/net/http_client.hpp" // for HttpClient
 #include "jujubehead/net/http_server.hpp" // for HttpServer
 #include "jujubehead/net/peer_link.hpp"   // for PeerLinks
 
@@ -28,8 +26,6 @@
 
 namespace {
 
-constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
-
 awaitable<void>
 Stream(net::HttpExchange& aExchange)
 {
@@ -59,6 +55,7 @@
 TEST_GROUP(Tls)
 {
   asio::io_context context;
+  std::unique_ptr<net::HttpClient> client = net::HttpClient::Create(context);
   net::test::TestCertificates certificates;
   int messages = 0;
 
@@ -76,26 +73,22 @@
   }
 
   /// Calls a server, trusting one certificate only.
-  /// @return the reply; empty when the handshake failed.
+  /// @return the reply's body; empty when the server is not trusted.
   std::string Call(std::uint16_t aPort, const std::string& aTrusted)
   {
-    asio::ssl::context trust(asio::ssl::context::tls_client);
-    trust.load_verify_file(aTrusted);
-    trust.set_verify_mode(asio::ssl::verify_peer);
-    asio::ssl::stream<asio::ip::tcp::socket> stream(context, trust);
-    stream.next_layer().connect({ asio::ip::address_v4::loopback(), aPort });
-    std::string reply;
+    net::HttpCall call;
+    call.authority = "127.0.0.1:" + std::to_string(aPort);
+    call.tls = Load({ "", "", aTrusted });
+    std::string body;
     RunIn(context, [&]() -> awaitable<void> {
-      const auto [failure] =
-        co_await stream.async_handshake(asio::ssl::stream_base::client, kTuple);
-      if (failure) {
-        co_return;
+      try {
+        const auto response = co_await client->Fetch(call);
+        body = response.body;
+      } catch (const net::HttpCallError& error) {
+        CHECK_FALSE(error.Dispatched());
       }
-      const std::string request = "GET / HTTP/1.1\r\nConnection: close\r\n\r\n";
-      co_await asio::async_write(stream, asio::buffer(request), kTuple);
-      co_await asio::async_read(stream, asio::dynamic_buffer(reply), kTuple);
     });
-    return reply;
+    return body;
   }
 };
 
@@ -127,9 +120,7 @@
   net::HttpServerOptions options;
   options.tls = tls;
   const auto server = net::HttpServer::Create(context, options, Stream);
-  const std::string reply = Call(server->Port(), trusted);
-  CHECK(reply.starts_with("HTTP/1.1 200 OK"));
-  CHECK(reply.find("data: 99\n\n") != std::string::npos);
+  CHECK(Call(server->Port(), trusted).ends_with("data: 99\n\n"));
 
   constexpr auto kReplace = std::filesystem::copy_options::overwrite_existing;
   std::filesystem::copy_file(second.certificate, first.certificate, kReplace);
