Let the claim store carry out the core's claims

Cause: the batching, isolation of conflicts and settling of lost answers stood twice: in the core, model-tested, and in the net layer's store. The store now only carries out what the core decides; it keeps the token as the row's rev, so that giving back and expiry delete only that row.

--- a/src/jujubehead/net/claim_store.cpp
+++ b/src/jujubehead/net/claim_store.cpp
@@ -1,9 +1,10 @@
 #include "jujubehead/net/claim_store.hpp"
 
-#include <algorithm> // for min
-#include <random>    // for mt19937_64, random_device
-#include <utility>   // for move
-#include <vector>    // for vector
+#include <map>      // for map
+#include <optional> // for optional
+#include <random>   // for mt19937_64, random_device
+#include <utility>  // for move
+#include <vector>   // for vector
 
 #include <boost/asio/co_spawn.hpp>       // for co_spawn
 #include <boost/asio/detached.hpp>       // for detached
@@ -12,8 +13,9 @@
 
 #include <nlohmann/json.hpp> // for json
 
+#include "jujubehead/net/random_text.hpp"   // for RandomText
 #include "jujubehead/net/table_service.hpp" // for TableService, Transaction
-#include "jujubehead/net/timer.hpp"         // for Timer
+#include "jujubehead/net/timer.hpp"         // for Sleep, Timer
 
 namespace jujubehead::net {
 namespace {
@@ -22,187 +24,245 @@
 using Json = nlohmann::json;
 
 constexpr const char* kClaimPk = "claim";
-constexpr int kTries = 3;
 // The service keeps numbers exactly up to here.
 constexpr std::uint64_t kMaxToken = (1ULL << 53U) - 1;
+constexpr std::int64_t kMillisecondsPerDay = 24LL * 60 * 60 * 1000;
+constexpr core::Duration kTick = std::chrono::milliseconds(2);
 
 ItemKey
-KeyOf(const ClaimKey& aKey)
+KeyOf(const core::ClaimKey& aKey)
 {
   // As JSON, so that no account can spell another's key.
   return { kClaimPk,
-           Json::array({ aKey.account.Text(), aKey.model.Text(), aKey.key })
+           Json::array({ aKey.account.Text(), aKey.idempotency_key })
              .dump(-1, ' ', false, Json::error_handler_t::replace) };
 }
 
-/// One claim on its way.
-struct Pending
+/// A token is a number in the service, as the row's rev, so that giving a claim
+/// back can be made to depend on it.
+std::uint64_t
+NumberOf(const std::string& aToken)
 {
-  explicit Pending(asio::io_context& aContext)
+  return std::stoull(aToken);
+}
+
+/// One caller that waits for its claim.
+struct Waiting
+{
+  explicit Waiting(asio::io_context& aContext)
     : done(aContext, core::Instant::max())
   {
   }
 
-  Claim claim;
-  Condition condition = ItemAbsent{};
-  int tries = 0;
   Timer done; ///< Cancelled when the outcome is known.
-  bool settled = false;
+  std::optional<ClaimOutcome> outcome;
 };
 
-using PendingPtr = std::shared_ptr<Pending>;
-
 class TableClaims : public ClaimStore
 {
 public:
   TableClaims(asio::io_context& aContext,
               TableService& aService,
-              ClaimStoreOptions aOptions)
+              EpochClock aEpochClock,
+              core::ClaimRules aRules)
     : m_context(aContext)
     , m_service(aService)
-    , m_options(std::move(aOptions))
+    , m_epoch_clock(std::move(aEpochClock))
+    , m_claims(core::Claims::Create(aRules))
     , m_random(std::random_device{}())
   {
   }
 
-  asio::awaitable<Claim> Take(ClaimKey aKey) override
+  asio::awaitable<Claim> Take(core::ClaimKey aKey) override
   {
-    const auto pending = std::make_shared<Pending>(m_context);
-    pending->claim.key = std::move(aKey);
-    pending->claim.token = 1 + m_random() % kMaxToken;
-    m_waiting.push_back(pending);
-    StartWriter();
-    if (!pending->settled) {
+    Claim claim;
+    claim.key = std::move(aKey);
+    claim.token = 1 + m_random() % kMaxToken;
+    core::ClaimRow row{ claim.key, std::to_string(claim.token), Today() };
+    const std::string token = row.token;
+    const auto waiting = std::make_shared<Waiting>(m_context);
+    m_waiting.emplace(token, waiting);
+    m_claims.Claim(std::move(row), core::RuntimeClock::now());
+    TakeActions();
+    StartTicking();
+    if (!waiting->outcome) {
       boost::system::error_code ignored;
-      co_await pending->done.async_wait(
+      co_await waiting->done.async_wait(
         asio::redirect_error(asio::use_awaitable, ignored));
     }
-    co_return pending->claim;
+    m_waiting.erase(token);
+    claim.outcome = waiting->outcome.value_or(ClaimOutcome::kUnavailable);
+    co_return claim;
   }
 
   asio::awaitable<void> GiveBack(Claim aClaim) override
   {
-    Transaction transaction;
-    transaction.token = "back-" + std::to_string(aClaim.token);
-    // The token is the row's rev: nobody else's claim can be deleted.
-    transaction.items.emplace_back(
-      DeleteItem{ KeyOf(aClaim.key), RevIs{ aClaim.token } });
-    co_await TransactSettled(m_service, std::move(transaction));
+    co_await DeleteRow(aClaim.key, aClaim.token);
   }
 
 private:
-  void StartWriter()
+  [[nodiscard]] std::int64_t Today() const
+  {
+    return m_epoch_clock() / kMillisecondsPerDay;
+  }
+
+  void StartTicking()
   {
-    if (!m_writing) {
-      m_writing = true;
-      asio::co_spawn(m_context, WriteAll(), asio::detached);
+    if (!m_ticking) {
+      m_ticking = true;
+      asio::co_spawn(m_context, Ticking(), asio::detached);
     }
   }
 
-  asio::awaitable<void> WriteAll()
+  asio::awaitable<void> Ticking()
   {
-    while (!m_waiting.empty()) {
-      const std::size_t count = std::min(m_options.batch, m_waiting.size());
-      const auto end = m_waiting.begin() + static_cast<std::ptrdiff_t>(count);
-      const std::vector<PendingPtr> batch(m_waiting.begin(), end);
-      m_waiting.erase(m_waiting.begin(), end);
-      co_await WriteBatch(batch);
+    while (m_claims.Pending() > 0) {
+      co_await Sleep(kTick);
+      m_claims.Tick(core::RuntimeClock::now());
+      TakeActions();
     }
-    m_writing = false;
+    m_ticking = false;
   }
 
-  asio::awaitable<void> WriteBatch(const std::vector<PendingPtr>& aBatch)
+  struct CarryOut
   {
-    Transaction transaction = TransactionOf(aBatch);
-    const TransactOutcome outcome =
-      co_await TransactSettled(m_service, std::move(transaction));
-    const auto* failed = std::get_if<ConditionFailed>(&outcome);
-    for (std::size_t i = 0; i < aBatch.size(); ++i) {
-      if (std::holds_alternative<Committed>(outcome)) {
-        Settle(*aBatch[i], ClaimOutcome::kClaimed);
-      } else if (failed != nullptr && !Contains(failed->indices, i)) {
-        m_waiting.push_back(aBatch[i]); // Nothing was written of it.
-      } else {
-        co_await ReadBackOne(aBatch[i]);
-      }
+    TableClaims& self;
+
+    void operator()(core::WriteClaims& aWrite) const
+    {
+      asio::co_spawn(
+        self.m_context, self.Write(std::move(aWrite)), asio::detached);
+    }
+    void operator()(core::ReadClaim& aRead) const
+    {
+      asio::co_spawn(
+        self.m_context, self.Read(std::move(aRead)), asio::detached);
+    }
+    void operator()(const core::ClaimWon& aWon) const
+    {
+      self.Settle(aWon.token, ClaimOutcome::kClaimed);
+    }
+    void operator()(const core::ClaimTaken& aTaken) const
+    {
+      self.Settle(aTaken.token, ClaimOutcome::kDuplicate);
+    }
+    void operator()(const core::ClaimFailed& aFailed) const
+    {
+      self.Settle(aFailed.token, ClaimOutcome::kUnavailable);
+    }
+  };
+
+  void TakeActions()
+  {
+    for (core::ClaimAction& action : m_claims.TakeActions()) {
+      std::visit(CarryOut{ *this }, action);
     }
   }
 
-  [[nodiscard]] static bool Contains(const std::vector<std::size_t>& aIndices,
-                                     std::size_t aIndex)
+  void Settle(const std::string& aToken, ClaimOutcome aOutcome)
   {
-    return std::find(aIndices.begin(), aIndices.end(), aIndex) !=
-           aIndices.end();
+    const auto found = m_waiting.find(aToken);
+    if (found != m_waiting.end()) {
+      found->second->outcome = aOutcome;
+      found->second->done.cancel();
+    }
   }
 
-  [[nodiscard]] Transaction TransactionOf(
-    const std::vector<PendingPtr>& aBatch) const
+  asio::awaitable<void> Write(core::WriteClaims aWrite)
   {
-    const std::int64_t expires = m_options.now_ms() + m_options.keep_ms;
-    const std::string body = Json{ { "expires_ms", expires } }.dump();
     Transaction transaction;
-    const Pending& first = *aBatch.front();
-    transaction.token = "claim-" + std::to_string(first.claim.token) + "-" +
-                        std::to_string(first.tries);
-    for (const PendingPtr& one : aBatch) {
-      Item item{ KeyOf(one->claim.key), one->claim.token, body };
-      transaction.items.emplace_back(
-        PutItem{ std::move(item), one->condition });
+    transaction.token = RandomText(kTransactionTokenBytes);
+    for (const core::ClaimRow& row : aWrite.rows) {
+      Item item{ KeyOf(row.key),
+                 NumberOf(row.token),
+                 Json{ { "day", row.day } }.dump() };
+      transaction.items.emplace_back(PutItem{ std::move(item), ItemAbsent{} });
     }
-    return transaction;
+    const TransactOutcome outcome =
+      co_await m_service.Transact(std::move(transaction));
+    m_claims.OnWritten(
+      aWrite.transaction, OutcomeOf(outcome), core::RuntimeClock::now());
+    TakeActions();
   }
 
-  /// The write's answer does not tell; the row does.
-  asio::awaitable<void> ReadBackOne(PendingPtr aPending)
+  [[nodiscard]] static core::ClaimsOutcome OutcomeOf(
+    const TransactOutcome& aOutcome)
   {
-    try {
-      const auto item = co_await m_service.Get(KeyOf(aPending->claim.key));
-      if (item && item->rev == aPending->claim.token) {
-        Settle(*aPending, ClaimOutcome::kClaimed);
-      } else if (item && !IsExpired(*item)) {
-        Settle(*aPending, ClaimOutcome::kDuplicate);
-      } else {
-        TryAgain(aPending, item);
+    struct ToClaims
+    {
+      core::ClaimsOutcome operator()(const Committed&) const
+      {
+        return core::ClaimsCommitted{};
       }
-    } catch (const TableServiceError&) {
-      Settle(*aPending, ClaimOutcome::kUnavailable);
-    }
+      core::ClaimsOutcome operator()(const ConditionFailed& aFailed) const
+      {
+        return core::ClaimsConflict{ aFailed.indices };
+      }
+      core::ClaimsOutcome operator()(const UnknownOutcome&) const
+      {
+        return core::ClaimsUnknown{};
+      }
+      core::ClaimsOutcome operator()(const Throttled&) const
+      {
+        return core::ClaimsNotWritten{};
+      }
+      core::ClaimsOutcome operator()(const NotWritten&) const
+      {
+        return core::ClaimsNotWritten{};
+      }
+    };
+    return std::visit(ToClaims{}, aOutcome);
   }
 
-  void TryAgain(const PendingPtr& aPending, const std::optional<Item>& aExpired)
+  asio::awaitable<void> Read(core::ReadClaim aRead)
   {
-    if (++aPending->tries >= kTries) {
-      Settle(*aPending, ClaimOutcome::kUnavailable);
-      return;
-    }
-    if (aExpired) {
-      aPending->condition = RevIs{ aExpired->rev };
-    } else {
-      aPending->condition = ItemAbsent{};
+    core::ClaimRead read;
+    try {
+      const auto item = co_await m_service.Get(KeyOf(aRead.key));
+      read.found = item.has_value();
+      read.token = item ? std::to_string(item->rev) : "";
+      if (item && IsExpired(aRead.key, *item)) {
+        co_await DeleteRow(aRead.key, item->rev);
+        read.found = false;
+      }
+    } catch (const TableServiceError&) {
+      read.failed = true;
     }
-    m_waiting.push_back(aPending);
+    m_claims.OnRead(aRead.transaction, read, core::RuntimeClock::now());
+    TakeActions();
   }
 
-  [[nodiscard]] bool IsExpired(const Item& aItem) const
+  [[nodiscard]] bool IsExpired(const core::ClaimKey& aKey,
+                               const Item& aItem) const
   {
     const Json body = Json::parse(aItem.body, nullptr, false);
-    return body.is_object() &&
-           body.value("expires_ms", std::int64_t{ 0 }) <= m_options.now_ms();
+    if (!body.is_object()) {
+      return false;
+    }
+    const core::ClaimRow row{ aKey,
+                              std::to_string(aItem.rev),
+                              body.value("day", Today()) };
+    return core::IsClaimExpired(row, Today());
   }
 
-  static void Settle(Pending& aPending, ClaimOutcome aOutcome)
+  /// Only the row of that token: nobody else's claim can be deleted.
+  asio::awaitable<void> DeleteRow(core::ClaimKey aKey, std::uint64_t aToken)
   {
-    aPending.claim.outcome = aOutcome;
-    aPending.settled = true;
-    aPending.done.cancel();
+    Transaction transaction;
+    transaction.token = RandomText(kTransactionTokenBytes);
+    transaction.items.emplace_back(DeleteItem{ KeyOf(aKey), RevIs{ aToken } });
+    co_await TransactSettled(m_service, std::move(transaction));
   }
 
+  static constexpr std::size_t kTransactionTokenBytes = 18;
+
   asio::io_context& m_context;
   TableService& m_service;
-  ClaimStoreOptions m_options;
+  EpochClock m_epoch_clock;
+  core::Claims m_claims;
   std::mt19937_64 m_random;
-  std::vector<PendingPtr> m_waiting;
-  bool m_writing = false;
+  std::map<std::string, std::shared_ptr<Waiting>> m_waiting; ///< By token.
+  bool m_ticking = false;
 };
 
 } // namespace
@@ -210,9 +270,11 @@
 std::unique_ptr<ClaimStore>
 ClaimStore::Create(asio::io_context& aContext,
                    TableService& aService,
-                   ClaimStoreOptions aOptions)
+                   EpochClock aEpochClock,
+                   core::ClaimRules aRules)
 {
-  return std::make_unique<TableClaims>(aContext, aService, std::move(aOptions));
+  return std::make_unique<TableClaims>(
+    aContext, aService, std::move(aEpochClock), aRules);
 }
 
 } // namespace jujubehead::net
--- a/src/jujubehead/net/claim_store_test.cpp
+++ b/src/jujubehead/net/claim_store_test.cpp
@@ -41,20 +41,19 @@
   std::unique_ptr<net::ClaimStore> claims = Make();
   std::unique_ptr<net::ClaimStore> others = Make();
 
-  std::unique_ptr<net::ClaimStore> Make()
+  std::unique_ptr<net::ClaimStore> Make(core::ClaimRules aRules = {})
   {
-    net::ClaimStoreOptions options;
-    options.now_ms = [this] { return now_ms; };
-    return net::ClaimStore::Create(context, service, options);
+    return net::ClaimStore::Create(
+      context, service, [this] { return now_ms; }, aRules);
   }
 
-  static net::ClaimKey Key(const std::string& aKey,
-                           const std::string& aAccount = "a")
+  static core::ClaimKey Key(const std::string& aKey,
+                            const std::string& aAccount = "a")
   {
-    return { core::AccountId(aAccount), core::ModelId("m"), aKey };
+    return { core::AccountId(aAccount), aKey };
   }
 
-  Claim Take(net::ClaimStore & aStore, net::ClaimKey aKey)
+  Claim Take(net::ClaimStore & aStore, core::ClaimKey aKey)
   {
     return net::RunAwaitable(context, aStore.Take(std::move(aKey)));
   }
@@ -76,8 +75,11 @@
 
 TEST(ClaimStore, NothingRunsWhileTheServiceIsAway)
 {
+  core::ClaimRules rules;
+  rules.patience = std::chrono::milliseconds(20);
+  const auto hasty = Make(rules);
   service.down = true;
-  CHECK(Take(*claims, Key("k")).outcome == ClaimOutcome::kUnavailable);
+  CHECK(Take(*hasty, Key("k")).outcome == ClaimOutcome::kUnavailable);
 }
 
 TEST(ClaimStore, AClaimGivenBackMayBeTakenAgain)
@@ -104,7 +106,7 @@
 TEST(ClaimStore, AnExpiredClaimIsReplacedByOneOnly)
 {
   Take(*claims, Key("k"));
-  now_ms += 25LL * 60 * 60 * 1000;
+  now_ms += 8LL * 24 * 60 * 60 * 1000;
   CHECK(Take(*others, Key("k")).outcome == ClaimOutcome::kClaimed);
   CHECK(Take(*claims, Key("k")).outcome == ClaimOutcome::kDuplicate);
 }
@@ -125,7 +127,8 @@
   UNSIGNED_LONGS_EQUAL(kCount, taken.size());
   std::map<std::string, int> winners;
   for (const Claim& claim : taken) {
-    winners[claim.key.key] += claim.outcome == ClaimOutcome::kClaimed ? 1 : 0;
+    winners[claim.key.idempotency_key] +=
+      claim.outcome == ClaimOutcome::kClaimed ? 1 : 0;
   }
   for (const auto& [key, count] : winners) {
     LONGS_EQUAL(1, count);
--- a/src/jujubehead/node/control.cpp
+++ b/src/jujubehead/node/control.cpp
@@ -16,17 +16,12 @@
 // Every instance's address is set on each reading, so links follow restarts.
 constexpr core::Duration kMembersTimeout = std::chrono::seconds(2);
 
-net::ClaimStoreOptions
-ClaimOptions()
+std::int64_t
+EpochMilliseconds()
 {
-  net::ClaimStoreOptions options;
-  // Claims of all instances expire by the same clock, not by the runtime's.
-  options.now_ms = [] {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-  };
-  return options;
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
 }
 
 net::PeerLinksOptions
@@ -61,7 +56,7 @@
   , m_object_store(net::ObjectStore::Create(*m_client, aOptions.object_store))
   , m_log(net::TableLog::Create(*m_table_service, *m_object_store))
   , m_claims(
-      net::ClaimStore::Create(m_context, *m_table_service, ClaimOptions()))
+      net::ClaimStore::Create(m_context, *m_table_service, EpochMilliseconds))
   , m_peers(m_context, LinkOptions(aOptions))
   , m_table(*m_log, m_peers, m_members, [this] { OnTableChanged(); })
   , m_directory(m_peers, m_members)
--- a/src/jujubehead/node/request_claim.cpp
+++ b/src/jujubehead/node/request_claim.cpp
@@ -11,6 +11,8 @@
 namespace asio = boost::asio;
 
 constexpr std::string_view kHeader = "Idempotency-Key";
+// No header value can contain it.
+constexpr char kSeparator = '\n';
 constexpr std::size_t kMaxKeyBytes = 255;
 
 net::ApiError
@@ -66,9 +68,8 @@
   if (key->size() > kMaxKeyBytes) {
     co_return KeyTooLong();
   }
-  net::ClaimKey claim_key{ std::move(aAccount),
-                           std::move(aModel),
-                           std::string(*key) };
+  std::string scoped = aModel.Text() + kSeparator + std::string(*key);
+  core::ClaimKey claim_key{ std::move(aAccount), std::move(scoped) };
   net::Claim claim = co_await OnControl(
     m_thread.control, m_thread.control.Claims().Take(std::move(claim_key)));
   if (claim.outcome == net::ClaimOutcome::kDuplicate) {
