Choose TLS by flags, for callers and between instances

Cause: the net layer could, but nothing told an instance its certificates. The files are checked with all other settings, read again every minute (the log says when they become wrong or right), and the operators' commands take the authority that signed the instances' certificates.

--- a/cmake/sanitizers.cmake
+++ b/cmake/sanitizers.cmake
@@ -13,8 +13,10 @@
   add_link_options(-fsanitize=address,undefined)
 elseif(JUJUBEHEAD_SANITIZER STREQUAL "thread")
   # Asio uses std::atomic_thread_fence, which the thread sanitizer of this
-  # compiler does not model and warns of.
-  add_compile_options(-fsanitize=thread -fno-omit-frame-pointer -Wno-tsan)
+  # compiler does not model and warns of. In instrumented code its flow analysis
+  # takes empty optional values of coroutines for uninitialized ones.
+  add_compile_options(-fsanitize=thread -fno-omit-frame-pointer -Wno-tsan
+    -Wno-maybe-uninitialized)
   add_link_options(-fsanitize=thread)
 elseif(NOT JUJUBEHEAD_SANITIZER STREQUAL "")
   message(FATAL_ERROR "JUJUBEHEAD_SANITIZER: unknown '${JUJUBEHEAD_SANITIZER}'")
--- a/include/jujubehead/node/serve_options.hpp
+++ b/include/jujubehead/node/serve_options.hpp
@@ -2,9 +2,11 @@
 #define JUJUBEHEAD_NODE_SERVE_OPTIONS_HPP
 
 #include <cstdint> // for uint16_t, uint32_t
+#include <memory>  // for shared_ptr
 #include <string>  // for string
 
 #include "jujubehead/core/ids.hpp" // for InstanceId, DataCentreId
+#include "jujubehead/net/tls.hpp"  // for TlsCredentials
 
 namespace jujubehead::node {
 
@@ -26,6 +28,10 @@
                             ///< empty. JSON: `{"listen_port":N,"peer_port":N}`.
   std::string log_config;   ///< A log4cxx configuration file; may be empty.
   std::string operator_key; ///< Bearer key of operators' calls; may be empty.
+  /// TLS with callers and operators; null: plain.
+  std::shared_ptr<net::TlsCredentials> caller_tls = nullptr;
+  /// TLS between instances, both ends showing a certificate; null: plain.
+  std::shared_ptr<net::TlsCredentials> peer_tls = nullptr;
 };
 
 } // namespace jujubehead::node
--- a/src/jujubehead/app/command.hpp
+++ b/src/jujubehead/app/command.hpp
@@ -2,12 +2,14 @@
 #define JUJUBEHEAD_APP_COMMAND_HPP
 
 #include <cstdint>  // for uint64_t, uint32_t
+#include <memory>   // for shared_ptr
 #include <optional> // for optional
 #include <string>   // for string
 #include <variant>  // for variant
 #include <vector>   // for vector
 
 #include "jujubehead/core/change_log.hpp"    // for StopSubject
+#include "jujubehead/net/tls.hpp"            // for TlsCredentials
 #include "jujubehead/node/serve_options.hpp" // for ServeOptions
 
 namespace jujubehead::app {
@@ -35,6 +37,8 @@
   std::vector<std::string> addresses; ///< Empty: those of the list.
   std::string members;                ///< `ip:port`; may be empty.
   std::string operator_key;
+  /// How to speak TLS with them; null: plain.
+  std::shared_ptr<net::TlsCredentials> tls = nullptr;
 };
 
 /// @brief Runs an instance.
--- a/src/jujubehead/app/command_line.cpp
+++ b/src/jujubehead/app/command_line.cpp
@@ -85,6 +85,14 @@
                                          values.peer_secret,
                                          "peer_secret_file",
                                          values.peer_secret_file);
+    options.caller_tls =
+      m_check.Tls({ { "listen_certificate", values.listen_certificate },
+                    { "listen_key", values.listen_key },
+                    {} });
+    options.peer_tls =
+      m_check.Tls({ { "peer_certificate", values.peer_certificate },
+                    { "peer_key", values.peer_key },
+                    { "peer_authority", values.peer_authority } });
     options.traffic_threads = m_check.Range(
       "traffic_threads", values.traffic_threads, 1, kMaxTrafficThreads);
     options.ready_file = values.ready_file;
@@ -125,6 +133,8 @@
     options.addresses = m_check.Authorities("instances", m_values.instances);
     options.members = m_check.Authority("members", m_values.members, false);
     options.operator_key = m_values.operator_key;
+    options.tls = m_check.Tls(
+      { {}, {}, { "listen_authority", m_values.listen_authority } });
     if (aRequired && options.addresses.empty() && options.members.empty()) {
       m_check.Add("instances", "not set", "the instances to ask, or --members");
     }
--- a/src/jujubehead/app/command_line_test.cpp
+++ b/src/jujubehead/app/command_line_test.cpp
@@ -165,3 +165,22 @@
               As<HelpCommand>({ "apply", "x", "--help" }).topic);
   CHECK_EQUAL(std::string("drain"), As<HelpCommand>({ "help", "drain" }).topic);
 }
+
+TEST(CommandLine, FilesOfTlsAreSetTogetherAndRead)
+{
+  CHECK(As<ServeCommand>(Serve()).options.caller_tls == nullptr);
+  auto half = Serve();
+  half.emplace_back("--peer_key=/no/key");
+  CHECK_EQUAL(
+    std::string("flags:--peer_certificate: not set (expected a PEM file, as "
+                "the flags beside it are set)\n"
+                "flags:--peer_authority: not set (expected a PEM file, as the "
+                "flags beside it are set)\n"),
+    FindingsOf(half));
+  auto absent = Serve();
+  absent.insert(absent.end(),
+                { "--listen_certificate=/no/chain", "--listen_key=/no/key" });
+  const std::string findings = FindingsOf(absent);
+  CHECK(findings.starts_with("/no/chain: "));
+  CHECK(findings.find("\n/no/key: ") != std::string::npos);
+}
--- a/src/jujubehead/app/flags.cpp
+++ b/src/jujubehead/app/flags.cpp
@@ -27,6 +27,20 @@
 DEFINE_string(peer_secret_file,
               "",
               "file with that secret, instead of --peer_secret");
+DEFINE_string(listen_certificate,
+              "",
+              "certificate chain for TLS with callers, PEM; empty: plain");
+DEFINE_string(listen_key, "", "private key of --listen_certificate, PEM");
+DEFINE_string(listen_authority,
+              "",
+              "who signs the instances' certificates, PEM; empty: plain");
+DEFINE_string(peer_certificate,
+              "",
+              "certificate chain for TLS between instances, PEM; empty: plain");
+DEFINE_string(peer_key, "", "private key of --peer_certificate, PEM");
+DEFINE_string(peer_authority,
+              "",
+              "who signs the other instances' certificates, PEM");
 DEFINE_uint32(traffic_threads, 1, "threads that carry callers' traffic");
 DEFINE_string(ready_file,
               "",
@@ -109,6 +123,12 @@
   values.object_store = FLAGS_object_store;
   values.peer_secret = FLAGS_peer_secret;
   values.peer_secret_file = FLAGS_peer_secret_file;
+  values.listen_certificate = FLAGS_listen_certificate;
+  values.listen_key = FLAGS_listen_key;
+  values.listen_authority = FLAGS_listen_authority;
+  values.peer_certificate = FLAGS_peer_certificate;
+  values.peer_key = FLAGS_peer_key;
+  values.peer_authority = FLAGS_peer_authority;
   values.traffic_threads = FLAGS_traffic_threads;
   values.ready_file = FLAGS_ready_file;
   values.log_config = FLAGS_log_config;
--- a/src/jujubehead/app/flags.hpp
+++ b/src/jujubehead/app/flags.hpp
@@ -28,6 +28,12 @@
   std::string object_store;
   std::string peer_secret;
   std::string peer_secret_file;
+  std::string listen_certificate;
+  std::string listen_key;
+  std::string listen_authority;
+  std::string peer_certificate;
+  std::string peer_key;
+  std::string peer_authority;
   std::uint32_t traffic_threads = 0;
   std::string ready_file;
   std::string log_config;
--- a/src/jujubehead/app/instance_reports.cpp
+++ b/src/jujubehead/app/instance_reports.cpp
@@ -19,14 +19,17 @@
 constexpr unsigned kOk = 200;
 
 awaitable<InstanceReport>
-ReadInstance(net::HttpClient& aClient, std::string aAddress, std::string aKey)
+ReadInstance(net::HttpClient& aClient,
+             std::string aAddress,
+             const InstancesOptions& aOptions)
 {
   net::HttpCall call;
   call.authority = aAddress;
   call.target = "/status";
   call.idle_timeout = kTimeout;
-  if (!aKey.empty()) {
-    call.headers.Add("Authorization", "Bearer " + aKey);
+  call.tls = aOptions.tls;
+  if (!aOptions.operator_key.empty()) {
+    call.headers.Add("Authorization", "Bearer " + aOptions.operator_key);
   }
   std::string why;
   try {
@@ -67,7 +70,7 @@
 
 std::vector<InstanceReport>
 ReadInstances(const std::vector<std::string>& aAddresses,
-              const std::string& aOperatorKey,
+              const InstancesOptions& aOptions,
               Platform& aPlatform)
 {
   std::vector<InstanceReport> reports(aAddresses.size());
@@ -75,7 +78,7 @@
   for (std::size_t i = 0; i < aAddresses.size(); ++i) {
     boost::asio::co_spawn(
       aPlatform.Context(),
-      ReadInstance(aPlatform.Client(), aAddresses[i], aOperatorKey),
+      ReadInstance(aPlatform.Client(), aAddresses[i], aOptions),
       [&reports, &left, i](const std::exception_ptr& aError,
                            InstanceReport aReport) {
         --left;
--- a/src/jujubehead/app/instance_reports.hpp
+++ b/src/jujubehead/app/instance_reports.hpp
@@ -39,7 +39,7 @@
 /// @return their reports, in the order of the addresses.
 std::vector<InstanceReport>
 ReadInstances(const std::vector<std::string>& aAddresses,
-              const std::string& aOperatorKey,
+              const InstancesOptions& aOptions,
               Platform& aPlatform);
 
 } // namespace jujubehead::app
--- a/src/jujubehead/app/run_drain.cpp
+++ b/src/jujubehead/app/run_drain.cpp
@@ -88,8 +88,8 @@
   {
     std::vector<std::string> said;
     while (true) {
-      const auto reports = ReadInstances(
-        aAddresses, m_command.instances.operator_key, *m_platform);
+      const auto reports =
+        ReadInstances(aAddresses, m_command.instances, *m_platform);
       const std::vector<std::string> reasons =
         WaitsFor(m_command.subject, m_version, reports);
       if (reasons.empty()) {
--- a/src/jujubehead/app/run_status.cpp
+++ b/src/jujubehead/app/run_status.cpp
@@ -208,7 +208,7 @@
   const auto platform = aTools.connect({});
   const std::vector<InstanceReport> reports =
     ReadInstances(FindInstances(aCommand.instances, *platform),
-                  aCommand.instances.operator_key,
+                  aCommand.instances,
                   *platform);
   if (aCommand.json) {
     aTools.out << JsonOf(reports) << '\n';
--- a/src/jujubehead/app/settings_check.cpp
+++ b/src/jujubehead/app/settings_check.cpp
@@ -1,9 +1,11 @@
 #include "settings_check.hpp"
 
-#include <charconv> // for from_chars
-#include <fstream>  // for ifstream
-#include <sstream>  // for istringstream, ostringstream
-#include <utility>  // for move
+#include <algorithm> // for none_of
+#include <array>     // for array
+#include <charconv>  // for from_chars
+#include <fstream>   // for ifstream
+#include <sstream>   // for istringstream, ostringstream
+#include <utility>   // for move
 
 #include <boost/asio/ip/address.hpp> // for make_address
 
@@ -177,6 +179,36 @@
   return LongEnough(aFileFlag, WithoutLineEnd(text.str()));
 }
 
+std::shared_ptr<net::TlsCredentials>
+SettingsCheck::Tls(const TlsFlags& aFlags)
+{
+  const std::array flags{ &aFlags.certificate, &aFlags.key, &aFlags.authority };
+  const auto is_set = [](const FlagValue* aFlag) {
+    return !aFlag->value.empty();
+  };
+  if (std::ranges::none_of(flags, is_set)) {
+    return nullptr;
+  }
+  bool complete = true;
+  for (const FlagValue* flag : flags) {
+    if (!flag->flag.empty() && flag->value.empty()) {
+      complete = false;
+      Add(flag->flag, "not set", "a PEM file, as the flags beside it are set");
+    }
+  }
+  if (!complete) {
+    return nullptr;
+  }
+  auto loaded = net::TlsCredentials::Load(
+    { aFlags.certificate.value, aFlags.key.value, aFlags.authority.value });
+  if (loaded) {
+    return *loaded;
+  }
+  const core::Findings found = loaded.error();
+  m_findings.insert(m_findings.end(), found.begin(), found.end());
+  return nullptr;
+}
+
 std::string
 SettingsCheck::LongEnough(std::string_view aFlag, const std::string& aValue)
 {
--- a/src/jujubehead/app/settings_check.hpp
+++ b/src/jujubehead/app/settings_check.hpp
@@ -2,6 +2,7 @@
 #define JUJUBEHEAD_APP_SETTINGS_CHECK_HPP
 
 #include <cstdint>     // for uint16_t, uint32_t
+#include <memory>      // for shared_ptr
 #include <string>      // for string
 #include <string_view> // for string_view
 #include <vector>      // for vector
@@ -9,9 +10,25 @@
 #include "command.hpp"                 // for PlatformOptions, InstancesOptions
 #include "flags.hpp"                   // for Arguments
 #include "jujubehead/core/finding.hpp" // for Findings
+#include "jujubehead/net/tls.hpp"      // for TlsCredentials
 
 namespace jujubehead::app {
 
+/// @brief A flag and its value.
+struct FlagValue
+{
+  std::string_view flag;
+  std::string value;
+};
+
+/// @brief The flags that name files of TLS; one without a name is not there.
+struct TlsFlags
+{
+  FlagValue certificate;
+  FlagValue key;
+  FlagValue authority;
+};
+
 /// @brief Checks flag values one by one and gathers what is wrong.
 class SettingsCheck
 {
@@ -38,6 +55,9 @@
                      const std::string& aValue,
                      std::string_view aFileFlag,
                      const std::string& aFile);
+  /// @return the credentials; null when no flag is set. Flags that have a name
+  /// are set all or none.
+  std::shared_ptr<net::TlsCredentials> Tls(const TlsFlags& aFlags);
   std::string LongEnough(std::string_view aFlag, const std::string& aValue);
   std::string ReadableFile(std::string_view aFlag, const std::string& aValue);
 
--- a/src/jujubehead/node/control.cpp
+++ b/src/jujubehead/node/control.cpp
@@ -32,6 +32,7 @@
   links.address = aOptions.peer_address;
   links.port = aOptions.peer_port;
   links.secret = aOptions.peer_secret;
+  links.tls = aOptions.peer_tls;
   return links;
 }
 
--- a/src/jujubehead/node/serve.cpp
+++ b/src/jujubehead/node/serve.cpp
@@ -24,6 +24,7 @@
 // Balancers and peers notice within this that the instance stops.
 constexpr core::Duration kNoticeTime = std::chrono::seconds(2);
 constexpr core::Duration kPollTime = std::chrono::milliseconds(50);
+constexpr core::Duration kCertificatesTime = std::chrono::minutes(1);
 constexpr core::Duration kStopDeadline = std::chrono::minutes(10);
 
 void
@@ -36,7 +37,9 @@
   }
   const std::string address = aOptions.listen_address;
   const nlohmann::json ready = {
-    { "url", "http://" + address + ":" + std::to_string(aPort) },
+    { "url",
+      (aOptions.caller_tls ? "https://" : "http://") + address + ":" +
+        std::to_string(aPort) },
     { "peer", aOptions.peer_address + ":" + std::to_string(aPeerPort) },
     { "listen_port", aPort },
     { "peer_port", aPeerPort }
@@ -80,15 +83,42 @@
   co_return false;
 }
 
+/// Reads certificates again now and then; says when they become wrong or right.
+asio::awaitable<void>
+WatchCertificates(std::shared_ptr<net::TlsCredentials> aCredentials)
+{
+  core::Findings said;
+  while (aCredentials) {
+    co_await net::Sleep(kCertificatesTime);
+    const core::Findings found = aCredentials->Reload();
+    if (found == said) {
+      continue;
+    }
+    if (found.empty()) {
+      LogInfo(kLogger, "the certificates are right again");
+    } else {
+      LogWarning(kLogger,
+                 "the certificates read before stay in use: " +
+                   core::Render(found));
+    }
+    said = found;
+  }
+}
+
 /// Waits for signals on the main thread.
 class StopSignals
 {
 public:
-  StopSignals(Control& aControl, Traffic& aTraffic)
+  StopSignals(const ServeOptions& aOptions,
+              Control& aControl,
+              Traffic& aTraffic)
     : m_control(aControl)
     , m_traffic(aTraffic)
     , m_signals(m_context, SIGINT, SIGTERM)
   {
+    for (const auto& tls : { aOptions.caller_tls, aOptions.peer_tls }) {
+      asio::co_spawn(m_context, WatchCertificates(tls), asio::detached);
+    }
   }
 
   /// @return the exit code.
@@ -135,7 +165,7 @@
   try {
     const auto control = Control::Create(aOptions);
     const auto traffic = Traffic::Create(aOptions, *control);
-    StopSignals signals(*control, *traffic);
+    StopSignals signals(aOptions, *control, *traffic);
     control->Start();
     traffic->Start();
     WriteReadyFile(aOptions, traffic->Port(), control->PeerPort());
--- a/src/jujubehead/node/traffic.cpp
+++ b/src/jujubehead/node/traffic.cpp
@@ -33,6 +33,7 @@
     server.address = aOptions.listen_address;
     server.port = aPort;
     server.reuse_port = true;
+    server.tls = aOptions.caller_tls;
     m_server = net::HttpServer::Create(
       m_thread_state.context, server, [this](net::HttpExchange& aExchange) {
         return m_front.Handle(aExchange);
