--- a/src/jujubehead/node/snapshot_pages.cpp
+++ b/src/jujubehead/node/snapshot_pages.cpp
@@ -31,13 +31,15 @@
   return { m_version, m_text.size(), m_text.substr(aAsk.offset, kPageBytes) };
 }
 
-void
+bool
 SnapshotPages::DropIfIdle(core::Instant aNow)
 {
-  if (m_version != 0 && aNow - m_asked_at >= kIdle) {
-    m_version = 0;
-    m_text = std::string();
+  if (m_version == 0 || aNow - m_asked_at < kIdle) {
+    return false;
   }
+  m_version = 0;
+  m_text = std::string();
+  return true;
 }
 
 wire::TableAsk
--- a/src/jujubehead/node/snapshot_pages.hpp
+++ b/src/jujubehead/node/snapshot_pages.hpp
@@ -22,7 +22,8 @@
                          const core::TableSnapshot& aCurrent,
                          core::Instant aNow);
   /// @brief Frees the text when nobody has asked for some seconds.
-  void DropIfIdle(core::Instant aNow);
+  /// @return whether there was one to free.
+  bool DropIfIdle(core::Instant aNow);
 
 private:
   std::uint64_t m_version = 0;
--- a/src/jujubehead/node/snapshot_pages_test.cpp
+++ b/src/jujubehead/node/snapshot_pages_test.cpp
@@ -67,9 +67,9 @@
   CHECK(pages.Page({ 6, 0 }, snapshot, now).bytes.empty());
   CHECK_FALSE(pages.Page({ 0, 0 }, snapshot, now).bytes.empty());
   CHECK(pages.Page({ 7, 1U << 30U }, snapshot, now).bytes.empty());
-  pages.DropIfIdle(now + 9s);
+  CHECK_FALSE(pages.DropIfIdle(now + 9s));
   CHECK_FALSE(pages.Page({ 7, 0 }, snapshot, now + 9s).bytes.empty());
-  pages.DropIfIdle(now + 19s);
+  CHECK(pages.DropIfIdle(now + 19s));
   CHECK(pages.Page({ 7, 0 }, snapshot, now + 19s).bytes.empty());
 }
 
--- a/src/jujubehead/node/table_watch.cpp
+++ b/src/jujubehead/node/table_watch.cpp
@@ -3,6 +3,8 @@
 #include <algorithm> // for max, shuffle
 #include <random>    // for mt19937_64
 
+#include <malloc.h> // for malloc_trim
+
 #include <boost/asio/co_spawn.hpp> // for co_spawn
 #include <boost/asio/detached.hpp> // for detached
 
@@ -19,6 +21,9 @@
 
 constexpr core::Duration kHeadTimeout = std::chrono::seconds(1);
 constexpr core::Duration kSnapshotTimeout = std::chrono::seconds(3);
+// Reading a large table leaves several times its size to the allocator, which
+// keeps it unless asked; asking takes milliseconds, so not at every change.
+constexpr core::Duration kGiveBackInterval = std::chrono::seconds(30);
 constexpr core::Duration kAskInterval = std::chrono::seconds(1);
 // So many peers at a time are asked what they have, at the start and while the
 // service is away.
@@ -65,8 +70,11 @@
       });
     if (View().Version() != before) {
       m_on_change();
+      GiveBackMemory();
+    }
+    if (m_pages.DropIfIdle(RuntimeClock::now())) {
+      GiveBackMemory();
     }
-    m_pages.DropIfIdle(RuntimeClock::now());
     const core::Duration wait = until - RuntimeClock::now();
     co_await net::Sleep(std::clamp(wait, kShortestSleep, kLongestSleep));
   }
@@ -87,6 +95,16 @@
   return m_pages.Page(aAsk, *View().Current(), RuntimeClock::now());
 }
 
+void
+TableWatch::GiveBackMemory()
+{
+  const core::Instant now = RuntimeClock::now();
+  if (now - m_gave_back_at >= kGiveBackInterval) {
+    m_gave_back_at = now;
+    malloc_trim(0);
+  }
+}
+
 asio::awaitable<void>
 TableWatch::AskPeers()
 {
--- a/src/jujubehead/node/table_watch.hpp
+++ b/src/jujubehead/node/table_watch.hpp
@@ -48,6 +48,7 @@
   [[nodiscard]] wire::TableAnswer Page(const wire::TableAsk& aAsk);
 
 private:
+  void GiveBackMemory();
   boost::asio::awaitable<void> AskPeers();
   boost::asio::awaitable<void> AskHead(core::InstanceId aPeer);
   boost::asio::awaitable<std::optional<std::string>> AskSnapshot(
@@ -59,6 +60,7 @@
   std::function<void()> m_on_change;
   core::TableFollower m_follower;
   SnapshotPages m_pages;
+  core::Instant m_gave_back_at; ///< When memory was last given back.
 };
 
 } // namespace jujubehead::node
