--- a/bench/path/load.cpp
+++ b/bench/path/load.cpp
@@ -5,12 +5,15 @@
 #include <exception> // for exception
 #include <memory>    // for unique_ptr
 #include <mutex>     // for mutex
+#include <random>    // for mt19937_64
 #include <stdexcept> // for runtime_error
 #include <thread>    // for jthread
 
-#include <boost/asio/co_spawn.hpp> // for co_spawn
-#include <boost/asio/detached.hpp> // for detached
-#include <nlohmann/json.hpp>       // for json
+#include <boost/asio/co_spawn.hpp>      // for co_spawn
+#include <boost/asio/detached.hpp>      // for detached
+#include <boost/asio/steady_timer.hpp>  // for steady_timer
+#include <boost/asio/use_awaitable.hpp> // for use_awaitable
+#include <nlohmann/json.hpp>            // for json
 
 #include "jujubehead/net/http_client.hpp" // for HttpClient
 
@@ -102,8 +105,14 @@
 private:
   asio::awaitable<void> Loop(std::size_t aStream)
   {
+    std::mt19937_64 random(aStream);
+    std::uniform_real_distribution<> share(0, 2);
+    asio::steady_timer pause(m_context);
     for (std::size_t number = 0; Clock::now() < m_end; ++number) {
       try {
+        pause.expires_after(std::chrono::duration_cast<Clock::duration>(
+          m_options.mean_pause * share(random)));
+        co_await pause.async_wait(asio::use_awaitable);
         co_await One(MakeCall(m_options, aStream, number));
         ++m_result.requests;
       } catch (const std::exception& error) {
--- a/bench/path/load.hpp
+++ b/bench/path/load.hpp
@@ -10,7 +10,9 @@
 
 namespace jujubehead::bench {
 
-/// @brief A closed loop: each stream sends its next request after its answer.
+/// @brief A closed loop: each stream sends its next request after its answer
+/// and a pause. Pauses are drawn evenly up to twice their mean, so that streams
+/// do not fall into step with the engines' batches.
 struct LoadOptions
 {
   std::vector<std::string> authorities; ///< Streams go round them.
@@ -22,6 +24,7 @@
   std::size_t max_tokens = 32;
   bool stream = true;
   std::chrono::milliseconds time{ 5000 };
+  std::chrono::microseconds mean_pause{ 0 };
 };
 
 /// @brief What a load met.
--- a/bench/path/path_bench.cpp
+++ b/bench/path/path_bench.cpp
@@ -26,6 +26,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kSettle{ 1500 };
+// Two steps of the half-load engines.
+constexpr milliseconds kMeanPause{ 10 };
 constexpr double kP50 = 0.50;
 constexpr double kP95 = 0.95;
 
@@ -120,6 +122,7 @@
   direct.model = kHalfModel;
   direct.streams = FLAGS_path_streams;
   direct.time = milliseconds(FLAGS_path_round_ms);
+  direct.mean_pause = kMeanPause;
   LoadOptions through = direct;
   through.authorities = aSetting.instances;
   through.key = FLAGS_path_key;
