--- a/src/jujubehead/node/control.cpp
+++ b/src/jujubehead/node/control.cpp
@@ -2,8 +2,9 @@
 
 #include <boost/asio/detached.hpp> // for detached
 
-#include "jujubehead/net/random_text.hpp" // for RandomText
-#include "jujubehead/net/timer.hpp"       // for Sleep
+#include "jujubehead/net/random_text.hpp"            // for RandomText
+#include "jujubehead/net/timer.hpp"                  // for Sleep
+#include "jujubehead/node/counted_table_service.hpp" // for CountCalls
 
 namespace jujubehead::node {
 namespace {
@@ -47,13 +48,15 @@
 Control::Control(const ServeOptions& aOptions)
   : m_options(aOptions)
   , m_metrics(Metrics::Create())
+  , m_control_metrics(m_metrics->ForThread())
   , m_context(1)
   , m_work(m_context.get_executor())
   , m_client(net::HttpClient::Create(m_context))
   , m_member_list(
       net::MemberList::Create(*m_client, aOptions.members, kMembersTimeout))
   , m_table_service(
-      net::TableService::Create(*m_client, aOptions.table_service))
+      CountCalls(net::TableService::Create(*m_client, aOptions.table_service),
+                 m_control_metrics))
   , m_object_store(net::ObjectStore::Create(*m_client, aOptions.object_store))
   , m_log(net::TableLog::Create(*m_table_service, *m_object_store))
   , m_claims(
@@ -250,6 +253,7 @@
 void
 Control::OnTableChanged()
 {
+  m_control_metrics.Add(Counter::kTableChanges);
   m_published.Set(m_table.View().Current());
   m_owner.ApplyTable();
 }
--- a/src/jujubehead/node/control.hpp
+++ b/src/jujubehead/node/control.hpp
@@ -91,6 +91,7 @@
 
   ServeOptions m_options;
   std::unique_ptr<Metrics> m_metrics;
+  ThreadMetrics& m_control_metrics;
   std::atomic<std::size_t> m_open_requests{ 0 };
   bool m_leaving = false;
   boost::asio::io_context m_context;
