--- a/src/jujubehead/app/command_specs.cpp
+++ b/src/jujubehead/app/command_specs.cpp
@@ -97,7 +97,7 @@
       "Prints the key, which is kept nowhere, and the key_hash cell for the\n"
       "account's row. Nothing is written.",
       {},
-      { "jujubehead key households" } },
+      { "jujubehead key acme" } },
     { "completion",
       "",
       "print the completion script for bash",
--- a/src/jujubehead/app/run_help.cpp
+++ b/src/jujubehead/app/run_help.cpp
@@ -74,7 +74,7 @@
   }
   aOut
     << "\nA first table, from nothing to in force:\n"
-       "  jujubehead key households     # the key_hash cell of its row\n"
+       "  jujubehead key acme     # the key_hash cell of its row\n"
        "  jujubehead check table.csv    # every finding with row and column\n"
        "  jujubehead plan table.csv     # what would change\n"
        "  jujubehead apply table.csv    # bring it in force\n"
