Test shares, lending and the end of a burst

Shares of 1 to 3 hold within 5% in each of ten windows of 10 s, with runs of unlike length; an idle share is lent and is back after 2 s; a burst of 3x the capacity for a minute costs less than 5% of the minute after the next 10 s.

--- /dev/null
+++ b/src/jujubehead/core/permit_shares_test.cpp
@@ -0,0 +1,179 @@
+#include <map>    // for map
+#include <random> // for mt19937_64
+#include <string> // for string, to_string
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+#include "jujubehead/core/permit_book.hpp" // for PermitBook
+
+using namespace jujubehead::core;
+using namespace std::chrono_literals;
+
+namespace {
+
+const InstanceId kEntry("entry");
+constexpr Duration kStep = 10ms;
+
+/// One target under load, in steps of 10 ms.
+class Load
+{
+public:
+  struct Account
+  {
+    std::uint32_t weight = 1;
+    double per_second = 0; ///< Requests offered.
+    int run_ms = 500;      ///< Mean; runs last from half to one and a half.
+    Duration patience = 2s;
+  };
+
+  explicit Load(std::uint32_t aLimit)
+    : m_book(PermitBook::ForEpoch(1, aLimit))
+    , m_limit(aLimit)
+  {
+  }
+
+  void Set(const std::string& aName, Account aAccount)
+  {
+    m_book.SetShare({ AccountId(aName), aAccount.weight, m_limit, 200 });
+    m_accounts[aName] = aAccount;
+  }
+
+  void RunFor(Duration aTime)
+  {
+    m_busy.clear();
+    m_finished = 0;
+    const Instant end = m_now + aTime;
+    for (; m_now < end; m_now += kStep) {
+      Step();
+    }
+  }
+
+  /// @return the account's part of the time that places were occupied.
+  double Share(const std::string& aName)
+  {
+    double all = 0;
+    for (const auto& [name, busy] : m_busy) {
+      all += busy;
+    }
+    return m_busy[aName] / all;
+  }
+
+  [[nodiscard]] int Finished() const { return m_finished; }
+
+private:
+  struct Run
+  {
+    std::string account;
+    Instant end;
+  };
+
+  void Step()
+  {
+    for (auto it = m_runs.begin(); it != m_runs.end();) {
+      if (it->second.end <= m_now) {
+        m_book.Release(it->first, m_now);
+        ++m_finished;
+        it = m_runs.erase(it);
+      } else {
+        m_busy[it->second.account] += 1;
+        ++it;
+      }
+    }
+    for (const auto& [name, account] : m_accounts) {
+      Offer(name, account);
+    }
+    for (const auto& [request, ask] : m_waiting) {
+      m_book.Request(ask, m_now);
+    }
+    for (const PermitDecision& decision : m_book.Decide(m_now)) {
+      Take(decision);
+    }
+  }
+
+  void Offer(const std::string& aName, const Account& aAccount)
+  {
+    const double chance =
+      aAccount.per_second * std::chrono::duration<double>(kStep).count();
+    if (static_cast<double>(m_random() % 10000) >= chance * 10000) {
+      return;
+    }
+    const RequestId request(aName + std::to_string(m_offered++));
+    m_waiting[request] = {
+      request, kEntry, AccountId(aName), 0, m_now + aAccount.patience, 1, 0, 0
+    };
+  }
+
+  void Take(const PermitDecision& aDecision)
+  {
+    const auto* grant = std::get_if<PermitGranted>(&aDecision);
+    if (grant == nullptr) {
+      m_waiting.erase(std::get<PermitRefused>(aDecision).request);
+      return;
+    }
+    const auto asked = m_waiting.find(grant->request);
+    if (asked == m_waiting.end()) {
+      return;
+    }
+    const std::string name = asked->second.account.Text();
+    m_waiting.erase(asked);
+    const int mean = m_accounts.at(name).run_ms;
+    const int run = mean / 2 + static_cast<int>(m_random() % mean);
+    m_runs[grant->permit] = { name, m_now + std::chrono::milliseconds(run) };
+    m_book.Started(grant->permit, m_now);
+  }
+
+  PermitBook m_book;
+  std::uint32_t m_limit;
+  Instant m_now{ 1h };
+  std::mt19937_64 m_random{ 20261202 };
+  std::map<std::string, Account> m_accounts;
+  std::map<RequestId, PermitRequest> m_waiting;
+  std::map<PermitId, Run> m_runs;
+  std::map<std::string, double> m_busy;
+  int m_finished = 0;
+  int m_offered = 0;
+};
+
+} // namespace
+
+TEST_GROUP(PermitShares){};
+
+TEST(PermitShares, HoldWithinFivePercentOverTenSeconds)
+{
+  Load load(8);
+  load.Set("one", { 1, 60, 200 });
+  load.Set("three", { 3, 60, 600 });
+  load.RunFor(10s);
+  for (int window = 0; window < 10; ++window) {
+    load.RunFor(10s);
+    DOUBLES_EQUAL(0.25, load.Share("one"), 0.05);
+  }
+}
+
+TEST(PermitShares, AnIdleShareIsLentAndComesBackWithinSeconds)
+{
+  Load load(8);
+  load.Set("one", { 1, 60, 500 });
+  load.Set("three", { 3, 0, 500 });
+  load.RunFor(10s);
+  DOUBLES_EQUAL(1, load.Share("one"), 0.01);
+  load.Set("three", { 3, 60, 500 });
+  load.RunFor(2s);
+  load.RunFor(10s);
+  DOUBLES_EQUAL(0.25, load.Share("one"), 0.05);
+}
+
+TEST(PermitShares, ABurstOfThreeTimesTheCapacityLeavesNothingBehind)
+{
+  Load load(8);
+  load.Set("a", { 1, 12, 500 });
+  load.RunFor(60s);
+  const int before = load.Finished();
+  load.Set("a", { 1, 48, 500 });
+  load.RunFor(60s);
+  CHECK(load.Finished() > before);
+  load.Set("a", { 1, 12, 500 });
+  load.RunFor(10s);
+  load.RunFor(60s);
+  CHECK(load.Finished() > before * 95 / 100);
+}
