Pace the rows that ownership writes, and leave unused leases alone

Instances wait for a random time that grows with their number.

An empty list is no longer taken over, and new witnesses count at once only when no earlier one can interfere.

--- a/include/jujubehead/core/ownership.hpp
+++ b/include/jujubehead/core/ownership.hpp
@@ -37,6 +37,11 @@
   /// A leaving instance gives up on the table service and resigns.
   Duration resign_after = std::chrono::seconds(5);
   std::size_t moves_at_once = 8;
+  /// All instances together keep to about this many rows a second, each by
+  /// waiting for a random time that grows with the number of instances: claims
+  /// of groups that nobody owns, and what can wait.
+  double claims_per_second = 100;
+  double other_rows_per_second = 30;
 };
 
 /// @brief Who this instance is.
--- a/src/jujubehead/core/lease_holder.cpp
+++ b/src/jujubehead/core/lease_holder.cpp
@@ -51,24 +51,18 @@
 }
 
 void
-LeaseHolder::Apply(const LeaseRow& aRow, Instant aNow)
+LeaseHolder::Apply(const LeaseRow& aRow, bool aAllCount, Instant aNow)
 {
   std::vector<Slot> slots;
-  const bool survivor =
-    std::any_of(m_slots.begin(), m_slots.end(), [&aRow](const Slot& aSlot) {
-      return aSlot.counts && std::find(aRow.witnesses.begin(),
-                                       aRow.witnesses.end(),
-                                       aSlot.witness) != aRow.witnesses.end();
-    });
   for (const Incarnation& witness : aRow.witnesses) {
     if (const Slot* known = Find(witness)) {
       slots.push_back(*known);
-      slots.back().counts = known->counts || !survivor;
+      slots.back().counts = known->counts || aAllCount;
       continue;
     }
     Slot slot;
     slot.witness = witness;
-    slot.counts = !survivor;
+    slot.counts = aAllCount;
     slot.heard_at = aNow;
     slots.push_back(std::move(slot));
   }
--- a/src/jujubehead/core/lease_holder.hpp
+++ b/src/jujubehead/core/lease_holder.hpp
@@ -20,7 +20,9 @@
   [[nodiscard]] const LeaseRow& Row() const { return m_row; }
   [[nodiscard]] Instant Until() const;
   /// @brief The row was written with other witnesses.
-  void Apply(const LeaseRow& aRow, Instant aNow);
+  /// @param aAllCount no earlier witness can take over any more, so that new
+  /// ones need not wait until one that stayed knows the row.
+  void Apply(const LeaseRow& aRow, bool aAllCount, Instant aNow);
   /// @brief What is owned changed.
   void SetGroups(std::vector<GroupRow> aGroups);
   [[nodiscard]] std::uint64_t Version() const { return m_list.version; }
--- a/src/jujubehead/core/lease_witness.cpp
+++ b/src/jujubehead/core/lease_witness.cpp
@@ -143,7 +143,9 @@
   Record& record = found->second;
   const bool lapsed =
     record.standing == Standing::kRenewing && aNow >= record.lapses_at;
-  if (!lapsed || !IsFirst(record)) {
+  // Of an empty list there is nothing to take over, and its holder may go on
+  // with other witnesses.
+  if (!lapsed || !IsFirst(record) || record.list.groups.empty()) {
     return std::nullopt;
   }
   Instant previous_end = record.lapses_at;
--- a/src/jujubehead/core/ownership_impl.cpp
+++ b/src/jujubehead/core/ownership_impl.cpp
@@ -300,7 +300,9 @@
     m_check_at = aNow + m_options.rules.gone_after;
   } else if (m_lease && m_lease->Row().lease == aRow.lease &&
              aRow.rev > m_lease->Row().rev) {
-    m_lease->Apply(aRow, aNow);
+    const bool all_count = !m_lease_used || m_lease->Row().witnesses.empty() ||
+                           (m_safe_change && *m_safe_change == aRow);
+    m_lease->Apply(aRow, all_count, aNow);
   } else {
     return;
   }
--- a/src/jujubehead/core/ownership_impl.hpp
+++ b/src/jujubehead/core/ownership_impl.hpp
@@ -93,7 +93,7 @@
   void ReadAll(Instant aNow);
   bool Reread();
   bool OpenLease();
-  bool Record();
+  bool Record(Instant aNow);
   bool ChangeWitnesses(Instant aNow);
   [[nodiscard]] std::optional<LeaseRow> NextWitnesses(Instant aNow);
   bool EndLeases(Instant aNow);
@@ -111,6 +111,9 @@
   void PickMoves(Instant aNow);
   void ResignIfStuck(Instant aNow);
   void Write(WriteRows aWrite);
+  /// @brief As Write(), but in this instance's share of the pace of all.
+  /// @return whether it was written, or shall be later.
+  bool WritePaced(WriteRows aWrite, double aRowsPerSecond, Instant aNow);
   void AnnounceAgain(Instant aNow);
   [[nodiscard]] bool HasValidLease(Instant aNow) const;
   [[nodiscard]] std::vector<Incarnation> PickWitnesses(
@@ -144,6 +147,8 @@
   std::optional<LeaseHolder> m_lease;
   bool m_lease_used = false; ///< Something was owned under it.
   std::optional<LeaseRow> m_opening;
+  /// The row as it will be after a change that no earlier witness can disturb.
+  std::optional<LeaseRow> m_safe_change;
   std::uint64_t m_leases_opened = 0;
   std::map<GroupId, Holding> m_held;
   std::set<GroupId> m_groups;
@@ -154,6 +159,9 @@
   std::map<std::string, Instant> m_due_since; ///< Free groups, ended leases.
 
   std::optional<WriteRows> m_write;
+  std::optional<Instant> m_first_read_at;
+  std::optional<Instant> m_paced_until;
+  std::size_t m_paced_rows = 0;
   std::set<GroupId> m_reread;
   bool m_must_reread = false;
   bool m_reading_all = false;
--- a/src/jujubehead/core/ownership_tick.cpp
+++ b/src/jujubehead/core/ownership_tick.cpp
@@ -17,6 +17,8 @@
 /// How much later the next candidate acts when the first does not.
 constexpr Duration kNextCandidate = std::chrono::seconds(15);
 constexpr std::size_t kCandidates = 3;
+/// Starts of a whole data centre at once are spread by this for each instance.
+constexpr Duration kSpreadOfStarts = std::chrono::milliseconds(20);
 constexpr Duration kLookEvery = std::chrono::seconds(1);
 constexpr Duration kAnnounceEvery = std::chrono::seconds(5);
 /// A new owner that does not announce a group is told of it again for so long.
@@ -156,7 +158,7 @@
   if (!m_lease) {
     return;
   }
-  const bool done = Record() || ChangeWitnesses(aNow) || EndLeases(aNow) ||
+  const bool done = Record(aNow) || ChangeWitnesses(aNow) || EndLeases(aNow) ||
                     Claim(aNow) || Move(aNow) || Close();
   static_cast<void>(done);
 }
@@ -178,6 +180,13 @@
 void
 Ownership::Impl::ReadAll(Instant aNow)
 {
+  if (!m_first_read_at) {
+    const auto others = static_cast<Duration::rep>(m_watch.Others().size());
+    m_first_read_at = aNow + m_gate.Jitter(kSpreadOfStarts * others);
+  }
+  if (!m_watch.IsKnown() || aNow < *m_first_read_at) {
+    return;
+  }
   if (!m_ready && !m_gate.IsHealthy()) {
     const auto others = m_watch.Others();
     if (!others.empty()) {
@@ -226,6 +235,29 @@
   m_actions.emplace_back(std::move(aWrite));
 }
 
+bool
+Ownership::Impl::WritePaced(WriteRows aWrite,
+                            double aRowsPerSecond,
+                            Instant aNow)
+{
+  const std::size_t rows = aWrite.puts.size() + aWrite.deletes.size();
+  if (!m_paced_until || rows > m_paced_rows) {
+    const double spread = 2.0 * static_cast<double>(rows) *
+                          static_cast<double>(m_watch.Others().size() + 1) /
+                          aRowsPerSecond;
+    m_paced_until = aNow + m_gate.Jitter(std::chrono::duration_cast<Duration>(
+                             std::chrono::duration<double>(spread)));
+    m_paced_rows = rows;
+  }
+  if (aNow < *m_paced_until) {
+    return true;
+  }
+  m_paced_until.reset();
+  m_paced_rows = 0;
+  Write(std::move(aWrite));
+  return true;
+}
+
 std::optional<Incarnation>
 Ownership::Impl::ProcessOf(const InstanceId& aInstance) const
 {
@@ -285,7 +317,7 @@
 }
 
 bool
-Ownership::Impl::Record()
+Ownership::Impl::Record(Instant aNow)
 {
   WriteRows write;
   std::size_t left = 0;
@@ -312,8 +344,8 @@
   if (write.puts.empty() && write.deletes.empty()) {
     return false;
   }
-  Write(std::move(write));
-  return true;
+  return WritePaced(
+    std::move(write), m_options.rules.other_rows_per_second, aNow);
 }
 
 bool
@@ -391,8 +423,11 @@
   if (next.witnesses.empty() || (fewer && has_survivor)) {
     return std::nullopt;
   }
-  if (has_survivor && !is_free) {
+  if (has_survivor || is_free) {
     next.former = Dropped(row, next, m_lease->IsConfirmed());
+  } else {
+    m_safe_change = next;
+    ++m_safe_change->rev;
   }
   return next;
 }
@@ -406,8 +441,8 @@
   }
   WriteRows write;
   write.puts.emplace_back(*next);
-  Write(std::move(write));
-  return true;
+  return WritePaced(
+    std::move(write), m_options.rules.other_rows_per_second, aNow);
 }
 
 std::optional<LeaseRow>
@@ -607,8 +642,7 @@
   for (const Incarnation& lease : ended) {
     write.checks.push_back({ lease, {}, {}, 0 });
   }
-  Write(std::move(write));
-  return true;
+  return WritePaced(std::move(write), m_options.rules.claims_per_second, aNow);
 }
 
 void
@@ -678,8 +712,8 @@
   for (const auto& [lease, row] : to) {
     write.checks.push_back(row);
   }
-  Write(std::move(write));
-  return true;
+  return WritePaced(
+    std::move(write), m_options.rules.other_rows_per_second, aNow);
 }
 
 bool
