--- a/bench/agreement/sim_node.cpp
+++ b/bench/agreement/sim_node.cpp
@@ -599,6 +599,17 @@
   }
 }
 
+std::uint32_t
+SimNode::OpenPlaces(const GroupId& aGroup) const
+{
+  const auto book = m_books.find(aGroup);
+  if (book == m_books.end()) {
+    return 0;
+  }
+  return book->second.Limit() -
+         std::min(book->second.Limit(), book->second.Reserved());
+}
+
 std::string
 SimNode::Describe() const
 {
--- a/bench/agreement/sim_node.hpp
+++ b/bench/agreement/sim_node.hpp
@@ -41,6 +41,8 @@
   [[nodiscard]] const core::DataCentreId& DataCentre() const { return m_dc; }
   [[nodiscard]] const core::Ownership& Own() const { return m_own; }
   [[nodiscard]] std::uint32_t Index() const { return m_index; }
+  /// @return places of an owned target that are not reserved.
+  [[nodiscard]] std::uint32_t OpenPlaces(const core::GroupId& aGroup) const;
   [[nodiscard]] std::string Describe() const;
 
 private:
--- a/bench/agreement/world.cpp
+++ b/bench/agreement/world.cpp
@@ -289,6 +289,23 @@
   return owned;
 }
 
+std::uint32_t
+World::OpenPlaces(std::uint32_t aGroup) const
+{
+  const auto owner = OwnerOf(aGroup);
+  return owner ? m_nodes[*owner]->OpenPlaces(m_groups[aGroup]) : 0;
+}
+
+double
+World::OpenShare() const
+{
+  double open = 0;
+  for (std::uint32_t i = 0; i < m_options.groups; ++i) {
+    open += OpenPlaces(i);
+  }
+  return open / m_options.groups / m_options.limit;
+}
+
 core::Instant
 World::LastGrant(std::uint32_t aGroup) const
 {
--- a/bench/agreement/world.hpp
+++ b/bench/agreement/world.hpp
@@ -99,6 +99,10 @@
   [[nodiscard]] std::optional<std::uint32_t> OwnerOf(
     std::uint32_t aGroup) const;
   [[nodiscard]] std::uint32_t OwnedGroups() const;
+  /// @return places of a target that its owner may grant or has granted.
+  [[nodiscard]] std::uint32_t OpenPlaces(std::uint32_t aGroup) const;
+  /// @return the share of all targets' places that may be granted or are held.
+  [[nodiscard]] double OpenShare() const;
   /// @return when the group's present owner first granted.
   [[nodiscard]] core::Instant LastGrant(std::uint32_t aGroup) const;
   [[nodiscard]] std::string Describe() const;
--- a/bench/benches.hpp
+++ b/bench/benches.hpp
@@ -25,6 +25,11 @@
 int
 RunContext();
 
+/// @brief Ownership, limits, the table and claims, without a coordination
+/// service; see docs/design/0040-ownership.md.
+int
+RunAgreement();
+
 } // namespace jujubehead::bench
 
 #endif // JUJUBEHEAD_BENCH_BENCHES_HPP
