--- a/bench/context/keeping_policy.cpp
+++ b/bench/context/keeping_policy.cpp
@@ -191,12 +191,15 @@
     return;
   }
   const double bytes = aWorld.Parts().bytes_per_block;
-  const core::ExportView view{ ValueOf(aWorld, known),
-                               static_cast<std::uint64_t>(
-                                 (known.blocks - kept) * bytes),
-                               aWorld.Link(*chosen).BytesPerSecond(),
-                               0,
-                               kKeptFor };
+  const core::ExportView view{
+    ValueOf(aWorld, known),
+    static_cast<std::uint64_t>((known.blocks - kept) * bytes),
+    aWorld.Link(*chosen).BytesPerSecond(),
+    aWorld.Link(*chosen).Use(core::TransferKind::kImport, aWorld.Now()),
+    kKeptFor,
+    known.blocks * aWorld.Parts().tokens_per_block *
+      aWorld.User().recompute_price
+  };
   if (core::ExportGain(m_returns, view) > 0) {
     aWorld.Export({ aTarget,
                     *chosen,
--- a/include/jujubehead/core/keep_policy.hpp
+++ b/include/jujubehead/core/keep_policy.hpp
@@ -42,6 +42,9 @@
   double bytes_per_second = 0;     ///< Of the link.
   double link_use = 0;             ///< Share of time that the link is busy.
   Duration kept_for{};             ///< Expected time in the store.
+  /// Seconds that the deployment's price of recomputed tokens adds to what the
+  /// context takes to compute.
+  double priced_seconds = 0;
 };
 
 /// @return what is saved for each byte and second of room in a tier. Exports,
--- a/src/jujubehead/core/keep_policy.cpp
+++ b/src/jujubehead/core/keep_policy.cpp
@@ -43,7 +43,9 @@
   const double missing = static_cast<double>(aView.bytes_to_move) /
                          static_cast<double>(aView.value.bytes);
   const double importing = moving / (1 - use);
-  const double saved = missing * aView.value.recompute_seconds - importing;
+  const double saved =
+    missing * (aView.value.recompute_seconds + aView.priced_seconds) -
+    importing;
   const double delay = moving * use / (1 - use);
   return chance * saved - delay;
 }
