--- a/bench/context/context.cpp
+++ b/bench/context/context.cpp
@@ -1,3 +1,4 @@
+#include <atomic>    // for atomic
 #include <chrono>    // for hours
 #include <stdexcept> // for invalid_argument
 #include <thread>    // for jthread
@@ -6,6 +7,7 @@
 
 #include "bench/benches.hpp"               // for RunContext
 #include "bench/context/offline_bound.hpp" // for OfflineBound
+#include "bench/context/plots.hpp"         // for WritePlots
 #include "bench/context/report.hpp"        // for Print
 #include "bench/context/world.hpp"         // for World
 
@@ -13,32 +15,51 @@
 
 DEFINE_string(context_condition, "", "only this condition; empty: all four");
 
+DEFINE_string(context_plots, "", "write plots to this directory; empty: none");
+
 namespace jujubehead::bench {
 namespace {
 
+constexpr int kThreads = 6;
 constexpr Duration kWarmUp = std::chrono::hours(10);
 constexpr Duration kMeasured = std::chrono::hours(6);
 
+Workload
+WorkloadOf(const Cell& aCell, const Hardware& aHardware)
+{
+  return MakeWorkload(*aCell.deployment,
+                      aHardware,
+                      aCell.condition->load,
+                      kWarmUp,
+                      kMeasured,
+                      FLAGS_context_seed);
+}
+
+Figures
+RunPolicy(const Cell& aCell,
+          const Hardware& aHardware,
+          const Workload& aWorkload,
+          Policy aPolicy)
+{
+  World world(aHardware,
+              *aCell.deployment,
+              *aCell.condition,
+              aWorkload,
+              aPolicy,
+              FLAGS_context_seed);
+  return world.Run();
+}
+
 void
-Measure(Cell& aCell, const Hardware& aHardware)
+MeasureAll(Cell& aCell, const Hardware& aHardware)
 {
-  const Workload workload = MakeWorkload(*aCell.deployment,
-                                         aHardware,
-                                         aCell.condition->load,
-                                         kWarmUp,
-                                         kMeasured,
-                                         FLAGS_context_seed);
+  const Workload workload = WorkloadOf(aCell, aHardware);
   aCell.working_set =
     workload.working_set_blocks /
     static_cast<double>(aHardware.targets * aHardware.target_blocks);
   const auto run = [&](Policy aPolicy) {
-    World world(aHardware,
-                *aCell.deployment,
-                *aCell.condition,
-                workload,
-                aPolicy,
-                FLAGS_context_seed);
-    aCell.policies.push_back(world.Run());
+    aCell.policies.push_back(
+      RunPolicy(aCell, aHardware, workload, std::move(aPolicy)));
   };
   run(RandomPolicy());
   run(AffinityPolicy());
@@ -47,13 +68,47 @@
   aCell.policies.push_back(OfflineBound(aHardware, *aCell.condition, workload));
 }
 
-} // namespace
+void
+MeasureProbe(Cell& aCell, const Hardware& aHardware)
+{
+  const Workload workload = WorkloadOf(aCell, aHardware);
+  aCell.policies.push_back(
+    RunPolicy(aCell, aHardware, workload, KeepingPolicy(aHardware)));
+}
 
-int
-RunContext()
+/// Each cell is a run of its own, so they may go on at the same time.
+void
+MeasureEach(std::vector<Cell>& aCells,
+            void (*aMeasure)(Cell&, const Hardware&),
+            const Hardware& aHardware)
+{
+  std::atomic<std::size_t> next = 0;
+  std::vector<std::jthread> threads;
+  for (int i = 0; i < kThreads; ++i) {
+    threads.emplace_back([&] {
+      for (std::size_t cell = next++; cell < aCells.size(); cell = next++) {
+        aMeasure(aCells[cell], aHardware);
+      }
+    });
+  }
+}
+
+std::vector<Cell>
+CellsOf(const std::vector<Deployment>& aDeployments,
+        const std::vector<Condition>& aConditions)
+{
+  std::vector<Cell> cells;
+  for (const Deployment& deployment : aDeployments) {
+    for (const Condition& condition : aConditions) {
+      cells.push_back({ &deployment, &condition, 0, {} });
+    }
+  }
+  return cells;
+}
+
+std::vector<Condition>
+ChosenConditions()
 {
-  const Hardware hardware;
-  const auto deployments = Deployments();
   auto conditions = Conditions();
   std::erase_if(conditions, [](const Condition& aCondition) {
     return !FLAGS_context_condition.empty() &&
@@ -62,20 +117,32 @@
   if (conditions.empty()) {
     throw std::invalid_argument("--context_condition: none has that name");
   }
-  std::vector<Cell> cells;
-  for (const Deployment& deployment : deployments) {
-    for (const Condition& condition : conditions) {
-      cells.push_back({ &deployment, &condition, 0, {} });
-    }
+  return conditions;
+}
+
+} // namespace
+
+int
+RunContext()
+{
+  const Hardware hardware;
+  const auto deployments = Deployments();
+  const auto conditions = ChosenConditions();
+  const auto probes = Probes();
+  auto cells = CellsOf(deployments, conditions);
+  MeasureEach(cells, MeasureAll, hardware);
+  for (const Cell& cell : cells) {
+    Print(cell);
   }
-  {
-    std::vector<std::jthread> threads;
-    for (Cell& cell : cells) {
-      threads.emplace_back([&cell, &hardware] { Measure(cell, hardware); });
+  if (FLAGS_context_condition.empty()) {
+    auto probed = CellsOf(deployments, probes);
+    MeasureEach(probed, MeasureProbe, hardware);
+    for (const Cell& cell : probed) {
+      PrintProbe(*cell.deployment, *cell.condition, cell.policies.front());
     }
   }
-  for (const Cell& cell : cells) {
-    Print(cell);
+  if (!FLAGS_context_plots.empty()) {
+    WritePlots(cells, FLAGS_context_plots);
   }
   PrintSummary(cells.front(), cells[conditions.size()]);
   return 0;
--- a/bench/context/deployment.cpp
+++ b/bench/context/deployment.cpp
@@ -76,4 +76,18 @@
   };
 }
 
+std::vector<Condition>
+Probes()
+{
+  using std::chrono::seconds;
+  return {
+    { "all_events", 0.6, 1.0, false, 0.0, {} },
+    { "events_lost_1pc", 0.6, 1.0, false, 0.01, {} },
+    { "events_lost_10pc", 0.6, 1.0, false, 0.1, {} },
+    { "events_lost_all", 0.6, 1.0, false, 1.0, {} },
+    { "quotes_5s_old", 0.6, 1.0, false, 0.0, seconds(5) },
+    { "quotes_30s_old", 0.6, 1.0, false, 0.0, seconds(30) },
+  };
+}
+
 } // namespace jujubehead::bench
--- a/bench/context/deployment.hpp
+++ b/bench/context/deployment.hpp
@@ -85,6 +85,10 @@
 std::vector<Condition>
 Conditions();
 
+/// @return the ordinary condition with events lost, and with late quotes.
+std::vector<Condition>
+Probes();
+
 } // namespace jujubehead::bench
 
 #endif // JUJUBEHEAD_BENCH_CONTEXT_DEPLOYMENT_HPP
--- a/bench/context/figures.hpp
+++ b/bench/context/figures.hpp
@@ -20,10 +20,10 @@
   std::uint64_t imports = 0;
   std::uint64_t failed_imports = 0; ///< Gone, or given up, at their turn.
   std::uint64_t exports = 0;
-  std::uint64_t hints = 0;      ///< Targets chosen for what they had cached.
-  std::uint64_t true_hints = 0; ///< Where at least that much was there.
-  double hinted_blocks = 0;
-  double hint_error_blocks = 0; ///< Sum of differences to what was there.
+  std::uint64_t hints = 0;      ///< Targets chosen by a hint of what they had.
+  std::uint64_t true_hints = 0; ///< Where exactly that much was there.
+  double cached_blocks = 0;     ///< What was there, over all these.
+  double hint_error_blocks = 0; ///< Sum of differences from what was there.
   double target_seconds = 0;    ///< Busy time of all targets.
 
   /// @return the given quantile of time to first token, in seconds.
--- a/bench/context/keeping_policy.cpp
+++ b/bench/context/keeping_policy.cpp
@@ -70,9 +70,7 @@
   Placement placement;
   placement.target = NumberOf(plan.target.View());
   placement.planned_seconds = aWorld.ServiceSeconds(plan.recomputed_blocks);
-  if (plan.cached_blocks > 0) {
-    placement.hinted_blocks = plan.cached_blocks;
-  }
+  placement.hinted_blocks = plan.cached_blocks;
   if (plan.import) {
     const double computing = aWorld.ServiceSeconds(plan.imported_blocks);
     placement.import = ImportPlan{ NumberOf(plan.import->store.View()),
--- a/bench/context/report.cpp
+++ b/bench/context/report.cpp
@@ -121,6 +121,25 @@
   }
 }
 
+void
+PrintProbe(const Deployment& aDeployment,
+           const Condition& aProbe,
+           const Figures& aFigures)
+{
+  std::printf("%s %s: hints=%lu exact=%.4f error_blocks=%.4f ttft_s p50=%.2f"
+              " p95=%.2f recomputed=%.4f link_tb=%.2f\n",
+              aDeployment.name.c_str(),
+              aProbe.name.c_str(),
+              aFigures.hints,
+              Ratio(static_cast<double>(aFigures.true_hints),
+                    static_cast<double>(aFigures.hints)),
+              Ratio(aFigures.hint_error_blocks, aFigures.cached_blocks),
+              aFigures.FirstToken(kMedian),
+              aFigures.FirstToken(kMostRequests),
+              aFigures.RecomputedShare(),
+              aFigures.link_bytes / kTera);
+}
+
 void
 PrintSummary(const Cell& aKuttanad, const Cell& aForbund)
 {
--- a/bench/context/report.hpp
+++ b/bench/context/report.hpp
@@ -59,6 +59,12 @@
 void
 Print(const Cell& aCell);
 
+/// @brief Prints what the product's policy did where hints or quotes were bad.
+void
+PrintProbe(const Deployment& aDeployment,
+           const Condition& aProbe,
+           const Figures& aFigures);
+
 /// @brief Prints the summary: the ordinary condition of each deployment.
 /// @param aCells Kuttanad's and the Förbund's cell of the ordinary condition.
 void
--- a/bench/context/world.cpp
+++ b/bench/context/world.cpp
@@ -51,6 +51,9 @@
   Arrive(0);
   At(Instant(kPollEvery), [this] { Poll(); });
   At(Instant(kMinute), [this] { Report(); });
+  if (m_condition.quote_age > Duration::zero()) {
+    At(Instant(m_condition.quote_age), [this] { RefreshQuotes(); });
+  }
   if (m_condition.store_lost) {
     At(m_workload.Halfway(), [this] { LoseStore(m_stores.size() - 1); });
   }
@@ -519,8 +522,8 @@
     const double error = static_cast<double>(hinted->second) -
                          static_cast<double>(aService.cached);
     ++m_figures.hints;
-    m_figures.true_hints += error <= 0 ? 1 : 0;
-    m_figures.hinted_blocks += hinted->second;
+    m_figures.true_hints += error == 0 ? 1 : 0;
+    m_figures.cached_blocks += aService.cached;
     m_figures.hint_error_blocks += std::abs(error);
   }
   m_hinted.erase(hinted);
@@ -562,6 +565,15 @@
   At(m_now + kPollEvery, [this] { Poll(); });
 }
 
+void
+World::RefreshQuotes()
+{
+  for (std::size_t i = 0; i < m_targets.size(); ++i) {
+    m_reports[i] = m_targets[i]->Backlog(m_now);
+  }
+  At(m_now + m_condition.quote_age, [this] { RefreshQuotes(); });
+}
+
 void
 World::Report()
 {
--- a/bench/context/world.hpp
+++ b/bench/context/world.hpp
@@ -117,6 +117,7 @@
   void CountHint(const Service& aService);
   void Poll();
   void LoseStore(std::size_t aStore);
+  void RefreshQuotes();
   void Report();
   void CountMissed(const Request& aRequest, std::uint32_t aReused);
   [[nodiscard]] double MovedBytes() const;
