--- a/bench/context/keeping_policy.cpp
+++ b/bench/context/keeping_policy.cpp
@@ -20,6 +20,9 @@
 constexpr std::size_t kMaxKeys = 1'000'000;
 /// Share of a target's cache that is used before an export is weighed.
 constexpr double kDueShare = 0.8;
+/// Past the whole cache nothing can be left; the margin is for what the cache
+/// holds besides.
+constexpr double kEvictedShare = 1.05;
 constexpr Duration kKeptFor = std::chrono::hours(6);
 constexpr Duration kForgetAfter = std::chrono::hours(8);
 
@@ -43,6 +46,8 @@
   : m_directory(kMaxKeys)
   , m_forecasts(aHardware.targets,
                 core::EvictionForecast(aHardware.target_blocks))
+  , m_evictions(aHardware.targets,
+                core::EvictionForecast(aHardware.target_blocks))
 {
   for (std::size_t i = 0; i < aHardware.targets; ++i) {
     m_targets.push_back(NameOf(i));
@@ -162,6 +167,12 @@
   for (const core::ContextKey& root : forecast.TakeDue(kDueShare)) {
     ConsiderExport(aWorld, m_contexts.at(root), aTarget);
   }
+  auto& evictions = m_evictions[aTarget];
+  evictions.Used(keys.front(), aRequest.blocks);
+  for (const core::ContextKey& root : evictions.TakeDue(kEvictedShare)) {
+    m_directory.Unlearn(NameOf(aTarget),
+                        aWorld.Work().keys[m_contexts.at(root)]);
+  }
 }
 
 void
--- a/bench/context/keeping_policy.hpp
+++ b/bench/context/keeping_policy.hpp
@@ -66,7 +66,8 @@
   std::vector<core::AccountId> m_accounts;
   core::Directory m_directory;
   core::ReturnModel m_returns;
-  std::vector<core::EvictionForecast> m_forecasts;
+  std::vector<core::EvictionForecast> m_forecasts; ///< For exports.
+  std::vector<core::EvictionForecast> m_evictions; ///< For hints.
   std::vector<Known> m_known;
   std::unordered_map<core::ContextKey, std::uint32_t> m_contexts;
 };
--- a/src/jujubehead/core/directory_test.cpp
+++ b/src/jujubehead/core/directory_test.cpp
@@ -122,6 +122,16 @@
   CHECK_EQUAL(5, Blocks());
 }
 
+TEST(Directory, WhatMustBeEvictedByNowIsHintedNoMore)
+{
+  directory.Learn(target, keys);
+  directory.Learn(TargetId("other"), keys);
+  directory.Unlearn(target, keys);
+  const auto hints = directory.Lookup(keys);
+  CHECK_EQUAL(1, hints.size());
+  CHECK(hints.front().holder == Holder(TargetId("other")));
+}
+
 TEST(Directory, CopiesAreToldApartByGeneration)
 {
   directory.Apply(store, Copied(1, Keys(3), { "h", 1 }));
