--- a/include/jujubehead/net/http_server.hpp
+++ b/include/jujubehead/net/http_server.hpp
@@ -28,6 +28,9 @@
   virtual ~HttpExchange() = default;
 
   [[nodiscard]] virtual const HttpRequest& Request() const = 0;
+  /// @brief Moves the request's body out, so that it is not kept for as long as
+  /// the reply lasts. @return the body; empty the next time.
+  virtual std::string TakeBody() = 0;
   virtual boost::asio::awaitable<void> Send(HttpResponse aResponse) = 0;
   virtual boost::asio::awaitable<void> StartStream(unsigned aStatus,
                                                    HttpHeaders aHeaders) = 0;
--- a/src/jujubehead/net/client_stream.hpp
+++ b/src/jujubehead/net/client_stream.hpp
@@ -39,7 +39,7 @@
 private:
   using Parser =
     boost::beast::http::response_parser<boost::beast::http::buffer_body>;
-  static constexpr std::size_t kBufferBytes = 4096;
+  static constexpr std::size_t kBufferBytes = 2048;
 
   void ResetParser();
   boost::asio::awaitable<void> Fill();
--- a/src/jujubehead/net/http_connection.hpp
+++ b/src/jujubehead/net/http_connection.hpp
@@ -44,6 +44,7 @@
   void Drain();
 
   [[nodiscard]] const HttpRequest& Request() const override;
+  std::string TakeBody() override;
   boost::asio::awaitable<void> Send(HttpResponse aResponse) override;
   boost::asio::awaitable<void> StartStream(unsigned aStatus,
                                            HttpHeaders aHeaders) override;
--- a/src/jujubehead/net/http_reply.cpp
+++ b/src/jujubehead/net/http_reply.cpp
@@ -2,7 +2,7 @@
 
 #include <array>    // for array
 #include <charconv> // for to_chars
-#include <utility>  // for move
+#include <utility>  // for exchange
 
 #include <boost/asio/as_tuple.hpp>       // for as_tuple
 #include <boost/asio/use_awaitable.hpp>  // for use_awaitable
@@ -85,6 +85,12 @@
   }
 }
 
+std::string
+HttpConnection::TakeBody()
+{
+  return std::exchange(m_request.body, {});
+}
+
 asio::awaitable<void>
 HttpConnection::Send(HttpResponse aResponse)
 {
--- a/src/jujubehead/node/completion_run.cpp
+++ b/src/jujubehead/node/completion_run.cpp
@@ -1,6 +1,6 @@
 #include "jujubehead/node/completion_run.hpp"
 
-#include <utility> // for move
+#include <utility> // for exchange, move
 #include <variant> // for variant, visit
 
 #include <boost/asio/post.hpp> // for post
@@ -102,6 +102,7 @@
     , m_scope{ aCaller.account, aRow.model, aRow.version, aRow.adapter }
     , m_key_scope(KeyScope(m_scope, m_request.prompt_form))
     , m_chain(core::ChainKeys(m_key_scope, m_request.prompt))
+    , m_prompt_bytes(std::exchange(m_request.prompt, {}).size())
     , m_attempts(aThread,
                  aExchange,
                  AskOf(aRow),
@@ -152,7 +153,7 @@
   [[nodiscard]] AdmissionAsk AskOf(const core::TableRow& aRow) const
   {
     const auto blocks = static_cast<std::uint32_t>(m_chain.size());
-    const auto bytes = static_cast<std::uint32_t>(m_request.prompt.size());
+    const auto bytes = static_cast<std::uint32_t>(m_prompt_bytes);
     const std::uint32_t tail = bytes - blocks * kBlockBytes;
     AdmissionAsk ask;
     ask.account = m_scope.account;
@@ -197,7 +198,7 @@
     }
   }
 
-  [[nodiscard]] net::HttpCall CallFor(const HeldRun& aRun) const
+  [[nodiscard]] net::HttpCall CallFor(const HeldRun& aRun)
   {
     const Admitted& place = aRun.Place();
     net::HttpCall call;
@@ -208,8 +209,7 @@
     call.cancel = m_attempts.Cancel();
     call.idle_timeout = m_request.stream ? kStreamSilence : kWholeSilence;
 
-    Json body = m_request.body;
-    Json& own = body["jujubehead"];
+    Json& own = m_request.body["jujubehead"];
     own = { { "request_id", m_attempts.CurrentId().Text() },
             { "fencing", place.permit.epoch },
             { "priority", m_priority },
@@ -229,7 +229,7 @@
                         { "generation", place.plan.import->generation },
                         { "blocks", place.plan.import->blocks } };
     }
-    call.body = body.dump();
+    call.body = m_request.body.dump();
     return call;
   }
 
@@ -424,6 +424,7 @@
   core::ContextScope m_scope;
   core::ContextScope m_key_scope; ///< For the names of blocks.
   std::vector<core::ContextKey> m_chain;
+  std::size_t m_prompt_bytes; ///< The text itself is kept in the body only.
   Attempts m_attempts;
   RequestClaim m_claim;
   std::int32_t m_priority;
@@ -433,6 +434,14 @@
   core::Instant m_last_token_at{};
 };
 
+/// Takes the body away from the exchange: a long prompt is kept once, parsed.
+std::variant<net::CompletionRequest, net::ApiError>
+ParseBody(net::HttpExchange& aExchange)
+{
+  const std::string body = aExchange.TakeBody();
+  return net::ParseCompletion(aExchange.Request().Path(), body);
+}
+
 } // namespace
 
 asio::awaitable<void>
@@ -440,8 +449,7 @@
                 net::HttpExchange& aExchange,
                 const Caller& aCaller)
 {
-  const net::HttpRequest& http = aExchange.Request();
-  auto parsed = net::ParseCompletion(http.Path(), http.body);
+  auto parsed = ParseBody(aExchange);
   if (auto* error = std::get_if<net::ApiError>(&parsed)) {
     co_await SendError(aExchange, *error);
     co_return;
