Serve by the peers' word on owners when the table service is away at a start

Cause: an instance that started during an outage had the table from its peers but stayed not ready, as it had not read the rows of ownership. Peers tell the owners too; once the owner of every target is known, requests can be served.

--- a/src/jujubehead/node/ownership_service.cpp
+++ b/src/jujubehead/node/ownership_service.cpp
@@ -1,7 +1,8 @@
 #include "jujubehead/node/ownership_service.hpp"
 
-#include <random>  // for random_device
-#include <utility> // for move
+#include <algorithm> // for all_of
+#include <random>    // for random_device
+#include <utility>   // for move
 
 #include <boost/asio/co_spawn.hpp> // for co_spawn
 #include <boost/asio/detached.hpp> // for detached
@@ -182,6 +183,20 @@
   return m_ownership.OwnerOf(core::GroupId(aStore.Text()));
 }
 
+bool
+OwnershipService::KnowsOwners() const
+{
+  if (m_ownership.IsReady()) {
+    return true;
+  }
+  const auto targets = m_members.Targets();
+  return !targets.empty() &&
+         std::all_of(
+           targets.begin(), targets.end(), [this](const net::Member* aTarget) {
+             return OwnerOf(core::TargetId(aTarget->id)).has_value();
+           });
+}
+
 bool
 OwnershipService::MayAdmit(const core::TargetId& aTarget) const
 {
--- a/src/jujubehead/node/ownership_service.hpp
+++ b/src/jujubehead/node/ownership_service.hpp
@@ -45,7 +45,9 @@
   [[nodiscard]] std::optional<core::InstanceId> OwnerOf(
     const core::StoreId& aStore) const override;
   [[nodiscard]] bool MayAdmit(const core::TargetId& aTarget) const;
-  [[nodiscard]] bool IsReady() const { return m_ownership.IsReady(); }
+  /// @return whether requests can find owners: all rows were read, or peers
+  /// have told the owner of every target while the table service is away.
+  [[nodiscard]] bool KnowsOwners() const;
   [[nodiscard]] bool HasLeft() const { return m_ownership.HasLeft(); }
 
 private:
--- a/standin/deployment.cpp
+++ b/standin/deployment.cpp
@@ -178,6 +178,12 @@
     return replies;
   }
 
+  std::size_t AddInstance() override
+  {
+    StartInstance(m_instances.size());
+    return m_instances.size() - 1;
+  }
+
   Json Stats(const std::string& aName) override
   {
     return m_loop.Run([&] { return m_stand_ins.at(aName).Stats(); });
--- a/standin/deployment.hpp
+++ b/standin/deployment.hpp
@@ -46,6 +46,10 @@
     const net::HttpHeaders& aHeaders,
     const std::function<std::string(std::size_t)>& aBody) = 0;
 
+  /// @brief Starts one more instance, which need not become ready.
+  /// @return its number.
+  virtual std::size_t AddInstance() = 0;
+
   /// @param aName `engine0`, `engine1`, ..., `table`, `members`, `objects`,
   /// `store`, `service`.
   virtual nlohmann::json Stats(const std::string& aName) = 0;
--- a/standin/whole_path_test.cpp
+++ b/standin/whole_path_test.cpp
@@ -202,6 +202,16 @@
   LONGS_EQUAL(0, deployment->Stats("service")["calls_total"].get<int>());
 }
 
+TEST(WholePath, AnInstanceThatStartsWithoutTheTableServiceServesByItsPeers)
+{
+  deployment->SetFault("table", "down", Json::object());
+  const std::size_t late = deployment->AddInstance();
+  CHECK(deployment->Await([&] {
+    return deployment->Call(late, "GET", "/readyz", {}, "").status == 200;
+  }));
+  UNSIGNED_LONGS_EQUAL(200, Chat(late, Body("hello", 2, false)).status);
+}
+
 TEST(WholePath, AWrongKeyOrModelIsRefusedInTheApisOwnShape)
 {
   UNSIGNED_LONGS_EQUAL(404,
