--- a/src/jujubehead/node/control.cpp
+++ b/src/jujubehead/node/control.cpp
@@ -270,7 +270,8 @@
   if (auto why = m_table.NotReady()) {
     return *why;
   }
-  return m_ownership.KnowsOwners() ? "" : "the owners of targets are not known yet";
+  return m_ownership.KnowsOwners() ? ""
+                                   : "the owners of targets are not known yet";
 }
 
 void
