--- a/bench/context/context.cpp
+++ b/bench/context/context.cpp
@@ -84,6 +84,7 @@
 {
   std::atomic<std::size_t> next = 0;
   std::vector<std::jthread> threads;
+  threads.reserve(kThreads);
   for (int i = 0; i < kThreads; ++i) {
     threads.emplace_back([&] {
       for (std::size_t cell = next++; cell < aCells.size(); cell = next++) {
--- a/src/jujubehead/core/link_schedule.cpp
+++ b/src/jujubehead/core/link_schedule.cpp
@@ -54,7 +54,7 @@
                        [](const Waiter& aLeft, const Waiter& aRight) {
                          return aLeft.start_tag < aRight.start_tag;
                        });
-    const Transfer transfer = first->transfer;
+    Transfer transfer = first->transfer;
     m_virtual_time = std::max(m_virtual_time, first->start_tag);
     m_waiters.erase(first);
     DropIdleAccounts();
