Give the context bench a namespace of its own

Cause: the agreement bench has a class World too; in one program the linker took one destructor for both, and the context bench crashed at the end of its first run.

--- a/bench/context/context.cpp
+++ b/bench/context/context.cpp
@@ -17,7 +17,7 @@
 
 DEFINE_string(context_plots, "", "write plots to this directory; empty: none");
 
-namespace jujubehead::bench {
+namespace jujubehead::bench::context {
 namespace {
 
 constexpr int kThreads = 6;
@@ -123,9 +123,14 @@
 
 } // namespace
 
+} // namespace jujubehead::bench::context
+
+namespace jujubehead::bench {
+
 int
 RunContext()
 {
+  using namespace context;
   const Hardware hardware;
   const auto deployments = Deployments();
   const auto conditions = ChosenConditions();
--- a/bench/context/deployment.cpp
+++ b/bench/context/deployment.cpp
@@ -1,6 +1,6 @@
 #include "bench/context/deployment.hpp"
 
-namespace jujubehead::bench {
+namespace jujubehead::bench::context {
 namespace {
 
 constexpr double kMinute = 60;
@@ -90,4 +90,4 @@
   };
 }
 
-} // namespace jujubehead::bench
+} // namespace jujubehead::bench::context
--- a/bench/context/deployment.hpp
+++ b/bench/context/deployment.hpp
@@ -9,7 +9,7 @@
 
 #include "jujubehead/core/runtime_clock.hpp" // for Duration
 
-namespace jujubehead::bench {
+namespace jujubehead::bench::context {
 
 using core::Duration;
 using core::Instant;
@@ -89,6 +89,6 @@
 std::vector<Condition>
 Probes();
 
-} // namespace jujubehead::bench
+} // namespace jujubehead::bench::context
 
 #endif // JUJUBEHEAD_BENCH_CONTEXT_DEPLOYMENT_HPP
--- a/bench/context/fake_link.cpp
+++ b/bench/context/fake_link.cpp
@@ -5,7 +5,7 @@
 
 #include "bench/context/workload.hpp" // for kNever
 
-namespace jujubehead::bench {
+namespace jujubehead::bench::context {
 namespace {
 
 /// Less than this is left over by rounding to the clock's step.
@@ -77,4 +77,4 @@
   m_at = aNow;
 }
 
-} // namespace jujubehead::bench
+} // namespace jujubehead::bench::context
--- a/bench/context/fake_link.hpp
+++ b/bench/context/fake_link.hpp
@@ -6,7 +6,7 @@
 
 #include "bench/context/deployment.hpp" // for Instant
 
-namespace jujubehead::bench {
+namespace jujubehead::bench::context {
 
 /// @brief A link is a rate, shared evenly by the transfers that cross it.
 class FakeLink
@@ -38,6 +38,6 @@
   std::vector<Active> m_active;
 };
 
-} // namespace jujubehead::bench
+} // namespace jujubehead::bench::context
 
 #endif // JUJUBEHEAD_BENCH_CONTEXT_FAKE_LINK_HPP
--- a/bench/context/fake_store.cpp
+++ b/bench/context/fake_store.cpp
@@ -1,6 +1,6 @@
 #include "bench/context/fake_store.hpp"
 
-namespace jujubehead::bench {
+namespace jujubehead::bench::context {
 
 FakeStore::FakeStore(std::uint32_t aMemoryBlocks, std::uint32_t aDiskBlocks)
   : m_memory(aMemoryBlocks)
@@ -130,4 +130,4 @@
   m_in_memory = 0;
 }
 
-} // namespace jujubehead::bench
+} // namespace jujubehead::bench::context
--- a/bench/context/fake_store.hpp
+++ b/bench/context/fake_store.hpp
@@ -8,7 +8,7 @@
 
 #include "bench/context/deployment.hpp" // for Instant
 
-namespace jujubehead::bench {
+namespace jujubehead::bench::context {
 
 /// @brief One context's copy in a store.
 struct StoredContext
@@ -77,6 +77,6 @@
   std::map<std::uint64_t, std::uint32_t> m_reserved; ///< By generation.
 };
 
-} // namespace jujubehead::bench
+} // namespace jujubehead::bench::context
 
 #endif // JUJUBEHEAD_BENCH_CONTEXT_FAKE_STORE_HPP
--- a/bench/context/fake_target.cpp
+++ b/bench/context/fake_target.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm> // for find_if, max
 
-namespace jujubehead::bench {
+namespace jujubehead::bench::context {
 
 FakeTarget::FakeTarget(const Hardware& aHardware, const Workload& aWorkload)
   : m_workload(aWorkload)
@@ -85,4 +85,4 @@
                          std::nullopt } });
 }
 
-} // namespace jujubehead::bench
+} // namespace jujubehead::bench::context
--- a/bench/context/fake_target.hpp
+++ b/bench/context/fake_target.hpp
@@ -10,7 +10,7 @@
 #include "bench/context/workload.hpp"     // for Request
 #include "jujubehead/core/directory.hpp"  // for CacheEvent
 
-namespace jujubehead::bench {
+namespace jujubehead::bench::context {
 
 /// @brief A request on its way at a target.
 struct Run
@@ -71,6 +71,6 @@
   PrefixCache m_cache;
 };
 
-} // namespace jujubehead::bench
+} // namespace jujubehead::bench::context
 
 #endif // JUJUBEHEAD_BENCH_CONTEXT_FAKE_TARGET_HPP
--- a/bench/context/fakes_test.cpp
+++ b/bench/context/fakes_test.cpp
@@ -7,7 +7,7 @@
 // Last: its macros change the meaning of new.
 #include <CppUTest/TestHarness.h> // for TEST
 
-using namespace jujubehead::bench;
+using namespace jujubehead::bench::context;
 using namespace std::chrono_literals;
 
 TEST_GROUP(ContextFakes)
--- a/bench/context/figures.cpp
+++ b/bench/context/figures.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm> // for min, nth_element
 
-namespace jujubehead::bench {
+namespace jujubehead::bench::context {
 
 double
 Figures::FirstToken(double aQuantile) const
@@ -25,4 +25,4 @@
   return returning_tokens > 0 ? recomputed_tokens / returning_tokens : 0;
 }
 
-} // namespace jujubehead::bench
+} // namespace jujubehead::bench::context
--- a/bench/context/figures.hpp
+++ b/bench/context/figures.hpp
@@ -4,7 +4,7 @@
 #include <cstdint> // for uint64_t
 #include <vector>  // for vector
 
-namespace jujubehead::bench {
+namespace jujubehead::bench::context {
 
 /// @brief What one policy did over the measured time.
 struct Figures
@@ -36,6 +36,6 @@
   }
 };
 
-} // namespace jujubehead::bench
+} // namespace jujubehead::bench::context
 
 #endif // JUJUBEHEAD_BENCH_CONTEXT_FIGURES_HPP
--- a/bench/context/keeping_policy.cpp
+++ b/bench/context/keeping_policy.cpp
@@ -9,7 +9,7 @@
 #include "jujubehead/core/candidates.hpp"  // for PickCandidates
 #include "jujubehead/core/keep_policy.hpp" // for ExportGain, KeepPrice
 
-namespace jujubehead::bench {
+namespace jujubehead::bench::context {
 namespace {
 
 using core::AccountId;
@@ -328,4 +328,4 @@
   }
 }
 
-} // namespace jujubehead::bench
+} // namespace jujubehead::bench::context
--- a/bench/context/keeping_policy.hpp
+++ b/bench/context/keeping_policy.hpp
@@ -13,7 +13,7 @@
 #include "jujubehead/core/return_model.hpp"      // for ReturnModel
 #include "jujubehead/core/router.hpp"            // for RankRoutes
 
-namespace jujubehead::bench {
+namespace jujubehead::bench::context {
 
 /// @brief The product's own decisions, over the fakes.
 class KeepingPolicy : public PolicyBase
@@ -72,6 +72,6 @@
   std::unordered_map<core::ContextKey, std::uint32_t> m_contexts;
 };
 
-} // namespace jujubehead::bench
+} // namespace jujubehead::bench::context
 
 #endif // JUJUBEHEAD_BENCH_CONTEXT_KEEPING_POLICY_HPP
--- a/bench/context/naive_policies.cpp
+++ b/bench/context/naive_policies.cpp
@@ -6,7 +6,7 @@
 #include "bench/context/world.hpp"        // for World
 #include "jujubehead/core/rendezvous.hpp" // for detail::RendezvousWeight
 
-namespace jujubehead::bench {
+namespace jujubehead::bench::context {
 namespace {
 
 std::size_t
@@ -145,4 +145,4 @@
   }
 }
 
-} // namespace jujubehead::bench
+} // namespace jujubehead::bench::context
--- a/bench/context/offline_bound.cpp
+++ b/bench/context/offline_bound.cpp
@@ -4,7 +4,7 @@
 #include <set>       // for set
 #include <utility>   // for pair
 
-namespace jujubehead::bench {
+namespace jujubehead::bench::context {
 namespace {
 
 /// All tiers as one, knowing every next use.
@@ -81,4 +81,4 @@
   return figures;
 }
 
-} // namespace jujubehead::bench
+} // namespace jujubehead::bench::context
--- a/bench/context/offline_bound.hpp
+++ b/bench/context/offline_bound.hpp
@@ -4,7 +4,7 @@
 #include "bench/context/figures.hpp"  // for Figures
 #include "bench/context/workload.hpp" // for Workload
 
-namespace jujubehead::bench {
+namespace jujubehead::bench::context {
 
 /// @brief The most that any policy could save: all tiers as one, links free,
 /// and the blocks whose next use is furthest evicted first.
@@ -14,6 +14,6 @@
              const Condition& aCondition,
              const Workload& aWorkload);
 
-} // namespace jujubehead::bench
+} // namespace jujubehead::bench::context
 
 #endif // JUJUBEHEAD_BENCH_CONTEXT_OFFLINE_BOUND_HPP
--- a/bench/context/placement.hpp
+++ b/bench/context/placement.hpp
@@ -9,7 +9,7 @@
 #include "jujubehead/core/directory.hpp"     // for CacheEvent
 #include "jujubehead/core/link_schedule.hpp" // for TransferKind
 
-namespace jujubehead::bench {
+namespace jujubehead::bench::context {
 
 class World;
 
@@ -63,6 +63,6 @@
   void FitMemory(World&, std::size_t /*aStore*/) {}
 };
 
-} // namespace jujubehead::bench
+} // namespace jujubehead::bench::context
 
 #endif // JUJUBEHEAD_BENCH_CONTEXT_PLACEMENT_HPP
--- a/bench/context/plots.cpp
+++ b/bench/context/plots.cpp
@@ -5,7 +5,7 @@
 
 #include "bench/svg_bars.hpp" // for BarChart
 
-namespace jujubehead::bench {
+namespace jujubehead::bench::context {
 namespace {
 
 constexpr double kMostRequests = 0.95;
@@ -67,4 +67,4 @@
   }
 }
 
-} // namespace jujubehead::bench
+} // namespace jujubehead::bench::context
--- a/bench/context/plots.hpp
+++ b/bench/context/plots.hpp
@@ -6,7 +6,7 @@
 
 #include "bench/context/report.hpp" // for Cell
 
-namespace jujubehead::bench {
+namespace jujubehead::bench::context {
 
 /// @brief Writes one SVG a measure, policies side by side for each condition.
 /// @param aDirectory where the files go; it must exist.
@@ -14,6 +14,6 @@
 void
 WritePlots(std::span<const Cell> aCells, const std::string& aDirectory);
 
-} // namespace jujubehead::bench
+} // namespace jujubehead::bench::context
 
 #endif // JUJUBEHEAD_BENCH_CONTEXT_PLOTS_HPP
--- a/bench/context/policies.hpp
+++ b/bench/context/policies.hpp
@@ -10,7 +10,7 @@
 #include "bench/context/keeping_policy.hpp" // for KeepingPolicy
 #include "bench/context/placement.hpp"      // for Placement
 
-namespace jujubehead::bench {
+namespace jujubehead::bench::context {
 
 /// @brief (a): any target, no store.
 class RandomPolicy : public PolicyBase
@@ -44,6 +44,6 @@
 using Policy =
   std::variant<RandomPolicy, AffinityPolicy, ExportAllPolicy, KeepingPolicy>;
 
-} // namespace jujubehead::bench
+} // namespace jujubehead::bench::context
 
 #endif // JUJUBEHEAD_BENCH_CONTEXT_POLICIES_HPP
--- a/bench/context/prefix_cache.cpp
+++ b/bench/context/prefix_cache.cpp
@@ -2,7 +2,7 @@
 
 #include <utility> // for move
 
-namespace jujubehead::bench {
+namespace jujubehead::bench::context {
 
 PrefixCache::PrefixCache(std::uint32_t aCapacity, Watcher aWatcher)
   : m_capacity(aCapacity)
@@ -79,4 +79,4 @@
   }
 }
 
-} // namespace jujubehead::bench
+} // namespace jujubehead::bench::context
--- a/bench/context/prefix_cache.hpp
+++ b/bench/context/prefix_cache.hpp
@@ -6,7 +6,7 @@
 #include <list>          // for list
 #include <unordered_map> // for unordered_map
 
-namespace jujubehead::bench {
+namespace jujubehead::bench::context {
 
 /// @brief A target's cache of prompt prefixes: evicts the last blocks of the
 /// context unused for longest, never those of a pinned one.
@@ -46,6 +46,6 @@
   std::unordered_map<std::uint32_t, Order::iterator> m_places;
 };
 
-} // namespace jujubehead::bench
+} // namespace jujubehead::bench::context
 
 #endif // JUJUBEHEAD_BENCH_CONTEXT_PREFIX_CACHE_HPP
--- a/bench/context/report.cpp
+++ b/bench/context/report.cpp
@@ -3,7 +3,7 @@
 #include <algorithm> // for min
 #include <cstdio>    // for printf
 
-namespace jujubehead::bench {
+namespace jujubehead::bench::context {
 namespace {
 
 constexpr double kTera = 1e12;
@@ -153,4 +153,4 @@
               std::max(LinkRatio(aKuttanad), LinkRatio(aForbund)));
 }
 
-} // namespace jujubehead::bench
+} // namespace jujubehead::bench::context
--- a/bench/context/report.hpp
+++ b/bench/context/report.hpp
@@ -9,7 +9,7 @@
 #include "bench/context/deployment.hpp" // for Deployment, Condition
 #include "bench/context/figures.hpp"    // for Figures
 
-namespace jujubehead::bench {
+namespace jujubehead::bench::context {
 
 /// @brief The policies that are compared, in the order they are printed.
 enum class PolicyName : std::uint8_t
@@ -70,6 +70,6 @@
 void
 PrintSummary(const Cell& aKuttanad, const Cell& aForbund);
 
-} // namespace jujubehead::bench
+} // namespace jujubehead::bench::context
 
 #endif // JUJUBEHEAD_BENCH_CONTEXT_REPORT_HPP
--- a/bench/context/workload.cpp
+++ b/bench/context/workload.cpp
@@ -6,7 +6,7 @@
 #include <random>        // for mt19937_64
 #include <unordered_map> // for unordered_map
 
-namespace jujubehead::bench {
+namespace jujubehead::bench::context {
 namespace {
 
 /// Contexts are born this long before the run, so that it starts among many.
@@ -234,4 +234,4 @@
   return workload;
 }
 
-} // namespace jujubehead::bench
+} // namespace jujubehead::bench::context
--- a/bench/context/workload.hpp
+++ b/bench/context/workload.hpp
@@ -8,7 +8,7 @@
 #include "bench/context/deployment.hpp"    // for Deployment
 #include "jujubehead/core/context_key.hpp" // for ContextKey
 
-namespace jujubehead::bench {
+namespace jujubehead::bench::context {
 
 /// @brief One prompt of one context.
 struct Request
@@ -48,6 +48,6 @@
              Duration aMeasured,
              std::uint64_t aSeed);
 
-} // namespace jujubehead::bench
+} // namespace jujubehead::bench::context
 
 #endif // JUJUBEHEAD_BENCH_CONTEXT_WORKLOAD_HPP
--- a/bench/context/world.cpp
+++ b/bench/context/world.cpp
@@ -5,7 +5,7 @@
 #include <string>    // for to_string
 #include <utility>   // for move
 
-namespace jujubehead::bench {
+namespace jujubehead::bench::context {
 namespace {
 
 using core::TransferKind;
@@ -114,7 +114,7 @@
   At(request.at, [this, aIndex, &request] {
     const Placement placement = std::visit(
       [&](auto& aPolicy) { return aPolicy.Route(*this, request); }, m_policy);
-    bench::Run run;
+    context::Run run;
     run.id = ++m_ids;
     run.request = &request;
     run.planned_seconds = placement.planned_seconds;
@@ -345,7 +345,7 @@
       cache.Unpin(aMoving.context);
     }
   }
-  if (bench::Run* run = Target(aMoving.target).Find(aMoving.run)) {
+  if (context::Run* run = Target(aMoving.target).Find(aMoving.run)) {
     run->ready = true;
     run->pinned = aArrived;
     if (aArrived) {
@@ -472,7 +472,7 @@
   FakeTarget& target = Target(aTarget);
   Service& service = m_serving[aTarget];
   ++service.version;
-  const bench::Run run = service.run;
+  const context::Run run = service.run;
   const Request& request = *run.request;
   CountRun(service);
   target.Cache().Put(request.context, request.blocks);
@@ -610,4 +610,4 @@
   return bytes;
 }
 
-} // namespace jujubehead::bench
+} // namespace jujubehead::bench::context
--- a/bench/context/world.hpp
+++ b/bench/context/world.hpp
@@ -15,7 +15,7 @@
 #include "bench/context/figures.hpp"     // for Figures
 #include "bench/context/policies.hpp"    // for Policy
 
-namespace jujubehead::bench {
+namespace jujubehead::bench::context {
 
 /// @brief One policy over the fakes, on a clock that only this class moves.
 class World
@@ -84,7 +84,7 @@
   /// The run that a target is at.
   struct Service
   {
-    bench::Run run;
+    context::Run run;
     Instant started;
     std::uint32_t cached = 0;   ///< Blocks that were there at the start.
     std::uint32_t computed = 0; ///< Blocks to compute, as far as known.
@@ -148,6 +148,6 @@
   Figures m_figures;
 };
 
-} // namespace jujubehead::bench
+} // namespace jujubehead::bench::context
 
 #endif // JUJUBEHEAD_BENCH_CONTEXT_WORLD_HPP
