Ask whoever got a vote, and count the table in the bench's memory

A vote given under an earlier row named a process that nobody asked any more, so a lease of gone instances never ended.

--- a/bench/agreement/ownership_run.cpp
+++ b/bench/agreement/ownership_run.cpp
@@ -5,6 +5,7 @@
 #include <algorithm> // for max
 
 #include "bench/agreement/world.hpp" // for World
+#include "jujubehead/core/table.hpp" // for Table
 
 namespace jujubehead::bench {
 
@@ -98,6 +99,26 @@
   return figures;
 }
 
+double
+TableMemoryMb(std::uint32_t aAccounts)
+{
+  constexpr std::size_t kHashLength = 86;
+  const double before = AllocatedMb();
+  std::vector<core::TableRow> rows;
+  core::TableRow row;
+  row.account = core::AccountId("*");
+  row.model = core::ModelId("model");
+  row.version = "1";
+  rows.push_back(row);
+  row.key_hash = std::string(kHashLength, 'x');
+  for (std::uint32_t i = 0; i < aAccounts; ++i) {
+    row.account = core::AccountId("account-" + std::to_string(i));
+    rows.push_back(row);
+  }
+  const auto table = core::Table::FromRows("bench", std::move(rows));
+  return table.has_value() ? AllocatedMb() - before : 0;
+}
+
 TakeoverFigures
 RunTakeover(std::uint32_t aInstances, std::uint64_t aSeed)
 {
--- a/bench/agreement/ownership_run.hpp
+++ b/bench/agreement/ownership_run.hpp
@@ -19,6 +19,10 @@
 SteadyFigures
 RunSteady(std::uint32_t aInstances, std::uint64_t aSeed);
 
+/// @return the memory of a table of so many accounts, in MB.
+double
+TableMemoryMb(std::uint32_t aAccounts);
+
 /// @brief How long groups of an instance that died went without a place that
 /// could be granted.
 struct TakeoverFigures
--- a/bench/agreement_bench.cpp
+++ b/bench/agreement_bench.cpp
@@ -91,6 +91,11 @@
   aTotals.reads += reads.Print();
   aTotals.bytes += bytes.Print();
   aTotals.memory_mb += memory.Print();
+  constexpr std::uint32_t kAccounts = 46'000;
+  const double table_mb = TableMemoryMb(kAccounts);
+  std::printf(
+    "memory MB of a table of %u accounts: %.2f\n", kAccounts, table_mb);
+  aTotals.memory_mb += table_mb;
 }
 
 void
--- a/src/jujubehead/core/lease_reaper.cpp
+++ b/src/jujubehead/core/lease_reaper.cpp
@@ -8,6 +8,19 @@
 
 constexpr Duration kAskEvery = std::chrono::seconds(1);
 
+/// Who got a vote, perhaps under a row before this one.
+std::vector<Incarnation>
+Elected(const std::map<InstanceId, VoteReply>& aReplies)
+{
+  std::vector<Incarnation> elected;
+  for (const auto& [instance, reply] : aReplies) {
+    if (reply.vote == Vote::kOther) {
+      elected.push_back(reply.voted_for);
+    }
+  }
+  return elected;
+}
+
 std::vector<Incarnation>
 Witnesses(const LeaseRow& aRow)
 {
@@ -36,6 +49,9 @@
   for (const Incarnation& witness : Witnesses(aRow)) {
     messages.push_back({ witness.instance, request });
   }
+  for (const Incarnation& elected : Elected(pursued.replies)) {
+    messages.push_back({ elected.instance, request });
+  }
   return messages;
 }
 
@@ -123,7 +139,9 @@
   const auto accounted = [&](const Incarnation& aMember) {
     return IsAccounted(pursued, aMember, aEvidence);
   };
-  const auto witnesses = Witnesses(pursued.row);
+  auto witnesses = Witnesses(pursued.row);
+  const auto elected = Elected(pursued.replies);
+  witnesses.insert(witnesses.end(), elected.begin(), elected.end());
   if (!accounted(aLease) ||
       !std::all_of(witnesses.begin(), witnesses.end(), accounted)) {
     return false;
