--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -24,12 +24,12 @@
 const std::vector<Bench>&
 Benches()
 {
-  static const std::vector<Bench> benches{
+  static const std::vector<Bench> kBenches{
     { "agreement", RunAgreement }, { "context", RunContext },
     { "path", RunPathBench },      { "streams", RunStreamsBench },
     { "table", RunTableBench },
   };
-  return benches;
+  return kBenches;
 }
 
 int
