Hand over what is reserved, tell processes apart, and settle the linter's findings

Cause: a hand-over did not say whether places were still reserved, so the next owner reserved all of them again; permits of an earlier process of a restarted instance could be taken for those of the new one. The full linter run named copies and widenings in tests and stand-ins.

--- a/include/jujubehead/core/claims.hpp
+++ b/include/jujubehead/core/claims.hpp
@@ -21,6 +21,7 @@
   AccountId account;
   std::string idempotency_key; ///< As the caller gave it.
 
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const ClaimKey&, const ClaimKey&) = default;
 };
 
--- a/src/jujubehead/core/change_log_test.cpp
+++ b/src/jujubehead/core/change_log_test.cpp
@@ -38,7 +38,9 @@
 ChangeEntry
 Entry(std::uint64_t aVersion, std::vector<Change> aChanges)
 {
-  return { aVersion, "t" + std::to_string(aVersion), "ann", aChanges };
+  return {
+    aVersion, "t" + std::to_string(aVersion), "ann", std::move(aChanges)
+  };
 }
 
 const StopSubject kTarget{ StopKind::kTarget, "t1" };
--- a/src/jujubehead/core/fair_queue.cpp
+++ b/src/jujubehead/core/fair_queue.cpp
@@ -14,7 +14,8 @@
 void
 FairQueue::SetShare(AccountShare aShare)
 {
-  m_accounts[aShare.account].share = aShare;
+  AccountShare& share = m_accounts[aShare.account].share;
+  share = std::move(aShare);
 }
 
 std::vector<WaitingRequest>
--- a/src/jujubehead/net/claim_store_test.cpp
+++ b/src/jujubehead/net/claim_store_test.cpp
@@ -117,10 +117,11 @@
   std::vector<Claim> taken;
   for (int i = 0; i < kCount; ++i) {
     net::ClaimStore& store = i % 2 == 0 ? *claims : *others;
-    boost::asio::co_spawn(
-      context,
-      store.Take(Key(std::to_string(i / 2))),
-      [&](std::exception_ptr, Claim aClaim) { taken.push_back(aClaim); });
+    boost::asio::co_spawn(context,
+                          store.Take(Key(std::to_string(i / 2))),
+                          [&](const std::exception_ptr&, const Claim& aClaim) {
+                            taken.push_back(aClaim);
+                          });
   }
   context.restart();
   context.run();
--- a/src/jujubehead/node/entry_service.cpp
+++ b/src/jujubehead/node/entry_service.cpp
@@ -126,7 +126,8 @@
   , m_table(aTable)
   , m_owners(aOwners)
   , m_directory(aDirectory)
-  , m_random(std::hash<core::InstanceId>{}(aPeers.Self()))
+  , m_random(std::random_device{}())
+  , m_process(m_random())
 {
 }
 
@@ -374,7 +375,8 @@
                              aAsk.priority,
                              std::max(aUntil - now, core::Duration::zero()),
                              aAsk.cost_tokens,
-                             MarkOf(now) });
+                             MarkOf(now),
+                             m_process });
 }
 
 void
@@ -457,7 +459,7 @@
 EntryService::Holdings(const wire::HoldingsAsk& aAsk)
 {
   core::HoldingsAnswer told = HolderOf(aAsk.target).Answer({ aAsk.up_to });
-  return { aAsk.target, told.up_to, std::move(told.held) };
+  return { aAsk.target, told.up_to, std::move(told.held), m_process };
 }
 
 std::vector<RunsStatus>
@@ -539,7 +541,8 @@
   if (found != m_holders.end()) {
     return found->second;
   }
-  return m_holders.emplace(aTarget, core::PermitHolder::For(m_peers.Self()))
+  return m_holders
+    .emplace(aTarget, core::PermitHolder::For(m_peers.Self(), {}, m_process))
     .first->second;
 }
 
--- a/src/jujubehead/node/entry_service.hpp
+++ b/src/jujubehead/node/entry_service.hpp
@@ -158,6 +158,7 @@
   const OwnerMap& m_owners;
   DirectoryService& m_directory;
   std::mt19937_64 m_random;
+  std::uint64_t m_process; ///< Tells this process from earlier ones.
   std::map<core::RequestId, std::shared_ptr<Waiter>> m_waiting;
   std::map<core::TargetId, core::PermitHolder> m_holders;
   /// Owners that left a quote unanswered: not asked again until then.
--- a/src/jujubehead/node/owner_service.cpp
+++ b/src/jujubehead/node/owner_service.cpp
@@ -71,14 +71,11 @@
     core::PermitBook::ForEpoch(aStart.epoch, limit), {}, kAssumedPrefillRate, {}
   };
   const bool unknown = !aStart.is_first && !aStart.is_handed;
-  if (aStart.is_handed) {
-    owned.book.Adopt(aStart.held, RuntimeClock::now());
-  }
   if (unknown) {
-    const core::PermitRules rules;
     owned.book.ReserveUnknown(
-      limit, aStart.previous_end + rules.start_window + rules.margin);
+      limit, aStart.previous_end + core::PermitRules().start_window);
   }
+  owned.book.Adopt(aStart.held, RuntimeClock::now());
   if (IsStopping(aTarget)) {
     owned.book.StopAdmitting();
   }
@@ -92,12 +89,15 @@
   }
 }
 
-std::vector<core::HeldPermit>
-OwnerService::Held(const core::TargetId& aTarget) const
+core::HandedOver
+OwnerService::HandOver(const core::GroupRow& aRow) const
 {
-  const auto found = m_owned.find(aTarget);
-  return found == m_owned.end() ? std::vector<core::HeldPermit>()
-                                : found->second.book.Held();
+  const auto found = m_owned.find(core::TargetId(aRow.group.Text()));
+  if (found == m_owned.end()) {
+    return { aRow, {}, false };
+  }
+  const core::PermitBook& book = found->second.book;
+  return { aRow, book.Held(), book.Reserved() == 0 };
 }
 
 void
@@ -189,7 +189,8 @@
                        aAsk.priority,
                        now + aAsk.deadline,
                        aAsk.cost_tokens,
-                       aAsk.mark },
+                       aAsk.mark,
+                       aAsk.process },
                      now);
   Decide(aAsk.target, owned);
 }
@@ -462,7 +463,9 @@
   if (holdings == nullptr) {
     co_return;
   }
-  const core::HoldingsAnswer told{ aHolder, holdings->up_to, holdings->held };
+  const core::HoldingsAnswer told{
+    aHolder, holdings->up_to, holdings->held, holdings->process
+  };
   still_owned->second.book.AcceptHolding(told, RuntimeClock::now());
   Decide(aTarget, still_owned->second);
 }
--- a/src/jujubehead/node/owner_service.hpp
+++ b/src/jujubehead/node/owner_service.hpp
@@ -48,9 +48,8 @@
   [[nodiscard]] std::optional<std::uint64_t> EpochOf(
     const core::TargetId& aTarget) const;
   [[nodiscard]] std::vector<core::TargetId> Owned() const;
-  /// @return all permits of a target that are out.
-  [[nodiscard]] std::vector<core::HeldPermit> Held(
-    const core::TargetId& aTarget) const;
+  /// @return what the next owner is told: all permits that are out.
+  [[nodiscard]] core::HandedOver HandOver(const core::GroupRow& aRow) const;
 
   [[nodiscard]] wire::QuoteAnswer Quote(const wire::QuoteAsk& aAsk) const;
   void OnAsk(const core::InstanceId& aFrom, const wire::PermitAsk& aAsk);
--- a/src/jujubehead/node/ownership_service.cpp
+++ b/src/jujubehead/node/ownership_service.cpp
@@ -70,10 +70,8 @@
   }
   void operator()(const core::HandOverGroup& aHandOver) const
   {
-    const core::TargetId target = TargetOf(aHandOver.row.group);
-    self.m_peers.Tell(
-      aHandOver.row.owner.instance,
-      core::HandedOver{ aHandOver.row, self.m_owner.Held(target) });
+    self.m_peers.Tell(aHandOver.row.owner.instance,
+                      self.m_owner.HandOver(aHandOver.row));
     self.Stop(aHandOver.row.group);
   }
 };
--- a/src/jujubehead/wire/codec_test.cpp
+++ b/src/jujubehead/wire/codec_test.cpp
@@ -14,20 +14,23 @@
 
 TEST(Codec, AnEnvelopeComesBackAsItWas)
 {
-  const bool ok = rc::check(
-    "round trip",
-    [](std::string aTarget, std::string aKey, std::uint64_t aCall, bool aFlag) {
-      const wire::TargetHint hint{ core::TargetId(aTarget),
-                                   aFlag,
-                                   { aKey, aKey + "x" } };
-      const Envelope back = Decode(Encode({ aCall, aFlag, hint }));
-      RC_ASSERT(back.call == aCall);
-      RC_ASSERT(back.is_answer == aFlag);
-      const auto& message = std::get<wire::TargetHint>(back.message);
-      RC_ASSERT(message.target == hint.target);
-      RC_ASSERT(message.stored == hint.stored);
-      RC_ASSERT(message.keys == hint.keys);
-    });
+  const bool ok =
+    rc::check("round trip",
+              [](const std::string& aTarget,
+                 const std::string& aKey,
+                 std::uint64_t aCall,
+                 bool aFlag) {
+                const wire::TargetHint hint{ core::TargetId(aTarget),
+                                             aFlag,
+                                             { aKey, aKey + "x" } };
+                const Envelope back = Decode(Encode({ aCall, aFlag, hint }));
+                RC_ASSERT(back.call == aCall);
+                RC_ASSERT(back.is_answer == aFlag);
+                const auto& message = std::get<wire::TargetHint>(back.message);
+                RC_ASSERT(message.target == hint.target);
+                RC_ASSERT(message.stored == hint.stored);
+                RC_ASSERT(message.keys == hint.keys);
+              });
   CHECK(ok);
 }
 
--- a/standin/deployment.cpp
+++ b/standin/deployment.cpp
@@ -161,6 +161,7 @@
     const std::function<std::string(std::size_t)>& aBody) override
   {
     std::vector<std::future<net::HttpResponse>> open;
+    open.reserve(aCount);
     for (std::size_t i = 0; i < aCount; ++i) {
       net::HttpCall call;
       call.authority = m_instances.at(i % m_instances.size())->Authority();
@@ -172,6 +173,7 @@
       open.push_back(Fetch(std::move(call)));
     }
     std::vector<net::HttpResponse> replies;
+    replies.reserve(open.size());
     for (auto& one : open) {
       replies.push_back(one.get());
     }
--- a/standin/whole_path_test.cpp
+++ b/standin/whole_path_test.cpp
@@ -148,7 +148,8 @@
 
 TEST(WholePath, AnotherAccountsContextIsNotFound)
 {
-  const std::string text(16 * 1024, 'x');
+  constexpr std::size_t kBytes = 16384;
+  const std::string text(kBytes, 'x');
   const auto cached_tokens = [](const net::HttpResponse& aReply) {
     return Json::parse(
              aReply.body)["usage"]["prompt_tokens_details"]["cached_tokens"]
