Settle the linter's findings in core, benches and tests

Cause: clang-tidy had not been run over these files. Copies of callbacks, a rounding by cast, missing reserves, a sign conversion in a test.

--- a/bench/agreement/fake_table.cpp
+++ b/bench/agreement/fake_table.cpp
@@ -83,7 +83,7 @@
 
 void
 FakeTable::Write(const core::WriteRows& aWrite,
-                 std::function<void(core::WriteOutcome)> aDone)
+                 const std::function<void(core::WriteOutcome)>& aDone)
 {
   using core::WriteOutcome;
   if (m_faults.down) {
@@ -133,7 +133,7 @@
 
 void
 FakeTable::Read(const core::ReadRows& aRead,
-                std::function<void(core::RowsRead)> aDone)
+                const std::function<void(core::RowsRead)>& aDone)
 {
   if (m_faults.down) {
     m_queue.After(Latency(), [aRead, aDone] {
--- a/bench/agreement/fake_table.hpp
+++ b/bench/agreement/fake_table.hpp
@@ -52,9 +52,9 @@
   }
 
   void Write(const core::WriteRows& aWrite,
-             std::function<void(core::WriteOutcome)> aDone);
+             const std::function<void(core::WriteOutcome)>& aDone);
   void Read(const core::ReadRows& aRead,
-            std::function<void(core::RowsRead)> aDone);
+            const std::function<void(core::RowsRead)>& aDone);
 
 private:
   [[nodiscard]] core::Duration Latency();
--- a/bench/agreement_bench.cpp
+++ b/bench/agreement_bench.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm> // for sort
 #include <array>     // for array
+#include <cmath>     // for lround
 #include <cstdio>    // for printf
 #include <vector>    // for vector
 
@@ -25,7 +26,7 @@
   }
   std::sort(aValues.begin(), aValues.end());
   const double at = aShare * static_cast<double>(aValues.size() - 1);
-  return aValues[static_cast<std::size_t>(at + 0.5)];
+  return aValues[static_cast<std::size_t>(std::lround(at))];
 }
 
 /// @brief One figure at every size, and what its line says of 370.
--- a/bench/context/differential_test.cpp
+++ b/bench/context/differential_test.cpp
@@ -112,7 +112,7 @@
     if (plan.import) {
       Import(engine, aPrompt, keys, *plan.import);
     }
-    const std::string answer = engine.Answer(aPrompt, keys, m_computed);
+    std::string answer = engine.Answer(aPrompt, keys, m_computed);
     m_asked += keys.size();
     m_directory.Learn(plan.target, keys);
     Export(engine, aPrompt, keys);
--- a/bench/context/plots.cpp
+++ b/bench/context/plots.cpp
@@ -44,7 +44,8 @@
   const std::size_t half = aCells.size() / 2;
   for (const auto& cells : { aCells.first(half), aCells.subspan(half) }) {
     const std::string& user = cells.front().deployment->name;
-    const std::string base = aDirectory + "/context-" + user;
+    std::string base = aDirectory;
+    base.append("/context-").append(user);
     WriteChart(cells,
                base + "-first-token.svg",
                { "Time to first token, p95", "s", {}, {} },
--- a/src/jujubehead/core/keep_policy_test.cpp
+++ b/src/jujubehead/core/keep_policy_test.cpp
@@ -70,6 +70,7 @@
                      std::uint8_t aNeeded,
                      std::uint8_t aNewcomer) {
     std::vector<VictimView> copies;
+    copies.reserve(aPrices.size());
     for (const auto price : aPrices) {
       copies.push_back({ static_cast<double>(price), 10 });
     }
--- a/src/jujubehead/core/member_watch.cpp
+++ b/src/jujubehead/core/member_watch.cpp
@@ -81,7 +81,7 @@
 }
 
 std::vector<InstanceId>
-MemberWatch::Order(std::vector<InstanceMember> aMembers) const
+MemberWatch::Order(const std::vector<InstanceMember>& aMembers) const
 {
   std::vector<InstanceId> ids;
   std::map<InstanceId, DataCentreId> centres;
--- a/src/jujubehead/core/member_watch.hpp
+++ b/src/jujubehead/core/member_watch.hpp
@@ -41,7 +41,7 @@
 
 private:
   [[nodiscard]] std::vector<InstanceId> Order(
-    std::vector<InstanceMember> aMembers) const;
+    const std::vector<InstanceMember>& aMembers) const;
 
   InstanceId m_self;
   DataCentreId m_data_centre;
@@ -64,7 +64,7 @@
       members.push_back(member);
     }
   }
-  return Order(std::move(members));
+  return Order(members);
 }
 
 } // namespace jujubehead::core
--- a/src/jujubehead/core/permit_book_test.cpp
+++ b/src/jujubehead/core/permit_book_test.cpp
@@ -28,7 +28,7 @@
 
   RequestId Ask(const AccountId& aAccount, Duration aDeadline = 60s)
   {
-    const RequestId request("r" + std::to_string(next++));
+    RequestId request("r" + std::to_string(next++));
     Repeat(request, aAccount, aDeadline);
     return request;
   }
--- a/src/jujubehead/core/permit_ledger.cpp
+++ b/src/jujubehead/core/permit_ledger.cpp
@@ -131,6 +131,7 @@
     }
   }
   std::vector<LedgerEntry> dropped;
+  dropped.reserve(gone.size());
   for (const PermitId& permit : gone) {
     dropped.push_back(*Release(permit));
   }
@@ -163,6 +164,7 @@
     }
   }
   std::vector<LedgerEntry> dropped;
+  dropped.reserve(gone.size());
   for (const PermitId& permit : gone) {
     dropped.push_back(*Release(permit));
   }
--- a/src/jujubehead/core/permit_shares_test.cpp
+++ b/src/jujubehead/core/permit_shares_test.cpp
@@ -117,7 +117,8 @@
     const std::string name = asked->second.account.Text();
     m_waiting.erase(asked);
     const int mean = m_accounts.at(name).run_ms;
-    const int run = mean / 2 + static_cast<int>(m_random() % mean);
+    const auto span = static_cast<std::uint64_t>(mean);
+    const int run = mean / 2 + static_cast<int>(m_random() % span);
     m_runs[grant->permit] = { name, m_now + std::chrono::milliseconds(run) };
     m_book.Started(grant->permit, m_now);
   }
--- a/src/jujubehead/net/net_test_tools.hpp
+++ b/src/jujubehead/net/net_test_tools.hpp
@@ -21,10 +21,11 @@
 {
   bool done = false;
   std::exception_ptr failure;
-  boost::asio::co_spawn(aContext, aBody, [&](std::exception_ptr aFailure) {
-    failure = aFailure;
-    done = true;
-  });
+  boost::asio::co_spawn(
+    aContext, aBody, [&](const std::exception_ptr& aFailure) {
+      failure = aFailure;
+      done = true;
+    });
   aContext.restart();
   while (!done && aContext.run_one() != 0) {
   }
