--- a/src/jujubehead/net/http_server_test.cpp
+++ b/src/jujubehead/net/http_server_test.cpp
@@ -193,7 +193,7 @@
 TEST(HttpServer, ASlowReaderHoldsItsWriterBack)
 {
   constexpr std::size_t kChunks = 1024;
-  constexpr std::size_t kChunkBytes = 64 * 1024;
+  constexpr std::size_t kChunkBytes = 65536;
   options.write_timeout = 50ms;
   std::size_t written = 0;
   bool ended = false;
--- a/src/jujubehead/net/test_certificates.hpp
+++ b/src/jujubehead/net/test_certificates.hpp
@@ -44,9 +44,9 @@
     const KeyPointer key(EVP_EC_gen("P-256"), EVP_PKEY_free);
     const CertificatePointer certificate(X509_new(), X509_free);
     Fill(*certificate, *key, aName);
-    const TlsFiles files{ PathOf(aName + ".pem"),
-                          PathOf(aName + ".key"),
-                          PathOf(aName + ".pem") };
+    TlsFiles files{ PathOf(aName + ".pem"),
+                    PathOf(aName + ".key"),
+                    PathOf(aName + ".pem") };
     const FilePointer chain = Open(files.certificate);
     PEM_write_X509(chain.get(), certificate.get());
     const FilePointer secret = Open(files.key);
