Record a store's link bytes with the control thread's own recorder

Cause: the store service asked the metrics for a new recorder after every export. Recorders live as long as the instance, so each export left one behind and every scrape merged one more. Found by reading; the control thread had a recorder already, which the table service's counts use.

Measured: none of the leak's size. node_test (28) and whole_path_test (9) pass; formatter, layers, and the linter over the two files are clean.

--- a/src/jujubehead/node/control.cpp
+++ b/src/jujubehead/node/control.cpp
@@ -65,7 +65,7 @@
   , m_table(*m_log, m_peers, m_members, [this] { OnTableChanged(); })
   , m_directory(m_peers, m_members)
   , m_owner(m_peers, m_members, m_table.View(), m_directory)
-  , m_stores(m_peers, *m_client, m_members, m_directory, *m_metrics)
+  , m_stores(m_peers, *m_client, m_members, m_directory, m_control_metrics)
   , m_ownership_store(net::OwnershipStore::Create(*m_table_service,
                                                   net::RandomText(kTokenBytes)))
   , m_ownership(m_peers,
--- a/src/jujubehead/node/store_service.cpp
+++ b/src/jujubehead/node/store_service.cpp
@@ -15,7 +15,7 @@
 #include "jujubehead/net/store_client.hpp"       // for StoreClient
 #include "jujubehead/node/directory_service.hpp" // for DirectoryService
 #include "jujubehead/node/member_book.hpp"       // for MemberBook
-#include "jujubehead/node/metrics.hpp"           // for Metrics
+#include "jujubehead/node/metrics.hpp"           // for ThreadMetrics
 #include "jujubehead/node/peer_calls.hpp"        // for PeerCalls
 
 namespace jujubehead::node {
@@ -105,7 +105,7 @@
                            net::HttpClient& aClient,
                            const MemberBook& aMembers,
                            DirectoryService& aDirectory,
-                           Metrics& aMetrics)
+                           ThreadMetrics& aMetrics)
   : m_peers(aPeers)
   , m_client(aClient)
   , m_members(aMembers)
@@ -282,7 +282,7 @@
   if (still == m_owned.end()) {
     co_return true;
   }
-  m_metrics.ForThread().Add(Counter::kLinkBytes, exported->bytes);
+  m_metrics.Add(Counter::kLinkBytes, exported->bytes);
   copy.value.bytes = exported->bytes;
   if (exported->blocks > 0) {
     still->second.bytes_per_block =
--- a/src/jujubehead/node/store_service.hpp
+++ b/src/jujubehead/node/store_service.hpp
@@ -16,8 +16,8 @@
 
 class DirectoryService;
 class MemberBook;
-class Metrics;
 class PeerCalls;
+class ThreadMetrics;
 
 /// @brief Decides what the stores that this instance owns keep, and when their
 /// links carry it. On the control thread.
@@ -33,7 +33,7 @@
                net::HttpClient& aClient,
                const MemberBook& aMembers,
                DirectoryService& aDirectory,
-               Metrics& aMetrics);
+               ThreadMetrics& aMetrics);
   ~StoreService();
 
   void Own(const core::StoreId& aStore, std::uint64_t aEpoch);
@@ -66,7 +66,7 @@
   net::HttpClient& m_client;
   const MemberBook& m_members;
   DirectoryService& m_directory;
-  Metrics& m_metrics;
+  ThreadMetrics& m_metrics;
   std::map<core::StoreId, OwnedStore> m_owned;
 };
 
