--- /dev/null
+++ b/include/jujubehead/core/context/prompt.hpp
@@ -0,0 +1,43 @@
+#ifndef JUJUBEHEAD_CORE_CONTEXT_PROMPT_HPP
+#define JUJUBEHEAD_CORE_CONTEXT_PROMPT_HPP
+
+#include <cstdint> // for uint64_t
+#include <string>  // for string
+#include <vector>  // for vector
+
+#include "jujubehead/core/ids.hpp" // for ModelId
+
+namespace jujubehead::core {
+
+/// @brief A part of a prompt. Requests of one account share parts.
+struct PromptPart
+{
+  std::string id;
+  std::uint64_t tokens = 0;
+
+  friend bool operator==(const PromptPart&, const PromptPart&) = default;
+};
+
+/// @brief What a request says of its prompt.
+struct Prompt
+{
+  ModelId model;
+  std::vector<PromptPart> parts; ///< In order; the last is its own.
+  std::uint64_t tokens = 0;      ///< Of all parts.
+  std::uint64_t max_output_tokens = 0;
+
+  /// @return the part by which a prompt that returns is known: the last that
+  /// other requests share; empty when it has no parts.
+  [[nodiscard]] const std::string& ReturningPart() const
+  {
+    static const std::string kNone;
+    if (parts.empty()) {
+      return kNone;
+    }
+    return parts[parts.size() > 1 ? parts.size() - 2 : 0].id;
+  }
+};
+
+} // namespace jujubehead::core
+
+#endif // JUJUBEHEAD_CORE_CONTEXT_PROMPT_HPP
--- /dev/null
+++ b/include/jujubehead/core/routing/configuration.hpp
@@ -0,0 +1,121 @@
+#ifndef JUJUBEHEAD_CORE_ROUTING_CONFIGURATION_HPP
+#define JUJUBEHEAD_CORE_ROUTING_CONFIGURATION_HPP
+
+#include <cstdint>       // for uint64_t, uint32_t
+#include <optional>      // for optional
+#include <string>        // for string
+#include <string_view>   // for string_view
+#include <unordered_map> // for unordered_map
+#include <vector>        // for vector
+
+#include "jujubehead/core/ids.hpp"           // for AccountId, ServiceId
+#include "jujubehead/core/runtime_clock.hpp" // for Duration
+
+namespace jujubehead::core {
+
+/// A service: targets that serve the same requests.
+using ServiceId = Id<struct ServiceKind>;
+
+/// @brief A service that a route sends to, and its part of the requests.
+struct RouteShare
+{
+  ServiceId service;
+  double weight = 1; ///< Against the weights of the route's other shares.
+};
+
+/// @brief What the operator declared for the requests of one host and path.
+struct Route
+{
+  std::string name;
+  std::string host;        ///< In lower case, without a port.
+  std::string path_prefix; ///< Begins and ends with a slash.
+  std::vector<RouteShare> shares;
+  bool streams = false;    ///< Answers are server-sent events.
+  bool repeatable = false; ///< May run more than once: idempotent, resumable.
+  bool anonymous = false;  ///< Needs no key.
+  bool carries_prompt = false;
+  Duration timeout{};            ///< Longest time until the final answer.
+  Duration objective{};          ///< To the answer, or to its first event.
+  std::uint32_t urgency = 5;     ///< 0 to 9, 0 is the most urgent.
+  std::uint32_t max_targets = 1; ///< Targets that one request may run on.
+};
+
+/// @brief A store of kept KV cache, as declared.
+struct DeclaredStore
+{
+  StoreId id;
+  std::string address; ///< `ip:port`.
+  DataCentreId data_centre;
+  std::uint64_t capacity_tokens = 0;
+};
+
+/// @brief A service, as declared.
+struct DeclaredService
+{
+  ServiceId id;
+  std::uint32_t max_connections = 0; ///< To one target, of all instances.
+  bool runs_models = false;
+  std::uint64_t kv_capacity_tokens = 0; ///< Of one target; 0: no model.
+};
+
+/// @brief A client account with its keys.
+struct DeclaredAccount
+{
+  AccountId id;
+  std::vector<std::string> keys;
+  std::optional<std::uint32_t> urgency; ///< Goes before the route's.
+  bool dedicated = false; ///< Shares no kept KV cache with other accounts.
+};
+
+/// @brief What callers may send, and how long they may take.
+struct CallerLimits
+{
+  std::uint32_t header_bytes = 16U * 1024U;
+  std::uint64_t body_bytes = 4UL * 1024UL * 1024UL;
+  Duration header_timeout = std::chrono::seconds(3);
+  Duration idle_timeout = std::chrono::seconds(15);
+};
+
+/// @brief All that an operator declares, as one value.
+struct Declarations
+{
+  std::uint64_t version = 0;
+  std::vector<Route> routes;
+  std::vector<DeclaredService> services;
+  std::vector<DeclaredStore> stores;
+  std::vector<DeclaredAccount> accounts;
+  CallerLimits limits;
+};
+
+/// @brief Declarations with the look-ups that requests need. Immutable.
+///
+/// A look-up costs a hash a slash of the path, whatever the number of routes.
+class Configuration
+{
+public:
+  explicit Configuration(Declarations aDeclarations);
+
+  [[nodiscard]] std::uint64_t Version() const { return m_all.version; }
+  [[nodiscard]] const Declarations& All() const { return m_all; }
+
+  /// @param aHost the value of `Host`, with or without a port.
+  /// @param aPath the path, without its query.
+  /// @return the route with the longest prefix; null when none fits.
+  [[nodiscard]] const Route* Match(std::string_view aHost,
+                                   std::string_view aPath) const;
+  /// @return the account that holds a key; null when none does.
+  [[nodiscard]] const DeclaredAccount* AccountOf(std::string_view aKey) const;
+  [[nodiscard]] const DeclaredService* ServiceOf(const ServiceId& aId) const;
+  /// @return whether requests need keys at all.
+  [[nodiscard]] bool HasAccounts() const { return !m_all.accounts.empty(); }
+
+private:
+  Declarations m_all;
+  std::unordered_map<std::string, std::size_t> m_routes; ///< By host and path.
+  std::unordered_map<std::string, std::size_t> m_keys;
+  std::unordered_map<ServiceId, std::size_t> m_services;
+};
+
+} // namespace jujubehead::core
+
+#endif // JUJUBEHEAD_CORE_ROUTING_CONFIGURATION_HPP
--- /dev/null
+++ b/include/jujubehead/net/http1/outbound_connection.hpp
@@ -0,0 +1,72 @@
+#ifndef JUJUBEHEAD_NET_HTTP1_OUTBOUND_CONNECTION_HPP
+#define JUJUBEHEAD_NET_HTTP1_OUTBOUND_CONNECTION_HPP
+
+#include <memory> // for shared_ptr
+#include <string> // for string
+
+#include <boost/asio/awaitable.hpp>    // for awaitable
+#include <boost/asio/ip/tcp.hpp>       // for tcp
+#include <boost/system/error_code.hpp> // for error_code
+
+#include "jujubehead/core/runtime_clock.hpp" // for Duration, Instant
+
+namespace jujubehead::net {
+
+/// @brief Time limits of a connection to a target.
+struct OutboundOptions
+{
+  /// A hand-shake takes a few round trips at most; a target that is silent for
+  /// longer is down or cut off.
+  core::Duration connect_timeout = std::chrono::milliseconds(400);
+  /// Bytes that stay unacknowledged for so long end the connection: several
+  /// resends of a lost packet, and short against any caller's patience.
+  core::Duration unacknowledged_timeout = std::chrono::milliseconds(1500);
+};
+
+/// @brief A connection to a target for one exchange after the other, on one
+/// thread.
+class OutboundConnection
+  : public std::enable_shared_from_this<OutboundConnection>
+{
+public:
+  using tcp = boost::asio::ip::tcp;
+
+  static std::shared_ptr<OutboundConnection> Create(
+    const boost::asio::any_io_executor& aExecutor,
+    const OutboundOptions& aOptions);
+
+  /// @return the error; none when it is connected.
+  boost::asio::awaitable<boost::system::error_code> Connect(
+    tcp::endpoint aEndpoint);
+  /// @brief Begins to send a message; does not wait. Its failure shows when
+  /// reading.
+  void Send(std::string aMessage);
+  /// @brief Waits for bytes and appends them to Input().
+  /// @return the error; `eof` when the other side ended in order.
+  boost::asio::awaitable<boost::system::error_code> Read();
+  /// @brief Closes it; a pending Connect() or Read() ends with an error.
+  void Close();
+
+  [[nodiscard]] std::string& Input() { return m_input; }
+  /// @return whether all that was sent is written.
+  [[nodiscard]] bool IsSent() const { return m_unsent.empty(); }
+  /// @return whether nothing came, and no end, while nothing was asked.
+  [[nodiscard]] bool IsAtRest();
+
+  core::Instant resting_since{};
+  bool was_used = false; ///< For an exchange before the present one.
+
+private:
+  OutboundConnection(const boost::asio::any_io_executor& aExecutor,
+                     const OutboundOptions& aOptions);
+  void SetOptions();
+
+  OutboundOptions m_options;
+  tcp::socket m_socket;
+  std::string m_input;
+  std::string m_unsent;
+};
+
+} // namespace jujubehead::net
+
+#endif // JUJUBEHEAD_NET_HTTP1_OUTBOUND_CONNECTION_HPP
--- /dev/null
+++ b/include/jujubehead/node/entry.hpp
@@ -0,0 +1,28 @@
+#ifndef JUJUBEHEAD_NODE_ENTRY_HPP
+#define JUJUBEHEAD_NODE_ENTRY_HPP
+
+#include <functional> // for function
+
+#include <boost/asio/io_context.hpp> // for io_context
+
+#include "jujubehead/node/control/platform.hpp"      // for Platform
+#include "jujubehead/node/forward/dialect.hpp"       // for Dialect
+#include "jujubehead/node/forward/entry_options.hpp" // for EntryOptions
+
+namespace jujubehead::node {
+
+/// Makes the calls to the platform that run on a context.
+using MakePlatform = std::function<Platform(boost::asio::io_context& aContext,
+                                            const EntryOptions& aOptions)>;
+
+/// @brief Runs an instance that forwards callers' requests, until SIGTERM or
+/// SIGINT; then the open requests end and it returns.
+/// @return the exit code.
+int
+RunEntry(const EntryOptions& aOptions,
+         const Dialect& aDialect,
+         const MakePlatform& aMakePlatform);
+
+} // namespace jujubehead::node
+
+#endif // JUJUBEHEAD_NODE_ENTRY_HPP
--- /dev/null
+++ b/include/jujubehead/node/forward/entry_options.hpp
@@ -0,0 +1,36 @@
+#ifndef JUJUBEHEAD_NODE_FORWARD_ENTRY_OPTIONS_HPP
+#define JUJUBEHEAD_NODE_FORWARD_ENTRY_OPTIONS_HPP
+
+#include <cstdint> // for uint16_t
+#include <string>  // for string
+
+#include "jujubehead/core/ids.hpp"                   // for InstanceId
+#include "jujubehead/core/routing/repeat_budget.hpp" // for RepeatBudgetOptions
+#include "jujubehead/core/routing/target_book.hpp"   // for TargetBookOptions
+#include "jujubehead/core/runtime_clock.hpp"         // for Duration
+
+namespace jujubehead::node {
+
+/// @brief Settings of an instance that forwards callers' requests to targets.
+struct EntryOptions
+{
+  core::InstanceId instance_id;
+  core::DataCentreId data_centre;
+  std::string caller_address;  ///< `ip:port` for callers.
+  std::string ready_address;   ///< `ip:port` for the balancer's question.
+  std::string metrics_address; ///< `ip:port`; empty: none.
+  std::string table_service;   ///< `ip:port` of the operators' store of rows.
+  core::RepeatBudgetOptions repeats;
+  core::TargetBookOptions registry;
+  /// Longest time between SIGTERM and the end.
+  core::Duration stop_grace = std::chrono::seconds(8);
+  /// Orders of two instances to targets keep at least this distance.
+  core::Duration lease_time = std::chrono::seconds(3);
+  /// Time after which no request may begin on replaced weights.
+  core::Duration weights_time = std::chrono::seconds(10);
+  std::string log_config; ///< log4cxx property file; empty: standard output.
+};
+
+} // namespace jujubehead::node
+
+#endif // JUJUBEHEAD_NODE_FORWARD_ENTRY_OPTIONS_HPP
--- a/src/jujubehead/app/command.hpp
+++ b/src/jujubehead/app/command.hpp
@@ -8,9 +8,10 @@
 #include <variant>  // for variant
 #include <vector>   // for vector
 
-#include "jujubehead/core/change_log.hpp"    // for StopSubject
-#include "jujubehead/net/tls.hpp"            // for TlsCredentials
-#include "jujubehead/node/serve_options.hpp" // for ServeOptions
+#include "jujubehead/core/change_log.hpp"            // for StopSubject
+#include "jujubehead/net/tls.hpp"                    // for TlsCredentials
+#include "jujubehead/node/forward/entry_options.hpp" // for EntryOptions
+#include "jujubehead/node/serve_options.hpp"         // for ServeOptions
 
 namespace jujubehead::app {
 
@@ -47,6 +48,12 @@
   node::ServeOptions options;
 };
 
+/// @brief Runs an instance that forwards requests on the operators' platform.
+struct EntryCommand
+{
+  node::EntryOptions options;
+};
+
 /// @brief Checks a table without asking anyone.
 struct CheckCommand
 {
@@ -116,6 +123,7 @@
 };
 
 using Command = std::variant<ServeCommand,
+                             EntryCommand,
                              CheckCommand,
                              PlanCommand,
                              ApplyCommand,
--- a/src/jujubehead/app/command_line.cpp
+++ b/src/jujubehead/app/command_line.cpp
@@ -12,6 +12,12 @@
 
 constexpr std::uint32_t kMaxTrafficThreads = 64;
 constexpr std::uint32_t kMaxDeadline = 7 * 24 * 3600;
+constexpr std::uint32_t kMaxRetryWindow = 3600;
+constexpr std::uint32_t kMaxMilliseconds = 3600 * 1000;
+/// Instances that share the fixed number of retries: today's 9 and those that
+/// may be added or take another's place within a window. Each takes its part
+/// without knowing how many live, so the whole is never exceeded.
+constexpr double kMostInstances = 16;
 
 /// Builds commands from their flags and the one argument some of them take.
 class Builder
@@ -30,6 +36,9 @@
     if (aName == "serve") {
       return ServeCommand{ Serve() };
     }
+    if (aName == "entry") {
+      return EntryCommand{ Entry() };
+    }
     if (aName == "check") {
       return CheckCommand{ m_argument };
     }
@@ -102,6 +111,36 @@
     return options;
   }
 
+  node::EntryOptions Entry()
+  {
+    const FlagValues& values = m_values;
+    node::EntryOptions options;
+    options.instance_id =
+      core::InstanceId(m_check.Name("instance_id", values.instance_id));
+    options.data_centre =
+      core::DataCentreId(m_check.Name("data_centre", values.data_centre));
+    options.caller_address = m_check.Authority("callers", values.callers, true);
+    options.ready_address = m_check.Authority("ready", values.ready, true);
+    options.metrics_address =
+      m_check.Authority("metrics", values.metrics, false);
+    options.table_service =
+      m_check.Authority("table_service", values.table_service, true);
+    options.repeats.per_request =
+      m_check.Share("retry_share", values.retry_share);
+    options.repeats.fixed =
+      m_check.NotNegative("retry_fixed", values.retry_fixed) / kMostInstances;
+    options.repeats.window = std::chrono::seconds(
+      m_check.Range("retry_window", values.retry_window, 1, kMaxRetryWindow));
+    options.stop_grace = std::chrono::seconds(
+      m_check.Range("stop_grace", values.stop_grace, 1, kMaxDeadline));
+    options.lease_time = std::chrono::milliseconds(
+      m_check.Range("lease_time", values.lease_time, 1, kMaxMilliseconds));
+    options.weights_time = std::chrono::milliseconds(
+      m_check.Range("weights_time", values.weights_time, 1, kMaxMilliseconds));
+    options.log_config = m_check.ReadableFile("log_config", values.log_config);
+    return options;
+  }
+
   PlatformOptions Platform()
   {
     PlatformOptions options;
--- a/src/jujubehead/app/command_specs.cpp
+++ b/src/jujubehead/app/command_specs.cpp
@@ -26,6 +26,29 @@
         "--listen_port=8080 --peer_port=8081 --members=10.0.0.1:7000 "
         "--table_service=10.0.0.1:7001 --object_store=10.0.0.1:7002 "
         "--peer_secret_file=/etc/jujubehead/peer_secret" } },
+    { "entry",
+      "",
+      "run an instance on the operators' platform",
+      "Forwards callers' requests to the targets that are registered in the\n"
+      "platform's store, by the routes that the operators wrote there. Runs\n"
+      "until SIGTERM or SIGINT, then tells the balancer so, lets the open\n"
+      "requests finish and ends. Every instance is the same and keeps nothing.",
+      { "instance_id",
+        "data_centre",
+        "callers",
+        "ready",
+        "metrics",
+        "table_service",
+        "retry_share",
+        "retry_fixed",
+        "retry_window",
+        "stop_grace",
+        "lease_time",
+        "weights_time",
+        "log_config" },
+      { "jujubehead entry --instance_id=i1 --data_centre=kochi-1 "
+        "--callers=10.0.0.5:8080 --ready=10.0.0.5:8081 "
+        "--table_service=10.0.0.1:7001" } },
     { "check",
       "FILE",
       "check a table without asking anyone",
--- a/src/jujubehead/app/flags.cpp
+++ b/src/jujubehead/app/flags.cpp
@@ -65,6 +65,26 @@
 DEFINE_uint32(deadline,
               0,
               "seconds until the planned stop should be over; 0: none");
+DEFINE_string(callers, "", "where to listen for callers, as ip:port");
+DEFINE_string(ready, "", "where to tell a balancer of readiness, as ip:port");
+DEFINE_string(metrics, "", "where to show metrics, as ip:port; empty: nowhere");
+DEFINE_double(retry_share,
+              0.1,
+              "requests sent once more, to one service, as a share of its "
+              "requests; of all instances together");
+DEFINE_double(retry_fixed,
+              10,
+              "requests sent once more that are allowed besides, in "
+              "--retry_window, of all instances together");
+DEFINE_uint32(retry_window, 10, "seconds over which the retries are counted");
+DEFINE_uint32(stop_grace, 8, "seconds from SIGTERM to the end at the latest");
+DEFINE_uint32(lease_time,
+              3000,
+              "milliseconds that orders of two instances keep apart");
+DEFINE_uint32(weights_time,
+              10000,
+              "milliseconds after which no request may begin on replaced "
+              "weights");
 DEFINE_bool(undo, false, "take the planned stop back");
 DEFINE_bool(json, false, "answer as JSON");
 // NOLINTEND(readability-identifier-naming)
@@ -105,6 +125,9 @@
   if (aType == "bool") {
     return "true or false";
   }
+  if (aType == "double") {
+    return "a number from 0";
+  }
   return aType == "string" ? "text" : "a whole number from 0";
 }
 
@@ -138,6 +161,15 @@
   values.base_version = FLAGS_base_version;
   values.instances = FLAGS_instances;
   values.deadline = FLAGS_deadline;
+  values.callers = FLAGS_callers;
+  values.ready = FLAGS_ready;
+  values.metrics = FLAGS_metrics;
+  values.retry_share = FLAGS_retry_share;
+  values.retry_fixed = FLAGS_retry_fixed;
+  values.retry_window = FLAGS_retry_window;
+  values.stop_grace = FLAGS_stop_grace;
+  values.lease_time = FLAGS_lease_time;
+  values.weights_time = FLAGS_weights_time;
   values.undo = FLAGS_undo;
   values.json = FLAGS_json;
   return values;
--- a/src/jujubehead/app/flags.hpp
+++ b/src/jujubehead/app/flags.hpp
@@ -43,6 +43,15 @@
   std::uint64_t base_version = 0;
   std::string instances;
   std::uint32_t deadline = 0;
+  std::string callers;
+  std::string ready;
+  std::string metrics;
+  double retry_share = 0;
+  double retry_fixed = 0;
+  std::uint32_t retry_window = 0;
+  std::uint32_t stop_grace = 0;
+  std::uint32_t lease_time = 0;
+  std::uint32_t weights_time = 0;
   bool undo = false;
   bool json = false;
 };
--- a/src/jujubehead/app/main.cpp
+++ b/src/jujubehead/app/main.cpp
@@ -7,7 +7,10 @@
 #include "command_line.hpp" // for ReadCommandLine
 #include "run.hpp"          // for Run
 
+#include "jujubehead/node/entry.hpp" // for RunEntry
 #include "jujubehead/node/serve.hpp" // for Serve
+#include "platform/connect.hpp"      // for Connect
+#include "platform/header_lines.hpp" // for HeaderLines
 
 namespace {
 
@@ -32,6 +35,13 @@
     .count();
 }
 
+int
+RunEntry(const node::EntryOptions& aOptions)
+{
+  const platform::HeaderLines dialect;
+  return node::RunEntry(aOptions, dialect, platform::Connect);
+}
+
 } // namespace
 
 int
@@ -44,7 +54,8 @@
     std::cerr << core::Render(command.error()) << "see `jujubehead help`\n";
     return static_cast<int>(app::ExitCode::kFindings);
   }
-  app::Tools tools{ std::cout,   std::cerr,   app::ConnectPlatform,
-                    node::Serve, LoginName(), NowMs };
+  app::Tools tools{ std::cout,   std::cerr, app::ConnectPlatform,
+                    node::Serve, RunEntry,  LoginName(),
+                    NowMs };
   return static_cast<int>(app::Run(*command, tools));
 }
--- a/src/jujubehead/app/run.cpp
+++ b/src/jujubehead/app/run.cpp
@@ -16,6 +16,10 @@
   {
     return static_cast<ExitCode>(tools.serve(aCommand.options));
   }
+  ExitCode operator()(const EntryCommand& aCommand) const
+  {
+    return static_cast<ExitCode>(tools.entry(aCommand.options));
+  }
   ExitCode operator()(const CheckCommand& aCommand) const
   {
     return RunCheck(aCommand, tools);
--- a/src/jujubehead/app/settings_check.cpp
+++ b/src/jujubehead/app/settings_check.cpp
@@ -158,6 +158,24 @@
   return aValue;
 }
 
+double
+SettingsCheck::Share(std::string_view aFlag, double aValue)
+{
+  if (!(aValue >= 0 && aValue <= 1)) {
+    Add(aFlag, "'" + std::to_string(aValue) + "'", "a number from 0 to 1");
+  }
+  return aValue;
+}
+
+double
+SettingsCheck::NotNegative(std::string_view aFlag, double aValue)
+{
+  if (!(aValue >= 0)) {
+    Add(aFlag, "'" + std::to_string(aValue) + "'", "a number from 0");
+  }
+  return aValue;
+}
+
 std::string
 SettingsCheck::Secret(std::string_view aFlag,
                       const std::string& aValue,
--- a/src/jujubehead/app/settings_check.hpp
+++ b/src/jujubehead/app/settings_check.hpp
@@ -50,6 +50,10 @@
                       std::uint32_t aValue,
                       std::uint32_t aMin,
                       std::uint32_t aMax);
+  /// @return the value, which has to be from 0 to 1.
+  double Share(std::string_view aFlag, double aValue);
+  /// @return the value, which has to be 0 or more.
+  double NotNegative(std::string_view aFlag, double aValue);
   /// @return the secret, from its flag or from the file that another names.
   std::string Secret(std::string_view aFlag,
                      const std::string& aValue,
--- a/src/jujubehead/app/tools.hpp
+++ b/src/jujubehead/app/tools.hpp
@@ -36,6 +36,7 @@
   std::ostream& err;
   std::function<std::unique_ptr<Platform>(const PlatformOptions&)> connect;
   std::function<int(const node::ServeOptions&)> serve;
+  std::function<int(const node::EntryOptions&)> entry;
   std::string login_name;
   std::function<std::int64_t()> now_ms; ///< Since the epoch.
 };
--- /dev/null
+++ b/src/jujubehead/core/context/part_directory.cpp
@@ -0,0 +1,92 @@
+#include "jujubehead/core/context/part_directory.hpp"
+
+#include <algorithm> // for find
+
+namespace jujubehead::core {
+namespace {
+
+std::string
+KeyOf(std::string_view aScope, std::string_view aPart)
+{
+  return std::string(aScope).append(1, '\n').append(aPart);
+}
+
+} // namespace
+
+PartDirectory::PartDirectory(PartDirectoryOptions aOptions)
+  : m_options(aOptions)
+{
+}
+
+void
+PartDirectory::OnPage(const StoreId& aStore,
+                      const PartEventPage& aPage,
+                      Instant aNow)
+{
+  Store& store = m_stores[aStore];
+  if (store.epoch != aPage.epoch) {
+    store = Store{};
+    store.epoch = aPage.epoch;
+  }
+  store.heard = aNow;
+  for (const PartEvent& event : aPage.events) {
+    const std::string key = KeyOf(event.scope, event.part);
+    std::uint64_t& tokens = store.tokens[key];
+    store.kept -= tokens;
+    tokens = event.tokens;
+    store.kept += tokens;
+    if (!event.is_kept || tokens == 0) {
+      store.kept -= tokens;
+      store.tokens.erase(key);
+    }
+  }
+}
+
+void
+PartDirectory::OnSilence(const StoreId& aStore)
+{
+  const auto found = m_stores.find(aStore);
+  if (found != m_stores.end()) {
+    found->second.heard.reset();
+  }
+}
+
+void
+PartDirectory::KeepOnly(const std::vector<StoreId>& aStores)
+{
+  std::erase_if(m_stores, [&](const auto& aEntry) {
+    return std::find(aStores.begin(), aStores.end(), aEntry.first) ==
+           aStores.end();
+  });
+}
+
+std::uint64_t
+PartDirectory::TokensAt(const StoreId& aStore,
+                        std::string_view aScope,
+                        std::string_view aPart,
+                        Instant aNow) const
+{
+  if (!IsPresent(aStore, aNow)) {
+    return 0;
+  }
+  const Store& store = m_stores.at(aStore);
+  const auto found = store.tokens.find(KeyOf(aScope, aPart));
+  return found == store.tokens.end() ? 0 : found->second;
+}
+
+bool
+PartDirectory::IsPresent(const StoreId& aStore, Instant aNow) const
+{
+  const auto found = m_stores.find(aStore);
+  return found != m_stores.end() && found->second.heard &&
+         aNow - *found->second.heard <= m_options.trust_time;
+}
+
+std::uint64_t
+PartDirectory::TokensKept(const StoreId& aStore) const
+{
+  const auto found = m_stores.find(aStore);
+  return found == m_stores.end() ? 0 : found->second.kept;
+}
+
+} // namespace jujubehead::core
--- /dev/null
+++ b/src/jujubehead/core/routing/placement.cpp
@@ -0,0 +1,116 @@
+#include "jujubehead/core/routing/placement.hpp"
+
+#include <cmath> // for log, ldexp
+
+#include <boost/container_hash/hash.hpp> // for hash_combine
+
+#include "jujubehead/core/rendezvous.hpp" // for HashName
+
+namespace jujubehead::core {
+namespace {
+
+constexpr int kMantissaBits = 53;
+constexpr int kDroppedBits = 11;
+
+std::uint64_t
+Combine(std::uint64_t aOne, std::uint64_t aOther)
+{
+  std::size_t seed = aOne;
+  boost::hash_combine(seed, aOther);
+  return seed;
+}
+
+/// Weighted rendezvous hashing: -capacity / ln(u), u even in (0, 1).
+double
+Score(std::uint64_t aKey, const PlacementCandidate& aCandidate)
+{
+  const std::uint64_t hash = Combine(aKey, aCandidate.name_hash);
+  const double even =
+    std::ldexp(static_cast<double>(hash >> kDroppedBits) + 0.5, -kMantissaBits);
+  return -aCandidate.capacity / std::log(even);
+}
+
+double
+LoadLimit(std::span<const PlacementCandidate> aCandidates,
+          const PlacementOptions& aOptions)
+{
+  double load = 0;
+  double capacity = 0;
+  for (const PlacementCandidate& candidate : aCandidates) {
+    load += candidate.load;
+    capacity += candidate.capacity;
+  }
+  return capacity > 0 ? aOptions.bound * load / capacity : 0;
+}
+
+} // namespace
+
+std::uint64_t
+PlacementHash(std::string_view aName)
+{
+  return Combine(0, detail::HashName(aName));
+}
+
+std::optional<std::size_t>
+PlacePrompt(std::uint64_t aPrompt,
+            std::span<const PlacementCandidate> aCandidates,
+            const PlacementOptions& aOptions)
+{
+  const double limit = LoadLimit(aCandidates, aOptions);
+  std::optional<std::size_t> best;
+  double best_score = 0;
+  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+    const PlacementCandidate& candidate = aCandidates[i];
+    const double allowed = limit * candidate.capacity + aOptions.bound_extra;
+    if (candidate.load > allowed) {
+      continue;
+    }
+    const double score = Score(aPrompt, candidate);
+    if (!best || score > best_score) {
+      best = i;
+      best_score = score;
+    }
+  }
+  return best ? best : PlaceCall(aPrompt, aCandidates, aOptions);
+}
+
+std::optional<std::size_t>
+PlaceCall(std::uint64_t aSalt,
+          std::span<const PlacementCandidate> aCandidates,
+          const PlacementOptions& aOptions)
+{
+  std::optional<std::size_t> best;
+  double best_load = 0;
+  double best_score = 0;
+  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+    const PlacementCandidate& candidate = aCandidates[i];
+    const double penalty = candidate.is_near ? 0 : aOptions.far_penalty;
+    const double load = (candidate.load + penalty) / candidate.capacity;
+    const double score = Score(aSalt, candidate);
+    if (!best || load < best_load ||
+        (load == best_load && score > best_score)) {
+      best = i;
+      best_load = load;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+std::optional<std::size_t>
+WeightedHome(std::uint64_t aKey,
+             std::span<const PlacementCandidate> aCandidates)
+{
+  std::optional<std::size_t> best;
+  double best_score = 0;
+  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+    const double score = Score(aKey, aCandidates[i]);
+    if (!best || score > best_score) {
+      best = i;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+} // namespace jujubehead::core
--- /dev/null
+++ b/src/jujubehead/core/routing/repeat_budget.cpp
@@ -0,0 +1,53 @@
+#include "jujubehead/core/routing/repeat_budget.hpp"
+
+#include <algorithm> // for min
+
+namespace jujubehead::core {
+
+RepeatBudget::RepeatBudget(RepeatBudgetOptions aOptions)
+  : m_options(aOptions)
+{
+}
+
+void
+RepeatBudget::Advance(Instant aNow)
+{
+  const Duration slot = m_options.window / kSlotsInWindow;
+  const std::int64_t number = aNow.time_since_epoch() / slot;
+  const std::int64_t steps = std::min<std::int64_t>(number - m_number, kSlots);
+  for (std::int64_t i = 0; i < steps; ++i) {
+    m_slots[static_cast<std::size_t>(number - i) % kSlots] = {};
+  }
+  m_number = std::max(m_number, number);
+}
+
+void
+RepeatBudget::OnRequest(Instant aNow)
+{
+  Advance(aNow);
+  ++m_slots[static_cast<std::size_t>(m_number) % kSlots].requests;
+}
+
+bool
+RepeatBudget::TryRepeat(Instant aNow)
+{
+  Advance(aNow);
+  const auto present = static_cast<std::size_t>(m_number) % kSlots;
+  const std::size_t oldest = (present + 1) % kSlots;
+  std::uint64_t requests = 0;
+  std::uint64_t repeats = 0;
+  for (std::size_t i = 0; i < kSlots; ++i) {
+    repeats += m_slots[i].repeats;
+    requests += i == oldest ? 0 : m_slots[i].requests;
+  }
+  const double allowed =
+    m_options.per_request * static_cast<double>(requests) + m_options.fixed;
+  if (static_cast<double>(repeats + 1) > allowed) {
+    ++m_denied;
+    return false;
+  }
+  ++m_slots[present].repeats;
+  return true;
+}
+
+} // namespace jujubehead::core
--- a/src/jujubehead/net/client_connection.hpp
+++ b/src/jujubehead/net/client_connection.hpp
@@ -8,8 +8,8 @@
 
 #include <boost/beast/core/flat_buffer.hpp> // for flat_buffer
 
-#include "byte_stream.hpp" // for ByteStream
-#include "deadline.hpp"    // for Deadline
+#include "byte_stream.hpp"             // for ByteStream
+#include "jujubehead/net/deadline.hpp" // for Deadline
 
 #include "jujubehead/core/runtime_clock.hpp" // for Instant
 
--- a/src/jujubehead/net/deadline.cpp
+++ b/src/jujubehead/net/deadline.cpp
@@ -1,4 +1,4 @@
-#include "deadline.hpp"
+#include "jujubehead/net/deadline.hpp"
 
 #include <utility> // for move
 
--- /dev/null
+++ b/src/jujubehead/net/http1/outbound_connection.cpp
@@ -0,0 +1,126 @@
+#include "jujubehead/net/http1/outbound_connection.hpp"
+
+#include <netinet/tcp.h> // for TCP_USER_TIMEOUT
+#include <sys/socket.h>  // for setsockopt
+
+#include <boost/asio/as_tuple.hpp>      // for as_tuple
+#include <boost/asio/buffer.hpp>        // for buffer
+#include <boost/asio/use_awaitable.hpp> // for use_awaitable
+#include <boost/asio/write.hpp>         // for async_write
+
+#include "jujubehead/net/deadline.hpp"             // for Deadline
+#include "jujubehead/net/http1/socket_reading.hpp" // for ReadAvailable
+
+namespace jujubehead::net {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+
+/// A target that fell silent after it took a request is asked for a sign of
+/// life after a second, then each second; two in vain end the connection.
+constexpr int kProbeAfterSeconds = 1;
+constexpr int kProbeEverySeconds = 1;
+constexpr int kProbesInVain = 2;
+
+void
+SetTcpOption(int aSocket, int aName, int aValue)
+{
+  // The connection works without it too, only notices silence later.
+  (void)::setsockopt(aSocket, IPPROTO_TCP, aName, &aValue, sizeof(aValue));
+}
+
+} // namespace
+
+OutboundConnection::OutboundConnection(const asio::any_io_executor& aExecutor,
+                                       const OutboundOptions& aOptions)
+  : m_options(aOptions)
+  , m_socket(aExecutor)
+{
+}
+
+std::shared_ptr<OutboundConnection>
+OutboundConnection::Create(const asio::any_io_executor& aExecutor,
+                           const OutboundOptions& aOptions)
+{
+  return std::shared_ptr<OutboundConnection>(
+    new OutboundConnection(aExecutor, aOptions));
+}
+
+void
+OutboundConnection::SetOptions()
+{
+  error_code ignored;
+  m_socket.set_option(tcp::no_delay(true), ignored);
+  m_socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  m_socket.non_blocking(true, ignored);
+  const int handle = m_socket.native_handle();
+  SetTcpOption(handle, TCP_KEEPIDLE, kProbeAfterSeconds);
+  SetTcpOption(handle, TCP_KEEPINTVL, kProbeEverySeconds);
+  SetTcpOption(handle, TCP_KEEPCNT, kProbesInVain);
+  const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(
+    m_options.unacknowledged_timeout);
+  SetTcpOption(handle, TCP_USER_TIMEOUT, static_cast<int>(timeout.count()));
+}
+
+asio::awaitable<error_code>
+OutboundConnection::Connect(tcp::endpoint aEndpoint)
+{
+  const auto self = shared_from_this();
+  Deadline deadline(m_socket.get_executor(), [self] { self->Close(); });
+  deadline.Set(m_options.connect_timeout);
+  const auto [error] = co_await m_socket.async_connect(aEndpoint, kTuple);
+  deadline.Clear();
+  if (!error) {
+    SetOptions();
+  }
+  co_return error;
+}
+
+void
+OutboundConnection::Send(std::string aMessage)
+{
+  m_unsent = std::move(aMessage);
+  asio::async_write(
+    m_socket,
+    asio::buffer(m_unsent),
+    [self = shared_from_this()](const error_code& aError, std::size_t) {
+      if (!aError) {
+        self->m_unsent = std::string();
+      }
+    });
+}
+
+asio::awaitable<error_code>
+OutboundConnection::Read()
+{
+  const auto self = shared_from_this();
+  for (;;) {
+    const auto [error] =
+      co_await m_socket.async_wait(tcp::socket::wait_read, kTuple);
+    if (error) {
+      co_return error;
+    }
+    const error_code result = ReadAvailable(m_socket, m_input);
+    if (result != asio::error::would_block) {
+      co_return result;
+    }
+  }
+}
+
+void
+OutboundConnection::Close()
+{
+  error_code ignored;
+  m_socket.close(ignored);
+}
+
+bool
+OutboundConnection::IsAtRest()
+{
+  return m_input.empty() && IsSent() && IsSilent(m_socket);
+}
+
+} // namespace jujubehead::net
--- a/src/jujubehead/net/http_connection.hpp
+++ b/src/jujubehead/net/http_connection.hpp
@@ -10,8 +10,8 @@
 #include <boost/beast/http/parser.hpp>      // for request_parser
 #include <boost/beast/http/string_body.hpp> // for string_body
 
-#include "byte_stream.hpp" // for ByteStream
-#include "deadline.hpp"    // for Deadline
+#include "byte_stream.hpp"             // for ByteStream
+#include "jujubehead/net/deadline.hpp" // for Deadline
 
 #include "jujubehead/net/api_error.hpp"   // for ApiError
 #include "jujubehead/net/http_server.hpp" // for HttpExchange
--- /dev/null
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -0,0 +1,245 @@
+#include "entry_control.hpp"
+
+#include <utility> // for move
+
+#include <boost/asio/co_spawn.hpp> // for co_spawn
+#include <boost/asio/detached.hpp> // for detached
+
+#include "follow.hpp" // for Follow
+
+namespace jujubehead::node {
+namespace {
+
+namespace asio = boost::asio;
+
+/// How often lapsed registrations are looked at; against bounds of seconds.
+constexpr core::Duration kTickTime = std::chrono::milliseconds(200);
+/// Reports of many targets come together in one page after this pause, a
+/// quarter of the time in which a leaving target may still get work.
+constexpr core::Duration kRegistryPause = std::chrono::milliseconds(400);
+/// A store's events are asked for in waits of this length; PartDirectory trusts
+/// a store for one such wait, its time-out and the way.
+constexpr core::Duration kPartsWait = std::chrono::milliseconds(500);
+/// Requests may begin on replaced weights for this part of the allowed time;
+/// the rest is for what is on its way.
+constexpr double kOldWeightsShare = 0.9;
+
+void
+LogUnread(std::string_view aFeed, const std::vector<std::string>& aUnread)
+{
+  for (const std::string& what : aUnread) {
+    DecisionLog::WriteAlways(
+      LogLine("row_left_out").Add("feed", aFeed).Add("why", what));
+  }
+}
+
+} // namespace
+
+EntryControl::EntryControl(asio::io_context& aContext,
+                           const EntryOptions& aOptions,
+                           Platform aPlatform,
+                           Forwarder& aForwarder)
+  : m_context(aContext)
+  , m_options(aOptions)
+  , m_platform(std::move(aPlatform))
+  , m_forwarder(aForwarder)
+  , m_book(aOptions.registry)
+  , m_weights(aContext,
+              aOptions,
+              *m_platform.shared,
+              *m_platform.orders,
+              aForwarder)
+{
+}
+
+void
+EntryControl::Start()
+{
+  FollowHooks<OperatorNews> operators;
+  operators.on_news = [this](const OperatorNews& aNews, bool) {
+    OnOperatorNews(aNews);
+  };
+  FollowOptions operator_options;
+  operator_options.name = "operator";
+  asio::co_spawn(m_context,
+                 Follow(*m_platform.operators, operator_options, operators),
+                 asio::detached);
+  FollowHooks<RegistryNews> registry;
+  registry.on_news = [this](const RegistryNews& aNews, bool aIsAll) {
+    OnRegistryNews(aNews, aIsAll);
+  };
+  FollowOptions registry_options;
+  registry_options.name = "registry";
+  registry_options.pause = kRegistryPause;
+  asio::co_spawn(m_context,
+                 Follow(*m_platform.registry, registry_options, registry),
+                 asio::detached);
+  FollowHooks<SharedNews> shared;
+  shared.on_news = [this](const SharedNews& aNews, bool) {
+    m_weights.OnSharedNews(aNews);
+  };
+  FollowOptions shared_options;
+  shared_options.name = "shared";
+  asio::co_spawn(m_context,
+                 Follow<SharedNews>(*m_platform.shared, shared_options, shared),
+                 asio::detached);
+  asio::co_spawn(m_context, TickRegistry(), asio::detached);
+  m_weights.Start();
+}
+
+bool
+EntryControl::IsReady() const
+{
+  return m_configuration != nullptr && m_registry_read;
+}
+
+std::uint64_t
+EntryControl::ConfigurationVersion() const
+{
+  return m_configuration ? m_configuration->Version() : 0;
+}
+
+void
+EntryControl::OnOperatorNews(const OperatorNews& aNews)
+{
+  LogUnread("operator", aNews.unread);
+  if (aNews.declarations &&
+      aNews.declarations->version > ConfigurationVersion()) {
+    m_configuration =
+      std::make_shared<const core::Configuration>(*aNews.declarations);
+    DecisionLog::WriteAlways(
+      LogLine("configuration_in_force")
+        .Add("version", m_configuration->Version())
+        .Add("routes", std::uint64_t(m_configuration->All().routes.size()))
+        .Add("accounts",
+             std::uint64_t(m_configuration->All().accounts.size())));
+    m_forwarder.SetConfiguration(m_configuration);
+    FollowStores();
+  }
+  bool is_new = false;
+  for (const core::LoadedModel& wanted : aNews.wanted) {
+    WantedWeights& known = m_wanted[wanted.model];
+    if (wanted.version <= known.version) {
+      continue;
+    }
+    const bool replaces = known.version != 0 || wanted.version > 1;
+    known.version = wanted.version;
+    known.begin_only_newest =
+      replaces ? core::RuntimeClock::now() +
+                   core::Duration(static_cast<core::Duration::rep>(
+                     kOldWeightsShare *
+                     static_cast<double>(m_options.weights_time.count())))
+               : core::Instant::max();
+    is_new = true;
+    DecisionLog::WriteAlways(LogLine("weights_wanted")
+                               .Add("model", wanted.model.View())
+                               .Add("version", wanted.version));
+  }
+  if (is_new) {
+    m_forwarder.SetWantedWeights(m_wanted);
+    m_weights.SetWanted(m_wanted);
+  }
+}
+
+void
+EntryControl::OnRegistryNews(const RegistryNews& aNews, bool aIsAll)
+{
+  LogUnread("registry", aNews.unread);
+  const core::Instant now = core::RuntimeClock::now();
+  m_book.OnAnswer(now);
+  bool changed = !m_registry_read;
+  if (aIsAll) {
+    std::vector<core::RegisteredTarget> all;
+    for (const core::RegistrationChange& change : aNews.changes) {
+      if (change.target) {
+        all.push_back(*change.target);
+      }
+    }
+    changed |= m_book.Replace(all, now);
+  } else {
+    changed |= m_book.Apply(aNews.changes, now);
+  }
+  m_registry_read = true;
+  if (changed) {
+    PublishTargets();
+  }
+}
+
+void
+EntryControl::PublishTargets()
+{
+  auto targets = m_book.Targets();
+  m_targets_in_all = targets.size();
+  std::size_t leaving = 0;
+  for (const core::RegisteredTarget& target : targets) {
+    leaving += target.leaving ? 1 : 0;
+  }
+  DecisionLog::WriteAlways(LogLine("targets_changed")
+                             .Add("targets", std::uint64_t(targets.size()))
+                             .Add("leaving", std::uint64_t(leaving))
+                             .Add("lapsed", std::uint64_t(m_book.Lapsed())));
+  m_weights.SetTargets(targets);
+  m_forwarder.SetTargets(std::move(targets));
+}
+
+asio::awaitable<void>
+EntryControl::TickRegistry()
+{
+  for (;;) {
+    co_await net::Sleep(kTickTime);
+    if (m_book.Tick(core::RuntimeClock::now())) {
+      PublishTargets();
+    }
+  }
+}
+
+void
+EntryControl::FollowStores()
+{
+  std::map<core::StoreId, std::string> declared;
+  for (const core::DeclaredStore& store : m_configuration->All().stores) {
+    declared[store.id] = store.address;
+    const auto known = m_followed.find(store.id);
+    if (known == m_followed.end() || known->second != store.address) {
+      asio::co_spawn(m_context, FollowStore(store), asio::detached);
+    }
+  }
+  m_followed = std::move(declared);
+}
+
+asio::awaitable<void>
+EntryControl::FollowStore(core::DeclaredStore aStore)
+{
+  std::uint64_t since = 0;
+  std::uint64_t epoch = 0;
+  for (;;) {
+    const auto known = m_followed.find(aStore.id);
+    if (known == m_followed.end() || known->second != aStore.address) {
+      co_return;
+    }
+    bool heard = false;
+    try {
+      core::PartEventPage page =
+        co_await m_platform.parts->Read(aStore.address, since, kPartsWait);
+      heard = true;
+      // A store that started anew counts its events from the beginning.
+      const bool is_new = page.epoch != epoch;
+      since = is_new && epoch != 0 ? 0 : page.next;
+      epoch = page.epoch;
+      m_forwarder.OnPartEvents(aStore.id, std::move(page));
+    } catch (const std::exception& error) {
+      if (epoch != 0) {
+        DecisionLog::WriteAlways(LogLine("store_silent")
+                                   .Add("store", aStore.id.View())
+                                   .Add("why", error.what()));
+      }
+    }
+    if (!heard) {
+      m_forwarder.OnStoreSilent(aStore.id);
+      const core::Duration pause = SpreadPause();
+      co_await net::Sleep(pause);
+    }
+  }
+}
+
+} // namespace jujubehead::node
--- /dev/null
+++ b/src/jujubehead/node/control/entry_control.hpp
@@ -0,0 +1,64 @@
+#ifndef JUJUBEHEAD_NODE_CONTROL_ENTRY_CONTROL_HPP
+#define JUJUBEHEAD_NODE_CONTROL_ENTRY_CONTROL_HPP
+
+#include <map>    // for map
+#include <memory> // for unique_ptr
+#include <set>    // for set
+
+#include <boost/asio/awaitable.hpp>  // for awaitable
+#include <boost/asio/io_context.hpp> // for io_context
+
+#include "jujubehead/core/routing/target_book.hpp"   // for TargetBook
+#include "jujubehead/node/control/platform.hpp"      // for Platform
+#include "jujubehead/node/forward/entry_options.hpp" // for EntryOptions
+
+#include "../forward/forwarder.hpp" // for Forwarder
+#include "weights_giver.hpp"        // for WeightsGiver
+
+namespace jujubehead::node {
+
+/// @brief What the control thread of an entry instance keeps: it follows the
+/// operator, the targets, the stores and the other instances, and hands what it
+/// learns to the traffic thread.
+class EntryControl
+{
+public:
+  EntryControl(boost::asio::io_context& aContext,
+               const EntryOptions& aOptions,
+               Platform aPlatform,
+               Forwarder& aForwarder);
+
+  /// @brief Begins to follow; on the context from then on.
+  void Start();
+  /// @return whether enough is known to serve callers.
+  [[nodiscard]] bool IsReady() const;
+  /// @return the version of the declarations in force; 0 before the first.
+  [[nodiscard]] std::uint64_t ConfigurationVersion() const;
+  [[nodiscard]] std::size_t Targets() const { return m_targets_in_all; }
+
+private:
+  void OnOperatorNews(const OperatorNews& aNews);
+  void OnRegistryNews(const RegistryNews& aNews, bool aIsAll);
+  void OnSharedNews(const SharedNews& aNews);
+  void PublishTargets();
+  void PublishWanted();
+  void FollowStores();
+  boost::asio::awaitable<void> FollowStore(core::DeclaredStore aStore);
+  boost::asio::awaitable<void> TickRegistry();
+
+  boost::asio::io_context& m_context;
+  const EntryOptions& m_options;
+  Platform m_platform;
+  Forwarder& m_forwarder;
+  std::shared_ptr<const core::Configuration> m_configuration;
+  core::TargetBook m_book;
+  bool m_registry_read = false;
+  std::size_t m_targets_in_all = 0;
+  std::map<core::ModelId, WantedWeights> m_wanted;
+  std::map<core::StoreId, std::string> m_followed; ///< With their addresses.
+  WeightsGiver m_weights;
+};
+
+} // namespace jujubehead::node
+
+#endif // JUJUBEHEAD_NODE_CONTROL_ENTRY_CONTROL_HPP
--- /dev/null
+++ b/src/jujubehead/node/control/follow.hpp
@@ -0,0 +1,114 @@
+#ifndef JUJUBEHEAD_NODE_CONTROL_FOLLOW_HPP
+#define JUJUBEHEAD_NODE_CONTROL_FOLLOW_HPP
+
+#include <cstdint>    // for uint64_t
+#include <functional> // for function
+#include <optional>   // for optional
+#include <random>     // for random_device, uniform_int_distribution
+#include <string>     // for string
+
+#include <boost/asio/awaitable.hpp> // for awaitable
+
+#include "jujubehead/core/runtime_clock.hpp"    // for Duration
+#include "jujubehead/net/timer.hpp"             // for Sleep
+#include "jujubehead/node/control/platform.hpp" // for Feed
+
+#include "../forward/decision_log.hpp" // for DecisionLog, LogLine
+
+namespace jujubehead::node {
+
+/// @brief How a feed is followed.
+struct FollowOptions
+{
+  std::string name; ///< For the log.
+  /// Longest wait for a change. A connection can fall silent for good, so each
+  /// wait is short and has a time-out of its own.
+  core::Duration wait = std::chrono::milliseconds(1200);
+  /// Pause after changes came, so that many small ones come together.
+  core::Duration pause{};
+};
+
+/// @brief What is done with what a feed tells.
+template<typename News>
+struct FollowHooks
+{
+  /// @param aIsAll whether it is the whole, not only what changed.
+  std::function<void(const News& aNews, bool aIsAll)> on_news;
+  std::function<void()> on_silence = [] {};
+};
+
+/// @return a pause before asking again a service that did not answer, spread so
+/// that instances do not ask together.
+inline core::Duration
+SpreadPause()
+{
+  constexpr int kFromMs = 80;
+  constexpr int kToMs = 250;
+  static std::minstd_rand random{ std::random_device{}() };
+  std::uniform_int_distribution<int> spread(kFromMs, kToMs);
+  return std::chrono::milliseconds(spread(random));
+}
+
+/// @brief Follows a feed for ever, over outages and lost history. What is older
+/// than what was seen is passed over: a service may answer from the past.
+template<typename News>
+boost::asio::awaitable<void>
+Follow(Feed<News>& aFeed, FollowOptions aOptions, FollowHooks<News> aHooks)
+{
+  std::optional<std::uint64_t> cursor;
+  std::uint64_t newest = 0;
+  bool is_lost = true;
+  for (;;) {
+    std::optional<PlatformFault> fault;
+    std::string why;
+    try {
+      const bool reads_all = !cursor;
+      News news;
+      if (reads_all) {
+        news = co_await aFeed.ReadAll();
+      } else {
+        news = co_await aFeed.ReadChanges(*cursor, aOptions.wait);
+      }
+      if (is_lost) {
+        is_lost = false;
+        DecisionLog::WriteAlways(LogLine("feed_regained")
+                                   .Add("feed", aOptions.name)
+                                   .Add("cursor", news.cursor));
+      }
+      if (news.cursor >= newest) {
+        newest = news.cursor;
+        cursor = news.cursor;
+        aHooks.on_news(news, reads_all);
+      }
+    } catch (const PlatformError& error) {
+      fault = error.Fault();
+      why = error.what();
+    } catch (const std::exception& error) {
+      fault = PlatformFault::kUnreachable;
+      why = error.what();
+    }
+    if (!fault) {
+      if (aOptions.pause > core::Duration(0)) {
+        co_await net::Sleep(aOptions.pause);
+      }
+      continue;
+    }
+    if (*fault == PlatformFault::kHistoryLost) {
+      cursor.reset();
+    }
+    if (!is_lost) {
+      is_lost = true;
+      DecisionLog::WriteAlways(LogLine("feed_lost")
+                                 .Add("feed", aOptions.name)
+                                 .Add("cursor", newest)
+                                 .Add("why", why));
+    }
+    aHooks.on_silence();
+    const core::Duration pause = SpreadPause();
+    co_await net::Sleep(pause);
+  }
+}
+
+} // namespace jujubehead::node
+
+#endif // JUJUBEHEAD_NODE_CONTROL_FOLLOW_HPP
--- /dev/null
+++ b/src/jujubehead/node/entry.cpp
@@ -0,0 +1,193 @@
+#include "jujubehead/node/entry.hpp"
+
+#include <csignal> // for SIGTERM, SIGINT, SIGHUP
+#include <string>  // for string
+
+#include <boost/asio/co_spawn.hpp>   // for co_spawn
+#include <boost/asio/detached.hpp>   // for detached
+#include <boost/asio/signal_set.hpp> // for signal_set
+
+#include "jujubehead/net/http_server.hpp" // for HttpServer
+#include "jujubehead/net/timer.hpp"       // for Sleep
+#include "jujubehead/node/endpoint.hpp"   // for ReadEndpoint
+#include "jujubehead/node/log.hpp"        // for ConfigureLog, LogError
+#include "jujubehead/node/metrics.hpp"    // for Metrics
+
+#include "control/entry_control.hpp" // for EntryControl
+#include "forward/forwarder.hpp"     // for Forwarder
+
+namespace jujubehead::node {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kUnavailable = 503;
+/// The balancer takes an instance out after two questions in vain, one a
+/// second; connections that were under way then are the third.
+constexpr core::Duration kOutOfRotation = std::chrono::milliseconds(3200);
+/// Kept from the allowed time, for the end of the process itself.
+constexpr core::Duration kEndMargin = std::chrono::milliseconds(400);
+constexpr core::Duration kPollTime = std::chrono::milliseconds(50);
+
+net::HttpServerOptions
+ServerAt(const std::string& aAddress)
+{
+  const auto endpoint = ReadEndpoint(aAddress);
+  net::HttpServerOptions options;
+  options.address = endpoint.address().to_string();
+  options.port = endpoint.port();
+  return options;
+}
+
+/// One process: its threads, listeners and signals.
+class Instance
+{
+public:
+  Instance(const EntryOptions& aOptions,
+           const Dialect& aDialect,
+           const MakePlatform& aMakePlatform)
+    : m_options(aOptions)
+    , m_metrics(Metrics::Create())
+    , m_forwarder(aOptions, aDialect, *m_metrics)
+    , m_control(m_context,
+                aOptions,
+                aMakePlatform(m_context, aOptions),
+                m_forwarder)
+    , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
+  {
+    m_ready = net::HttpServer::Create(
+      m_context,
+      ServerAt(aOptions.ready_address),
+      [this](net::HttpExchange& aExchange) { return TellReady(aExchange); });
+    if (!aOptions.metrics_address.empty()) {
+      m_pages = net::HttpServer::Create(m_context,
+                                        ServerAt(aOptions.metrics_address),
+                                        [this](net::HttpExchange& aExchange) {
+                                          return TellMetrics(aExchange);
+                                        });
+    }
+  }
+
+  void Run()
+  {
+    WaitForSignal();
+    m_forwarder.Start();
+    m_control.Start();
+    m_context.run();
+    m_forwarder.Stop();
+  }
+
+private:
+  asio::awaitable<void> TellReady(net::HttpExchange& aExchange)
+  {
+    net::HttpResponse response;
+    const bool ready = !m_stopping && m_control.IsReady();
+    response.status = ready ? kOk : kUnavailable;
+    response.body = ready ? "ready\n" : "not ready\n";
+    co_await aExchange.Send(std::move(response));
+  }
+
+  asio::awaitable<void> TellMetrics(net::HttpExchange& aExchange)
+  {
+    std::vector<Gauge> gauges;
+    const auto gauge =
+      [&](const char* aName, const char* aHelp, double aValue) {
+        gauges.push_back({ aName, aHelp, "", "", aValue });
+      };
+    gauge("jujubehead_open_requests",
+          "Requests under way.",
+          static_cast<double>(m_forwarder.OpenRequests()));
+    gauge("jujubehead_configuration_version",
+          "Version of the declarations in force.",
+          static_cast<double>(m_control.ConfigurationVersion()));
+    gauge("jujubehead_targets",
+          "Targets that are registered.",
+          static_cast<double>(m_control.Targets()));
+    gauge("jujubehead_ready",
+          "Whether callers are taken.",
+          !m_stopping && m_control.IsReady() ? 1 : 0);
+    net::HttpResponse response;
+    response.headers.Add("Content-Type", "text/plain; version=0.0.4");
+    response.body = m_metrics->Render(gauges);
+    co_await aExchange.Send(std::move(response));
+  }
+
+  void WaitForSignal()
+  {
+    m_signals.async_wait(
+      [this](const boost::system::error_code& aError, int aSignal) {
+        if (aError) {
+          return;
+        }
+        WaitForSignal();
+        if (aSignal == SIGHUP) {
+          // Nothing that can change while the process lives is in the settings.
+          DecisionLog::WriteAlways(
+            LogLine("reload").Add("outcome", "settings_unchanged"));
+        } else if (!m_stopping) {
+          m_stopping = true;
+          asio::co_spawn(m_context, PlannedStop(), asio::detached);
+        }
+      });
+  }
+
+  asio::awaitable<void> PlannedStop()
+  {
+    const core::Instant begun = core::RuntimeClock::now();
+    DecisionLog::WriteAlways(
+      LogLine("stop_begun")
+        .Add("open_requests", std::uint64_t(m_forwarder.OpenRequests())));
+    m_forwarder.BeginStop();
+    const core::Instant last = begun + m_options.stop_grace - kEndMargin;
+    for (;;) {
+      co_await net::Sleep(kPollTime);
+      const core::Instant now = core::RuntimeClock::now();
+      const bool quiet =
+        now - begun > kOutOfRotation && m_forwarder.OpenRequests() == 0;
+      if (quiet || now >= last) {
+        break;
+      }
+    }
+    DecisionLog::WriteAlways(
+      LogLine("stop_ended")
+        .Add("open_requests", std::uint64_t(m_forwarder.OpenRequests()))
+        .Add("took", core::RuntimeClock::now() - begun));
+    m_context.stop();
+  }
+
+  const EntryOptions& m_options;
+  asio::io_context m_context{ 1 };
+  std::unique_ptr<Metrics> m_metrics;
+  Forwarder m_forwarder;
+  EntryControl m_control;
+  asio::signal_set m_signals;
+  std::unique_ptr<net::HttpServer> m_ready;
+  std::unique_ptr<net::HttpServer> m_pages;
+  bool m_stopping = false;
+};
+
+} // namespace
+
+int
+RunEntry(const EntryOptions& aOptions,
+         const Dialect& aDialect,
+         const MakePlatform& aMakePlatform)
+{
+  ConfigureLog(aOptions.log_config, LogStream::kOut);
+  try {
+    Instance instance(aOptions, aDialect, aMakePlatform);
+    DecisionLog::WriteAlways(LogLine("started")
+                               .Add("instance", aOptions.instance_id.View())
+                               .Add("data_centre", aOptions.data_centre.View())
+                               .Add("callers", aOptions.caller_address));
+    instance.Run();
+    DecisionLog::WriteAlways(LogLine("ended"));
+    return 0;
+  } catch (const std::exception& error) {
+    LogError("entry", std::string("event=cannot_run why=") + error.what());
+    return 1;
+  }
+}
+
+} // namespace jujubehead::node
--- /dev/null
+++ b/src/jujubehead/node/forward/caller_session.cpp
@@ -0,0 +1,387 @@
+#include "caller_session.hpp"
+
+#include <array>    // for array
+#include <charconv> // for to_chars
+#include <utility>  // for move
+
+#include <boost/asio/as_tuple.hpp>      // for as_tuple
+#include <boost/asio/buffer.hpp>        // for buffer
+#include <boost/asio/co_spawn.hpp>      // for co_spawn
+#include <boost/asio/detached.hpp>      // for detached
+#include <boost/asio/use_awaitable.hpp> // for use_awaitable
+#include <boost/asio/write.hpp>         // for async_write
+#include <boost/beast/core/string.hpp>  // for iequals
+#include <boost/beast/http/status.hpp>  // for obsolete_reason
+
+#include "jujubehead/net/deadline.hpp"             // for Deadline
+#include "jujubehead/net/http1/socket_reading.hpp" // for ReadAvailable
+
+namespace jujubehead::node {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+
+constexpr unsigned kHttp10 = 10;
+constexpr unsigned kRequestTimeout = 408;
+constexpr int kHexadecimal = 16;
+/// What a caller may send ahead of its answer; the rest waits in the socket.
+constexpr std::size_t kMostAhead = 64UL * 1024;
+/// A caller that takes no byte of an answer for so long is taken for gone.
+constexpr core::Duration kWriteTimeout = std::chrono::seconds(20);
+/// How long a caller may take to read a rejection before the end.
+constexpr core::Duration kLingerTime = std::chrono::milliseconds(500);
+/// Time that a body may take beyond what the limits give the header: callers
+/// send bodies within a few round trips.
+constexpr core::Duration kBodyTimeout = std::chrono::seconds(10);
+
+bool
+SaysChunksOrLength(const net::HttpHeaders& aHeaders)
+{
+  return aHeaders.Find("Content-Length") || aHeaders.Find("Transfer-Encoding");
+}
+
+void
+AppendHexadecimal(std::string& aText, std::size_t aNumber)
+{
+  std::array<char, 2 * sizeof(aNumber)> digits{};
+  const auto end = std::to_chars(
+    digits.data(), digits.data() + digits.size(), aNumber, kHexadecimal);
+  aText.append(digits.data(), end.ptr);
+}
+
+} // namespace
+
+CallerSession::CallerSession(tcp::socket aSocket, RequestHandler& aHandler)
+  : m_socket(std::move(aSocket))
+  , m_handler(aHandler)
+{
+  error_code ignored;
+  m_socket.set_option(tcp::no_delay(true), ignored);
+  m_socket.non_blocking(true, ignored);
+  m_handler.OnSessionBegin();
+}
+
+CallerSession::~CallerSession()
+{
+  m_handler.OnSessionEnd();
+}
+
+void
+CallerSession::Start(tcp::socket aSocket, RequestHandler& aHandler)
+{
+  const std::shared_ptr<CallerSession> session(
+    new CallerSession(std::move(aSocket), aHandler));
+  asio::co_spawn(
+    session->Executor(),
+    [session]() -> asio::awaitable<void> { co_await session->Run(); },
+    asio::detached);
+}
+
+asio::any_io_executor
+CallerSession::Executor()
+{
+  return m_socket.get_executor();
+}
+
+asio::awaitable<void>
+CallerSession::Run()
+{
+  while (m_keep && !m_gone) {
+    const bool has_request = co_await ReadRequest();
+    if (!has_request) {
+      break;
+    }
+    m_answering = true;
+    WatchCaller();
+    co_await m_handler.Handle(shared_from_this());
+    m_answering = false;
+    m_on_gone = nullptr;
+    m_stream_begun = false;
+    m_request = {};
+  }
+  error_code ignored;
+  m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+  m_socket.close(ignored);
+}
+
+asio::awaitable<bool>
+CallerSession::ReadMore(core::Duration aTimeout)
+{
+  const auto self = shared_from_this();
+  net::Deadline deadline(Executor(), [self] {
+    error_code ignored;
+    self->m_socket.cancel(ignored);
+  });
+  deadline.Set(aTimeout);
+  for (;;) {
+    const error_code now = net::ReadAvailable(m_socket, m_input);
+    if (now != asio::error::would_block) {
+      co_return !now;
+    }
+    const auto [error] =
+      co_await m_socket.async_wait(tcp::socket::wait_read, kTuple);
+    if (error) {
+      co_return false;
+    }
+  }
+}
+
+asio::awaitable<bool>
+CallerSession::AllowBody(const net::MessageParser& aParser)
+{
+  const auto expects = aParser.Head().headers.Find("Expect");
+  if (!expects || !boost::beast::iequals(*expects, "100-continue")) {
+    co_return true;
+  }
+  std::string line = "HTTP/1.1 100 Continue\r\n\r\n";
+  co_return co_await Write(std::move(line));
+}
+
+asio::awaitable<bool>
+CallerSession::ReadRequest()
+{
+  const core::CallerLimits limits = m_handler.Limits();
+  const auto parser =
+    net::MessageParser::ForRequest({ limits.header_bytes, limits.body_bytes });
+  std::string fault;
+  unsigned status = 0;
+  bool has_head = false;
+  while (!parser->IsWhole()) {
+    try {
+      if (!m_input.empty()) {
+        if (m_request.begun == core::Instant{}) {
+          m_request.begun = core::RuntimeClock::now();
+        }
+        m_input.erase(0, parser->Put(m_input, m_request.body));
+      }
+    } catch (const net::MessageError& error) {
+      fault = error.what();
+      status = error.Status();
+    }
+    if (status != 0) {
+      co_await Reject(status, fault);
+      co_return false;
+    }
+    if (parser->IsWhole()) {
+      break;
+    }
+    if (parser->HasHead() && !has_head) {
+      has_head = true;
+      const bool allowed = co_await AllowBody(*parser);
+      if (!allowed) {
+        co_return false;
+      }
+    }
+    const bool has_begun = m_request.begun != core::Instant{};
+    const core::Duration timeout = parser->HasHead() ? kBodyTimeout
+                                   : has_begun       ? limits.header_timeout
+                                                     : limits.idle_timeout;
+    const bool more = co_await ReadMore(timeout);
+    if (!more) {
+      if (has_begun && m_socket.is_open()) {
+        co_await Reject(kRequestTimeout, "the request did not come in time");
+      }
+      co_return false;
+    }
+  }
+  m_request.head = parser->Head();
+  m_request.had_body = SaysChunksOrLength(m_request.head.headers);
+  m_keep = parser->KeepsAlive();
+  co_return true;
+}
+
+asio::awaitable<void>
+CallerSession::Reject(unsigned aStatus, std::string aWhy)
+{
+  m_handler.OnUnreadable(aWhy, aStatus);
+  m_keep = false;
+  WholeAnswer answer;
+  answer.status = aStatus;
+  answer.headers.Add("Content-Type", "text/plain");
+  answer.body = std::move(aWhy) + '\n';
+  const bool written = co_await Answer(std::move(answer));
+  if (written) {
+    co_await LetCallerRead();
+  }
+}
+
+asio::awaitable<void>
+CallerSession::LetCallerRead()
+{
+  error_code ignored;
+  m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+  bool more = true;
+  const auto until = core::RuntimeClock::now() + kLingerTime;
+  while (more && core::RuntimeClock::now() < until) {
+    m_input.clear();
+    more = co_await ReadMore(kLingerTime);
+  }
+}
+
+void
+CallerSession::OnGone(std::function<void()> aCallback)
+{
+  m_on_gone = std::move(aCallback);
+  if (m_gone) {
+    TellGone();
+  }
+}
+
+void
+CallerSession::TellGone()
+{
+  m_gone = true;
+  if (const auto callback = std::exchange(m_on_gone, nullptr)) {
+    callback();
+  }
+}
+
+void
+CallerSession::WatchCaller()
+{
+  if (m_watching || m_input.size() >= kMostAhead) {
+    return;
+  }
+  m_watching = true;
+  m_socket.async_wait(tcp::socket::wait_read,
+                      [self = shared_from_this()](const error_code& aError) {
+                        self->m_watching = false;
+                        if (!aError && self->m_answering) {
+                          self->OnReadable();
+                        }
+                      });
+}
+
+void
+CallerSession::OnReadable()
+{
+  const error_code error = net::ReadAvailable(m_socket, m_input);
+  if (error && error != asio::error::would_block) {
+    TellGone();
+    return;
+  }
+  WatchCaller();
+}
+
+std::string
+CallerSession::HeadOf(unsigned aStatus,
+                      std::string_view aReason,
+                      const net::HttpHeaders& aHeaders)
+{
+  const std::string_view reason =
+    aReason.empty() ? std::string_view(boost::beast::http::obsolete_reason(
+                        static_cast<boost::beast::http::status>(aStatus)))
+                    : aReason;
+  std::string text = "HTTP/1.1 ";
+  text.append(std::to_string(aStatus)).append(" ").append(reason);
+  text.append("\r\n");
+  for (const net::HttpHeader& line : aHeaders.Lines()) {
+    text.append(line.name).append(": ").append(line.value).append("\r\n");
+  }
+  if (m_handler.IsStopping()) {
+    m_keep = false;
+  }
+  if (!m_keep) {
+    text.append("Connection: close\r\n");
+  } else if (m_request.head.version == kHttp10) {
+    text.append("Connection: keep-alive\r\n");
+  }
+  return text;
+}
+
+asio::awaitable<bool>
+CallerSession::Answer(WholeAnswer aAnswer)
+{
+  std::string text = HeadOf(aAnswer.status, aAnswer.reason, aAnswer.headers);
+  const bool has_body = m_request.head.method != "HEAD";
+  text.append("Content-Length: ")
+    .append(std::to_string(aAnswer.body.size()))
+    .append("\r\n\r\n");
+  if (has_body) {
+    text.append(aAnswer.body);
+  }
+  co_return co_await Write(std::move(text));
+}
+
+void
+CallerSession::BeginStream(unsigned aStatus,
+                           std::string_view aReason,
+                           const net::HttpHeaders& aHeaders)
+{
+  m_stream_begun = true;
+  m_writes_chunks = m_request.head.version != kHttp10;
+  if (!m_writes_chunks) {
+    m_keep = false;
+  }
+  m_unwritten = HeadOf(aStatus, aReason, aHeaders);
+  if (m_writes_chunks) {
+    m_unwritten.append("Transfer-Encoding: chunked\r\n");
+  }
+  m_unwritten.append("\r\n");
+}
+
+asio::awaitable<bool>
+CallerSession::WritePiece(std::string_view aBytes)
+{
+  std::string text = std::exchange(m_unwritten, std::string());
+  if (m_writes_chunks) {
+    AppendHexadecimal(text, aBytes.size());
+    text.append("\r\n").append(aBytes).append("\r\n");
+  } else {
+    text.append(aBytes);
+  }
+  co_return co_await Write(std::move(text));
+}
+
+asio::awaitable<bool>
+CallerSession::EndStream()
+{
+  std::string text = std::exchange(m_unwritten, std::string());
+  if (m_writes_chunks) {
+    text.append("0\r\n\r\n");
+  }
+  co_return co_await Write(std::move(text));
+}
+
+asio::awaitable<bool>
+CallerSession::Write(std::string aBytes)
+{
+  if (m_gone || !m_socket.is_open()) {
+    co_return false;
+  }
+  error_code error;
+  std::size_t written = m_socket.write_some(asio::buffer(aBytes), error);
+  if (!error && written == aBytes.size()) {
+    co_return true;
+  }
+  if (error && error != asio::error::would_block) {
+    TellGone();
+    co_return false;
+  }
+  const auto self = shared_from_this();
+  net::Deadline deadline(Executor(), [self] { self->Abort(); });
+  deadline.Set(kWriteTimeout);
+  const auto [failure, rest] = co_await asio::async_write(
+    m_socket,
+    asio::buffer(aBytes.data() + written, aBytes.size() - written),
+    kTuple);
+  if (failure) {
+    TellGone();
+  }
+  co_return !failure;
+}
+
+void
+CallerSession::Abort()
+{
+  m_keep = false;
+  error_code ignored;
+  // A reset, so that an answer without a length does not look complete.
+  m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  m_socket.close(ignored);
+}
+
+} // namespace jujubehead::node
--- /dev/null
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -0,0 +1,106 @@
+#ifndef JUJUBEHEAD_NODE_FORWARD_FORWARD_RUN_HPP
+#define JUJUBEHEAD_NODE_FORWARD_FORWARD_RUN_HPP
+
+#include <memory>   // for shared_ptr
+#include <optional> // for optional
+#include <set>      // for set
+#include <string>   // for string
+#include <vector>   // for vector
+
+#include <boost/asio/awaitable.hpp> // for awaitable
+
+#include "jujubehead/core/routing/attempt_plan.hpp" // for AttemptHistory
+#include "jujubehead/net/deadline.hpp"              // for Deadline
+#include "jujubehead/net/http1/event_cutter.hpp"    // for EventCutter
+
+#include "caller_session.hpp"  // for CallerSession
+#include "forward_state.hpp"   // for ForwardState
+#include "target_exchange.hpp" // for TargetExchange
+
+namespace jujubehead::node {
+
+/// @brief One request of a caller: finds its route and account, sends it to a
+/// target, again where that is allowed, and passes the answer on.
+class ForwardRun
+{
+public:
+  ForwardRun(ForwardState& aState, std::shared_ptr<CallerSession> aSession);
+
+  /// @brief Runs to the final answer.
+  boost::asio::awaitable<void> Run();
+
+private:
+  /// How an attempt ended; nothing when the caller has its final answer or is
+  /// gone.
+  using Ended = std::optional<core::AttemptEnd>;
+
+  struct OwnAnswer
+  {
+    unsigned status = 0;
+    std::string why;
+    bool may_come_back = false;
+  };
+
+  std::optional<OwnAnswer> Prepare();
+  std::optional<OwnAnswer> Identify();
+  void LimitTime();
+  boost::asio::awaitable<void> Forward();
+  boost::asio::awaitable<void> Conclude(core::NextStep aStep);
+  boost::asio::awaitable<void> Give(OwnAnswer aAnswer);
+
+  [[nodiscard]] std::shared_ptr<FleetTarget> Choose();
+  [[nodiscard]] std::vector<std::shared_ptr<FleetTarget>> Candidates() const;
+  [[nodiscard]] TargetCall CallFor(const FleetTarget& aTarget) const;
+
+  boost::asio::awaitable<Ended> Attempt(std::shared_ptr<FleetTarget> aTarget);
+  boost::asio::awaitable<Ended> Exchange(FleetTarget& aTarget,
+                                         TargetExchange& aExchange);
+  boost::asio::awaitable<Ended> PassWhole(FleetTarget& aTarget,
+                                          TargetExchange& aExchange,
+                                          ReplyPart aPart);
+  boost::asio::awaitable<Ended> PassStream(FleetTarget& aTarget,
+                                           TargetExchange& aExchange,
+                                           ReplyPart aPart);
+  Ended EndBroken(FleetTarget& aTarget, const TargetExchange& aExchange);
+  Ended EndRefused(FleetTarget& aTarget, const ReplyFacts& aFacts);
+  void NoteReply(FleetTarget& aTarget, const ReplyFacts& aFacts);
+  void Count(core::AttemptEnd aEnd);
+  void SetPatience(const FleetTarget& aTarget);
+  void LosePatience();
+  void Stop();
+  void LogEnd(std::string_view aEvent, unsigned aStatus, std::string_view aWhy);
+
+  [[nodiscard]] core::Duration TimeLeft() const;
+  [[nodiscard]] bool IsOver() const
+  {
+    return m_timed_out || m_session->IsGone();
+  }
+
+  ForwardState& m_state;
+  std::shared_ptr<CallerSession> m_session;
+  std::shared_ptr<const core::Configuration> m_configuration;
+  const core::Route* m_route = nullptr;
+  const core::DeclaredAccount* m_account = nullptr;
+  core::ServiceId m_service;
+  CallerFacts m_facts;
+  core::Instant m_until{};
+  core::AttemptHistory m_history;
+  std::set<core::TargetId> m_tried;
+  net::EventCutter m_cutter;
+  std::optional<WholeAnswer> m_failure; ///< Of a target, to pass on at last.
+  core::Instant m_first_event{};
+  std::string m_last_why;
+  std::string m_last_target;
+
+  net::Deadline m_deadline;
+  net::Deadline m_patience;
+  TargetExchange* m_exchange = nullptr; ///< The one under way.
+  std::shared_ptr<FleetTarget> m_waits_for;
+  core::Instant m_waits_since{};
+  bool m_timed_out = false;
+  bool m_lost_patience = false; ///< With the attempt under way.
+};
+
+} // namespace jujubehead::node
+
+#endif // JUJUBEHEAD_NODE_FORWARD_FORWARD_RUN_HPP
--- /dev/null
+++ b/src/jujubehead/node/forward/forward_state.hpp
@@ -0,0 +1,67 @@
+#ifndef JUJUBEHEAD_NODE_FORWARD_FORWARD_STATE_HPP
+#define JUJUBEHEAD_NODE_FORWARD_FORWARD_STATE_HPP
+
+#include <cstdint>       // for uint64_t
+#include <map>           // for map
+#include <memory>        // for shared_ptr
+#include <random>        // for mt19937_64
+#include <unordered_map> // for unordered_map
+
+#include "jujubehead/core/context/part_directory.hpp" // for PartDirectory
+#include "jujubehead/core/routing/configuration.hpp"  // for Configuration
+#include "jujubehead/core/routing/repeat_budget.hpp"  // for RepeatBudget
+#include "jujubehead/node/forward/dialect.hpp"        // for Dialect
+#include "jujubehead/node/forward/entry_options.hpp"  // for EntryOptions
+#include "jujubehead/node/metrics.hpp"                // for ThreadMetrics
+
+#include "decision_log.hpp" // for DecisionLog
+#include "target_fleet.hpp" // for TargetFleet
+
+namespace jujubehead::node {
+
+/// @brief The newest version of a model's weights that was asked for.
+struct WantedWeights
+{
+  std::uint64_t version = 0;
+  /// From then on no request may begin on older ones.
+  core::Instant begin_only_newest = core::Instant::max();
+};
+
+/// @brief What the requests of the traffic thread share. Only that thread
+/// touches it.
+struct ForwardState
+{
+  ForwardState(const EntryOptions& aOptions,
+               const Dialect& aDialect,
+               ThreadMetrics& aMetrics,
+               DecisionLog& aLog)
+    : options(aOptions)
+    , dialect(aDialect)
+    , metrics(aMetrics)
+    , log(aLog)
+    , random(std::random_device{}())
+  {
+  }
+
+  /// @return the budget of repeats to a service.
+  core::RepeatBudget& BudgetOf(const core::ServiceId& aService)
+  {
+    return budgets.try_emplace(aService, options.repeats).first->second;
+  }
+
+  const EntryOptions& options;
+  const Dialect& dialect;
+  ThreadMetrics& metrics;
+  DecisionLog& log;
+  std::shared_ptr<const core::Configuration> configuration;
+  std::map<core::ModelId, WantedWeights> wanted_weights;
+  TargetFleet fleet;
+  core::PartDirectory parts;
+  std::unordered_map<core::ServiceId, core::RepeatBudget> budgets;
+  std::mt19937_64 random;
+  bool is_stopping = false;
+};
+
+} // namespace jujubehead::node
+
+#endif // JUJUBEHEAD_NODE_FORWARD_FORWARD_STATE_HPP
--- /dev/null
+++ b/src/jujubehead/node/forward/forwarder.cpp
@@ -0,0 +1,202 @@
+#include "forwarder.hpp"
+
+#include <utility> // for move
+
+#include <boost/asio/as_tuple.hpp>      // for as_tuple
+#include <boost/asio/co_spawn.hpp>      // for co_spawn
+#include <boost/asio/detached.hpp>      // for detached
+#include <boost/asio/post.hpp>          // for post
+#include <boost/asio/use_awaitable.hpp> // for use_awaitable
+
+#include "jujubehead/net/timer.hpp"     // for Sleep
+#include "jujubehead/node/endpoint.hpp" // for ReadEndpoint
+
+#include "forward_run.hpp" // for ForwardRun
+
+namespace jujubehead::node {
+namespace {
+
+namespace asio = boost::asio;
+
+/// After a failure to accept, as when descriptors have run out.
+constexpr core::Duration kAcceptPause = std::chrono::milliseconds(20);
+
+} // namespace
+
+Forwarder::Forwarder(const EntryOptions& aOptions,
+                     const Dialect& aDialect,
+                     Metrics& aMetrics)
+  : m_state(aOptions, aDialect, aMetrics.ForThread(), m_log)
+  , m_acceptor(m_context, ReadEndpoint(aOptions.caller_address))
+  , m_work(asio::make_work_guard(m_context))
+{
+}
+
+Forwarder::~Forwarder()
+{
+  Stop();
+}
+
+void
+Forwarder::Start()
+{
+  asio::co_spawn(
+    m_context,
+    [this]() -> asio::awaitable<void> { co_await Accept(); },
+    asio::detached);
+  m_thread = std::thread([this] { m_context.run(); });
+}
+
+void
+Forwarder::Stop()
+{
+  m_work.reset();
+  m_context.stop();
+  if (m_thread.joinable()) {
+    m_thread.join();
+  }
+}
+
+std::uint16_t
+Forwarder::Port() const
+{
+  return m_acceptor.local_endpoint().port();
+}
+
+void
+Forwarder::BeginStop()
+{
+  asio::post(m_context, [this] { m_state.is_stopping = true; });
+}
+
+asio::awaitable<void>
+Forwarder::Accept()
+{
+  constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+  for (;;) {
+    auto [error, socket] = co_await m_acceptor.async_accept(kTuple);
+    if (!error) {
+      CallerSession::Start(std::move(socket), *this);
+      continue;
+    }
+    DecisionLog::WriteAlways(
+      LogLine("accept_failed").Add("why", error.message()));
+    co_await net::Sleep(kAcceptPause);
+  }
+}
+
+asio::awaitable<void>
+Forwarder::Handle(std::shared_ptr<CallerSession> aSession)
+{
+  ++m_open_requests;
+  {
+    ForwardRun run(m_state, std::move(aSession));
+    try {
+      co_await run.Run();
+    } catch (const std::exception& error) {
+      m_log.Write(LogLine("request_broke").Add("why", error.what()));
+    }
+  }
+  --m_open_requests;
+}
+
+core::CallerLimits
+Forwarder::Limits() const
+{
+  return m_state.configuration ? m_state.configuration->All().limits
+                               : core::CallerLimits{};
+}
+
+bool
+Forwarder::IsStopping() const
+{
+  return m_state.is_stopping;
+}
+
+void
+Forwarder::OnSessionBegin()
+{
+  ++m_sessions;
+}
+
+void
+Forwarder::OnSessionEnd()
+{
+  --m_sessions;
+}
+
+void
+Forwarder::OnUnreadable(const std::string& aWhy, unsigned aStatus)
+{
+  m_state.metrics.Add(Counter::kBadRequests);
+  m_log.Write(LogLine("unreadable")
+                .Add("status", std::uint64_t(aStatus))
+                .Add("why", aWhy));
+}
+
+void
+Forwarder::SetConfiguration(std::shared_ptr<const core::Configuration> aValue)
+{
+  asio::post(m_context, [this, value = std::move(aValue)] {
+    std::vector<core::StoreId> stores;
+    for (const core::DeclaredStore& store : value->All().stores) {
+      stores.push_back(store.id);
+    }
+    m_state.parts.KeepOnly(stores);
+    m_state.configuration = value;
+  });
+}
+
+void
+Forwarder::SetTargets(std::vector<core::RegisteredTarget> aTargets)
+{
+  asio::post(m_context, [this, targets = std::move(aTargets)] {
+    m_state.fleet.Update(targets);
+  });
+}
+
+void
+Forwarder::SetLoading(std::set<core::TargetId> aTargets)
+{
+  asio::post(m_context, [this, targets = std::move(aTargets)] {
+    m_state.fleet.SetLoading(targets);
+  });
+}
+
+void
+Forwarder::SetWantedWeights(std::map<core::ModelId, WantedWeights> aWanted)
+{
+  asio::post(m_context, [this, wanted = std::move(aWanted)] {
+    m_state.wanted_weights = wanted;
+  });
+}
+
+void
+Forwarder::SetLoaded(core::TargetId aTarget, core::LoadedModel aLoaded)
+{
+  asio::post(m_context,
+             [this, id = std::move(aTarget), loaded = std::move(aLoaded)] {
+               if (const auto target = m_state.fleet.Find(id)) {
+                 target->OnVersion(loaded.model, loaded.version);
+               }
+             });
+}
+
+void
+Forwarder::OnPartEvents(core::StoreId aStore, core::PartEventPage aPage)
+{
+  asio::post(m_context,
+             [this, store = std::move(aStore), page = std::move(aPage)] {
+               m_state.parts.OnPage(store, page, core::RuntimeClock::now());
+             });
+}
+
+void
+Forwarder::OnStoreSilent(core::StoreId aStore)
+{
+  asio::post(m_context, [this, store = std::move(aStore)] {
+    m_state.parts.OnSilence(store);
+  });
+}
+
+} // namespace jujubehead::node
--- /dev/null
+++ b/src/jujubehead/node/forward/forwarder.hpp
@@ -0,0 +1,83 @@
+#ifndef JUJUBEHEAD_NODE_FORWARD_FORWARDER_HPP
+#define JUJUBEHEAD_NODE_FORWARD_FORWARDER_HPP
+
+#include <atomic> // for atomic
+#include <map>    // for map
+#include <memory> // for shared_ptr, unique_ptr
+#include <set>    // for set
+#include <thread> // for thread
+#include <vector> // for vector
+
+#include <boost/asio/executor_work_guard.hpp> // for executor_work_guard
+#include <boost/asio/io_context.hpp>          // for io_context
+#include <boost/asio/ip/tcp.hpp>              // for tcp
+
+#include "jujubehead/core/context/part_directory.hpp" // for PartEventPage
+#include "jujubehead/core/routing/configuration.hpp"  // for Configuration
+#include "jujubehead/core/routing/target_book.hpp"    // for RegisteredTarget
+#include "jujubehead/node/forward/dialect.hpp"        // for Dialect
+#include "jujubehead/node/forward/entry_options.hpp"  // for EntryOptions
+
+#include "caller_session.hpp" // for RequestHandler
+#include "forward_state.hpp"  // for ForwardState, WantedWeights
+
+namespace jujubehead::node {
+
+/// @brief The traffic thread: callers' connections and the requests on them.
+/// The control thread hands it new values; each call here is safe from there.
+class Forwarder : public RequestHandler
+{
+public:
+  /// @throws boost::system::system_error when the address cannot be bound.
+  Forwarder(const EntryOptions& aOptions,
+            const Dialect& aDialect,
+            Metrics& aMetrics);
+  ~Forwarder() override;
+  Forwarder(const Forwarder&) = delete;
+  Forwarder& operator=(const Forwarder&) = delete;
+  Forwarder(Forwarder&&) = delete;
+  Forwarder& operator=(Forwarder&&) = delete;
+
+  void Start();
+  /// @brief Ends the thread; open requests are cut off.
+  void Stop();
+  /// @brief Answers from now on end their connections.
+  void BeginStop();
+  [[nodiscard]] std::size_t OpenRequests() const { return m_open_requests; }
+  [[nodiscard]] std::uint16_t Port() const;
+
+  void SetConfiguration(std::shared_ptr<const core::Configuration> aValue);
+  void SetTargets(std::vector<core::RegisteredTarget> aTargets);
+  void SetLoading(std::set<core::TargetId> aTargets);
+  void SetWantedWeights(std::map<core::ModelId, WantedWeights> aWanted);
+  /// @brief A target holds a version of a model, by the word of whoever had it
+  /// loaded there.
+  void SetLoaded(core::TargetId aTarget, core::LoadedModel aLoaded);
+  void OnPartEvents(core::StoreId aStore, core::PartEventPage aPage);
+  void OnStoreSilent(core::StoreId aStore);
+
+  boost::asio::awaitable<void> Handle(
+    std::shared_ptr<CallerSession> aSession) override;
+  [[nodiscard]] core::CallerLimits Limits() const override;
+  [[nodiscard]] bool IsStopping() const override;
+  void OnSessionBegin() override;
+  void OnSessionEnd() override;
+  void OnUnreadable(const std::string& aWhy, unsigned aStatus) override;
+
+private:
+  boost::asio::awaitable<void> Accept();
+
+  boost::asio::io_context m_context{ 1 };
+  DecisionLog m_log;
+  ForwardState m_state;
+  boost::asio::ip::tcp::acceptor m_acceptor;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+    m_work;
+  std::atomic<std::size_t> m_open_requests{ 0 };
+  std::size_t m_sessions = 0;
+  std::thread m_thread;
+};
+
+} // namespace jujubehead::node
+
+#endif // JUJUBEHEAD_NODE_FORWARD_FORWARDER_HPP
--- /dev/null
+++ b/src/jujubehead/node/forward/target_fleet.cpp
@@ -0,0 +1,170 @@
+#include "target_fleet.hpp"
+
+#include <algorithm> // for max, min
+
+#include "jujubehead/core/routing/placement.hpp" // for PlacementHash
+#include "jujubehead/node/endpoint.hpp"          // for FindEndpoint
+#include "jujubehead/node/log.hpp"               // for LogWarning
+
+namespace jujubehead::node {
+namespace {
+
+/// Connections that rest for one target: the requests that usually run at once
+/// from one instance; more would only use up what the target allows.
+constexpr std::size_t kMostResting = 8;
+/// Rest that targets allow unless they say otherwise; usual servers allow five
+/// seconds and more.
+constexpr core::Duration kUsualKeepAlive = std::chrono::milliseconds(3000);
+/// Less than what a target says, for the way there and late timers.
+constexpr core::Duration kKeepAliveMargin = std::chrono::milliseconds(700);
+
+} // namespace
+
+std::optional<std::uint64_t>
+FleetTarget::VersionOf(const core::ModelId& aModel) const
+{
+  const auto registered = target.VersionOf(aModel);
+  const auto told = m_told.find(aModel);
+  if (told == m_told.end()) {
+    return registered;
+  }
+  return std::max(registered.value_or(0), told->second);
+}
+
+void
+FleetTarget::OnVersion(const core::ModelId& aModel, std::uint64_t aVersion)
+{
+  std::uint64_t& told = m_told[aModel];
+  told = std::max(told, aVersion);
+}
+
+std::shared_ptr<net::OutboundConnection>
+FleetTarget::TakeResting(core::Duration aLongestRest)
+{
+  const core::Duration allowed =
+    std::min(aLongestRest, m_keep_alive.value_or(kUsualKeepAlive));
+  const core::Instant oldest = core::RuntimeClock::now() - allowed;
+  while (!m_resting.empty()) {
+    const auto connection = m_resting.back();
+    if (connection->resting_since < oldest) {
+      // Those before it rest for longer. Others may still have use of them.
+      return nullptr;
+    }
+    m_resting.pop_back();
+    if (connection->IsAtRest()) {
+      return connection;
+    }
+    connection->Close();
+  }
+  return nullptr;
+}
+
+void
+FleetTarget::PutResting(std::shared_ptr<net::OutboundConnection> aConnection)
+{
+  const core::Instant now = core::RuntimeClock::now();
+  const core::Duration allowed = m_keep_alive.value_or(kUsualKeepAlive);
+  std::erase_if(m_resting, [&](const auto& aResting) {
+    const bool is_old = now - aResting->resting_since > allowed;
+    if (is_old) {
+      aResting->Close();
+    }
+    return is_old;
+  });
+  if (is_gone || m_resting.size() >= kMostResting) {
+    aConnection->Close();
+    return;
+  }
+  aConnection->resting_since = now;
+  aConnection->was_used = true;
+  m_resting.push_back(std::move(aConnection));
+}
+
+void
+FleetTarget::OnKeepAlive(core::Duration aTime)
+{
+  m_keep_alive = std::max(core::Duration(0), aTime - kKeepAliveMargin);
+}
+
+void
+FleetTarget::CloseResting()
+{
+  for (const auto& connection : m_resting) {
+    connection->Close();
+  }
+  m_resting.clear();
+}
+
+void
+TargetFleet::Update(const std::vector<core::RegisteredTarget>& aTargets)
+{
+  auto before = std::move(m_targets);
+  m_targets.clear();
+  m_by_service.clear();
+  for (const core::RegisteredTarget& target : aTargets) {
+    const auto endpoint = FindEndpoint(target.address);
+    if (!endpoint) {
+      LogWarning("targets",
+                 "target=" + target.id.Text() +
+                   " left_out=address_unreadable address=" + target.address);
+      continue;
+    }
+    std::shared_ptr<FleetTarget> known;
+    const auto found = before.find(target.id);
+    if (found != before.end() && found->second->endpoint == *endpoint &&
+        found->second->target.born_ms == target.born_ms) {
+      known = std::move(found->second);
+      before.erase(found);
+    } else {
+      known = std::make_shared<FleetTarget>();
+      known->name_hash = core::PlacementHash(target.id.View());
+      known->endpoint = *endpoint;
+    }
+    known->target = target;
+    known->is_gone = target.leaving;
+    known->is_loading = m_loading.contains(target.id);
+    if (known->is_gone) {
+      known->CloseResting();
+    }
+    m_targets.emplace(target.id, known);
+    m_by_service[target.service].push_back(known);
+  }
+  for (const auto& [id, gone] : before) {
+    gone->is_gone = true;
+    gone->CloseResting();
+  }
+}
+
+void
+TargetFleet::SetLoading(const std::set<core::TargetId>& aTargets)
+{
+  m_loading = aTargets;
+  for (const auto& [id, target] : m_targets) {
+    target->is_loading = m_loading.contains(id);
+  }
+}
+
+std::vector<std::shared_ptr<FleetTarget>>
+TargetFleet::Of(const core::ServiceId& aService) const
+{
+  std::vector<std::shared_ptr<FleetTarget>> targets;
+  const auto found = m_by_service.find(aService);
+  if (found == m_by_service.end()) {
+    return targets;
+  }
+  for (const auto& target : found->second) {
+    if (!target->is_gone) {
+      targets.push_back(target);
+    }
+  }
+  return targets;
+}
+
+std::shared_ptr<FleetTarget>
+TargetFleet::Find(const core::TargetId& aId) const
+{
+  const auto found = m_targets.find(aId);
+  return found == m_targets.end() ? nullptr : found->second;
+}
+
+} // namespace jujubehead::node
--- a/src/jujubehead/node/log.cpp
+++ b/src/jujubehead/node/log.cpp
@@ -22,11 +22,13 @@
 }
 
 void
-LogToStderr()
+LogToConsole(LogStream aStream)
 {
   const auto layout = std::make_shared<log4cxx::PatternLayout>(kPattern);
   const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-    layout, log4cxx::ConsoleAppender::getSystemErr());
+    layout,
+    aStream == LogStream::kOut ? log4cxx::ConsoleAppender::getSystemOut()
+                               : log4cxx::ConsoleAppender::getSystemErr());
   log4cxx::BasicConfigurator::configure(appender);
   log4cxx::Logger::getRootLogger()->setLevel(log4cxx::Level::getInfo());
 }
@@ -34,10 +36,10 @@
 } // namespace
 
 void
-ConfigureLog(const std::string& aConfigFile)
+ConfigureLog(const std::string& aConfigFile, LogStream aStream)
 {
   if (aConfigFile.empty()) {
-    LogToStderr();
+    LogToConsole(aStream);
     return;
   }
   if (!std::ifstream(aConfigFile)) {
