Bring new weights to targets under a lease for giving orders

One instance takes a row of the platform's store under a condition, gives orders while its term runs, and tells the others which targets load. The clock of the process now counts suspension, as leases and deadlines have to.

Ruled out: all targets at once - none would carry the load.

--- a/include/jujubehead/core/runtime_clock.hpp
+++ b/include/jujubehead/core/runtime_clock.hpp
@@ -1,13 +1,15 @@
 #ifndef JUJUBEHEAD_CORE_RUNTIME_CLOCK_HPP
 #define JUJUBEHEAD_CORE_RUNTIME_CLOCK_HPP
 
-#include <chrono> // for steady_clock, microseconds
+#include <chrono> // for time_point, microseconds
 
 namespace jujubehead::core {
 
 /// @brief The clock of the whole process. Monotonic, in microseconds.
 ///
-/// It follows the steady clock until a test pauses it; a paused clock moves
+/// It follows the clock of the time since boot, which counts while the machine
+/// is suspended, so that leases and deadlines do. A test may pause it; a paused
+/// clock moves
 /// only by Advance(). Timers of the net layer run on it too. The core never
 /// reads it: time comes into the core as an `Instant` argument.
 ///
--- /dev/null
+++ b/include/jujubehead/core/weights/order_lease.hpp
@@ -0,0 +1,84 @@
+#ifndef JUJUBEHEAD_CORE_WEIGHTS_ORDER_LEASE_HPP
+#define JUJUBEHEAD_CORE_WEIGHTS_ORDER_LEASE_HPP
+
+#include <cstdint>     // for uint64_t
+#include <optional>    // for optional
+#include <string>      // for string
+#include <string_view> // for string_view
+
+#include "jujubehead/core/runtime_clock.hpp" // for Instant, Duration
+
+namespace jujubehead::core {
+
+/// @brief Times of the lease for giving orders.
+struct OrderLeaseOptions
+{
+  /// How long a holder may give orders after it began its last renewal.
+  Duration term = std::chrono::seconds(3);
+  /// Least time between orders of two holders.
+  Duration gap = std::chrono::seconds(3);
+  /// For clocks that run unevenly, and orders that are on their way.
+  Duration margin = std::chrono::seconds(1);
+  /// Two renewals may fail before the term is over.
+  Duration renewal = std::chrono::seconds(1);
+};
+
+/// @brief The lease by which one instance at a time gives orders to targets.
+///
+/// It is one row in a store of the platform, written only under the condition
+/// that nobody wrote it meanwhile. No clock of another machine is compared: the
+/// holder counts its term from before it began to write, and another takes the
+/// lease only after it has seen the row unchanged for the term, the gap and the
+/// margin. The row's version at the taking is the fencing token, which so grows
+/// from holder to holder.
+///
+/// Instants have to come from a clock that counts while the machine sleeps.
+///
+/// @code
+/// lease.OnRow(holder, version, now);
+/// if (lease.MayTake(now)) {
+///   const auto begun = now;
+///   const auto written = co_await rows.Put(key, lease.Self(),
+///   lease.RowVersion()); lease.OnWritten(*written, begun);
+/// }
+/// if (lease.Holds(now + order_time)) { ... }
+/// @endcode
+class OrderLease
+{
+public:
+  /// @param aSelf names this start of this instance; no other has it.
+  OrderLease(std::string aSelf, OrderLeaseOptions aOptions);
+
+  /// @brief The row was read, or is known to be missing.
+  /// @param aVersion 0: there is no row.
+  void OnRow(std::string_view aHolder, std::uint64_t aVersion, Instant aNow);
+
+  /// @return whether this instance may write the row to take or renew it.
+  [[nodiscard]] bool MayTake(Instant aNow) const;
+  /// @return whether the holder should renew now.
+  [[nodiscard]] bool IsRenewalDue(Instant aNow) const;
+  /// @brief Its write took effect.
+  /// @param aBegun when the write was begun.
+  void OnWritten(std::uint64_t aVersion, Instant aBegun);
+
+  /// @return whether orders that arrive until then are this holder's to give.
+  [[nodiscard]] bool Holds(Instant aUntil) const;
+  [[nodiscard]] std::uint64_t FencingToken() const { return m_token; }
+  /// @return the version that a write has to expect.
+  [[nodiscard]] std::uint64_t RowVersion() const { return m_row_version; }
+  [[nodiscard]] const std::string& Self() const { return m_self; }
+  [[nodiscard]] bool WasLastHolder() const { return m_is_mine; }
+
+private:
+  std::string m_self;
+  OrderLeaseOptions m_options;
+  std::optional<Instant> m_row_seen; ///< When it was first seen as it is now.
+  std::uint64_t m_row_version = 0;
+  bool m_is_mine = false;
+  std::optional<Instant> m_begun; ///< Of the last write that took effect.
+  std::uint64_t m_token = 0;
+};
+
+} // namespace jujubehead::core
+
+#endif // JUJUBEHEAD_CORE_WEIGHTS_ORDER_LEASE_HPP
--- a/src/jujubehead/core/runtime_clock.cpp
+++ b/src/jujubehead/core/runtime_clock.cpp
@@ -1,23 +1,25 @@
 #include "jujubehead/core/runtime_clock.hpp"
 
 #include <atomic> // for atomic
+#include <ctime>  // for clock_gettime
 
 namespace jujubehead::core {
 namespace {
 
-using Steady = std::chrono::steady_clock;
-
-// When paused: the reading. When running: what is added to the steady clock.
+// When paused: the reading. When running: what is added to the boot clock.
 std::atomic<RuntimeClock::rep> gPausedAt{ 0 };
 std::atomic<RuntimeClock::rep> gOffset{ 0 };
 std::atomic<bool> gPaused{ false };
 
+constexpr RuntimeClock::rep kMicrosOfSecond = 1000000;
+constexpr RuntimeClock::rep kNanosOfMicro = 1000;
+
 RuntimeClock::rep
-SteadyReading() noexcept
+BootReading() noexcept
 {
-  return std::chrono::duration_cast<RuntimeClock::duration>(
-           Steady::now().time_since_epoch())
-    .count();
+  timespec reading{};
+  (void)clock_gettime(CLOCK_BOOTTIME, &reading); // Fails for unknown ids only.
+  return reading.tv_sec * kMicrosOfSecond + reading.tv_nsec / kNanosOfMicro;
 }
 
 } // namespace
@@ -27,7 +29,7 @@
 {
   const rep reading = gPaused.load(std::memory_order_acquire)
                         ? gPausedAt.load(std::memory_order_acquire)
-                        : SteadyReading() + gOffset.load();
+                        : BootReading() + gOffset.load();
   return time_point(duration(reading));
 }
 
@@ -53,7 +55,7 @@
 void
 RuntimeClock::Resume() noexcept
 {
-  gOffset.store(gPausedAt.load() - SteadyReading());
+  gOffset.store(gPausedAt.load() - BootReading());
   gPaused.store(false, std::memory_order_release);
 }
 
--- /dev/null
+++ b/src/jujubehead/core/weights/rollout.cpp
@@ -0,0 +1,139 @@
+#include "jujubehead/core/weights/rollout.hpp"
+
+#include <algorithm> // for min_element, max
+
+#include <nlohmann/json.hpp> // for json
+
+namespace jujubehead::core {
+namespace {
+
+using nlohmann::json;
+
+/// A quarter at once: loading takes a second or two, drain included, so four
+/// rounds end well within the ten seconds that operators allow, and three
+/// quarters of the targets carry the load meanwhile.
+constexpr std::size_t kRounds = 4;
+
+json
+Names(const std::vector<TargetId>& aTargets)
+{
+  json names = json::array();
+  for (const TargetId& target : aTargets) {
+    names.push_back(target.Text());
+  }
+  return names;
+}
+
+std::vector<TargetId>
+TargetsOf(const json& aNames)
+{
+  std::vector<TargetId> targets;
+  for (const json& name : aNames) {
+    targets.emplace_back(name.get<std::string>());
+  }
+  return targets;
+}
+
+} // namespace
+
+bool
+WantedWeights::Add(std::uint64_t aVersion, Instant aOnlyNewerFrom)
+{
+  if (aVersion <= Newest()) {
+    return false;
+  }
+  m_deadlines.emplace(aVersion, aOnlyNewerFrom);
+  return true;
+}
+
+void
+WantedWeights::Extend(Instant aNow, Instant aTo)
+{
+  for (auto& [version, deadline] : m_deadlines) {
+    if (deadline > aNow && deadline != Instant::max()) {
+      deadline = std::max(deadline, aTo);
+    }
+  }
+}
+
+std::uint64_t
+WantedWeights::Newest() const
+{
+  return m_deadlines.empty() ? 0 : m_deadlines.rbegin()->first;
+}
+
+std::uint64_t
+WantedWeights::OldestAllowed(Instant aNow) const
+{
+  std::uint64_t oldest = 0;
+  for (const auto& [version, deadline] : m_deadlines) {
+    if (aNow >= deadline) {
+      oldest = version;
+    }
+  }
+  return oldest;
+}
+
+std::size_t
+RolloutWidth(std::size_t aTargets)
+{
+  return std::max<std::size_t>(1, (aTargets + kRounds - 1) / kRounds);
+}
+
+std::vector<TargetId>
+NextToLoad(std::span<const RolloutTarget> aTargets,
+           std::uint64_t aWanted,
+           Instant aNow)
+{
+  std::map<DataCentreId, std::size_t> loading;
+  std::size_t all_loading = 0;
+  std::vector<const RolloutTarget*> behind;
+  for (const RolloutTarget& target : aTargets) {
+    if (target.is_loading) {
+      ++loading[target.data_centre];
+      ++all_loading;
+    } else if (target.version < aWanted && aNow >= target.not_before) {
+      behind.push_back(&target);
+    }
+  }
+  std::vector<TargetId> next;
+  const std::size_t width = RolloutWidth(aTargets.size());
+  while (!behind.empty() && all_loading + next.size() < width) {
+    const auto best = std::min_element(
+      behind.begin(), behind.end(), [&](const auto* aOne, const auto* aOther) {
+        return loading[aOne->data_centre] < loading[aOther->data_centre];
+      });
+    ++loading[(*best)->data_centre];
+    next.push_back((*best)->id);
+    behind.erase(best);
+  }
+  return next;
+}
+
+std::string
+ToText(const RolloutState& aState)
+{
+  return json{
+    { "version", aState.version },
+    { "loading", Names(aState.loading) },
+    { "done", Names(aState.done) }
+  }.dump();
+}
+
+RolloutState
+RolloutStateOf(const std::string& aText)
+{
+  RolloutState state;
+  try {
+    const json parsed = json::parse(aText);
+    state.version = parsed.at("version").get<std::uint64_t>();
+    state.loading = TargetsOf(parsed.at("loading"));
+    state.done = TargetsOf(parsed.at("done"));
+  } catch (const json::exception&) {
+    // Another writer's row: nothing is known by it, which is always safe.
+    return {};
+  }
+  return state;
+}
+
+} // namespace jujubehead::core
--- a/src/jujubehead/net/client_connection.cpp
+++ b/src/jujubehead/net/client_connection.cpp
@@ -21,6 +21,10 @@
                 : ByteStream(ByteStream::Plain(aExecutor)))
   , deadline(aExecutor, [this] {
     timed_out = true;
+    // What is still on its way must not arrive after the call was given up.
+    boost::system::error_code ignored;
+    stream.Socket().set_option(boost::asio::socket_base::linger(true, 0),
+                               ignored);
     Close();
   })
 {
--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -13,7 +13,7 @@
 namespace asio = boost::asio;
 
 /// How often lapsed registrations are looked at; against bounds of seconds.
-constexpr core::Duration kTickTime = std::chrono::milliseconds(200);
+constexpr core::Duration kTickTime = std::chrono::milliseconds(400);
 /// Reports of many targets come together in one page after this pause, a
 /// quarter of the time in which a leaving target may still get work.
 constexpr core::Duration kRegistryPause = std::chrono::milliseconds(400);
@@ -59,6 +59,7 @@
   operators.on_news = [this](const OperatorNews& aNews, bool) {
     OnOperatorNews(aNews);
   };
+  operators.on_silence = [this] { OnOperatorSilent(); };
   FollowOptions operator_options;
   operator_options.name = "operator";
   asio::co_spawn(m_context,
@@ -75,8 +76,8 @@
                  Follow(*m_platform.registry, registry_options, registry),
                  asio::detached);
   FollowHooks<SharedNews> shared;
-  shared.on_news = [this](const SharedNews& aNews, bool) {
-    m_weights.OnSharedNews(aNews);
+  shared.on_news = [this](const SharedNews& aNews, bool aIsAll) {
+    m_weights.OnSharedNews(aNews, aIsAll);
   };
   FollowOptions shared_options;
   shared_options.name = "shared";
@@ -118,18 +119,9 @@
   }
   bool is_new = false;
   for (const core::LoadedModel& wanted : aNews.wanted) {
-    WantedWeights& known = m_wanted[wanted.model];
-    if (wanted.version <= known.version) {
+    if (!m_wanted[wanted.model].Add(wanted.version, OldWeightsEnd())) {
       continue;
     }
-    const bool replaces = known.version != 0 || wanted.version > 1;
-    known.version = wanted.version;
-    known.begin_only_newest =
-      replaces ? core::RuntimeClock::now() +
-                   core::Duration(static_cast<core::Duration::rep>(
-                     kOldWeightsShare *
-                     static_cast<double>(m_options.weights_time.count())))
-               : core::Instant::max();
     is_new = true;
     DecisionLog::WriteAlways(LogLine("weights_wanted")
                                .Add("model", wanted.model.View())
@@ -141,6 +133,24 @@
   }
 }
 
+core::Instant
+EntryControl::OldWeightsEnd() const
+{
+  const double whole = static_cast<double>(m_options.weights_time.count());
+  return core::RuntimeClock::now() +
+         core::Duration(
+           static_cast<core::Duration::rep>(kOldWeightsShare * whole));
+}
+
+void
+EntryControl::OnOperatorSilent()
+{
+  for (auto& [model, wanted] : m_wanted) {
+    wanted.Extend(core::RuntimeClock::now(), OldWeightsEnd());
+  }
+  m_forwarder.SetWantedWeights(m_wanted);
+}
+
 void
 EntryControl::OnRegistryNews(const RegistryNews& aNews, bool aIsAll)
 {
@@ -196,15 +206,17 @@
 void
 EntryControl::FollowStores()
 {
-  std::map<core::StoreId, std::string> declared;
-  for (const core::DeclaredStore& store : m_configuration->All().stores) {
-    declared[store.id] = store.address;
-    const auto known = m_followed.find(store.id);
-    if (known == m_followed.end() || known->second != store.address) {
+  const auto& stores = m_configuration->All().stores;
+  const auto before = std::exchange(m_followed, {});
+  for (const core::DeclaredStore& store : stores) {
+    m_followed[store.id] = store.address;
+  }
+  for (const core::DeclaredStore& store : stores) {
+    const auto known = before.find(store.id);
+    if (known == before.end() || known->second != store.address) {
       asio::co_spawn(m_context, FollowStore(store), asio::detached);
     }
   }
-  m_followed = std::move(declared);
 }
 
 asio::awaitable<void>
@@ -212,6 +224,7 @@
 {
   std::uint64_t since = 0;
   std::uint64_t epoch = 0;
+  bool was_heard = true;
   for (;;) {
     const auto known = m_followed.find(aStore.id);
     if (known == m_followed.end() || known->second != aStore.address) {
@@ -228,12 +241,17 @@
       epoch = page.epoch;
       m_forwarder.OnPartEvents(aStore.id, std::move(page));
     } catch (const std::exception& error) {
-      if (epoch != 0) {
+      if (was_heard) {
         DecisionLog::WriteAlways(LogLine("store_silent")
                                    .Add("store", aStore.id.View())
                                    .Add("why", error.what()));
       }
     }
+    if (heard && !was_heard) {
+      DecisionLog::WriteAlways(
+        LogLine("store_regained").Add("store", aStore.id.View()));
+    }
+    was_heard = heard;
     if (!heard) {
       m_forwarder.OnStoreSilent(aStore.id);
       const core::Duration pause = SpreadPause();
--- a/src/jujubehead/node/control/entry_control.hpp
+++ b/src/jujubehead/node/control/entry_control.hpp
@@ -39,9 +39,10 @@
 private:
   void OnOperatorNews(const OperatorNews& aNews);
   void OnRegistryNews(const RegistryNews& aNews, bool aIsAll);
-  void OnSharedNews(const SharedNews& aNews);
+  void OnOperatorSilent();
+  /// @return when no request may begin on weights that are replaced now.
+  [[nodiscard]] core::Instant OldWeightsEnd() const;
   void PublishTargets();
-  void PublishWanted();
   void FollowStores();
   boost::asio::awaitable<void> FollowStore(core::DeclaredStore aStore);
   boost::asio::awaitable<void> TickRegistry();
@@ -54,7 +55,7 @@
   core::TargetBook m_book;
   bool m_registry_read = false;
   std::size_t m_targets_in_all = 0;
-  std::map<core::ModelId, WantedWeights> m_wanted;
+  std::map<core::ModelId, core::WantedWeights> m_wanted;
   std::map<core::StoreId, std::string> m_followed; ///< With their addresses.
   WeightsGiver m_weights;
 };
--- a/src/jujubehead/node/control/weights_giver.cpp
+++ b/src/jujubehead/node/control/weights_giver.cpp
@@ -1,8 +1,67 @@
 #include "weights_giver.hpp"
 
+#include <algorithm> // for any_of, max
+#include <utility>   // for move
+
+#include <boost/asio/as_tuple.hpp>      // for as_tuple
+#include <boost/asio/co_spawn.hpp>      // for co_spawn
+#include <boost/asio/detached.hpp>      // for detached
+#include <boost/asio/use_awaitable.hpp> // for use_awaitable
+
+#include "jujubehead/net/random_text.hpp" // for RandomText
+
+#include "follow.hpp" // for SpreadPause
+
 namespace jujubehead::node {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::string_view kLeaseKey = "orders/lease";
+constexpr std::string_view kStatePrefix = "weights/"; // then the model
+constexpr std::size_t kStartBytes = 6;
+/// Between two looks at what is to be done, when nothing else wakes it.
+constexpr core::Duration kIdleTime = std::chrono::seconds(2);
+constexpr core::Duration kBusyTime = std::chrono::milliseconds(200);
+/// The last holder goes first, so that the lease need not wait out.
+constexpr core::Duration kOthersWait = std::chrono::milliseconds(150);
+/// The other instances hear of a target that is about to load within this, and
+/// what they sent there before has begun.
+constexpr core::Duration kNoticeTime = std::chrono::milliseconds(200);
+/// An order is at its target within its time-outs, or never.
+constexpr core::Duration kOrderTime = std::chrono::milliseconds(950);
+/// Loading takes most of a second after the runs have ended.
+constexpr core::Duration kFirstLook = std::chrono::milliseconds(700);
+constexpr core::Duration kNextLook = std::chrono::milliseconds(250);
+/// A target that did not load by then is left to a later try.
+constexpr core::Duration kLoadTimeout = std::chrono::seconds(8);
+constexpr core::Duration kRetryTarget = std::chrono::seconds(1);
+/// What another instance said of its loading is believed for so long; it says
+/// more whenever a target begins or ends.
+constexpr core::Duration kBelieveTime = std::chrono::seconds(6);
+
+core::OrderLeaseOptions
+LeaseOptions(const EntryOptions& aOptions)
+{
+  core::OrderLeaseOptions options;
+  options.gap = aOptions.lease_time;
+  return options;
+}
+
+std::uint64_t
+VersionIn(const WeightsReport& aReport, const core::ModelId& aModel)
+{
+  for (const core::LoadedModel& loaded : aReport.models) {
+    if (loaded.model == aModel) {
+      return loaded.version;
+    }
+  }
+  return 0;
+}
 
-WeightsGiver::WeightsGiver(boost::asio::io_context& aContext,
+} // namespace
+
+WeightsGiver::WeightsGiver(asio::io_context& aContext,
                            const EntryOptions& aOptions,
                            SharedRows& aShared,
                            TargetOrders& aOrders,
@@ -12,7 +71,326 @@
   , m_shared(aShared)
   , m_orders(aOrders)
   , m_forwarder(aForwarder)
+  , m_lease(aOptions.instance_id.Text() + "/" + net::RandomText(kStartBytes),
+            LeaseOptions(aOptions))
+  , m_wake(aContext)
+{
+}
+
+void
+WeightsGiver::Start()
+{
+  asio::co_spawn(m_context, Run(), asio::detached);
+}
+
+bool
+WeightsGiver::HoldsLease() const
+{
+  return m_lease.Holds(core::RuntimeClock::now());
+}
+
+void
+WeightsGiver::SetWanted(std::map<core::ModelId, core::WantedWeights> aWanted)
+{
+  m_wanted = std::move(aWanted);
+  Wake();
+}
+
+void
+WeightsGiver::SetTargets(std::vector<core::RegisteredTarget> aTargets)
+{
+  m_targets = std::move(aTargets);
+  Wake();
+}
+
+void
+WeightsGiver::Wake()
+{
+  m_wake.cancel();
+}
+
+void
+WeightsGiver::OnSharedNews(const SharedNews& aNews, bool aIsAll)
+{
+  const core::Instant now = core::RuntimeClock::now();
+  bool has_lease = false;
+  for (const SharedRow& row : aNews.rows) {
+    if (row.key == kLeaseKey) {
+      m_lease.OnRow(row.value.value_or(""), row.version, now);
+      has_lease = true;
+    } else if (row.key.starts_with(kStatePrefix) && row.value) {
+      ReadState(core::ModelId(row.key.substr(kStatePrefix.size())), row);
+    }
+  }
+  if (aIsAll && !has_lease) {
+    m_lease.OnRow("", 0, now);
+  }
+  PublishLoading();
+  Wake();
+}
+
+void
+WeightsGiver::ReadState(const core::ModelId& aModel, const SharedRow& aRow)
+{
+  Rollout& rollout = m_rollouts[aModel];
+  if (aRow.version <= rollout.row_version) {
+    return;
+  }
+  rollout.row_version = aRow.version;
+  const core::RolloutState state = core::RolloutStateOf(*aRow.value);
+  rollout.loading_elsewhere = { state.loading.begin(), state.loading.end() };
+  rollout.heard = core::RuntimeClock::now();
+  for (const core::TargetId& done : state.done) {
+    OnLoaded(aModel, done, state.version);
+  }
+}
+
+void
+WeightsGiver::OnLoaded(const core::ModelId& aModel,
+                       const core::TargetId& aTarget,
+                       std::uint64_t aVersion)
+{
+  std::uint64_t& known = m_rollouts[aModel].loaded[aTarget];
+  if (aVersion > known) {
+    known = aVersion;
+    m_forwarder.SetLoaded(aTarget, { aModel, aVersion });
+  }
+}
+
+void
+WeightsGiver::PublishLoading()
+{
+  const core::Instant now = core::RuntimeClock::now();
+  std::set<core::TargetId> loading;
+  for (const auto& [model, rollout] : m_rollouts) {
+    loading.insert(rollout.loading.begin(), rollout.loading.end());
+    if (now - rollout.heard < kBelieveTime && !HoldsLease()) {
+      loading.insert(rollout.loading_elsewhere.begin(),
+                     rollout.loading_elsewhere.end());
+    }
+  }
+  if (loading != m_published) {
+    m_published = loading;
+    m_forwarder.SetLoading(std::move(loading));
+  }
+}
+
+std::vector<core::RolloutTarget>
+WeightsGiver::TargetsOf(const core::ModelId& aModel) const
+{
+  std::vector<core::RolloutTarget> targets;
+  const auto found = m_rollouts.find(aModel);
+  for (const core::RegisteredTarget& target : m_targets) {
+    const auto registered = target.VersionOf(aModel);
+    if (!registered || target.leaving) {
+      continue;
+    }
+    core::RolloutTarget one;
+    one.id = target.id;
+    one.data_centre = target.data_centre;
+    one.version = *registered;
+    if (found != m_rollouts.end()) {
+      const Rollout& rollout = found->second;
+      if (const auto loaded = rollout.loaded.find(target.id);
+          loaded != rollout.loaded.end()) {
+        one.version = std::max(one.version, loaded->second);
+      }
+      one.is_loading = rollout.loading.contains(target.id);
+      if (const auto wait = rollout.not_before.find(target.id);
+          wait != rollout.not_before.end()) {
+        one.not_before = wait->second;
+      }
+    }
+    targets.push_back(std::move(one));
+  }
+  return targets;
+}
+
+bool
+WeightsGiver::HasWork() const
+{
+  return std::any_of(
+    m_wanted.begin(), m_wanted.end(), [&](const auto& aWanted) {
+      const auto targets = TargetsOf(aWanted.first);
+      return std::any_of(
+        targets.begin(), targets.end(), [&](const auto& aTarget) {
+          return aTarget.version < aWanted.second.Newest();
+        });
+    });
+}
+
+asio::awaitable<void>
+WeightsGiver::Run()
+{
+  constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+  for (;;) {
+    const bool has_work = HasWork();
+    m_wake.expires_after(has_work ? kBusyTime : kIdleTime);
+    co_await m_wake.async_wait(kTuple);
+    PublishLoading();
+    if (HasWork()) {
+      try {
+        co_await Work();
+      } catch (const PlatformError& error) {
+        DecisionLog::WriteAlways(
+          LogLine("orders_lease_unwritten").Add("why", error.what()));
+      }
+    }
+  }
+}
+
+asio::awaitable<bool>
+WeightsGiver::WriteLease()
+{
+  const core::Instant begun = core::RuntimeClock::now();
+  const bool was_held = m_lease.Holds(begun);
+  std::string key(kLeaseKey);
+  const std::optional<std::uint64_t> version =
+    co_await m_shared.Put(std::move(key), m_lease.Self(), m_lease.RowVersion());
+  if (!version) {
+    co_return false;
+  }
+  m_lease.OnWritten(*version, begun);
+  if (!was_held) {
+    DecisionLog::WriteAlways(LogLine("orders_lease_taken")
+                               .Add("holder", m_lease.Self())
+                               .Add("token", m_lease.FencingToken()));
+  }
+  co_return true;
+}
+
+asio::awaitable<void>
+WeightsGiver::Work()
+{
+  const core::Instant now = core::RuntimeClock::now();
+  if (!m_lease.MayTake(now)) {
+    co_return;
+  }
+  if (m_lease.IsRenewalDue(now)) {
+    if (!m_lease.WasLastHolder()) {
+      const core::Duration pause = kOthersWait + SpreadPause();
+      co_await net::Sleep(pause);
+      if (!m_lease.MayTake(core::RuntimeClock::now())) {
+        co_return;
+      }
+    }
+    const bool written = co_await WriteLease();
+    if (!written) {
+      co_return;
+    }
+  }
+  for (const auto& [model, wanted] : m_wanted) {
+    const auto next = core::NextToLoad(
+      TargetsOf(model), wanted.Newest(), core::RuntimeClock::now());
+    for (const core::RegisteredTarget& target : m_targets) {
+      if (std::find(next.begin(), next.end(), target.id) != next.end()) {
+        m_rollouts[model].loading.insert(target.id);
+        asio::co_spawn(m_context, LoadOne(model, target), asio::detached);
+      }
+    }
+    if (!next.empty()) {
+      PublishLoading();
+      const core::ModelId written = model;
+      co_await WriteState(written);
+      // What was wanted may have changed meanwhile.
+      break;
+    }
+  }
+}
+
+asio::awaitable<void>
+WeightsGiver::WriteState(core::ModelId aModel)
+{
+  Rollout& rollout = m_rollouts[aModel];
+  core::RolloutState state;
+  state.version = m_wanted[aModel].Newest();
+  state.loading = { rollout.loading.begin(), rollout.loading.end() };
+  for (const auto& [id, version] : rollout.loaded) {
+    if (version >= state.version) {
+      state.done.push_back(id);
+    }
+  }
+  try {
+    std::string key = std::string(kStatePrefix) + aModel.Text();
+    const std::optional<std::uint64_t> version = co_await m_shared.Put(
+      std::move(key), core::ToText(state), rollout.row_version);
+    if (version) {
+      rollout.row_version = *version;
+    }
+  } catch (const PlatformError& error) {
+    // The others then learn it from the targets' refusals and reports.
+    DecisionLog::WriteAlways(
+      LogLine("rollout_unwritten").Add("why", error.what()));
+  }
+}
+
+asio::awaitable<void>
+WeightsGiver::LoadOne(core::ModelId aModel, core::RegisteredTarget aTarget)
+{
+  co_await net::Sleep(kNoticeTime);
+  const core::Instant begun = core::RuntimeClock::now();
+  bool is_loaded = false;
+  while (!is_loaded && core::RuntimeClock::now() - begun < kLoadTimeout &&
+         m_lease.Holds(core::RuntimeClock::now())) {
+    try {
+      is_loaded = co_await Bring(aModel, aTarget);
+    } catch (const PlatformError& error) {
+      DecisionLog::WriteAlways(LogLine("order_unanswered")
+                                 .Add("target", aTarget.id.View())
+                                 .Add("why", error.what()));
+    }
+    if (!is_loaded) {
+      co_await net::Sleep(kNextLook);
+    }
+  }
+  Rollout& rollout = m_rollouts[aModel];
+  rollout.loading.erase(aTarget.id);
+  if (!is_loaded) {
+    rollout.not_before[aTarget.id] = core::RuntimeClock::now() + kRetryTarget;
+  }
+  DecisionLog::WriteAlways(
+    LogLine(is_loaded ? "weights_loaded" : "weights_not_loaded")
+      .Add("target", aTarget.id.View())
+      .Add("model", aModel.View())
+      .Add("took", core::RuntimeClock::now() - begun));
+  PublishLoading();
+  if (HoldsLease()) {
+    co_await WriteState(aModel);
+  }
+  Wake();
+}
+
+asio::awaitable<bool>
+WeightsGiver::Bring(const core::ModelId& aModel,
+                    const core::RegisteredTarget& aTarget)
 {
+  const WeightsReport report = co_await m_orders.Report(aTarget.address);
+  const std::uint64_t wanted = m_wanted[aModel].Newest();
+  const std::uint64_t version = VersionIn(report, aModel);
+  if (version >= wanted) {
+    OnLoaded(aModel, aTarget.id, version);
+    co_return true;
+  }
+  if (report.is_busy ||
+      !m_lease.Holds(core::RuntimeClock::now() + kOrderTime)) {
+    co_return false;
+  }
+  LoadOrder order;
+  order.target = aTarget.id;
+  order.wanted = { aModel, wanted };
+  order.orders_taken = report.orders_taken;
+  order.holder = m_lease.Self();
+  order.fencing_token = m_lease.FencingToken();
+  const OrderAnswer answer =
+    co_await m_orders.Load(aTarget.address, std::move(order));
+  if (answer == OrderAnswer::kHolds) {
+    OnLoaded(aModel, aTarget.id, wanted);
+    co_return true;
+  }
+  if (answer == OrderAnswer::kAccepted) {
+    co_await net::Sleep(kFirstLook);
+  }
+  co_return false;
 }
 
 } // namespace jujubehead::node
--- a/src/jujubehead/node/control/weights_giver.hpp
+++ b/src/jujubehead/node/control/weights_giver.hpp
@@ -2,15 +2,21 @@
 #define JUJUBEHEAD_NODE_CONTROL_WEIGHTS_GIVER_HPP
 
 #include <map>    // for map
+#include <set>    // for set
+#include <string> // for string
 #include <vector> // for vector
 
+#include <boost/asio/awaitable.hpp>  // for awaitable
 #include <boost/asio/io_context.hpp> // for io_context
 
 #include "jujubehead/core/routing/target_book.hpp"   // for RegisteredTarget
+#include "jujubehead/core/weights/order_lease.hpp"   // for OrderLease
+#include "jujubehead/core/weights/rollout.hpp"       // for WantedWeights
+#include "jujubehead/net/timer.hpp"                  // for Timer
 #include "jujubehead/node/control/platform.hpp"      // for SharedRows
 #include "jujubehead/node/forward/entry_options.hpp" // for EntryOptions
 
-#include "../forward/forwarder.hpp" // for Forwarder, WantedWeights
+#include "../forward/forwarder.hpp" // for Forwarder
 
 namespace jujubehead::node {
 
@@ -26,25 +32,53 @@
                TargetOrders& aOrders,
                Forwarder& aForwarder);
 
-  void Start() {}
-  void SetWanted(const std::map<core::ModelId, WantedWeights>& aWanted)
-  {
-    m_wanted = aWanted;
-  }
-  void SetTargets(const std::vector<core::RegisteredTarget>& aTargets)
-  {
-    m_targets = aTargets;
-  }
-  void OnSharedNews(const SharedNews& /*aNews*/) {}
+  void Start();
+  void SetWanted(std::map<core::ModelId, core::WantedWeights> aWanted);
+  void SetTargets(std::vector<core::RegisteredTarget> aTargets);
+  void OnSharedNews(const SharedNews& aNews, bool aIsAll);
+  [[nodiscard]] bool HoldsLease() const;
 
 private:
+  /// What is known of one model's roll-out.
+  struct Rollout
+  {
+    std::map<core::TargetId, std::uint64_t> loaded; ///< Versions, as confirmed.
+    std::set<core::TargetId> loading;               ///< By this instance.
+    std::map<core::TargetId, core::Instant> not_before;
+    std::set<core::TargetId> loading_elsewhere;
+    core::Instant heard{}; ///< From another instance.
+    std::uint64_t row_version = 0;
+  };
+
+  boost::asio::awaitable<void> Run();
+  boost::asio::awaitable<void> Work();
+  boost::asio::awaitable<bool> WriteLease();
+  boost::asio::awaitable<void> WriteState(core::ModelId aModel);
+  boost::asio::awaitable<void> LoadOne(core::ModelId aModel,
+                                       core::RegisteredTarget aTarget);
+  boost::asio::awaitable<bool> Bring(const core::ModelId& aModel,
+                                     const core::RegisteredTarget& aTarget);
+  void OnLoaded(const core::ModelId& aModel,
+                const core::TargetId& aTarget,
+                std::uint64_t aVersion);
+  void ReadState(const core::ModelId& aModel, const SharedRow& aRow);
+  void PublishLoading();
+  void Wake();
+  [[nodiscard]] bool HasWork() const;
+  [[nodiscard]] std::vector<core::RolloutTarget> TargetsOf(
+    const core::ModelId& aModel) const;
+
   boost::asio::io_context& m_context;
   const EntryOptions& m_options;
   SharedRows& m_shared;
   TargetOrders& m_orders;
   Forwarder& m_forwarder;
-  std::map<core::ModelId, WantedWeights> m_wanted;
+  core::OrderLease m_lease;
+  net::Timer m_wake;
+  std::map<core::ModelId, core::WantedWeights> m_wanted;
   std::vector<core::RegisteredTarget> m_targets;
+  std::map<core::ModelId, Rollout> m_rollouts;
+  std::set<core::TargetId> m_published;
 };
 
 } // namespace jujubehead::node
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -365,14 +365,19 @@
   }
   std::vector<std::shared_ptr<FleetTarget>> newest;
   for (const auto& target : chosen) {
-    if (target->VersionOf(m_facts.prompt->model).value_or(0) >=
-        wanted->second.version) {
+    const auto version = target->VersionOf(m_facts.prompt->model).value_or(0);
+    if (version >= wanted->second.Newest()) {
       newest.push_back(target);
     }
   }
-  const bool is_late = now >= wanted->second.begin_only_newest;
-  const bool enough = newest.size() * kEnoughOfThree >= chosen.size();
-  return is_late || (enough && !newest.empty()) ? newest : std::move(chosen);
+  if (!newest.empty() && newest.size() * kEnoughOfThree >= chosen.size()) {
+    return newest;
+  }
+  const std::uint64_t oldest = wanted->second.OldestAllowed(now);
+  std::erase_if(chosen, [&](const auto& aTarget) {
+    return aTarget->VersionOf(m_facts.prompt->model).value_or(0) < oldest;
+  });
+  return std::move(chosen);
 }
 
 std::shared_ptr<FleetTarget>
--- a/src/jujubehead/node/forward/forward_state.hpp
+++ b/src/jujubehead/node/forward/forward_state.hpp
@@ -10,6 +10,7 @@
 #include "jujubehead/core/context/part_directory.hpp" // for PartDirectory
 #include "jujubehead/core/routing/configuration.hpp"  // for Configuration
 #include "jujubehead/core/routing/repeat_budget.hpp"  // for RepeatBudget
+#include "jujubehead/core/weights/rollout.hpp"        // for WantedWeights
 #include "jujubehead/node/forward/dialect.hpp"        // for Dialect
 #include "jujubehead/node/forward/entry_options.hpp"  // for EntryOptions
 #include "jujubehead/node/metrics.hpp"                // for ThreadMetrics
@@ -19,14 +20,6 @@
 
 namespace jujubehead::node {
 
-/// @brief The newest version of a model's weights that was asked for.
-struct WantedWeights
-{
-  std::uint64_t version = 0;
-  /// From then on no request may begin on older ones.
-  core::Instant begin_only_newest = core::Instant::max();
-};
-
 /// @brief What the requests of the traffic thread share. Only that thread
 /// touches it.
 struct ForwardState
@@ -54,7 +47,7 @@
   ThreadMetrics& metrics;
   DecisionLog& log;
   std::shared_ptr<const core::Configuration> configuration;
-  std::map<core::ModelId, WantedWeights> wanted_weights;
+  std::map<core::ModelId, core::WantedWeights> wanted_weights;
   TargetFleet fleet;
   core::PartDirectory parts;
   std::unordered_map<core::ServiceId, core::RepeatBudget> budgets;
--- a/src/jujubehead/node/forward/forwarder.cpp
+++ b/src/jujubehead/node/forward/forwarder.cpp
@@ -164,7 +164,8 @@
 }
 
 void
-Forwarder::SetWantedWeights(std::map<core::ModelId, WantedWeights> aWanted)
+Forwarder::SetWantedWeights(
+  std::map<core::ModelId, core::WantedWeights> aWanted)
 {
   asio::post(m_context, [this, wanted = std::move(aWanted)] {
     m_state.wanted_weights = wanted;
--- a/src/jujubehead/node/forward/forwarder.hpp
+++ b/src/jujubehead/node/forward/forwarder.hpp
@@ -19,7 +19,7 @@
 #include "jujubehead/node/forward/entry_options.hpp"  // for EntryOptions
 
 #include "caller_session.hpp" // for RequestHandler
-#include "forward_state.hpp"  // for ForwardState, WantedWeights
+#include "forward_state.hpp"  // for ForwardState
 
 namespace jujubehead::node {
 
@@ -49,7 +49,7 @@
   void SetConfiguration(std::shared_ptr<const core::Configuration> aValue);
   void SetTargets(std::vector<core::RegisteredTarget> aTargets);
   void SetLoading(std::set<core::TargetId> aTargets);
-  void SetWantedWeights(std::map<core::ModelId, WantedWeights> aWanted);
+  void SetWantedWeights(std::map<core::ModelId, core::WantedWeights> aWanted);
   /// @brief A target holds a version of a model, by the word of whoever had it
   /// loaded there.
   void SetLoaded(core::TargetId aTarget, core::LoadedModel aLoaded);
