Keep planned stops, leaving targets and replaced weights within their bounds

Parts that replaced weights made are freed once nobody can read them, and runs that do not end within a second go on under the new weights.

--- a/include/jujubehead/core/context/part_directory.hpp
+++ b/include/jujubehead/core/context/part_directory.hpp
@@ -2,6 +2,7 @@
 #define JUJUBEHEAD_CORE_CONTEXT_PART_DIRECTORY_HPP
 
 #include <cstdint>       // for uint64_t
+#include <functional>    // for function
 #include <optional>      // for optional
 #include <string>        // for string
 #include <string_view>   // for string_view
@@ -22,12 +23,21 @@
   bool is_kept = false;     ///< False: it left the store.
 };
 
+/// @brief A part of a prompt, within a scope.
+struct ScopedPart
+{
+  std::string scope;
+  std::string part;
+};
+
 /// @brief What a store told since the last time.
 struct PartEventPage
 {
   std::uint64_t epoch = 0; ///< Changes when the store starts anew, empty.
   std::uint64_t next = 0;  ///< Where to go on.
   bool has_gap = false;    ///< Events before these were lost.
+  /// The clock of targets and stores when it answered, in ms.
+  std::optional<std::int64_t> clock_ms;
   std::vector<PartEvent> events;
 };
 
@@ -54,6 +64,8 @@
   void OnPage(const StoreId& aStore, const PartEventPage& aPage, Instant aNow);
   /// @brief The store did not answer: nothing of it is believed until it does.
   void OnSilence(const StoreId& aStore);
+  /// @brief Parts that left a store, before the store itself tells.
+  void Drop(const StoreId& aStore, const std::vector<ScopedPart>& aParts);
   /// @brief Forgets the stores that are not among these.
   void KeepOnly(const std::vector<StoreId>& aStores);
 
@@ -65,6 +77,13 @@
                                        Instant aNow) const;
   /// @return whether a store answered of late.
   [[nodiscard]] bool IsPresent(const StoreId& aStore, Instant aNow) const;
+  /// @return the present start of a store; 0 when nothing is known of it.
+  [[nodiscard]] std::uint64_t EpochOf(const StoreId& aStore) const;
+  /// @return at most so many parts at a store whose scope is asked for.
+  [[nodiscard]] std::vector<ScopedPart> PartsWhere(
+    const StoreId& aStore,
+    std::size_t aMost,
+    const std::function<bool(std::string_view aScope)>& aIsAskedFor) const;
   /// @return tokens of all parts that are known at a store.
   [[nodiscard]] std::uint64_t TokensKept(const StoreId& aStore) const;
 
--- a/include/jujubehead/core/routing/target_book.hpp
+++ b/include/jujubehead/core/routing/target_book.hpp
@@ -54,10 +54,6 @@
   /// After the registry was away, registrations that lapsed meanwhile come
   /// back within about 2 s; the rest is for the delay of the answers.
   Duration return_time = std::chrono::milliseconds(2200);
-  /// A registry that did not answer for so long may have let go of targets
-  /// that are alive: three of their usual heartbeats of 1.2 s, less the one
-  /// that was under way.
-  Duration lapse_time = std::chrono::milliseconds(1000);
   /// For how long a late report of a target that is gone is told from a new
   /// one; longer than calls to the registry can be under way.
   Duration memory_time = std::chrono::seconds(60);
@@ -83,6 +79,9 @@
 
   /// @brief The registry answered a read.
   void OnAnswer(Instant aNow);
+  /// @brief A read got no answer: the registry may let go of targets that are
+  /// alive.
+  void OnSilence() { m_is_away = true; }
   /// @brief Applies changes in the order in which the registry made them.
   /// Reports older than what is known are passed over.
   /// @return whether what Targets() returns has changed.
@@ -117,7 +116,7 @@
   TargetBookOptions m_options;
   std::map<TargetId, Entry> m_entries;
   std::map<TargetId, Gone> m_gone;
-  std::optional<Instant> m_answered;
+  bool m_is_away = false;
   std::optional<Instant> m_returned; ///< After its last absence.
 };
 
--- a/include/jujubehead/core/routing/target_health.hpp
+++ b/include/jujubehead/core/routing/target_health.hpp
@@ -38,6 +38,8 @@
   /// @brief The target could not be reached at all.
   void OnUnreachable(Instant aNow);
 
+  /// @return the moving share of failures among the answers.
+  [[nodiscard]] double FailingShare() const { return m_failing; }
   /// @return whether requests may go there now.
   [[nodiscard]] bool IsUsable(Instant aNow) const;
   /// @brief A request is about to go there. While the target is on trial, this
--- a/include/jujubehead/core/weights/order_lease.hpp
+++ b/include/jujubehead/core/weights/order_lease.hpp
@@ -13,14 +13,15 @@
 /// @brief Times of the lease for giving orders.
 struct OrderLeaseOptions
 {
-  /// How long a holder may give orders after it began its last renewal.
-  Duration term = std::chrono::seconds(3);
+  /// How long a holder may give orders after it began its last renewal. Short,
+  /// as another can take over only after it and the gap.
+  Duration term = std::chrono::milliseconds(1500);
   /// Least time between orders of two holders.
   Duration gap = std::chrono::seconds(3);
   /// For clocks that run unevenly, and orders that are on their way.
-  Duration margin = std::chrono::seconds(1);
-  /// Two renewals may fail before the term is over.
-  Duration renewal = std::chrono::seconds(1);
+  Duration margin = std::chrono::milliseconds(500);
+  /// One renewal may fail before the term is over.
+  Duration renewal = std::chrono::milliseconds(500);
 };
 
 /// @brief The lease by which one instance at a time gives orders to targets.
--- a/include/jujubehead/core/weights/rollout.hpp
+++ b/include/jujubehead/core/weights/rollout.hpp
@@ -28,8 +28,10 @@
 
   /// @return the newest version; 0 before the first.
   [[nodiscard]] std::uint64_t Newest() const;
-  /// @return the oldest version on which a request may begin.
-  [[nodiscard]] std::uint64_t OldestAllowed(Instant aNow) const;
+  /// @return the oldest version on which a request may begin at an instant.
+  [[nodiscard]] std::uint64_t OldestAllowed(Instant aWhen) const;
+  /// @return until when a request may begin on a version.
+  [[nodiscard]] Instant BeginUntil(std::uint64_t aVersion) const;
 
 private:
   std::map<std::uint64_t, Instant> m_deadlines; ///< By version.
@@ -51,7 +53,9 @@
 RolloutWidth(std::size_t aTargets);
 
 /// @return the targets that are to load next, at most as many as RolloutWidth()
-/// leaves room for: those of the data centres in which fewest load.
+/// leaves room for: those with the oldest weights first, as requests may begin
+/// there no longer soonest; then those of the data centres in which fewest
+/// load.
 std::vector<TargetId>
 NextToLoad(std::span<const RolloutTarget> aTargets,
            std::uint64_t aWanted,
--- a/include/jujubehead/node/control/platform.hpp
+++ b/include/jujubehead/node/control/platform.hpp
@@ -107,6 +107,14 @@
   std::vector<core::LoadedModel> models;
   std::uint64_t orders_taken = 0; ///< Since its start.
   bool is_busy = false;           ///< Carries out an order.
+  std::uint32_t requests = 0;     ///< That run or wait there.
+};
+
+/// @brief What becomes of the requests that run when weights are replaced.
+enum class RunsMode : std::uint8_t
+{
+  kFinish, ///< They finish first, and the order waits for them.
+  kGoOn,   ///< They go on under the new weights.
 };
 
 /// @brief An order to load weights. The target refuses it when it took another
@@ -118,6 +126,7 @@
   std::uint64_t orders_taken = 0;
   std::string holder;              ///< Who gives it.
   std::uint64_t fencing_token = 0; ///< Grows with each holder.
+  RunsMode runs = RunsMode::kFinish;
 };
 
 /// @brief How a target answered an order.
@@ -142,15 +151,25 @@
                                                    LoadOrder aOrder) = 0;
 };
 
-/// @brief Reads what stores of kept KV cache tell.
-class PartFeed
+/// @brief Parts that a store is to free, if it has not started anew.
+struct FreeOrder
+{
+  std::uint64_t epoch = 0;
+  std::vector<core::ScopedPart> parts;
+};
+
+/// @brief Speaks with stores of kept KV cache.
+class StoreCalls
 {
 public:
-  virtual ~PartFeed() = default;
+  virtual ~StoreCalls() = default;
   /// @brief Waits until something changed after `aSince`.
   /// @throws PlatformError.
   virtual boost::asio::awaitable<core::PartEventPage>
   Read(std::string aAddress, std::uint64_t aSince, core::Duration aWait) = 0;
+  /// @throws PlatformError.
+  virtual boost::asio::awaitable<void> Free(std::string aAddress,
+                                            FreeOrder aOrder) = 0;
 };
 
 /// @brief All calls to the platform, on the control thread.
@@ -160,7 +179,7 @@
   std::unique_ptr<RegistryFeed> registry;
   std::unique_ptr<SharedRows> shared;
   std::unique_ptr<TargetOrders> orders;
-  std::unique_ptr<PartFeed> parts;
+  std::unique_ptr<StoreCalls> stores;
 };
 
 } // namespace jujubehead::node
--- a/include/jujubehead/node/forward/dialect.hpp
+++ b/include/jujubehead/node/forward/dialect.hpp
@@ -43,8 +43,10 @@
   std::optional<std::uint64_t> weight_version;
   std::string cache_scope; ///< Who may share cached parts; empty: none.
   std::vector<PartPlace> read_from; ///< For each part; may be empty.
-  std::vector<PartPlace> keep_at;   ///< For each part; may be empty.
-  std::string resume_after;         ///< Empty: from the beginning.
+  /// By the targets' clock, in ms: a read that has not ended is thrown away.
+  std::optional<std::int64_t> read_until_ms;
+  std::vector<PartPlace> keep_at; ///< For each part; may be empty.
+  std::string resume_after;       ///< Empty: from the beginning.
 };
 
 /// @brief What a target's header lines say.
--- a/src/jujubehead/core/context/part_directory.cpp
+++ b/src/jujubehead/core/context/part_directory.cpp
@@ -5,10 +5,12 @@
 namespace jujubehead::core {
 namespace {
 
+constexpr char kKeySeparator = '\n';
+
 std::string
 KeyOf(std::string_view aScope, std::string_view aPart)
 {
-  return std::string(aScope).append(1, '\n').append(aPart);
+  return std::string(aScope).append(1, kKeySeparator).append(aPart);
 }
 
 } // namespace
@@ -51,6 +53,24 @@
   }
 }
 
+void
+PartDirectory::Drop(const StoreId& aStore,
+                    const std::vector<ScopedPart>& aParts)
+{
+  const auto found = m_stores.find(aStore);
+  if (found == m_stores.end()) {
+    return;
+  }
+  Store& store = found->second;
+  for (const ScopedPart& part : aParts) {
+    const auto entry = store.tokens.find(KeyOf(part.scope, part.part));
+    if (entry != store.tokens.end()) {
+      store.kept -= entry->second;
+      store.tokens.erase(entry);
+    }
+  }
+}
+
 void
 PartDirectory::KeepOnly(const std::vector<StoreId>& aStores)
 {
@@ -82,6 +102,34 @@
          aNow - *found->second.heard <= m_options.trust_time;
 }
 
+std::uint64_t
+PartDirectory::EpochOf(const StoreId& aStore) const
+{
+  const auto found = m_stores.find(aStore);
+  return found == m_stores.end() ? 0 : found->second.epoch;
+}
+
+std::vector<ScopedPart>
+PartDirectory::PartsWhere(
+  const StoreId& aStore,
+  std::size_t aMost,
+  const std::function<bool(std::string_view aScope)>& aIsAskedFor) const
+{
+  std::vector<ScopedPart> parts;
+  const auto found = m_stores.find(aStore);
+  if (found == m_stores.end()) {
+    return parts;
+  }
+  for (const auto& [key, tokens] : found->second.tokens) {
+    const std::size_t separator = key.find(kKeySeparator);
+    const std::string_view scope = std::string_view(key).substr(0, separator);
+    if (parts.size() < aMost && aIsAskedFor(scope)) {
+      parts.push_back({ std::string(scope), key.substr(separator + 1) });
+    }
+  }
+  return parts;
+}
+
 std::uint64_t
 PartDirectory::TokensKept(const StoreId& aStore) const
 {
--- a/src/jujubehead/core/routing/target_book.cpp
+++ b/src/jujubehead/core/routing/target_book.cpp
@@ -52,10 +52,10 @@
 void
 TargetBook::OnAnswer(Instant aNow)
 {
-  if (m_answered && aNow - *m_answered > m_options.lapse_time) {
+  if (m_is_away) {
     m_returned = aNow;
   }
-  m_answered = aNow;
+  m_is_away = false;
 }
 
 bool
--- a/src/jujubehead/core/weights/rollout.cpp
+++ b/src/jujubehead/core/weights/rollout.cpp
@@ -1,6 +1,7 @@
 #include "jujubehead/core/weights/rollout.hpp"
 
-#include <algorithm> // for min_element, max
+#include <algorithm> // for min, max, min_element
+#include <utility>   // for make_pair
 
 #include <nlohmann/json.hpp> // for json
 
@@ -9,10 +10,10 @@
 
 using nlohmann::json;
 
-/// A quarter at once: loading takes a second or two, drain included, so four
-/// rounds end well within the ten seconds that operators allow, and three
-/// quarters of the targets carry the load meanwhile.
-constexpr std::size_t kRounds = 4;
+/// A third at once: loading takes two to three seconds, the end of the runs
+/// included, so three rounds end within the ten seconds that operators allow,
+/// and two thirds of the targets carry the load meanwhile.
+constexpr std::size_t kRounds = 3;
 
 json
 Names(const std::vector<TargetId>& aTargets)
@@ -62,12 +63,24 @@
   return m_deadlines.empty() ? 0 : m_deadlines.rbegin()->first;
 }
 
+Instant
+WantedWeights::BeginUntil(std::uint64_t aVersion) const
+{
+  Instant until = Instant::max();
+  for (const auto& [version, deadline] : m_deadlines) {
+    if (version > aVersion) {
+      until = std::min(until, deadline);
+    }
+  }
+  return until;
+}
+
 std::uint64_t
-WantedWeights::OldestAllowed(Instant aNow) const
+WantedWeights::OldestAllowed(Instant aWhen) const
 {
   std::uint64_t oldest = 0;
   for (const auto& [version, deadline] : m_deadlines) {
-    if (aNow >= deadline) {
+    if (aWhen >= deadline) {
       oldest = version;
     }
   }
@@ -101,7 +114,8 @@
   while (!behind.empty() && all_loading + next.size() < width) {
     const auto best = std::min_element(
       behind.begin(), behind.end(), [&](const auto* aOne, const auto* aOther) {
-        return loading[aOne->data_centre] < loading[aOther->data_centre];
+        return std::make_pair(aOne->version, loading[aOne->data_centre]) <
+               std::make_pair(aOther->version, loading[aOther->data_centre]);
       });
     ++loading[(*best)->data_centre];
     next.push_back((*best)->id);
--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -21,8 +21,8 @@
 /// a store for one such wait, its time-out and the way.
 constexpr core::Duration kPartsWait = std::chrono::milliseconds(500);
 /// Requests may begin on replaced weights for this part of the allowed time;
-/// the rest is for what is on its way.
-constexpr double kOldWeightsShare = 0.9;
+/// the rest is for the way of what ends them.
+constexpr double kOldWeightsShare = 0.95;
 
 void
 LogUnread(std::string_view aFeed, const std::vector<std::string>& aUnread)
@@ -49,6 +49,9 @@
               *m_platform.shared,
               *m_platform.orders,
               aForwarder)
+  , m_keeper(aContext, *m_platform.stores, [this] {
+    return m_weights.WasLastHolder();
+  })
 {
 }
 
@@ -69,6 +72,7 @@
   registry.on_news = [this](const RegistryNews& aNews, bool aIsAll) {
     OnRegistryNews(aNews, aIsAll);
   };
+  registry.on_silence = [this] { m_book.OnSilence(); };
   FollowOptions registry_options;
   registry_options.name = "registry";
   registry_options.pause = kRegistryPause;
@@ -86,6 +90,7 @@
                  asio::detached);
   asio::co_spawn(m_context, TickRegistry(), asio::detached);
   m_weights.Start();
+  m_keeper.Start();
 }
 
 bool
@@ -104,6 +109,7 @@
 EntryControl::OnOperatorNews(const OperatorNews& aNews)
 {
   LogUnread("operator", aNews.unread);
+  m_forwarder.OnOperatorHeard(core::RuntimeClock::now());
   if (aNews.declarations &&
       aNews.declarations->version > ConfigurationVersion()) {
     m_configuration =
@@ -130,6 +136,7 @@
   if (is_new) {
     m_forwarder.SetWantedWeights(m_wanted);
     m_weights.SetWanted(m_wanted);
+    m_keeper.SetWanted(m_wanted);
   }
 }
 
@@ -207,6 +214,7 @@
 EntryControl::FollowStores()
 {
   const auto& stores = m_configuration->All().stores;
+  m_keeper.SetStores(stores);
   const auto before = std::exchange(m_followed, {});
   for (const core::DeclaredStore& store : stores) {
     m_followed[store.id] = store.address;
@@ -233,12 +241,13 @@
     bool heard = false;
     try {
       core::PartEventPage page =
-        co_await m_platform.parts->Read(aStore.address, since, kPartsWait);
+        co_await m_platform.stores->Read(aStore.address, since, kPartsWait);
       heard = true;
       // A store that started anew counts its events from the beginning.
       const bool is_new = page.epoch != epoch;
       since = is_new && epoch != 0 ? 0 : page.next;
       epoch = page.epoch;
+      m_keeper.OnPage(aStore.id, page);
       m_forwarder.OnPartEvents(aStore.id, std::move(page));
     } catch (const std::exception& error) {
       if (was_heard) {
@@ -253,6 +262,7 @@
     }
     was_heard = heard;
     if (!heard) {
+      m_keeper.OnSilence(aStore.id);
       m_forwarder.OnStoreSilent(aStore.id);
       const core::Duration pause = SpreadPause();
       co_await net::Sleep(pause);
--- a/src/jujubehead/node/control/entry_control.hpp
+++ b/src/jujubehead/node/control/entry_control.hpp
@@ -13,6 +13,7 @@
 #include "jujubehead/node/forward/entry_options.hpp" // for EntryOptions
 
 #include "../forward/forwarder.hpp" // for Forwarder
+#include "store_keeper.hpp"         // for StoreKeeper
 #include "weights_giver.hpp"        // for WeightsGiver
 
 namespace jujubehead::node {
@@ -58,6 +59,7 @@
   std::map<core::ModelId, core::WantedWeights> m_wanted;
   std::map<core::StoreId, std::string> m_followed; ///< With their addresses.
   WeightsGiver m_weights;
+  StoreKeeper m_keeper;
 };
 
 } // namespace jujubehead::node
--- a/src/jujubehead/node/control/weights_giver.cpp
+++ b/src/jujubehead/node/control/weights_giver.cpp
@@ -27,12 +27,15 @@
 constexpr core::Duration kOthersWait = std::chrono::milliseconds(150);
 /// The other instances hear of a target that is about to load within this, and
 /// what they sent there before has begun.
-constexpr core::Duration kNoticeTime = std::chrono::milliseconds(200);
+constexpr core::Duration kNoticeTime = std::chrono::milliseconds(300);
+/// Runs get so long to finish before the order; most end within a second, and
+/// the rest of a long one is worth less than the target's time.
+constexpr core::Duration kFinishTime = std::chrono::milliseconds(1000);
 /// An order is at its target within its time-outs, or never.
-constexpr core::Duration kOrderTime = std::chrono::milliseconds(950);
+constexpr core::Duration kOrderTime = std::chrono::milliseconds(650);
 /// Loading takes most of a second after the runs have ended.
 constexpr core::Duration kFirstLook = std::chrono::milliseconds(700);
-constexpr core::Duration kNextLook = std::chrono::milliseconds(250);
+constexpr core::Duration kNextLook = std::chrono::milliseconds(120);
 /// A target that did not load by then is left to a later try.
 constexpr core::Duration kLoadTimeout = std::chrono::seconds(8);
 constexpr core::Duration kRetryTarget = std::chrono::seconds(1);
@@ -333,7 +336,7 @@
   while (!is_loaded && core::RuntimeClock::now() - begun < kLoadTimeout &&
          m_lease.Holds(core::RuntimeClock::now())) {
     try {
-      is_loaded = co_await Bring(aModel, aTarget);
+      is_loaded = co_await Bring(aModel, aTarget, begun);
     } catch (const PlatformError& error) {
       DecisionLog::WriteAlways(LogLine("order_unanswered")
                                  .Add("target", aTarget.id.View())
@@ -362,7 +365,8 @@
 
 asio::awaitable<bool>
 WeightsGiver::Bring(const core::ModelId& aModel,
-                    const core::RegisteredTarget& aTarget)
+                    const core::RegisteredTarget& aTarget,
+                    core::Instant aBegun)
 {
   const WeightsReport report = co_await m_orders.Report(aTarget.address);
   const std::uint64_t wanted = m_wanted[aModel].Newest();
@@ -371,8 +375,10 @@
     OnLoaded(aModel, aTarget.id, version);
     co_return true;
   }
-  if (report.is_busy ||
-      !m_lease.Holds(core::RuntimeClock::now() + kOrderTime)) {
+  const core::Instant now = core::RuntimeClock::now();
+  const bool is_empty = report.requests == 0;
+  const bool may_order = is_empty || now - aBegun >= kFinishTime;
+  if (report.is_busy || !may_order || !m_lease.Holds(now + kOrderTime)) {
     co_return false;
   }
   LoadOrder order;
@@ -381,6 +387,7 @@
   order.orders_taken = report.orders_taken;
   order.holder = m_lease.Self();
   order.fencing_token = m_lease.FencingToken();
+  order.runs = is_empty ? RunsMode::kFinish : RunsMode::kGoOn;
   const OrderAnswer answer =
     co_await m_orders.Load(aTarget.address, std::move(order));
   if (answer == OrderAnswer::kHolds) {
--- a/src/jujubehead/node/control/weights_giver.hpp
+++ b/src/jujubehead/node/control/weights_giver.hpp
@@ -37,6 +37,8 @@
   void SetTargets(std::vector<core::RegisteredTarget> aTargets);
   void OnSharedNews(const SharedNews& aNews, bool aIsAll);
   [[nodiscard]] bool HoldsLease() const;
+  /// @return whether this instance was the last to hold the lease.
+  [[nodiscard]] bool WasLastHolder() const { return m_lease.WasLastHolder(); }
 
 private:
   /// What is known of one model's roll-out.
@@ -57,7 +59,8 @@
   boost::asio::awaitable<void> LoadOne(core::ModelId aModel,
                                        core::RegisteredTarget aTarget);
   boost::asio::awaitable<bool> Bring(const core::ModelId& aModel,
-                                     const core::RegisteredTarget& aTarget);
+                                     const core::RegisteredTarget& aTarget,
+                                     core::Instant aBegun);
   void OnLoaded(const core::ModelId& aModel,
                 const core::TargetId& aTarget,
                 std::uint64_t aVersion);
--- a/src/jujubehead/node/entry.cpp
+++ b/src/jujubehead/node/entry.cpp
@@ -138,14 +138,16 @@
     DecisionLog::WriteAlways(
       LogLine("stop_begun")
         .Add("open_requests", std::uint64_t(m_forwarder.OpenRequests())));
-    m_forwarder.BeginStop();
     const core::Instant last = begun + m_options.stop_grace - kEndMargin;
+    m_forwarder.BeginStop(last);
     for (;;) {
       co_await net::Sleep(kPollTime);
       const core::Instant now = core::RuntimeClock::now();
-      const bool quiet =
-        now - begun > kOutOfRotation && m_forwarder.OpenRequests() == 0;
-      if (quiet || now >= last) {
+      const bool is_out = now - begun > kOutOfRotation;
+      if (is_out) {
+        m_forwarder.CloseIdle();
+      }
+      if ((is_out && m_forwarder.Sessions() == 0) || now >= last) {
         break;
       }
     }
--- a/src/jujubehead/node/forward/caller_session.cpp
+++ b/src/jujubehead/node/forward/caller_session.cpp
@@ -61,12 +61,12 @@
   error_code ignored;
   m_socket.set_option(tcp::no_delay(true), ignored);
   m_socket.non_blocking(true, ignored);
-  m_handler.OnSessionBegin();
+  m_handler.OnSessionBegin(*this);
 }
 
 CallerSession::~CallerSession()
 {
-  m_handler.OnSessionEnd();
+  m_handler.OnSessionEnd(*this);
 }
 
 void
@@ -124,11 +124,21 @@
     const auto [error] =
       co_await m_socket.async_wait(tcp::socket::wait_read, kTuple);
     if (error) {
-      co_return false;
+      // What came just before still counts.
+      co_return !net::ReadAvailable(m_socket, m_input);
     }
   }
 }
 
+void
+CallerSession::CloseIfIdle()
+{
+  if (!m_answering && m_request.begun == core::Instant{}) {
+    error_code ignored;
+    m_socket.cancel(ignored);
+  }
+}
+
 asio::awaitable<bool>
 CallerSession::AllowBody(const net::MessageParser& aParser)
 {
@@ -374,6 +384,13 @@
   co_return !failure;
 }
 
+void
+CallerSession::Abandon()
+{
+  Abort();
+  TellGone();
+}
+
 void
 CallerSession::Abort()
 {
--- a/src/jujubehead/node/forward/caller_session.hpp
+++ b/src/jujubehead/node/forward/caller_session.hpp
@@ -45,8 +45,8 @@
   [[nodiscard]] virtual core::CallerLimits Limits() const = 0;
   /// @return whether connections are to end after the present answer.
   [[nodiscard]] virtual bool IsStopping() const = 0;
-  virtual void OnSessionBegin() = 0;
-  virtual void OnSessionEnd() = 0;
+  virtual void OnSessionBegin(CallerSession& aSession) = 0;
+  virtual void OnSessionEnd(CallerSession& aSession) = 0;
   /// @brief A message could not be read; its caller was told so.
   virtual void OnUnreadable(const std::string& aWhy, unsigned aStatus) = 0;
 };
@@ -86,9 +86,13 @@
   boost::asio::awaitable<bool> WritePiece(std::string_view aBytes);
   boost::asio::awaitable<bool> EndStream();
   [[nodiscard]] bool HasStreamBegun() const { return m_stream_begun; }
+  /// @brief Ends the connection unless a request is under way or just comes.
+  void CloseIfIdle();
   /// @brief Ends the connection so that an answer under way does not look
   /// complete.
   void Abort();
+  /// @brief Ends the connection and the request under way.
+  void Abandon();
 
 private:
   CallerSession(tcp::socket aSocket, RequestHandler& aHandler);
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -5,7 +5,7 @@
 
 #include "jujubehead/core/routing/placement.hpp" // for PlacePrompt, PlaceCall
 
-#include "part_places.hpp"    // for PlaceParts, CacheScope
+#include "part_places.hpp"    // for PlaceParts
 #include "target_message.hpp" // for TargetMessage
 
 namespace jujubehead::node {
@@ -48,11 +48,19 @@
 /// after about this time; spread, so that refused callers do not come together.
 constexpr std::int64_t kComeBackFromMs = 150;
 constexpr std::int64_t kComeBackToMs = 450;
+/// Requests may wait for so long in a target's queue before they begin.
+constexpr Duration kQueueTime = std::chrono::milliseconds(1500);
+/// Most requests end within this time. A stopping instance that has less left
+/// does not begin one.
+constexpr Duration kUsualLongest = std::chrono::milliseconds(4000);
 /// Callers wait for at most this share of their time.
 constexpr int kComeBackShare = 3;
+/// A failure is the request's own, which another target repeats, unless the
+/// target fails much more than the one in seven of usual services.
+constexpr double kSuspectShare = 0.3;
 /// Share of a model's targets that must hold the newest weights before requests
 /// go to those only; fewer could not carry the load.
-constexpr std::size_t kEnoughOfThree = 3;
+constexpr double kEnoughNewest = 0.5;
 
 bool
 PromisesNotRun(unsigned aStatus)
@@ -104,6 +112,7 @@
                  Stop();
                })
   , m_patience(m_session->Executor(), [this] { LosePatience(); })
+  , m_begin_limit(m_session->Executor(), [this] { Stop(); })
 {
 }
 
@@ -147,6 +156,10 @@
   if (auto refusal = Identify()) {
     return refusal;
   }
+  if (core::RuntimeClock::now() + std::min(m_route->timeout, kUsualLongest) >
+      m_state.ends_at) {
+    return OwnAnswer{ kUnavailable, "the instance stops", true };
+  }
   std::vector<double> weights;
   for (const core::RouteShare& share : m_route->shares) {
     weights.push_back(share.weight);
@@ -370,10 +383,13 @@
       newest.push_back(target);
     }
   }
-  if (!newest.empty() && newest.size() * kEnoughOfThree >= chosen.size()) {
+  if (!newest.empty() &&
+      static_cast<double>(newest.size()) >=
+        kEnoughNewest *
+          static_cast<double>(m_state.fleet.Of(m_service).size())) {
     return newest;
   }
-  const std::uint64_t oldest = wanted->second.OldestAllowed(now);
+  const std::uint64_t oldest = wanted->second.OldestAllowed(now + kQueueTime);
   std::erase_if(chosen, [&](const auto& aTarget) {
     return aTarget->VersionOf(m_facts.prompt->model).value_or(0) < oldest;
   });
@@ -422,12 +438,16 @@
   const core::Prompt& prompt = *m_facts.prompt;
   call.weight_version = aTarget.VersionOf(prompt.model);
   // Without a known version nothing is shared: a name of its own.
-  call.cache_scope = call.weight_version
-                       ? CacheScope(prompt, *call.weight_version, m_account)
-                       : "alone." + m_facts.request_id;
-  if (call.weight_version) {
-    PlaceParts(m_state, prompt, call);
+  if (!call.weight_version) {
+    call.cache_scope = "alone/" + m_facts.request_id;
+    return call;
+  }
+  core::CacheScope scope{ prompt.model, *call.weight_version, {} };
+  if (m_account != nullptr && m_account->dedicated) {
+    scope.account = m_account->id;
   }
+  call.cache_scope = core::ToText(scope);
+  PlaceParts(m_state, prompt, scope, call);
   return call;
 }
 
@@ -472,10 +492,12 @@
   if (IsOver()) {
     co_return AttemptEnd::kNotSent;
   }
-  aExchange.Send(
-    TargetMessage(m_state.dialect, m_session->Request(), CallFor(aTarget)));
+  const TargetCall call = CallFor(aTarget);
+  aExchange.Send(TargetMessage(m_state.dialect, m_session->Request(), call));
   SetPatience(aTarget);
+  LimitBeginning(call);
   const ReplyPart part = co_await aExchange.ReadHead();
+  m_begin_limit.Clear();
   if (part == ReplyPart::kBroken) {
     co_return EndBroken(aTarget, aExchange);
   }
@@ -557,10 +579,14 @@
   if (answer.status >= kServerError) {
     aTarget.health.OnFailure(core::RuntimeClock::now());
     m_last_why = "the target failed, status " + std::to_string(answer.status);
-    m_failure = std::move(answer);
-    co_return AttemptEnd::kFailed;
+    if (m_session->HasStreamBegun() ||
+        aTarget.health.FailingShare() > kSuspectShare) {
+      m_failure = std::move(answer);
+      co_return AttemptEnd::kFailed;
+    }
+  } else {
+    aTarget.health.OnAnswer();
   }
-  aTarget.health.OnAnswer();
   if (m_session->HasStreamBegun()) {
     m_last_why = "no stream to go on with";
     co_return AttemptEnd::kBroken;
@@ -628,6 +654,22 @@
   co_return std::nullopt;
 }
 
+void
+ForwardRun::LimitBeginning(const TargetCall& aCall)
+{
+  if (!m_facts.prompt || !aCall.weight_version) {
+    return;
+  }
+  const auto wanted = m_state.wanted_weights.find(m_facts.prompt->model);
+  if (wanted == m_state.wanted_weights.end()) {
+    return;
+  }
+  const core::Instant until = wanted->second.BeginUntil(*aCall.weight_version);
+  if (until != core::Instant::max()) {
+    m_begin_limit.Set(std::max(until - core::RuntimeClock::now(), Duration(1)));
+  }
+}
+
 void
 ForwardRun::SetPatience(const FleetTarget& /*aTarget*/)
 {
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -67,6 +67,8 @@
   void Count(core::AttemptEnd aEnd);
   void SetPatience(const FleetTarget& aTarget);
   void LosePatience();
+  /// Ends the attempt when it has not begun until its weights are too old.
+  void LimitBeginning(const TargetCall& aCall);
   void Stop();
   void LogEnd(std::string_view aEvent, unsigned aStatus, std::string_view aWhy);
 
@@ -94,6 +96,7 @@
 
   net::Deadline m_deadline;
   net::Deadline m_patience;
+  net::Deadline m_begin_limit; ///< While older weights may still answer.
   TargetExchange* m_exchange = nullptr; ///< The one under way.
   std::shared_ptr<FleetTarget> m_waits_for;
   core::Instant m_waits_since{};
--- a/src/jujubehead/node/forward/forward_state.hpp
+++ b/src/jujubehead/node/forward/forward_state.hpp
@@ -16,6 +16,7 @@
 #include "jujubehead/node/metrics.hpp"                // for ThreadMetrics
 
 #include "decision_log.hpp" // for DecisionLog
+#include "target_clock.hpp" // for TargetClock
 #include "target_fleet.hpp" // for TargetFleet
 
 namespace jujubehead::node {
@@ -52,7 +53,10 @@
   core::PartDirectory parts;
   std::unordered_map<core::ServiceId, core::RepeatBudget> budgets;
   std::mt19937_64 random;
+  TargetClock target_clock;
+  core::Instant operator_heard{}; ///< When the operator's rows were last read.
   bool is_stopping = false;
+  core::Instant ends_at = core::Instant::max(); ///< Of a stopping instance.
 };
 
 } // namespace jujubehead::node
--- a/src/jujubehead/node/forward/forwarder.cpp
+++ b/src/jujubehead/node/forward/forwarder.cpp
@@ -55,6 +55,20 @@
   if (m_thread.joinable()) {
     m_thread.join();
   }
+  EndSessions();
+}
+
+void
+Forwarder::EndSessions()
+{
+  boost::system::error_code ignored;
+  m_acceptor.close(ignored);
+  const std::set<CallerSession*> open = m_sessions;
+  for (CallerSession* session : open) {
+    session->Abandon();
+  }
+  m_context.restart();
+  m_context.poll();
 }
 
 std::uint16_t
@@ -64,9 +78,22 @@
 }
 
 void
-Forwarder::BeginStop()
+Forwarder::BeginStop(core::Instant aEndsAt)
 {
-  asio::post(m_context, [this] { m_state.is_stopping = true; });
+  asio::post(m_context, [this, aEndsAt] {
+    m_state.is_stopping = true;
+    m_state.ends_at = aEndsAt;
+  });
+}
+
+void
+Forwarder::CloseIdle()
+{
+  asio::post(m_context, [this] {
+    for (CallerSession* session : m_sessions) {
+      session->CloseIfIdle();
+    }
+  });
 }
 
 asio::awaitable<void>
@@ -114,15 +141,17 @@
 }
 
 void
-Forwarder::OnSessionBegin()
+Forwarder::OnSessionBegin(CallerSession& aSession)
 {
-  ++m_sessions;
+  m_sessions.insert(&aSession);
+  m_session_count = m_sessions.size();
 }
 
 void
-Forwarder::OnSessionEnd()
+Forwarder::OnSessionEnd(CallerSession& aSession)
 {
-  --m_sessions;
+  m_sessions.erase(&aSession);
+  m_session_count = m_sessions.size();
 }
 
 void
@@ -188,10 +217,20 @@
 {
   asio::post(m_context,
              [this, store = std::move(aStore), page = std::move(aPage)] {
-               m_state.parts.OnPage(store, page, core::RuntimeClock::now());
+               const core::Instant now = core::RuntimeClock::now();
+               m_state.parts.OnPage(store, page, now);
+               if (page.clock_ms) {
+                 m_state.target_clock.OnReading(*page.clock_ms, now);
+               }
              });
 }
 
+void
+Forwarder::OnOperatorHeard(core::Instant aWhen)
+{
+  asio::post(m_context, [this, aWhen] { m_state.operator_heard = aWhen; });
+}
+
 void
 Forwarder::OnStoreSilent(core::StoreId aStore)
 {
--- a/src/jujubehead/node/forward/forwarder.hpp
+++ b/src/jujubehead/node/forward/forwarder.hpp
@@ -42,7 +42,11 @@
   /// @brief Ends the thread; open requests are cut off.
   void Stop();
   /// @brief Answers from now on end their connections.
-  void BeginStop();
+  /// @param aEndsAt when the instance ends at the latest.
+  void BeginStop(core::Instant aEndsAt);
+  /// @brief Closes the connections on which no request is under way.
+  void CloseIdle();
+  [[nodiscard]] std::size_t Sessions() const { return m_session_count; }
   [[nodiscard]] std::size_t OpenRequests() const { return m_open_requests; }
   [[nodiscard]] std::uint16_t Port() const;
 
@@ -55,16 +59,19 @@
   void SetLoaded(core::TargetId aTarget, core::LoadedModel aLoaded);
   void OnPartEvents(core::StoreId aStore, core::PartEventPage aPage);
   void OnStoreSilent(core::StoreId aStore);
+  void OnOperatorHeard(core::Instant aWhen);
 
   boost::asio::awaitable<void> Handle(
     std::shared_ptr<CallerSession> aSession) override;
   [[nodiscard]] core::CallerLimits Limits() const override;
   [[nodiscard]] bool IsStopping() const override;
-  void OnSessionBegin() override;
-  void OnSessionEnd() override;
+  void OnSessionBegin(CallerSession& aSession) override;
+  void OnSessionEnd(CallerSession& aSession) override;
   void OnUnreadable(const std::string& aWhy, unsigned aStatus) override;
 
 private:
+  /// Lets all coroutines end while what they refer to is still there.
+  void EndSessions();
   boost::asio::awaitable<void> Accept();
 
   boost::asio::io_context m_context{ 1 };
@@ -74,7 +81,8 @@
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
     m_work;
   std::atomic<std::size_t> m_open_requests{ 0 };
-  std::size_t m_sessions = 0;
+  std::set<CallerSession*> m_sessions;
+  std::atomic<std::size_t> m_session_count{ 0 };
   std::thread m_thread;
 };
 
--- a/src/jujubehead/node/forward/part_places.cpp
+++ b/src/jujubehead/node/forward/part_places.cpp
@@ -4,31 +4,41 @@
 
 #include "jujubehead/core/routing/placement.hpp" // for WeightedHome
 
+#include "../reading_times.hpp" // for kHearTime, kReadTime
+
 namespace jujubehead::node {
 
-std::string
-CacheScope(const core::Prompt& aPrompt,
-           std::uint64_t aWeightVersion,
-           const core::DeclaredAccount* aAccount)
+namespace {
+
+bool
+MayUseStores(const ForwardState& aState,
+             const core::CacheScope& aScope,
+             core::Instant aNow)
 {
-  std::string scope =
-    aPrompt.model.Text() + "." + std::to_string(aWeightVersion);
-  if (aAccount != nullptr && aAccount->dedicated) {
-    scope += "." + aAccount->id.Text();
+  if (aNow - aState.operator_heard > kHearTime) {
+    return false;
   }
-  return scope;
+  const auto wanted = aState.wanted_weights.find(aScope.model);
+  return wanted == aState.wanted_weights.end() ||
+         aScope.weight_version >= wanted->second.Newest();
 }
 
+} // namespace
+
 void
 PlaceParts(const ForwardState& aState,
            const core::Prompt& aPrompt,
+           const core::CacheScope& aScope,
            TargetCall& aCall)
 {
   const auto& stores = aState.configuration->All().stores;
-  if (stores.empty() || aCall.cache_scope.empty() || aPrompt.parts.size() < 2) {
+  const core::Instant now = core::RuntimeClock::now();
+  const auto read_until = aState.target_clock.At(now + kReadTime);
+  if (stores.empty() || aPrompt.parts.size() < 2 || !read_until ||
+      !MayUseStores(aState, aScope, now)) {
     return;
   }
-  const core::Instant now = core::RuntimeClock::now();
+  aCall.read_until_ms = read_until;
   std::vector<core::PlacementCandidate> homes;
   for (const core::DeclaredStore& store : stores) {
     homes.push_back({ core::PlacementHash(store.id.View()),
