--- a/src/jujubehead/app/commands_test.cpp
+++ b/src/jujubehead/app/commands_test.cpp
@@ -81,6 +81,7 @@
                    return std::make_unique<FakePlatform>(world);
                  },
                  [](const node::ServeOptions&) { return 0; },
+                 [](const node::EntryOptions&) { return 0; },
                  "ann",
                  [this] { return world.now_ms; } };
     return Run(aCommand, tools);
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -48,8 +48,10 @@
 /// after about this time; spread, so that refused callers do not come together.
 constexpr std::int64_t kComeBackFromMs = 150;
 constexpr std::int64_t kComeBackToMs = 450;
-/// Requests may wait for so long in a target's queue before they begin.
-constexpr Duration kQueueTime = std::chrono::milliseconds(1500);
+/// Requests may wait for so long in a target's queue before they begin, the
+/// longer where others wait already.
+constexpr Duration kQueueTime = std::chrono::milliseconds(2000);
+constexpr Duration kLongQueueTime = std::chrono::milliseconds(5000);
 /// Most requests end within this time. A stopping instance that has less left
 /// does not begin one.
 constexpr Duration kUsualLongest = std::chrono::milliseconds(4000);
@@ -389,9 +391,11 @@
           static_cast<double>(m_state.fleet.Of(m_service).size())) {
     return newest;
   }
-  const std::uint64_t oldest = wanted->second.OldestAllowed(now + kQueueTime);
   std::erase_if(chosen, [&](const auto& aTarget) {
-    return aTarget->VersionOf(m_facts.prompt->model).value_or(0) < oldest;
+    const Duration wait =
+      aTarget->load.HasQueue(now) ? kLongQueueTime : kQueueTime;
+    return aTarget->VersionOf(m_facts.prompt->model).value_or(0) <
+           wanted->second.OldestAllowed(now + wait);
   });
   return std::move(chosen);
 }
