--- /dev/null
+++ b/src/jujubehead/core/context/part_directory_test.cpp
@@ -0,0 +1,103 @@
+#include "jujubehead/core/context/part_directory.hpp"
+
+#include <CppUTest/TestHarness.h> // for TEST
+#include <rapidcheck.h>           // for check
+
+#include "jujubehead/core/context/cache_scope.hpp" // for CacheScope
+
+using namespace jujubehead::core;
+using std::chrono::milliseconds;
+
+namespace {
+
+PartEventPage
+Page(std::uint64_t aEpoch, std::vector<PartEvent> aEvents)
+{
+  PartEventPage page;
+  page.epoch = aEpoch;
+  page.events = std::move(aEvents);
+  return page;
+}
+
+} // namespace
+
+TEST_GROUP(PartDirectory)
+{
+  PartDirectory directory;
+  StoreId store{ "s1" };
+  Instant now{ std::chrono::seconds(10) };
+
+  std::uint64_t Tokens() const
+  {
+    return directory.TokensAt(store, "scope", "part", now);
+  }
+};
+
+TEST(PartDirectory, KnowsAPartOnceItsStoreSaysThatItIsWhole)
+{
+  directory.OnPage(store, Page(1, {}), now);
+  LONGS_EQUAL(0, Tokens());
+  directory.OnPage(store, Page(1, { { "scope", "part", 800, true } }), now);
+  LONGS_EQUAL(800, Tokens());
+  LONGS_EQUAL(800, directory.TokensKept(store));
+  directory.OnPage(store, Page(1, { { "scope", "part", 0, false } }), now);
+  LONGS_EQUAL(0, Tokens());
+  LONGS_EQUAL(0, directory.TokensKept(store));
+}
+
+TEST(PartDirectory, AStoreThatStartedAnewHasNothing)
+{
+  directory.OnPage(store, Page(1, { { "scope", "part", 800, true } }), now);
+  directory.OnPage(store, Page(2, {}), now);
+  LONGS_EQUAL(0, Tokens());
+}
+
+TEST(PartDirectory, NothingOfASilentStoreIsBelieved)
+{
+  directory.OnPage(store, Page(1, { { "scope", "part", 800, true } }), now);
+  now += milliseconds(1000);
+  LONGS_EQUAL(0, Tokens());
+  directory.OnPage(store, Page(1, {}), now);
+  LONGS_EQUAL(800, Tokens());
+  directory.OnSilence(store);
+  LONGS_EQUAL(0, Tokens());
+}
+
+TEST(PartDirectory, ListsAndDropsThePartsOfAScope)
+{
+  directory.OnPage(store,
+                   Page(1,
+                        { { "old", "a", 10, true },
+                          { "old", "b", 20, true },
+                          { "new", "a", 30, true } }),
+                   now);
+  const auto is_old = [](std::string_view aScope) { return aScope == "old"; };
+  const auto old = directory.PartsWhere(store, 10, is_old);
+  LONGS_EQUAL(2, old.size());
+  directory.Drop(store, old);
+  LONGS_EQUAL(30, directory.TokensKept(store));
+  CHECK(directory.PartsWhere(store, 10, is_old).empty());
+}
+
+TEST_GROUP(CacheScope){};
+
+TEST(CacheScope, DifferentScopesHaveDifferentTexts)
+{
+  CHECK(rc::check(
+    "there and back",
+    [](const std::string& aModel,
+       std::uint64_t aVersion,
+       const std::string& aAccount) {
+      const CacheScope scope{ ModelId(aModel), aVersion, AccountId(aAccount) };
+      const auto back = CacheScopeOf(ToText(scope));
+      RC_ASSERT(back.has_value());
+      RC_ASSERT(*back == scope);
+    }));
+}
+
+TEST(CacheScope, OtherTextsAreNoScope)
+{
+  for (const char* text : { "", "x", "1", "1/", "1/9/m", "1/1/mx", "1/1/m/" }) {
+    CHECK_TEXT(!CacheScopeOf(text).has_value(), text);
+  }
+}
--- /dev/null
+++ b/src/jujubehead/core/routing/placement_test.cpp
@@ -0,0 +1,115 @@
+#include "jujubehead/core/routing/placement.hpp"
+
+#include <map>    // for map
+#include <string> // for to_string
+#include <vector> // for vector
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+#include "jujubehead/core/routing/load_estimate.hpp" // for LoadEstimate
+
+using namespace jujubehead::core;
+
+namespace {
+
+std::vector<PlacementCandidate>
+Candidates(std::size_t aCount)
+{
+  std::vector<PlacementCandidate> candidates;
+  for (std::size_t i = 0; i < aCount; ++i) {
+    candidates.push_back(
+      { PlacementHash("t" + std::to_string(i)), 0, 1, false });
+  }
+  return candidates;
+}
+
+std::uint64_t
+Prompt(int aNumber)
+{
+  return PlacementHash("p" + std::to_string(aNumber));
+}
+
+} // namespace
+
+TEST_GROUP(Placement){};
+
+TEST(Placement, APromptReturnsToItsHomeAndOthersKeepTheirsWhenATargetLeaves)
+{
+  const auto all = Candidates(10);
+  auto fewer = all;
+  fewer.pop_back();
+  int moved = 0;
+  for (int i = 0; i < 1000; ++i) {
+    const auto home = *PlacePrompt(Prompt(i), all);
+    LONGS_EQUAL(home, *PlacePrompt(Prompt(i), all));
+    const auto later = *PlacePrompt(Prompt(i), fewer);
+    moved += home != later ? 1 : 0;
+    CHECK(home == later || home == all.size() - 1);
+  }
+  CHECK(moved > 50 && moved < 150);
+}
+
+TEST(Placement, ALoadedHomeIsLeftForTheNextInItsOrder)
+{
+  auto candidates = Candidates(4);
+  const auto home = *PlacePrompt(Prompt(1), candidates);
+  candidates[home].load = 30;
+  const auto next = *PlacePrompt(Prompt(1), candidates);
+  CHECK(next != home);
+  candidates[home].load = 0;
+  LONGS_EQUAL(home, *PlacePrompt(Prompt(1), candidates));
+}
+
+TEST(Placement, BoundedLoadKeepsAHotPromptFromOneTarget)
+{
+  auto candidates = Candidates(6);
+  for (int i = 0; i < 600; ++i) {
+    candidates[*PlacePrompt(Prompt(1), candidates)].load += 1;
+  }
+  for (const PlacementCandidate& candidate : candidates) {
+    CHECK(candidate.load <= 1.2 * 100 + 2);
+  }
+}
+
+TEST(Placement, ACallGoesToTheLeastLoadAndSettlesTiesNearby)
+{
+  auto candidates = Candidates(3);
+  candidates[1].is_near = true;
+  LONGS_EQUAL(1, *PlaceCall(7, candidates));
+  candidates[1].load = 2;
+  CHECK(*PlaceCall(7, candidates) != 1);
+}
+
+TEST(Placement, NothingIsPlacedWithoutCandidates)
+{
+  CHECK_FALSE(PlacePrompt(1, {}).has_value());
+  CHECK_FALSE(PlaceCall(1, {}).has_value());
+  CHECK_FALSE(WeightedHome(1, {}).has_value());
+}
+
+TEST(Placement, AHomeIsChosenByCapacity)
+{
+  auto stores = Candidates(2);
+  stores[0].capacity = 9;
+  int at_large = 0;
+  for (int i = 0; i < 1000; ++i) {
+    at_large += *WeightedHome(Prompt(i), stores) == 0 ? 1 : 0;
+  }
+  CHECK(at_large > 850 && at_large < 950);
+}
+
+TEST_GROUP(LoadEstimate){};
+
+TEST(LoadEstimate, CountsItsOwnAndForgetsWhatOthersHad)
+{
+  LoadEstimate load;
+  const Instant now{ std::chrono::seconds(5) };
+  load.OnBegin();
+  load.OnReport({ 10, 3, 64 }, now);
+  DOUBLES_EQUAL(13, load.Requests(now), 0.01);
+  CHECK(load.HasQueue(now));
+  DOUBLES_EQUAL(7, load.Requests(now + std::chrono::seconds(1)), 0.01);
+  load.OnEnd();
+  DOUBLES_EQUAL(0, load.Requests(now + std::chrono::seconds(30)), 0.01);
+  CHECK_FALSE(load.HasQueue(now + std::chrono::seconds(30)));
+}
--- /dev/null
+++ b/src/jujubehead/core/routing/target_book_test.cpp
@@ -0,0 +1,144 @@
+#include "jujubehead/core/routing/target_book.hpp"
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+using namespace jujubehead::core;
+using std::chrono::milliseconds;
+
+namespace {
+
+RegisteredTarget
+TargetAt(const std::string& aId, std::uint64_t aHeartbeat)
+{
+  RegisteredTarget target;
+  target.id = TargetId(aId);
+  target.service = ServiceId("lists");
+  target.address = "10.0.0.1:80";
+  target.heartbeat = aHeartbeat;
+  target.born_ms = 1000;
+  return target;
+}
+
+RegistrationChange
+Put(const RegisteredTarget& aTarget)
+{
+  return { aTarget.id, aTarget };
+}
+
+RegistrationChange
+Gone(const std::string& aId)
+{
+  return { TargetId(aId), std::nullopt };
+}
+
+} // namespace
+
+TEST_GROUP(TargetBook)
+{
+  TargetBook book{ {} };
+  Instant now{ std::chrono::seconds(100) };
+
+  void setup() override
+  {
+    book.OnAnswer(now);
+    book.Apply({ Put(TargetAt("t1", 1)), Put(TargetAt("t2", 1)) }, now);
+  }
+  void LoseRegistryFor(Duration aTime)
+  {
+    book.OnSilence();
+    now += aTime;
+    book.OnAnswer(now);
+  }
+};
+
+TEST(TargetBook, ATargetThatLeavesTheRegistryIsGoneAtOnce)
+{
+  // However long the quiet wait for the change was.
+  now += std::chrono::seconds(5);
+  book.OnAnswer(now);
+  CHECK(book.Apply({ Gone("t1") }, now));
+  LONGS_EQUAL(1, book.Targets().size());
+}
+
+TEST(TargetBook, WhatLapsedWhileTheRegistryWasAwayIsBelievedUntilItCanBeBack)
+{
+  LoseRegistryFor(std::chrono::seconds(4));
+  CHECK_FALSE(book.Apply({ Gone("t1") }, now));
+  LONGS_EQUAL(2, book.Targets().size());
+  now += milliseconds(2100);
+  CHECK_FALSE(book.Tick(now));
+  now += milliseconds(200);
+  CHECK(book.Tick(now));
+  LONGS_EQUAL(1, book.Targets().size());
+}
+
+TEST(TargetBook, WhatCameBackStays)
+{
+  LoseRegistryFor(std::chrono::seconds(4));
+  book.Apply({ Gone("t1") }, now);
+  now += milliseconds(1500);
+  book.Apply({ Put(TargetAt("t1", 5)) }, now);
+  now += std::chrono::seconds(3);
+  CHECK_FALSE(book.Tick(now));
+  LONGS_EQUAL(2, book.Targets().size());
+}
+
+TEST(TargetBook, AWholeReadAfterAnAbsenceKeepsWhatIsMissing)
+{
+  LoseRegistryFor(std::chrono::seconds(4));
+  book.Replace({ TargetAt("t2", 4) }, now);
+  LONGS_EQUAL(2, book.Targets().size());
+  now += milliseconds(2300);
+  book.Tick(now);
+  LONGS_EQUAL(1, book.Targets().size());
+}
+
+TEST(TargetBook, ALeavingTargetIsNotKeptOverAnAbsence)
+{
+  RegisteredTarget leaving = TargetAt("t1", 2);
+  leaving.leaving = true;
+  book.Apply({ Put(leaving) }, now);
+  LoseRegistryFor(std::chrono::seconds(4));
+  CHECK(book.Apply({ Gone("t1") }, now));
+}
+
+TEST(TargetBook, ATargetThatSaidItLeavesStaysLeaving)
+{
+  RegisteredTarget leaving = TargetAt("t1", 2);
+  leaving.leaving = true;
+  book.Apply({ Put(leaving) }, now);
+  book.Apply({ Put(TargetAt("t1", 3)) }, now);
+  CHECK(book.Targets().front().leaving);
+}
+
+TEST(TargetBook, AnOlderReportDoesNotReplaceANewerOne)
+{
+  RegisteredTarget newer = TargetAt("t1", 9);
+  newer.address = "10.0.0.9:80";
+  book.Apply({ Put(newer) }, now);
+  CHECK_FALSE(book.Apply({ Put(TargetAt("t1", 8)) }, now));
+  STRCMP_EQUAL("10.0.0.9:80", book.Targets().front().address.c_str());
+}
+
+TEST(TargetBook, ALateReportDoesNotBringATargetBack)
+{
+  book.Apply({ Gone("t1") }, now);
+  CHECK_FALSE(book.Apply({ Put(TargetAt("t1", 1)) }, now));
+  LONGS_EQUAL(1, book.Targets().size());
+}
+
+TEST(TargetBook, ATargetThatStartedAnewUnderItsNameIsTaken)
+{
+  RegisteredTarget leaving = TargetAt("t1", 7);
+  leaving.leaving = true;
+  book.Apply({ Put(leaving), Gone("t1") }, now);
+  RegisteredTarget anew = TargetAt("t1", 1);
+  anew.born_ms = 2000;
+  CHECK(book.Apply({ Put(anew) }, now));
+  CHECK_FALSE(book.Targets().front().leaving);
+}
+
+TEST(TargetBook, AHeartbeatAloneChangesNothing)
+{
+  CHECK_FALSE(book.Apply({ Put(TargetAt("t1", 2)) }, now));
+}
--- /dev/null
+++ b/src/jujubehead/core/weights/rollout_test.cpp
@@ -0,0 +1,100 @@
+#include "jujubehead/core/weights/rollout.hpp"
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+using namespace jujubehead::core;
+using std::chrono::seconds;
+
+namespace {
+
+std::vector<RolloutTarget>
+Targets(std::size_t aCount)
+{
+  std::vector<RolloutTarget> targets(aCount);
+  for (std::size_t i = 0; i < aCount; ++i) {
+    targets[i].id = TargetId("t" + std::to_string(i));
+    targets[i].data_centre = DataCentreId(i % 2 == 0 ? "a" : "b");
+    targets[i].version = 1;
+  }
+  return targets;
+}
+
+} // namespace
+
+TEST_GROUP(Rollout)
+{
+  Instant now{ seconds(100) };
+};
+
+TEST(Rollout, AThirdLoadsAtOnceOverAllDataCentres)
+{
+  const auto targets = Targets(6);
+  const auto next = NextToLoad(targets, 2, now);
+  LONGS_EQUAL(2, next.size());
+  STRCMP_EQUAL("t0", next[0].Text().c_str());
+  STRCMP_EQUAL("t1", next[1].Text().c_str());
+}
+
+TEST(Rollout, WhatLoadsLeavesNoRoomForOthers)
+{
+  auto targets = Targets(3);
+  targets[0].is_loading = true;
+  CHECK(NextToLoad(targets, 2, now).empty());
+}
+
+TEST(Rollout, TheOldestWeightsGoFirst)
+{
+  auto targets = Targets(3);
+  targets[0].version = 2;
+  targets[1].version = 2;
+  const auto next = NextToLoad(targets, 3, now);
+  STRCMP_EQUAL("t2", next.front().Text().c_str());
+}
+
+TEST(Rollout, ATargetThatFailedIsLeftForAWhile)
+{
+  auto targets = Targets(1);
+  targets[0].not_before = now + seconds(1);
+  CHECK(NextToLoad(targets, 2, now).empty());
+  LONGS_EQUAL(1, NextToLoad(targets, 2, now + seconds(1)).size());
+}
+
+TEST(Rollout, EachVersionHasItsOwnDeadline)
+{
+  WantedWeights wanted;
+  CHECK(wanted.Add(2, now + seconds(10)));
+  CHECK_FALSE(wanted.Add(2, now + seconds(20)));
+  CHECK(wanted.Add(3, now + seconds(14)));
+  LONGS_EQUAL(3, wanted.Newest());
+  LONGS_EQUAL(0, wanted.OldestAllowed(now + seconds(9)));
+  LONGS_EQUAL(2, wanted.OldestAllowed(now + seconds(10)));
+  LONGS_EQUAL(3, wanted.OldestAllowed(now + seconds(14)));
+  CHECK(wanted.BeginUntil(1) == now + seconds(10));
+  CHECK(wanted.BeginUntil(2) == now + seconds(14));
+  CHECK(wanted.BeginUntil(3) == Instant::max());
+}
+
+TEST(Rollout, AnAbsenceMovesOnlyDeadlinesThatAreAhead)
+{
+  WantedWeights wanted;
+  wanted.Add(2, now - seconds(1));
+  wanted.Add(3, now + seconds(1));
+  wanted.Extend(now, now + seconds(9));
+  LONGS_EQUAL(2, wanted.OldestAllowed(now));
+  LONGS_EQUAL(2, wanted.OldestAllowed(now + seconds(8)));
+  LONGS_EQUAL(3, wanted.OldestAllowed(now + seconds(9)));
+}
+
+TEST(Rollout, ItsStateIsReadBackAndGarbageIsNone)
+{
+  RolloutState state;
+  state.version = 4;
+  state.loading = { TargetId("t1") };
+  state.done = { TargetId("t2"), TargetId("t3") };
+  const RolloutState back = RolloutStateOf(ToText(state));
+  LONGS_EQUAL(4, back.version);
+  LONGS_EQUAL(1, back.loading.size());
+  LONGS_EQUAL(2, back.done.size());
+  LONGS_EQUAL(0, RolloutStateOf("{\"version\":\"x\"}").version);
+  LONGS_EQUAL(0, RolloutStateOf("]").version);
+}
