--- a/include/jujubehead/core/routing/load_estimate.hpp
+++ b/include/jujubehead/core/routing/load_estimate.hpp
@@ -27,15 +27,12 @@
   void OnReport(const ReportedLoad& aLoad, Instant aNow);
 
   [[nodiscard]] std::uint32_t Own() const { return m_own; }
-  /// @return whether requests waited there when it last told, of late.
-  [[nodiscard]] bool HasQueue(Instant aNow) const;
   /// @return requests at the target, of all instances.
   [[nodiscard]] double Requests(Instant aNow) const;
 
 private:
   std::uint32_t m_own = 0;
   double m_others = 0; ///< When the target last told.
-  bool m_had_queue = false;
   std::optional<Instant> m_told;
 };
 
--- a/src/jujubehead/core/routing/load_estimate.cpp
+++ b/src/jujubehead/core/routing/load_estimate.cpp
@@ -11,9 +11,6 @@
 /// request lasts, after which others run there.
 constexpr std::chrono::duration<double> kHalfLife{ 1.0 };
 
-/// Queues of loaded targets last for seconds.
-constexpr Duration kQueueMemory = std::chrono::seconds(3);
-
 } // namespace
 
 void
@@ -21,16 +18,9 @@
 {
   m_others =
     std::max(0.0, static_cast<double>(aLoad.running) + aLoad.waiting - m_own);
-  m_had_queue = aLoad.waiting > 0;
   m_told = aNow;
 }
 
-bool
-LoadEstimate::HasQueue(Instant aNow) const
-{
-  return m_had_queue && m_told && aNow - *m_told < kQueueMemory;
-}
-
 double
 LoadEstimate::Requests(Instant aNow) const
 {
--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -108,6 +108,7 @@
 void
 EntryControl::OnOperatorNews(const OperatorNews& aNews)
 {
+  m_operator_cursor = aNews.cursor;
   LogUnread("operator", aNews.unread);
   m_forwarder.OnOperatorHeard(core::RuntimeClock::now());
   if (aNews.declarations &&
@@ -161,6 +162,7 @@
 void
 EntryControl::OnRegistryNews(const RegistryNews& aNews, bool aIsAll)
 {
+  m_registry_cursor = aNews.cursor;
   LogUnread("registry", aNews.unread);
   const core::Instant now = core::RuntimeClock::now();
   m_book.OnAnswer(now);
--- a/src/jujubehead/node/control/entry_control.hpp
+++ b/src/jujubehead/node/control/entry_control.hpp
@@ -1,9 +1,10 @@
 #ifndef JUJUBEHEAD_NODE_CONTROL_ENTRY_CONTROL_HPP
 #define JUJUBEHEAD_NODE_CONTROL_ENTRY_CONTROL_HPP
 
-#include <map>    // for map
-#include <memory> // for unique_ptr
-#include <set>    // for set
+#include <algorithm> // for min
+#include <map>       // for map
+#include <memory>    // for unique_ptr
+#include <set>       // for set
 
 #include <boost/asio/awaitable.hpp>  // for awaitable
 #include <boost/asio/io_context.hpp> // for io_context
@@ -36,6 +37,11 @@
   /// @return the version of the declarations in force; 0 before the first.
   [[nodiscard]] std::uint64_t ConfigurationVersion() const;
   [[nodiscard]] std::size_t Targets() const { return m_targets_in_all; }
+  /// @return the version up to which all rows of the platform were read.
+  [[nodiscard]] std::uint64_t ReadUpTo() const
+  {
+    return std::min(m_operator_cursor, m_registry_cursor);
+  }
 
 private:
   void OnOperatorNews(const OperatorNews& aNews);
@@ -55,6 +61,8 @@
   std::shared_ptr<const core::Configuration> m_configuration;
   core::TargetBook m_book;
   bool m_registry_read = false;
+  std::uint64_t m_operator_cursor = 0;
+  std::uint64_t m_registry_cursor = 0;
   std::size_t m_targets_in_all = 0;
   std::map<core::ModelId, core::WantedWeights> m_wanted;
   std::map<core::StoreId, std::string> m_followed; ///< With their addresses.
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -48,13 +48,12 @@
 /// after about this time; spread, so that refused callers do not come together.
 constexpr std::int64_t kComeBackFromMs = 150;
 constexpr std::int64_t kComeBackToMs = 450;
-/// Requests may wait for so long in a target's queue before they begin, the
-/// longer where others wait already.
-constexpr Duration kQueueTime = std::chrono::milliseconds(2000);
-constexpr Duration kLongQueueTime = std::chrono::milliseconds(5000);
-/// Most requests end within this time. A stopping instance that has less left
-/// does not begin one.
-constexpr Duration kUsualLongest = std::chrono::milliseconds(4000);
+/// A target whose weights will be too old sooner gets no request any more: its
+/// time would be too short for most.
+constexpr Duration kOldWeightsTime = std::chrono::milliseconds(2500);
+/// Nearly all requests end within this time, also at loaded targets. A stopping
+/// instance that has less left does not begin one.
+constexpr Duration kUsualLongest = std::chrono::milliseconds(4700);
 /// Callers wait for at most this share of their time.
 constexpr int kComeBackShare = 3;
 /// A failure is the request's own, which another target repeats, unless the
@@ -114,7 +113,6 @@
                  Stop();
                })
   , m_patience(m_session->Executor(), [this] { LosePatience(); })
-  , m_begin_limit(m_session->Executor(), [this] { Stop(); })
 {
 }
 
@@ -392,10 +390,8 @@
     return newest;
   }
   std::erase_if(chosen, [&](const auto& aTarget) {
-    const Duration wait =
-      aTarget->load.HasQueue(now) ? kLongQueueTime : kQueueTime;
     return aTarget->VersionOf(m_facts.prompt->model).value_or(0) <
-           wanted->second.OldestAllowed(now + wait);
+           wanted->second.OldestAllowed(now + kOldWeightsTime);
   });
   return std::move(chosen);
 }
@@ -442,6 +438,7 @@
   const core::Prompt& prompt = *m_facts.prompt;
   call.weight_version = aTarget.VersionOf(prompt.model);
   // Without a known version nothing is shared: a name of its own.
+  call.time_left = std::min(call.time_left, TimeOnWeights(call));
   if (!call.weight_version) {
     call.cache_scope = "alone/" + m_facts.request_id;
     return call;
@@ -496,12 +493,10 @@
   if (IsOver()) {
     co_return AttemptEnd::kNotSent;
   }
-  const TargetCall call = CallFor(aTarget);
-  aExchange.Send(TargetMessage(m_state.dialect, m_session->Request(), call));
+  aExchange.Send(
+    TargetMessage(m_state.dialect, m_session->Request(), CallFor(aTarget)));
   SetPatience(aTarget);
-  LimitBeginning(call);
   const ReplyPart part = co_await aExchange.ReadHead();
-  m_begin_limit.Clear();
   if (part == ReplyPart::kBroken) {
     co_return EndBroken(aTarget, aExchange);
   }
@@ -658,20 +653,16 @@
   co_return std::nullopt;
 }
 
-void
-ForwardRun::LimitBeginning(const TargetCall& aCall)
+Duration
+ForwardRun::TimeOnWeights(const TargetCall& aCall) const
 {
-  if (!m_facts.prompt || !aCall.weight_version) {
-    return;
-  }
   const auto wanted = m_state.wanted_weights.find(m_facts.prompt->model);
-  if (wanted == m_state.wanted_weights.end()) {
-    return;
+  if (wanted == m_state.wanted_weights.end() || !aCall.weight_version) {
+    return Duration::max();
   }
   const core::Instant until = wanted->second.BeginUntil(*aCall.weight_version);
-  if (until != core::Instant::max()) {
-    m_begin_limit.Set(std::max(until - core::RuntimeClock::now(), Duration(1)));
-  }
+  return until == core::Instant::max() ? Duration::max()
+                                       : until - core::RuntimeClock::now();
 }
 
 void
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -67,8 +67,9 @@
   void Count(core::AttemptEnd aEnd);
   void SetPatience(const FleetTarget& aTarget);
   void LosePatience();
-  /// Ends the attempt when it has not begun until its weights are too old.
-  void LimitBeginning(const TargetCall& aCall);
+  /// @return the time until a target's weights are too old to begin on. It is
+  /// the target that keeps to it: this instance may be gone by then.
+  [[nodiscard]] core::Duration TimeOnWeights(const TargetCall& aCall) const;
   void Stop();
   void LogEnd(std::string_view aEvent, unsigned aStatus, std::string_view aWhy);
 
@@ -96,7 +97,7 @@
 
   net::Deadline m_deadline;
   net::Deadline m_patience;
-  net::Deadline m_begin_limit; ///< While older weights may still answer.
+
   TargetExchange* m_exchange = nullptr; ///< The one under way.
   std::shared_ptr<FleetTarget> m_waits_for;
   core::Instant m_waits_since{};
--- /dev/null
+++ b/standin/entry_deployment.cpp
@@ -0,0 +1,352 @@
+#include "standin/entry_deployment.hpp"
+
+#include <future>    // for promise
+#include <map>       // for map
+#include <stdexcept> // for runtime_error
+#include <thread>    // for thread
+
+#include <boost/asio/co_spawn.hpp>            // for co_spawn
+#include <boost/asio/detached.hpp>            // for detached
+#include <boost/asio/executor_work_guard.hpp> // for make_work_guard
+#include <boost/asio/post.hpp>                // for post
+
+#include "jujubehead/net/http_client.hpp"            // for HttpClient
+#include "jujubehead/net/raw_caller.hpp"             // for RawCaller
+#include "jujubehead/net/run_awaitable.hpp"          // for RunAwaitable
+#include "jujubehead/node/control/entry_control.hpp" // for EntryControl
+#include "jujubehead/node/forward/forwarder.hpp"     // for Forwarder
+#include "jujubehead/node/log.hpp"                   // for ConfigureLog
+#include "jujubehead/node/metrics.hpp"               // for Metrics
+#include "platform/base64.hpp"                       // for EncodeBase64
+#include "platform/connect.hpp"                      // for Connect
+#include "platform/header_lines.hpp"                 // for HeaderLines
+
+namespace jujubehead::standin {
+namespace {
+
+namespace asio = boost::asio;
+using nlohmann::json;
+
+constexpr const char* kModel = "m1";
+constexpr std::chrono::milliseconds kLookTime{ 5 };
+constexpr std::chrono::minutes kMostTime{ 1 };
+
+/// Runs a context on a thread of its own.
+class ContextThread
+{
+public:
+  ContextThread()
+    : m_work(asio::make_work_guard(context))
+    , m_thread([this] { context.run(); })
+  {
+  }
+  ~ContextThread() { Join(); }
+  ContextThread(const ContextThread&) = delete;
+  ContextThread& operator=(const ContextThread&) = delete;
+  ContextThread(ContextThread&&) = delete;
+  ContextThread& operator=(ContextThread&&) = delete;
+
+  void Join()
+  {
+    m_work.reset();
+    context.stop();
+    if (m_thread.joinable()) {
+      m_thread.join();
+    }
+  }
+
+  /// Runs something on the thread and waits for it.
+  template<typename Work>
+  auto Do(Work aWork)
+  {
+    std::packaged_task<decltype(aWork())()> task(std::move(aWork));
+    auto done = task.get_future();
+    asio::post(context, [&task] { task(); });
+    return done.get();
+  }
+
+  asio::io_context context{ 1 };
+
+private:
+  asio::executor_work_guard<asio::io_context::executor_type> m_work;
+  std::thread m_thread;
+};
+
+class Deployed final : public EntryDeployment
+{
+public:
+  explicit Deployed(std::size_t aTargets)
+    : m_metrics(node::Metrics::Create())
+  {
+    node::ConfigureLog({}, node::LogStream::kErr);
+    m_world.Do([&] { StartStandIns(aTargets); });
+    WriteRows(aTargets);
+    m_options.instance_id = core::InstanceId("i1");
+    m_options.data_centre = core::DataCentreId("dc-1");
+    m_options.caller_address = "127.0.0.1:0";
+    m_options.table_service = m_stand_ins.at("rows")->Authority();
+    m_options.repeats.fixed = 100;
+    m_forwarder =
+      std::make_unique<node::Forwarder>(m_options, m_dialect, *m_metrics);
+    m_forwarder->Start();
+    m_own.Do([&] {
+      m_control = std::make_unique<node::EntryControl>(
+        m_own.context,
+        m_options,
+        platform::Connect(m_own.context, m_options),
+        *m_forwarder);
+      m_control->Start();
+    });
+    if (!Await([&] { return Serves(aTargets); })) {
+      throw std::runtime_error("the instance does not serve");
+    }
+  }
+
+  ~Deployed() override
+  {
+    m_own.Join();
+    m_forwarder->Stop();
+    m_world.Do([&] { m_stand_ins.clear(); });
+    m_world.Join();
+  }
+
+  net::HttpResponse Call(const std::string& aMethod,
+                         const std::string& aPath,
+                         const net::HttpHeaders& aHeaders,
+                         std::string aBody) override
+  {
+    asio::io_context context(1);
+    const auto client = net::HttpClient::Create(context);
+    net::HttpCall call;
+    call.authority = "127.0.0.1:" + std::to_string(m_forwarder->Port());
+    call.method = aMethod;
+    call.target = aPath;
+    call.headers.Add("Host", "a.example");
+    for (const net::HttpHeader& line : aHeaders.Lines()) {
+      call.headers.Add(line.name, line.value);
+    }
+    call.body = std::move(aBody);
+    return net::RunAwaitable(context, ReadAll(*client, std::move(call)));
+  }
+
+  std::string CallRaw(const std::string& aBytes) override
+  {
+    asio::io_context context(1);
+    net::test::RawCaller caller(context, m_forwarder->Port());
+    return net::RunAwaitable(context, Exchange(caller, aBytes));
+  }
+
+  void CallAndLeave(const std::string& aBytes,
+                    std::chrono::milliseconds aAfter) override
+  {
+    asio::io_context context(1);
+    net::test::RawCaller caller(context, m_forwarder->Port());
+    net::RunAwaitable(context, WriteOnly(caller, aBytes));
+    std::this_thread::sleep_for(aAfter);
+  }
+
+  json Stats(const std::string& aName) override
+  {
+    return m_world.Do([&] { return m_stand_ins.at(aName)->Stats(); });
+  }
+
+  void SetFault(const std::string& aName,
+                const std::string& aFault,
+                const json& aBody) override
+  {
+    m_world.Do([&] { m_stand_ins.at(aName)->SetFault(aFault, aBody); });
+  }
+
+  void PutRow(const std::string& aTable,
+              const std::string& aKey,
+              const json& aValue) override
+  {
+    const json name = { { "table", aTable }, { "part", "" }, { "key", aKey } };
+    json put = name;
+    put["value"] = platform::EncodeBase64(aValue.dump());
+    Write(aValue.is_null() ? json{ { "remove", json::array({ name }) } }
+                           : json{ { "put", json::array({ put }) } });
+  }
+
+  void PutGarbage(const std::string& aTable, const std::string& aKey) override
+  {
+    const json row = {
+      { "table", aTable }, { "part", "" }, { "key", aKey }, { "value", "%%%" }
+    };
+    Write({ { "put", json::array({ row }) } });
+  }
+
+  json EntryOf(const std::string& aName) override
+  {
+    const bool is_model = aName.starts_with("model");
+    const json model = { { "name", kModel }, { "version", 1 } };
+    return { { "service", is_model ? "models" : "plain" },
+             { "address", m_stand_ins.at(aName)->Authority() },
+             { "zone", "dc-1" },
+             { "slots", 8 },
+             { "state", "ready" },
+             { "models", is_model ? json::array({ model }) : json::array() },
+             { "sequence", 1 } };
+  }
+
+  json Configuration() override
+  {
+    const json account = { { "name", "acme" },
+                           { "api_keys", { "key-1" } },
+                           { "priority", 3 } };
+    const json store = { { "name", "parts" },
+                         { "kv_store_addr",
+                           m_stand_ins.at("parts")->Authority() },
+                         { "zone", "dc-1" },
+                         { "kv_capacity_tokens", 100000 } };
+    return { { "version", 1 },
+             { "routes",
+               json::array({ RouteAt("/chat/", "streaming", "models"),
+                             RouteAt("/once/", "non_idempotent", "plain"),
+                             RouteAt("/calls/", "idempotent", "plain") }) },
+             { "services",
+               json::array({ json{ { "name", "models" } },
+                             json{ { "name", "plain" } },
+                             store }) },
+             { "tenants", json::array({ account }) },
+             { "limits", json::object() } };
+  }
+
+  bool AwaitRead() override
+  {
+    const auto version = Stats("rows").at("version").get<std::uint64_t>();
+    return Await([&] {
+      return m_own.Do([&] { return m_control->ReadUpTo(); }) >= version;
+    });
+  }
+
+  bool Await(const std::function<bool()>& aCondition) override
+  {
+    const auto until = std::chrono::steady_clock::now() + kMostTime;
+    while (std::chrono::steady_clock::now() < until) {
+      if (aCondition()) {
+        return true;
+      }
+      std::this_thread::sleep_for(kLookTime);
+    }
+    return false;
+  }
+
+private:
+  static json RouteAt(const char* aPrefix,
+                      const char* aKind,
+                      const char* aService)
+  {
+    return { { "name", aPrefix },        { "host", "a.example" },
+             { "path_prefix", aPrefix }, { "kind", aKind },
+             { "timeout_ms", 5000 },     { "target_latency_ms", 500 },
+             { "priority", 5 },          { "service", aService },
+             { "max_attempts", 2 },      { "resumable", true } };
+  }
+
+  void StartStandIns(std::size_t aTargets)
+  {
+    const auto add = [&](const std::string& aName, StandIn aStandIn) {
+      m_stand_ins.emplace(aName,
+                          std::make_unique<StandIn>(std::move(aStandIn)));
+    };
+    add("rows", StandIn::Rows(m_world.context));
+    add("parts", StandIn::Parts(m_world.context));
+    for (std::size_t i = 0; i < aTargets; ++i) {
+      RegisteredOptions options;
+      options.id = "model" + std::to_string(i);
+      options.model = kModel;
+      options.work_ms = 2;
+      add(options.id, StandIn::Registered(m_world.context, options));
+      options.id = "service" + std::to_string(i);
+      options.model.clear();
+      add(options.id, StandIn::Registered(m_world.context, options));
+    }
+  }
+
+  void WriteRows(std::size_t aTargets)
+  {
+    PutRow("op", "config", Configuration());
+    for (std::size_t i = 0; i < aTargets; ++i) {
+      for (const char* kind : { "model", "service" }) {
+        const std::string name = kind + std::to_string(i);
+        PutRow("servers", name, EntryOf(name));
+      }
+    }
+  }
+
+  void Write(const json& aBody)
+  {
+    asio::io_context context(1);
+    const auto client = net::HttpClient::Create(context);
+    net::HttpCall call;
+    call.authority = m_stand_ins.at("rows")->Authority();
+    call.method = "POST";
+    call.target = "/rows-tx";
+    call.body = aBody.dump();
+    net::RunAwaitable(context, ReadAll(*client, std::move(call)));
+  }
+
+  bool Serves(std::size_t aTargets)
+  {
+    return m_own.Do([&] {
+      return m_control->IsReady() && m_control->Targets() == 2 * aTargets;
+    });
+  }
+
+  static asio::awaitable<net::HttpResponse> ReadAll(net::HttpClient& aClient,
+                                                    net::HttpCall aCall)
+  {
+    net::HttpResponse response;
+    try {
+      const auto stream = co_await aClient.Open(std::move(aCall));
+      response.headers = stream->Headers();
+      const unsigned status = stream->Status();
+      response.status = 0;
+      for (;;) {
+        const std::string_view bytes = co_await stream->ReadSome();
+        if (bytes.empty()) {
+          break;
+        }
+        response.body += bytes;
+      }
+      response.status = status;
+    } catch (const net::HttpCallError&) {
+      response.status = 0;
+    }
+    co_return response;
+  }
+
+  static asio::awaitable<std::string> Exchange(net::test::RawCaller& aCaller,
+                                               const std::string& aBytes)
+  {
+    co_await aCaller.Write(aBytes);
+    co_return co_await aCaller.ReadAll();
+  }
+
+  static asio::awaitable<bool> WriteOnly(net::test::RawCaller& aCaller,
+                                         const std::string& aBytes)
+  {
+    co_await aCaller.Write(aBytes);
+    co_return true;
+  }
+
+  ContextThread m_world; ///< Of the stand-ins.
+  ContextThread m_own;   ///< Of the instance's control.
+  std::map<std::string, std::unique_ptr<StandIn>> m_stand_ins;
+  node::EntryOptions m_options;
+  platform::HeaderLines m_dialect;
+  std::unique_ptr<node::Metrics> m_metrics;
+  std::unique_ptr<node::Forwarder> m_forwarder;
+  std::unique_ptr<node::EntryControl> m_control;
+};
+
+} // namespace
+
+std::unique_ptr<EntryDeployment>
+EntryDeployment::Start(std::size_t aTargets)
+{
+  return std::make_unique<Deployed>(aTargets);
+}
+
+} // namespace jujubehead::standin
--- /dev/null
+++ b/standin/entry_deployment.hpp
@@ -0,0 +1,66 @@
+#ifndef JUJUBEHEAD_STANDIN_ENTRY_DEPLOYMENT_HPP
+#define JUJUBEHEAD_STANDIN_ENTRY_DEPLOYMENT_HPP
+
+#include <functional> // for function
+#include <memory>     // for unique_ptr
+#include <string>     // for string
+#include <vector>     // for vector
+
+#include <nlohmann/json.hpp> // for json
+
+#include "jujubehead/net/http_message.hpp" // for HttpResponse
+#include "standin/stand_in.hpp"            // for RegisteredOptions
+
+namespace jujubehead::standin {
+
+/// @brief An entry instance and the stand-ins of the platform that it needs, in
+/// one process: real sockets on loopback, real threads. For tests.
+///
+/// Host `a.example`: `/chat/` streams from the models and may be resumed,
+/// `/once/` is a plain call that may run once, `/calls/` one that may repeat.
+class EntryDeployment
+{
+public:
+  /// @brief Starts everything and waits until the instance serves.
+  /// @throws std::runtime_error when that does not come about.
+  static std::unique_ptr<EntryDeployment> Start(std::size_t aTargets);
+  virtual ~EntryDeployment() = default;
+
+  /// @brief Calls the instance and waits for its whole reply. A reply that was
+  /// cut off has status 0 and what came of its body.
+  virtual net::HttpResponse Call(const std::string& aMethod,
+                                 const std::string& aPath,
+                                 const net::HttpHeaders& aHeaders,
+                                 std::string aBody) = 0;
+  /// @brief Sends any bytes and returns what comes until the end.
+  virtual std::string CallRaw(const std::string& aBytes) = 0;
+  /// @brief Sends a request, and leaves after a time without reading.
+  virtual void CallAndLeave(const std::string& aBytes,
+                            std::chrono::milliseconds aAfter) = 0;
+
+  /// @param aName `model0`, `model1`, ..., `service0`, ..., `rows`, `parts`.
+  virtual nlohmann::json Stats(const std::string& aName) = 0;
+  virtual void SetFault(const std::string& aName,
+                        const std::string& aFault,
+                        const nlohmann::json& aBody) = 0;
+  /// @brief Writes a row of the store, as whoever may; null: removes it.
+  virtual void PutRow(const std::string& aTable,
+                      const std::string& aKey,
+                      const nlohmann::json& aValue) = 0;
+  /// @brief Writes a row that holds no JSON.
+  virtual void PutGarbage(const std::string& aTable,
+                          const std::string& aKey) = 0;
+  /// @return the entry under which a target registers.
+  virtual nlohmann::json EntryOf(const std::string& aName) = 0;
+  /// @return the operator's configuration as it was first written.
+  virtual nlohmann::json Configuration() = 0;
+  /// @brief Waits until the instance has read all rows as they are now.
+  virtual bool AwaitRead() = 0;
+  /// @brief Waits, with a bound of a minute, until a condition holds.
+  /// @return whether it does.
+  virtual bool Await(const std::function<bool()>& aCondition) = 0;
+};
+
+} // namespace jujubehead::standin
+
+#endif // JUJUBEHEAD_STANDIN_ENTRY_DEPLOYMENT_HPP
--- a/standin/faces.hpp
+++ b/standin/faces.hpp
@@ -23,6 +23,13 @@
 MakeMembersFace(const nlohmann::json& aMembers);
 std::shared_ptr<Face>
 MakeServiceFace(ServiceOptions aOptions);
+std::shared_ptr<Face>
+MakeRowsFace();
+std::shared_ptr<Face>
+MakeRegisteredFace(boost::asio::io_context& aContext,
+                   RegisteredOptions aOptions);
+std::shared_ptr<Face>
+MakePartsFace();
 
 } // namespace jujubehead::standin
 
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -38,7 +38,8 @@
 DEFINE_double(reads_per_second, 0, "table: most reads; 0: no limit");
 DEFINE_string(members_file, "", "members: JSON array of the first members");
 DEFINE_string(service, "sync", "service: its name");
-DEFINE_string(id, "service-1", "service: its id");
+DEFINE_string(id, "service-1", "service, registered: its id");
+DEFINE_string(registered_model, "", "registered: its model; empty: none");
 DEFINE_int64(work_ms, 0, "service: time that a call takes");
 
 namespace {
@@ -49,7 +50,8 @@
 constexpr int kCrashStatus = 70;
 constexpr int kUsageStatus = 2;
 constexpr const char* kUsage =
-  "jujubehead-standin engine|store|table|objects|members|service [flags]";
+  "jujubehead-standin "
+  "engine|store|table|objects|members|service|rows|parts|registered [flags]";
 
 std::vector<std::string>
 SplitByComma(const std::string& aText)
@@ -139,6 +141,19 @@
     return StandIn::Service(
       aContext, { FLAGS_service, FLAGS_id, FLAGS_work_ms }, listen);
   }
+  if (aKind == "rows") {
+    return StandIn::Rows(aContext, listen);
+  }
+  if (aKind == "parts") {
+    return StandIn::Parts(aContext, listen);
+  }
+  if (aKind == "registered") {
+    RegisteredOptions options;
+    options.id = FLAGS_id;
+    options.model = FLAGS_registered_model;
+    options.work_ms = FLAGS_work_ms;
+    return StandIn::Registered(aContext, options, listen);
+  }
   throw std::runtime_error(std::string("usage: ") + kUsage);
 }
 
--- /dev/null
+++ b/standin/registered_face.cpp
@@ -0,0 +1,231 @@
+#include "standin/faces.hpp" // for MakeRegisteredFace
+
+#include <utility> // for move
+
+#include "jujubehead/net/http_client.hpp" // for HttpClient
+
+namespace jujubehead::standin {
+namespace {
+
+namespace asio = boost::asio;
+using nlohmann::json;
+
+constexpr unsigned kMisdirected = 421;
+constexpr unsigned kUnavailable = 503;
+
+std::string
+HeaderOf(const net::HttpRequest& aRequest, const char* aName)
+{
+  return std::string(aRequest.headers.Find(aName).value_or(""));
+}
+
+std::string
+EventText(std::uint64_t aNumber)
+{
+  const std::string number = std::to_string(aNumber);
+  return "id: " + number + "\ndata: token" + number + "\n\n";
+}
+
+/// A target of the operators' platform: a model engine when it has a model,
+/// else a plain service.
+class RegisteredFace final : public Face
+{
+public:
+  RegisteredFace(asio::io_context& aContext, RegisteredOptions aOptions)
+    : m_options(std::move(aOptions))
+    , m_client(net::HttpClient::Create(aContext))
+  {
+  }
+
+  [[nodiscard]] json Stats() const override
+  {
+    return { { "runs", m_runs },
+             { "cut", m_cut },
+             { "version", m_options.version },
+             { "orders", m_orders } };
+  }
+
+private:
+  asio::awaitable<void> Handle(net::HttpExchange& aExchange) override
+  {
+    const std::string path(aExchange.Request().Path());
+    if (path == "/report") {
+      const json report = Report();
+      co_await Reply(aExchange, 200, report);
+    } else if (path == "/order") {
+      co_await TakeOrder(aExchange);
+    } else {
+      co_await TakeRequest(aExchange);
+    }
+  }
+
+  json Report() const
+  {
+    const json model = { { "name", m_options.model },
+                         { "version", m_options.version } };
+    return { { "models", json::array({ model }) },
+             { "busy", false },
+             { "sequence", m_orders.size() },
+             { "queued", 0 },
+             { "active", m_active } };
+  }
+
+  asio::awaitable<void> TakeOrder(net::HttpExchange& aExchange)
+  {
+    const json order = json::parse(aExchange.Request().body, nullptr, false);
+    const bool is_fresh =
+      order.value("expected_rev", std::uint64_t(0)) == m_orders.size();
+    if (is_fresh) {
+      m_orders.push_back(order);
+      m_options.version = order.value("version", std::uint64_t(0));
+    }
+    co_await Reply(aExchange, is_fresh ? 202 : 409, json::object());
+  }
+
+  net::HttpHeaders HeadersOf(const net::HttpRequest& aRequest) const
+  {
+    net::HttpHeaders headers;
+    headers.Add("X-Attempt-Id", HeaderOf(aRequest, "X-Attempt-Id"));
+    headers.Add("X-Server-Load", std::to_string(m_active) + ",0,8");
+    if (!m_options.model.empty()) {
+      headers.Add("X-Weight-Versions", std::to_string(m_options.version));
+    }
+    return headers;
+  }
+
+  /// @return the status with which a request is refused; 0: it is not.
+  unsigned Refusal(const net::HttpRequest& aRequest)
+  {
+    const std::string version = HeaderOf(aRequest, "X-Expect-Version");
+    if (HeaderOf(aRequest, "X-Expect-Instance") != m_options.id ||
+        (!version.empty() && version != std::to_string(m_options.version))) {
+      return kMisdirected;
+    }
+    return TakeFault("refuse") ? kUnavailable : 0;
+  }
+
+  asio::awaitable<void> TakeRequest(net::HttpExchange& aExchange)
+  {
+    const net::HttpRequest& request = aExchange.Request();
+    net::HttpHeaders headers = HeadersOf(request);
+    if (const unsigned status = Refusal(request)) {
+      headers.Add("X-Not-Executed", "1");
+      net::HttpResponse refusal{ status, headers, "" };
+      co_await aExchange.Send(std::move(refusal));
+      co_return;
+    }
+    m_runs.push_back(Seen(request));
+    ++m_active;
+    bool gone = false;
+    aExchange.OnCallerGone([&] {
+      gone = true;
+      ++m_cut;
+    });
+    co_await Answer(aExchange, std::move(headers), gone);
+    aExchange.OnCallerGone({});
+    --m_active;
+  }
+
+  static json Seen(const net::HttpRequest& aRequest)
+  {
+    json seen = { { "method", aRequest.method },
+                  { "target", aRequest.target },
+                  { "body", aRequest.body } };
+    for (const net::HttpHeader& line : aRequest.headers.Lines()) {
+      seen["lines"][line.name] = line.value;
+    }
+    return seen;
+  }
+
+  asio::awaitable<void> Answer(net::HttpExchange& aExchange,
+                               net::HttpHeaders aHeaders,
+                               const bool& aGone)
+  {
+    co_await Wait(FaultMs("mute"));
+    if (TakeFault("lose_answers")) {
+      aExchange.Close();
+      co_return;
+    }
+    if (!TakeFault("unsigned")) {
+      aHeaders.Add("X-Response-Seal", "seal." + m_options.id);
+    }
+    if (TakeFault("fail")) {
+      net::HttpResponse failure{ 500, aHeaders, "failed\n" };
+      co_await aExchange.Send(std::move(failure));
+    } else if (m_options.model.empty()) {
+      co_await Wait(std::chrono::milliseconds(m_options.work_ms));
+      net::HttpResponse answer{ 200, aHeaders, "done by " + m_options.id };
+      if (!aGone) {
+        co_await aExchange.Send(std::move(answer));
+      }
+    } else {
+      co_await Stream(aExchange, std::move(aHeaders), aGone);
+    }
+  }
+
+  asio::awaitable<void> Stream(net::HttpExchange& aExchange,
+                               net::HttpHeaders aHeaders,
+                               const bool& aGone)
+  {
+    aHeaders.Add("Content-Type", "text/event-stream");
+    const std::string last = HeaderOf(aExchange.Request(), "Last-Event-Id");
+    std::uint64_t next = last.empty() ? 1 : std::stoull(last) + 1;
+    const json* const breaks = Fault("break_after");
+    const std::uint64_t break_at =
+      breaks != nullptr ? breaks->value("events", std::uint64_t(0)) : 0;
+    co_await aExchange.StartStream(200, std::move(aHeaders));
+    for (; next <= m_options.events && !aGone; ++next) {
+      const std::string event = EventText(next);
+      if (break_at != 0 && next > break_at) {
+        co_await aExchange.WriteChunk(event.substr(0, event.size() / 2));
+        aExchange.Close();
+        co_return;
+      }
+      co_await aExchange.WriteChunk(event);
+      co_await Wait(std::chrono::milliseconds(m_options.work_ms));
+    }
+    if (!aGone) {
+      co_await KeepParts(aExchange.Request());
+      co_await aExchange.EndStream();
+    }
+  }
+
+  /// Tells the stores that a request names that its parts are whole there now.
+  asio::awaitable<void> KeepParts(const net::HttpRequest& aRequest)
+  {
+    std::string places = HeaderOf(aRequest, "X-Kv-Save") + ",";
+    std::string parts = HeaderOf(aRequest, "X-Prompt-Prefix") + ",";
+    while (places.size() > 1) {
+      const std::string place = places.substr(0, places.find(','));
+      const std::string part = parts.substr(0, parts.find(','));
+      places.erase(0, place.size() + 1);
+      parts.erase(0, part.size() + 1);
+      if (place == "-") {
+        continue;
+      }
+      net::HttpCall call;
+      call.authority = place;
+      call.method = "POST";
+      call.target = "/keep";
+      call.body = HeaderOf(aRequest, "X-Cache-Salt") + "\n" + part;
+      co_await m_client->Fetch(std::move(call));
+    }
+  }
+
+  RegisteredOptions m_options;
+  std::unique_ptr<net::HttpClient> m_client;
+  json m_runs = json::array();
+  json m_orders = json::array();
+  std::uint64_t m_active = 0;
+  std::uint64_t m_cut = 0;
+};
+
+} // namespace
+
+std::shared_ptr<Face>
+MakeRegisteredFace(asio::io_context& aContext, RegisteredOptions aOptions)
+{
+  return std::make_shared<RegisteredFace>(aContext, std::move(aOptions));
+}
+
+} // namespace jujubehead::standin
--- a/standin/stand_in.cpp
+++ b/standin/stand_in.cpp
@@ -73,6 +73,28 @@
   return { aContext, MakeServiceFace(std::move(aOptions)), aListen };
 }
 
+StandIn
+StandIn::Rows(asio::io_context& aContext, const ListenOptions& aListen)
+{
+  return { aContext, MakeRowsFace(), aListen };
+}
+
+StandIn
+StandIn::Registered(asio::io_context& aContext,
+                    RegisteredOptions aOptions,
+                    const ListenOptions& aListen)
+{
+  return { aContext,
+           MakeRegisteredFace(aContext, std::move(aOptions)),
+           aListen };
+}
+
+StandIn
+StandIn::Parts(asio::io_context& aContext, const ListenOptions& aListen)
+{
+  return { aContext, MakePartsFace(), aListen };
+}
+
 std::uint16_t
 StandIn::Port() const
 {
--- a/standin/stand_in.hpp
+++ b/standin/stand_in.hpp
@@ -32,6 +32,16 @@
   std::int64_t work_ms = 0; ///< Time that each call takes.
 };
 
+/// @brief How a target of the operators' platform behaves.
+struct RegisteredOptions
+{
+  std::string id = "t1";
+  std::string model;         ///< Empty: a plain service.
+  std::uint64_t version = 1; ///< Of its weights.
+  std::uint64_t events = 8;  ///< Of each stream.
+  std::int64_t work_ms = 0;  ///< Time of a call, or between events.
+};
+
 /// @brief A stand-in that serves on an io_context until it is destroyed.
 /// All calls on the io_context's thread, or while it does not run.
 ///
@@ -58,6 +68,16 @@
   static StandIn Service(boost::asio::io_context& aContext,
                          ServiceOptions aOptions,
                          const ListenOptions& aListen = {});
+  /// @brief The operators' store of rows.
+  static StandIn Rows(boost::asio::io_context& aContext,
+                      const ListenOptions& aListen = {});
+  /// @brief A target that registers itself in the store of rows.
+  static StandIn Registered(boost::asio::io_context& aContext,
+                            RegisteredOptions aOptions,
+                            const ListenOptions& aListen = {});
+  /// @brief A store of kept parts of prompts.
+  static StandIn Parts(boost::asio::io_context& aContext,
+                       const ListenOptions& aListen = {});
 
   StandIn(StandIn&&) = default;
   StandIn& operator=(StandIn&&) = delete;
