Refuse at once what would come late while targets are loaded

A predictor learns from each route's answers what a request at a target adds to the wait; a request whose time there would pass its limit is refused, the less urgent first, and only where requests wait.

--- a/include/jujubehead/core/routing/load_estimate.hpp
+++ b/include/jujubehead/core/routing/load_estimate.hpp
@@ -27,12 +27,18 @@
   void OnReport(const ReportedLoad& aLoad, Instant aNow);
 
   [[nodiscard]] std::uint32_t Own() const { return m_own; }
+  /// @return requests that wait there, by what it told of late.
+  [[nodiscard]] double Waiting(Instant aNow) const;
   /// @return requests at the target, of all instances.
   [[nodiscard]] double Requests(Instant aNow) const;
 
 private:
+  /// @return what is left of something that the target told.
+  [[nodiscard]] double Faded(double aTold, Instant aNow) const;
+
   std::uint32_t m_own = 0;
-  double m_others = 0; ///< When the target last told.
+  double m_others = 0;  ///< When the target last told.
+  double m_waiting = 0; ///< When the target last told.
   std::optional<Instant> m_told;
 };
 
--- a/src/jujubehead/core/routing/load_estimate.cpp
+++ b/src/jujubehead/core/routing/load_estimate.cpp
@@ -18,17 +18,30 @@
 {
   m_others =
     std::max(0.0, static_cast<double>(aLoad.running) + aLoad.waiting - m_own);
+  m_waiting = aLoad.waiting;
   m_told = aNow;
 }
 
 double
-LoadEstimate::Requests(Instant aNow) const
+LoadEstimate::Faded(double aTold, Instant aNow) const
 {
   if (!m_told) {
-    return m_own;
+    return 0;
   }
   const std::chrono::duration<double> age = aNow - *m_told;
-  return m_own + m_others * std::exp2(-(age / kHalfLife));
+  return aTold * std::exp2(-(age / kHalfLife));
+}
+
+double
+LoadEstimate::Requests(Instant aNow) const
+{
+  return m_own + Faded(m_others, aNow);
+}
+
+double
+LoadEstimate::Waiting(Instant aNow) const
+{
+  return Faded(m_waiting, aNow);
 }
 
 } // namespace jujubehead::core
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -231,6 +231,11 @@
       co_await Conclude(core::InsteadOfSending(last, m_history));
       co_return;
     }
+    if (!IsBegun(*target)) {
+      m_last_why = "it would be late";
+      co_await Conclude(NextStep::kRefuse);
+      co_return;
+    }
     const bool is_repeat = m_history.sends > 0;
     if (is_repeat) {
       const auto now = core::RuntimeClock::now();
@@ -396,6 +401,28 @@
   return std::move(chosen);
 }
 
+bool
+ForwardRun::IsBegun(const FleetTarget& aTarget) const
+{
+  if (!m_facts.prompt || m_history.sends > 0 || !m_facts.resume_after.empty()) {
+    return true;
+  }
+  const core::Instant now = core::RuntimeClock::now();
+  core::AdmissionInput input;
+  input.predicted = m_state.waits[m_route->name].At(aTarget.load.Requests(now));
+  input.objective = m_route->objective;
+  input.urgency = Urgency();
+  input.waiting = aTarget.load.Waiting(now);
+  return core::IsAdmitted(input);
+}
+
+std::uint32_t
+ForwardRun::Urgency() const
+{
+  return m_account != nullptr ? m_account->urgency.value_or(m_route->urgency)
+                              : m_route->urgency;
+}
+
 std::shared_ptr<FleetTarget>
 ForwardRun::Choose()
 {
@@ -433,8 +460,7 @@
   if (!m_facts.prompt) {
     return call;
   }
-  call.urgency = m_account != nullptr && m_account->urgency ? m_account->urgency
-                                                            : m_route->urgency;
+  call.urgency = Urgency();
   const core::Prompt& prompt = *m_facts.prompt;
   call.weight_version = aTarget.VersionOf(prompt.model);
   // Without a known version nothing is shared: a name of its own.
@@ -466,6 +492,8 @@
   m_exchange = &exchange;
   m_waits_for = aTarget;
   m_lost_patience = false;
+  m_load_at_send = aTarget->load.Requests(core::RuntimeClock::now());
+  m_sent = core::RuntimeClock::now();
   aTarget->load.OnBegin();
   aTarget->health.OnSend(core::RuntimeClock::now());
   const Ended ended = co_await Exchange(*aTarget, exchange);
@@ -611,6 +639,8 @@
       SetPatience(aTarget);
       if (!m_session->HasStreamBegun()) {
         m_first_event = aTarget.last_heard;
+        m_state.waits[m_route->name].OnFirstAnswer(m_load_at_send,
+                                                   m_first_event - m_sent);
         m_session->BeginStream(aExchange.Head().status,
                                aExchange.Head().reason,
                                LinesForCaller(aExchange.Head().headers));
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -48,6 +48,9 @@
   boost::asio::awaitable<void> Conclude(core::NextStep aStep);
   boost::asio::awaitable<void> Give(OwnAnswer aAnswer);
 
+  /// @return whether the request is worth beginning there.
+  [[nodiscard]] bool IsBegun(const FleetTarget& aTarget) const;
+  [[nodiscard]] std::uint32_t Urgency() const;
   [[nodiscard]] std::shared_ptr<FleetTarget> Choose();
   [[nodiscard]] std::vector<std::shared_ptr<FleetTarget>> Candidates() const;
   [[nodiscard]] TargetCall CallFor(const FleetTarget& aTarget) const;
@@ -92,6 +95,8 @@
   net::EventCutter m_cutter;
   std::optional<WholeAnswer> m_failure; ///< Of a target, to pass on at last.
   core::Instant m_first_event{};
+  core::Instant m_sent{};    ///< The present attempt.
+  double m_load_at_send = 0; ///< Requests at its target then.
   std::string m_last_why;
   std::string m_last_target;
 
--- a/src/jujubehead/node/forward/forward_state.hpp
+++ b/src/jujubehead/node/forward/forward_state.hpp
@@ -5,9 +5,11 @@
 #include <map>           // for map
 #include <memory>        // for shared_ptr
 #include <random>        // for mt19937_64
+#include <string>        // for string
 #include <unordered_map> // for unordered_map
 
 #include "jujubehead/core/context/part_directory.hpp" // for PartDirectory
+#include "jujubehead/core/routing/admission.hpp"      // for WaitPredictor
 #include "jujubehead/core/routing/configuration.hpp"  // for Configuration
 #include "jujubehead/core/routing/repeat_budget.hpp"  // for RepeatBudget
 #include "jujubehead/core/weights/rollout.hpp"        // for WantedWeights
@@ -52,6 +54,8 @@
   TargetFleet fleet;
   core::PartDirectory parts;
   std::unordered_map<core::ServiceId, core::RepeatBudget> budgets;
+  /// By the route's name.
+  std::unordered_map<std::string, core::WaitPredictor> waits;
   std::mt19937_64 random;
   TargetClock target_clock;
   core::Instant operator_heard{}; ///< When the operator's rows were last read.
