Leave the lease for orders to instances that stay

A stopping instance takes no lease any more and goes on with one that it holds. Ruled out: the store (no feed_lost), the targets (all loaded in 1 to 2 s).

--- a/include/jujubehead/core/weights/order_lease.hpp
+++ b/include/jujubehead/core/weights/order_lease.hpp
@@ -54,6 +54,10 @@
   /// @param aVersion 0: there is no row.
   void OnRow(std::string_view aHolder, std::uint64_t aVersion, Instant aNow);
 
+  /// @brief This instance is about to end: it takes the lease no more, as the
+  /// next one would have to wait it out, but goes on with one that it holds.
+  void Retire() { m_is_retired = true; }
+
   /// @return whether this instance may write the row to take or renew it.
   [[nodiscard]] bool MayTake(Instant aNow) const;
   /// @return whether the holder should renew now.
@@ -76,6 +80,7 @@
   std::optional<Instant> m_row_seen; ///< When it was first seen as it is now.
   std::uint64_t m_row_version = 0;
   bool m_is_mine = false;
+  bool m_is_retired = false;
   std::optional<Instant> m_begun; ///< Of the last write that took effect.
   std::uint64_t m_token = 0;
 };
--- a/src/jujubehead/core/weights/order_lease.cpp
+++ b/src/jujubehead/core/weights/order_lease.cpp
@@ -29,7 +29,7 @@
 bool
 OrderLease::MayTake(Instant aNow) const
 {
-  if (!m_row_seen) {
+  if (!m_row_seen || (m_is_retired && !Holds(aNow))) {
     return false;
   }
   if (m_row_version == 0 || m_is_mine) {
--- a/src/jujubehead/core/weights/order_lease_test.cpp
+++ b/src/jujubehead/core/weights/order_lease_test.cpp
@@ -167,6 +167,21 @@
   LONGS_EQUAL(12, lease.FencingToken());
 }
 
+TEST(OrderLease, AnInstanceThatEndsDoesNotTakeItButGoesOnWithIt)
+{
+  const Instant now{ std::chrono::seconds(10) };
+  OrderLease idle("i1", {});
+  idle.OnRow("", 0, now);
+  idle.Retire();
+  CHECK_FALSE(idle.MayTake(now));
+  OrderLease holder("i2", {});
+  holder.OnRow("", 0, now);
+  holder.OnWritten(7, now);
+  holder.Retire();
+  CHECK(holder.MayTake(now + milliseconds(500)));
+  CHECK_FALSE(holder.MayTake(now + milliseconds(1600)));
+}
+
 TEST(OrderLease, ARenewalKeepsTheToken)
 {
   const Instant now{ std::chrono::seconds(10) };
--- a/src/jujubehead/node/control/entry_control.hpp
+++ b/src/jujubehead/node/control/entry_control.hpp
@@ -32,6 +32,8 @@
 
   /// @brief Begins to follow; on the context from then on.
   void Start();
+  /// @brief This instance is about to end.
+  void BeginStop() { m_weights.BeginStop(); }
   /// @return whether enough is known to serve callers.
   [[nodiscard]] bool IsReady() const;
   /// @return the version of the declarations in force; 0 before the first.
--- a/src/jujubehead/node/control/weights_giver.hpp
+++ b/src/jujubehead/node/control/weights_giver.hpp
@@ -33,6 +33,8 @@
                Forwarder& aForwarder);
 
   void Start();
+  /// @brief This instance is about to end.
+  void BeginStop() { m_lease.Retire(); }
   void SetWanted(std::map<core::ModelId, core::WantedWeights> aWanted);
   void SetTargets(std::vector<core::RegisteredTarget> aTargets);
   void OnSharedNews(const SharedNews& aNews, bool aIsAll);
--- a/src/jujubehead/node/entry.cpp
+++ b/src/jujubehead/node/entry.cpp
@@ -140,6 +140,7 @@
         .Add("open_requests", std::uint64_t(m_forwarder.OpenRequests())));
     const core::Instant last = begun + m_options.stop_grace - kEndMargin;
     m_forwarder.BeginStop(last);
+    m_control.BeginStop();
     for (;;) {
       co_await net::Sleep(kPollTime);
       const core::Instant now = core::RuntimeClock::now();
--- a/src/jujubehead/node/forward/forwarder.cpp
+++ b/src/jujubehead/node/forward/forwarder.cpp
@@ -106,6 +106,9 @@
       CallerSession::Start(std::move(socket), *this);
       continue;
     }
+    if (!m_acceptor.is_open()) {
+      co_return;
+    }
     DecisionLog::WriteAlways(
       LogLine("accept_failed").Add("why", error.message()));
     co_await net::Sleep(kAcceptPause);
