--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -1,6 +1,7 @@
 #include "forward_run.hpp"
 
 #include <algorithm> // for min, max, clamp
+#include <cmath>     // for lround
 #include <utility>   // for move
 
 #include "jujubehead/core/routing/placement.hpp" // for PlacePrompt, PlaceCall
@@ -16,6 +17,7 @@
 using core::Duration;
 using core::NextStep;
 
+constexpr std::int64_t kMicrosOfMs = 1000;
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kUnauthorized = 401;
 constexpr unsigned kNotFound = 404;
@@ -232,7 +234,7 @@
       co_return;
     }
     if (!IsBegun(*target)) {
-      m_last_why = "it would be late";
+      m_last_target = target->target.id.Text();
       co_await Conclude(NextStep::kRefuse);
       co_return;
     }
@@ -402,7 +404,7 @@
 }
 
 bool
-ForwardRun::IsBegun(const FleetTarget& aTarget) const
+ForwardRun::IsBegun(const FleetTarget& aTarget)
 {
   if (!m_facts.prompt || m_history.sends > 0 || !m_facts.resume_after.empty()) {
     return true;
@@ -413,7 +415,16 @@
   input.objective = m_route->objective;
   input.urgency = Urgency();
   input.waiting = aTarget.load.Waiting(now);
-  return core::IsAdmitted(input);
+  if (core::IsAdmitted(input)) {
+    return true;
+  }
+  m_last_why = "it would be late: " +
+               std::to_string(input.predicted->count() / kMicrosOfMs) +
+               " ms for an objective of " +
+               std::to_string(input.objective.count() / kMicrosOfMs) +
+               " ms, urgency " + std::to_string(input.urgency) + ", " +
+               std::to_string(std::lround(input.waiting)) + " waiting";
+  return false;
 }
 
 std::uint32_t
@@ -565,7 +576,9 @@
   if (m_session->IsGone()) {
     return std::nullopt;
   }
-  m_last_why = m_lost_patience ? "the target fell silent" : aExchange.Why();
+  m_last_why = m_timed_out       ? "the time was up"
+               : m_lost_patience ? "the target fell silent"
+                                 : aExchange.Why();
   if (!m_timed_out && !m_lost_patience) {
     aTarget.health.OnFailure(core::RuntimeClock::now());
   }
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -49,7 +49,7 @@
   boost::asio::awaitable<void> Give(OwnAnswer aAnswer);
 
   /// @return whether the request is worth beginning there.
-  [[nodiscard]] bool IsBegun(const FleetTarget& aTarget) const;
+  [[nodiscard]] bool IsBegun(const FleetTarget& aTarget);
   [[nodiscard]] std::uint32_t Urgency() const;
   [[nodiscard]] std::shared_ptr<FleetTarget> Choose();
   [[nodiscard]] std::vector<std::shared_ptr<FleetTarget>> Candidates() const;
