Read parts that no store has from the prompt's home target, and poll less

Cause: a request that spills from its home reads its parts anew when no store has them or stores may not be read; the home has them. Only a target that spoke within 1.5 s and has the same weights is named. What another instance says of loading targets is believed for 3 s in place of 6: a giver that froze kept a third of the targets idle for 4 s. Registry pages come every 0.65 s, the shared table is waited on for 4 s.

--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -14,9 +14,12 @@
 
 /// How often lapsed registrations are looked at; against bounds of seconds.
 constexpr core::Duration kTickTime = std::chrono::milliseconds(400);
-/// Reports of many targets come together in one page after this pause, a
-/// quarter of the time in which a leaving target may still get work.
-constexpr core::Duration kRegistryPause = std::chrono::milliseconds(400);
+/// Reports of many targets come together in one page after this pause, a third
+/// of the time in which a leaving target may still get work.
+constexpr core::Duration kRegistryPause = std::chrono::milliseconds(650);
+/// What instances tell each other changes with roll-outs only; a connection
+/// that falls silent meanwhile costs requests that targets refuse.
+constexpr core::Duration kSharedWait = std::chrono::milliseconds(4000);
 /// A store's events are asked for in waits of this length; PartDirectory trusts
 /// a store for one such wait, its time-out and the way.
 constexpr core::Duration kPartsWait = std::chrono::milliseconds(500);
@@ -85,6 +88,7 @@
   };
   FollowOptions shared_options;
   shared_options.name = "shared";
+  shared_options.wait = kSharedWait;
   asio::co_spawn(m_context,
                  Follow<SharedNews>(*m_platform.shared, shared_options, shared),
                  asio::detached);
--- a/src/jujubehead/node/control/weights_giver.cpp
+++ b/src/jujubehead/node/control/weights_giver.cpp
@@ -41,7 +41,7 @@
 constexpr core::Duration kRetryTarget = std::chrono::seconds(1);
 /// What another instance said of its loading is believed for so long; it says
 /// more whenever a target begins or ends.
-constexpr core::Duration kBelieveTime = std::chrono::seconds(6);
+constexpr core::Duration kBelieveTime = std::chrono::seconds(3);
 
 core::OrderLeaseOptions
 LeaseOptions(const EntryOptions& aOptions)
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -486,6 +486,7 @@
   }
   call.cache_scope = core::ToText(scope);
   PlaceParts(m_state, prompt, scope, call);
+  ReadFromHome(m_state, prompt, aTarget, call);
   return call;
 }
 
--- a/src/jujubehead/node/forward/part_places.cpp
+++ b/src/jujubehead/node/forward/part_places.cpp
@@ -10,6 +10,10 @@
 
 namespace {
 
+/// A target that spoke within this time is there; each speaks to each instance
+/// about once a second.
+constexpr core::Duration kHomeSpoke = std::chrono::milliseconds(1500);
+
 bool
 MayUseStores(const ForwardState& aState,
              const core::CacheScope& aScope,
@@ -66,4 +70,34 @@
   }
 }
 
+void
+ReadFromHome(const ForwardState& aState,
+             const core::Prompt& aPrompt,
+             const FleetTarget& aTarget,
+             TargetCall& aCall)
+{
+  const core::Instant now = core::RuntimeClock::now();
+  const auto targets = aState.fleet.Of(aTarget.target.service);
+  std::vector<core::PlacementCandidate> homes;
+  for (const auto& target : targets) {
+    homes.push_back({ target->name_hash, 0, 1, false });
+  }
+  const auto index =
+    core::WeightedHome(core::PlacementHash(aPrompt.ReturningPart()), homes);
+  if (!index || targets[*index].get() == &aTarget) {
+    return;
+  }
+  const FleetTarget& home = *targets[*index];
+  if (now - home.last_heard > kHomeSpoke || home.is_loading ||
+      home.VersionOf(aPrompt.model) != aCall.weight_version) {
+    return;
+  }
+  aCall.read_from.resize(aPrompt.parts.size());
+  for (std::size_t i = 0; i + 1 < aPrompt.parts.size(); ++i) {
+    if (aCall.read_from[i].address.empty()) {
+      aCall.read_from[i] = { home.target.address, aPrompt.parts[i].tokens };
+    }
+  }
+}
+
 } // namespace jujubehead::node
--- a/src/jujubehead/node/forward/part_places.hpp
+++ b/src/jujubehead/node/forward/part_places.hpp
@@ -20,6 +20,16 @@
            const core::CacheScope& aScope,
            TargetCall& aCall);
 
+/// @brief Fills in the prompt's home target for parts that no store has: where
+/// a request that leaves its home runs, the home has usually read them. Only a
+/// target that spoke of late and has the same weights is named, since a dead
+/// one costs a wait.
+void
+ReadFromHome(const ForwardState& aState,
+             const core::Prompt& aPrompt,
+             const FleetTarget& aTarget,
+             TargetCall& aCall);
+
 } // namespace jujubehead::node
 
 #endif // JUJUBEHEAD_NODE_FORWARD_PART_PLACES_HPP
--- /dev/null
+++ b/src/jujubehead/node/forward/part_places_test.cpp
@@ -0,0 +1,181 @@
+#include "part_places.hpp"
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+#include "jujubehead/core/routing/placement.hpp" // for WeightedHome
+
+using namespace jujubehead;
+using namespace jujubehead::node;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Places are decided without any header line.
+class NoDialect : public Dialect
+{
+public:
+  [[nodiscard]] core::Checked<CallerFacts> ReadCaller(
+    const net::HttpHeaders& /*aHeaders*/) const override
+  {
+    return CallerFacts{};
+  }
+  [[nodiscard]] ReplyFacts ReadReply(
+    const net::MessageHead& /*aHead*/) const override
+  {
+    return {};
+  }
+  [[nodiscard]] net::HttpHeaders LinesOf(
+    const TargetCall& /*aCall*/) const override
+  {
+    return {};
+  }
+  [[nodiscard]] net::HttpHeaders LinesOfOwnAnswer(
+    const std::string& /*aRequestId*/) const override
+  {
+    return {};
+  }
+  [[nodiscard]] bool IsSetHere(std::string_view /*aName*/) const override
+  {
+    return false;
+  }
+  [[nodiscard]] bool BelongsToRequest(std::string_view /*aName*/) const override
+  {
+    return false;
+  }
+};
+
+const core::StoreId kStore("s1");
+const core::CacheScope kScope{ core::ModelId("m1"), 2, {} };
+
+core::RegisteredTarget
+TargetAt(const std::string& aId)
+{
+  core::RegisteredTarget target;
+  target.id = core::TargetId(aId);
+  target.service = core::ServiceId("models");
+  target.address = "127.0.0.1:90";
+  target.models = { { core::ModelId("m1"), 2 } };
+  return target;
+}
+
+} // namespace
+
+TEST_GROUP(PartPlaces)
+{
+  EntryOptions options;
+  NoDialect dialect;
+  std::unique_ptr<Metrics> metrics = Metrics::Create();
+  DecisionLog log;
+  ForwardState state{ options, dialect, metrics->ForThread(), log };
+  core::Prompt prompt{
+    core::ModelId("m1"), { { "a", 100 }, { "b", 900 }, { "c", 9 } }, 1009, 8
+  };
+  TargetCall call;
+  core::Instant now = core::RuntimeClock::now();
+
+  void setup() override
+  {
+    core::Declarations all;
+    all.stores = { { kStore, "10.0.0.1:80", core::DataCentreId("d"), 100000 } };
+    state.configuration =
+      std::make_shared<const core::Configuration>(std::move(all));
+    state.operator_heard = now;
+    state.target_clock.OnReading(5000, now);
+    call.cache_scope = core::ToText(kScope);
+    Tell({});
+  }
+  void Tell(std::vector<core::PartEvent> aEvents)
+  {
+    core::PartEventPage page;
+    page.epoch = 1;
+    page.events = std::move(aEvents);
+    state.parts.OnPage(kStore, page, core::RuntimeClock::now());
+  }
+  void TellWhole()
+  {
+    Tell({ { core::ToText(kScope), "b", 900, true } });
+  }
+  bool Reads()
+  {
+    PlaceParts(state, prompt, kScope, call);
+    return call.read_from.size() > 1 && !call.read_from[1].address.empty();
+  }
+};
+
+TEST(PartPlaces, AWholePartIsReadAndOthersButTheLastAreKept)
+{
+  TellWhole();
+  CHECK(Reads());
+  STRCMP_EQUAL("10.0.0.1:80", call.keep_at[0].address.c_str());
+  CHECK(call.keep_at[1].address.empty());
+  CHECK(call.keep_at[2].address.empty());
+  CHECK(call.read_from[2].address.empty());
+  CHECK(*call.read_until_ms >= 5000 + 2900);
+}
+
+TEST(PartPlaces, APartOfFewerTokensIsNotRead)
+{
+  Tell({ { core::ToText(kScope), "b", 899, true } });
+  CHECK_FALSE(Reads());
+}
+
+TEST(PartPlaces, NothingIsReadWhileTheOperatorIsNotHeard)
+{
+  TellWhole();
+  state.operator_heard = now - std::chrono::seconds(2);
+  CHECK_FALSE(Reads());
+}
+
+TEST(PartPlaces, NothingIsReadForWeightsThatAreBeingReplaced)
+{
+  TellWhole();
+  state.wanted_weights[core::ModelId("m1")].Add(3, core::Instant::max());
+  CHECK_FALSE(Reads());
+}
+
+TEST(PartPlaces, NothingIsReadWithoutTheTargetsClock)
+{
+  TellWhole();
+  state.target_clock = {};
+  CHECK_FALSE(Reads());
+}
+
+TEST(PartPlaces, ASilentStoreIsNeitherReadNorFilled)
+{
+  TellWhole();
+  state.parts.OnSilence(kStore);
+  CHECK_FALSE(Reads());
+  CHECK(call.keep_at[0].address.empty());
+}
+
+TEST(PartPlaces, AFullStoreIsNotFilledFurther)
+{
+  Tell({ { core::ToText(kScope), "x", 99950, true } });
+  PlaceParts(state, prompt, kScope, call);
+  CHECK(call.keep_at[0].address.empty());
+}
+
+TEST(PartPlaces, OnlyALivelyHomeWithTheSameWeightsIsRead)
+{
+  state.fleet.Update({ TargetAt("t1"), TargetAt("t2") });
+  const auto targets = state.fleet.Of(core::ServiceId("models"));
+  const std::vector<core::PlacementCandidate> homes = {
+    { targets[0]->name_hash, 0, 1, false },
+    { targets[1]->name_hash, 0, 1, false }
+  };
+  const auto home = *core::WeightedHome(core::PlacementHash("b"), homes);
+  FleetTarget& away = *targets[1 - home];
+  call.weight_version = 2;
+  ReadFromHome(state, prompt, away, call);
+  CHECK(call.read_from.empty());
+  targets[home]->last_heard = now;
+  ReadFromHome(state, prompt, *targets[home], call);
+  CHECK(call.read_from.empty());
+  ReadFromHome(state, prompt, away, call);
+  STRCMP_EQUAL("127.0.0.1:90", call.read_from[1].address.c_str());
+  CHECK(call.read_from[2].address.empty());
+  call.read_from.clear();
+  call.weight_version = 3;
+  ReadFromHome(state, prompt, away, call);
+  CHECK(call.read_from.empty());
+}
