Reach the operators' store through another instance while the straight way fails

Cause: an instance that is cut off from the store, or turned away by it, heard nothing of changes, read no kept parts, and lost the lease for giving orders; the next one had to wait that lease out.

Now each instance listens for others and passes their calls on to the store as they are; StorePaths says which way a call goes, InstanceBook keeps the rows by which instances find each other (refreshed, and removed by others when nobody does). While the store is away a whole table is recalled from what another instance read, marked as such: it does not count as hearing the operator, so no parts are read by it.

Ruled out: a lease of longer term (the wait after a real loss grows with it); relays over two hops (calls in a circle).

--- a/include/jujubehead/node/control/platform.hpp
+++ b/include/jujubehead/node/control/platform.hpp
@@ -14,6 +14,7 @@
 #include "jujubehead/core/routing/configuration.hpp"  // for Declarations
 #include "jujubehead/core/routing/target_book.hpp"    // for RegistrationChange
 #include "jujubehead/core/runtime_clock.hpp"          // for Duration
+#include "jujubehead/node/control/known_rows.hpp"     // for KnownRows
 
 namespace jujubehead::node {
 
@@ -44,6 +45,8 @@
 struct OperatorNews
 {
   std::uint64_t cursor = 0; ///< Where to go on.
+  /// Another instance's knowledge, while the store itself did not answer.
+  bool is_recalled = false;
   std::optional<core::Declarations> declarations;
   std::vector<core::LoadedModel> wanted; ///< Weights to bring to all targets.
   std::vector<std::string> unread;       ///< What was not understood, and why.
@@ -53,6 +56,7 @@
 struct RegistryNews
 {
   std::uint64_t cursor = 0;
+  bool is_recalled = false;                      ///< As in OperatorNews.
   std::vector<core::RegistrationChange> changes; ///< In their order.
   std::vector<std::string> unread;
 };
@@ -94,11 +98,13 @@
 {
 public:
   /// @brief Writes a row if it still has the version that is expected of it; 0
-  /// expects that there is none.
+  /// expects that there is none. No value removes it.
   /// @return the row's new version; nothing when the row had changed.
   /// @throws PlatformError; then the write may yet take effect.
-  virtual boost::asio::awaitable<std::optional<std::uint64_t>>
-  Put(std::string aKey, std::string aValue, std::uint64_t aExpectedVersion) = 0;
+  virtual boost::asio::awaitable<std::optional<std::uint64_t>> Put(
+    std::string aKey,
+    std::optional<std::string> aValue,
+    std::uint64_t aExpectedVersion) = 0;
 };
 
 /// @brief A target's own word on its weights; a few hundred ms old.
@@ -180,6 +186,7 @@
   std::unique_ptr<SharedRows> shared;
   std::unique_ptr<TargetOrders> orders;
   std::unique_ptr<StoreCalls> stores;
+  std::unique_ptr<KnownRows> known;
 };
 
 } // namespace jujubehead::node
--- a/include/jujubehead/node/entry.hpp
+++ b/include/jujubehead/node/entry.hpp
@@ -5,15 +5,16 @@
 
 #include <boost/asio/io_context.hpp> // for io_context
 
-#include "jujubehead/node/control/platform.hpp"      // for Platform
-#include "jujubehead/node/forward/dialect.hpp"       // for Dialect
-#include "jujubehead/node/forward/entry_options.hpp" // for EntryOptions
+#include "jujubehead/core/membership/store_paths.hpp" // for StorePaths
+#include "jujubehead/node/control/platform.hpp"       // for Platform
+#include "jujubehead/node/forward/dialect.hpp"        // for Dialect
+#include "jujubehead/node/forward/entry_options.hpp"  // for EntryOptions
 
 namespace jujubehead::node {
 
-/// Makes the calls to the platform that run on a context.
+/// Makes the calls to the platform that run on a context, over these ways.
 using MakePlatform = std::function<Platform(boost::asio::io_context& aContext,
-                                            const EntryOptions& aOptions)>;
+                                            core::StorePaths& aPaths)>;
 
 /// @brief Runs an instance that forwards callers' requests, until SIGTERM or
 /// SIGINT; then the open requests end and it returns.
--- a/include/jujubehead/node/forward/entry_options.hpp
+++ b/include/jujubehead/node/forward/entry_options.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint> // for uint16_t
 #include <string>  // for string
+#include <vector>  // for vector
 
 #include "jujubehead/core/ids.hpp"                   // for InstanceId
 #include "jujubehead/core/routing/repeat_budget.hpp" // for RepeatBudgetOptions
@@ -20,6 +21,11 @@
   std::string ready_address;   ///< `ip:port` for the balancer's question.
   std::string metrics_address; ///< `ip:port`; empty: none.
   std::string table_service;   ///< `ip:port` of the operators' store of rows.
+  /// `ip:port` where other instances reach the store through this one; empty:
+  /// nowhere, and this one uses no other.
+  std::string relay_address;
+  /// Where to ask other instances before their rows were read, `ip:port` each.
+  std::vector<std::string> relay_seeds;
   core::RepeatBudgetOptions repeats;
   core::TargetBookOptions registry;
   /// Longest time between SIGTERM and the end.
--- a/src/jujubehead/app/command_line.cpp
+++ b/src/jujubehead/app/command_line.cpp
@@ -125,6 +125,9 @@
       m_check.Authority("metrics", values.metrics, false);
     options.table_service =
       m_check.Authority("table_service", values.table_service, true);
+    options.relay_address = m_check.Authority("relay", values.relay, false);
+    options.relay_seeds =
+      m_check.Authorities("relay_seeds", values.relay_seeds);
     options.repeats.per_request =
       m_check.Share("retry_share", values.retry_share);
     options.repeats.fixed =
--- a/src/jujubehead/app/command_specs.cpp
+++ b/src/jujubehead/app/command_specs.cpp
@@ -39,6 +39,8 @@
         "ready",
         "metrics",
         "table_service",
+        "relay",
+        "relay_seeds",
         "retry_share",
         "retry_fixed",
         "retry_window",
--- a/src/jujubehead/app/flags.cpp
+++ b/src/jujubehead/app/flags.cpp
@@ -68,6 +68,13 @@
 DEFINE_string(callers, "", "where to listen for callers, as ip:port");
 DEFINE_string(ready, "", "where to tell a balancer of readiness, as ip:port");
 DEFINE_string(metrics, "", "where to show metrics, as ip:port; empty: nowhere");
+DEFINE_string(relay,
+              "",
+              "where other instances reach the store through this one, as "
+              "ip:port; empty: nowhere");
+DEFINE_string(relay_seeds,
+              "",
+              "instances to ask while the store is away, as ip:port,ip:port");
 DEFINE_double(retry_share,
               0.1,
               "requests sent once more, to one service, as a share of its "
@@ -164,6 +171,8 @@
   values.callers = FLAGS_callers;
   values.ready = FLAGS_ready;
   values.metrics = FLAGS_metrics;
+  values.relay = FLAGS_relay;
+  values.relay_seeds = FLAGS_relay_seeds;
   values.retry_share = FLAGS_retry_share;
   values.retry_fixed = FLAGS_retry_fixed;
   values.retry_window = FLAGS_retry_window;
--- a/src/jujubehead/app/flags.hpp
+++ b/src/jujubehead/app/flags.hpp
@@ -46,6 +46,8 @@
   std::string callers;
   std::string ready;
   std::string metrics;
+  std::string relay;
+  std::string relay_seeds;
   double retry_share = 0;
   double retry_fixed = 0;
   std::uint32_t retry_window = 0;
--- /dev/null
+++ b/src/jujubehead/core/membership/instance_book_test.cpp
@@ -0,0 +1,84 @@
+#include "jujubehead/core/membership/instance_book.hpp"
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+using namespace jujubehead::core;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+TEST_GROUP(InstanceBook)
+{
+  const Instant now = Instant(std::chrono::hours(5));
+  InstanceBook book{ "i1", "10.0.0.1:7" };
+
+  void ReadNothing()
+  {
+    book.BeginAll();
+    book.EndAll();
+  }
+};
+
+TEST(InstanceBook, NothingIsWrittenBeforeTheRowsWereRead)
+{
+  CHECK_FALSE(book.NextWrite(now).has_value());
+}
+
+TEST(InstanceBook, AnInstanceWritesItsRowOnce)
+{
+  ReadNothing();
+  const auto write = book.NextWrite(now);
+  CHECK(write.has_value());
+  STRCMP_EQUAL("i1", write->id.c_str());
+  STRCMP_EQUAL("10.0.0.1:7", write->address->c_str());
+  LONGS_EQUAL(0, write->expected_version);
+  book.OnRow("i1", "10.0.0.1:7", 5, now);
+  CHECK_FALSE(book.NextWrite(now + minutes(9)).has_value());
+  const auto refresh = book.NextWrite(now + minutes(10));
+  LONGS_EQUAL(5, refresh->expected_version);
+}
+
+TEST(InstanceBook, AnInstanceAtANewAddressWritesItsRowAnew)
+{
+  book.BeginAll();
+  book.OnRow("i1", "10.9.9.9:7", 4, now);
+  book.EndAll();
+  const auto write = book.NextWrite(now);
+  STRCMP_EQUAL("10.0.0.1:7", write->address->c_str());
+  LONGS_EQUAL(4, write->expected_version);
+}
+
+TEST(InstanceBook, OthersAreAllButThisOne)
+{
+  ReadNothing();
+  book.OnRow("i1", "10.0.0.1:7", 1, now);
+  book.OnRow("i2", "10.0.0.2:7", 2, now);
+  book.OnRow("i3", "10.0.0.3:7", 3, now);
+  LONGS_EQUAL(2, book.Others().size());
+  book.OnRow("i2", std::nullopt, 4, now);
+  LONGS_EQUAL(1, book.Others().size());
+  STRCMP_EQUAL("10.0.0.3:7", book.Others()[0].c_str());
+}
+
+TEST(InstanceBook, ARowThatNobodyRefreshesIsRemoved)
+{
+  ReadNothing();
+  book.OnRow("i1", "10.0.0.1:7", 1, now + minutes(25));
+  book.OnRow("i2", "10.0.0.2:7", 2, now);
+  CHECK_FALSE(book.NextWrite(now + minutes(30) - seconds(1)).has_value());
+  const auto write = book.NextWrite(now + minutes(30));
+  STRCMP_EQUAL("i2", write->id.c_str());
+  CHECK_FALSE(write->address.has_value());
+  LONGS_EQUAL(2, write->expected_version);
+  // It was refreshed after all.
+  book.OnRow("i2", "10.0.0.2:7", 9, now + minutes(30));
+  CHECK_FALSE(book.NextWrite(now + minutes(31)).has_value());
+}
+
+TEST(InstanceBook, AnOlderWordChangesNothing)
+{
+  ReadNothing();
+  book.OnRow("i2", "10.0.0.2:7", 5, now);
+  book.OnRow("i2", "10.0.0.9:7", 4, now);
+  book.OnRow("i2", std::nullopt, 4, now);
+  STRCMP_EQUAL("10.0.0.2:7", book.Others()[0].c_str());
+}
--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -23,6 +23,10 @@
 /// A store's events are asked for in waits of this length; PartDirectory trusts
 /// a store for one such wait, its time-out and the way.
 constexpr core::Duration kPartsWait = std::chrono::milliseconds(500);
+/// Rows by which instances find each other: this, then the instance's id.
+constexpr std::string_view kInstancePrefix = "instances/";
+/// Between two looks at those rows: a new instance is found within seconds.
+constexpr core::Duration kInstanceRowsTime = std::chrono::seconds(2);
 /// Requests may begin on replaced weights for this part of the allowed time;
 /// the rest is for the way of what ends them.
 constexpr double kOldWeightsShare = 0.95;
@@ -41,11 +45,14 @@
 EntryControl::EntryControl(asio::io_context& aContext,
                            const EntryOptions& aOptions,
                            Platform aPlatform,
+                           core::StorePaths& aPaths,
                            Forwarder& aForwarder)
   : m_context(aContext)
   , m_options(aOptions)
   , m_platform(std::move(aPlatform))
+  , m_paths(aPaths)
   , m_forwarder(aForwarder)
+  , m_instances(aOptions.instance_id.Text(), aOptions.relay_address)
   , m_book(aOptions.registry)
   , m_weights(aContext,
               aOptions,
@@ -84,7 +91,7 @@
                  asio::detached);
   FollowHooks<SharedNews> shared;
   shared.on_news = [this](const SharedNews& aNews, bool aIsAll) {
-    m_weights.OnSharedNews(aNews, aIsAll);
+    OnSharedNews(aNews, aIsAll);
   };
   FollowOptions shared_options;
   shared_options.name = "shared";
@@ -93,6 +100,10 @@
                  Follow<SharedNews>(*m_platform.shared, shared_options, shared),
                  asio::detached);
   asio::co_spawn(m_context, TickRegistry(), asio::detached);
+  if (!m_options.relay_address.empty()) {
+    SetInstances();
+    asio::co_spawn(m_context, KeepInstanceRows(), asio::detached);
+  }
   m_weights.Start();
   m_keeper.Start();
 }
@@ -114,7 +125,9 @@
 {
   m_operator_cursor = aNews.cursor;
   LogUnread("operator", aNews.unread);
-  m_forwarder.OnOperatorHeard(core::RuntimeClock::now());
+  if (!aNews.is_recalled) {
+    m_forwarder.OnOperatorHeard(core::RuntimeClock::now());
+  }
   if (aNews.declarations &&
       aNews.declarations->version > ConfigurationVersion()) {
     m_configuration =
@@ -169,7 +182,9 @@
   m_registry_cursor = aNews.cursor;
   LogUnread("registry", aNews.unread);
   const core::Instant now = core::RuntimeClock::now();
-  m_book.OnAnswer(now);
+  if (!aNews.is_recalled) {
+    m_book.OnAnswer(now);
+  }
   bool changed = !m_registry_read;
   if (aIsAll) {
     std::vector<core::RegisteredTarget> all;
@@ -188,6 +203,64 @@
   }
 }
 
+void
+EntryControl::OnSharedNews(const SharedNews& aNews, bool aIsAll)
+{
+  m_weights.OnSharedNews(aNews, aIsAll);
+  if (aIsAll) {
+    m_instances.BeginAll();
+  }
+  for (const SharedRow& row : aNews.rows) {
+    if (row.key.starts_with(kInstancePrefix)) {
+      m_instances.OnRow(row.key.substr(kInstancePrefix.size()),
+                        row.value,
+                        row.version,
+                        core::RuntimeClock::now());
+    }
+  }
+  if (aIsAll) {
+    m_instances.EndAll();
+  }
+  SetInstances();
+}
+
+void
+EntryControl::SetInstances()
+{
+  if (m_options.relay_address.empty()) {
+    return;
+  }
+  std::vector<std::string> addresses = m_instances.Others();
+  for (const std::string& seed : m_options.relay_seeds) {
+    if (seed != m_options.relay_address) {
+      addresses.push_back(seed);
+    }
+  }
+  m_paths.SetInstances(std::move(addresses));
+}
+
+asio::awaitable<void>
+EntryControl::KeepInstanceRows()
+{
+  for (;;) {
+    co_await net::Sleep(kInstanceRowsTime);
+    const auto write = m_instances.NextWrite(core::RuntimeClock::now());
+    if (!write) {
+      continue;
+    }
+    try {
+      // What was written comes back with the news.
+      std::string key = std::string(kInstancePrefix) + write->id;
+      co_await m_platform.shared->Put(
+        std::move(key), write->address, write->expected_version);
+    } catch (const PlatformError& error) {
+      DecisionLog::WriteAlways(LogLine("instance_row_unwritten")
+                                 .Add("instance", write->id)
+                                 .Add("why", error.what()));
+    }
+  }
+}
+
 void
 EntryControl::PublishTargets()
 {
--- a/src/jujubehead/node/control/entry_control.hpp
+++ b/src/jujubehead/node/control/entry_control.hpp
@@ -9,9 +9,11 @@
 #include <boost/asio/awaitable.hpp>  // for awaitable
 #include <boost/asio/io_context.hpp> // for io_context
 
-#include "jujubehead/core/routing/target_book.hpp"   // for TargetBook
-#include "jujubehead/node/control/platform.hpp"      // for Platform
-#include "jujubehead/node/forward/entry_options.hpp" // for EntryOptions
+#include "jujubehead/core/membership/instance_book.hpp" // for InstanceBook
+#include "jujubehead/core/membership/store_paths.hpp"   // for StorePaths
+#include "jujubehead/core/routing/target_book.hpp"      // for TargetBook
+#include "jujubehead/node/control/platform.hpp"         // for Platform
+#include "jujubehead/node/forward/entry_options.hpp"    // for EntryOptions
 
 #include "../forward/forwarder.hpp" // for Forwarder
 #include "store_keeper.hpp"         // for StoreKeeper
@@ -28,6 +30,7 @@
   EntryControl(boost::asio::io_context& aContext,
                const EntryOptions& aOptions,
                Platform aPlatform,
+               core::StorePaths& aPaths,
                Forwarder& aForwarder);
 
   /// @brief Begins to follow; on the context from then on.
@@ -38,6 +41,8 @@
   [[nodiscard]] bool IsReady() const;
   /// @return the version of the declarations in force; 0 before the first.
   [[nodiscard]] std::uint64_t ConfigurationVersion() const;
+  /// @return what was read of the operators' store.
+  [[nodiscard]] const KnownRows& Known() const { return *m_platform.known; }
   [[nodiscard]] std::size_t Targets() const { return m_targets_in_all; }
   /// @return the version up to which all rows of the platform were read.
   [[nodiscard]] std::uint64_t ReadUpTo() const
@@ -49,6 +54,9 @@
   void OnOperatorNews(const OperatorNews& aNews);
   void OnRegistryNews(const RegistryNews& aNews, bool aIsAll);
   void OnOperatorSilent();
+  void OnSharedNews(const SharedNews& aNews, bool aIsAll);
+  void SetInstances();
+  boost::asio::awaitable<void> KeepInstanceRows();
   /// @return when no request may begin on weights that are replaced now.
   [[nodiscard]] core::Instant OldWeightsEnd() const;
   void PublishTargets();
@@ -59,7 +67,9 @@
   boost::asio::io_context& m_context;
   const EntryOptions& m_options;
   Platform m_platform;
+  core::StorePaths& m_paths;
   Forwarder& m_forwarder;
+  core::InstanceBook m_instances;
   std::shared_ptr<const core::Configuration> m_configuration;
   core::TargetBook m_book;
   bool m_registry_read = false;
--- a/src/jujubehead/node/control/follow.hpp
+++ b/src/jujubehead/node/control/follow.hpp
@@ -79,6 +79,9 @@
         newest = news.cursor;
         cursor = news.cursor;
         aHooks.on_news(news, reads_all);
+      } else if (reads_all) {
+        fault = PlatformFault::kUnreachable;
+        why = "an answer from the past";
       }
     } catch (const PlatformError& error) {
       fault = error.Fault();
--- a/src/jujubehead/node/entry.cpp
+++ b/src/jujubehead/node/entry.cpp
@@ -7,11 +7,12 @@
 #include <boost/asio/detached.hpp>   // for detached
 #include <boost/asio/signal_set.hpp> // for signal_set
 
-#include "jujubehead/net/http_server.hpp" // for HttpServer
-#include "jujubehead/net/timer.hpp"       // for Sleep
-#include "jujubehead/node/endpoint.hpp"   // for ReadEndpoint
-#include "jujubehead/node/log.hpp"        // for ConfigureLog, LogError
-#include "jujubehead/node/metrics.hpp"    // for Metrics
+#include "jujubehead/net/http_server.hpp"          // for HttpServer
+#include "jujubehead/net/timer.hpp"                // for Sleep
+#include "jujubehead/node/control/store_relay.hpp" // for StoreRelay
+#include "jujubehead/node/endpoint.hpp"            // for ReadEndpoint
+#include "jujubehead/node/log.hpp"                 // for ConfigureLog, LogError
+#include "jujubehead/node/metrics.hpp"             // for Metrics
 
 #include "control/entry_control.hpp" // for EntryControl
 #include "forward/forwarder.hpp"     // for Forwarder
@@ -50,16 +51,27 @@
     : m_options(aOptions)
     , m_metrics(Metrics::Create())
     , m_forwarder(aOptions, aDialect, *m_metrics)
+    , m_paths(aOptions.table_service, aOptions.instance_id.Text())
     , m_control(m_context,
                 aOptions,
-                aMakePlatform(m_context, aOptions),
+                aMakePlatform(m_context, m_paths),
+                m_paths,
                 m_forwarder)
+    , m_relay(m_context, m_paths, m_control.Known())
     , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
   {
     m_ready = net::HttpServer::Create(
       m_context,
       ServerAt(aOptions.ready_address),
       [this](net::HttpExchange& aExchange) { return TellReady(aExchange); });
+    if (!aOptions.relay_address.empty()) {
+      m_relay_door =
+        net::HttpServer::Create(m_context,
+                                ServerAt(aOptions.relay_address),
+                                [this](net::HttpExchange& aExchange) {
+                                  return m_relay.Handle(aExchange);
+                                });
+    }
     if (!aOptions.metrics_address.empty()) {
       m_pages = net::HttpServer::Create(m_context,
                                         ServerAt(aOptions.metrics_address),
@@ -104,6 +116,9 @@
     gauge("jujubehead_targets",
           "Targets that are registered.",
           static_cast<double>(m_control.Targets()));
+    gauge("jujubehead_store_straight",
+          "Whether the operators' store is reached without another instance.",
+          m_paths.IsStraight() ? 1 : 0);
     gauge("jujubehead_ready",
           "Whether callers are taken.",
           !m_stopping && m_control.IsReady() ? 1 : 0);
@@ -163,10 +178,13 @@
   asio::io_context m_context{ 1 };
   std::unique_ptr<Metrics> m_metrics;
   Forwarder m_forwarder;
+  core::StorePaths m_paths;
   EntryControl m_control;
+  StoreRelay m_relay;
   asio::signal_set m_signals;
   std::unique_ptr<net::HttpServer> m_ready;
   std::unique_ptr<net::HttpServer> m_pages;
+  std::unique_ptr<net::HttpServer> m_relay_door; ///< For other instances.
   bool m_stopping = false;
 };
 
--- a/standin/entry_deployment.cpp
+++ b/standin/entry_deployment.cpp
@@ -90,10 +90,13 @@
       std::make_unique<node::Forwarder>(m_options, m_dialect, *m_metrics);
     m_forwarder->Start();
     m_own.Do([&] {
+      m_paths =
+        std::make_unique<core::StorePaths>(m_options.table_service, "i1");
       m_control = std::make_unique<node::EntryControl>(
         m_own.context,
         m_options,
-        platform::Connect(m_own.context, m_options),
+        platform::Connect(m_own.context, *m_paths),
+        *m_paths,
         *m_forwarder);
       m_control->Start();
     });
@@ -338,6 +341,7 @@
   platform::HeaderLines m_dialect;
   std::unique_ptr<node::Metrics> m_metrics;
   std::unique_ptr<node::Forwarder> m_forwarder;
+  std::unique_ptr<core::StorePaths> m_paths;
   std::unique_ptr<node::EntryControl> m_control;
 };
 
