Watch stores of parts at a pace that all instances' calls fit in

Now the pause between two calls grows with the instances that their rows tell of and with the time for which the store held the last call; a refusal no longer makes what a store told untrue, as the store is there. The shared rows are read with a pause of 0.15 s: a roll-out's many writes cost one read each at every instance.

ConfigureLog replaces what an earlier call set: test logs had each line n times.

--- a/include/jujubehead/core/routing/configuration.hpp
+++ b/include/jujubehead/core/routing/configuration.hpp
@@ -47,6 +47,7 @@
   std::string address; ///< `ip:port`.
   DataCentreId data_centre;
   std::uint64_t capacity_tokens = 0;
+  std::uint32_t most_watchers = 12; ///< Calls that wait for its events at once.
 };
 
 /// @brief A service, as declared.
--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/co_spawn.hpp> // for co_spawn
 #include <boost/asio/detached.hpp> // for detached
 
+#include "jujubehead/core/context/watch_pace.hpp" // for WatchPause
+
 #include "follow.hpp" // for Follow
 
 namespace jujubehead::node {
@@ -20,9 +22,12 @@
 /// What instances tell each other changes with roll-outs only; a connection
 /// that falls silent meanwhile costs requests that targets refuse.
 constexpr core::Duration kSharedWait = std::chrono::milliseconds(4000);
-/// A store's events are asked for in waits of this length; PartDirectory trusts
-/// a store for one such wait, its time-out and the way.
-constexpr core::Duration kPartsWait = std::chrono::milliseconds(500);
+/// A roll-out writes at each target's begin and end; all instances read it, so
+/// they take what comes within half of the time after which its orders go out.
+constexpr core::Duration kSharedPause = std::chrono::milliseconds(150);
+/// A store that has no place for a call is asked again after this many of the
+/// usual pauses, since many others ask it.
+constexpr int kBusyPauses = 4;
 /// Rows by which instances find each other: this, then the instance's id.
 constexpr std::string_view kInstancePrefix = "instances/";
 /// Between two looks at those rows: a new instance is found within seconds.
@@ -40,6 +45,22 @@
   }
 }
 
+/// How a store's last word is named in the log.
+template<typename Word>
+std::string_view
+NameOf(Word aWord)
+{
+  switch (aWord) {
+    case Word::kHeard:
+      return "heard";
+    case Word::kBusy:
+      return "busy";
+    case Word::kSilent:
+      break;
+  }
+  return "silent";
+}
+
 } // namespace
 
 EntryControl::EntryControl(asio::io_context& aContext,
@@ -96,6 +117,7 @@
   FollowOptions shared_options;
   shared_options.name = "shared";
   shared_options.wait = kSharedWait;
+  shared_options.pause = kSharedPause;
   asio::co_spawn(m_context,
                  Follow<SharedNews>(*m_platform.shared, shared_options, shared),
                  asio::detached);
@@ -306,46 +328,64 @@
   }
 }
 
+asio::awaitable<EntryControl::StoreWord>
+EntryControl::AskStore(const core::DeclaredStore& aStore,
+                       core::Watchers aWatchers,
+                       StoreCursor& aCursor)
+{
+  std::string why;
+  StoreWord word = StoreWord::kSilent;
+  try {
+    core::PartEventPage page = co_await m_platform.stores->Read(
+      aStore.address, aCursor.since, core::WatchWait(aWatchers));
+    // A store that started anew counts its events from the beginning.
+    const bool is_new = page.epoch != aCursor.epoch;
+    aCursor.since = is_new && aCursor.epoch != 0 ? 0 : page.next;
+    aCursor.epoch = page.epoch;
+    m_keeper.OnPage(aStore.id, page);
+    m_forwarder.OnPartEvents(aStore.id, std::move(page));
+    word = StoreWord::kHeard;
+  } catch (const PlatformError& error) {
+    why = error.what();
+    word = error.Fault() == PlatformFault::kBusy ? StoreWord::kBusy
+                                                 : StoreWord::kSilent;
+  } catch (const std::exception& error) {
+    why = error.what();
+  }
+  if (word != aCursor.last_word) {
+    DecisionLog::WriteAlways(LogLine("store_heard")
+                               .Add("store", aStore.id.View())
+                               .Add("word", NameOf(word))
+                               .Add("why", why));
+  }
+  aCursor.last_word = word;
+  co_return word;
+}
+
 asio::awaitable<void>
 EntryControl::FollowStore(core::DeclaredStore aStore)
 {
-  std::uint64_t since = 0;
-  std::uint64_t epoch = 0;
-  bool was_heard = true;
+  StoreCursor cursor;
   for (;;) {
     const auto known = m_followed.find(aStore.id);
     if (known == m_followed.end() || known->second != aStore.address) {
       co_return;
     }
-    bool heard = false;
-    try {
-      core::PartEventPage page =
-        co_await m_platform.stores->Read(aStore.address, since, kPartsWait);
-      heard = true;
-      // A store that started anew counts its events from the beginning.
-      const bool is_new = page.epoch != epoch;
-      since = is_new && epoch != 0 ? 0 : page.next;
-      epoch = page.epoch;
-      m_keeper.OnPage(aStore.id, page);
-      m_forwarder.OnPartEvents(aStore.id, std::move(page));
-    } catch (const std::exception& error) {
-      if (was_heard) {
-        DecisionLog::WriteAlways(LogLine("store_silent")
-                                   .Add("store", aStore.id.View())
-                                   .Add("why", error.what()));
-      }
-    }
-    if (heard && !was_heard) {
-      DecisionLog::WriteAlways(
-        LogLine("store_regained").Add("store", aStore.id.View()));
-    }
-    was_heard = heard;
-    if (!heard) {
+    const core::Watchers watchers{ m_instances.Others().size() + 1,
+                                   aStore.most_watchers };
+    const core::Instant begun = core::RuntimeClock::now();
+    const StoreWord word = co_await AskStore(aStore, watchers, cursor);
+    core::Duration pause =
+      core::WatchPause(core::RuntimeClock::now() - begun, watchers);
+    if (word == StoreWord::kBusy) {
+      // It is there, so what it told is believed for its usual time.
+      pause = kBusyPauses * SpreadPause();
+    } else if (word == StoreWord::kSilent) {
       m_keeper.OnSilence(aStore.id);
       m_forwarder.OnStoreSilent(aStore.id);
-      const core::Duration pause = SpreadPause();
-      co_await net::Sleep(pause);
+      pause = SpreadPause();
     }
+    co_await net::Sleep(pause);
   }
 }
 
--- a/src/jujubehead/node/control/entry_control.hpp
+++ b/src/jujubehead/node/control/entry_control.hpp
@@ -2,6 +2,7 @@
 #define JUJUBEHEAD_NODE_CONTROL_ENTRY_CONTROL_HPP
 
 #include <algorithm> // for min
+#include <cstdint>   // for uint8_t, uint64_t
 #include <map>       // for map
 #include <memory>    // for unique_ptr
 #include <set>       // for set
@@ -9,6 +10,7 @@
 #include <boost/asio/awaitable.hpp>  // for awaitable
 #include <boost/asio/io_context.hpp> // for io_context
 
+#include "jujubehead/core/context/watch_pace.hpp"       // for Watchers
 #include "jujubehead/core/membership/instance_book.hpp" // for InstanceBook
 #include "jujubehead/core/membership/store_paths.hpp"   // for StorePaths
 #include "jujubehead/core/routing/target_book.hpp"      // for TargetBook
@@ -51,6 +53,22 @@
   }
 
 private:
+  /// What came of asking a store for its events.
+  enum class StoreWord : std::uint8_t
+  {
+    kHeard,
+    kBusy, ///< It had no place for the call.
+    kSilent,
+  };
+
+  /// Where one store's events go on.
+  struct StoreCursor
+  {
+    std::uint64_t since = 0;
+    std::uint64_t epoch = 0;
+    StoreWord last_word = StoreWord::kHeard;
+  };
+
   void OnOperatorNews(const OperatorNews& aNews);
   void OnRegistryNews(const RegistryNews& aNews, bool aIsAll);
   void OnOperatorSilent();
@@ -61,6 +79,9 @@
   [[nodiscard]] core::Instant OldWeightsEnd() const;
   void PublishTargets();
   void FollowStores();
+  boost::asio::awaitable<StoreWord> AskStore(const core::DeclaredStore& aStore,
+                                             core::Watchers aWatchers,
+                                             StoreCursor& aCursor);
   boost::asio::awaitable<void> FollowStore(core::DeclaredStore aStore);
   boost::asio::awaitable<void> TickRegistry();
 
--- a/src/jujubehead/node/log.cpp
+++ b/src/jujubehead/node/log.cpp
@@ -38,6 +38,8 @@
 void
 ConfigureLog(const std::string& aConfigFile, LogStream aStream)
 {
+  // A second call replaces what the first one set, else lines come twice.
+  log4cxx::BasicConfigurator::resetConfiguration();
   if (aConfigFile.empty()) {
     LogToConsole(aStream);
     return;
