Let eight instances watch the stores for all when there are many

Now HubsOf picks eight instances by hashing the rows that all know; they watch the stores, keep a PartLog, and the others ask one of them every 0.22 s on the door for instances. Up to twelve instances nothing changes. What a hub tells carries its age, so a store is believed no longer than before.

Ruled out: a group of stores for each group of instances (a part would be kept once a group; the stores hold one copy only); a longer pause (a store that restarts within it could hand out parts that are being written).

--- a/include/jujubehead/core/context/part_directory.hpp
+++ b/include/jujubehead/core/context/part_directory.hpp
@@ -36,6 +36,7 @@
   std::uint64_t epoch = 0; ///< Changes when the store starts anew, empty.
   std::uint64_t next = 0;  ///< Where to go on.
   bool has_gap = false;    ///< Events before these were lost.
+  bool is_all = false;     ///< What is not among the events is not there.
   /// The clock of targets and stores when it answered, in ms.
   std::optional<std::int64_t> clock_ms;
   std::vector<PartEvent> events;
@@ -61,7 +62,10 @@
 public:
   explicit PartDirectory(PartDirectoryOptions aOptions = {});
 
-  void OnPage(const StoreId& aStore, const PartEventPage& aPage, Instant aNow);
+  /// @param aHeard when the store said so, at the latest.
+  void OnPage(const StoreId& aStore,
+              const PartEventPage& aPage,
+              Instant aHeard);
   /// @brief The store did not answer: nothing of it is believed until it does.
   void OnSilence(const StoreId& aStore);
   /// @brief Parts that left a store, before the store itself tells.
--- /dev/null
+++ b/include/jujubehead/core/context/part_log.hpp
@@ -0,0 +1,94 @@
+#ifndef JUJUBEHEAD_CORE_CONTEXT_PART_LOG_HPP
+#define JUJUBEHEAD_CORE_CONTEXT_PART_LOG_HPP
+
+#include <cstddef>       // for size_t
+#include <cstdint>       // for uint64_t
+#include <map>           // for map
+#include <optional>      // for optional
+#include <string>        // for string
+#include <unordered_map> // for unordered_map
+#include <vector>        // for vector
+
+#include "jujubehead/core/context/part_directory.hpp" // for PartEventPage
+#include "jujubehead/core/ids.hpp"                    // for StoreId
+#include "jujubehead/core/runtime_clock.hpp"          // for Instant, Duration
+
+namespace jujubehead::core {
+
+/// @brief A part as a store has it now; no tokens: it is gone.
+struct PartChange
+{
+  StoreId store;
+  std::string scope;
+  std::string part;
+  std::uint64_t tokens = 0;
+};
+
+/// Longer than anyone believes what a store told.
+inline constexpr Duration kSilentAge = std::chrono::hours(1);
+
+/// @brief A store as the one who watches it heard it last.
+struct HeardStore
+{
+  StoreId store;
+  std::uint64_t epoch = 0;
+  Duration age{}; ///< Since its last answer; kSilentAge: it fell silent.
+};
+
+/// @brief What changed after a place in a PartLog.
+struct PartNews
+{
+  std::uint64_t next = 0; ///< Where to go on.
+  /// The changes are all parts; what is not among them is not known.
+  bool is_all = false;
+  std::vector<HeardStore> stores; ///< All that ever answered.
+  std::vector<PartChange> changes;
+};
+
+/// @brief Bounds of a PartLog.
+struct PartLogOptions
+{
+  /// Parts that went are remembered up to this number; one that asks for older
+  /// changes is told all parts anew.
+  std::size_t most_gone = 4000;
+};
+
+/// @brief What an instance that watches the stores tells the others, so that
+/// not each of them takes one of the few calls that a store holds.
+///
+/// A part appears once, at the place of its last change, so the log is no
+/// longer than the parts that there are.
+class PartLog
+{
+public:
+  explicit PartLog(PartLogOptions aOptions = {});
+
+  void OnPage(const StoreId& aStore, const PartEventPage& aPage, Instant aNow);
+  void OnSilence(const StoreId& aStore);
+
+  /// @param aAfter where the asker stands; 0: it knows nothing.
+  [[nodiscard]] PartNews ReadAfter(std::uint64_t aAfter, Instant aNow) const;
+
+private:
+  struct Store
+  {
+    std::uint64_t epoch = 0;
+    std::optional<Instant> heard;
+    std::unordered_map<std::string, std::uint64_t> places; ///< By scope, part.
+  };
+
+  void Put(Store& aStore, PartChange aChange);
+  void Forget(Store& aStore);
+  void DropOldestGone();
+
+  PartLogOptions m_options;
+  std::map<StoreId, Store> m_stores;
+  std::map<std::uint64_t, PartChange> m_changes; ///< By place.
+  std::map<std::uint64_t, std::string> m_gone;   ///< Places of parts that went.
+  std::uint64_t m_last = 0;
+  std::uint64_t m_dropped = 0; ///< The newest place that was dropped.
+};
+
+} // namespace jujubehead::core
+
+#endif // JUJUBEHEAD_CORE_CONTEXT_PART_LOG_HPP
--- /dev/null
+++ b/include/jujubehead/core/membership/hubs.hpp
@@ -0,0 +1,39 @@
+#ifndef JUJUBEHEAD_CORE_MEMBERSHIP_HUBS_HPP
+#define JUJUBEHEAD_CORE_MEMBERSHIP_HUBS_HPP
+
+#include <cstddef>     // for size_t
+#include <string>      // for string
+#include <string_view> // for string_view
+#include <vector>      // for vector
+
+#include "jujubehead/core/membership/instance_book.hpp" // for KnownInstance
+
+namespace jujubehead::core {
+
+/// @brief How many instances watch what all need to know.
+struct HubOptions
+{
+  /// Up to this many instances each one watches by itself: a store holds a call
+  /// of each.
+  std::size_t most_without = 12;
+  /// Beyond it so many watch for all. Two thirds of a store's calls, which
+  /// leaves room for those that take over; and with 370 instances, 46 ask one
+  /// hub.
+  std::size_t hubs = 8;
+};
+
+/// @return the instances that watch for all, in the order in which an instance
+/// asks them; all of them when they are few. All instances that know the same
+/// rows choose the same ones, without asking each other.
+std::vector<KnownInstance>
+HubsOf(std::vector<KnownInstance> aInstances,
+       std::string_view aSelf,
+       const HubOptions& aOptions = {});
+
+/// @return whether an instance is among them.
+bool
+IsAmong(const std::vector<KnownInstance>& aInstances, std::string_view aId);
+
+} // namespace jujubehead::core
+
+#endif // JUJUBEHEAD_CORE_MEMBERSHIP_HUBS_HPP
--- a/include/jujubehead/core/membership/instance_book.hpp
+++ b/include/jujubehead/core/membership/instance_book.hpp
@@ -11,6 +11,13 @@
 
 namespace jujubehead::core {
 
+/// @brief An instance and where others reach it, `ip:port`.
+struct KnownInstance
+{
+  std::string id;
+  std::string address;
+};
+
 /// @brief Times of the rows by which instances find each other.
 struct InstanceBookOptions
 {
@@ -50,8 +57,10 @@
   void BeginAll() { m_rows.clear(); }
   void EndAll() { m_is_read = true; }
 
-  /// @return the addresses of the other instances.
-  [[nodiscard]] std::vector<std::string> Others() const;
+  /// @return the other instances.
+  [[nodiscard]] std::vector<KnownInstance> Others() const;
+  /// @return the other instances and this one.
+  [[nodiscard]] std::vector<KnownInstance> All() const;
   /// @return what is to be written now, if anything.
   [[nodiscard]] std::optional<InstanceRowWrite> NextWrite(Instant aNow) const;
 
--- a/src/jujubehead/core/context/part_directory.cpp
+++ b/src/jujubehead/core/context/part_directory.cpp
@@ -23,14 +23,14 @@
 void
 PartDirectory::OnPage(const StoreId& aStore,
                       const PartEventPage& aPage,
-                      Instant aNow)
+                      Instant aHeard)
 {
   Store& store = m_stores[aStore];
-  if (store.epoch != aPage.epoch) {
+  if (store.epoch != aPage.epoch || aPage.is_all) {
     store = Store{};
     store.epoch = aPage.epoch;
   }
-  store.heard = aNow;
+  store.heard = aHeard;
   for (const PartEvent& event : aPage.events) {
     const std::string key = KeyOf(event.scope, event.part);
     std::uint64_t& tokens = store.tokens[key];
--- a/src/jujubehead/core/context/part_directory_test.cpp
+++ b/src/jujubehead/core/context/part_directory_test.cpp
@@ -33,6 +33,20 @@
   }
 };
 
+TEST(PartDirectory, APageOfAllPartsReplacesWhatWasKnown)
+{
+  PartEventPage page;
+  page.epoch = 3;
+  page.events = { { "s", "a", 10, true }, { "s", "b", 10, true } };
+  directory.OnPage(StoreId("one"), page, now);
+  page.is_all = true;
+  page.events = { { "s", "b", 10, true } };
+  directory.OnPage(StoreId("one"), page, now);
+  LONGS_EQUAL(0, directory.TokensAt(StoreId("one"), "s", "a", now));
+  LONGS_EQUAL(10, directory.TokensAt(StoreId("one"), "s", "b", now));
+  LONGS_EQUAL(10, directory.TokensKept(StoreId("one")));
+}
+
 TEST(PartDirectory, KnowsAPartOnceItsStoreSaysThatItIsWhole)
 {
   directory.OnPage(store, Page(1, {}), now);
--- /dev/null
+++ b/src/jujubehead/core/context/part_log_test.cpp
@@ -0,0 +1,152 @@
+#include "jujubehead/core/context/part_log.hpp"
+
+#include <map> // for map
+#include <set> // for set
+
+#include <CppUTest/TestHarness.h> // for TEST
+#include <rapidcheck.h>           // for rc::check
+
+using namespace jujubehead::core;
+using std::chrono::milliseconds;
+
+namespace {
+
+const Instant kNow = Instant(std::chrono::hours(1));
+
+PartEventPage
+Page(std::uint64_t aEpoch, std::vector<PartEvent> aEvents)
+{
+  PartEventPage page;
+  page.epoch = aEpoch;
+  page.events = std::move(aEvents);
+  return page;
+}
+
+/// What someone who follows a log knows of one store.
+struct Follower
+{
+  std::uint64_t next = 0;
+  std::uint64_t epoch = 0;
+  std::map<std::string, std::uint64_t> parts;
+
+  void Read(const PartLog& aLog)
+  {
+    const PartNews news = aLog.ReadAfter(next, kNow);
+    next = news.next;
+    if (news.is_all) {
+      parts.clear();
+    }
+    for (const HeardStore& store : news.stores) {
+      if (store.epoch != epoch) {
+        parts.clear();
+        epoch = store.epoch;
+      }
+    }
+    for (const PartChange& change : news.changes) {
+      if (change.tokens > 0) {
+        parts[change.part] = change.tokens;
+      } else {
+        parts.erase(change.part);
+      }
+    }
+  }
+};
+
+} // namespace
+
+TEST_GROUP(PartLog)
+{
+  const StoreId store = StoreId("s1");
+};
+
+TEST(PartLog, ItTellsWhatChangedSince)
+{
+  PartLog log;
+  log.OnPage(store, Page(7, { { "w1", "a", 100, true } }), kNow);
+  const PartNews first = log.ReadAfter(0, kNow + milliseconds(20));
+  CHECK(first.is_all);
+  LONGS_EQUAL(1, first.changes.size());
+  LONGS_EQUAL(7, first.stores.at(0).epoch);
+  CHECK(first.stores.at(0).age == milliseconds(20));
+  log.OnPage(store, Page(7, { { "w1", "b", 50, true } }), kNow);
+  const PartNews second = log.ReadAfter(first.next, kNow);
+  CHECK_FALSE(second.is_all);
+  LONGS_EQUAL(1, second.changes.size());
+  STRCMP_EQUAL("b", second.changes.at(0).part.c_str());
+}
+
+TEST(PartLog, AStoreThatFellSilentIsToldAsSuch)
+{
+  PartLog log;
+  log.OnPage(store, Page(7, {}), kNow);
+  log.OnSilence(store);
+  CHECK(log.ReadAfter(0, kNow).stores.at(0).age == kSilentAge);
+  log.OnPage(store, Page(7, {}), kNow);
+  CHECK(log.ReadAfter(0, kNow).stores.at(0).age == milliseconds(0));
+}
+
+TEST(PartLog, OneWhoStandsBeforeWhatWasDroppedIsToldAll)
+{
+  PartLogOptions options;
+  options.most_gone = 1;
+  PartLog log(options);
+  log.OnPage(store,
+             Page(7,
+                  { { "w1", "a", 100, true },
+                    { "w1", "b", 100, true },
+                    { "w1", "c", 100, true } }),
+             kNow);
+  const std::uint64_t next = log.ReadAfter(0, kNow).next;
+  log.OnPage(
+    store, Page(7, { { "w1", "a", 0, false }, { "w1", "b", 0, false } }), kNow);
+  const PartNews news = log.ReadAfter(next, kNow);
+  CHECK(news.is_all);
+  LONGS_EQUAL(1, news.changes.size());
+  STRCMP_EQUAL("c", news.changes.at(0).part.c_str());
+}
+
+TEST(PartLog, OneWhoComesFromAnotherLogIsToldAll)
+{
+  PartLog log;
+  log.OnPage(store, Page(7, { { "w1", "a", 100, true } }), kNow);
+  CHECK(log.ReadAfter(999, kNow).is_all);
+}
+
+TEST(PartLog, WhoeverFollowsKnowsWhatTheDirectoryKnows)
+{
+  const bool holds = rc::check([] {
+    PartLogOptions options;
+    options.most_gone = 3;
+    PartLog log(options);
+    const StoreId id("s1");
+    std::uint64_t epoch = 1;
+    std::map<std::string, std::uint64_t> truth;
+    Follower often;
+    Follower seldom;
+    const auto steps = *rc::gen::inRange(1, 60);
+    for (int i = 0; i < steps; ++i) {
+      const auto kind = *rc::gen::inRange(0, 10);
+      const std::string part(1,
+                             static_cast<char>('a' + *rc::gen::inRange(0, 8)));
+      if (kind == 0) {
+        ++epoch;
+        truth.clear();
+        log.OnPage(id, Page(epoch, {}), kNow);
+      } else if (kind < 4) {
+        truth.erase(part);
+        log.OnPage(id, Page(epoch, { { "w", part, 0, false } }), kNow);
+      } else {
+        const auto tokens = static_cast<std::uint64_t>(kind);
+        truth[part] = tokens;
+        log.OnPage(id, Page(epoch, { { "w", part, tokens, true } }), kNow);
+      }
+      often.Read(log);
+      RC_ASSERT(often.parts == truth);
+      if (i % 7 == 6) {
+        seldom.Read(log);
+        RC_ASSERT(seldom.parts == truth);
+      }
+    }
+  });
+  CHECK(holds);
+}
--- /dev/null
+++ b/src/jujubehead/core/membership/hubs.cpp
@@ -0,0 +1,47 @@
+#include "jujubehead/core/membership/hubs.hpp"
+
+#include <algorithm> // for sort, any_of
+#include <cstdint>   // for uint64_t
+
+#include "jujubehead/core/rendezvous.hpp" // for HashName
+
+namespace jujubehead::core {
+namespace {
+
+void
+SortBySeed(std::vector<KnownInstance>& aInstances, std::string_view aSeed)
+{
+  const auto rank = [&](const KnownInstance& aOne) {
+    return detail::HashName(std::string(aSeed) + '/' + aOne.id);
+  };
+  std::sort(aInstances.begin(),
+            aInstances.end(),
+            [&](const KnownInstance& aOne, const KnownInstance& aOther) {
+              return rank(aOne) < rank(aOther);
+            });
+}
+
+} // namespace
+
+std::vector<KnownInstance>
+HubsOf(std::vector<KnownInstance> aInstances,
+       std::string_view aSelf,
+       const HubOptions& aOptions)
+{
+  if (aInstances.size() > aOptions.most_without) {
+    SortBySeed(aInstances, "hub");
+    aInstances.resize(aOptions.hubs);
+  }
+  SortBySeed(aInstances, aSelf);
+  return aInstances;
+}
+
+bool
+IsAmong(const std::vector<KnownInstance>& aInstances, std::string_view aId)
+{
+  return std::any_of(aInstances.begin(),
+                     aInstances.end(),
+                     [&](const KnownInstance& aOne) { return aOne.id == aId; });
+}
+
+} // namespace jujubehead::core
--- /dev/null
+++ b/src/jujubehead/core/membership/hubs_test.cpp
@@ -0,0 +1,74 @@
+#include "jujubehead/core/membership/hubs.hpp"
+
+#include <map> // for map
+#include <set> // for set
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+using namespace jujubehead::core;
+
+namespace {
+
+std::vector<KnownInstance>
+Instances(int aCount)
+{
+  std::vector<KnownInstance> all;
+  for (int i = 0; i < aCount; ++i) {
+    const std::string number = std::to_string(i);
+    all.push_back({ "i" + number, "10.0.0." + number + ":7" });
+  }
+  return all;
+}
+
+std::set<std::string>
+Ids(const std::vector<KnownInstance>& aInstances)
+{
+  std::set<std::string> ids;
+  for (const KnownInstance& one : aInstances) {
+    ids.insert(one.id);
+  }
+  return ids;
+}
+
+} // namespace
+
+TEST_GROUP(Hubs){};
+
+TEST(Hubs, AFewInstancesAllWatch)
+{
+  LONGS_EQUAL(12, HubsOf(Instances(12), "i3").size());
+}
+
+TEST(Hubs, AllChooseTheSameOnesAndAskThemInTheirOwnOrder)
+{
+  const auto all = Instances(370);
+  const auto chosen = Ids(HubsOf(all, "i0"));
+  LONGS_EQUAL(8, chosen.size());
+  std::map<std::string, int> asked;
+  for (const KnownInstance& one : all) {
+    const auto hubs = HubsOf(all, one.id);
+    CHECK(Ids(hubs) == chosen);
+    ++asked[hubs.front().id];
+  }
+  // No hub is asked by over twice its part of 46.
+  for (const auto& [id, count] : asked) {
+    CHECK(count < 92);
+  }
+}
+
+TEST(Hubs, OneThatGoesIsReplacedByOne)
+{
+  auto all = Instances(40);
+  const auto before = Ids(HubsOf(all, "i0"));
+  std::erase_if(
+    all, [&](const KnownInstance& aOne) { return aOne.id == *before.begin(); });
+  const auto after = Ids(HubsOf(all, "i0"));
+  std::set<std::string> both;
+  for (const std::string& id : after) {
+    if (before.contains(id)) {
+      both.insert(id);
+    }
+  }
+  LONGS_EQUAL(7, both.size());
+  LONGS_EQUAL(8, after.size());
+}
--- a/src/jujubehead/core/membership/instance_book.cpp
+++ b/src/jujubehead/core/membership/instance_book.cpp
@@ -30,18 +30,26 @@
   }
 }
 
-std::vector<std::string>
+std::vector<KnownInstance>
 InstanceBook::Others() const
 {
-  std::vector<std::string> others;
+  std::vector<KnownInstance> others;
   for (const auto& [id, row] : m_rows) {
     if (id != m_self && row.address != m_address) {
-      others.push_back(row.address);
+      others.push_back({ id, row.address });
     }
   }
   return others;
 }
 
+std::vector<KnownInstance>
+InstanceBook::All() const
+{
+  std::vector<KnownInstance> all = Others();
+  all.push_back({ m_self, m_address });
+  return all;
+}
+
 std::optional<InstanceRowWrite>
 InstanceBook::NextWrite(Instant aNow) const
 {
--- a/src/jujubehead/core/membership/instance_book_test.cpp
+++ b/src/jujubehead/core/membership/instance_book_test.cpp
@@ -56,7 +56,7 @@
   LONGS_EQUAL(2, book.Others().size());
   book.OnRow("i2", std::nullopt, 4, now);
   LONGS_EQUAL(1, book.Others().size());
-  STRCMP_EQUAL("10.0.0.3:7", book.Others()[0].c_str());
+  STRCMP_EQUAL("10.0.0.3:7", book.Others()[0].address.c_str());
 }
 
 TEST(InstanceBook, ARowThatNobodyRefreshesIsRemoved)
@@ -80,5 +80,5 @@
   book.OnRow("i2", "10.0.0.2:7", 5, now);
   book.OnRow("i2", "10.0.0.9:7", 4, now);
   book.OnRow("i2", std::nullopt, 4, now);
-  STRCMP_EQUAL("10.0.0.2:7", book.Others()[0].c_str());
+  STRCMP_EQUAL("10.0.0.2:7", book.Others()[0].address.c_str());
 }
--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -5,8 +5,6 @@
 #include <boost/asio/co_spawn.hpp> // for co_spawn
 #include <boost/asio/detached.hpp> // for detached
 
-#include "jujubehead/core/context/watch_pace.hpp" // for WatchPause
-
 #include "follow.hpp" // for Follow
 
 namespace jujubehead::node {
@@ -25,9 +23,6 @@
 /// A roll-out writes at each target's begin and end; all instances read it, so
 /// they take what comes within half of the time after which its orders go out.
 constexpr core::Duration kSharedPause = std::chrono::milliseconds(150);
-/// A store that has no place for a call is asked again after this many of the
-/// usual pauses, since many others ask it.
-constexpr int kBusyPauses = 4;
 /// Rows by which instances find each other: this, then the instance's id.
 constexpr std::string_view kInstancePrefix = "instances/";
 /// Between two looks at those rows: a new instance is found within seconds.
@@ -45,22 +40,6 @@
   }
 }
 
-/// How a store's last word is named in the log.
-template<typename Word>
-std::string_view
-NameOf(Word aWord)
-{
-  switch (aWord) {
-    case Word::kHeard:
-      return "heard";
-    case Word::kBusy:
-      return "busy";
-    case Word::kSilent:
-      break;
-  }
-  return "silent";
-}
-
 } // namespace
 
 EntryControl::EntryControl(asio::io_context& aContext,
@@ -80,10 +59,32 @@
               *m_platform.shared,
               *m_platform.orders,
               aForwarder)
-  , m_keeper(aContext, *m_platform.stores, [this] {
-    return m_weights.WasLastHolder();
-  })
+  , m_keeper(aContext,
+             *m_platform.stores,
+             [this] { return m_weights.WasLastHolder(); })
+  , m_stores(aContext,
+             *m_platform.stores,
+             m_instances,
+             aOptions.instance_id.Text(),
+             HooksOfStores())
+{
+}
+
+StoreWatchHooks
+EntryControl::HooksOfStores()
 {
+  StoreWatchHooks hooks;
+  hooks.on_page = [this](const core::StoreId& aStore,
+                         core::PartEventPage aPage,
+                         core::Instant aHeard) {
+    m_keeper.OnPage(aStore, aPage, aHeard);
+    m_forwarder.OnPartEvents(aStore, std::move(aPage), aHeard);
+  };
+  hooks.on_silence = [this](const core::StoreId& aStore) {
+    m_keeper.OnSilence(aStore);
+    m_forwarder.OnStoreSilent(aStore);
+  };
+  return hooks;
 }
 
 void
@@ -128,6 +129,7 @@
   }
   m_weights.Start();
   m_keeper.Start();
+  m_stores.Start();
 }
 
 bool
@@ -161,7 +163,8 @@
         .Add("accounts",
              std::uint64_t(m_configuration->All().accounts.size())));
     m_forwarder.SetConfiguration(m_configuration);
-    FollowStores();
+    m_keeper.SetStores(m_configuration->All().stores);
+    m_stores.SetStores(m_configuration->All().stores);
   }
   bool is_new = false;
   for (const core::LoadedModel& wanted : aNews.wanted) {
@@ -244,6 +247,7 @@
     m_instances.EndAll();
   }
   SetInstances();
+  m_stores.OnInstances();
 }
 
 void
@@ -252,7 +256,10 @@
   if (m_options.relay_address.empty()) {
     return;
   }
-  std::vector<std::string> addresses = m_instances.Others();
+  std::vector<std::string> addresses;
+  for (const core::KnownInstance& other : m_instances.Others()) {
+    addresses.push_back(other.address);
+  }
   for (const std::string& seed : m_options.relay_seeds) {
     if (seed != m_options.relay_address) {
       addresses.push_back(seed);
@@ -311,82 +318,4 @@
   }
 }
 
-void
-EntryControl::FollowStores()
-{
-  const auto& stores = m_configuration->All().stores;
-  m_keeper.SetStores(stores);
-  const auto before = std::exchange(m_followed, {});
-  for (const core::DeclaredStore& store : stores) {
-    m_followed[store.id] = store.address;
-  }
-  for (const core::DeclaredStore& store : stores) {
-    const auto known = before.find(store.id);
-    if (known == before.end() || known->second != store.address) {
-      asio::co_spawn(m_context, FollowStore(store), asio::detached);
-    }
-  }
-}
-
-asio::awaitable<EntryControl::StoreWord>
-EntryControl::AskStore(const core::DeclaredStore& aStore,
-                       core::Watchers aWatchers,
-                       StoreCursor& aCursor)
-{
-  std::string why;
-  StoreWord word = StoreWord::kSilent;
-  try {
-    core::PartEventPage page = co_await m_platform.stores->Read(
-      aStore.address, aCursor.since, core::WatchWait(aWatchers));
-    // A store that started anew counts its events from the beginning.
-    const bool is_new = page.epoch != aCursor.epoch;
-    aCursor.since = is_new && aCursor.epoch != 0 ? 0 : page.next;
-    aCursor.epoch = page.epoch;
-    m_keeper.OnPage(aStore.id, page);
-    m_forwarder.OnPartEvents(aStore.id, std::move(page));
-    word = StoreWord::kHeard;
-  } catch (const PlatformError& error) {
-    why = error.what();
-    word = error.Fault() == PlatformFault::kBusy ? StoreWord::kBusy
-                                                 : StoreWord::kSilent;
-  } catch (const std::exception& error) {
-    why = error.what();
-  }
-  if (word != aCursor.last_word) {
-    DecisionLog::WriteAlways(LogLine("store_heard")
-                               .Add("store", aStore.id.View())
-                               .Add("word", NameOf(word))
-                               .Add("why", why));
-  }
-  aCursor.last_word = word;
-  co_return word;
-}
-
-asio::awaitable<void>
-EntryControl::FollowStore(core::DeclaredStore aStore)
-{
-  StoreCursor cursor;
-  for (;;) {
-    const auto known = m_followed.find(aStore.id);
-    if (known == m_followed.end() || known->second != aStore.address) {
-      co_return;
-    }
-    const core::Watchers watchers{ m_instances.Others().size() + 1,
-                                   aStore.most_watchers };
-    const core::Instant begun = core::RuntimeClock::now();
-    const StoreWord word = co_await AskStore(aStore, watchers, cursor);
-    core::Duration pause =
-      core::WatchPause(core::RuntimeClock::now() - begun, watchers);
-    if (word == StoreWord::kBusy) {
-      // It is there, so what it told is believed for its usual time.
-      pause = kBusyPauses * SpreadPause();
-    } else if (word == StoreWord::kSilent) {
-      m_keeper.OnSilence(aStore.id);
-      m_forwarder.OnStoreSilent(aStore.id);
-      pause = SpreadPause();
-    }
-    co_await net::Sleep(pause);
-  }
-}
-
 } // namespace jujubehead::node
--- a/src/jujubehead/node/control/entry_control.hpp
+++ b/src/jujubehead/node/control/entry_control.hpp
@@ -10,7 +10,6 @@
 #include <boost/asio/awaitable.hpp>  // for awaitable
 #include <boost/asio/io_context.hpp> // for io_context
 
-#include "jujubehead/core/context/watch_pace.hpp"       // for Watchers
 #include "jujubehead/core/membership/instance_book.hpp" // for InstanceBook
 #include "jujubehead/core/membership/store_paths.hpp"   // for StorePaths
 #include "jujubehead/core/routing/target_book.hpp"      // for TargetBook
@@ -19,6 +18,7 @@
 
 #include "../forward/forwarder.hpp" // for Forwarder
 #include "store_keeper.hpp"         // for StoreKeeper
+#include "store_watch.hpp"          // for StoreWatch
 #include "weights_giver.hpp"        // for WeightsGiver
 
 namespace jujubehead::node {
@@ -45,6 +45,8 @@
   [[nodiscard]] std::uint64_t ConfigurationVersion() const;
   /// @return what was read of the operators' store.
   [[nodiscard]] const KnownRows& Known() const { return *m_platform.known; }
+  /// @return what knows the stores, to answer other instances.
+  [[nodiscard]] StoreWatch& Stores() { return m_stores; }
   [[nodiscard]] std::size_t Targets() const { return m_targets_in_all; }
   /// @return the version up to which all rows of the platform were read.
   [[nodiscard]] std::uint64_t ReadUpTo() const
@@ -53,22 +55,6 @@
   }
 
 private:
-  /// What came of asking a store for its events.
-  enum class StoreWord : std::uint8_t
-  {
-    kHeard,
-    kBusy, ///< It had no place for the call.
-    kSilent,
-  };
-
-  /// Where one store's events go on.
-  struct StoreCursor
-  {
-    std::uint64_t since = 0;
-    std::uint64_t epoch = 0;
-    StoreWord last_word = StoreWord::kHeard;
-  };
-
   void OnOperatorNews(const OperatorNews& aNews);
   void OnRegistryNews(const RegistryNews& aNews, bool aIsAll);
   void OnOperatorSilent();
@@ -78,11 +64,7 @@
   /// @return when no request may begin on weights that are replaced now.
   [[nodiscard]] core::Instant OldWeightsEnd() const;
   void PublishTargets();
-  void FollowStores();
-  boost::asio::awaitable<StoreWord> AskStore(const core::DeclaredStore& aStore,
-                                             core::Watchers aWatchers,
-                                             StoreCursor& aCursor);
-  boost::asio::awaitable<void> FollowStore(core::DeclaredStore aStore);
+  StoreWatchHooks HooksOfStores();
   boost::asio::awaitable<void> TickRegistry();
 
   boost::asio::io_context& m_context;
@@ -98,9 +80,9 @@
   std::uint64_t m_registry_cursor = 0;
   std::size_t m_targets_in_all = 0;
   std::map<core::ModelId, core::WantedWeights> m_wanted;
-  std::map<core::StoreId, std::string> m_followed; ///< With their addresses.
   WeightsGiver m_weights;
   StoreKeeper m_keeper;
+  StoreWatch m_stores;
 };
 
 } // namespace jujubehead::node
--- a/src/jujubehead/node/control/store_keeper.cpp
+++ b/src/jujubehead/node/control/store_keeper.cpp
@@ -67,9 +67,10 @@
 
 void
 StoreKeeper::OnPage(const core::StoreId& aStore,
-                    const core::PartEventPage& aPage)
+                    const core::PartEventPage& aPage,
+                    core::Instant aHeard)
 {
-  m_parts.OnPage(aStore, aPage, core::RuntimeClock::now());
+  m_parts.OnPage(aStore, aPage, aHeard);
 }
 
 void
--- a/src/jujubehead/node/control/store_keeper.hpp
+++ b/src/jujubehead/node/control/store_keeper.hpp
@@ -35,7 +35,10 @@
   void Start();
   void SetStores(const std::vector<core::DeclaredStore>& aStores);
   void SetWanted(const std::map<core::ModelId, core::WantedWeights>& aWanted);
-  void OnPage(const core::StoreId& aStore, const core::PartEventPage& aPage);
+  /// @param aHeard when the store said so, at the latest.
+  void OnPage(const core::StoreId& aStore,
+              const core::PartEventPage& aPage,
+              core::Instant aHeard);
   void OnSilence(const core::StoreId& aStore);
 
 private:
--- a/src/jujubehead/node/entry.cpp
+++ b/src/jujubehead/node/entry.cpp
@@ -69,7 +69,7 @@
         net::HttpServer::Create(m_context,
                                 ServerAt(aOptions.relay_address),
                                 [this](net::HttpExchange& aExchange) {
-                                  return m_relay.Handle(aExchange);
+                                  return HandleInstance(aExchange);
                                 });
     }
     if (!aOptions.metrics_address.empty()) {
@@ -91,6 +91,16 @@
   }
 
 private:
+  /// A question of another instance.
+  asio::awaitable<void> HandleInstance(net::HttpExchange& aExchange)
+  {
+    if (aExchange.Request().Path() == kPartNewsPath) {
+      co_await m_control.Stores().Handle(aExchange);
+    } else {
+      co_await m_relay.Handle(aExchange);
+    }
+  }
+
   asio::awaitable<void> TellReady(net::HttpExchange& aExchange)
   {
     net::HttpResponse response;
--- a/src/jujubehead/node/forward/forwarder.cpp
+++ b/src/jujubehead/node/forward/forwarder.cpp
@@ -216,16 +216,19 @@
 }
 
 void
-Forwarder::OnPartEvents(core::StoreId aStore, core::PartEventPage aPage)
+Forwarder::OnPartEvents(core::StoreId aStore,
+                        core::PartEventPage aPage,
+                        core::Instant aHeard)
 {
-  asio::post(m_context,
-             [this, store = std::move(aStore), page = std::move(aPage)] {
-               const core::Instant now = core::RuntimeClock::now();
-               m_state.parts.OnPage(store, page, now);
-               if (page.clock_ms) {
-                 m_state.target_clock.OnReading(*page.clock_ms, now);
-               }
-             });
+  asio::post(
+    m_context,
+    [this, aHeard, store = std::move(aStore), page = std::move(aPage)] {
+      m_state.parts.OnPage(store, page, aHeard);
+      if (page.clock_ms) {
+        const core::Instant now = core::RuntimeClock::now();
+        m_state.target_clock.OnReading(*page.clock_ms, now);
+      }
+    });
 }
 
 void
--- a/src/jujubehead/node/forward/forwarder.hpp
+++ b/src/jujubehead/node/forward/forwarder.hpp
@@ -57,7 +57,9 @@
   /// @brief A target holds a version of a model, by the word of whoever had it
   /// loaded there.
   void SetLoaded(core::TargetId aTarget, core::LoadedModel aLoaded);
-  void OnPartEvents(core::StoreId aStore, core::PartEventPage aPage);
+  void OnPartEvents(core::StoreId aStore,
+                    core::PartEventPage aPage,
+                    core::Instant aHeard);
   void OnStoreSilent(core::StoreId aStore);
   void OnOperatorHeard(core::Instant aWhen);
 
