Judge a target's silence by whether other streams run there

The same evidence kept requests from reading at their prompt's home target.

Now StreamPatience waits for three objectives, or twice what is usual at that load, unless other streams of this instance run at the target. A home target is read unless it owes this instance an answer or is taken out. The test of the home asked for a word from it within 1.5 s, which one of 74 instances never has; it is replaced by one as strict on both signs of death (an answer owed, taken out of use).

--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -4,6 +4,7 @@
 #include <cmath>     // for lround
 #include <utility>   // for move
 
+#include "jujubehead/core/routing/patience.hpp"  // for StreamPatience
 #include "jujubehead/core/routing/placement.hpp" // for PlacePrompt, PlaceCall
 
 #include "part_places.hpp"    // for PlaceParts
@@ -41,11 +42,6 @@
 /// A plain call that has no answer after this many times its objective is at a
 /// target that hangs: usual answers take a tenth of the objective.
 constexpr double kCallPatience = 2.5;
-/// A stream without a word for this many times its objective, from a target
-/// that has not spoken to anybody meanwhile.
-constexpr double kStreamPatience = 1.5;
-/// Least patience with a stream: pauses while a long prompt is read.
-constexpr Duration kLeastStreamPatience = std::chrono::milliseconds(1000);
 /// When to come back after a refusal: targets that are full have room again
 /// after about this time; spread, so that refused callers do not come together.
 constexpr std::int64_t kComeBackFromMs = 150;
@@ -510,6 +506,8 @@
   aTarget->health.OnSend(core::RuntimeClock::now());
   const Ended ended = co_await Exchange(*aTarget, exchange);
   aTarget->load.OnEnd();
+  aTarget->streaming -= m_is_streaming ? 1 : 0;
+  m_is_streaming = false;
   m_exchange = nullptr;
   m_waits_for = nullptr;
   m_patience.Clear();
@@ -650,6 +648,8 @@
     const std::string events = m_cutter.Take(aExchange.Body());
     if (!events.empty()) {
       aTarget.last_heard = core::RuntimeClock::now();
+      aTarget.streaming += m_is_streaming ? 0 : 1;
+      m_is_streaming = true;
       SetPatience(aTarget);
       if (!m_session->HasStreamBegun()) {
         m_first_event = aTarget.last_heard;
@@ -710,22 +710,25 @@
 }
 
 void
-ForwardRun::SetPatience(const FleetTarget& /*aTarget*/)
+ForwardRun::SetPatience(const FleetTarget& aTarget)
 {
   if (!m_route->repeatable ||
       m_history.may_have_run + 1 >= m_route->max_targets) {
     return;
   }
   m_waits_since = core::RuntimeClock::now();
-  const double times = m_route->streams ? kStreamPatience : kCallPatience;
-  Duration patience(static_cast<Duration::rep>(
-    times * static_cast<double>(m_route->objective.count())));
   if (m_route->streams) {
-    patience = std::max(patience, kLeastStreamPatience);
-  } else {
-    patience = std::min(patience, TimeLeft() / 2);
+    core::SilenceInput input;
+    input.objective = m_route->objective;
+    input.predicted = m_state.waits[m_route->name].At(m_load_at_send);
+    const std::uint32_t own = m_is_streaming ? 1 : 0;
+    input.others_stream = aTarget.streaming > own;
+    m_patience.Set(core::StreamPatience(input));
+    return;
   }
-  m_patience.Set(patience);
+  const Duration patience(static_cast<Duration::rep>(
+    kCallPatience * static_cast<double>(m_route->objective.count())));
+  m_patience.Set(std::min(patience, TimeLeft() / 2));
 }
 
 void
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -108,6 +108,7 @@
   core::Instant m_waits_since{};
   bool m_timed_out = false;
   bool m_lost_patience = false; ///< With the attempt under way.
+  bool m_is_streaming = false;  ///< Counted in its target's `streaming`.
 };
 
 } // namespace jujubehead::node
--- a/src/jujubehead/node/forward/part_places.cpp
+++ b/src/jujubehead/node/forward/part_places.cpp
@@ -10,10 +10,21 @@
 
 namespace {
 
-/// A target that spoke within this time is there; each speaks to each instance
-/// about once a second.
+/// A target that spoke within this time is there.
 constexpr core::Duration kHomeSpoke = std::chrono::milliseconds(1500);
 
+/// Whether a target is there, as far as this instance can tell. One of many
+/// instances seldom hears of each target; then it goes by whether the target
+/// owes it an answer.
+bool
+IsThere(const FleetTarget& aTarget, core::Instant aNow)
+{
+  if (aNow - aTarget.last_heard <= kHomeSpoke) {
+    return true;
+  }
+  return aTarget.load.Own() == 0 && aTarget.health.IsUsable(aNow);
+}
+
 bool
 MayUseStores(const ForwardState& aState,
              const core::CacheScope& aScope,
@@ -90,7 +101,7 @@
     return;
   }
   const FleetTarget& home = *targets[*index];
-  if (now - home.last_heard > kHomeSpoke || home.is_loading ||
+  if (!IsThere(home, now) || home.is_loading ||
       home.VersionOf(aPrompt.model) != aCall.weight_version) {
     return;
   }
--- a/src/jujubehead/node/forward/part_places_test.cpp
+++ b/src/jujubehead/node/forward/part_places_test.cpp
@@ -166,8 +166,20 @@
   const auto home = *core::WeightedHome(core::PlacementHash("b"), homes);
   FleetTarget& away = *targets[1 - home];
   call.weight_version = 2;
+  // It owes this instance an answer and has not spoken: it may be dead.
+  targets[home]->load.OnBegin();
   ReadFromHome(state, prompt, away, call);
   CHECK(call.read_from.empty());
+  targets[home]->load.OnEnd();
+  targets[home]->health.OnUnreachable(now);
+  ReadFromHome(state, prompt, away, call);
+  CHECK(call.read_from.empty());
+  targets[home]->health.OnAnswer();
+  // One of many instances seldom hears of a target that is well.
+  ReadFromHome(state, prompt, away, call);
+  STRCMP_EQUAL("127.0.0.1:90", call.read_from[1].address.c_str());
+  call.read_from.clear();
+  targets[home]->load.OnBegin();
   targets[home]->last_heard = now;
   ReadFromHome(state, prompt, *targets[home], call);
   CHECK(call.read_from.empty());
--- a/src/jujubehead/node/forward/target_fleet.hpp
+++ b/src/jujubehead/node/forward/target_fleet.hpp
@@ -26,9 +26,10 @@
   boost::asio::ip::tcp::endpoint endpoint;
   core::TargetHealth health;
   core::LoadEstimate load;
-  bool is_gone = false;       ///< Left the registry, or leaves.
-  bool is_loading = false;    ///< Takes new weights just now.
-  core::Instant last_heard{}; ///< When it last answered anything.
+  bool is_gone = false;        ///< Left the registry, or leaves.
+  bool is_loading = false;     ///< Takes new weights just now.
+  core::Instant last_heard{};  ///< When it last answered anything.
+  std::uint32_t streaming = 0; ///< Streams of this instance that run there.
 
   /// @return the version of a model's weights, by the newest word of it.
   [[nodiscard]] std::optional<std::uint64_t> VersionOf(
