Take a target's load from its fleet while it tells nothing itself

Cause: an instance knows a target's load from its answers, and faded that to none within seconds.

Now what a target told fades to the mean of what its service told of late.

Ruled out: a longer half-life (a target's load changes within a second); asking for reports (each is priced, and 74 x 140 of them a second are none).

--- a/include/jujubehead/core/routing/load_estimate.hpp
+++ b/include/jujubehead/core/routing/load_estimate.hpp
@@ -2,7 +2,9 @@
 #define JUJUBEHEAD_CORE_ROUTING_LOAD_ESTIMATE_HPP
 
 #include <cstdint>  // for uint32_t
+#include <memory>   // for shared_ptr
 #include <optional> // for optional
+#include <utility>  // for move
 
 #include "jujubehead/core/runtime_clock.hpp" // for Instant, Duration
 
@@ -16,11 +18,38 @@
   std::uint32_t slots = 0;
 };
 
+/// @brief What targets of one service told of late, in the mean: a moving mean
+/// over answers of all of them.
+class UsualLoad
+{
+public:
+  void OnReport(double aOthers, double aWaiting);
+  /// @return requests of other instances at a target.
+  [[nodiscard]] double Others() const { return m_others; }
+  [[nodiscard]] double Waiting() const { return m_waiting; }
+
+private:
+  bool m_is_told = false;
+  double m_others = 0;
+  double m_waiting = 0;
+};
+
 /// @brief Estimates the requests at a target: those of this instance, which it
 /// counts itself, and those of others, from what the target last told.
+///
+/// What a target told is soon over. One of many instances hears of each target
+/// only every few seconds, so what it does not know of one it takes from what
+/// all of its service told; else a fleet that is full would look empty.
 class LoadEstimate
 {
 public:
+  LoadEstimate() = default;
+  /// @param aUsual that of its service, which its reports are added to.
+  explicit LoadEstimate(std::shared_ptr<UsualLoad> aUsual)
+    : m_usual(std::move(aUsual))
+  {
+  }
+
   void OnBegin() { ++m_own; }
   void OnEnd() { --m_own; }
   /// @brief The target told its load, this instance's requests included.
@@ -33,9 +62,10 @@
   [[nodiscard]] double Requests(Instant aNow) const;
 
 private:
-  /// @return what is left of something that the target told.
-  [[nodiscard]] double Faded(double aTold, Instant aNow) const;
+  /// @return what the target told, or what is usual the older that is.
+  [[nodiscard]] double Faded(double aTold, double aUsual, Instant aNow) const;
 
+  std::shared_ptr<UsualLoad> m_usual; ///< Null: nothing is usual.
   std::uint32_t m_own = 0;
   double m_others = 0;  ///< When the target last told.
   double m_waiting = 0; ///< When the target last told.
--- a/src/jujubehead/core/routing/load_estimate.cpp
+++ b/src/jujubehead/core/routing/load_estimate.cpp
@@ -11,8 +11,21 @@
 /// request lasts, after which others run there.
 constexpr std::chrono::duration<double> kHalfLife{ 1.0 };
 
+/// Weight of one report in what is usual: some twenty answers, which an
+/// instance gets within a second.
+constexpr double kReportWeight = 0.05;
+
 } // namespace
 
+void
+UsualLoad::OnReport(double aOthers, double aWaiting)
+{
+  const double weight = m_is_told ? kReportWeight : 1;
+  m_others += weight * (aOthers - m_others);
+  m_waiting += weight * (aWaiting - m_waiting);
+  m_is_told = true;
+}
+
 void
 LoadEstimate::OnReport(const ReportedLoad& aLoad, Instant aNow)
 {
@@ -20,28 +33,31 @@
     std::max(0.0, static_cast<double>(aLoad.running) + aLoad.waiting - m_own);
   m_waiting = aLoad.waiting;
   m_told = aNow;
+  if (m_usual) {
+    m_usual->OnReport(m_others, m_waiting);
+  }
 }
 
 double
-LoadEstimate::Faded(double aTold, Instant aNow) const
+LoadEstimate::Faded(double aTold, double aUsual, Instant aNow) const
 {
   if (!m_told) {
-    return 0;
+    return aUsual;
   }
   const std::chrono::duration<double> age = aNow - *m_told;
-  return aTold * std::exp2(-(age / kHalfLife));
+  return aUsual + (aTold - aUsual) * std::exp2(-(age / kHalfLife));
 }
 
 double
 LoadEstimate::Requests(Instant aNow) const
 {
-  return m_own + Faded(m_others, aNow);
+  return m_own + Faded(m_others, m_usual ? m_usual->Others() : 0, aNow);
 }
 
 double
 LoadEstimate::Waiting(Instant aNow) const
 {
-  return Faded(m_waiting, aNow);
+  return Faded(m_waiting, m_usual ? m_usual->Waiting() : 0, aNow);
 }
 
 } // namespace jujubehead::core
--- a/src/jujubehead/core/routing/placement_test.cpp
+++ b/src/jujubehead/core/routing/placement_test.cpp
@@ -4,6 +4,8 @@
 #include <string> // for to_string
 #include <vector> // for vector
 
+#include <memory> // for make_shared
+
 #include <CppUTest/TestHarness.h> // for TEST
 
 #include "jujubehead/core/routing/load_estimate.hpp" // for LoadEstimate
@@ -111,3 +113,21 @@
   load.OnEnd();
   DOUBLES_EQUAL(0, load.Requests(now + std::chrono::seconds(30)), 0.01);
 }
+
+TEST(LoadEstimate, WhatATargetDoesNotTellIsTakenFromItsFleet)
+{
+  const Instant now = Instant(std::chrono::hours(1));
+  const auto usual = std::make_shared<UsualLoad>();
+  LoadEstimate told(usual);
+  LoadEstimate untold(usual);
+  DOUBLES_EQUAL(0, untold.Requests(now), 0.01);
+  for (int i = 0; i < 200; ++i) {
+    told.OnReport({ 12, 20, 12 }, now);
+  }
+  DOUBLES_EQUAL(32, untold.Requests(now), 0.01);
+  DOUBLES_EQUAL(20, untold.Waiting(now), 0.01);
+  // A target that told of none is believed, and then less and less.
+  untold.OnReport({ 0, 0, 12 }, now);
+  DOUBLES_EQUAL(0, untold.Waiting(now), 0.01);
+  CHECK(untold.Waiting(now + std::chrono::seconds(5)) > 15);
+}
--- a/src/jujubehead/node/forward/target_fleet.cpp
+++ b/src/jujubehead/node/forward/target_fleet.cpp
@@ -118,6 +118,11 @@
     } else {
       known = std::make_shared<FleetTarget>();
       known->name_hash = core::PlacementHash(target.id.View());
+      auto& usual = m_usual[target.service];
+      if (!usual) {
+        usual = std::make_shared<core::UsualLoad>();
+      }
+      known->load = core::LoadEstimate(usual);
       known->endpoint = *endpoint;
     }
     known->target = target;
--- a/src/jujubehead/node/forward/target_fleet.hpp
+++ b/src/jujubehead/node/forward/target_fleet.hpp
@@ -72,6 +72,7 @@
   std::unordered_map<core::ServiceId, std::vector<std::shared_ptr<FleetTarget>>>
     m_by_service;
   std::set<core::TargetId> m_loading;
+  std::unordered_map<core::ServiceId, std::shared_ptr<core::UsualLoad>> m_usual;
 };
 
 } // namespace jujubehead::node
