Let hubs tell the rows of the operators' store as well

Now a hub keeps a replica of each table (RowReplica: what changed after a version, what went, and no entry that is only a sign of life) and tells it with the stores' parts in one answer, with its age. An instance that is fed so awaits changes from the replica; when a hub says nothing for 0.9 s it reads the store itself. HubRole says who is a hub, HubExchange asks and answers, StoreWatch watches stores. Up to twelve instances nothing changes. A change reaches all within a hub's wait and 0.22 s.

Ruled out: longer waits for changes (a connection that falls silent would hide a configuration for over two seconds).

--- a/include/jujubehead/core/membership/hubs.hpp
+++ b/include/jujubehead/core/membership/hubs.hpp
@@ -4,6 +4,7 @@
 #include <cstddef>     // for size_t
 #include <string>      // for string
 #include <string_view> // for string_view
+#include <utility>     // for move
 #include <vector>      // for vector
 
 #include "jujubehead/core/membership/instance_book.hpp" // for KnownInstance
@@ -30,9 +31,31 @@
        std::string_view aSelf,
        const HubOptions& aOptions = {});
 
-/// @return whether an instance is among them.
-bool
-IsAmong(const std::vector<KnownInstance>& aInstances, std::string_view aId);
+/// @brief Whether an instance is a hub, and which are; kept over changes of the
+/// instances that are known. Before any is known it watches by itself.
+class HubRole
+{
+public:
+  explicit HubRole(std::string aSelf)
+    : m_self(std::move(aSelf))
+  {
+  }
+
+  /// @param aInstances all, this one included.
+  void Update(std::vector<KnownInstance> aInstances,
+              const HubOptions& aOptions = {});
+  [[nodiscard]] bool IsHub() const { return m_is_hub; }
+  /// @return the hubs in the order in which this instance asks them.
+  [[nodiscard]] const std::vector<KnownInstance>& Hubs() const
+  {
+    return m_hubs;
+  }
+
+private:
+  std::string m_self;
+  std::vector<KnownInstance> m_hubs;
+  bool m_is_hub = true;
+};
 
 } // namespace jujubehead::core
 
--- a/include/jujubehead/core/membership/store_paths.hpp
+++ b/include/jujubehead/core/membership/store_paths.hpp
@@ -52,6 +52,14 @@
   void OnAnswer(std::string_view aAddress);
   void OnFailure(std::string_view aAddress, Instant aNow);
 
+  /// @brief A hub told what it read of the store, and will go on until then.
+  void OnFed(Instant aUntil) { m_fed_until = aUntil; }
+  /// @return whether changes are to be awaited from a hub, not read.
+  [[nodiscard]] bool IsFed(Instant aNow) const
+  {
+    return m_fed_until && aNow < *m_fed_until;
+  }
+
   /// @return whether the straight way is taken for good. Only then does an
   /// instance pass on the calls of others, so that no call goes in a circle.
   [[nodiscard]] bool IsStraight() const { return !m_next_straight; }
@@ -65,6 +73,7 @@
   std::size_t m_current = 0;            ///< Of m_instances.
   /// While the straight way is taken for down: when to try it again.
   std::optional<Instant> m_next_straight;
+  std::optional<Instant> m_fed_until;
 };
 
 } // namespace jujubehead::core
--- a/include/jujubehead/node/control/known_rows.hpp
+++ b/include/jujubehead/node/control/known_rows.hpp
@@ -4,12 +4,21 @@
 #include <optional> // for optional
 #include <string>   // for string
 
-#include "jujubehead/net/http_message.hpp" // for HttpRequest, HttpResponse
+#include "jujubehead/core/runtime_clock.hpp" // for Instant, Duration
+#include "jujubehead/net/http_message.hpp"   // for HttpRequest, HttpResponse
 
 namespace jujubehead::node {
 
-/// @brief What an instance has read of the operators' store, for others that
-/// start while the store is away.
+/// @brief Rows that one instance tells another.
+struct RowNews
+{
+  std::string bytes;    ///< Only the one who takes them reads them.
+  core::Duration age{}; ///< Since the store last answered.
+};
+
+/// @brief What an instance has read of the operators' store, for others: those
+/// that start while the store is away, and those that leave the reading to
+/// hubs.
 class KnownRows
 {
 public:
@@ -18,6 +27,17 @@
   /// such; nothing when it is another call, or nothing was read yet.
   [[nodiscard]] virtual std::optional<net::HttpResponse> Answer(
     const net::HttpRequest& aRequest) const = 0;
+
+  /// @return where this instance stands, as text that fits in a URL.
+  [[nodiscard]] virtual std::string Cursors() const = 0;
+  /// @param aCursors another instance's Cursors().
+  /// @return what changed since; nothing while not all tables were read.
+  [[nodiscard]] virtual std::optional<RowNews> NewsAfter(
+    const std::string& aCursors,
+    core::Instant aNow) const = 0;
+  /// @param aTold when the store said so, at the latest.
+  /// @throws std::exception when the bytes are no such news.
+  virtual void TakeNews(const std::string& aBytes, core::Instant aTold) = 0;
 };
 
 } // namespace jujubehead::node
--- a/include/jujubehead/node/control/platform.hpp
+++ b/include/jujubehead/node/control/platform.hpp
@@ -47,6 +47,7 @@
   std::uint64_t cursor = 0; ///< Where to go on.
   /// Another instance's knowledge, while the store itself did not answer.
   bool is_recalled = false;
+  core::Instant told{}; ///< When the store said so, at the latest.
   std::optional<core::Declarations> declarations;
   std::vector<core::LoadedModel> wanted; ///< Weights to bring to all targets.
   std::vector<std::string> unread;       ///< What was not understood, and why.
@@ -84,6 +85,8 @@
   virtual ~Feed() = default;
   /// @brief Reads all of it as of one moment. @throws PlatformError.
   virtual boost::asio::awaitable<News> ReadAll() = 0;
+  /// @return whether reading costs nothing, so that no pause is needed.
+  [[nodiscard]] virtual bool IsFree() const { return false; }
   /// @brief Reads what changed after a cursor; waits until something did.
   /// @throws PlatformError.
   virtual boost::asio::awaitable<News> ReadChanges(std::uint64_t aAfter,
--- a/src/jujubehead/core/membership/hubs.cpp
+++ b/src/jujubehead/core/membership/hubs.cpp
@@ -36,12 +36,15 @@
   return aInstances;
 }
 
-bool
-IsAmong(const std::vector<KnownInstance>& aInstances, std::string_view aId)
+void
+HubRole::Update(std::vector<KnownInstance> aInstances,
+                const HubOptions& aOptions)
 {
-  return std::any_of(aInstances.begin(),
-                     aInstances.end(),
-                     [&](const KnownInstance& aOne) { return aOne.id == aId; });
+  m_hubs = HubsOf(std::move(aInstances), m_self, aOptions);
+  m_is_hub =
+    std::any_of(m_hubs.begin(), m_hubs.end(), [&](const KnownInstance& aOne) {
+      return aOne.id == m_self;
+    });
 }
 
 } // namespace jujubehead::core
--- a/src/jujubehead/core/membership/hubs_test.cpp
+++ b/src/jujubehead/core/membership/hubs_test.cpp
@@ -72,3 +72,18 @@
   LONGS_EQUAL(7, both.size());
   LONGS_EQUAL(8, after.size());
 }
+
+TEST(Hubs, AnInstanceWatchesUntilItKnowsThatOthersDo)
+{
+  HubRole role("i0");
+  CHECK(role.IsHub());
+  role.Update(Instances(12));
+  CHECK(role.IsHub());
+  int hubs = 0;
+  for (const KnownInstance& one : Instances(40)) {
+    HubRole other(one.id);
+    other.Update(Instances(40));
+    hubs += other.IsHub() ? 1 : 0;
+  }
+  LONGS_EQUAL(8, hubs);
+}
--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -53,6 +53,7 @@
   , m_paths(aPaths)
   , m_forwarder(aForwarder)
   , m_instances(aOptions.instance_id.Text(), aOptions.relay_address)
+  , m_role(aOptions.instance_id.Text())
   , m_book(aOptions.registry)
   , m_weights(aContext,
               aOptions,
@@ -62,11 +63,8 @@
   , m_keeper(aContext,
              *m_platform.stores,
              [this] { return m_weights.WasLastHolder(); })
-  , m_stores(aContext,
-             *m_platform.stores,
-             m_instances,
-             aOptions.instance_id.Text(),
-             HooksOfStores())
+  , m_stores(aContext, *m_platform.stores, m_role, HooksOfStores())
+  , m_hubs(aContext, m_role, m_stores, *m_platform.known, aPaths)
 {
 }
 
@@ -126,10 +124,10 @@
   if (!m_options.relay_address.empty()) {
     SetInstances();
     asio::co_spawn(m_context, KeepInstanceRows(), asio::detached);
+    m_hubs.Start();
   }
   m_weights.Start();
   m_keeper.Start();
-  m_stores.Start();
 }
 
 bool
@@ -150,7 +148,7 @@
   m_operator_cursor = aNews.cursor;
   LogUnread("operator", aNews.unread);
   if (!aNews.is_recalled) {
-    m_forwarder.OnOperatorHeard(core::RuntimeClock::now());
+    m_forwarder.OnOperatorHeard(aNews.told);
   }
   if (aNews.declarations &&
       aNews.declarations->version > ConfigurationVersion()) {
@@ -247,7 +245,6 @@
     m_instances.EndAll();
   }
   SetInstances();
-  m_stores.OnInstances();
 }
 
 void
@@ -266,6 +263,7 @@
     }
   }
   m_paths.SetInstances(std::move(addresses));
+  m_role.Update(m_instances.All());
 }
 
 asio::awaitable<void>
--- a/src/jujubehead/node/control/entry_control.hpp
+++ b/src/jujubehead/node/control/entry_control.hpp
@@ -17,6 +17,7 @@
 #include "jujubehead/node/forward/entry_options.hpp"    // for EntryOptions
 
 #include "../forward/forwarder.hpp" // for Forwarder
+#include "hub_exchange.hpp"         // for HubExchange
 #include "store_keeper.hpp"         // for StoreKeeper
 #include "store_watch.hpp"          // for StoreWatch
 #include "weights_giver.hpp"        // for WeightsGiver
@@ -44,9 +45,9 @@
   /// @return the version of the declarations in force; 0 before the first.
   [[nodiscard]] std::uint64_t ConfigurationVersion() const;
   /// @return what was read of the operators' store.
-  [[nodiscard]] const KnownRows& Known() const { return *m_platform.known; }
-  /// @return what knows the stores, to answer other instances.
-  [[nodiscard]] StoreWatch& Stores() { return m_stores; }
+  [[nodiscard]] KnownRows& Known() const { return *m_platform.known; }
+  /// @return what answers instances that ask for news.
+  [[nodiscard]] HubExchange& Hubs() { return m_hubs; }
   [[nodiscard]] std::size_t Targets() const { return m_targets_in_all; }
   /// @return the version up to which all rows of the platform were read.
   [[nodiscard]] std::uint64_t ReadUpTo() const
@@ -73,6 +74,7 @@
   core::StorePaths& m_paths;
   Forwarder& m_forwarder;
   core::InstanceBook m_instances;
+  core::HubRole m_role;
   std::shared_ptr<const core::Configuration> m_configuration;
   core::TargetBook m_book;
   bool m_registry_read = false;
@@ -83,6 +85,7 @@
   WeightsGiver m_weights;
   StoreKeeper m_keeper;
   StoreWatch m_stores;
+  HubExchange m_hubs;
 };
 
 } // namespace jujubehead::node
--- a/src/jujubehead/node/control/follow.hpp
+++ b/src/jujubehead/node/control/follow.hpp
@@ -91,7 +91,7 @@
       why = error.what();
     }
     if (!fault) {
-      if (aOptions.pause > core::Duration(0)) {
+      if (aOptions.pause > core::Duration(0) && !aFeed.IsFree()) {
         co_await net::Sleep(aOptions.pause);
       }
       continue;
--- a/src/jujubehead/node/control/part_news_codec.cpp
+++ b/src/jujubehead/node/control/hub_news_codec.cpp
@@ -1,4 +1,4 @@
-#include "part_news_codec.hpp"
+#include "hub_news_codec.hpp"
 
 #include <chrono>  // for duration_cast
 #include <cstddef> // for size_t
@@ -35,54 +35,63 @@
 } // namespace
 
 std::string
-ToBytes(const PartNewsMessage& aMessage)
+ToBytes(const HubNews& aNews)
 {
   json stores = json::array();
   std::map<core::StoreId, std::size_t> places;
-  for (const core::HeardStore& store : aMessage.news.stores) {
+  for (const core::HeardStore& store : aNews.parts.stores) {
     places.emplace(store.store, stores.size());
     // Rounded up, so that nothing seems newer than it is.
     stores.push_back(json::array(
       { store.store.Text(), store.epoch, Milliseconds(store.age) + 1 }));
   }
   json changes = json::array();
-  for (const core::PartChange& change : aMessage.news.changes) {
+  for (const core::PartChange& change : aNews.parts.changes) {
     changes.push_back(json::array(
       { places.at(change.store), change.scope, change.part, change.tokens }));
   }
-  json message = { { "start", aMessage.start },
-                   { "next", aMessage.news.next },
-                   { "all", aMessage.news.is_all },
+  json message = { { "start", aNews.start },
+                   { "next", aNews.parts.next },
+                   { "all", aNews.parts.is_all },
                    { "stores", std::move(stores) },
                    { "changes", std::move(changes) } };
-  if (aMessage.clock_ms) {
-    message["clock"] = *aMessage.clock_ms;
+  if (aNews.rows) {
+    message["rows"] = aNews.rows->bytes;
+    message["rows_age"] = Milliseconds(aNews.rows->age) + 1;
+  }
+  if (aNews.clock_ms) {
+    message["clock"] = *aNews.clock_ms;
   }
   std::string bytes;
   json::to_cbor(message, bytes);
   return bytes;
 }
 
-PartNewsMessage
-PartNewsOf(std::string_view aBytes)
+HubNews
+HubNewsOf(std::string_view aBytes)
 {
   const json message = json::from_cbor(aBytes.begin(), aBytes.end());
-  PartNewsMessage result;
+  HubNews result;
   result.start = message.at("start").get<std::string>();
-  result.news.next = message.at("next").get<std::uint64_t>();
-  result.news.is_all = message.at("all").get<bool>();
+  result.parts.next = message.at("next").get<std::uint64_t>();
+  result.parts.is_all = message.at("all").get<bool>();
   if (const auto clock = message.find("clock"); clock != message.end()) {
     result.clock_ms = clock->get<std::int64_t>();
   }
+  if (const auto rows = message.find("rows"); rows != message.end()) {
+    const auto age = message.at("rows_age").get<std::int64_t>();
+    result.rows =
+      RowNews{ rows->get<std::string>(), std::chrono::milliseconds(age) };
+  }
   for (const json& store : message.at("stores")) {
-    result.news.stores.push_back(
+    result.parts.stores.push_back(
       { core::StoreId(store.at(kId).get<std::string>()),
         store.at(kEpoch).get<std::uint64_t>(),
         std::chrono::milliseconds(store.at(kAgeMs).get<std::int64_t>()) });
   }
   for (const json& change : message.at("changes")) {
-    result.news.changes.push_back(
-      { result.news.stores.at(change.at(kStore).get<std::size_t>()).store,
+    result.parts.changes.push_back(
+      { result.parts.stores.at(change.at(kStore).get<std::size_t>()).store,
         change.at(kScope).get<std::string>(),
         change.at(kPart).get<std::string>(),
         change.at(kTokens).get<std::uint64_t>() });
--- /dev/null
+++ b/src/jujubehead/node/control/hub_news_codec_test.cpp
@@ -0,0 +1,54 @@
+#include "hub_news_codec.hpp"
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+using namespace jujubehead;
+using node::HubNews;
+
+TEST_GROUP(HubNewsCodec)
+{
+  HubNews message;
+
+  void setup() override
+  {
+    message.start = "i1/abc";
+    message.parts.next = 42;
+    message.parts.stores = {
+      { core::StoreId("s1"), 7, core::kSilentAge },
+      { core::StoreId("s2"), 8, std::chrono::milliseconds(30) }
+    };
+    message.parts.changes = { { core::StoreId("s2"), "w1", "a", 800 } };
+    message.clock_ms = 123456;
+    message.rows = node::RowNews{ std::string("\xff\x00rows", 6),
+                                  std::chrono::milliseconds(70) };
+  }
+};
+
+TEST(HubNewsCodec, WhatIsWrittenIsReadBack)
+{
+  const HubNews back = node::HubNewsOf(node::ToBytes(message));
+  STRCMP_EQUAL("i1/abc", back.start.c_str());
+  LONGS_EQUAL(42, back.parts.next);
+  CHECK_FALSE(back.parts.is_all);
+  LONGS_EQUAL(123456, *back.clock_ms);
+  LONGS_EQUAL(8, back.parts.stores.at(1).epoch);
+  LONGS_EQUAL(6, back.rows->bytes.size());
+  CHECK(back.rows->age >= message.rows->age);
+  // An age is never told too small.
+  CHECK(back.parts.stores.at(1).age >= message.parts.stores.at(1).age);
+  CHECK(back.parts.changes.at(0).store == core::StoreId("s2"));
+  LONGS_EQUAL(800, back.parts.changes.at(0).tokens);
+}
+
+TEST(HubNewsCodec, BytesCutShortOrOfAnotherKindAreRefused)
+{
+  const std::string bytes = node::ToBytes(message);
+  for (std::size_t length = 0; length < bytes.size(); ++length) {
+    CHECK_THROWS(std::exception,
+                 node::HubNewsOf(std::string_view(bytes).substr(0, length)));
+  }
+  CHECK_THROWS(std::exception, node::HubNewsOf("{\"start\":1}"));
+  // A change of a store that is not listed.
+  message.parts.changes.at(0).store = core::StoreId("s3");
+  CHECK_THROWS(std::exception, node::ToBytes(message));
+}
--- a/src/jujubehead/node/control/store_watch.cpp
+++ b/src/jujubehead/node/control/store_watch.cpp
@@ -1,77 +1,37 @@
 #include "store_watch.hpp"
 
-#include <charconv> // for from_chars
-#include <utility>  // for move, exchange
+#include <utility> // for move, exchange
 
 #include <boost/asio/co_spawn.hpp> // for co_spawn
 #include <boost/asio/detached.hpp> // for detached
 
-#include "jujubehead/core/membership/hubs.hpp" // for HubsOf
-#include "jujubehead/net/random_text.hpp"      // for RandomText
-#include "jujubehead/net/timer.hpp"            // for Sleep
+#include "jujubehead/net/timer.hpp" // for Sleep
 
 #include "../forward/decision_log.hpp" // for DecisionLog
 #include "follow.hpp"                  // for SpreadPause
-#include "part_news_codec.hpp"         // for PartNewsMessage
 
 namespace jujubehead::node {
 namespace {
 
 namespace asio = boost::asio;
 
-constexpr unsigned kOk = 200;
-constexpr unsigned kUnavailable = 503;
-constexpr std::size_t kStartBytes = 6;
 /// A store that has no place for a call is asked again after this many of the
 /// usual pauses, since many others ask it.
 constexpr int kBusyPauses = 4;
-/// Between two questions to a hub. With a hub's own call of a store it stays
-/// below the time for which a store is believed.
-constexpr core::Duration kHubPause = std::chrono::milliseconds(220);
-/// A hub answers from memory; one that takes longer is frozen or cut off.
-constexpr core::Duration kHubTimeout = std::chrono::milliseconds(300);
 /// Between two looks of an instance that is no hub whether it became one.
 constexpr core::Duration kRoleTime = std::chrono::seconds(2);
 
-std::uint64_t
-NumberOf(const std::optional<std::string>& aText)
-{
-  std::uint64_t number = 0;
-  if (aText) {
-    std::from_chars(aText->data(), aText->data() + aText->size(), number);
-  }
-  return number;
-}
-
 } // namespace
 
 StoreWatch::StoreWatch(asio::io_context& aContext,
                        StoreCalls& aCalls,
-                       const core::InstanceBook& aInstances,
-                       std::string aSelf,
+                       const core::HubRole& aRole,
                        StoreWatchHooks aHooks)
   : m_context(aContext)
   , m_calls(aCalls)
-  , m_instances(aInstances)
-  , m_self(std::move(aSelf))
-  , m_start(net::RandomText(kStartBytes))
+  , m_role(aRole)
   , m_hooks(std::move(aHooks))
-  , m_client(net::HttpClient::Create(aContext))
-{
-  OnInstances();
-}
-
-void
-StoreWatch::Start()
-{
-  asio::co_spawn(m_context, FollowHubs(), asio::detached);
-}
-
-void
-StoreWatch::OnInstances()
 {
-  m_hubs = core::HubsOf(m_instances.All(), m_self);
-  m_is_hub = core::IsAmong(m_hubs, m_self);
 }
 
 void
@@ -150,11 +110,11 @@
     if (known == m_followed.end() || known->second != aStore.address) {
       co_return;
     }
-    if (!m_is_hub) {
+    if (!m_role.IsHub()) {
       co_await net::Sleep(kRoleTime);
       continue;
     }
-    const core::Watchers watchers{ m_hubs.size(), aStore.most_watchers };
+    const core::Watchers watchers{ m_role.Hubs().size(), aStore.most_watchers };
     const core::Instant begun = core::RuntimeClock::now();
     const StoreWord word = co_await AskStore(aStore, watchers, cursor);
     core::Duration pause =
@@ -171,67 +131,10 @@
   }
 }
 
-asio::awaitable<void>
-StoreWatch::FollowHubs()
-{
-  HubCursor cursor;
-  std::size_t next = 0;
-  for (;;) {
-    if (m_is_hub) {
-      co_await net::Sleep(kRoleTime);
-      continue;
-    }
-    const std::size_t count = m_hubs.size();
-    const core::KnownInstance hub = m_hubs[next % count];
-    std::string why;
-    try {
-      co_await AskHub(hub, cursor);
-    } catch (const std::exception& error) {
-      why = error.what();
-    }
-    if (!why.empty()) {
-      DecisionLog::WriteAlways(
-        LogLine("hub_left").Add("hub", hub.id).Add("why", why));
-      ++next;
-      if (next % count == 0) {
-        TakeSilence();
-        const core::Duration pause = SpreadPause();
-        co_await net::Sleep(pause);
-      }
-      continue;
-    }
-    co_await net::Sleep(kHubPause);
-  }
-}
-
-asio::awaitable<void>
-StoreWatch::AskHub(core::KnownInstance aHub, HubCursor& aCursor)
-{
-  if (aCursor.hub != aHub.id) {
-    aCursor = { aHub.id, {}, 0 };
-  }
-  net::HttpCall call;
-  call.authority = aHub.address;
-  call.target = std::string(kPartNewsPath) + "?start=" + aCursor.start +
-                "&after=" + std::to_string(aCursor.next);
-  call.connect_timeout = kHubTimeout;
-  call.idle_timeout = kHubTimeout;
-  const core::Instant asked = core::RuntimeClock::now();
-  const net::HttpResponse response = co_await m_client->Fetch(std::move(call));
-  if (response.status != kOk) {
-    throw PlatformError(PlatformFault::kBusy,
-                        "status " + std::to_string(response.status));
-  }
-  const PartNewsMessage message = PartNewsOf(response.body);
-  aCursor.start = message.start;
-  aCursor.next = message.news.next;
-  Take(message.news, message.clock_ms, asked);
-}
-
 void
-StoreWatch::Take(const core::PartNews& aNews,
-                 std::optional<std::int64_t> aClockMs,
-                 core::Instant aTold)
+StoreWatch::TakeNews(const core::PartNews& aNews,
+                     std::optional<std::int64_t> aClockMs,
+                     core::Instant aTold)
 {
   std::map<core::StoreId, core::PartEventPage> pages;
   for (const core::HeardStore& store : aNews.stores) {
@@ -245,7 +148,6 @@
       { change.scope, change.part, change.tokens, change.tokens > 0 });
   }
   for (const core::HeardStore& store : aNews.stores) {
-    // The hub's answer is as old as the question at most.
     m_hooks.on_page(
       store.store, std::move(pages[store.store]), aTold - store.age);
   }
@@ -259,27 +161,4 @@
   }
 }
 
-asio::awaitable<void>
-StoreWatch::Handle(net::HttpExchange& aExchange)
-{
-  const net::HttpRequest& request = aExchange.Request();
-  net::HttpResponse response;
-  if (!m_is_hub) {
-    response.status = kUnavailable;
-    response.body = "this instance watches no stores\n";
-  } else {
-    const core::Instant now = core::RuntimeClock::now();
-    const bool knows_start = request.Query("start") == m_start;
-    const std::uint64_t after =
-      knows_start ? NumberOf(request.Query("after")) : 0;
-    PartNewsMessage message;
-    message.start = m_start;
-    message.news = m_log.ReadAfter(after, now);
-    message.clock_ms = m_clock.At(now);
-    response.headers.Add("Content-Type", "application/cbor");
-    response.body = ToBytes(message);
-  }
-  co_await aExchange.Send(std::move(response));
-}
-
 } // namespace jujubehead::node
--- a/src/jujubehead/node/control/store_watch.hpp
+++ b/src/jujubehead/node/control/store_watch.hpp
@@ -4,28 +4,23 @@
 #include <cstdint>    // for uint8_t, uint64_t
 #include <functional> // for function
 #include <map>        // for map
-#include <memory>     // for unique_ptr
+#include <optional>   // for optional
 #include <string>     // for string
 #include <vector>     // for vector
 
 #include <boost/asio/awaitable.hpp>  // for awaitable
 #include <boost/asio/io_context.hpp> // for io_context
 
-#include "jujubehead/core/context/part_log.hpp"         // for PartLog
-#include "jujubehead/core/context/watch_pace.hpp"       // for Watchers
-#include "jujubehead/core/membership/instance_book.hpp" // for InstanceBook
-#include "jujubehead/core/routing/configuration.hpp"    // for DeclaredStore
-#include "jujubehead/net/http_client.hpp"               // for HttpClient
-#include "jujubehead/net/http_server.hpp"               // for HttpExchange
-#include "jujubehead/node/control/platform.hpp"         // for StoreCalls
+#include "jujubehead/core/context/part_log.hpp"      // for PartLog
+#include "jujubehead/core/context/watch_pace.hpp"    // for Watchers
+#include "jujubehead/core/membership/hubs.hpp"       // for HubRole
+#include "jujubehead/core/routing/configuration.hpp" // for DeclaredStore
+#include "jujubehead/node/control/platform.hpp"      // for StoreCalls
 
 #include "../forward/target_clock.hpp" // for TargetClock
 
 namespace jujubehead::node {
 
-/// The call by which an instance asks a hub for what it knows of the stores.
-inline constexpr std::string_view kPartNewsPath = "/part-news";
-
 /// @brief What is done with what stores tell.
 struct StoreWatchHooks
 {
@@ -41,23 +36,30 @@
 ///
 /// A store holds few calls for its events at once. While there are few
 /// instances, each asks the stores itself; else the hubs do, and the others ask
-/// a hub a few times a second.
+/// a hub; see HubExchange.
 class StoreWatch
 {
 public:
-  /// @param aInstances says who the hubs are.
+  /// @param aRole says whether this instance watches.
   StoreWatch(boost::asio::io_context& aContext,
              StoreCalls& aCalls,
-             const core::InstanceBook& aInstances,
-             std::string aSelf,
+             const core::HubRole& aRole,
              StoreWatchHooks aHooks);
 
-  void Start();
-  /// @brief The instances that are known changed.
-  void OnInstances();
   void SetStores(const std::vector<core::DeclaredStore>& aStores);
-  /// @brief Answers another instance's kPartNewsPath.
-  boost::asio::awaitable<void> Handle(net::HttpExchange& aExchange);
+  /// @return what this instance, being a hub, knows of the stores.
+  [[nodiscard]] const core::PartLog& Log() const { return m_log; }
+  [[nodiscard]] std::optional<std::int64_t> ClockMs(core::Instant aNow) const
+  {
+    return m_clock.At(aNow);
+  }
+  /// @brief Takes what a hub told.
+  /// @param aTold when it did, at the latest.
+  void TakeNews(const core::PartNews& aNews,
+                std::optional<std::int64_t> aClockMs,
+                core::Instant aTold);
+  /// @brief No hub answers.
+  void TakeSilence();
 
 private:
   /// What came of asking a store for its events.
@@ -76,36 +78,16 @@
     StoreWord last_word = StoreWord::kHeard;
   };
 
-  /// Where a hub's news go on.
-  struct HubCursor
-  {
-    std::string hub; ///< Its id.
-    std::string start;
-    std::uint64_t next = 0;
-  };
-
   static std::string_view NameOf(StoreWord aWord);
   boost::asio::awaitable<StoreWord> AskStore(const core::DeclaredStore& aStore,
                                              core::Watchers aWatchers,
                                              StoreCursor& aCursor);
   boost::asio::awaitable<void> FollowStore(core::DeclaredStore aStore);
-  boost::asio::awaitable<void> FollowHubs();
-  boost::asio::awaitable<void> AskHub(core::KnownInstance aHub,
-                                      HubCursor& aCursor);
-  void Take(const core::PartNews& aNews,
-            std::optional<std::int64_t> aClockMs,
-            core::Instant aTold);
-  void TakeSilence();
 
   boost::asio::io_context& m_context;
   StoreCalls& m_calls;
-  const core::InstanceBook& m_instances;
-  std::string m_self;
-  std::vector<core::KnownInstance> m_hubs;
-  bool m_is_hub = true;
-  std::string m_start; ///< Of this instance's log.
+  const core::HubRole& m_role;
   StoreWatchHooks m_hooks;
-  std::unique_ptr<net::HttpClient> m_client;
   std::map<core::StoreId, std::string> m_followed; ///< With their addresses.
   core::PartLog m_log;
   TargetClock m_clock;
--- a/src/jujubehead/node/entry.cpp
+++ b/src/jujubehead/node/entry.cpp
@@ -94,8 +94,8 @@
   /// A question of another instance.
   asio::awaitable<void> HandleInstance(net::HttpExchange& aExchange)
   {
-    if (aExchange.Request().Path() == kPartNewsPath) {
-      co_await m_control.Stores().Handle(aExchange);
+    if (aExchange.Request().Path() == kHubNewsPath) {
+      co_await m_control.Hubs().Handle(aExchange);
     } else {
       co_await m_relay.Handle(aExchange);
     }
