Count what a hub says as hearing the operators' store

Now each answer of a hub without changes says when the store was heard; one with changes says so when these are taken.

--- a/include/jujubehead/node/control/known_rows.hpp
+++ b/include/jujubehead/node/control/known_rows.hpp
@@ -36,8 +36,9 @@
     const std::string& aCursors,
     core::Instant aNow) const = 0;
   /// @param aTold when the store said so, at the latest.
+  /// @return whether anything changed; whoever follows the rows tells of it.
   /// @throws std::exception when the bytes are no such news.
-  virtual void TakeNews(const std::string& aBytes, core::Instant aTold) = 0;
+  virtual bool TakeNews(const std::string& aBytes, core::Instant aTold) = 0;
 };
 
 } // namespace jujubehead::node
--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -64,7 +64,12 @@
              *m_platform.stores,
              [this] { return m_weights.WasLastHolder(); })
   , m_stores(aContext, *m_platform.stores, m_role, HooksOfStores())
-  , m_hubs(aContext, m_role, m_stores, *m_platform.known, aPaths)
+  , m_hubs(aContext,
+           m_role,
+           m_stores,
+           *m_platform.known,
+           aPaths,
+           [this](core::Instant aTold) { m_forwarder.OnOperatorHeard(aTold); })
 {
 }
 
--- a/src/jujubehead/node/control/hub_exchange.cpp
+++ b/src/jujubehead/node/control/hub_exchange.cpp
@@ -52,12 +52,14 @@
                          const core::HubRole& aRole,
                          StoreWatch& aStores,
                          KnownRows& aRows,
-                         core::StorePaths& aPaths)
+                         core::StorePaths& aPaths,
+                         std::function<void(core::Instant)> aOnUnchanged)
   : m_context(aContext)
   , m_role(aRole)
   , m_stores(aStores)
   , m_rows(aRows)
   , m_paths(aPaths)
+  , m_on_unchanged(std::move(aOnUnchanged))
   , m_start(net::RandomText(kStartBytes))
   , m_client(net::HttpClient::Create(aContext))
 {
@@ -127,7 +129,11 @@
   aCursor.next = news.parts.next;
   m_stores.TakeNews(news.parts, news.clock_ms, asked);
   if (news.rows) {
-    m_rows.TakeNews(news.rows->bytes, asked - news.rows->age);
+    const core::Instant told = asked - news.rows->age;
+    const bool is_changed = m_rows.TakeNews(news.rows->bytes, told);
+    if (!is_changed) {
+      m_on_unchanged(told);
+    }
     m_paths.OnFed(core::RuntimeClock::now() + kFedTime);
   }
 }
--- a/src/jujubehead/node/control/hub_exchange.hpp
+++ b/src/jujubehead/node/control/hub_exchange.hpp
@@ -2,6 +2,7 @@
 #define JUJUBEHEAD_NODE_CONTROL_HUB_EXCHANGE_HPP
 
 #include <cstdint>     // for uint64_t
+#include <functional>  // for function
 #include <memory>      // for unique_ptr
 #include <string>      // for string
 #include <string_view> // for string_view
@@ -34,11 +35,14 @@
 public:
   /// @param aStores what a hub watches; an instance that asks gives it the
   /// news.
+  /// @param aOnUnchanged the operators' store said, at that time at the latest,
+  /// that nothing changed.
   HubExchange(boost::asio::io_context& aContext,
               const core::HubRole& aRole,
               StoreWatch& aStores,
               KnownRows& aRows,
-              core::StorePaths& aPaths);
+              core::StorePaths& aPaths,
+              std::function<void(core::Instant aTold)> aOnUnchanged);
 
   void Start();
   /// @brief Answers another instance's kHubNewsPath.
@@ -63,6 +67,7 @@
   StoreWatch& m_stores;
   KnownRows& m_rows;
   core::StorePaths& m_paths;
+  std::function<void(core::Instant)> m_on_unchanged;
   std::string m_start; ///< Names this start of this instance.
   std::unique_ptr<net::HttpClient> m_client;
 };
--- a/src/jujubehead/node/forward/forwarder.cpp
+++ b/src/jujubehead/node/forward/forwarder.cpp
@@ -1,6 +1,7 @@
 #include "forwarder.hpp"
 
-#include <utility> // for move
+#include <algorithm> // for max
+#include <utility>   // for move
 
 #include <boost/asio/as_tuple.hpp>      // for as_tuple
 #include <boost/asio/co_spawn.hpp>      // for co_spawn
@@ -234,7 +235,9 @@
 void
 Forwarder::OnOperatorHeard(core::Instant aWhen)
 {
-  asio::post(m_context, [this, aWhen] { m_state.operator_heard = aWhen; });
+  asio::post(m_context, [this, aWhen] {
+    m_state.operator_heard = std::max(m_state.operator_heard, aWhen);
+  });
 }
 
 void
