Let no hub's word count as hearing the store while changes are unread

Cause, found by reading: the word 'nothing changed' compared the replica, not what was read from it. With the follower of the rows in a call to a silent store (up to 1.9 s), the replica could hold newer weights that requests did not know, while the operators' store counted as heard; parts of replaced weights could then be read after others freed them.

The test (HubExchange, OneThatHasYetToReadAChange...) fails on the old comparison.

--- a/include/jujubehead/node/control/known_rows.hpp
+++ b/include/jujubehead/node/control/known_rows.hpp
@@ -36,7 +36,8 @@
     const std::string& aCursors,
     core::Instant aNow) const = 0;
   /// @param aTold when the store said so, at the latest.
-  /// @return whether anything changed; whoever follows the rows tells of it.
+  /// @return whether those who follow the rows have yet to read changes; until
+  /// then what they know is older than this.
   /// @throws std::exception when the bytes are no such news.
   virtual bool TakeNews(const std::string& aBytes, core::Instant aTold) = 0;
 };
--- a/src/jujubehead/node/control/hub_exchange.cpp
+++ b/src/jujubehead/node/control/hub_exchange.cpp
@@ -53,13 +53,13 @@
                          StoreWatch& aStores,
                          KnownRows& aRows,
                          core::StorePaths& aPaths,
-                         std::function<void(core::Instant)> aOnUnchanged)
+                         std::function<void(core::Instant)> aOnHeard)
   : m_context(aContext)
   , m_role(aRole)
   , m_stores(aStores)
   , m_rows(aRows)
   , m_paths(aPaths)
-  , m_on_unchanged(std::move(aOnUnchanged))
+  , m_on_heard(std::move(aOnHeard))
   , m_start(net::RandomText(kStartBytes))
   , m_client(net::HttpClient::Create(aContext))
 {
@@ -130,9 +130,9 @@
   m_stores.TakeNews(news.parts, news.clock_ms, asked);
   if (news.rows) {
     const core::Instant told = asked - news.rows->age;
-    const bool is_changed = m_rows.TakeNews(news.rows->bytes, told);
-    if (!is_changed) {
-      m_on_unchanged(told);
+    const bool has_unread = m_rows.TakeNews(news.rows->bytes, told);
+    if (!has_unread) {
+      m_on_heard(told);
     }
     m_paths.OnFed(core::RuntimeClock::now() + kFedTime);
   }
--- a/src/jujubehead/node/control/hub_exchange.hpp
+++ b/src/jujubehead/node/control/hub_exchange.hpp
@@ -35,14 +35,14 @@
 public:
   /// @param aStores what a hub watches; an instance that asks gives it the
   /// news.
-  /// @param aOnUnchanged the operators' store said, at that time at the latest,
-  /// that nothing changed.
+  /// @param aOnHeard all that the operators' store had said at that time, at
+  /// the latest, was read.
   HubExchange(boost::asio::io_context& aContext,
               const core::HubRole& aRole,
               StoreWatch& aStores,
               KnownRows& aRows,
               core::StorePaths& aPaths,
-              std::function<void(core::Instant aTold)> aOnUnchanged);
+              std::function<void(core::Instant aTold)> aOnHeard);
 
   void Start();
   /// @brief Answers another instance's kHubNewsPath.
@@ -67,7 +67,7 @@
   StoreWatch& m_stores;
   KnownRows& m_rows;
   core::StorePaths& m_paths;
-  std::function<void(core::Instant)> m_on_unchanged;
+  std::function<void(core::Instant)> m_on_heard;
   std::string m_start; ///< Names this start of this instance.
   std::unique_ptr<net::HttpClient> m_client;
 };
--- /dev/null
+++ b/standin/hub_exchange_test.cpp
@@ -0,0 +1,236 @@
+#include "jujubehead/node/control/hub_exchange.hpp"
+
+#include <memory> // for unique_ptr
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+#include "jujubehead/net/run_awaitable.hpp" // for RunAwaitable
+#include "platform/operator_rows.hpp"       // for OperatorRows
+#include "platform/registry_rows.hpp"       // for RegistryRows
+#include "platform/row_store.hpp"           // for RowStore
+#include "platform/shared_table.hpp"        // for SharedTable
+#include "platform/store_calls.hpp"         // for PartStores
+#include "standin/stand_in.hpp"             // for StandIn
+
+using namespace jujubehead;
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr core::Duration kShortWait = std::chrono::milliseconds(20);
+constexpr std::chrono::seconds kMostTime{ 20 };
+
+/// What the control thread of one instance has to do with hubs.
+struct Instance
+{
+  Instance(asio::io_context& aContext,
+           const std::string& aStore,
+           const std::string& aId)
+    : client(net::HttpClient::Create(aContext))
+    , paths(aStore, aId)
+    , rows(*client, paths)
+    , operators(rows)
+    , registry(rows)
+    , shared(rows)
+    , calls(*client)
+    , role(aId)
+    , stores(aContext, calls, role, Hooks())
+    , hubs(aContext,
+           role,
+           stores,
+           rows,
+           paths,
+           [this](core::Instant aTold) { heard = aTold; })
+    , door(net::HttpServer::Create(aContext,
+                                   {},
+                                   [this](net::HttpExchange& aExchange) {
+                                     return hubs.Handle(aExchange);
+                                   }))
+  {
+  }
+
+  node::StoreWatchHooks Hooks()
+  {
+    node::StoreWatchHooks hooks;
+    hooks.on_page = [this](const core::StoreId& aStore,
+                           const core::PartEventPage& aPage,
+                           core::Instant aHeard) {
+      parts.OnPage(aStore, aPage, aHeard);
+    };
+    hooks.on_silence = [this](const core::StoreId& aStore) {
+      parts.OnSilence(aStore);
+    };
+    return hooks;
+  }
+  [[nodiscard]] std::string Address() const
+  {
+    return "127.0.0.1:" + std::to_string(door->Port());
+  }
+
+  std::unique_ptr<net::HttpClient> client;
+  core::StorePaths paths;
+  platform::RowStore rows;
+  platform::OperatorRows operators;
+  platform::RegistryRows registry;
+  platform::SharedTable shared;
+  platform::PartStores calls;
+  core::HubRole role;
+  core::PartDirectory parts;
+  core::Instant heard{};
+  node::StoreWatch stores;
+  node::HubExchange hubs;
+  std::unique_ptr<net::HttpServer> door;
+};
+
+} // namespace
+
+TEST_GROUP(HubExchange)
+{
+  asio::io_context context{ 1 };
+  standin::StandIn store = standin::StandIn::Rows(context);
+  standin::StandIn part_store = standin::StandIn::Parts(context);
+  Instance one{ context, store.Authority(), "one" };
+  Instance other{ context, store.Authority(), "other" };
+  Instance* hub = &one;
+  Instance* follower = &other;
+
+  void setup() override
+  {
+    const std::vector<core::KnownInstance> all = {
+      { "one", one.Address() }, { "other", other.Address() }
+    };
+    core::HubOptions options;
+    options.most_without = 1;
+    options.hubs = 1;
+    one.role.Update(all, options);
+    other.role.Update(all, options);
+    if (other.role.IsHub()) {
+      std::swap(hub, follower);
+    }
+    CHECK(hub->role.IsHub());
+    CHECK_FALSE(follower->role.IsHub());
+  }
+
+  void ReadAll(Instance & aInstance)
+  {
+    for (const char* table : { "op", "servers", "jujubehead" }) {
+      net::RunAwaitable(context, aInstance.rows.ReadAll(table));
+    }
+  }
+  std::uint64_t Put(const char* aKey, const char* aValue)
+  {
+    return *net::RunAwaitable(context,
+                              hub->rows.Put("op", { aKey, aValue, 0 }));
+  }
+  void HubReads(std::uint64_t aAfter)
+  {
+    net::RunAwaitable(context, hub->rows.ReadChanges("op", aAfter, kShortWait));
+    net::RunAwaitable(context,
+                      hub->rows.ReadChanges("servers", aAfter, kShortWait));
+  }
+  bool Await(const std::function<bool()>& aCondition)
+  {
+    const auto until = std::chrono::steady_clock::now() + kMostTime;
+    context.restart();
+    while (!aCondition() && std::chrono::steady_clock::now() < until) {
+      context.run_one_for(std::chrono::milliseconds(20));
+    }
+    return aCondition();
+  }
+  [[nodiscard]] std::uint64_t StoreCalls() const
+  {
+    return store.Stats().at("calls").get<std::uint64_t>();
+  }
+};
+
+TEST(HubExchange, OneThatIsFedTakesChangesFromTheHub)
+{
+  ReadAll(*hub);
+  ReadAll(*follower);
+  follower->hubs.Start();
+  CHECK(Await([&] { return follower->rows.IsFed(); }));
+  const std::uint64_t version = Put("a", "one");
+  HubReads(0);
+  const std::uint64_t calls = StoreCalls();
+  const platform::RowPage page =
+    net::RunAwaitable(context, follower->rows.ReadChanges("op", 0, kMostTime));
+  STRCMP_EQUAL("one", page.rows.at(0).value->c_str());
+  LONGS_EQUAL(version, page.version);
+  LONGS_EQUAL(calls, StoreCalls());
+  // It knows how old the hub's word is.
+  const core::Duration age = core::RuntimeClock::now() - page.told;
+  CHECK(age >= core::Duration(0) && age < kMostTime);
+}
+
+TEST(HubExchange, AHubThatDoesNotHearTheStoreFeedsNobody)
+{
+  ReadAll(*hub);
+  ReadAll(*follower);
+  follower->hubs.Start();
+  CHECK(Await([&] { return follower->rows.IsFed(); }));
+  // Nobody reads for the hub any more: what it knows grows old.
+  CHECK(Await([&] { return !follower->rows.IsFed(); }));
+  const std::uint64_t calls = StoreCalls();
+  net::RunAwaitable(context, follower->rows.ReadChanges("op", 0, kShortWait));
+  CHECK(StoreCalls() > calls);
+}
+
+TEST(HubExchange, AnAnswerWithoutChangesSaysWhenTheStoreWasHeard)
+{
+  ReadAll(*hub);
+  ReadAll(*follower);
+  const core::Instant read = core::RuntimeClock::now();
+  follower->hubs.Start();
+  CHECK(Await([&] { return follower->heard != core::Instant{}; }));
+  CHECK(follower->heard <= read);
+}
+
+// Requests read parts of the newest weights that are known while the operators'
+// store was heard of late; so one that has not read of newer ones has not
+// heard.
+TEST(HubExchange, OneThatHasYetToReadAChangeHasNotHeardTheStore)
+{
+  ReadAll(*hub);
+  ReadAll(*follower);
+  follower->hubs.Start();
+  CHECK(Await([&] { return follower->heard != core::Instant{}; }));
+  const std::uint64_t version = Put("a", "one");
+  HubReads(0);
+  CHECK(Await([&] { return follower->rows.Cursors() == hub->rows.Cursors(); }));
+  const core::Instant before = follower->heard;
+  HubReads(version);
+  const core::Instant later =
+    core::RuntimeClock::now() + std::chrono::milliseconds(600);
+  CHECK(Await([&] { return core::RuntimeClock::now() > later; }));
+  CHECK(follower->heard == before);
+  net::RunAwaitable(context, follower->rows.ReadChanges("op", 0, kMostTime));
+  net::RunAwaitable(context,
+                    follower->rows.ReadChanges("servers", 0, kShortWait));
+  HubReads(version);
+  CHECK(Await([&] { return follower->heard > before; }));
+}
+
+TEST(HubExchange, WhatTheHubWatchesOfAStoreReachesTheOthers)
+{
+  const core::StoreId id("parts");
+  core::DeclaredStore declared;
+  declared.id = id;
+  declared.address = part_store.Authority();
+  hub->stores.SetStores({ declared });
+  follower->stores.SetStores({ declared });
+  follower->hubs.Start();
+  CHECK(Await(
+    [&] { return follower->parts.IsPresent(id, core::RuntimeClock::now()); }));
+  LONGS_EQUAL(hub->parts.EpochOf(id), follower->parts.EpochOf(id));
+}
+
+TEST(HubExchange, OneThatIsNoHubSaysSo)
+{
+  net::HttpCall call;
+  call.authority = follower->Address();
+  call.target = std::string(node::kHubNewsPath) + "?start=&after=0&rows=";
+  const auto response =
+    net::RunAwaitable(context, hub->client->Fetch(std::move(call)));
+  LONGS_EQUAL(503, response.status);
+}
