--- a/include/jujubehead/core/membership/store_paths.hpp
+++ b/include/jujubehead/core/membership/store_paths.hpp
@@ -42,7 +42,7 @@
   /// @param aStraight the store's own address, `ip:port`.
   /// @param aSelf names this instance; it decides the order of the others.
   StorePaths(std::string aStraight,
-             std::string aSelf,
+             const std::string& aSelf,
              StorePathsOptions aOptions = {});
 
   /// @brief The addresses of the other instances, `ip:port` each.
--- a/src/jujubehead/core/membership/store_paths.cpp
+++ b/src/jujubehead/core/membership/store_paths.cpp
@@ -10,7 +10,7 @@
 namespace jujubehead::core {
 
 StorePaths::StorePaths(std::string aStraight,
-                       std::string aSelf,
+                       const std::string& aSelf,
                        StorePathsOptions aOptions)
   : m_straight(std::move(aStraight))
   , m_self_hash(detail::HashName(aSelf))
