Let hubs tell the loads of the busiest targets

Cause: one of 74 instances hears of a target every six seconds, and places prompts at homes that are full.

Now instances hand the loads that they heard to the hub that they ask, and are told the 64 busiest targets of the last 1.5 s in return: some 1.5 KB a question, at any number of targets. What is told does not change what is usual.

--- a/include/jujubehead/core/membership/hubs.hpp
+++ b/include/jujubehead/core/membership/hubs.hpp
@@ -45,6 +45,8 @@
   void Update(std::vector<KnownInstance> aInstances,
               const HubOptions& aOptions = {});
   [[nodiscard]] bool IsHub() const { return m_is_hub; }
+  /// @return whether others ask this instance.
+  [[nodiscard]] bool HasFollowers() const { return m_is_hub && m_is_many; }
   /// @return the hubs in the order in which this instance asks them.
   [[nodiscard]] const std::vector<KnownInstance>& Hubs() const
   {
@@ -55,6 +57,7 @@
   std::string m_self;
   std::vector<KnownInstance> m_hubs;
   bool m_is_hub = true;
+  bool m_is_many = false; ///< There are others than hubs.
 };
 
 } // namespace jujubehead::core
--- a/include/jujubehead/core/routing/load_estimate.hpp
+++ b/include/jujubehead/core/routing/load_estimate.hpp
@@ -54,6 +54,9 @@
   void OnEnd() { --m_own; }
   /// @brief The target told its load, this instance's requests included.
   void OnReport(const ReportedLoad& aLoad, Instant aNow);
+  /// @brief Another instance heard its load. It says nothing of what is usual,
+  /// as instances tell each other of the busiest.
+  void OnTold(const ReportedLoad& aLoad, Instant aHeard);
 
   [[nodiscard]] std::uint32_t Own() const { return m_own; }
   /// @return requests that wait there, by what it told of late.
@@ -62,6 +65,7 @@
   [[nodiscard]] double Requests(Instant aNow) const;
 
 private:
+  void Take(const ReportedLoad& aLoad, Instant aHeard);
   /// @return what the target told, or what is usual the older that is.
   [[nodiscard]] double Faded(double aTold, double aUsual, Instant aNow) const;
 
--- a/src/jujubehead/core/membership/hubs.cpp
+++ b/src/jujubehead/core/membership/hubs.cpp
@@ -40,6 +40,7 @@
 HubRole::Update(std::vector<KnownInstance> aInstances,
                 const HubOptions& aOptions)
 {
+  m_is_many = aInstances.size() > aOptions.most_without;
   m_hubs = HubsOf(std::move(aInstances), m_self, aOptions);
   m_is_hub =
     std::any_of(m_hubs.begin(), m_hubs.end(), [&](const KnownInstance& aOne) {
--- a/src/jujubehead/core/routing/load_estimate.cpp
+++ b/src/jujubehead/core/routing/load_estimate.cpp
@@ -27,12 +27,26 @@
 }
 
 void
-LoadEstimate::OnReport(const ReportedLoad& aLoad, Instant aNow)
+LoadEstimate::Take(const ReportedLoad& aLoad, Instant aHeard)
 {
   m_others =
     std::max(0.0, static_cast<double>(aLoad.running) + aLoad.waiting - m_own);
   m_waiting = aLoad.waiting;
-  m_told = aNow;
+  m_told = aHeard;
+}
+
+void
+LoadEstimate::OnTold(const ReportedLoad& aLoad, Instant aHeard)
+{
+  if (!m_told || aHeard > *m_told) {
+    Take(aLoad, aHeard);
+  }
+}
+
+void
+LoadEstimate::OnReport(const ReportedLoad& aLoad, Instant aNow)
+{
+  Take(aLoad, aNow);
   if (m_usual) {
     m_usual->OnReport(m_others, m_waiting);
   }
--- /dev/null
+++ b/src/jujubehead/core/routing/load_news.cpp
@@ -0,0 +1,57 @@
+#include "jujubehead/core/routing/load_news.hpp"
+
+#include <algorithm> // for max, sort
+#include <utility>   // for move
+
+namespace jujubehead::core {
+namespace {
+
+double
+PressureOf(const ReportedLoad& aLoad)
+{
+  const double requests = static_cast<double>(aLoad.running) + aLoad.waiting;
+  return requests / std::max(aLoad.slots, 1U);
+}
+
+} // namespace
+
+void
+LoadNews::Put(const HeardLoad& aLoad)
+{
+  const auto [known, is_new] = m_loads.try_emplace(aLoad.target, aLoad);
+  if (!is_new && aLoad.heard > known->second.heard) {
+    known->second = aLoad;
+  }
+}
+
+std::vector<HeardLoad>
+LoadNews::Busiest(Instant aNow)
+{
+  std::erase_if(m_loads, [&](const auto& aEntry) {
+    return aNow - aEntry.second.heard > m_options.longest_age;
+  });
+  std::vector<HeardLoad> busiest;
+  busiest.reserve(m_loads.size());
+  for (const auto& [target, load] : m_loads) {
+    busiest.push_back(load);
+  }
+  std::sort(busiest.begin(),
+            busiest.end(),
+            [](const HeardLoad& aOne, const HeardLoad& aOther) {
+              return PressureOf(aOne.load) > PressureOf(aOther.load);
+            });
+  if (busiest.size() > m_options.most) {
+    busiest.resize(m_options.most);
+  }
+  return busiest;
+}
+
+std::vector<HeardLoad>
+LoadNews::TakeBusiest(Instant aNow)
+{
+  std::vector<HeardLoad> busiest = Busiest(aNow);
+  m_loads.clear();
+  return busiest;
+}
+
+} // namespace jujubehead::core
--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/co_spawn.hpp> // for co_spawn
 #include <boost/asio/detached.hpp> // for detached
+#include <boost/asio/post.hpp>     // for post
 
 #include "follow.hpp" // for Follow
 
@@ -64,12 +65,7 @@
              *m_platform.stores,
              [this] { return m_weights.WasLastHolder(); })
   , m_stores(aContext, *m_platform.stores, m_role, HooksOfStores())
-  , m_hubs(aContext,
-           m_role,
-           m_stores,
-           *m_platform.known,
-           aPaths,
-           [this](core::Instant aTold) { m_forwarder.OnOperatorHeard(aTold); })
+  , m_hubs(aContext, m_role, m_stores, *m_platform.known, aPaths, HooksOfHubs())
 {
 }
 
@@ -90,6 +86,27 @@
   return hooks;
 }
 
+HubHooks
+EntryControl::HooksOfHubs()
+{
+  HubHooks hooks;
+  hooks.on_heard = [this](core::Instant aTold) {
+    m_forwarder.OnOperatorHeard(aTold);
+  };
+  hooks.exchange_loads =
+    [this](std::vector<core::HeardLoad> aTold,
+           std::function<void(std::vector<core::HeardLoad>)> aGive) {
+      m_forwarder.ExchangeLoads(
+        std::move(aTold),
+        [this, give = std::move(aGive)](std::vector<core::HeardLoad> aGiven) {
+          asio::post(m_context, [give, given = std::move(aGiven)]() mutable {
+            give(std::move(given));
+          });
+        });
+    };
+  return hooks;
+}
+
 void
 EntryControl::Start()
 {
--- a/src/jujubehead/node/control/entry_control.hpp
+++ b/src/jujubehead/node/control/entry_control.hpp
@@ -66,6 +66,7 @@
   [[nodiscard]] core::Instant OldWeightsEnd() const;
   void PublishTargets();
   StoreWatchHooks HooksOfStores();
+  HubHooks HooksOfHubs();
   boost::asio::awaitable<void> TickRegistry();
 
   boost::asio::io_context& m_context;
--- a/src/jujubehead/node/control/hub_exchange.cpp
+++ b/src/jujubehead/node/control/hub_exchange.cpp
@@ -2,10 +2,12 @@
 
 #include <charconv> // for from_chars
 #include <optional> // for optional
-#include <utility>  // for move
+#include <utility>  // for exchange, move
 
-#include <boost/asio/co_spawn.hpp> // for co_spawn
-#include <boost/asio/detached.hpp> // for detached
+#include <boost/asio/as_tuple.hpp>      // for as_tuple
+#include <boost/asio/co_spawn.hpp>      // for co_spawn
+#include <boost/asio/detached.hpp>      // for detached
+#include <boost/asio/use_awaitable.hpp> // for use_awaitable
 
 #include "jujubehead/net/random_text.hpp"       // for RandomText
 #include "jujubehead/net/timer.hpp"             // for Sleep
@@ -53,13 +55,13 @@
                          StoreWatch& aStores,
                          KnownRows& aRows,
                          core::StorePaths& aPaths,
-                         std::function<void(core::Instant)> aOnHeard)
+                         HubHooks aHooks)
   : m_context(aContext)
   , m_role(aRole)
   , m_stores(aStores)
   , m_rows(aRows)
   , m_paths(aPaths)
-  , m_on_heard(std::move(aOnHeard))
+  , m_hooks(std::move(aHooks))
   , m_start(net::RandomText(kStartBytes))
   , m_client(net::HttpClient::Create(aContext))
 {
@@ -78,7 +80,10 @@
   std::size_t next = 0;
   for (;;) {
     if (m_role.IsHub()) {
-      co_await net::Sleep(kRoleTime);
+      if (m_role.HasFollowers()) {
+        co_await ShareOwnLoads();
+      }
+      co_await net::Sleep(m_role.HasFollowers() ? kHubPause : kRoleTime);
       continue;
     }
     const std::size_t count = m_role.Hubs().size();
@@ -104,14 +109,43 @@
   }
 }
 
+asio::awaitable<std::vector<core::HeardLoad>>
+HubExchange::ExchangeLoads(std::vector<core::HeardLoad> aTold)
+{
+  std::vector<core::HeardLoad> own;
+  net::Timer given(m_context, core::Instant::max());
+  m_hooks.exchange_loads(std::move(aTold),
+                         [&](std::vector<core::HeardLoad> aGiven) {
+                           own = std::move(aGiven);
+                           given.cancel();
+                         });
+  constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+  co_await given.async_wait(kTuple);
+  co_return own;
+}
+
+asio::awaitable<void>
+HubExchange::ShareOwnLoads()
+{
+  const auto told = m_loads.Busiest(core::RuntimeClock::now());
+  const std::vector<core::HeardLoad> own = co_await ExchangeLoads(told);
+  for (const core::HeardLoad& one : own) {
+    m_loads.Put(one);
+  }
+}
+
 asio::awaitable<void>
 HubExchange::AskHub(core::KnownInstance aHub, Cursor& aCursor)
 {
   if (aCursor.hub != aHub.id) {
     aCursor = { aHub.id, {}, 0 };
   }
+  const std::vector<core::HeardLoad> own =
+    co_await ExchangeLoads(std::exchange(m_told_loads, {}));
   net::HttpCall call;
   call.authority = aHub.address;
+  call.method = "POST";
+  call.body = LoadsToBytes(own, core::RuntimeClock::now());
   call.target = std::string(kHubNewsPath) + "?start=" + aCursor.start +
                 "&after=" + std::to_string(aCursor.next) +
                 "&rows=" + m_rows.Cursors();
@@ -124,29 +158,34 @@
     throw PlatformError(PlatformFault::kBusy,
                         "status " + std::to_string(response.status));
   }
-  const HubNews news = HubNewsOf(response.body);
+  HubNews news = HubNewsOf(response.body, asked);
   aCursor.start = news.start;
   aCursor.next = news.parts.next;
+  m_told_loads = std::move(news.loads);
   m_stores.TakeNews(news.parts, news.clock_ms, asked);
   if (news.rows) {
     const core::Instant told = asked - news.rows->age;
     const bool has_unread = m_rows.TakeNews(news.rows->bytes, told);
     if (!has_unread) {
-      m_on_heard(told);
+      m_hooks.on_heard(told);
     }
     m_paths.OnFed(core::RuntimeClock::now() + kFedTime);
   }
 }
 
 HubNews
-HubExchange::NewsFor(const net::HttpRequest& aRequest) const
+HubExchange::NewsFor(const net::HttpRequest& aRequest)
 {
   const core::Instant now = core::RuntimeClock::now();
+  for (const core::HeardLoad& one : LoadsOf(aRequest.body, now)) {
+    m_loads.Put(one);
+  }
   const bool knows_start = aRequest.Query("start") == m_start;
   const std::uint64_t after =
     knows_start ? NumberOf(aRequest.Query("after")) : 0;
   HubNews news;
   news.start = m_start;
+  news.loads = m_loads.Busiest(now);
   news.parts = m_stores.Log().ReadAfter(after, now);
   news.clock_ms = m_stores.ClockMs(now);
   news.rows = m_rows.NewsAfter(aRequest.Query("rows").value_or(""), now);
@@ -165,7 +204,8 @@
     response.body = "this instance watches nothing for others\n";
   } else {
     response.headers.Add("Content-Type", "application/cbor");
-    response.body = ToBytes(NewsFor(aExchange.Request()));
+    response.body =
+      ToBytes(NewsFor(aExchange.Request()), core::RuntimeClock::now());
   }
   co_await aExchange.Send(std::move(response));
 }
--- a/src/jujubehead/node/control/hub_exchange.hpp
+++ b/src/jujubehead/node/control/hub_exchange.hpp
@@ -6,12 +6,14 @@
 #include <memory>      // for unique_ptr
 #include <string>      // for string
 #include <string_view> // for string_view
+#include <vector>      // for vector
 
 #include <boost/asio/awaitable.hpp>  // for awaitable
 #include <boost/asio/io_context.hpp> // for io_context
 
 #include "jujubehead/core/membership/hubs.hpp"        // for HubRole
 #include "jujubehead/core/membership/store_paths.hpp" // for StorePaths
+#include "jujubehead/core/routing/load_news.hpp"      // for LoadNews
 #include "jujubehead/net/http_client.hpp"             // for HttpClient
 #include "jujubehead/net/http_server.hpp"             // for HttpExchange
 #include "jujubehead/node/control/known_rows.hpp"     // for KnownRows
@@ -24,9 +26,23 @@
 /// The call by which an instance asks a hub for its news.
 inline constexpr std::string_view kHubNewsPath = "/hub-news";
 
+/// @brief What an exchange does with what it learns.
+struct HubHooks
+{
+  /// All that the operators' store had said at that time, at the latest, was
+  /// read.
+  std::function<void(core::Instant aTold)> on_heard;
+  /// Takes what others heard of targets' loads, and gives what this instance
+  /// heard, on the same thread, if later.
+  std::function<void(std::vector<core::HeardLoad> aTold,
+                     std::function<void(std::vector<core::HeardLoad>)> aGive)>
+    exchange_loads;
+};
+
 /// @brief While there are many instances, few of them, the hubs, watch what all
 /// need to know, and the others ask one of them a few times a second: which
-/// parts the stores hold, and what changed in the operators' store.
+/// parts the stores hold, what changed in the operators' store, and the loads
+/// of the busiest targets.
 ///
 /// What a hub tells carries its age, so that an instance knows no less well
 /// than by itself how far it may go by it.
@@ -35,14 +51,12 @@
 public:
   /// @param aStores what a hub watches; an instance that asks gives it the
   /// news.
-  /// @param aOnHeard all that the operators' store had said at that time, at
-  /// the latest, was read.
   HubExchange(boost::asio::io_context& aContext,
               const core::HubRole& aRole,
               StoreWatch& aStores,
               KnownRows& aRows,
               core::StorePaths& aPaths,
-              std::function<void(core::Instant aTold)> aOnHeard);
+              HubHooks aHooks);
 
   void Start();
   /// @brief Answers another instance's kHubNewsPath.
@@ -60,15 +74,20 @@
   boost::asio::awaitable<void> FollowHubs();
   boost::asio::awaitable<void> AskHub(core::KnownInstance aHub,
                                       Cursor& aCursor);
-  [[nodiscard]] HubNews NewsFor(const net::HttpRequest& aRequest) const;
+  boost::asio::awaitable<void> ShareOwnLoads();
+  boost::asio::awaitable<std::vector<core::HeardLoad>> ExchangeLoads(
+    std::vector<core::HeardLoad> aTold);
+  [[nodiscard]] HubNews NewsFor(const net::HttpRequest& aRequest);
 
   boost::asio::io_context& m_context;
   const core::HubRole& m_role;
   StoreWatch& m_stores;
   KnownRows& m_rows;
   core::StorePaths& m_paths;
-  std::function<void(core::Instant)> m_on_heard;
-  std::string m_start; ///< Names this start of this instance.
+  HubHooks m_hooks;
+  std::vector<core::HeardLoad> m_told_loads; ///< By a hub, not yet passed on.
+  core::LoadNews m_loads; ///< What this instance, being a hub, was told.
+  std::string m_start;    ///< Names this start of this instance.
   std::unique_ptr<net::HttpClient> m_client;
 };
 
--- a/src/jujubehead/node/control/hub_news_codec.cpp
+++ b/src/jujubehead/node/control/hub_news_codec.cpp
@@ -18,6 +18,14 @@
   kEpoch,
   kAgeMs,
 };
+enum LoadPlace : std::size_t
+{
+  kTarget,
+  kRunning,
+  kWaiting,
+  kSlots,
+  kLoadAgeMs,
+};
 enum ChangePlace : std::size_t
 {
   kStore, ///< Its index among the stores.
@@ -32,10 +40,55 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
 }
 
+json
+ToJson(const std::vector<core::HeardLoad>& aLoads, core::Instant aNow)
+{
+  json loads = json::array();
+  for (const core::HeardLoad& one : aLoads) {
+    loads.push_back(json::array({ one.target.Text(),
+                                  one.load.running,
+                                  one.load.waiting,
+                                  one.load.slots,
+                                  Milliseconds(aNow - one.heard) + 1 }));
+  }
+  return loads;
+}
+
+std::vector<core::HeardLoad>
+LoadsFrom(const json& aLoads, core::Instant aTold)
+{
+  std::vector<core::HeardLoad> loads;
+  for (const json& one : aLoads) {
+    core::HeardLoad heard;
+    heard.target = core::TargetId(one.at(kTarget).get<std::string>());
+    heard.load.running = one.at(kRunning).get<std::uint32_t>();
+    heard.load.waiting = one.at(kWaiting).get<std::uint32_t>();
+    heard.load.slots = one.at(kSlots).get<std::uint32_t>();
+    heard.heard =
+      aTold - std::chrono::milliseconds(one.at(kLoadAgeMs).get<std::int64_t>());
+    loads.push_back(std::move(heard));
+  }
+  return loads;
+}
+
 } // namespace
 
 std::string
-ToBytes(const HubNews& aNews)
+LoadsToBytes(const std::vector<core::HeardLoad>& aLoads, core::Instant aNow)
+{
+  std::string bytes;
+  json::to_cbor(ToJson(aLoads, aNow), bytes);
+  return bytes;
+}
+
+std::vector<core::HeardLoad>
+LoadsOf(std::string_view aBytes, core::Instant aTold)
+{
+  return LoadsFrom(json::from_cbor(aBytes.begin(), aBytes.end()), aTold);
+}
+
+std::string
+ToBytes(const HubNews& aNews, core::Instant aNow)
 {
   json stores = json::array();
   std::map<core::StoreId, std::size_t> places;
@@ -55,6 +108,7 @@
                    { "all", aNews.parts.is_all },
                    { "stores", std::move(stores) },
                    { "changes", std::move(changes) } };
+  message["loads"] = ToJson(aNews.loads, aNow);
   if (aNews.rows) {
     message["rows"] = aNews.rows->bytes;
     message["rows_age"] = Milliseconds(aNews.rows->age) + 1;
@@ -68,7 +122,7 @@
 }
 
 HubNews
-HubNewsOf(std::string_view aBytes)
+HubNewsOf(std::string_view aBytes, core::Instant aTold)
 {
   const json message = json::from_cbor(aBytes.begin(), aBytes.end());
   HubNews result;
@@ -83,6 +137,7 @@
     result.rows =
       RowNews{ rows->get<std::string>(), std::chrono::milliseconds(age) };
   }
+  result.loads = LoadsFrom(message.at("loads"), aTold);
   for (const json& store : message.at("stores")) {
     result.parts.stores.push_back(
       { core::StoreId(store.at(kId).get<std::string>()),
--- a/src/jujubehead/node/control/hub_news_codec_test.cpp
+++ b/src/jujubehead/node/control/hub_news_codec_test.cpp
@@ -5,6 +5,12 @@
 using namespace jujubehead;
 using node::HubNews;
 
+namespace {
+
+const core::Instant kNow = core::Instant(std::chrono::hours(1));
+
+} // namespace
+
 TEST_GROUP(HubNewsCodec)
 {
   HubNews message;
@@ -19,6 +25,9 @@
     };
     message.parts.changes = { { core::StoreId("s2"), "w1", "a", 800 } };
     message.clock_ms = 123456;
+    message.loads = { { core::TargetId("t1"),
+                        { 12, 3, 12 },
+                        kNow - std::chrono::milliseconds(40) } };
     message.rows = node::RowNews{ std::string("\xff\x00rows", 6),
                                   std::chrono::milliseconds(70) };
   }
@@ -26,13 +35,15 @@
 
 TEST(HubNewsCodec, WhatIsWrittenIsReadBack)
 {
-  const HubNews back = node::HubNewsOf(node::ToBytes(message));
+  const HubNews back = node::HubNewsOf(node::ToBytes(message, kNow), kNow);
   STRCMP_EQUAL("i1/abc", back.start.c_str());
   LONGS_EQUAL(42, back.parts.next);
   CHECK_FALSE(back.parts.is_all);
   LONGS_EQUAL(123456, *back.clock_ms);
   LONGS_EQUAL(8, back.parts.stores.at(1).epoch);
   LONGS_EQUAL(6, back.rows->bytes.size());
+  LONGS_EQUAL(3, back.loads.at(0).load.waiting);
+  CHECK(back.loads.at(0).heard <= message.loads.at(0).heard);
   CHECK(back.rows->age >= message.rows->age);
   // An age is never told too small.
   CHECK(back.parts.stores.at(1).age >= message.parts.stores.at(1).age);
@@ -42,13 +53,23 @@
 
 TEST(HubNewsCodec, BytesCutShortOrOfAnotherKindAreRefused)
 {
-  const std::string bytes = node::ToBytes(message);
+  const std::string bytes = node::ToBytes(message, kNow);
   for (std::size_t length = 0; length < bytes.size(); ++length) {
-    CHECK_THROWS(std::exception,
-                 node::HubNewsOf(std::string_view(bytes).substr(0, length)));
+    CHECK_THROWS(
+      std::exception,
+      node::HubNewsOf(std::string_view(bytes).substr(0, length), kNow));
   }
-  CHECK_THROWS(std::exception, node::HubNewsOf("{\"start\":1}"));
+  CHECK_THROWS(std::exception, node::HubNewsOf("{\"start\":1}", kNow));
   // A change of a store that is not listed.
   message.parts.changes.at(0).store = core::StoreId("s3");
-  CHECK_THROWS(std::exception, node::ToBytes(message));
+  CHECK_THROWS(std::exception, node::ToBytes(message, kNow));
+}
+
+TEST(HubNewsCodec, LoadsAreReadBackAndNoneFromOtherBytes)
+{
+  const auto back =
+    node::LoadsOf(node::LoadsToBytes(message.loads, kNow), kNow);
+  STRCMP_EQUAL("t1", back.at(0).target.Text().c_str());
+  LONGS_EQUAL(12, back.at(0).load.slots);
+  CHECK_THROWS(std::exception, node::LoadsOf("x", kNow));
 }
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -563,6 +563,9 @@
   aTarget.last_heard = now;
   if (aFacts.load) {
     aTarget.load.OnReport(*aFacts.load, now);
+    if (m_state.tells_loads) {
+      m_state.heard_loads.Put({ aTarget.target.id, *aFacts.load, now });
+    }
   }
   if (aFacts.weight_version && m_facts.prompt) {
     aTarget.OnVersion(m_facts.prompt->model, *aFacts.weight_version);
--- a/src/jujubehead/node/forward/forward_state.hpp
+++ b/src/jujubehead/node/forward/forward_state.hpp
@@ -11,6 +11,7 @@
 #include "jujubehead/core/context/part_directory.hpp" // for PartDirectory
 #include "jujubehead/core/routing/admission.hpp"      // for WaitPredictor
 #include "jujubehead/core/routing/configuration.hpp"  // for Configuration
+#include "jujubehead/core/routing/load_news.hpp"      // for LoadNews
 #include "jujubehead/core/routing/repeat_budget.hpp"  // for RepeatBudget
 #include "jujubehead/core/weights/rollout.hpp"        // for WantedWeights
 #include "jujubehead/node/forward/dialect.hpp"        // for Dialect
@@ -52,6 +53,8 @@
   std::shared_ptr<const core::Configuration> configuration;
   std::map<core::ModelId, core::WantedWeights> wanted_weights;
   TargetFleet fleet;
+  bool tells_loads = false;   ///< Whether other instances ask for them.
+  core::LoadNews heard_loads; ///< For other instances, while they ask.
   core::PartDirectory parts;
   std::unordered_map<core::ServiceId, core::RepeatBudget> budgets;
   /// By the route's name.
--- a/src/jujubehead/node/forward/forwarder.cpp
+++ b/src/jujubehead/node/forward/forwarder.cpp
@@ -232,6 +232,23 @@
     });
 }
 
+void
+Forwarder::ExchangeLoads(
+  std::vector<core::HeardLoad> aTold,
+  std::function<void(std::vector<core::HeardLoad>)> aGive)
+{
+  asio::post(m_context,
+             [this, told = std::move(aTold), give = std::move(aGive)] {
+               for (const core::HeardLoad& one : told) {
+                 if (const auto target = m_state.fleet.Find(one.target)) {
+                   target->load.OnTold(one.load, one.heard);
+                 }
+               }
+               m_state.tells_loads = true;
+               give(m_state.heard_loads.TakeBusiest(core::RuntimeClock::now()));
+             });
+}
+
 void
 Forwarder::OnOperatorHeard(core::Instant aWhen)
 {
--- a/src/jujubehead/node/forward/forwarder.hpp
+++ b/src/jujubehead/node/forward/forwarder.hpp
@@ -60,6 +60,11 @@
   void OnPartEvents(core::StoreId aStore,
                     core::PartEventPage aPage,
                     core::Instant aHeard);
+  /// @brief Exchanges loads of targets with other instances: takes what these
+  /// heard, and gives what this one heard since the last time.
+  /// @param aGive called on the traffic thread.
+  void ExchangeLoads(std::vector<core::HeardLoad> aTold,
+                     std::function<void(std::vector<core::HeardLoad>)> aGive);
   void OnStoreSilent(core::StoreId aStore);
   void OnOperatorHeard(core::Instant aWhen);
 
--- a/standin/hub_exchange_test.cpp
+++ b/standin/hub_exchange_test.cpp
@@ -1,8 +1,10 @@
 #include "jujubehead/node/control/hub_exchange.hpp"
 
-#include <memory> // for unique_ptr
+#include <algorithm> // for any_of
+#include <memory>    // for unique_ptr
 
 #include <CppUTest/TestHarness.h> // for TEST
+#include <boost/asio/post.hpp>    // for post
 
 #include "jujubehead/net/run_awaitable.hpp" // for RunAwaitable
 #include "platform/operator_rows.hpp"       // for OperatorRows
@@ -27,7 +29,8 @@
   Instance(asio::io_context& aContext,
            const std::string& aStore,
            const std::string& aId)
-    : client(net::HttpClient::Create(aContext))
+    : context(aContext)
+    , client(net::HttpClient::Create(aContext))
     , paths(aStore, aId)
     , rows(*client, paths)
     , operators(rows)
@@ -36,12 +39,7 @@
     , calls(*client)
     , role(aId)
     , stores(aContext, calls, role, Hooks())
-    , hubs(aContext,
-           role,
-           stores,
-           rows,
-           paths,
-           [this](core::Instant aTold) { heard = aTold; })
+    , hubs(aContext, role, stores, rows, paths, HooksOfHubs())
     , door(net::HttpServer::Create(aContext,
                                    {},
                                    [this](net::HttpExchange& aExchange) {
@@ -63,11 +61,27 @@
     };
     return hooks;
   }
+  node::HubHooks HooksOfHubs()
+  {
+    node::HubHooks hooks;
+    hooks.on_heard = [this](core::Instant aTold) { heard = aTold; };
+    hooks.exchange_loads =
+      [this](std::vector<core::HeardLoad> aTold,
+             std::function<void(std::vector<core::HeardLoad>)> aGive) {
+        for (const core::HeardLoad& one : aTold) {
+          told_loads.push_back(one);
+        }
+        asio::post(context,
+                   [give = std::move(aGive), own = own_loads] { give(own); });
+      };
+    return hooks;
+  }
   [[nodiscard]] std::string Address() const
   {
     return "127.0.0.1:" + std::to_string(door->Port());
   }
 
+  asio::io_context& context;
   std::unique_ptr<net::HttpClient> client;
   core::StorePaths paths;
   platform::RowStore rows;
@@ -78,6 +92,8 @@
   core::HubRole role;
   core::PartDirectory parts;
   core::Instant heard{};
+  std::vector<core::HeardLoad> own_loads;
+  std::vector<core::HeardLoad> told_loads;
   node::StoreWatch stores;
   node::HubExchange hubs;
   std::unique_ptr<net::HttpServer> door;
@@ -225,6 +241,23 @@
   LONGS_EQUAL(hub->parts.EpochOf(id), follower->parts.EpochOf(id));
 }
 
+TEST(HubExchange, LoadsThatOneHeardReachTheOthers)
+{
+  const core::Instant now = core::RuntimeClock::now();
+  hub->own_loads = { { core::TargetId("t1"), { 12, 5, 12 }, now } };
+  follower->own_loads = { { core::TargetId("t2"), { 12, 9, 12 }, now } };
+  hub->hubs.Start();
+  follower->hubs.Start();
+  const auto knows = [](const Instance& aInstance, const char* aTarget) {
+    return std::any_of(aInstance.told_loads.begin(),
+                       aInstance.told_loads.end(),
+                       [&](const core::HeardLoad& aLoad) {
+                         return aLoad.target == core::TargetId(aTarget);
+                       });
+  };
+  CHECK(Await([&] { return knows(*follower, "t1") && knows(*hub, "t2"); }));
+}
+
 TEST(HubExchange, OneThatIsNoHubSaysSo)
 {
   net::HttpCall call;
