--- a/src/jujubehead/core/routing/load_news_test.cpp
+++ b/src/jujubehead/core/routing/load_news_test.cpp
@@ -31,11 +31,11 @@
 {
   constexpr std::size_t kInstances = 74;
   constexpr std::size_t kTargets = 140;
-  constexpr int kSteps = 240;
-  constexpr int kStepMs = 50;
-  constexpr int kLastsSteps = 20;
+  constexpr std::size_t kSteps = 240;
+  constexpr std::size_t kStepMs = 50;
+  constexpr std::size_t kLastsSteps = 20;
   constexpr std::size_t kRequestsInStep = 62;
-  constexpr int kAskSteps = 5;
+  constexpr std::size_t kAskSteps = 5;
   std::mt19937 random(3);
   const auto usual = std::make_shared<UsualLoad>();
   std::vector<std::vector<LoadEstimate>> estimates(
@@ -49,7 +49,7 @@
     kSteps + kLastsSteps + 1);
   LoadNews hub;
   double over = 0;
-  for (int step = 0; step < kSteps; ++step) {
+  for (std::size_t step = 0; step < kSteps; ++step) {
     const Instant now = kNow + milliseconds(kStepMs * step);
     for (const auto& [instance, target] : ends[step]) {
       estimates[instance][target].OnEnd();
--- a/src/jujubehead/node/control/entry_control.hpp
+++ b/src/jujubehead/node/control/entry_control.hpp
@@ -2,10 +2,9 @@
 #define JUJUBEHEAD_NODE_CONTROL_ENTRY_CONTROL_HPP
 
 #include <algorithm> // for min
-#include <cstdint>   // for uint8_t, uint64_t
+#include <cstdint>   // for uint64_t
 #include <map>       // for map
 #include <memory>    // for unique_ptr
-#include <set>       // for set
 
 #include <boost/asio/awaitable.hpp>  // for awaitable
 #include <boost/asio/io_context.hpp> // for io_context
--- a/standin/hub_exchange_test.cpp
+++ b/standin/hub_exchange_test.cpp
@@ -66,7 +66,7 @@
     node::HubHooks hooks;
     hooks.on_heard = [this](core::Instant aTold) { heard = aTold; };
     hooks.exchange_loads =
-      [this](std::vector<core::HeardLoad> aTold,
+      [this](const std::vector<core::HeardLoad>& aTold,
              std::function<void(std::vector<core::HeardLoad>)> aGive) {
         for (const core::HeardLoad& one : aTold) {
           told_loads.push_back(one);
