--- a/include/jujubehead/node/control/platform.hpp
+++ b/include/jujubehead/node/control/platform.hpp
@@ -2,7 +2,7 @@
 #define JUJUBEHEAD_NODE_CONTROL_PLATFORM_HPP
 
 #include <cstdint>   // for uint64_t, uint8_t
-#include <memory>    // for unique_ptr
+#include <memory>    // for shared_ptr, unique_ptr
 #include <optional>  // for optional
 #include <stdexcept> // for runtime_error
 #include <string>    // for string
@@ -189,7 +189,7 @@
   std::unique_ptr<SharedRows> shared;
   std::unique_ptr<TargetOrders> orders;
   std::unique_ptr<StoreCalls> stores;
-  std::unique_ptr<KnownRows> known;
+  std::shared_ptr<KnownRows> known; ///< Part of the client of the rows.
 };
 
 } // namespace jujubehead::node
--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -252,11 +252,13 @@
 EntryControl::OnSharedNews(const SharedNews& aNews, bool aIsAll)
 {
   m_weights.OnSharedNews(aNews, aIsAll);
+  bool is_told_of_instances = aIsAll;
   if (aIsAll) {
     m_instances.BeginAll();
   }
   for (const SharedRow& row : aNews.rows) {
     if (row.key.starts_with(kInstancePrefix)) {
+      is_told_of_instances = true;
       m_instances.OnRow(row.key.substr(kInstancePrefix.size()),
                         row.value,
                         row.version,
@@ -266,7 +268,10 @@
   if (aIsAll) {
     m_instances.EndAll();
   }
-  SetInstances();
+  // The rows of a roll-out come far more often than those of instances.
+  if (is_told_of_instances) {
+    SetInstances();
+  }
 }
 
 void
