Tell on which weights a request was sent, and when older weights end

Cause: nothing told from which moment an instance counts the end of older weights, so the four hypotheses of the incident could not be told apart by lines. weights_wanted now says whether it was read as a change or with all rows, and for how long older weights last; lines of requests say the version that their target was expected to have; two gauges show both per model. No logic is changed.

--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -1,6 +1,7 @@
 #include "entry_control.hpp"
 
-#include <utility> // for move
+#include <algorithm> // for max
+#include <utility>   // for move
 
 #include <boost/asio/co_spawn.hpp> // for co_spawn
 #include <boost/asio/detached.hpp> // for detached
@@ -111,8 +112,8 @@
 EntryControl::Start()
 {
   FollowHooks<OperatorNews> operators;
-  operators.on_news = [this](const OperatorNews& aNews, bool) {
-    OnOperatorNews(aNews);
+  operators.on_news = [this](const OperatorNews& aNews, bool aIsAll) {
+    OnOperatorNews(aNews, aIsAll);
   };
   operators.on_silence = [this] { OnOperatorSilent(); };
   FollowOptions operator_options;
@@ -165,7 +166,7 @@
 }
 
 void
-EntryControl::OnOperatorNews(const OperatorNews& aNews)
+EntryControl::OnOperatorNews(const OperatorNews& aNews, bool aIsAll)
 {
   m_operator_cursor = aNews.cursor;
   LogUnread("operator", aNews.unread);
@@ -192,9 +193,12 @@
       continue;
     }
     is_new = true;
-    DecisionLog::WriteAlways(LogLine("weights_wanted")
-                               .Add("model", wanted.model.View())
-                               .Add("version", wanted.version));
+    DecisionLog::WriteAlways(
+      LogLine("weights_wanted")
+        .Add("model", wanted.model.View())
+        .Add("version", wanted.version)
+        .Add("read", aIsAll ? "with all rows" : "as a change")
+        .Add("older_end_in", OldWeightsLeft(wanted.model)));
   }
   if (is_new) {
     m_forwarder.SetWantedWeights(m_wanted);
@@ -212,6 +216,38 @@
            static_cast<core::Duration::rep>(kOldWeightsShare * whole));
 }
 
+core::Duration
+EntryControl::OldWeightsLeft(const core::ModelId& aModel) const
+{
+  const core::Instant now = core::RuntimeClock::now();
+  const core::WantedWeights& wanted = m_wanted.at(aModel);
+  const core::Instant end = wanted.BeginUntil(wanted.Newest() - 1);
+  return std::max(end - now, core::Duration(0));
+}
+
+std::vector<Gauge>
+EntryControl::WeightsGauges() const
+{
+  std::vector<Gauge> gauges;
+  const auto add = [&](const char* aName, const char* aHelp, auto aValueOf) {
+    for (const auto& [model, wanted] : m_wanted) {
+      gauges.push_back(
+        { aName, aHelp, "model", model.Text(), aValueOf(model, wanted) });
+    }
+  };
+  add("jujubehead_weights_wanted",
+      "Newest version of a model's weights.",
+      [](const core::ModelId&, const core::WantedWeights& aWanted) {
+        return static_cast<double>(aWanted.Newest());
+      });
+  add("jujubehead_older_weights_seconds",
+      "For how long requests may begin on older weights.",
+      [this](const core::ModelId& aModel, const core::WantedWeights&) {
+        return std::chrono::duration<double>(OldWeightsLeft(aModel)).count();
+      });
+  return gauges;
+}
+
 void
 EntryControl::OnOperatorSilent()
 {
--- a/src/jujubehead/node/control/entry_control.hpp
+++ b/src/jujubehead/node/control/entry_control.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>   // for uint64_t
 #include <map>       // for map
 #include <memory>    // for unique_ptr
+#include <vector>    // for vector
 
 #include <boost/asio/awaitable.hpp>  // for awaitable
 #include <boost/asio/io_context.hpp> // for io_context
@@ -14,6 +15,7 @@
 #include "jujubehead/core/routing/target_book.hpp"      // for TargetBook
 #include "jujubehead/node/control/platform.hpp"         // for Platform
 #include "jujubehead/node/forward/entry_options.hpp"    // for EntryOptions
+#include "jujubehead/node/metrics.hpp"                  // for Gauge
 
 #include "../forward/forwarder.hpp" // for Forwarder
 #include "hub_exchange.hpp"         // for HubExchange
@@ -48,6 +50,8 @@
   /// @return what answers instances that ask for news.
   [[nodiscard]] HubExchange& Hubs() { return m_hubs; }
   [[nodiscard]] std::size_t Targets() const { return m_targets_in_all; }
+  /// @return the metrics of the weights that are wanted.
+  [[nodiscard]] std::vector<Gauge> WeightsGauges() const;
   /// @return the version up to which all rows of the platform were read.
   [[nodiscard]] std::uint64_t ReadUpTo() const
   {
@@ -55,7 +59,7 @@
   }
 
 private:
-  void OnOperatorNews(const OperatorNews& aNews);
+  void OnOperatorNews(const OperatorNews& aNews, bool aIsAll);
   void OnRegistryNews(const RegistryNews& aNews, bool aIsAll);
   void OnOperatorSilent();
   void OnSharedNews(const SharedNews& aNews, bool aIsAll);
@@ -63,6 +67,10 @@
   boost::asio::awaitable<void> KeepInstanceRows();
   /// @return when no request may begin on weights that are replaced now.
   [[nodiscard]] core::Instant OldWeightsEnd() const;
+  /// @return for how long requests may still begin on the weights before the
+  /// newest; 0 when they may not.
+  [[nodiscard]] core::Duration OldWeightsLeft(
+    const core::ModelId& aModel) const;
   void PublishTargets();
   StoreWatchHooks HooksOfStores();
   HubHooks HooksOfHubs();
--- a/src/jujubehead/node/entry.cpp
+++ b/src/jujubehead/node/entry.cpp
@@ -132,6 +132,9 @@
     gauge("jujubehead_ready",
           "Whether callers are taken.",
           !m_stopping && m_control.IsReady() ? 1 : 0);
+    for (Gauge& one : m_control.WeightsGauges()) {
+      gauges.push_back(std::move(one));
+    }
     net::HttpResponse response;
     response.headers.Add("Content-Type", "text/plain; version=0.0.4");
     response.body = m_metrics->Render(gauges);
--- a/src/jujubehead/node/forward/forward_attempt.cpp
+++ b/src/jujubehead/node/forward/forward_attempt.cpp
@@ -95,6 +95,7 @@
 {
   m_tried.insert(aTarget->target.id);
   m_last_target = aTarget->target.id.Text();
+  m_last_weights.reset();
   ExchangeOptions options;
   options.request_id = m_facts.request_id;
   options.to_head = m_session->Request().head.method == "HEAD";
@@ -135,8 +136,9 @@
   if (IsOver()) {
     co_return AttemptEnd::kNotSent;
   }
-  aExchange.Send(
-    TargetMessage(m_state.dialect, m_session->Request(), CallFor(aTarget)));
+  const TargetCall call = CallFor(aTarget);
+  m_last_weights = call.weight_version;
+  aExchange.Send(TargetMessage(m_state.dialect, m_session->Request(), call));
   SetPatience(aTarget);
   const ReplyPart part = co_await aExchange.ReadHead();
   if (part == ReplyPart::kBroken) {
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -214,13 +214,14 @@
     last = *ended;
     Count(last);
     const NextStep step = core::AfterAttempt(last, m_history);
-    m_state.log.Write(
-      LogLine("attempt_ended")
-        .Add("request", m_facts.request_id)
-        .Add("target", m_last_target)
-        .Add("end", NameOf(last))
-        .Add("why", m_last_why)
-        .Add("again", step == NextStep::kSendAgain ? "yes" : "no"));
+    LogLine line("attempt_ended");
+    line.Add("request", m_facts.request_id)
+      .Add("target", m_last_target)
+      .Add("end", NameOf(last))
+      .Add("why", m_last_why)
+      .Add("again", step == NextStep::kSendAgain ? "yes" : "no");
+    AddWeights(line);
+    m_state.log.Write(line);
     if (step != NextStep::kSendAgain) {
       co_await Conclude(step);
       co_return;
@@ -312,12 +313,21 @@
     .Add("took", took)
     .Add("configuration",
          m_configuration ? m_configuration->Version() : std::uint64_t(0));
+  AddWeights(line);
   if (!aWhy.empty()) {
     line.Add("why", aWhy);
   }
   m_state.log.Write(line);
 }
 
+void
+ForwardRun::AddWeights(LogLine& aLine) const
+{
+  if (m_last_weights) {
+    aLine.Add("weights", *m_last_weights);
+  }
+}
+
 std::vector<std::shared_ptr<FleetTarget>>
 ForwardRun::Candidates() const
 {
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -1,6 +1,7 @@
 #ifndef JUJUBEHEAD_NODE_FORWARD_FORWARD_RUN_HPP
 #define JUJUBEHEAD_NODE_FORWARD_FORWARD_RUN_HPP
 
+#include <cstdint>  // for uint64_t
 #include <memory>   // for shared_ptr
 #include <optional> // for optional
 #include <set>      // for set
@@ -75,6 +76,7 @@
   [[nodiscard]] core::Duration TimeOnWeights(const TargetCall& aCall) const;
   void Stop();
   void LogEnd(std::string_view aEvent, unsigned aStatus, std::string_view aWhy);
+  void AddWeights(LogLine& aLine) const;
 
   [[nodiscard]] core::Duration TimeLeft() const;
   [[nodiscard]] bool IsOver() const
@@ -99,6 +101,8 @@
   double m_load_at_send = 0; ///< Requests at its target then.
   std::string m_last_why;
   std::string m_last_target;
+  /// The weights that the last target was expected to have.
+  std::optional<std::uint64_t> m_last_weights;
 
   net::Deadline m_deadline;
   net::Deadline m_patience;
