Tests of the incident, which fail: old weights over a restart and over short absences

Cause as the tests show it: the end of old weights is counted from when a process first reads of newer ones, and each failed call moves it by its whole length.

The stand-ins can turn calls away and refuse orders, a deployment can restart its instance.

--- a/standin/entry_deployment.cpp
+++ b/standin/entry_deployment.cpp
@@ -72,47 +72,87 @@
   std::thread m_thread;
 };
 
-class Deployed final : public EntryDeployment
+/// An instance as one process runs it: what it believes ends with it.
+class RunningInstance
 {
 public:
-  explicit Deployed(std::size_t aTargets)
+  explicit RunningInstance(const node::EntryOptions& aOptions)
     : m_metrics(node::Metrics::Create())
+    , m_paths(aOptions.table_service, aOptions.instance_id.Text())
+    , m_forwarder(aOptions, m_dialect, *m_metrics)
+  {
+    m_forwarder.Start();
+    m_own.Do([&] {
+      m_control = std::make_unique<node::EntryControl>(
+        m_own.context,
+        aOptions,
+        platform::Connect(m_own.context, m_paths),
+        m_paths,
+        m_forwarder);
+      m_control->Start();
+    });
+  }
+  ~RunningInstance()
+  {
+    m_own.Join();
+    m_forwarder.Stop();
+  }
+  RunningInstance(const RunningInstance&) = delete;
+  RunningInstance& operator=(const RunningInstance&) = delete;
+  RunningInstance(RunningInstance&&) = delete;
+  RunningInstance& operator=(RunningInstance&&) = delete;
+
+  [[nodiscard]] std::uint16_t Port() const { return m_forwarder.Port(); }
+  /// Asks the control thread.
+  template<typename Question>
+  auto Ask(Question aQuestion)
+  {
+    return m_own.Do([&] { return aQuestion(*m_control); });
+  }
+
+private:
+  ContextThread m_own; ///< Of the control.
+  platform::HeaderLines m_dialect;
+  std::unique_ptr<node::Metrics> m_metrics;
+  core::StorePaths m_paths;
+  node::Forwarder m_forwarder;
+  std::unique_ptr<node::EntryControl> m_control;
+};
+
+class Deployed final : public EntryDeployment
+{
+public:
+  explicit Deployed(const EntryDeploymentOptions& aOptions)
+    : m_targets(aOptions.targets)
   {
     node::ConfigureLog({}, node::LogStream::kErr);
-    m_world.Do([&] { StartStandIns(aTargets); });
-    WriteRows(aTargets);
+    m_world.Do([&] { StartStandIns(m_targets); });
+    WriteRows(m_targets);
     m_options.instance_id = core::InstanceId("i1");
     m_options.data_centre = core::DataCentreId("dc-1");
     m_options.caller_address = "127.0.0.1:0";
     m_options.table_service = m_stand_ins.at("rows")->Authority();
     m_options.repeats.fixed = 100;
-    m_forwarder =
-      std::make_unique<node::Forwarder>(m_options, m_dialect, *m_metrics);
-    m_forwarder->Start();
-    m_own.Do([&] {
-      m_paths =
-        std::make_unique<core::StorePaths>(m_options.table_service, "i1");
-      m_control = std::make_unique<node::EntryControl>(
-        m_own.context,
-        m_options,
-        platform::Connect(m_own.context, *m_paths),
-        *m_paths,
-        *m_forwarder);
-      m_control->Start();
-    });
-    if (!Await([&] { return Serves(aTargets); })) {
-      throw std::runtime_error("the instance does not serve");
-    }
+    m_options.weights_time = aOptions.weights_time;
+    Restart();
   }
 
   ~Deployed() override
   {
-    m_own.Join();
-    m_forwarder->Stop();
+    m_instance.reset();
     m_world.Do([&] { m_stand_ins.clear(); });
     m_world.Join();
   }
 
+  void Restart() override
+  {
+    m_instance.reset();
+    m_instance = std::make_unique<RunningInstance>(m_options);
+    if (!Await([&] { return Serves(); })) {
+      throw std::runtime_error("the instance does not serve");
+    }
+  }
+
   net::HttpResponse Call(const std::string& aMethod,
                          const std::string& aPath,
                          const net::HttpHeaders& aHeaders,
@@ -121,7 +161,7 @@
     asio::io_context context(1);
     const auto client = net::HttpClient::Create(context);
     net::HttpCall call;
-    call.authority = "127.0.0.1:" + std::to_string(m_forwarder->Port());
+    call.authority = "127.0.0.1:" + std::to_string(m_instance->Port());
     call.method = aMethod;
     call.target = aPath;
     call.headers.Add("Host", "a.example");
@@ -135,7 +175,7 @@
   std::string CallRaw(const std::string& aBytes) override
   {
     asio::io_context context(1);
-    net::test::RawCaller caller(context, m_forwarder->Port());
+    net::test::RawCaller caller(context, m_instance->Port());
     return net::RunAwaitable(context, Exchange(caller, aBytes));
   }
 
@@ -143,7 +183,7 @@
                     std::chrono::milliseconds aAfter) override
   {
     asio::io_context context(1);
-    net::test::RawCaller caller(context, m_forwarder->Port());
+    net::test::RawCaller caller(context, m_instance->Port());
     net::RunAwaitable(context, WriteOnly(caller, aBytes));
     std::this_thread::sleep_for(aAfter);
   }
@@ -219,7 +259,9 @@
   {
     const auto version = Stats("rows").at("version").get<std::uint64_t>();
     return Await([&] {
-      return m_own.Do([&] { return m_control->ReadUpTo(); }) >= version;
+      return m_instance->Ask([](node::EntryControl& aControl) {
+        return aControl.ReadUpTo();
+      }) >= version;
     });
   }
 
@@ -290,10 +332,10 @@
     net::RunAwaitable(context, ReadAll(*client, std::move(call)));
   }
 
-  bool Serves(std::size_t aTargets)
+  bool Serves()
   {
-    return m_own.Do([&] {
-      return m_control->IsReady() && m_control->Targets() == 2 * aTargets;
+    return m_instance->Ask([this](node::EntryControl& aControl) {
+      return aControl.IsReady() && aControl.Targets() == 2 * m_targets;
     });
   }
 
@@ -334,23 +376,19 @@
     co_return true;
   }
 
+  std::size_t m_targets;
   ContextThread m_world; ///< Of the stand-ins.
-  ContextThread m_own;   ///< Of the instance's control.
   std::map<std::string, std::unique_ptr<StandIn>> m_stand_ins;
   node::EntryOptions m_options;
-  platform::HeaderLines m_dialect;
-  std::unique_ptr<node::Metrics> m_metrics;
-  std::unique_ptr<node::Forwarder> m_forwarder;
-  std::unique_ptr<core::StorePaths> m_paths;
-  std::unique_ptr<node::EntryControl> m_control;
+  std::unique_ptr<RunningInstance> m_instance;
 };
 
 } // namespace
 
 std::unique_ptr<EntryDeployment>
-EntryDeployment::Start(std::size_t aTargets)
+EntryDeployment::Start(const EntryDeploymentOptions& aOptions)
 {
-  return std::make_unique<Deployed>(aTargets);
+  return std::make_unique<Deployed>(aOptions);
 }
 
 } // namespace jujubehead::standin
--- a/standin/entry_deployment.hpp
+++ b/standin/entry_deployment.hpp
@@ -1,6 +1,8 @@
 #ifndef JUJUBEHEAD_STANDIN_ENTRY_DEPLOYMENT_HPP
 #define JUJUBEHEAD_STANDIN_ENTRY_DEPLOYMENT_HPP
 
+#include <chrono>     // for milliseconds
+#include <cstddef>    // for size_t
 #include <functional> // for function
 #include <memory>     // for unique_ptr
 #include <string>     // for string
@@ -13,6 +15,14 @@
 
 namespace jujubehead::standin {
 
+/// @brief What differs between deployments.
+struct EntryDeploymentOptions
+{
+  std::size_t targets = 2; ///< Of each kind.
+  /// As in node::EntryOptions.
+  std::chrono::milliseconds weights_time = std::chrono::seconds(10);
+};
+
 /// @brief An entry instance and the stand-ins of the platform that it needs, in
 /// one process: real sockets on loopback, real threads. For tests.
 ///
@@ -23,7 +33,8 @@
 public:
   /// @brief Starts everything and waits until the instance serves.
   /// @throws std::runtime_error when that does not come about.
-  static std::unique_ptr<EntryDeployment> Start(std::size_t aTargets);
+  static std::unique_ptr<EntryDeployment> Start(
+    const EntryDeploymentOptions& aOptions);
   virtual ~EntryDeployment() = default;
 
   /// @brief Calls the instance and waits for its whole reply. A reply that was
@@ -38,6 +49,10 @@
   virtual void CallAndLeave(const std::string& aBytes,
                             std::chrono::milliseconds aAfter) = 0;
 
+  /// @brief Ends the instance as a kill would, and starts it anew; waits until
+  /// it serves. @throws std::runtime_error when that does not come about.
+  virtual void Restart() = 0;
+
   /// @param aName `model0`, `model1`, ..., `service0`, ..., `rows`, `parts`.
   virtual nlohmann::json Stats(const std::string& aName) = 0;
   virtual void SetFault(const std::string& aName,
--- a/standin/entry_path_test.cpp
+++ b/standin/entry_path_test.cpp
@@ -54,7 +54,7 @@
 TEST_GROUP(EntryPath)
 {
   std::unique_ptr<EntryDeployment> deployment =
-    EntryDeployment::Start(kTargets);
+    EntryDeployment::Start({ kTargets });
 
   /// All runs that targets of a kind saw.
   json Runs(const std::string& aKind)
--- /dev/null
+++ b/standin/old_weights_test.cpp
@@ -0,0 +1,103 @@
+#include <chrono> // for steady_clock
+#include <thread> // for sleep_until
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+#include "standin/entry_deployment.hpp"
+
+// Seen: 22.5 s after newer weights were named, requests still began on a target
+// with the old ones; 10 s are allowed. The targets' deadlines for these
+// requests ended 9.5 s after the start of the instances that had sent them.
+//
+// How it came about: while the roll-out was under way the operators' store was
+// away for 4 s, then all instances were killed at once. Each of them read the
+// name of the newer weights at its start and let requests begin on the old ones
+// for the whole time anew.
+//
+// Cause: a time that operators count from when the weights were named was
+// counted from when a process first read of it, and moved on by each call that
+// failed. What a belief is counted from has to outlive the process, and only an
+// absence of the store that was seen may move it, by no more than it took.
+//
+// Proof: the ends of old weights as the two instances told them to the target
+// lie 9.5 s after each one's start, not after the naming, nor after the store's
+// absence. These tests bring both about; on the code of then they fail.
+
+using namespace jujubehead;
+using namespace std::chrono_literals;
+using nlohmann::json;
+using standin::EntryDeployment;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kUnavailable = 503;
+
+json
+Named(int aVersion)
+{
+  return { { "model", "m1" }, { "version", aVersion } };
+}
+
+} // namespace
+
+TEST_GROUP(OldWeights)
+{
+  std::unique_ptr<EntryDeployment> deployment;
+  Clock::time_point named;
+
+  /// Names newer weights that no target ever gets.
+  void NameWeights(std::chrono::milliseconds aAllowed)
+  {
+    deployment = EntryDeployment::Start({ 2, aAllowed });
+    deployment->SetFault("model0", "busy", json::object());
+    deployment->SetFault("model1", "busy", json::object());
+    named = Clock::now();
+    deployment->PutRow("op", "version/m1", Named(2));
+    CHECK(deployment->AwaitRead());
+  }
+  /// @return the status of a request that wants the model.
+  unsigned Ask()
+  {
+    net::HttpHeaders lines;
+    lines.Add("X-Attempt-Id", "r1");
+    lines.Add("Authorization", "Token key-1");
+    lines.Add("X-Model", "m1");
+    lines.Add("X-Token-Usage", "60,80");
+    lines.Add("X-Prompt-Prefix", "aa:50,bb:10");
+    return deployment->Call("POST", "/chat/x", lines, "hello").status;
+  }
+  void SleepTo(std::chrono::milliseconds aAfterNaming) const
+  {
+    std::this_thread::sleep_until(named + aAfterNaming);
+  }
+};
+
+// The last 2.5 s of the allowed time are left to requests that wait at targets.
+
+TEST(OldWeights, TheirTimeGoesOnOverARestart)
+{
+  NameWeights(8000ms);
+  SleepTo(2000ms);
+  LONGS_EQUAL(kOk, Ask());
+  deployment->Restart();
+  SleepTo(3000ms);
+  LONGS_EQUAL(kOk, Ask());
+  // Counted from the naming it ends at 5.1 s, from the start at 7.1 s.
+  SleepTo(6000ms);
+  LONGS_EQUAL(kUnavailable, Ask());
+}
+
+TEST(OldWeights, ShortAbsencesOfTheStoreDoNotMoveTheirEndForEver)
+{
+  NameWeights(4000ms);
+  for (int i = 1; i <= 8; ++i) {
+    SleepTo(i * 1000ms);
+    deployment->SetFault("rows", "turn_away", { { "count", 8 } });
+  }
+  // The store answered for most of 8.4 s; 4 s are allowed.
+  SleepTo(8400ms);
+  LONGS_EQUAL(kUnavailable, Ask());
+}
--- a/standin/registered_face.cpp
+++ b/standin/registered_face.cpp
@@ -72,6 +72,11 @@
 
   asio::awaitable<void> TakeOrder(net::HttpExchange& aExchange)
   {
+    if (Fault("busy") != nullptr) {
+      // As while another order is under way that does not end.
+      co_await Reply(aExchange, 409, json::object());
+      co_return;
+    }
     const json order = json::parse(aExchange.Request().body, nullptr, false);
     const bool is_fresh =
       order.value("expected_rev", std::uint64_t(0)) == m_orders.size();
--- a/standin/rows_face.cpp
+++ b/standin/rows_face.cpp
@@ -46,6 +46,10 @@
     const net::HttpRequest& request = aExchange.Request();
     const std::string path(request.Path());
     const std::string table = request.Query("table").value_or("");
+    if (TakeFault("turn_away")) {
+      co_await ReplyError(aExchange, 503, "not_now");
+      co_return;
+    }
     if (path == "/rows-get") {
       const json page = Page(table, 0, false);
       co_await Reply(aExchange, 200, page);
