Count the end of old weights from when newer ones were named, over restarts and absences

Cause (its class: a belief that is counted from a moment, where the moment is this process's own): the end of old weights was counted from when a process first read of newer ones, so a restart allowed them for the whole time anew; and each failed call moved the end by the whole time, without limit.

Mend: instances record on the store's clock when a version was named (one row a model, one write a naming); who starts reads it there. Nothing recorded at a start: half of the time is assumed gone. The lease for orders says when it was renewed, by the same clock, so that after a restart of all only the rest of its time is waited.

Ruled out: an absolute end without regard to absences (nobody can load then, and all targets would be refused); each instance telling its age to others (all may end at once).

Before: OldWeights.TheirTimeGoesOnOverARestart and ShortAbsencesOfTheStoreDoNotMove- TheirEndForEver failed (200 for 503). After: both pass; core 245, platform 13, app 25, node 39, net 125 tests pass.

Rollout.AnAbsenceMovesOnlyDeadlinesThatAreAhead went with WantedWeights::Extend; what it said is said more strictly by StoreAbsences.AnEndThatHasPassedIsNotMoved and AfterOneTheTimeBeginsAnewWithinWhatIsLeftInAll.

--- a/include/jujubehead/core/membership/hubs.hpp
+++ b/include/jujubehead/core/membership/hubs.hpp
@@ -31,6 +31,13 @@
        std::string_view aSelf,
        const HubOptions& aOptions = {});
 
+/// @return an instance's place in an order of them all that depends on a seed
+/// and that all instances that know the same rows agree on; 0 is the first.
+std::size_t
+RankOf(std::vector<KnownInstance> aInstances,
+       std::string_view aSelf,
+       std::string_view aSeed);
+
 /// @brief Whether an instance is a hub, and which are; kept over changes of the
 /// instances that are known. Before any is known it watches by itself.
 class HubRole
--- a/include/jujubehead/core/weights/order_lease.hpp
+++ b/include/jujubehead/core/weights/order_lease.hpp
@@ -6,6 +6,7 @@
 #include <string>      // for string
 #include <string_view> // for string_view
 
+#include "jujubehead/core/remote_clock.hpp"  // for RemoteMs
 #include "jujubehead/core/runtime_clock.hpp" // for Instant, Duration
 
 namespace jujubehead::core {
@@ -24,14 +25,31 @@
   Duration renewal = std::chrono::milliseconds(500);
 };
 
+/// @brief What the lease's row says.
+struct LeaseRow
+{
+  std::string holder;
+  /// When the holder began to write it, at the latest, on the store's clock;
+  /// nothing where that was not known.
+  std::optional<RemoteMs> begun;
+};
+
+/// @return the row as text, and back. Text of another form names a holder only.
+std::string
+ToText(const LeaseRow& aRow);
+LeaseRow
+LeaseRowOf(const std::string& aText);
+
 /// @brief The lease by which one instance at a time gives orders to targets.
 ///
 /// It is one row in a store of the platform, written only under the condition
-/// that nobody wrote it meanwhile. No clock of another machine is compared: the
-/// holder counts its term from before it began to write, and another takes the
-/// lease only after it has seen the row unchanged for the term, the gap and the
-/// margin. The row's version at the taking is the fencing token, which so grows
-/// from holder to holder.
+/// that nobody wrote it meanwhile. The holder counts its term from before it
+/// began to write, and another takes the lease only after the row was unchanged
+/// for the term, the gap and the margin: since it first saw it, or since it was
+/// written by the store's clock, which all compare with their own within
+/// bounds. So an instance that starts need not wait for what has passed already
+/// (5 s, half of the time that a roll-out is allowed). The row's version at the
+/// taking is the fencing token, which so grows from holder to holder.
 ///
 /// Instants have to come from a clock that counts while the machine sleeps.
 ///
@@ -52,7 +70,11 @@
 
   /// @brief The row was read, or is known to be missing.
   /// @param aVersion 0: there is no row.
-  void OnRow(std::string_view aHolder, std::uint64_t aVersion, Instant aNow);
+  /// @param aBegun when its writing was begun, at the latest; nothing: unknown.
+  void OnRow(std::string_view aHolder,
+             std::uint64_t aVersion,
+             Instant aNow,
+             std::optional<Instant> aBegun = std::nullopt);
 
   /// @brief This instance is about to end: it takes the lease no more, as the
   /// next one would have to wait it out, but goes on with one that it holds.
@@ -77,7 +99,8 @@
 private:
   std::string m_self;
   OrderLeaseOptions m_options;
-  std::optional<Instant> m_row_seen; ///< When it was first seen as it is now.
+  /// Since when it was as it is now, as far as is known.
+  std::optional<Instant> m_unchanged_since;
   std::uint64_t m_row_version = 0;
   bool m_is_mine = false;
   bool m_is_retired = false;
--- a/include/jujubehead/core/weights/rollout.hpp
+++ b/include/jujubehead/core/weights/rollout.hpp
@@ -22,9 +22,6 @@
   /// @param aOnlyNewerFrom from then on no request may begin on older ones.
   /// @return whether it is new.
   bool Add(std::uint64_t aVersion, Instant aOnlyNewerFrom);
-  /// @brief Moves deadlines that are not over to no earlier than that: while
-  /// the platform is away nobody could replace anything.
-  void Extend(Instant aNow, Instant aTo);
 
   /// @return the newest version; 0 before the first.
   [[nodiscard]] std::uint64_t Newest() const;
--- a/include/jujubehead/node/control/known_rows.hpp
+++ b/include/jujubehead/node/control/known_rows.hpp
@@ -4,6 +4,7 @@
 #include <optional> // for optional
 #include <string>   // for string
 
+#include "jujubehead/core/remote_clock.hpp"  // for RemoteClock
 #include "jujubehead/core/runtime_clock.hpp" // for Instant, Duration
 #include "jujubehead/net/http_message.hpp"   // for HttpRequest, HttpResponse
 
@@ -36,10 +37,15 @@
     const std::string& aCursors,
     core::Instant aNow) const = 0;
   /// @param aTold when the store said so, at the latest.
+  /// @param aAsked when the question was sent that they answer.
   /// @return whether those who follow the rows have yet to read changes; until
   /// then what they know is older than this.
   /// @throws std::exception when the bytes are no such news.
-  virtual bool TakeNews(const std::string& aBytes, core::Instant aTold) = 0;
+  virtual bool TakeNews(const std::string& aBytes,
+                        core::Instant aTold,
+                        core::Instant aAsked) = 0;
+  /// @return the clock of the store, by all answers of it and by others' word.
+  [[nodiscard]] virtual const core::RemoteClock& StoreClock() const = 0;
 };
 
 } // namespace jujubehead::node
--- a/include/jujubehead/node/forward/entry_options.hpp
+++ b/include/jujubehead/node/forward/entry_options.hpp
@@ -32,8 +32,11 @@
   core::Duration stop_grace = std::chrono::seconds(8);
   /// Orders of two instances to targets keep at least this distance.
   core::Duration lease_time = std::chrono::seconds(3);
-  /// Time after which no request may begin on replaced weights.
+  /// Time after which no request may begin on replaced weights, since newer
+  /// ones were named or since the operators' store came back.
   core::Duration weights_time = std::chrono::seconds(10);
+  /// The same over all times in which the store was heard; 0: 1.4 times it.
+  core::Duration weights_time_in_all{};
   std::string log_config; ///< log4cxx property file; empty: standard output.
 };
 
--- a/src/jujubehead/app/command_line.cpp
+++ b/src/jujubehead/app/command_line.cpp
@@ -140,6 +140,14 @@
       m_check.Range("lease_time", values.lease_time, 1, kMaxMilliseconds));
     options.weights_time = std::chrono::milliseconds(
       m_check.Range("weights_time", values.weights_time, 1, kMaxMilliseconds));
+    // 0 stands for a multiple of the time above; less than that is a mistake.
+    options.weights_time_in_all =
+      std::chrono::milliseconds(values.weights_time_in_all == 0
+                                  ? 0
+                                  : m_check.Range("weights_time_in_all",
+                                                  values.weights_time_in_all,
+                                                  values.weights_time,
+                                                  kMaxMilliseconds));
     options.log_config = m_check.ReadableFile("log_config", values.log_config);
     return options;
   }
--- a/src/jujubehead/app/command_specs.cpp
+++ b/src/jujubehead/app/command_specs.cpp
@@ -47,6 +47,7 @@
         "stop_grace",
         "lease_time",
         "weights_time",
+        "weights_time_in_all",
         "log_config" },
       { "jujubehead entry --instance_id=i1 --data_centre=kochi-1 "
         "--callers=10.0.0.5:8080 --ready=10.0.0.5:8081 "
--- a/src/jujubehead/app/flags.cpp
+++ b/src/jujubehead/app/flags.cpp
@@ -91,7 +91,10 @@
 DEFINE_uint32(weights_time,
               10000,
               "milliseconds after which no request may begin on replaced "
-              "weights");
+              "weights, while the table service is heard");
+DEFINE_uint32(weights_time_in_all,
+              0,
+              "the same, its absences left out; 0: 1.4 times --weights_time");
 DEFINE_bool(undo, false, "take the planned stop back");
 DEFINE_bool(json, false, "answer as JSON");
 // NOLINTEND(readability-identifier-naming)
@@ -179,6 +182,7 @@
   values.stop_grace = FLAGS_stop_grace;
   values.lease_time = FLAGS_lease_time;
   values.weights_time = FLAGS_weights_time;
+  values.weights_time_in_all = FLAGS_weights_time_in_all;
   values.undo = FLAGS_undo;
   values.json = FLAGS_json;
   return values;
--- a/src/jujubehead/app/flags.hpp
+++ b/src/jujubehead/app/flags.hpp
@@ -54,6 +54,7 @@
   std::uint32_t stop_grace = 0;
   std::uint32_t lease_time = 0;
   std::uint32_t weights_time = 0;
+  std::uint32_t weights_time_in_all = 0;
   bool undo = false;
   bool json = false;
 };
--- a/src/jujubehead/core/membership/hubs.cpp
+++ b/src/jujubehead/core/membership/hubs.cpp
@@ -1,6 +1,6 @@
 #include "jujubehead/core/membership/hubs.hpp"
 
-#include <algorithm> // for sort, any_of
+#include <algorithm> // for sort, any_of, find_if
 #include <cstdint>   // for uint64_t
 
 #include "jujubehead/core/rendezvous.hpp" // for HashName
@@ -36,6 +36,19 @@
   return aInstances;
 }
 
+std::size_t
+RankOf(std::vector<KnownInstance> aInstances,
+       std::string_view aSelf,
+       std::string_view aSeed)
+{
+  SortBySeed(aInstances, aSeed);
+  const auto self =
+    std::find_if(aInstances.begin(),
+                 aInstances.end(),
+                 [&](const KnownInstance& aOne) { return aOne.id == aSelf; });
+  return static_cast<std::size_t>(self - aInstances.begin());
+}
+
 void
 HubRole::Update(std::vector<KnownInstance> aInstances,
                 const HubOptions& aOptions)
--- /dev/null
+++ b/src/jujubehead/core/weights/old_weights.cpp
@@ -0,0 +1,124 @@
+#include "jujubehead/core/weights/old_weights.hpp"
+
+#include <algorithm> // for min
+
+#include <nlohmann/json.hpp> // for json
+
+namespace jujubehead::core {
+namespace {
+
+using nlohmann::json;
+
+/// Versions that are named in quick succession overlap; those before are over.
+constexpr std::size_t kMostNamings = 8;
+constexpr const char* kNamed = "named";
+
+} // namespace
+
+std::string
+ToText(const NamingRecord& aRecord)
+{
+  json named = json::array();
+  for (const auto& [version, when] : aRecord) {
+    named.push_back(json::array({ version, when }));
+  }
+  return json{ { kNamed, named } }.dump();
+}
+
+NamingRecord
+NamingRecordOf(const std::string& aText)
+{
+  NamingRecord record;
+  try {
+    const json parsed = json::parse(aText);
+    for (const json& one : parsed.at(kNamed)) {
+      record[one.at(0).get<std::uint64_t>()] = one.at(1).get<RemoteMs>();
+    }
+  } catch (const json::exception&) {
+    // Another writer's row: nothing is known by it, and it is written anew.
+    return {};
+  }
+  return record;
+}
+
+bool
+OldWeights::OnRead(const ModelId& aModel,
+                   std::uint64_t aVersion,
+                   bool aIsAll,
+                   Instant aTold)
+{
+  Model& model = m_models[aModel];
+  if (aVersion <= model.newest) {
+    return false;
+  }
+  model.newest = aVersion;
+  Naming naming;
+  if (!aIsAll) {
+    naming.when = aTold;
+  } else if (m_last_answer) {
+    naming.when = *m_last_answer;
+  } else {
+    // All instances may have ended before any of them could record it. Half of
+    // the time is left for the roll-out: it takes some seven seconds of ten.
+    naming.when = aTold - m_time.in_one / 2;
+    naming.is_assumed = true;
+  }
+  model.namings.emplace(aVersion, naming);
+  return true;
+}
+
+bool
+OldWeights::OnRecorded(const ModelId& aModel,
+                       std::uint64_t aVersion,
+                       Instant aWhen)
+{
+  const auto [known, is_new] =
+    m_models[aModel].namings.emplace(aVersion, Naming{ aWhen, false });
+  if (is_new) {
+    return true;
+  }
+  Naming& naming = known->second;
+  if (!naming.is_assumed && naming.when <= aWhen) {
+    return false;
+  }
+  naming = { aWhen, false };
+  return true;
+}
+
+void
+OldWeights::OnAnswer(Instant aTold)
+{
+  m_last_answer = std::max(m_last_answer.value_or(aTold), aTold);
+  m_absences.OnAnswer(aTold);
+}
+
+std::map<ModelId, WantedWeights>
+OldWeights::Wanted(Instant aNow) const
+{
+  std::map<ModelId, WantedWeights> wanted;
+  for (const auto& [id, model] : m_models) {
+    for (const auto& [version, naming] : model.namings) {
+      // A record may be ahead of what was read of the operator.
+      if (version <= model.newest) {
+        wanted[id].Add(version, m_absences.EndOf(naming.when, m_time, aNow));
+      }
+    }
+  }
+  return wanted;
+}
+
+std::map<std::uint64_t, OldWeights::Naming>
+OldWeights::ToRecord(const ModelId& aModel) const
+{
+  const auto model = m_models.find(aModel);
+  if (model == m_models.end()) {
+    return {};
+  }
+  std::map<std::uint64_t, Naming> namings = model->second.namings;
+  while (namings.size() > kMostNamings) {
+    namings.erase(namings.begin());
+  }
+  return namings;
+}
+
+} // namespace jujubehead::core
--- /dev/null
+++ b/src/jujubehead/core/weights/old_weights_test.cpp
@@ -0,0 +1,108 @@
+#include "jujubehead/core/weights/old_weights.hpp"
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+using namespace jujubehead::core;
+using std::chrono::seconds;
+
+namespace {
+
+const HeardTime kTime{ seconds(10), seconds(14) };
+const ModelId kModel("m1");
+
+Instant
+At(int aSeconds)
+{
+  return Instant(seconds(aSeconds));
+}
+
+} // namespace
+
+TEST_GROUP(OldWeights)
+{
+  OldWeights weights{ kTime };
+
+  Instant EndOf(std::uint64_t aVersion, int aNowSeconds) const
+  {
+    return weights.Wanted(At(aNowSeconds)).at(kModel).BeginUntil(aVersion);
+  }
+};
+
+TEST(OldWeights, AChangeCountsFromWhenItWasTold)
+{
+  weights.OnAnswer(At(1));
+  CHECK(weights.OnRead(kModel, 2, false, At(5)));
+  CHECK_FALSE(weights.OnRead(kModel, 2, false, At(6)));
+  CHECK(EndOf(1, 6) == At(15));
+  CHECK(EndOf(2, 6) == Instant::max());
+}
+
+TEST(OldWeights, AfterLostHistoryItCountsFromTheLastAnswer)
+{
+  weights.OnAnswer(At(1));
+  weights.OnRead(kModel, 2, true, At(5));
+  CHECK(EndOf(1, 6) == At(11));
+}
+
+TEST(OldWeights, AtTheStartHalfOfTheTimeIsAssumedToBeGone)
+{
+  weights.OnRead(kModel, 2, true, At(5));
+  CHECK(EndOf(1, 6) == At(10));
+}
+
+TEST(OldWeights, ARecordCountsMoreThanAnAssumption)
+{
+  weights.OnRead(kModel, 2, true, At(20));
+  CHECK(weights.OnRecorded(kModel, 2, At(18)));
+  CHECK(EndOf(1, 20) == At(28));
+  CHECK_FALSE(weights.OnRecorded(kModel, 2, At(19)));
+  CHECK(weights.OnRecorded(kModel, 2, At(16)));
+  CHECK(EndOf(1, 20) == At(26));
+}
+
+TEST(OldWeights, ARecordTellsVersionsThatTheOperatorsRowTellsNoMore)
+{
+  weights.OnRead(kModel, 3, true, At(20));
+  weights.OnRecorded(kModel, 2, At(8));
+  weights.OnRecorded(kModel, 3, At(18));
+  CHECK(EndOf(1, 20) == At(18));
+  CHECK(EndOf(2, 20) == At(28));
+}
+
+TEST(OldWeights, ARecordAheadOfTheOperatorsRowsWaitsForThem)
+{
+  weights.OnRead(kModel, 2, false, At(5));
+  weights.OnRecorded(kModel, 3, At(6));
+  LONGS_EQUAL(2, weights.Wanted(At(7)).at(kModel).Newest());
+  weights.OnRead(kModel, 3, false, At(8));
+  CHECK(EndOf(2, 8) == At(16));
+}
+
+TEST(OldWeights, AnAbsenceOfTheStoreMovesTheEndByNoMoreThanItTook)
+{
+  weights.OnAnswer(At(1));
+  weights.OnRead(kModel, 2, false, At(5));
+  weights.OnFailure(At(10));
+  weights.OnFailure(At(10));
+  weights.OnAnswer(At(13));
+  // 5 s were heard before it, 9 of 14 are left.
+  CHECK(EndOf(1, 14) == At(22));
+}
+
+TEST(OldWeights, WhatBelongsIntoTheRecordIsBounded)
+{
+  for (std::uint64_t version = 2; version < 40; ++version) {
+    weights.OnRead(kModel, version, false, At(5));
+  }
+  const auto namings = weights.ToRecord(kModel);
+  LONGS_EQUAL(8, namings.size());
+  LONGS_EQUAL(39, namings.rbegin()->first);
+}
+
+TEST(OldWeights, ARecordIsReadBackAndGarbageIsNone)
+{
+  const NamingRecord record{ { 2, 1000 }, { 3, 5000 } };
+  CHECK(record == NamingRecordOf(ToText(record)));
+  CHECK(NamingRecordOf("{\"named\":[[\"x\"]]}").empty());
+  CHECK(NamingRecordOf("]").empty());
+}
--- a/src/jujubehead/core/weights/order_lease.cpp
+++ b/src/jujubehead/core/weights/order_lease.cpp
@@ -1,8 +1,46 @@
 #include "jujubehead/core/weights/order_lease.hpp"
 
-#include <utility> // for move
+#include <algorithm> // for min
+#include <utility>   // for move
+
+#include <nlohmann/json.hpp> // for json
 
 namespace jujubehead::core {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kHolder = "holder";
+constexpr const char* kBegun = "begun_ms";
+
+} // namespace
+
+std::string
+ToText(const LeaseRow& aRow)
+{
+  json row = { { kHolder, aRow.holder } };
+  if (aRow.begun) {
+    row[kBegun] = *aRow.begun;
+  }
+  return row.dump();
+}
+
+LeaseRow
+LeaseRowOf(const std::string& aText)
+{
+  LeaseRow row;
+  try {
+    const json parsed = json::parse(aText);
+    row.holder = parsed.at(kHolder).get<std::string>();
+    if (const auto begun = parsed.find(kBegun); begun != parsed.end()) {
+      row.begun = begun->get<RemoteMs>();
+    }
+  } catch (const json::exception&) {
+    // Whoever wrote it is waited out from when the row was seen.
+    return { aText, std::nullopt };
+  }
+  return row;
+}
 
 OrderLease::OrderLease(std::string aSelf, OrderLeaseOptions aOptions)
   : m_self(std::move(aSelf))
@@ -13,13 +51,14 @@
 void
 OrderLease::OnRow(std::string_view aHolder,
                   std::uint64_t aVersion,
-                  Instant aNow)
+                  Instant aNow,
+                  std::optional<Instant> aBegun)
 {
-  if (m_row_seen && aVersion <= m_row_version) {
+  if (m_unchanged_since && aVersion <= m_row_version) {
     return;
   }
   m_row_version = aVersion;
-  m_row_seen = aNow;
+  m_unchanged_since = std::min(aNow, aBegun.value_or(aNow));
   m_is_mine = aHolder == m_self;
   if (!m_is_mine) {
     m_begun.reset();
@@ -29,13 +68,13 @@
 bool
 OrderLease::MayTake(Instant aNow) const
 {
-  if (!m_row_seen || (m_is_retired && !Holds(aNow))) {
+  if (!m_unchanged_since || (m_is_retired && !Holds(aNow))) {
     return false;
   }
   if (m_row_version == 0 || m_is_mine) {
     return true;
   }
-  return aNow - *m_row_seen >=
+  return aNow - *m_unchanged_since >=
          m_options.term + m_options.gap + m_options.margin;
 }
 
@@ -50,7 +89,7 @@
 {
   const bool was_held = Holds(aBegun);
   m_row_version = aVersion;
-  m_row_seen = aBegun;
+  m_unchanged_since = aBegun;
   m_is_mine = true;
   m_begun = aBegun;
   if (!was_held) {
--- a/src/jujubehead/core/weights/rollout.cpp
+++ b/src/jujubehead/core/weights/rollout.cpp
@@ -47,16 +47,6 @@
   return true;
 }
 
-void
-WantedWeights::Extend(Instant aNow, Instant aTo)
-{
-  for (auto& [version, deadline] : m_deadlines) {
-    if (deadline > aNow && deadline != Instant::max()) {
-      deadline = std::max(deadline, aTo);
-    }
-  }
-}
-
 std::uint64_t
 WantedWeights::Newest() const
 {
--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -1,7 +1,6 @@
 #include "entry_control.hpp"
 
-#include <algorithm> // for max
-#include <utility>   // for move
+#include <utility> // for move
 
 #include <boost/asio/co_spawn.hpp> // for co_spawn
 #include <boost/asio/detached.hpp> // for detached
@@ -29,10 +28,6 @@
 constexpr std::string_view kInstancePrefix = "instances/";
 /// Between two looks at those rows: a new instance is found within seconds.
 constexpr core::Duration kInstanceRowsTime = std::chrono::seconds(2);
-/// Requests may begin on replaced weights for this part of the allowed time;
-/// the rest is for the way of what ends them.
-constexpr double kOldWeightsShare = 0.95;
-
 void
 LogUnread(std::string_view aFeed, const std::vector<std::string>& aUnread)
 {
@@ -57,10 +52,17 @@
   , m_instances(aOptions.instance_id.Text(), aOptions.relay_address)
   , m_role(aOptions.instance_id.Text())
   , m_book(aOptions.registry)
+  , m_deadlines(aContext,
+                aOptions,
+                *m_platform.shared,
+                m_platform.known->StoreClock(),
+                m_instances,
+                HooksOfDeadlines())
   , m_weights(aContext,
               aOptions,
               *m_platform.shared,
               *m_platform.orders,
+              m_platform.known->StoreClock(),
               aForwarder)
   , m_keeper(aContext,
              *m_platform.stores,
@@ -87,6 +89,22 @@
   return hooks;
 }
 
+WeightsDeadlinesHooks
+EntryControl::HooksOfDeadlines()
+{
+  WeightsDeadlinesHooks hooks;
+  hooks.on_wanted = [this](const WantedByModel& aWanted) {
+    m_forwarder.SetWantedWeights(aWanted);
+    m_weights.SetWanted(aWanted);
+    m_keeper.SetWanted(aWanted);
+  };
+  // Whoever gives orders or frees parts knows no ends.
+  hooks.on_moved = [this](const WantedByModel& aWanted) {
+    m_forwarder.SetWantedWeights(aWanted);
+  };
+  return hooks;
+}
+
 HubHooks
 EntryControl::HooksOfHubs()
 {
@@ -115,7 +133,12 @@
   operators.on_news = [this](const OperatorNews& aNews, bool aIsAll) {
     OnOperatorNews(aNews, aIsAll);
   };
-  operators.on_silence = [this] { OnOperatorSilent(); };
+  operators.on_silence = [this](PlatformFault aFault) {
+    // That the history is lost is an answer.
+    if (aFault != PlatformFault::kHistoryLost) {
+      m_deadlines.OnOperatorFailure();
+    }
+  };
   FollowOptions operator_options;
   operator_options.name = "operator";
   asio::co_spawn(m_context,
@@ -125,7 +148,7 @@
   registry.on_news = [this](const RegistryNews& aNews, bool aIsAll) {
     OnRegistryNews(aNews, aIsAll);
   };
-  registry.on_silence = [this] { m_book.OnSilence(); };
+  registry.on_silence = [this](PlatformFault) { m_book.OnSilence(); };
   FollowOptions registry_options;
   registry_options.name = "registry";
   registry_options.pause = kRegistryPause;
@@ -149,6 +172,7 @@
     asio::co_spawn(m_context, KeepInstanceRows(), asio::detached);
     m_hubs.Start();
   }
+  m_deadlines.Start();
   m_weights.Start();
   m_keeper.Start();
 }
@@ -187,74 +211,7 @@
     m_keeper.SetStores(m_configuration->All().stores);
     m_stores.SetStores(m_configuration->All().stores);
   }
-  bool is_new = false;
-  for (const core::LoadedModel& wanted : aNews.wanted) {
-    if (!m_wanted[wanted.model].Add(wanted.version, OldWeightsEnd())) {
-      continue;
-    }
-    is_new = true;
-    DecisionLog::WriteAlways(
-      LogLine("weights_wanted")
-        .Add("model", wanted.model.View())
-        .Add("version", wanted.version)
-        .Add("read", aIsAll ? "with all rows" : "as a change")
-        .Add("older_end_in", OldWeightsLeft(wanted.model)));
-  }
-  if (is_new) {
-    m_forwarder.SetWantedWeights(m_wanted);
-    m_weights.SetWanted(m_wanted);
-    m_keeper.SetWanted(m_wanted);
-  }
-}
-
-core::Instant
-EntryControl::OldWeightsEnd() const
-{
-  const double whole = static_cast<double>(m_options.weights_time.count());
-  return core::RuntimeClock::now() +
-         core::Duration(
-           static_cast<core::Duration::rep>(kOldWeightsShare * whole));
-}
-
-core::Duration
-EntryControl::OldWeightsLeft(const core::ModelId& aModel) const
-{
-  const core::Instant now = core::RuntimeClock::now();
-  const core::WantedWeights& wanted = m_wanted.at(aModel);
-  const core::Instant end = wanted.BeginUntil(wanted.Newest() - 1);
-  return std::max(end - now, core::Duration(0));
-}
-
-std::vector<Gauge>
-EntryControl::WeightsGauges() const
-{
-  std::vector<Gauge> gauges;
-  const auto add = [&](const char* aName, const char* aHelp, auto aValueOf) {
-    for (const auto& [model, wanted] : m_wanted) {
-      gauges.push_back(
-        { aName, aHelp, "model", model.Text(), aValueOf(model, wanted) });
-    }
-  };
-  add("jujubehead_weights_wanted",
-      "Newest version of a model's weights.",
-      [](const core::ModelId&, const core::WantedWeights& aWanted) {
-        return static_cast<double>(aWanted.Newest());
-      });
-  add("jujubehead_older_weights_seconds",
-      "For how long requests may begin on older weights.",
-      [this](const core::ModelId& aModel, const core::WantedWeights&) {
-        return std::chrono::duration<double>(OldWeightsLeft(aModel)).count();
-      });
-  return gauges;
-}
-
-void
-EntryControl::OnOperatorSilent()
-{
-  for (auto& [model, wanted] : m_wanted) {
-    wanted.Extend(core::RuntimeClock::now(), OldWeightsEnd());
-  }
-  m_forwarder.SetWantedWeights(m_wanted);
+  m_deadlines.OnOperatorNews(aNews, aIsAll);
 }
 
 void
@@ -287,6 +244,7 @@
 void
 EntryControl::OnSharedNews(const SharedNews& aNews, bool aIsAll)
 {
+  m_deadlines.OnSharedNews(aNews, aIsAll);
   m_weights.OnSharedNews(aNews, aIsAll);
   bool is_told_of_instances = aIsAll;
   if (aIsAll) {
--- a/src/jujubehead/node/control/entry_control.hpp
+++ b/src/jujubehead/node/control/entry_control.hpp
@@ -3,7 +3,6 @@
 
 #include <algorithm> // for min
 #include <cstdint>   // for uint64_t
-#include <map>       // for map
 #include <memory>    // for unique_ptr
 #include <vector>    // for vector
 
@@ -15,12 +14,12 @@
 #include "jujubehead/core/routing/target_book.hpp"      // for TargetBook
 #include "jujubehead/node/control/platform.hpp"         // for Platform
 #include "jujubehead/node/forward/entry_options.hpp"    // for EntryOptions
-#include "jujubehead/node/metrics.hpp"                  // for Gauge
 
 #include "../forward/forwarder.hpp" // for Forwarder
 #include "hub_exchange.hpp"         // for HubExchange
 #include "store_keeper.hpp"         // for StoreKeeper
 #include "store_watch.hpp"          // for StoreWatch
+#include "weights_deadlines.hpp"    // for WeightsDeadlines
 #include "weights_giver.hpp"        // for WeightsGiver
 
 namespace jujubehead::node {
@@ -51,7 +50,10 @@
   [[nodiscard]] HubExchange& Hubs() { return m_hubs; }
   [[nodiscard]] std::size_t Targets() const { return m_targets_in_all; }
   /// @return the metrics of the weights that are wanted.
-  [[nodiscard]] std::vector<Gauge> WeightsGauges() const;
+  [[nodiscard]] std::vector<Gauge> WeightsGauges() const
+  {
+    return m_deadlines.Gauges();
+  }
   /// @return the version up to which all rows of the platform were read.
   [[nodiscard]] std::uint64_t ReadUpTo() const
   {
@@ -61,19 +63,13 @@
 private:
   void OnOperatorNews(const OperatorNews& aNews, bool aIsAll);
   void OnRegistryNews(const RegistryNews& aNews, bool aIsAll);
-  void OnOperatorSilent();
   void OnSharedNews(const SharedNews& aNews, bool aIsAll);
   void SetInstances();
   boost::asio::awaitable<void> KeepInstanceRows();
-  /// @return when no request may begin on weights that are replaced now.
-  [[nodiscard]] core::Instant OldWeightsEnd() const;
-  /// @return for how long requests may still begin on the weights before the
-  /// newest; 0 when they may not.
-  [[nodiscard]] core::Duration OldWeightsLeft(
-    const core::ModelId& aModel) const;
   void PublishTargets();
   StoreWatchHooks HooksOfStores();
   HubHooks HooksOfHubs();
+  WeightsDeadlinesHooks HooksOfDeadlines();
   boost::asio::awaitable<void> TickRegistry();
 
   boost::asio::io_context& m_context;
@@ -89,7 +85,7 @@
   std::uint64_t m_operator_cursor = 0;
   std::uint64_t m_registry_cursor = 0;
   std::size_t m_targets_in_all = 0;
-  std::map<core::ModelId, core::WantedWeights> m_wanted;
+  WeightsDeadlines m_deadlines;
   WeightsGiver m_weights;
   StoreKeeper m_keeper;
   StoreWatch m_stores;
--- a/src/jujubehead/node/control/follow.hpp
+++ b/src/jujubehead/node/control/follow.hpp
@@ -11,7 +11,7 @@
 
 #include "jujubehead/core/runtime_clock.hpp"    // for Duration
 #include "jujubehead/net/timer.hpp"             // for Sleep
-#include "jujubehead/node/control/platform.hpp" // for Feed
+#include "jujubehead/node/control/platform.hpp" // for Feed, PlatformFault
 
 #include "../forward/decision_log.hpp" // for DecisionLog, LogLine
 
@@ -34,7 +34,8 @@
 {
   /// @param aIsAll whether it is the whole, not only what changed.
   std::function<void(const News& aNews, bool aIsAll)> on_news;
-  std::function<void()> on_silence = [] {};
+  /// It told nothing this time.
+  std::function<void(PlatformFault aWhy)> on_silence = [](PlatformFault) {};
 };
 
 /// @return a pause before asking again a service that did not answer, spread so
@@ -106,7 +107,7 @@
                                  .Add("cursor", newest)
                                  .Add("why", why));
     }
-    aHooks.on_silence();
+    aHooks.on_silence(*fault);
     const core::Duration pause = SpreadPause();
     co_await net::Sleep(pause);
   }
--- a/src/jujubehead/node/control/hub_exchange.cpp
+++ b/src/jujubehead/node/control/hub_exchange.cpp
@@ -165,7 +165,7 @@
   m_stores.TakeNews(news.parts, news.clock_ms, asked);
   if (news.rows) {
     const core::Instant told = asked - news.rows->age;
-    const bool has_unread = m_rows.TakeNews(news.rows->bytes, told);
+    const bool has_unread = m_rows.TakeNews(news.rows->bytes, told, asked);
     if (!has_unread) {
       m_hooks.on_heard(told);
     }
--- /dev/null
+++ b/src/jujubehead/node/control/weights_deadlines.hpp
@@ -0,0 +1,93 @@
+#ifndef JUJUBEHEAD_NODE_CONTROL_WEIGHTS_DEADLINES_HPP
+#define JUJUBEHEAD_NODE_CONTROL_WEIGHTS_DEADLINES_HPP
+
+#include <functional> // for function
+#include <map>        // for map
+#include <optional>   // for optional
+#include <vector>     // for vector
+
+#include <boost/asio/awaitable.hpp>  // for awaitable
+#include <boost/asio/io_context.hpp> // for io_context
+
+#include "jujubehead/core/membership/instance_book.hpp" // for InstanceBook
+#include "jujubehead/core/remote_clock.hpp"             // for RemoteClock
+#include "jujubehead/core/weights/old_weights.hpp"      // for OldWeights
+#include "jujubehead/net/timer.hpp"                     // for Timer
+#include "jujubehead/node/control/platform.hpp"         // for SharedRows
+#include "jujubehead/node/forward/entry_options.hpp"    // for EntryOptions
+#include "jujubehead/node/metrics.hpp"                  // for Gauge
+
+namespace jujubehead::node {
+
+using WantedByModel = std::map<core::ModelId, core::WantedWeights>;
+
+/// @brief What is told of wanted weights and their deadlines.
+struct WeightsDeadlinesHooks
+{
+  /// A newer version is wanted.
+  std::function<void(const WantedByModel&)> on_wanted;
+  /// Only ends of older versions moved.
+  std::function<void(const WantedByModel&)> on_moved;
+};
+
+/// @brief Keeps until when requests may begin on older weights.
+///
+/// Operators count from when newer weights were named; an instance that starts
+/// later cannot know that by itself. So instances record it in their shared
+/// table, on the store's clock: the first in an order that all know writes, and
+/// the next ones when it did not. One write for each naming.
+class WeightsDeadlines
+{
+public:
+  WeightsDeadlines(boost::asio::io_context& aContext,
+                   const EntryOptions& aOptions,
+                   SharedRows& aShared,
+                   const core::RemoteClock& aStoreClock,
+                   const core::InstanceBook& aInstances,
+                   WeightsDeadlinesHooks aHooks);
+
+  void Start();
+  void OnOperatorNews(const OperatorNews& aNews, bool aIsAll);
+  /// @brief The operator's rows could not be read.
+  void OnOperatorFailure();
+  void OnSharedNews(const SharedNews& aNews, bool aIsAll);
+  /// @return the metrics of the weights that are wanted.
+  [[nodiscard]] std::vector<Gauge> Gauges() const;
+
+private:
+  /// A model's row as it was last read.
+  struct Recorded
+  {
+    core::NamingRecord namings;
+    std::uint64_t version = 0; ///< Of the row; 0: there is none.
+    /// Since when it has to be written.
+    std::optional<core::Instant> is_due_since;
+  };
+
+  void ReadRecord(const core::ModelId& aModel, const SharedRow& aRow);
+  void TakeNamings(const core::ModelId& aModel);
+  void Update(bool aIsNew);
+  void FindDue(const core::ModelId& aModel);
+  boost::asio::awaitable<void> Run();
+  boost::asio::awaitable<void> Write(core::ModelId aModel);
+  [[nodiscard]] core::NamingRecord RecordOf(const core::ModelId& aModel) const;
+  /// @return how long this instance leaves the writing to others.
+  [[nodiscard]] core::Duration Patience(const core::ModelId& aModel) const;
+  [[nodiscard]] core::Duration OlderLeft(const core::ModelId& aModel) const;
+
+  boost::asio::io_context& m_context;
+  SharedRows& m_shared;
+  const core::RemoteClock& m_store_clock;
+  const core::InstanceBook& m_instances;
+  std::string m_self;
+  WeightsDeadlinesHooks m_hooks;
+  core::OldWeights m_old;
+  WantedByModel m_wanted; ///< As last told.
+  bool m_is_shared_read = false;
+  std::map<core::ModelId, Recorded> m_recorded;
+  net::Timer m_wake;
+};
+
+} // namespace jujubehead::node
+
+#endif // JUJUBEHEAD_NODE_CONTROL_WEIGHTS_DEADLINES_HPP
--- a/src/jujubehead/node/control/weights_giver.cpp
+++ b/src/jujubehead/node/control/weights_giver.cpp
@@ -68,10 +68,12 @@
                            const EntryOptions& aOptions,
                            SharedRows& aShared,
                            TargetOrders& aOrders,
+                           const core::RemoteClock& aStoreClock,
                            Forwarder& aForwarder)
   : m_context(aContext)
   , m_shared(aShared)
   , m_orders(aOrders)
+  , m_store_clock(aStoreClock)
   , m_forwarder(aForwarder)
   , m_lease(aOptions.instance_id.Text() + "/" + net::RandomText(kStartBytes),
             LeaseOptions(aOptions))
@@ -118,7 +120,7 @@
   bool has_lease = false;
   for (const SharedRow& row : aNews.rows) {
     if (row.key == kLeaseKey) {
-      m_lease.OnRow(row.value.value_or(""), row.version, now);
+      ReadLease(row);
       has_lease = true;
     } else if (row.key.starts_with(kStatePrefix) && row.value) {
       ReadState(core::ModelId(row.key.substr(kStatePrefix.size())), row);
@@ -131,6 +133,15 @@
   Wake();
 }
 
+void
+WeightsGiver::ReadLease(const SharedRow& aRow)
+{
+  const core::LeaseRow lease = core::LeaseRowOf(aRow.value.value_or(""));
+  const std::optional<core::Instant> begun =
+    lease.begun ? m_store_clock.LatestOf(*lease.begun) : std::nullopt;
+  m_lease.OnRow(lease.holder, aRow.version, core::RuntimeClock::now(), begun);
+}
+
 void
 WeightsGiver::ReadState(const core::ModelId& aModel, const SharedRow& aRow)
 {
@@ -246,9 +257,10 @@
 {
   const core::Instant begun = core::RuntimeClock::now();
   const bool was_held = m_lease.Holds(begun);
+  const core::LeaseRow row{ m_lease.Self(), m_store_clock.MostAt(begun) };
   std::string key(kLeaseKey);
-  const std::optional<std::uint64_t> version =
-    co_await m_shared.Put(std::move(key), m_lease.Self(), m_lease.RowVersion());
+  const std::optional<std::uint64_t> version = co_await m_shared.Put(
+    std::move(key), core::ToText(row), m_lease.RowVersion());
   if (!version) {
     co_return false;
   }
--- a/src/jujubehead/node/control/weights_giver.hpp
+++ b/src/jujubehead/node/control/weights_giver.hpp
@@ -30,6 +30,7 @@
                const EntryOptions& aOptions,
                SharedRows& aShared,
                TargetOrders& aOrders,
+               const core::RemoteClock& aStoreClock,
                Forwarder& aForwarder);
 
   void Start();
@@ -66,6 +67,7 @@
   void OnLoaded(const core::ModelId& aModel,
                 const core::TargetId& aTarget,
                 std::uint64_t aVersion);
+  void ReadLease(const SharedRow& aRow);
   void ReadState(const core::ModelId& aModel, const SharedRow& aRow);
   void PublishLoading();
   void Wake();
@@ -76,6 +78,7 @@
   boost::asio::io_context& m_context;
   SharedRows& m_shared;
   TargetOrders& m_orders;
+  const core::RemoteClock& m_store_clock;
   Forwarder& m_forwarder;
   core::OrderLease m_lease;
   net::Timer m_wake;
