--- a/include/jujubehead/core/membership/store_absences.hpp
+++ b/include/jujubehead/core/membership/store_absences.hpp
@@ -24,8 +24,9 @@
 class StoreAbsences
 {
 public:
-  /// @param aTold when the store said something.
-  void OnAnswer(Instant aTold);
+  /// @param aAsked when a call was begun that the store answered. It was there
+  /// from then on: a call that waits for a change is answered when one comes.
+  void OnAnswer(Instant aAsked);
   /// @brief A call got no answer from it.
   void OnFailure(Instant aNow);
 
--- a/include/jujubehead/core/weights/old_weights.hpp
+++ b/include/jujubehead/core/weights/old_weights.hpp
@@ -30,7 +30,7 @@
 ///
 /// @code
 /// OldWeights weights({ seconds(10), seconds(14) });
-/// weights.OnAnswer(told);
+/// weights.OnAnswer(asked, told);
 /// weights.OnRead(model, 2, true, told);      // named nobody knows when
 /// weights.OnRecorded(model, 2, named);       // until the record was read
 /// weights.Wanted(now).at(model).BeginUntil(1);
@@ -63,7 +63,7 @@
   /// @return whether that changes anything.
   bool OnRecorded(const ModelId& aModel, std::uint64_t aVersion, Instant aWhen);
   /// @brief The store answered. After OnRead() with what it answered.
-  void OnAnswer(Instant aTold);
+  void OnAnswer(Instant aAsked, Instant aTold);
   void OnFailure(Instant aNow) { m_absences.OnFailure(aNow); }
 
   /// @return all models' versions and ends, if the store is heard from now on.
--- a/include/jujubehead/node/control/platform.hpp
+++ b/include/jujubehead/node/control/platform.hpp
@@ -47,7 +47,8 @@
   std::uint64_t cursor = 0; ///< Where to go on.
   /// Another instance's knowledge, while the store itself did not answer.
   bool is_recalled = false;
-  core::Instant told{}; ///< When the store said so, at the latest.
+  core::Instant told{};  ///< When the store said so, at the latest.
+  core::Instant asked{}; ///< When it was asked for it.
   std::optional<core::Declarations> declarations;
   std::vector<core::LoadedModel> wanted; ///< Weights to bring to all targets.
   std::vector<std::string> unread;       ///< What was not understood, and why.
--- a/src/jujubehead/core/membership/store_absences.cpp
+++ b/src/jujubehead/core/membership/store_absences.cpp
@@ -13,13 +13,10 @@
 } // namespace
 
 void
-StoreAbsences::OnAnswer(Instant aTold)
+StoreAbsences::OnAnswer(Instant aAsked)
 {
-  if (!m_first_failed || aTold <= *m_first_failed) {
-    return;
-  }
-  if (m_failed >= kProof) {
-    m_past.push_back({ *m_first_failed, aTold });
+  if (m_failed >= kProof && aAsked > *m_first_failed) {
+    m_past.push_back({ *m_first_failed, aAsked });
     if (m_past.size() > kMostKept) {
       m_past.pop_front();
     }
--- a/src/jujubehead/core/weights/old_weights.cpp
+++ b/src/jujubehead/core/weights/old_weights.cpp
@@ -86,10 +86,10 @@
 }
 
 void
-OldWeights::OnAnswer(Instant aTold)
+OldWeights::OnAnswer(Instant aAsked, Instant aTold)
 {
   m_last_answer = std::max(m_last_answer.value_or(aTold), aTold);
-  m_absences.OnAnswer(aTold);
+  m_absences.OnAnswer(aAsked);
 }
 
 std::map<ModelId, WantedWeights>
--- a/src/jujubehead/core/weights/old_weights_test.cpp
+++ b/src/jujubehead/core/weights/old_weights_test.cpp
@@ -30,7 +30,7 @@
 
 TEST(OldWeights, AChangeCountsFromWhenItWasTold)
 {
-  weights.OnAnswer(At(1));
+  weights.OnAnswer(At(1), At(1));
   CHECK(weights.OnRead(kModel, 2, false, At(5)));
   CHECK_FALSE(weights.OnRead(kModel, 2, false, At(6)));
   CHECK(EndOf(1, 6) == At(15));
@@ -39,7 +39,7 @@
 
 TEST(OldWeights, AfterLostHistoryItCountsFromTheLastAnswer)
 {
-  weights.OnAnswer(At(1));
+  weights.OnAnswer(At(1), At(1));
   weights.OnRead(kModel, 2, true, At(5));
   CHECK(EndOf(1, 6) == At(11));
 }
@@ -80,11 +80,11 @@
 
 TEST(OldWeights, AnAbsenceOfTheStoreMovesTheEndByNoMoreThanItTook)
 {
-  weights.OnAnswer(At(1));
+  weights.OnAnswer(At(1), At(1));
   weights.OnRead(kModel, 2, false, At(5));
   weights.OnFailure(At(10));
   weights.OnFailure(At(10));
-  weights.OnAnswer(At(13));
+  weights.OnAnswer(At(13), At(14));
   // 5 s were heard before it, 9 of 14 are left.
   CHECK(EndOf(1, 14) == At(22));
 }
--- a/src/jujubehead/node/control/weights_deadlines.cpp
+++ b/src/jujubehead/node/control/weights_deadlines.cpp
@@ -101,7 +101,7 @@
         .Add("older_end_in", OlderLeft(wanted.model)));
   }
   if (!aNews.is_recalled) {
-    m_old.OnAnswer(aNews.told);
+    m_old.OnAnswer(aNews.asked, aNews.told);
   }
   if (is_new) {
     Update(true);
