Let the bounds of the store's clock grow wider with their age

Cause: the best bounds were kept for ever. An instance that only waits for changes learns the lower one tightly and the upper one loosely, so with a clock that loses 50 in a million the lower bound would be 0.18 s too high after an hour and up to 1.2 s before the two contradict each other: more than the lease's margin of 0.5 s. Found by reading.

--- a/include/jujubehead/core/remote_clock.hpp
+++ b/include/jujubehead/core/remote_clock.hpp
@@ -15,10 +15,10 @@
 /// the most, by its answers.
 ///
 /// An answer was made between the question and its arrival, so each reading
-/// gives two bounds; the best ones of all answers hold. Instances that ask the
-/// same clock can tell each other by it when something was, over their own
-/// ends: their own clocks have no common origin. Steady clocks drift by less
-/// than 0.1 ms a second, which a margin of its user has to bear.
+/// gives two bounds; the best ones hold, and grow wider with their age, as
+/// steady clocks drift. Instances that ask the same clock can tell each other
+/// by it when something was, over their own ends: their own clocks have no
+/// common origin.
 class RemoteClock
 {
 public:
@@ -35,13 +35,26 @@
   [[nodiscard]] std::optional<RemoteMs> LeastAt(Instant aWhen) const;
   [[nodiscard]] std::optional<RemoteMs> MostAt(Instant aWhen) const;
   /// @return when it read that, at the latest and at the earliest.
-  [[nodiscard]] std::optional<Instant> LatestOf(RemoteMs aReading) const;
-  [[nodiscard]] std::optional<Instant> EarliestOf(RemoteMs aReading) const;
+  [[nodiscard]] std::optional<Instant> LatestOf(RemoteMs aReading,
+                                                Instant aNow) const;
+  [[nodiscard]] std::optional<Instant> EarliestOf(RemoteMs aReading,
+                                                  Instant aNow) const;
 
 private:
-  /// Its reading when the process's clock read 0.
-  std::optional<RemoteMs> m_least;
-  std::optional<RemoteMs> m_most;
+  /// A bound of its reading when the process's clock read 0.
+  struct Bound
+  {
+    RemoteMs offset = 0;
+    Instant since{}; ///< It grows wider from then on.
+  };
+
+  /// @return the bounds as wide as they are at an instant.
+  [[nodiscard]] RemoteMs LeastOffset(Instant aWhen) const;
+  [[nodiscard]] RemoteMs MostOffset(Instant aWhen) const;
+
+  bool m_is_known = false;
+  Bound m_least;
+  Bound m_most;
 };
 
 } // namespace jujubehead::core
--- a/src/jujubehead/core/remote_clock.cpp
+++ b/src/jujubehead/core/remote_clock.cpp
@@ -1,7 +1,6 @@
 #include "jujubehead/core/remote_clock.hpp"
 
-#include <algorithm> // for max, min
-#include <chrono>    // for duration_cast, floor, ceil
+#include <chrono> // for abs, duration_cast, floor, ceil
 
 namespace jujubehead::core {
 namespace {
@@ -11,6 +10,9 @@
 /// Bounds that contradict each other by more than rounding are of a clock that
 /// was replaced.
 constexpr RemoteMs kRounding = 2;
+/// Two steady clocks drift apart by no more than 1 ms in so many: 200 in a
+/// million, twice what the crystals of servers are sold with.
+constexpr RemoteMs kMsOfDrift = 5000;
 
 RemoteMs
 Floor(Instant aWhen)
@@ -24,6 +26,15 @@
   return std::chrono::ceil<milliseconds>(aWhen.time_since_epoch()).count();
 }
 
+/// Rounded up, and for moments before the bound was known too.
+RemoteMs
+DriftOver(Duration aTime)
+{
+  const RemoteMs ms =
+    std::chrono::ceil<milliseconds>(std::chrono::abs(aTime)).count();
+  return (ms + kMsOfDrift - 1) / kMsOfDrift;
+}
+
 Instant
 InstantOf(RemoteMs aMs)
 {
@@ -44,39 +55,61 @@
                       Instant aAsked,
                       Instant aHeard)
 {
-  const RemoteMs least = aLeast - Ceil(aHeard);
-  const RemoteMs most = aMost - Floor(aAsked);
-  if (!m_least || least > *m_most + kRounding || most < *m_least - kRounding) {
+  const Bound least{ aLeast - Ceil(aHeard), aHeard };
+  const Bound most{ aMost - Floor(aAsked), aAsked };
+  if (!m_is_known || least.offset > MostOffset(aHeard) + kRounding ||
+      most.offset < LeastOffset(aHeard) - kRounding) {
+    m_is_known = true;
     m_least = least;
     m_most = most;
     return;
   }
-  m_least = std::max(*m_least, least);
-  m_most = std::min(*m_most, most);
+  if (least.offset >= LeastOffset(aHeard)) {
+    m_least = least;
+  }
+  if (most.offset <= MostOffset(aHeard)) {
+    m_most = most;
+  }
+}
+
+RemoteMs
+RemoteClock::LeastOffset(Instant aWhen) const
+{
+  return m_least.offset - DriftOver(aWhen - m_least.since);
+}
+
+RemoteMs
+RemoteClock::MostOffset(Instant aWhen) const
+{
+  return m_most.offset + DriftOver(aWhen - m_most.since);
 }
 
 std::optional<RemoteMs>
 RemoteClock::LeastAt(Instant aWhen) const
 {
-  return m_least ? std::optional(*m_least + Floor(aWhen)) : std::nullopt;
+  return m_is_known ? std::optional(LeastOffset(aWhen) + Floor(aWhen))
+                    : std::nullopt;
 }
 
 std::optional<RemoteMs>
 RemoteClock::MostAt(Instant aWhen) const
 {
-  return m_most ? std::optional(*m_most + Ceil(aWhen)) : std::nullopt;
+  return m_is_known ? std::optional(MostOffset(aWhen) + Ceil(aWhen))
+                    : std::nullopt;
 }
 
 std::optional<Instant>
-RemoteClock::LatestOf(RemoteMs aReading) const
+RemoteClock::LatestOf(RemoteMs aReading, Instant aNow) const
 {
-  return m_least ? std::optional(InstantOf(aReading - *m_least)) : std::nullopt;
+  return m_is_known ? std::optional(InstantOf(aReading - LeastOffset(aNow)))
+                    : std::nullopt;
 }
 
 std::optional<Instant>
-RemoteClock::EarliestOf(RemoteMs aReading) const
+RemoteClock::EarliestOf(RemoteMs aReading, Instant aNow) const
 {
-  return m_most ? std::optional(InstantOf(aReading - *m_most)) : std::nullopt;
+  return m_is_known ? std::optional(InstantOf(aReading - MostOffset(aNow)))
+                    : std::nullopt;
 }
 
 } // namespace jujubehead::core
--- a/src/jujubehead/node/control/weights_deadlines.cpp
+++ b/src/jujubehead/node/control/weights_deadlines.cpp
@@ -146,15 +146,15 @@
 void
 WeightsDeadlines::TakeNamings(const core::ModelId& aModel)
 {
+  const core::Instant now = core::RuntimeClock::now();
   for (const auto& [version, named] : m_recorded[aModel].namings) {
     // The store's rows and its clock come with the same answers.
-    const auto when = m_store_clock.EarliestOf(named);
+    const auto when = m_store_clock.EarliestOf(named, now);
     if (when && m_old.OnRecorded(aModel, version, *when)) {
-      DecisionLog::WriteAlways(
-        LogLine("weights_naming_read")
-          .Add("model", aModel.View())
-          .Add("version", version)
-          .Add("named_ago", core::RuntimeClock::now() - *when));
+      DecisionLog::WriteAlways(LogLine("weights_naming_read")
+                                 .Add("model", aModel.View())
+                                 .Add("version", version)
+                                 .Add("named_ago", now - *when));
     }
   }
 }
--- a/src/jujubehead/node/control/weights_giver.cpp
+++ b/src/jujubehead/node/control/weights_giver.cpp
@@ -137,9 +137,10 @@
 WeightsGiver::ReadLease(const SharedRow& aRow)
 {
   const core::LeaseRow lease = core::LeaseRowOf(aRow.value.value_or(""));
+  const core::Instant now = core::RuntimeClock::now();
   const std::optional<core::Instant> begun =
-    lease.begun ? m_store_clock.LatestOf(*lease.begun) : std::nullopt;
-  m_lease.OnRow(lease.holder, aRow.version, core::RuntimeClock::now(), begun);
+    lease.begun ? m_store_clock.LatestOf(*lease.begun, now) : std::nullopt;
+  m_lease.OnRow(lease.holder, aRow.version, now, begun);
 }
 
 void
