Let what is usual at a service's targets fade when none of them tells anything

Cause: the mean load that an instance learned from answers had no age. After a roll-out on few targets under a burst all instances refused everything ("it would be late", 12 waiting); without answers nothing corrected the mean, so they refused on for ten seconds with empty targets. The class of the incident: a belief that outlives what it was learned from.

Ruled out: old weights' end (all targets had the new ones from 42 s on), waits that were predicted (they matter only where something waits).

LoadEstimate.WhatATargetDoesNotTellIsTakenFromItsFleet let five seconds pass without a word of any target and wanted the mean to stand; it now lets the others tell on meanwhile, which is the case that it names, with the same bound.

--- a/include/jujubehead/core/routing/load_estimate.hpp
+++ b/include/jujubehead/core/routing/load_estimate.hpp
@@ -20,16 +20,29 @@
 
 /// @brief What targets of one service told of late, in the mean: a moving mean
 /// over answers of all of them.
+///
+/// It fades to nothing when none of them tells anything for a while. Load is a
+/// reason to refuse, and who refuses everything gets no answer: without that an
+/// instance that once met full targets would refuse for ever.
 class UsualLoad
 {
 public:
-  void OnReport(double aOthers, double aWaiting);
+  void OnReport(double aOthers, double aWaiting, Instant aNow);
   /// @return requests of other instances at a target.
-  [[nodiscard]] double Others() const { return m_others; }
-  [[nodiscard]] double Waiting() const { return m_waiting; }
+  [[nodiscard]] double Others(Instant aNow) const
+  {
+    return m_others * Weight(aNow);
+  }
+  [[nodiscard]] double Waiting(Instant aNow) const
+  {
+    return m_waiting * Weight(aNow);
+  }
 
 private:
-  bool m_is_told = false;
+  /// @return how much it still counts, 0 to 1.
+  [[nodiscard]] double Weight(Instant aNow) const;
+
+  std::optional<Instant> m_told; ///< By the last answer.
   double m_others = 0;
   double m_waiting = 0;
 };
--- a/src/jujubehead/core/routing/load_estimate.cpp
+++ b/src/jujubehead/core/routing/load_estimate.cpp
@@ -11,6 +11,13 @@
 /// request lasts, after which others run there.
 constexpr std::chrono::duration<double> kHalfLife{ 1.0 };
 
+/// Without any answer of a service for so long, what was usual there fades, and
+/// halves in this time. Even the slowest instance gets several answers a
+/// second; from 20 waiting it takes 3.2 s until a request is begun again, which
+/// shows how it is: a quarter of the time in which service has to be back.
+constexpr Duration kSilence = std::chrono::seconds(1);
+constexpr std::chrono::duration<double> kUsualHalfLife{ 0.5 };
+
 /// Weight of one report in what is usual: some twenty answers, which an
 /// instance gets within a second.
 constexpr double kReportWeight = 0.05;
@@ -18,12 +25,23 @@
 } // namespace
 
 void
-UsualLoad::OnReport(double aOthers, double aWaiting)
+UsualLoad::OnReport(double aOthers, double aWaiting, Instant aNow)
 {
-  const double weight = m_is_told ? kReportWeight : 1;
+  // What has faded leaves its place to the new word.
+  const double weight = m_told ? 1 - (1 - kReportWeight) * Weight(aNow) : 1;
   m_others += weight * (aOthers - m_others);
   m_waiting += weight * (aWaiting - m_waiting);
-  m_is_told = true;
+  m_told = aNow;
+}
+
+double
+UsualLoad::Weight(Instant aNow) const
+{
+  if (!m_told || aNow - *m_told <= kSilence) {
+    return 1;
+  }
+  const std::chrono::duration<double> over = aNow - *m_told - kSilence;
+  return std::exp2(-(over / kUsualHalfLife));
 }
 
 void
@@ -48,7 +66,7 @@
 {
   Take(aLoad, aNow);
   if (m_usual) {
-    m_usual->OnReport(m_others, m_waiting);
+    m_usual->OnReport(m_others, m_waiting, aNow);
   }
 }
 
@@ -65,13 +83,13 @@
 double
 LoadEstimate::Requests(Instant aNow) const
 {
-  return m_own + Faded(m_others, m_usual ? m_usual->Others() : 0, aNow);
+  return m_own + Faded(m_others, m_usual ? m_usual->Others(aNow) : 0, aNow);
 }
 
 double
 LoadEstimate::Waiting(Instant aNow) const
 {
-  return Faded(m_waiting, m_usual ? m_usual->Waiting() : 0, aNow);
+  return Faded(m_waiting, m_usual ? m_usual->Waiting(aNow) : 0, aNow);
 }
 
 } // namespace jujubehead::core
