Let targets whose orders stay unanswered serve on and leave their place to others

Now such a target serves on, keeps no other from loading, and its order is sent again after 2 s; it counts as loading once it says that it is busy.

Ruled out: ordering all targets at once (a third of the places is gone for the time of a load as it is, and the weights' store slows down with more than three).

--- a/include/jujubehead/core/weights/rollout.hpp
+++ b/include/jujubehead/core/weights/rollout.hpp
@@ -41,6 +41,8 @@
   DataCentreId data_centre;
   std::uint64_t version = 0;
   bool is_loading = false;
+  /// Its order stays unanswered: it may be carried out any time, or never.
+  bool is_unanswered = false;
   Instant not_before{}; ///< After it could not be reached.
 };
 
@@ -52,7 +54,9 @@
 /// @return the targets that are to load next, at most as many as RolloutWidth()
 /// leaves room for: those with the oldest weights first, as requests may begin
 /// there no longer soonest; then those of the data centres in which fewest
-/// load.
+/// load. One whose order stays unanswered serves on meanwhile and keeps no other
+/// from loading; else orders that take seconds would be waited for one round
+/// after the other.
 std::vector<TargetId>
 NextToLoad(std::span<const RolloutTarget> aTargets,
            std::uint64_t aWanted,
--- a/src/jujubehead/core/weights/rollout.cpp
+++ b/src/jujubehead/core/weights/rollout.cpp
@@ -95,7 +95,8 @@
     if (target.is_loading) {
       ++loading[target.data_centre];
       ++all_loading;
-    } else if (target.version < aWanted && aNow >= target.not_before) {
+    } else if (target.version < aWanted && !target.is_unanswered &&
+               aNow >= target.not_before) {
       behind.push_back(&target);
     }
   }
--- a/src/jujubehead/core/weights/rollout_test.cpp
+++ b/src/jujubehead/core/weights/rollout_test.cpp
@@ -42,6 +42,18 @@
   CHECK(NextToLoad(targets, 2, now).empty());
 }
 
+TEST(Rollout, ATargetThatDoesNotAnswerLeavesItsPlaceToOthers)
+{
+  auto targets = Targets(3);
+  targets[0].is_unanswered = true;
+  const auto next = NextToLoad(targets, 2, now);
+  LONGS_EQUAL(1, next.size());
+  STRCMP_EQUAL("t1", next.front().Text().c_str());
+  targets[1].is_unanswered = true;
+  targets[2].is_unanswered = true;
+  CHECK(NextToLoad(targets, 2, now).empty());
+}
+
 TEST(Rollout, TheOldestWeightsGoFirst)
 {
   auto targets = Targets(3);
--- a/src/jujubehead/node/control/weights_giver.cpp
+++ b/src/jujubehead/node/control/weights_giver.cpp
@@ -36,6 +36,9 @@
 /// Loading takes most of a second after the runs have ended.
 constexpr core::Duration kFirstLook = std::chrono::milliseconds(700);
 constexpr core::Duration kNextLook = std::chrono::milliseconds(120);
+/// An order that stays unanswered is sent again after this, in case it was
+/// lost; targets take only the first of them that comes.
+constexpr core::Duration kSendOrderAgain = std::chrono::seconds(2);
 /// A target that did not load by then is left to a later try.
 constexpr core::Duration kLoadTimeout = std::chrono::seconds(8);
 constexpr core::Duration kRetryTarget = std::chrono::seconds(1);
@@ -210,6 +213,7 @@
         one.version = std::max(one.version, loaded->second);
       }
       one.is_loading = rollout.loading.contains(target.id);
+      one.is_unanswered = rollout.unanswered.contains(target.id);
       if (const auto wait = rollout.not_before.find(target.id);
           wait != rollout.not_before.end()) {
         one.not_before = wait->second;
@@ -343,14 +347,16 @@
 WeightsGiver::LoadOne(core::ModelId aModel, core::RegisteredTarget aTarget)
 {
   co_await net::Sleep(kNoticeTime);
-  const core::Instant begun = core::RuntimeClock::now();
+  Loading loading;
+  loading.begun = core::RuntimeClock::now();
   bool is_loaded = false;
-  while (!is_loaded && core::RuntimeClock::now() - begun < kLoadTimeout &&
+  while (!is_loaded &&
+         core::RuntimeClock::now() - loading.begun < kLoadTimeout &&
          m_lease.Holds(core::RuntimeClock::now())) {
     try {
-      is_loaded = co_await Bring(aModel, aTarget, begun);
+      is_loaded = co_await Bring(aModel, aTarget, loading);
     } catch (const PlatformError& error) {
-      DecisionLog::WriteAlways(LogLine("order_unanswered")
+      DecisionLog::WriteAlways(LogLine("target_unanswered")
                                  .Add("target", aTarget.id.View())
                                  .Add("why", error.what()));
     }
@@ -360,6 +366,7 @@
   }
   Rollout& rollout = m_rollouts[aModel];
   rollout.loading.erase(aTarget.id);
+  rollout.unanswered.erase(aTarget.id);
   if (!is_loaded) {
     rollout.not_before[aTarget.id] = core::RuntimeClock::now() + kRetryTarget;
   }
@@ -367,7 +374,7 @@
     LogLine(is_loaded ? "weights_loaded" : "weights_not_loaded")
       .Add("target", aTarget.id.View())
       .Add("model", aModel.View())
-      .Add("took", core::RuntimeClock::now() - begun));
+      .Add("took", core::RuntimeClock::now() - loading.begun));
   PublishLoading();
   if (HoldsLease()) {
     co_await WriteState(aModel);
@@ -375,10 +382,28 @@
   Wake();
 }
 
+bool
+WeightsGiver::SetUnanswered(const core::ModelId& aModel,
+                            const core::TargetId& aTarget,
+                            bool aIsUnanswered)
+{
+  Rollout& rollout = m_rollouts[aModel];
+  auto& from = aIsUnanswered ? rollout.loading : rollout.unanswered;
+  auto& into = aIsUnanswered ? rollout.unanswered : rollout.loading;
+  if (from.erase(aTarget) == 0) {
+    return false;
+  }
+  into.insert(aTarget);
+  PublishLoading();
+  // There is room for another one, or no more.
+  Wake();
+  return true;
+}
+
 asio::awaitable<bool>
 WeightsGiver::Bring(const core::ModelId& aModel,
                     const core::RegisteredTarget& aTarget,
-                    core::Instant aBegun)
+                    Loading& aLoading)
 {
   const WeightsReport report = co_await m_orders.Report(aTarget.address);
   const std::uint64_t wanted = m_wanted[aModel].Newest();
@@ -388,9 +413,17 @@
     co_return true;
   }
   const core::Instant now = core::RuntimeClock::now();
+  if (report.is_busy) {
+    if (SetUnanswered(aModel, aTarget.id, false)) {
+      co_await WriteState(aModel);
+    }
+    co_return false;
+  }
   const bool is_empty = report.requests == 0;
-  const bool may_order = is_empty || now - aBegun >= kFinishTime;
-  if (report.is_busy || !may_order || !m_lease.Holds(now + kOrderTime)) {
+  const bool may_order = is_empty || now - aLoading.begun >= kFinishTime;
+  const bool is_under_way = now - aLoading.last_order < kSendOrderAgain &&
+                            report.orders_taken == aLoading.orders_taken;
+  if (is_under_way || !may_order || !m_lease.Holds(now + kOrderTime)) {
     co_return false;
   }
   LoadOrder order;
@@ -400,14 +433,34 @@
   order.holder = m_lease.Self();
   order.fencing_token = m_lease.FencingToken();
   order.runs = is_empty ? RunsMode::kFinish : RunsMode::kGoOn;
-  const OrderAnswer answer =
-    co_await m_orders.Load(aTarget.address, std::move(order));
+  aLoading.last_order = now;
+  aLoading.orders_taken = report.orders_taken;
+  std::optional<OrderAnswer> answer;
+  std::string why;
+  try {
+    answer = co_await m_orders.Load(aTarget.address, std::move(order));
+  } catch (const PlatformError& error) {
+    why = error.what();
+  }
+  if (!answer) {
+    DecisionLog::WriteAlways(LogLine("order_unanswered")
+                               .Add("target", aTarget.id.View())
+                               .Add("why", why));
+    if (SetUnanswered(aModel, aTarget.id, true)) {
+      co_await WriteState(aModel);
+    }
+    co_return false;
+  }
   if (answer == OrderAnswer::kHolds) {
     OnLoaded(aModel, aTarget.id, wanted);
     co_return true;
   }
   if (answer == OrderAnswer::kAccepted) {
+    SetUnanswered(aModel, aTarget.id, false);
     co_await net::Sleep(kFirstLook);
+  } else {
+    // Another order is under way there, or was taken: look again soon.
+    aLoading.last_order = core::Instant{};
   }
   co_return false;
 }
--- a/src/jujubehead/node/control/weights_giver.hpp
+++ b/src/jujubehead/node/control/weights_giver.hpp
@@ -49,6 +49,8 @@
   {
     std::map<core::TargetId, std::uint64_t> loaded; ///< Versions, as confirmed.
     std::set<core::TargetId> loading;               ///< By this instance.
+    /// By this instance too, whose orders stay unanswered; they serve on.
+    std::set<core::TargetId> unanswered;
     std::map<core::TargetId, core::Instant> not_before;
     std::set<core::TargetId> loading_elsewhere;
     core::Instant heard{}; ///< From another instance.
@@ -61,9 +63,21 @@
   boost::asio::awaitable<void> WriteState(core::ModelId aModel);
   boost::asio::awaitable<void> LoadOne(core::ModelId aModel,
                                        core::RegisteredTarget aTarget);
+  /// What is remembered between two looks at a target that is to load.
+  struct Loading
+  {
+    core::Instant begun{};
+    core::Instant last_order{};
+    std::uint64_t orders_taken = 0; ///< Before the last order.
+  };
+
   boost::asio::awaitable<bool> Bring(const core::ModelId& aModel,
                                      const core::RegisteredTarget& aTarget,
-                                     core::Instant aBegun);
+                                     Loading& aLoading);
+  /// @return whether anything changed.
+  bool SetUnanswered(const core::ModelId& aModel,
+                     const core::TargetId& aTarget,
+                     bool aIsUnanswered);
   void OnLoaded(const core::ModelId& aModel,
                 const core::TargetId& aTarget,
                 std::uint64_t aVersion);
