--- a/include/jujubehead/core/weights/rollout.hpp
+++ b/include/jujubehead/core/weights/rollout.hpp
@@ -54,9 +54,9 @@
 /// @return the targets that are to load next, at most as many as RolloutWidth()
 /// leaves room for: those with the oldest weights first, as requests may begin
 /// there no longer soonest; then those of the data centres in which fewest
-/// load. One whose order stays unanswered serves on meanwhile and keeps no other
-/// from loading; else orders that take seconds would be waited for one round
-/// after the other.
+/// load. One whose order stays unanswered serves on meanwhile and keeps no
+/// other from loading; else orders that take seconds would be waited for one
+/// round after the other.
 std::vector<TargetId>
 NextToLoad(std::span<const RolloutTarget> aTargets,
            std::uint64_t aWanted,
