--- a/include/jujubehead/core/weights/old_weights.hpp
+++ b/include/jujubehead/core/weights/old_weights.hpp
@@ -82,7 +82,7 @@
 
   /// @return all models' versions and ends, if the store is heard from now on.
   [[nodiscard]] std::map<ModelId, WantedWeights> Wanted(Instant aNow) const;
-  /// @return the newest kMostNamings namings of a model.
+  /// @return the namings of a model, as far as they are known.
   [[nodiscard]] std::map<std::uint64_t, Naming> ToRecord(
     const ModelId& aModel) const;
 
--- a/src/jujubehead/node/control/weights_giver.cpp
+++ b/src/jujubehead/node/control/weights_giver.cpp
@@ -400,6 +400,33 @@
   return true;
 }
 
+asio::awaitable<std::optional<OrderAnswer>>
+WeightsGiver::GiveOrder(const core::ModelId& aModel,
+                        const core::RegisteredTarget& aTarget,
+                        const WeightsReport& aReport,
+                        Loading& aLoading)
+{
+  LoadOrder order;
+  order.target = aTarget.id;
+  order.wanted = { aModel, m_wanted[aModel].Newest() };
+  order.orders_taken = aReport.orders_taken;
+  order.holder = m_lease.Self();
+  order.fencing_token = m_lease.FencingToken();
+  order.runs = aReport.requests == 0 ? RunsMode::kFinish : RunsMode::kGoOn;
+  aLoading.last_order = core::RuntimeClock::now();
+  aLoading.orders_taken = aReport.orders_taken;
+  try {
+    const OrderAnswer answer =
+      co_await m_orders.Load(aTarget.address, std::move(order));
+    co_return answer;
+  } catch (const PlatformError& error) {
+    DecisionLog::WriteAlways(LogLine("order_unanswered")
+                               .Add("target", aTarget.id.View())
+                               .Add("why", error.what()));
+  }
+  co_return std::nullopt;
+}
+
 asio::awaitable<bool>
 WeightsGiver::Bring(const core::ModelId& aModel,
                     const core::RegisteredTarget& aTarget,
@@ -426,26 +453,9 @@
   if (is_under_way || !may_order || !m_lease.Holds(now + kOrderTime)) {
     co_return false;
   }
-  LoadOrder order;
-  order.target = aTarget.id;
-  order.wanted = { aModel, wanted };
-  order.orders_taken = report.orders_taken;
-  order.holder = m_lease.Self();
-  order.fencing_token = m_lease.FencingToken();
-  order.runs = is_empty ? RunsMode::kFinish : RunsMode::kGoOn;
-  aLoading.last_order = now;
-  aLoading.orders_taken = report.orders_taken;
-  std::optional<OrderAnswer> answer;
-  std::string why;
-  try {
-    answer = co_await m_orders.Load(aTarget.address, std::move(order));
-  } catch (const PlatformError& error) {
-    why = error.what();
-  }
+  const std::optional<OrderAnswer> answer =
+    co_await GiveOrder(aModel, aTarget, report, aLoading);
   if (!answer) {
-    DecisionLog::WriteAlways(LogLine("order_unanswered")
-                               .Add("target", aTarget.id.View())
-                               .Add("why", why));
     if (SetUnanswered(aModel, aTarget.id, true)) {
       co_await WriteState(aModel);
     }
--- a/src/jujubehead/node/control/weights_giver.hpp
+++ b/src/jujubehead/node/control/weights_giver.hpp
@@ -1,10 +1,11 @@
 #ifndef JUJUBEHEAD_NODE_CONTROL_WEIGHTS_GIVER_HPP
 #define JUJUBEHEAD_NODE_CONTROL_WEIGHTS_GIVER_HPP
 
-#include <map>    // for map
-#include <set>    // for set
-#include <string> // for string
-#include <vector> // for vector
+#include <map>      // for map
+#include <optional> // for optional
+#include <set>      // for set
+#include <string>   // for string
+#include <vector>   // for vector
 
 #include <boost/asio/awaitable.hpp>  // for awaitable
 #include <boost/asio/io_context.hpp> // for io_context
@@ -74,6 +75,12 @@
   boost::asio::awaitable<bool> Bring(const core::ModelId& aModel,
                                      const core::RegisteredTarget& aTarget,
                                      Loading& aLoading);
+  /// @return nothing when it stays unanswered; it may be carried out yet.
+  boost::asio::awaitable<std::optional<OrderAnswer>> GiveOrder(
+    const core::ModelId& aModel,
+    const core::RegisteredTarget& aTarget,
+    const WeightsReport& aReport,
+    Loading& aLoading);
   /// @return whether anything changed.
   bool SetUnanswered(const core::ModelId& aModel,
                      const core::TargetId& aTarget,
