Keep parts where their link suits them, near their readers; bound what is ordered over a link

Tests: shared link of 1, 8 and 77 instances under a burst, without the bound the queue outlives it; homes; places.

--- a/include/jujubehead/core/routing/configuration.hpp
+++ b/include/jujubehead/core/routing/configuration.hpp
@@ -47,6 +47,8 @@
   std::string address; ///< `ip:port`.
   DataCentreId data_centre;
   std::uint64_t capacity_tokens = 0;
+  double bytes_per_second = 0;      ///< Of its link; 0: not told.
+  Duration first_delay{};           ///< Of each transfer, beside its bytes.
   std::uint32_t most_watchers = 12; ///< Calls that wait for its events at once.
 };
 
@@ -57,6 +59,8 @@
   std::uint32_t max_connections = 0; ///< To one target, of all instances.
   bool runs_models = false;
   std::uint64_t kv_capacity_tokens = 0; ///< Of one target; 0: no model.
+  std::uint64_t kv_token_bytes = 0;     ///< KV cache of a token; 0: not told.
+  double bytes_per_second = 0;          ///< Of a target's link; 0: not told.
 };
 
 /// @brief A client account with its keys.
--- a/include/jujubehead/core/routing/placement.hpp
+++ b/include/jujubehead/core/routing/placement.hpp
@@ -16,6 +16,8 @@
   double load = 0;             ///< Requests there, of all instances.
   double capacity = 1;         ///< Against the other candidates.
   bool is_near = false;        ///< In this instance's data centre.
+  /// In the data centre of the store that has the prompt.
+  bool is_at_store = false;
 };
 
 /// @brief How far placement goes for a prompt's home.
@@ -36,8 +38,8 @@
 
 /// @brief Places a prompt: the first in the order of rendezvous hashing whose
 /// load is within the bound, so that a prompt returns to where it was read
-/// before, and load still spreads. Needs no message between instances and
-/// survives restarts.
+/// before, and load still spreads. Targets near the store that has it go before
+/// all others. Needs no message between instances and survives restarts.
 /// @param aPrompt the hash of the prompt's part that returns.
 /// @return the index of the target; nothing when there is no candidate.
 std::optional<std::size_t>
@@ -59,6 +61,11 @@
 WeightedHome(std::uint64_t aKey,
              std::span<const PlacementCandidate> aCandidates);
 
+/// @return the score of a member for a key in weighted rendezvous hashing; the
+/// member with the highest one is the key's home.
+double
+WeightedScore(std::uint64_t aKey, std::uint64_t aNameHash, double aCapacity);
+
 } // namespace jujubehead::core
 
 #endif // JUJUBEHEAD_CORE_ROUTING_PLACEMENT_HPP
--- a/include/jujubehead/node/metrics.hpp
+++ b/include/jujubehead/node/metrics.hpp
@@ -44,6 +44,8 @@
   kServiceReads,     ///< Calls to the table service that read.
   kServiceWrites,    ///< Calls to the table service that write.
   kServiceFailures,  ///< Calls to the table service that failed.
+  kPassedOverTokens, ///< Of the recomputed: a store's link was too busy.
+  kTargetRefusals,   ///< Requests that targets refused as not run.
   kTakeovers,        ///< Targets and stores that came to this instance.
 };
 
--- /dev/null
+++ b/src/jujubehead/core/context/store_homes_test.cpp
@@ -0,0 +1,80 @@
+#include "jujubehead/core/context/store_homes.hpp"
+
+#include <map>    // for map
+#include <string> // for to_string
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+#include "jujubehead/core/routing/placement.hpp" // for PlacementHash
+
+using namespace jujubehead::core;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::uint64_t kTokenBytes = 100000;
+constexpr LinkRate kSlowToBegin{ 2e10, milliseconds(6) };
+constexpr LinkRate kQuick{ 8e10, microseconds(500) };
+
+StoreFacts
+Store(const std::string& aName,
+      std::string_view aDataCentre,
+      const LinkRate& aRate)
+{
+  return { PlacementHash(aName), aDataCentre, 1000, aRate };
+}
+
+} // namespace
+
+TEST_GROUP(StoreHomes)
+{
+  std::vector<StoreFacts> stores = {
+    Store("q1", "a", kQuick),       Store("q2", "b", kQuick),
+    Store("l1", "a", kSlowToBegin), Store("l2", "a", kSlowToBegin),
+    Store("l3", "b", kSlowToBegin),
+  };
+
+  std::vector<StoreHome> Homes(int aPart, std::uint64_t aTokens)
+  {
+    return StoreHomes(PlacementHash("p" + std::to_string(aPart)),
+                      { aTokens, kTokenBytes, false },
+                      stores);
+  }
+};
+
+TEST(StoreHomes, LongPartsLeaveTheQuickStoresToShortOnes)
+{
+  // 5,000 tokens take 25 ms in the slow store, 500 take 2.5 ms.
+  CHECK(Homes(1, 5000).front().index >= 2);
+  CHECK(Homes(1, 500).front().index < 2);
+  // The others come after, for when these are full.
+  CHECK(Homes(1, 5000).back().index < 2);
+  CHECK(Homes(1, 500).back().index >= 2);
+  CHECK(Homes(1, 500).back().kind > Homes(1, 500).front().kind);
+}
+
+TEST(StoreHomes, APartHasOneHomeOfAKindInEachDataCentre)
+{
+  std::map<std::size_t, int> first;
+  for (int part = 0; part < 300; ++part) {
+    const auto homes = Homes(part, 5000);
+    LONGS_EQUAL(4, homes.size());
+    CHECK(stores[homes[0].index].data_centre !=
+          stores[homes[1].index].data_centre);
+    LONGS_EQUAL(homes[0].kind, homes[1].kind);
+    ++first[homes[0].index];
+  }
+  // Stores that are alike share the parts.
+  CHECK(first[2] > 60 && first[3] > 60 && first[4] > 60);
+}
+
+TEST(StoreHomes, StoresThatTellNothingOfTheirLinksAreAlike)
+{
+  for (StoreFacts& store : stores) {
+    store.rate = {};
+  }
+  const auto homes = Homes(1, 5000);
+  LONGS_EQUAL(2, homes.size());
+  LONGS_EQUAL(0, homes.back().kind);
+}
--- /dev/null
+++ b/src/jujubehead/core/context/store_link_test.cpp
@@ -0,0 +1,140 @@
+#include "jujubehead/core/context/store_link.hpp"
+
+#include <algorithm> // for max
+#include <random>    // for mt19937
+#include <vector>    // for vector
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+using namespace jujubehead::core;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// Instances that order transfers over one link, which carries one after the
+/// other.
+class SharedLink
+{
+public:
+  SharedLink(std::size_t aInstances, bool aIsBounded)
+    : m_instances(aInstances)
+    , m_is_bounded(aIsBounded)
+  {
+  }
+
+  /// Requests come at a rate of so many times what the link carries.
+  void Run(Duration aTime, double aTimes)
+  {
+    const Instant end = m_now + aTime;
+    std::exponential_distribution<double> gap(aTimes / kTransferSeconds);
+    for (;;) {
+      m_now += std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(gap(m_random)));
+      if (m_now >= end) {
+        m_now = end;
+        return;
+      }
+      Order(m_random() % m_instances.size());
+    }
+  }
+
+  [[nodiscard]] Duration Wait() const
+  {
+    return std::max(Duration(0), m_free - m_now);
+  }
+
+private:
+  static constexpr double kTransferSeconds = 0.04;
+  static constexpr Duration kTransfer = milliseconds(40);
+
+  void Order(std::size_t aInstance)
+  {
+    const double share = 1.0 / static_cast<double>(m_instances.size());
+    StoreLink& link = m_instances[aInstance];
+    TransferOffer offer;
+    offer.wait = link.Wait(share, m_now);
+    offer.transfer = kTransfer;
+    offer.objective = milliseconds(600);
+    if (m_is_bounded && !IsWorthReading(offer)) {
+      return;
+    }
+    link.Add(kTransfer, share, m_now);
+    m_free = std::max(m_free, m_now) + kTransfer;
+  }
+
+  std::vector<StoreLink> m_instances;
+  bool m_is_bounded;
+  std::mt19937 m_random{ 1 };
+  Instant m_now{ seconds(1000) };
+  Instant m_free{}; ///< When the link has carried all that was ordered.
+};
+
+} // namespace
+
+TEST_GROUP(StoreLink){};
+
+// Metastable failure: a burst of twice what the link carries, for five seconds,
+// then nine tenths of it. Without a bound the queue outlives the burst.
+TEST(StoreLink, AQueueOnASharedLinkEndsWithWhatBeganIt)
+{
+  for (const std::size_t instances : { 1, 8, 77 }) {
+    SharedLink bounded(instances, true);
+    bounded.Run(seconds(5), 2);
+    CHECK(bounded.Wait() <= milliseconds(1300));
+    bounded.Run(seconds(5), 0.9);
+    CHECK(bounded.Wait() <= milliseconds(1300));
+  }
+  SharedLink unbounded(8, false);
+  unbounded.Run(seconds(5), 2);
+  unbounded.Run(seconds(5), 0.9);
+  CHECK(unbounded.Wait() > seconds(3));
+}
+
+TEST(StoreLink, WhatWasOrderedIsOverAtTheShareOfTheLink)
+{
+  StoreLink link;
+  const Instant now = RuntimeClock::now();
+  link.Add(milliseconds(50), 0.25, now);
+  CHECK(link.Wait(0.25, now) == milliseconds(200));
+  CHECK(link.Wait(0.25, now + milliseconds(120)) == milliseconds(80));
+  CHECK(link.Wait(0.25, now + seconds(1)) == Duration(0));
+}
+
+TEST(StoreLink, KeepingTakesWhatReadsLeave)
+{
+  TransferOffer offer;
+  offer.objective = milliseconds(600);
+  offer.wait = milliseconds(700);
+  offer.transfer = milliseconds(50);
+  CHECK(IsWorthReading(offer));
+  CHECK_FALSE(IsWorthKeeping(offer));
+  offer.wait = milliseconds(1200);
+  CHECK_FALSE(IsWorthReading(offer));
+}
+
+TEST(StoreLink, TheLinkTimeFollowsWhatIsDeclared)
+{
+  const LinkRate rate{ 1e9, milliseconds(6) };
+  CHECK(LinkTime({ 1000, 100000, false }, rate) == milliseconds(100));
+  CHECK(LinkTime({ 1000, 100000, true }, rate) == milliseconds(200));
+  CHECK(LinkTime({ 1000, 0, false }, rate) == Duration(0));
+  CHECK(LinkTime({ 1000, 100000, false }, {}) == Duration(0));
+}
+
+TEST(StoreLink, TheShareFollowsTheTrafficAndIsNeverNone)
+{
+  TrafficShare share;
+  DOUBLES_EQUAL(0.25, share.Value(), 0.001);
+  // A start among others sees none of its own requests.
+  share.OnLook(0, 40);
+  CHECK(share.Value() > 0.1);
+  for (int i = 0; i < 300; ++i) {
+    share.OnLook(i % 2, 40);
+  }
+  DOUBLES_EQUAL(0.0125, share.Value(), 0.004);
+  for (int i = 0; i < 2000; ++i) {
+    share.OnLook(0, 0);
+  }
+  CHECK(share.Value() > 0);
+}
--- a/src/jujubehead/core/routing/placement.cpp
+++ b/src/jujubehead/core/routing/placement.cpp
@@ -20,14 +20,10 @@
   return seed;
 }
 
-/// Weighted rendezvous hashing: -capacity / ln(u), u even in (0, 1).
 double
 Score(std::uint64_t aKey, const PlacementCandidate& aCandidate)
 {
-  const std::uint64_t hash = Combine(aKey, aCandidate.name_hash);
-  const double even =
-    std::ldexp(static_cast<double>(hash >> kDroppedBits) + 0.5, -kMantissaBits);
-  return -aCandidate.capacity / std::log(even);
+  return WeightedScore(aKey, aCandidate.name_hash, aCandidate.capacity);
 }
 
 double
@@ -51,6 +47,16 @@
   return Combine(0, detail::HashName(aName));
 }
 
+// Weighted rendezvous hashing: -capacity / ln(u), u even in (0, 1).
+double
+WeightedScore(std::uint64_t aKey, std::uint64_t aNameHash, double aCapacity)
+{
+  const std::uint64_t hash = Combine(aKey, aNameHash);
+  const double even =
+    std::ldexp(static_cast<double>(hash >> kDroppedBits) + 0.5, -kMantissaBits);
+  return -aCapacity / std::log(even);
+}
+
 std::optional<std::size_t>
 PlacePrompt(std::uint64_t aPrompt,
             std::span<const PlacementCandidate> aCandidates,
@@ -58,6 +64,7 @@
 {
   const double limit = LoadLimit(aCandidates, aOptions);
   std::optional<std::size_t> best;
+  bool best_is_at_store = false;
   double best_score = 0;
   for (std::size_t i = 0; i < aCandidates.size(); ++i) {
     const PlacementCandidate& candidate = aCandidates[i];
@@ -66,7 +73,9 @@
       continue;
     }
     const double score = Score(aPrompt, candidate);
-    if (!best || score > best_score) {
+    const bool is_same = best && candidate.is_at_store == best_is_at_store;
+    if (!best || (is_same ? score > best_score : candidate.is_at_store)) {
+      best_is_at_store = candidate.is_at_store;
       best = i;
       best_score = score;
     }
--- a/src/jujubehead/core/routing/placement_test.cpp
+++ b/src/jujubehead/core/routing/placement_test.cpp
@@ -19,8 +19,9 @@
 {
   std::vector<PlacementCandidate> candidates;
   for (std::size_t i = 0; i < aCount; ++i) {
-    candidates.push_back(
-      { PlacementHash("t" + std::to_string(i)), 0, 1, false });
+    PlacementCandidate candidate;
+    candidate.name_hash = PlacementHash("t" + std::to_string(i));
+    candidates.push_back(candidate);
   }
   return candidates;
 }
@@ -51,6 +52,20 @@
   CHECK(moved > 50 && moved < 150);
 }
 
+TEST(Placement, TargetsNearTheStoreGoFirstWhileTheyHaveRoom)
+{
+  auto candidates = Candidates(10);
+  candidates[3].is_at_store = true;
+  candidates[7].is_at_store = true;
+  const auto home = *PlacePrompt(Prompt(1), candidates);
+  CHECK(home == 3 || home == 7);
+  candidates[home].load = 30;
+  const auto next = *PlacePrompt(Prompt(1), candidates);
+  LONGS_EQUAL(10 - home, next);
+  candidates[next].load = 30;
+  CHECK_FALSE(candidates[*PlacePrompt(Prompt(1), candidates)].is_at_store);
+}
+
 TEST(Placement, ALoadedHomeIsLeftForTheNextInItsOrder)
 {
   auto candidates = Candidates(4);
--- a/src/jujubehead/node/forward/forward_attempt.cpp
+++ b/src/jujubehead/node/forward/forward_attempt.cpp
@@ -58,7 +58,7 @@
 } // namespace
 
 TargetCall
-ForwardRun::CallFor(const FleetTarget& aTarget) const
+ForwardRun::CallFor(const FleetTarget& aTarget)
 {
   TargetCall call;
   call.target = aTarget.target.id;
@@ -85,7 +85,11 @@
     scope.account = m_account->id;
   }
   call.cache_scope = core::ToText(scope);
-  PlaceParts(m_state, prompt, scope, call);
+  m_placed =
+    PlaceParts(m_state, prompt, scope, aTarget, m_route->objective, call);
+  m_state.metrics.Add(Counter::kImportedTokens, m_placed.transferred);
+  m_state.metrics.Add(Counter::kRecomputedTokens, m_placed.anew);
+  m_state.metrics.Add(Counter::kPassedOverTokens, m_placed.passed_over);
   ReadFromHome(m_state, prompt, aTarget, call);
   return call;
 }
@@ -197,6 +201,7 @@
 ForwardRun::EndRefused(FleetTarget& aTarget, const ReplyFacts& aFacts)
 {
   m_last_why = "the target refused it";
+  m_state.metrics.Add(Counter::kTargetRefusals);
   // A target that is just full is well; one that is another, or has other
   // weights than it told, is left alone until the registry says more.
   if (!aFacts.load && !aFacts.weight_version) {
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -314,6 +314,7 @@
     .Add("configuration",
          m_configuration ? m_configuration->Version() : std::uint64_t(0));
   AddWeights(line);
+  AddPlacement(line);
   if (!aWhy.empty()) {
     line.Add("why", aWhy);
   }
@@ -328,6 +329,24 @@
   }
 }
 
+void
+ForwardRun::AddPlacement(LogLine& aLine) const
+{
+  if (!m_facts.prompt || m_sent == core::Instant{}) {
+    return;
+  }
+  aLine.Add("load", std::uint64_t(std::lround(m_load_at_send)))
+    .Add("prompt", m_facts.prompt->tokens)
+    .Add("transferred", m_placed.transferred)
+    .Add("anew", m_placed.anew)
+    .Add("passed_over", m_placed.passed_over)
+    .Add("kept", m_placed.kept)
+    .Add("link_wait", m_placed.link_wait);
+  if (m_first_event > m_sent) {
+    aLine.Add("first_token", m_first_event - m_sent);
+  }
+}
+
 std::vector<std::shared_ptr<FleetTarget>>
 ForwardRun::Candidates() const
 {
@@ -402,6 +421,25 @@
                               : m_route->urgency;
 }
 
+std::optional<core::DataCentreId>
+ForwardRun::StorePlace(
+  std::span<const std::shared_ptr<FleetTarget>> aTargets) const
+{
+  if (!m_facts.prompt || aTargets.empty()) {
+    return std::nullopt;
+  }
+  const core::ModelId& model = m_facts.prompt->model;
+  core::CacheScope scope{ model, 0, {} };
+  for (const auto& target : aTargets) {
+    const auto version = target->VersionOf(model).value_or(0);
+    scope.weight_version = std::max(scope.weight_version, version);
+  }
+  if (m_account != nullptr && m_account->dedicated) {
+    scope.account = m_account->id;
+  }
+  return StorePlaceOf(m_state, *m_facts.prompt, scope, m_service);
+}
+
 std::shared_ptr<FleetTarget>
 ForwardRun::Choose()
 {
@@ -409,13 +447,21 @@
   const auto targets = Candidates();
   std::vector<core::PlacementCandidate> candidates;
   candidates.reserve(targets.size());
+  const auto store_place = StorePlace(targets);
+  double own = 0;
+  double all = 0;
   for (const auto& target : targets) {
-    candidates.push_back(
-      { target->name_hash,
-        target->load.Requests(now),
-        1,
-        target->target.data_centre == m_state.options.data_centre });
-  }
+    const core::DataCentreId& place = target->target.data_centre;
+    core::PlacementCandidate candidate;
+    candidate.name_hash = target->name_hash;
+    candidate.load = target->load.Requests(now);
+    candidate.is_near = place == m_state.options.data_centre;
+    candidate.is_at_store = store_place && place == *store_place;
+    own += target->load.Own();
+    all += candidate.load;
+    candidates.push_back(candidate);
+  }
+  m_state.shares[m_service].OnLook(own, all);
   const bool has_home = m_facts.prompt && !m_facts.prompt->parts.empty();
   const auto index =
     has_home
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -5,6 +5,7 @@
 #include <memory>   // for shared_ptr
 #include <optional> // for optional
 #include <set>      // for set
+#include <span>     // for span
 #include <string>   // for string
 #include <vector>   // for vector
 
@@ -16,6 +17,7 @@
 
 #include "caller_session.hpp"  // for CallerSession
 #include "forward_state.hpp"   // for ForwardState
+#include "part_places.hpp"     // for PlacedTokens
 #include "target_exchange.hpp" // for TargetExchange
 
 namespace jujubehead::node {
@@ -54,7 +56,10 @@
   [[nodiscard]] std::uint32_t Urgency() const;
   [[nodiscard]] std::shared_ptr<FleetTarget> Choose();
   [[nodiscard]] std::vector<std::shared_ptr<FleetTarget>> Candidates() const;
-  [[nodiscard]] TargetCall CallFor(const FleetTarget& aTarget) const;
+  [[nodiscard]] TargetCall CallFor(const FleetTarget& aTarget);
+  /// @return the data centre that placement prefers for the prompt, if any.
+  [[nodiscard]] std::optional<core::DataCentreId> StorePlace(
+    std::span<const std::shared_ptr<FleetTarget>> aTargets) const;
 
   boost::asio::awaitable<Ended> Attempt(std::shared_ptr<FleetTarget> aTarget);
   boost::asio::awaitable<Ended> Exchange(FleetTarget& aTarget,
@@ -77,6 +82,7 @@
   void Stop();
   void LogEnd(std::string_view aEvent, unsigned aStatus, std::string_view aWhy);
   void AddWeights(LogLine& aLine) const;
+  void AddPlacement(LogLine& aLine) const;
 
   [[nodiscard]] core::Duration TimeLeft() const;
   [[nodiscard]] bool IsOver() const
@@ -98,6 +104,7 @@
   std::optional<WholeAnswer> m_failure; ///< Of a target, to pass on at last.
   core::Instant m_first_event{};
   core::Instant m_sent{};    ///< The present attempt.
+  PlacedTokens m_placed;     ///< By the present attempt.
   double m_load_at_send = 0; ///< Requests at its target then.
   std::string m_last_why;
   std::string m_last_target;
--- a/src/jujubehead/node/forward/forward_state.hpp
+++ b/src/jujubehead/node/forward/forward_state.hpp
@@ -9,6 +9,8 @@
 #include <unordered_map> // for unordered_map
 
 #include "jujubehead/core/context/part_directory.hpp" // for PartDirectory
+#include "jujubehead/core/context/part_uses.hpp"      // for PartUses
+#include "jujubehead/core/context/store_link.hpp"     // for StoreLink
 #include "jujubehead/core/routing/admission.hpp"      // for WaitPredictor
 #include "jujubehead/core/routing/configuration.hpp"  // for Configuration
 #include "jujubehead/core/routing/load_news.hpp"      // for LoadNews
@@ -59,6 +61,9 @@
   std::unordered_map<core::ServiceId, core::RepeatBudget> budgets;
   /// By the route's name.
   std::unordered_map<std::string, core::WaitPredictor> waits;
+  core::PartUses part_uses;
+  std::unordered_map<core::StoreId, core::StoreLink> links;
+  std::unordered_map<core::ServiceId, core::TrafficShare> shares;
   std::mt19937_64 random;
   TargetClock target_clock;
   core::Instant operator_heard{}; ///< When the operator's rows were last read.
--- a/src/jujubehead/node/forward/part_places.cpp
+++ b/src/jujubehead/node/forward/part_places.cpp
@@ -1,10 +1,13 @@
 #include "part_places.hpp"
 
-#include <vector> // for vector
+#include <algorithm> // for max
+#include <string>    // for string
+#include <vector>    // for vector
 
 #include "jujubehead/core/routing/placement.hpp" // for WeightedHome
 
 #include "../reading_times.hpp" // for kHearTime, kReadTime
+#include "store_look.hpp"       // for StoreLook
 
 namespace jujubehead::node {
 
@@ -12,6 +15,13 @@
 
 /// A target that spoke within this time is there.
 constexpr core::Duration kHomeSpoke = std::chrono::milliseconds(1500);
+/// Uses a second, by all instances, from which a part is kept in the quickest
+/// store of each data centre as well: it then spends no time on slow links.
+constexpr double kHotUses = 1.0;
+/// What bringing a part from another data centre takes longer, for that to
+/// decide where its prompt goes. Gathering shorter ones at few targets costs
+/// more in their queues than it spares on the link.
+constexpr core::Duration kNotablyLonger = std::chrono::milliseconds(30);
 
 /// Whether a target is there, as far as this instance can tell. One of many
 /// instances seldom hears of each target; then it goes by whether the target
@@ -38,48 +48,164 @@
          aScope.weight_version >= wanted->second.Newest();
 }
 
+bool
+HasSharedParts(const ForwardState& aState, const core::Prompt& aPrompt)
+{
+  return !aState.configuration->All().stores.empty() &&
+         aPrompt.parts.size() > 1;
+}
+
+/// Places one prompt's parts for one target.
+class PartPlacer
+{
+public:
+  PartPlacer(ForwardState& aState,
+             const FleetTarget& aTarget,
+             core::Duration aObjective,
+             TargetCall& aCall)
+    : m_state(aState)
+    , m_data_centre(aTarget.target.data_centre)
+    , m_objective(aObjective)
+    , m_call(aCall)
+    , m_look(aState, aCall.cache_scope, aTarget.target.service)
+    , m_share(aState.shares[aTarget.target.service].Value())
+    , m_now(core::RuntimeClock::now())
+  {
+  }
+
+  void Place(const core::PromptPart& aPart, std::size_t aIndex)
+  {
+    const core::DeclaredStore* quickest = QuickestIfHot(aPart);
+    if (quickest != nullptr && m_look.Has(*quickest, aPart)) {
+      ReadOrPassOver(*quickest, aPart, aIndex);
+      return;
+    }
+    const PartHome home = m_look.Home(aPart, m_data_centre);
+    if (quickest != nullptr && m_look.HasRoom(*quickest, aPart)) {
+      Keep(*quickest, aPart, aIndex);
+    } else if (home.store != nullptr && !home.has_part) {
+      Keep(*home.store, aPart, aIndex);
+    }
+    if (home.has_part) {
+      ReadOrPassOver(*home.store, aPart, aIndex);
+    } else {
+      m_placed.anew += aPart.tokens;
+    }
+  }
+
+  [[nodiscard]] const PlacedTokens& Placed() const { return m_placed; }
+
+private:
+  /// @return the store that keeps a part for this data centre alone, if many
+  /// requests use the part.
+  const core::DeclaredStore* QuickestIfHot(const core::PromptPart& aPart)
+  {
+    const double uses = m_state.part_uses.OnUse(aPart.id, m_now);
+    return uses >= kHotUses * m_share ? m_look.Quickest(aPart, m_data_centre)
+                                      : nullptr;
+  }
+
+  [[nodiscard]] core::TransferOffer OfferOf(const core::DeclaredStore& aStore,
+                                            const core::PromptPart& aPart)
+  {
+    core::TransferOffer offer;
+    offer.wait = m_state.links[aStore.id].Wait(m_share, m_now);
+    offer.transfer =
+      m_look.LinkTime(aStore, aPart, m_data_centre) + aStore.first_delay;
+    offer.objective = m_objective;
+    m_placed.link_wait = std::max(m_placed.link_wait, offer.wait);
+    return offer;
+  }
+
+  void Order(const core::DeclaredStore& aStore, const core::PromptPart& aPart)
+  {
+    m_state.links[aStore.id].Add(
+      m_look.LinkTime(aStore, aPart, m_data_centre), m_share, m_now);
+  }
+
+  void ReadOrPassOver(const core::DeclaredStore& aStore,
+                      const core::PromptPart& aPart,
+                      std::size_t aIndex)
+  {
+    if (!core::IsWorthReading(OfferOf(aStore, aPart))) {
+      m_placed.passed_over += aPart.tokens;
+      m_placed.anew += aPart.tokens;
+      return;
+    }
+    m_call.read_from[aIndex] = { aStore.address, aPart.tokens };
+    m_placed.transferred += aPart.tokens;
+    Order(aStore, aPart);
+  }
+
+  void Keep(const core::DeclaredStore& aStore,
+            const core::PromptPart& aPart,
+            std::size_t aIndex)
+  {
+    if (!core::IsWorthKeeping(OfferOf(aStore, aPart))) {
+      return;
+    }
+    m_call.keep_at[aIndex] = { aStore.address, aPart.tokens };
+    m_placed.kept += aPart.tokens;
+    Order(aStore, aPart);
+  }
+
+  ForwardState& m_state;
+  const core::DataCentreId& m_data_centre; ///< Of the target.
+  core::Duration m_objective;
+  TargetCall& m_call;
+  StoreLook m_look;
+  double m_share;
+  core::Instant m_now;
+  PlacedTokens m_placed;
+};
+
 } // namespace
 
-void
-PlaceParts(const ForwardState& aState,
+PlacedTokens
+PlaceParts(ForwardState& aState,
            const core::Prompt& aPrompt,
            const core::CacheScope& aScope,
+           const FleetTarget& aTarget,
+           core::Duration aObjective,
            TargetCall& aCall)
 {
-  const auto& stores = aState.configuration->All().stores;
   const core::Instant now = core::RuntimeClock::now();
   const auto read_until = aState.target_clock.At(now + kReadTime);
-  if (stores.empty() || aPrompt.parts.size() < 2 || !read_until ||
+  if (!HasSharedParts(aState, aPrompt) || !read_until ||
       !MayUseStores(aState, aScope, now)) {
-    return;
+    return {};
   }
   aCall.read_until_ms = read_until;
-  std::vector<core::PlacementCandidate> homes;
-  homes.reserve(stores.size());
-  for (const core::DeclaredStore& store : stores) {
-    homes.push_back({ core::PlacementHash(store.id.View()),
-                      0,
-                      static_cast<double>(store.capacity_tokens),
-                      false });
-  }
   aCall.read_from.resize(aPrompt.parts.size());
   aCall.keep_at.resize(aPrompt.parts.size());
+  PartPlacer placer(aState, aTarget, aObjective, aCall);
   for (std::size_t i = 0; i + 1 < aPrompt.parts.size(); ++i) {
-    const core::PromptPart& part = aPrompt.parts[i];
-    const auto home = core::WeightedHome(core::PlacementHash(part.id), homes);
-    const core::DeclaredStore& store = stores[*home];
-    if (!aState.parts.IsPresent(store.id, now)) {
-      continue;
-    }
-    const std::uint64_t whole =
-      aState.parts.TokensAt(store.id, aCall.cache_scope, part.id, now);
-    if (whole >= part.tokens) {
-      aCall.read_from[i] = { store.address, part.tokens };
-    } else if (aState.parts.TokensKept(store.id) + part.tokens <=
-               store.capacity_tokens) {
-      aCall.keep_at[i] = { store.address, part.tokens };
-    }
+    placer.Place(aPrompt.parts[i], i);
+  }
+  return placer.Placed();
+}
+
+std::optional<core::DataCentreId>
+StorePlaceOf(const ForwardState& aState,
+             const core::Prompt& aPrompt,
+             const core::CacheScope& aScope,
+             const core::ServiceId& aService)
+{
+  if (!HasSharedParts(aState, aPrompt)) {
+    return std::nullopt;
+  }
+  const std::string scope = core::ToText(aScope);
+  const StoreLook look(aState, scope, aService);
+  const core::PromptPart& part = aPrompt.parts[aPrompt.parts.size() - 2];
+  const core::DataCentreId elsewhere;
+  const PartHome home = look.Home(part, elsewhere);
+  if (!home.has_part) {
+    return std::nullopt;
   }
+  const core::DataCentreId& place = home.store->data_centre;
+  const core::Duration longer = look.LinkTime(*home.store, part, elsewhere) -
+                                look.LinkTime(*home.store, part, place);
+  return longer >= kNotablyLonger ? std::optional(place) : std::nullopt;
 }
 
 void
@@ -93,7 +219,9 @@
   std::vector<core::PlacementCandidate> homes;
   homes.reserve(targets.size());
   for (const auto& target : targets) {
-    homes.push_back({ target->name_hash, 0, 1, false });
+    core::PlacementCandidate home;
+    home.name_hash = target->name_hash;
+    homes.push_back(home);
   }
   const auto index =
     core::WeightedHome(core::PlacementHash(aPrompt.ReturningPart()), homes);
--- a/src/jujubehead/node/forward/part_places_test.cpp
+++ b/src/jujubehead/node/forward/part_places_test.cpp
@@ -45,6 +45,7 @@
 };
 
 const core::StoreId kStore("s1");
+constexpr core::Duration kObjective = milliseconds(600);
 const core::CacheScope kScope{ core::ModelId("m1"), 2, {} };
 
 core::RegisteredTarget
@@ -71,14 +72,24 @@
     core::ModelId("m1"), { { "a", 100 }, { "b", 900 }, { "c", 9 } }, 1009, 8
   };
   TargetCall call;
+  FleetTarget target;
   core::Instant now = core::RuntimeClock::now();
 
-  void setup() override
+  void Declare(std::vector<core::DeclaredStore> aStores)
   {
     core::Declarations all;
-    all.stores = { { kStore, "10.0.0.1:80", core::DataCentreId("d"), 100000 } };
+    all.stores = std::move(aStores);
+    core::DeclaredService models;
+    models.id = core::ServiceId("models");
+    models.kv_token_bytes = 100000;
+    all.services = { models };
     state.configuration =
       std::make_shared<const core::Configuration>(std::move(all));
+  }
+  void setup() override
+  {
+    Declare({ { kStore, "10.0.0.1:80", core::DataCentreId("d"), 100000 } });
+    target.target = TargetAt("t1");
     state.operator_heard = now;
     state.target_clock.OnReading(5000, now);
     call.cache_scope = core::ToText(kScope);
@@ -95,9 +106,13 @@
   {
     Tell({ { core::ToText(kScope), "b", 900, true } });
   }
+  PlacedTokens Place()
+  {
+    return PlaceParts(state, prompt, kScope, target, kObjective, call);
+  }
   bool Reads()
   {
-    PlaceParts(state, prompt, kScope, call);
+    Place();
     return call.read_from.size() > 1 && !call.read_from[1].address.empty();
   }
 };
@@ -151,18 +166,74 @@
 TEST(PartPlaces, AFullStoreIsNotFilledFurther)
 {
   Tell({ { core::ToText(kScope), "x", 99950, true } });
-  PlaceParts(state, prompt, kScope, call);
+  Place();
   CHECK(call.keep_at[0].address.empty());
 }
 
+// 900 tokens of 100 kB over 0.5 GB/s take 180 ms, of the whole link; an
+// instance with a tenth of the traffic has them over in 1.8 s.
+TEST(PartPlaces, AStoreWhoseLinkIsBusyIsPassedOver)
+{
+  core::DeclaredStore store{
+    kStore, "10.0.0.1:80", core::DataCentreId("d"), 100000
+  };
+  store.bytes_per_second = 0.5e9;
+  Declare({ store });
+  target.target.data_centre = core::DataCentreId("d");
+  for (int i = 0; i < 1000; ++i) {
+    state.shares[core::ServiceId("models")].OnLook(1, 10);
+  }
+  Tell({ { core::ToText(kScope), "a", 100, true },
+         { core::ToText(kScope), "b", 900, true } });
+  LONGS_EQUAL(1000, Place().transferred);
+  call.read_from.clear();
+  const PlacedTokens placed = Place();
+  LONGS_EQUAL(0, placed.transferred);
+  LONGS_EQUAL(1000, placed.passed_over);
+  CHECK(call.read_from[1].address.empty());
+}
+
+TEST(PartPlaces, APartThatManyUseIsKeptInEachDataCentre)
+{
+  const core::StoreId other("s2");
+  Declare({ { kStore, "10.0.0.1:80", core::DataCentreId("d"), 100000 },
+            { other, "10.0.0.2:80", core::DataCentreId("e"), 100000 } });
+  target.target.data_centre = core::DataCentreId("e");
+  core::PartEventPage page;
+  page.epoch = 1;
+  state.parts.OnPage(other, page, core::RuntimeClock::now());
+  TellWhole();
+  CHECK(Reads());
+  CHECK(call.keep_at[1].address.empty());
+  for (int i = 0; i < 20; ++i) {
+    Place();
+  }
+  STRCMP_EQUAL("10.0.0.2:80", call.keep_at[1].address.c_str());
+}
+
+TEST(PartPlaces, AWholePartDrawsItsPromptOnlyIfItIsLong)
+{
+  core::DeclaredStore store{
+    kStore, "10.0.0.1:80", core::DataCentreId("d"), 100000
+  };
+  store.bytes_per_second = 1e9;
+  Declare({ store });
+  const core::ServiceId models("models");
+  CHECK_FALSE(StorePlaceOf(state, prompt, kScope, models).has_value());
+  TellWhole();
+  CHECK(StorePlaceOf(state, prompt, kScope, models) == core::DataCentreId("d"));
+  store.bytes_per_second = 1e10;
+  Declare({ store });
+  CHECK_FALSE(StorePlaceOf(state, prompt, kScope, models).has_value());
+}
+
 TEST(PartPlaces, OnlyALivelyHomeWithTheSameWeightsIsRead)
 {
   state.fleet.Update({ TargetAt("t1"), TargetAt("t2") });
   const auto targets = state.fleet.Of(core::ServiceId("models"));
-  const std::vector<core::PlacementCandidate> homes = {
-    { targets[0]->name_hash, 0, 1, false },
-    { targets[1]->name_hash, 0, 1, false }
-  };
+  std::vector<core::PlacementCandidate> homes(2);
+  homes[0].name_hash = targets[0]->name_hash;
+  homes[1].name_hash = targets[1]->name_hash;
   const auto home = *core::WeightedHome(core::PlacementHash("b"), homes);
   FleetTarget& away = *targets[1 - home];
   call.weight_version = 2;
--- /dev/null
+++ b/src/jujubehead/node/forward/store_look.cpp
@@ -0,0 +1,125 @@
+#include "store_look.hpp"
+
+#include "jujubehead/core/routing/placement.hpp" // for PlacementHash
+
+namespace jujubehead::node {
+namespace {
+
+/// A store counts as full at this part of its capacity: parts take whole blocks
+/// there, and others are on their way.
+constexpr double kFullShare = 0.93;
+
+core::LinkRate
+RateOf(const core::DeclaredStore& aStore)
+{
+  return { aStore.bytes_per_second, aStore.first_delay };
+}
+
+std::vector<core::StoreFacts>
+FactsOf(const std::vector<core::DeclaredStore>& aStores)
+{
+  std::vector<core::StoreFacts> facts;
+  facts.reserve(aStores.size());
+  for (const core::DeclaredStore& store : aStores) {
+    core::StoreFacts one;
+    one.name_hash = core::PlacementHash(store.id.View());
+    one.data_centre = store.data_centre.View();
+    one.capacity_tokens = static_cast<double>(store.capacity_tokens);
+    one.rate = RateOf(store);
+    facts.push_back(one);
+  }
+  return facts;
+}
+
+} // namespace
+
+StoreLook::StoreLook(const ForwardState& aState,
+                     std::string_view aScope,
+                     const core::ServiceId& aService)
+  : m_state(aState)
+  , m_stores(aState.configuration->All().stores)
+  , m_facts(FactsOf(m_stores))
+  , m_scope(aScope)
+  , m_now(core::RuntimeClock::now())
+{
+  if (const auto* service = aState.configuration->ServiceOf(aService)) {
+    m_token_bytes = service->kv_token_bytes;
+  }
+}
+
+bool
+StoreLook::Has(const core::DeclaredStore& aStore,
+               const core::PromptPart& aPart) const
+{
+  return m_state.parts.TokensAt(aStore.id, m_scope, aPart.id, m_now) >=
+         aPart.tokens;
+}
+
+bool
+StoreLook::HasRoom(const core::DeclaredStore& aStore,
+                   const core::PromptPart& aPart) const
+{
+  const auto tokens =
+    static_cast<double>(m_state.parts.TokensKept(aStore.id) + aPart.tokens);
+  return m_state.parts.IsPresent(aStore.id, m_now) &&
+         tokens <= kFullShare * static_cast<double>(aStore.capacity_tokens);
+}
+
+core::TransferSize
+StoreLook::SizeOf(const core::PromptPart& aPart, bool aIsFar) const
+{
+  return { aPart.tokens, m_token_bytes, aIsFar };
+}
+
+core::Duration
+StoreLook::LinkTime(const core::DeclaredStore& aStore,
+                    const core::PromptPart& aPart,
+                    const core::DataCentreId& aDataCentre) const
+{
+  const bool is_far = aStore.data_centre != aDataCentre;
+  return core::LinkTime(SizeOf(aPart, is_far), RateOf(aStore));
+}
+
+PartHome
+StoreLook::Home(const core::PromptPart& aPart,
+                const core::DataCentreId& aDataCentre) const
+{
+  PartHome home;
+  std::size_t kind = 0;
+  const auto homes = core::StoreHomes(
+    core::PlacementHash(aPart.id), SizeOf(aPart, false), m_facts);
+  for (const core::StoreHome& one : homes) {
+    const core::DeclaredStore& store = m_stores[one.index];
+    if (Has(store, aPart)) {
+      return { &store, true };
+    }
+    const bool is_nearer = one.kind == kind && store.data_centre == aDataCentre;
+    if (HasRoom(store, aPart) && (home.store == nullptr || is_nearer)) {
+      home.store = &store;
+      kind = one.kind;
+    }
+  }
+  return home;
+}
+
+const core::DeclaredStore*
+StoreLook::Quickest(const core::PromptPart& aPart,
+                    const core::DataCentreId& aDataCentre) const
+{
+  const core::DeclaredStore* quickest = nullptr;
+  core::Duration least{};
+  for (const core::DeclaredStore& store : m_stores) {
+    if (store.data_centre != aDataCentre) {
+      continue;
+    }
+    const core::Duration time =
+      LinkTime(store, aPart, aDataCentre) + store.first_delay;
+    if (quickest == nullptr || time < least) {
+      quickest = &store;
+      least = time;
+    }
+  }
+  return quickest;
+}
+
+} // namespace jujubehead::node
--- a/src/jujubehead/node/metrics.cpp
+++ b/src/jujubehead/node/metrics.cpp
@@ -204,6 +204,9 @@
   { "service_reads_total", "Reads of the table service." },
   { "service_writes_total", "Writes to the table service." },
   { "service_failures_total", "Calls to the table service that failed." },
+  { "passed_over_tokens_total",
+    "Prompt tokens read anew as their store's link was too busy." },
+  { "target_refusals_total", "Requests that targets refused as not run." },
   { "takeovers_total", "Targets and stores that came to this instance." },
 } };
 
