Count the orders over links of one kind together

Parts spread evenly over stores that are alike, so the links are counted as one. Ruled out: more room (the stores had it), the stores' word (no silence before 26 s).

--- a/include/jujubehead/core/context/store_link.hpp
+++ b/include/jujubehead/core/context/store_link.hpp
@@ -1,6 +1,7 @@
 #ifndef JUJUBEHEAD_CORE_CONTEXT_STORE_LINK_HPP
 #define JUJUBEHEAD_CORE_CONTEXT_STORE_LINK_HPP
 
+#include <compare> // for operator<=>
 #include <cstdint> // for uint64_t
 
 #include "jujubehead/core/runtime_clock.hpp" // for Instant, Duration
@@ -38,6 +39,8 @@
 {
   double bytes_per_second = 0; ///< 0: not told.
   Duration first_delay{};      ///< Of each transfer, beside its bytes.
+
+  friend auto operator<=>(const LinkRate&, const LinkRate&) = default;
 };
 
 /// @return for how long a transfer keeps the link busy; none where the rate or
--- a/src/jujubehead/node/forward/forward_state.hpp
+++ b/src/jujubehead/node/forward/forward_state.hpp
@@ -62,7 +62,7 @@
   /// By the route's name.
   std::unordered_map<std::string, core::WaitPredictor> waits;
   core::PartUses part_uses;
-  std::unordered_map<core::StoreId, core::StoreLink> links;
+  std::map<core::LinkRate, core::StoreLink> links;
   std::unordered_map<core::ServiceId, core::TrafficShare> shares;
   std::mt19937_64 random;
   TargetClock target_clock;
--- a/src/jujubehead/node/forward/part_places.cpp
+++ b/src/jujubehead/node/forward/part_places.cpp
@@ -109,7 +109,7 @@
                                             const core::PromptPart& aPart)
   {
     core::TransferOffer offer;
-    offer.wait = m_state.links[aStore.id].Wait(m_share, m_now);
+    offer.wait = LinksLike(aStore).Wait(ShareOf(aStore), m_now);
     offer.transfer =
       m_look.LinkTime(aStore, aPart, m_data_centre) + aStore.first_delay;
     offer.objective = m_objective;
@@ -119,8 +119,18 @@
 
   void Order(const core::DeclaredStore& aStore, const core::PromptPart& aPart)
   {
-    m_state.links[aStore.id].Add(
-      m_look.LinkTime(aStore, aPart, m_data_centre), m_share, m_now);
+    LinksLike(aStore).Add(
+      m_look.LinkTime(aStore, aPart, m_data_centre), ShareOf(aStore), m_now);
+  }
+
+  core::StoreLink& LinksLike(const core::DeclaredStore& aStore)
+  {
+    return m_state.links[StoreLook::RateOf(aStore)];
+  }
+
+  [[nodiscard]] double ShareOf(const core::DeclaredStore& aStore) const
+  {
+    return m_share * static_cast<double>(m_look.Alike(aStore));
   }
 
   void ReadOrPassOver(const core::DeclaredStore& aStore,
--- a/src/jujubehead/node/forward/store_look.cpp
+++ b/src/jujubehead/node/forward/store_look.cpp
@@ -1,5 +1,7 @@
 #include "store_look.hpp"
 
+#include <algorithm> // for count_if
+
 #include "jujubehead/core/routing/placement.hpp" // for PlacementHash
 
 namespace jujubehead::node {
@@ -9,12 +11,6 @@
 /// there, and others are on their way.
 constexpr double kFullShare = 0.93;
 
-core::LinkRate
-RateOf(const core::DeclaredStore& aStore)
-{
-  return { aStore.bytes_per_second, aStore.first_delay };
-}
-
 std::vector<core::StoreFacts>
 FactsOf(const std::vector<core::DeclaredStore>& aStores)
 {
@@ -25,7 +21,7 @@
     one.name_hash = core::PlacementHash(store.id.View());
     one.data_centre = store.data_centre.View();
     one.capacity_tokens = static_cast<double>(store.capacity_tokens);
-    one.rate = RateOf(store);
+    one.rate = StoreLook::RateOf(store);
     facts.push_back(one);
   }
   return facts;
@@ -47,6 +43,22 @@
   }
 }
 
+core::LinkRate
+StoreLook::RateOf(const core::DeclaredStore& aStore)
+{
+  return { aStore.bytes_per_second, aStore.first_delay };
+}
+
+std::size_t
+StoreLook::Alike(const core::DeclaredStore& aStore) const
+{
+  const core::LinkRate rate = RateOf(aStore);
+  return static_cast<std::size_t>(std::count_if(
+    m_stores.begin(), m_stores.end(), [&](const core::DeclaredStore& aOther) {
+      return RateOf(aOther) == rate;
+    }));
+}
+
 bool
 StoreLook::Has(const core::DeclaredStore& aStore,
                const core::PromptPart& aPart) const
--- a/src/jujubehead/node/forward/store_look.hpp
+++ b/src/jujubehead/node/forward/store_look.hpp
@@ -49,6 +49,10 @@
     const core::PromptPart& aPart,
     const core::DataCentreId& aDataCentre) const;
 
+  /// @return the number of stores with such a link, this one included.
+  [[nodiscard]] std::size_t Alike(const core::DeclaredStore& aStore) const;
+  static core::LinkRate RateOf(const core::DeclaredStore& aStore);
+
 private:
   [[nodiscard]] core::TransferSize SizeOf(const core::PromptPart& aPart,
                                           bool aIsFar) const;
