Tell hubs' news in pieces; choose hubs by a hash that spreads like names

All eight hubs lay in one data centre, as names that differ in the last letter hash side by side. Now 400 parts an answer, asked on at once, scopes told once an answer; what goes while a list is read is still told (property with a reader that reads while more goes on). An instance of the code before does not understand the new message and takes its hub for lost; in a rolling replacement it reads the store.

--- a/include/jujubehead/core/context/part_log.hpp
+++ b/include/jujubehead/core/context/part_log.hpp
@@ -35,11 +35,22 @@
   Duration age{}; ///< Since its last answer; kSilentAge: it fell silent.
 };
 
-/// @brief What changed after a place in a PartLog.
+/// @brief How far someone has read a PartLog.
+struct PartCursor
+{
+  std::uint64_t next = 0; ///< Where to go on; 0: nothing was read.
+  /// The log's end when the asker had read nothing, or had last read all: what
+  /// went since then must still be told.
+  std::uint64_t since = 0;
+};
+
+/// @brief What changed after a place in a PartLog, at most so much at once.
 struct PartNews
 {
-  std::uint64_t next = 0; ///< Where to go on.
-  /// The changes are all parts; what is not among them is not known.
+  PartCursor cursor;
+  bool has_more = false; ///< There is more to be read at once.
+  /// All parts are told anew, from the first one on; what is not among them and
+  /// what follows is not there.
   bool is_all = false;
   std::vector<HeardStore> stores; ///< All that ever answered.
   std::vector<PartChange> changes;
@@ -51,6 +62,10 @@
   /// Parts that went are remembered up to this number; one that asks for older
   /// changes is told all parts anew.
   std::size_t most_gone = 4000;
+  /// Parts told at once, of some 20 bytes each: the whole list at once, asked
+  /// for by all who lost their hub, takes a small instance's link for longer
+  /// than they wait, so they would go from hub to hub and ask for it again.
+  std::size_t most_at_once = 400;
 };
 
 /// @brief What an instance that watches the stores tells the others, so that
@@ -66,8 +81,9 @@
   void OnPage(const StoreId& aStore, const PartEventPage& aPage, Instant aNow);
   void OnSilence(const StoreId& aStore);
 
-  /// @param aAfter where the asker stands; 0: it knows nothing.
-  [[nodiscard]] PartNews ReadAfter(std::uint64_t aAfter, Instant aNow) const;
+  /// @param aCursor where the asker stands.
+  [[nodiscard]] PartNews ReadAfter(const PartCursor& aCursor,
+                                   Instant aNow) const;
 
 private:
   struct Store
--- a/src/jujubehead/core/context/part_log.cpp
+++ b/src/jujubehead/core/context/part_log.cpp
@@ -1,6 +1,7 @@
 #include "jujubehead/core/context/part_log.hpp"
 
-#include <utility> // for move
+#include <iterator> // for prev
+#include <utility>  // for move
 
 namespace jujubehead::core {
 namespace {
@@ -85,22 +86,30 @@
 }
 
 PartNews
-PartLog::ReadAfter(std::uint64_t aAfter, Instant aNow) const
+PartLog::ReadAfter(const PartCursor& aCursor, Instant aNow) const
 {
   PartNews news;
-  news.next = m_last;
-  news.is_all = aAfter == 0 || aAfter < m_dropped || aAfter > m_last;
+  news.is_all =
+    aCursor.next == 0 || aCursor.since < m_dropped || aCursor.next > m_last;
   for (const auto& [id, store] : m_stores) {
     const Duration age = store.heard ? aNow - *store.heard : kSilentAge;
     news.stores.push_back({ id, store.epoch, age });
   }
-  const auto from =
-    news.is_all ? m_changes.begin() : m_changes.upper_bound(aAfter);
-  for (auto change = from; change != m_changes.end(); ++change) {
+  news.cursor.next = m_last;
+  auto change =
+    news.is_all ? m_changes.begin() : m_changes.upper_bound(aCursor.next);
+  for (; change != m_changes.end(); ++change) {
+    if (news.changes.size() == m_options.most_at_once) {
+      news.cursor.next = std::prev(change)->first;
+      news.has_more = true;
+      break;
+    }
     if (!news.is_all || change->second.tokens > 0) {
       news.changes.push_back(change->second);
     }
   }
+  const bool is_under_way = news.has_more && !news.is_all;
+  news.cursor.since = is_under_way ? aCursor.since : m_last;
   return news;
 }
 
--- a/src/jujubehead/core/context/part_log_test.cpp
+++ b/src/jujubehead/core/context/part_log_test.cpp
@@ -25,14 +25,22 @@
 /// What someone who follows a log knows of one store.
 struct Follower
 {
-  std::uint64_t next = 0;
+  PartCursor cursor;
+  bool has_more = false;
   std::uint64_t epoch = 0;
   std::map<std::string, std::uint64_t> parts;
 
+  void ReadAll(const PartLog& aLog)
+  {
+    do {
+      Read(aLog);
+    } while (has_more);
+  }
   void Read(const PartLog& aLog)
   {
-    const PartNews news = aLog.ReadAfter(next, kNow);
-    next = news.next;
+    const PartNews news = aLog.ReadAfter(cursor, kNow);
+    cursor = news.cursor;
+    has_more = news.has_more;
     if (news.is_all) {
       parts.clear();
     }
@@ -63,13 +71,13 @@
 {
   PartLog log;
   log.OnPage(store, Page(7, { { "w1", "a", 100, true } }), kNow);
-  const PartNews first = log.ReadAfter(0, kNow + milliseconds(20));
+  const PartNews first = log.ReadAfter({}, kNow + milliseconds(20));
   CHECK(first.is_all);
   LONGS_EQUAL(1, first.changes.size());
   LONGS_EQUAL(7, first.stores.at(0).epoch);
   CHECK(first.stores.at(0).age == milliseconds(20));
   log.OnPage(store, Page(7, { { "w1", "b", 50, true } }), kNow);
-  const PartNews second = log.ReadAfter(first.next, kNow);
+  const PartNews second = log.ReadAfter(first.cursor, kNow);
   CHECK_FALSE(second.is_all);
   LONGS_EQUAL(1, second.changes.size());
   STRCMP_EQUAL("b", second.changes.at(0).part.c_str());
@@ -80,9 +88,9 @@
   PartLog log;
   log.OnPage(store, Page(7, {}), kNow);
   log.OnSilence(store);
-  CHECK(log.ReadAfter(0, kNow).stores.at(0).age == kSilentAge);
+  CHECK(log.ReadAfter({}, kNow).stores.at(0).age == kSilentAge);
   log.OnPage(store, Page(7, {}), kNow);
-  CHECK(log.ReadAfter(0, kNow).stores.at(0).age == milliseconds(0));
+  CHECK(log.ReadAfter({}, kNow).stores.at(0).age == milliseconds(0));
 }
 
 TEST(PartLog, OneWhoStandsBeforeWhatWasDroppedIsToldAll)
@@ -96,20 +104,45 @@
                     { "w1", "b", 100, true },
                     { "w1", "c", 100, true } }),
              kNow);
-  const std::uint64_t next = log.ReadAfter(0, kNow).next;
+  const PartCursor cursor = log.ReadAfter({}, kNow).cursor;
   log.OnPage(
     store, Page(7, { { "w1", "a", 0, false }, { "w1", "b", 0, false } }), kNow);
-  const PartNews news = log.ReadAfter(next, kNow);
+  const PartNews news = log.ReadAfter(cursor, kNow);
   CHECK(news.is_all);
   LONGS_EQUAL(1, news.changes.size());
   STRCMP_EQUAL("c", news.changes.at(0).part.c_str());
 }
 
+// All who lost their hub at once ask another one for all parts.
+TEST(PartLog, ALongListIsToldInPieces)
+{
+  PartLog log;
+  std::vector<PartEvent> events;
+  for (int i = 0; i < 5000; ++i) {
+    events.push_back({ "w1", "p" + std::to_string(i), 100, true });
+  }
+  log.OnPage(store, Page(7, events), kNow);
+  Follower follower;
+  int pieces = 0;
+  do {
+    const std::size_t before = follower.parts.size();
+    follower.Read(log);
+    CHECK(follower.parts.size() - before <= PartLogOptions{}.most_at_once);
+    ++pieces;
+    // What goes on meanwhile does not begin it anew.
+    log.OnPage(store,
+               Page(7, { { "w1", "p" + std::to_string(pieces), 0, false } }),
+               kNow);
+  } while (follower.has_more && pieces < 100);
+  follower.ReadAll(log);
+  LONGS_EQUAL(5000 - pieces, follower.parts.size());
+}
+
 TEST(PartLog, OneWhoComesFromAnotherLogIsToldAll)
 {
   PartLog log;
   log.OnPage(store, Page(7, { { "w1", "a", 100, true } }), kNow);
-  CHECK(log.ReadAfter(999, kNow).is_all);
+  CHECK(log.ReadAfter({ 999, 999 }, kNow).is_all);
 }
 
 TEST(PartLog, WhoeverFollowsKnowsWhatTheDirectoryKnows)
@@ -117,12 +150,14 @@
   const bool holds = rc::check([] {
     PartLogOptions options;
     options.most_gone = 3;
+    options.most_at_once = 2;
     PartLog log(options);
     const StoreId id("s1");
     std::uint64_t epoch = 1;
     std::map<std::string, std::uint64_t> truth;
     Follower often;
     Follower seldom;
+    Follower slow; // reads while more goes on
     const auto steps = *rc::gen::inRange(1, 60);
     for (int i = 0; i < steps; ++i) {
       const auto kind = *rc::gen::inRange(0, 10);
@@ -140,12 +175,14 @@
         truth[part] = tokens;
         log.OnPage(id, Page(epoch, { { "w", part, tokens, true } }), kNow);
       }
-      often.Read(log);
+      often.ReadAll(log);
       RC_ASSERT(often.parts == truth);
       if (i % 7 == 6) {
-        seldom.Read(log);
+        seldom.ReadAll(log);
         RC_ASSERT(seldom.parts == truth);
       }
+      slow.Read(log);
+      RC_ASSERT(slow.has_more || slow.parts == truth);
     }
   });
   CHECK(holds);
--- a/src/jujubehead/core/membership/hubs.cpp
+++ b/src/jujubehead/core/membership/hubs.cpp
@@ -3,7 +3,7 @@
 #include <algorithm> // for sort, any_of, find_if
 #include <cstdint>   // for uint64_t
 
-#include "jujubehead/core/rendezvous.hpp" // for HashName
+#include "jujubehead/core/routing/placement.hpp" // for PlacementHash
 
 namespace jujubehead::core {
 namespace {
@@ -11,8 +11,10 @@
 void
 SortBySeed(std::vector<KnownInstance>& aInstances, std::string_view aSeed)
 {
+  // Names that differ in their last letter only must not come side by side:
+  // instances of one data centre often have such names.
   const auto rank = [&](const KnownInstance& aOne) {
-    return detail::HashName(std::string(aSeed) + '/' + aOne.id);
+    return PlacementHash(std::string(aSeed) + '/' + aOne.id);
   };
   std::sort(aInstances.begin(),
             aInstances.end(),
--- a/src/jujubehead/core/membership/hubs_test.cpp
+++ b/src/jujubehead/core/membership/hubs_test.cpp
@@ -56,6 +56,25 @@
   }
 }
 
+// A data centre that goes takes few hubs with it, whatever instances are named.
+TEST(Hubs, TheyLieInSeveralDataCentres)
+{
+  std::vector<KnownInstance> all;
+  for (const std::string place : { "north", "south", "east", "west" }) {
+    for (int i = 1; i <= 19; ++i) {
+      all.push_back({ "entry-" + place + "-" + std::to_string(i), {} });
+    }
+  }
+  std::map<std::string, int> hubs;
+  for (const std::string& id : Ids(HubsOf(all, "entry-west-1"))) {
+    ++hubs[id.substr(0, id.rfind('-'))];
+  }
+  CHECK(hubs.size() >= 3);
+  for (const auto& [place, count] : hubs) {
+    CHECK(count <= 4);
+  }
+}
+
 TEST(Hubs, OneThatGoesIsReplacedByOne)
 {
   auto all = Instances(40);
--- a/src/jujubehead/node/control/hub_exchange.cpp
+++ b/src/jujubehead/node/control/hub_exchange.cpp
@@ -95,7 +95,9 @@
       why = error.what();
     }
     if (why.empty()) {
-      co_await net::Sleep(kHubPause);
+      if (!cursor.has_more) {
+        co_await net::Sleep(kHubPause);
+      }
       continue;
     }
     DecisionLog::WriteAlways(
@@ -138,7 +140,7 @@
 HubExchange::AskHub(core::KnownInstance aHub, Cursor& aCursor)
 {
   if (aCursor.hub != aHub.id) {
-    aCursor = { aHub.id, {}, 0 };
+    aCursor = { aHub.id, {}, {}, false };
   }
   const std::vector<core::HeardLoad> own =
     co_await ExchangeLoads(std::exchange(m_told_loads, {}));
@@ -147,7 +149,8 @@
   call.method = "POST";
   call.body = LoadsToBytes(own, core::RuntimeClock::now());
   call.target = std::string(kHubNewsPath) + "?start=" + aCursor.start +
-                "&after=" + std::to_string(aCursor.next) +
+                "&after=" + std::to_string(aCursor.parts.next) +
+                "&since=" + std::to_string(aCursor.parts.since) +
                 "&rows=" + m_rows.Cursors();
   call.connect_timeout = kHubTimeout;
   call.idle_timeout = kHubTimeout;
@@ -160,7 +163,8 @@
   }
   HubNews news = HubNewsOf(response.body, asked);
   aCursor.start = news.start;
-  aCursor.next = news.parts.next;
+  aCursor.parts = news.parts.cursor;
+  aCursor.has_more = news.parts.has_more;
   m_told_loads = std::move(news.loads);
   m_stores.TakeNews(news.parts, news.clock_ms, asked);
   if (news.rows) {
@@ -181,12 +185,15 @@
     m_loads.Put(one);
   }
   const bool knows_start = aRequest.Query("start") == m_start;
-  const std::uint64_t after =
-    knows_start ? NumberOf(aRequest.Query("after")) : 0;
+  core::PartCursor cursor;
+  if (knows_start) {
+    cursor.next = NumberOf(aRequest.Query("after"));
+    cursor.since = NumberOf(aRequest.Query("since"));
+  }
   HubNews news;
   news.start = m_start;
   news.loads = m_loads.Busiest(now);
-  news.parts = m_stores.Log().ReadAfter(after, now);
+  news.parts = m_stores.Log().ReadAfter(cursor, now);
   news.clock_ms = m_stores.ClockMs(now);
   news.rows = m_rows.NewsAfter(aRequest.Query("rows").value_or(""), now);
   if (news.rows && news.rows->age > kOldestRows) {
--- a/src/jujubehead/node/control/hub_exchange.hpp
+++ b/src/jujubehead/node/control/hub_exchange.hpp
@@ -68,7 +68,8 @@
   {
     std::string hub; ///< Its id.
     std::string start;
-    std::uint64_t next = 0;
+    core::PartCursor parts;
+    bool has_more = false; ///< The hub has more to tell at once.
   };
 
   boost::asio::awaitable<void> FollowHubs();
--- a/src/jujubehead/node/control/hub_news_codec.cpp
+++ b/src/jujubehead/node/control/hub_news_codec.cpp
@@ -1,8 +1,9 @@
 #include "hub_news_codec.hpp"
 
-#include <chrono>  // for duration_cast
-#include <cstddef> // for size_t
-#include <map>     // for map
+#include <chrono>      // for duration_cast
+#include <cstddef>     // for size_t
+#include <map>         // for map
+#include <string_view> // for string_view
 
 #include <nlohmann/json.hpp> // for json
 
@@ -29,7 +30,7 @@
 enum ChangePlace : std::size_t
 {
   kStore, ///< Its index among the stores.
-  kScope,
+  kScope, ///< Its index among the scopes.
   kPart,
   kTokens,
 };
@@ -98,15 +99,25 @@
     stores.push_back(json::array(
       { store.store.Text(), store.epoch, Milliseconds(store.age) + 1 }));
   }
+  json scopes = json::array();
+  std::map<std::string_view, std::size_t> scope_places;
   json changes = json::array();
   for (const core::PartChange& change : aNews.parts.changes) {
+    const auto [scope, is_new] =
+      scope_places.try_emplace(change.scope, scopes.size());
+    if (is_new) {
+      scopes.push_back(change.scope);
+    }
     changes.push_back(json::array(
-      { places.at(change.store), change.scope, change.part, change.tokens }));
+      { places.at(change.store), scope->second, change.part, change.tokens }));
   }
   json message = { { "start", aNews.start },
-                   { "next", aNews.parts.next },
+                   { "next", aNews.parts.cursor.next },
+                   { "since", aNews.parts.cursor.since },
+                   { "more", aNews.parts.has_more },
                    { "all", aNews.parts.is_all },
                    { "stores", std::move(stores) },
+                   { "scopes", std::move(scopes) },
                    { "changes", std::move(changes) } };
   message["loads"] = ToJson(aNews.loads, aNow);
   if (aNews.rows) {
@@ -127,7 +138,9 @@
   const json message = json::from_cbor(aBytes.begin(), aBytes.end());
   HubNews result;
   result.start = message.at("start").get<std::string>();
-  result.parts.next = message.at("next").get<std::uint64_t>();
+  result.parts.cursor.next = message.at("next").get<std::uint64_t>();
+  result.parts.cursor.since = message.at("since").get<std::uint64_t>();
+  result.parts.has_more = message.at("more").get<bool>();
   result.parts.is_all = message.at("all").get<bool>();
   if (const auto clock = message.find("clock"); clock != message.end()) {
     result.clock_ms = clock->get<std::int64_t>();
@@ -144,10 +157,11 @@
         store.at(kEpoch).get<std::uint64_t>(),
         std::chrono::milliseconds(store.at(kAgeMs).get<std::int64_t>()) });
   }
+  const json& scopes = message.at("scopes");
   for (const json& change : message.at("changes")) {
     result.parts.changes.push_back(
       { result.parts.stores.at(change.at(kStore).get<std::size_t>()).store,
-        change.at(kScope).get<std::string>(),
+        scopes.at(change.at(kScope).get<std::size_t>()).get<std::string>(),
         change.at(kPart).get<std::string>(),
         change.at(kTokens).get<std::uint64_t>() });
   }
--- a/src/jujubehead/node/control/hub_news_codec_test.cpp
+++ b/src/jujubehead/node/control/hub_news_codec_test.cpp
@@ -18,12 +18,15 @@
   void setup() override
   {
     message.start = "i1/abc";
-    message.parts.next = 42;
+    message.parts.cursor = { 42, 40 };
+    message.parts.has_more = true;
     message.parts.stores = {
       { core::StoreId("s1"), 7, core::kSilentAge },
       { core::StoreId("s2"), 8, std::chrono::milliseconds(30) }
     };
-    message.parts.changes = { { core::StoreId("s2"), "w1", "a", 800 } };
+    message.parts.changes = { { core::StoreId("s2"), "w1", "a", 800 },
+                              { core::StoreId("s1"), "w2", "b", 100 },
+                              { core::StoreId("s1"), "w1", "c", 100 } };
     message.clock_ms = 123456;
     message.loads = { { core::TargetId("t1"),
                         { 12, 3, 12 },
@@ -37,7 +40,9 @@
 {
   const HubNews back = node::HubNewsOf(node::ToBytes(message, kNow), kNow);
   STRCMP_EQUAL("i1/abc", back.start.c_str());
-  LONGS_EQUAL(42, back.parts.next);
+  LONGS_EQUAL(42, back.parts.cursor.next);
+  LONGS_EQUAL(40, back.parts.cursor.since);
+  CHECK(back.parts.has_more);
   CHECK_FALSE(back.parts.is_all);
   LONGS_EQUAL(123456, *back.clock_ms);
   LONGS_EQUAL(8, back.parts.stores.at(1).epoch);
@@ -49,6 +54,9 @@
   CHECK(back.parts.stores.at(1).age >= message.parts.stores.at(1).age);
   CHECK(back.parts.changes.at(0).store == core::StoreId("s2"));
   LONGS_EQUAL(800, back.parts.changes.at(0).tokens);
+  STRCMP_EQUAL("w1", back.parts.changes.at(0).scope.c_str());
+  STRCMP_EQUAL("w2", back.parts.changes.at(1).scope.c_str());
+  STRCMP_EQUAL("w1", back.parts.changes.at(2).scope.c_str());
 }
 
 TEST(HubNewsCodec, BytesCutShortOrOfAnotherKindAreRefused)
--- a/standin/hub_exchange_test.cpp
+++ b/standin/hub_exchange_test.cpp
@@ -262,7 +262,8 @@
 {
   net::HttpCall call;
   call.authority = follower->Address();
-  call.target = std::string(node::kHubNewsPath) + "?start=&after=0&rows=";
+  call.target =
+    std::string(node::kHubNewsPath) + "?start=&after=0&since=0&rows=";
   const auto response =
     net::RunAwaitable(context, hub->client->Fetch(std::move(call)));
   LONGS_EQUAL(503, response.status);
