--- a/include/jujubehead/core/context/store_link.hpp
+++ b/include/jujubehead/core/context/store_link.hpp
@@ -1,8 +1,8 @@
 #ifndef JUJUBEHEAD_CORE_CONTEXT_STORE_LINK_HPP
 #define JUJUBEHEAD_CORE_CONTEXT_STORE_LINK_HPP
 
-#include <compare> // for operator<=>
 #include <cstdint> // for uint64_t
+#include <tuple>   // for tie
 
 #include "jujubehead/core/runtime_clock.hpp" // for Instant, Duration
 
@@ -40,7 +40,12 @@
   double bytes_per_second = 0; ///< 0: not told.
   Duration first_delay{};      ///< Of each transfer, beside its bytes.
 
-  friend auto operator<=>(const LinkRate&, const LinkRate&) = default;
+  friend bool operator==(const LinkRate&, const LinkRate&) = default;
+  friend bool operator<(const LinkRate& aOne, const LinkRate& aOther)
+  {
+    return std::tie(aOne.bytes_per_second, aOne.first_delay) <
+           std::tie(aOther.bytes_per_second, aOther.first_delay);
+  }
 };
 
 /// @return for how long a transfer keeps the link busy; none where the rate or
--- a/src/jujubehead/core/context/part_log_test.cpp
+++ b/src/jujubehead/core/context/part_log_test.cpp
@@ -118,6 +118,7 @@
 {
   PartLog log;
   std::vector<PartEvent> events;
+  events.reserve(5000);
   for (int i = 0; i < 5000; ++i) {
     events.push_back({ "w1", "p" + std::to_string(i), 100, true });
   }
--- a/src/jujubehead/core/context/store_link_test.cpp
+++ b/src/jujubehead/core/context/store_link_test.cpp
@@ -78,7 +78,7 @@
 // then nine tenths of it. Without a bound the queue outlives the burst.
 TEST(StoreLink, AQueueOnASharedLinkEndsWithWhatBeganIt)
 {
-  for (const std::size_t instances : { 1, 8, 77 }) {
+  for (const std::size_t instances : { 1U, 8U, 77U }) {
     SharedLink bounded(instances, true);
     bounded.Run(seconds(5), 2);
     CHECK(bounded.Wait() <= milliseconds(1300));
