Work out a transfer's link once; one place for a prompt's cache scope

Cause, from a reading of the whole change: each read or save of a part looked up its link, counted the stores alike and worked out the link time twice, once to decide and once to order; the scope of a prompt's cache was built in two places with the same care for walled accounts; whether a hub has more to tell was kept in the cursor though it is an answer of one question. The comments on the links said one store where the orders of all stores alike are counted. Behaviour is as it was.

--- a/include/jujubehead/core/context/store_link.hpp
+++ b/include/jujubehead/core/context/store_link.hpp
@@ -53,8 +53,8 @@
 Duration
 LinkTime(const TransferSize& aSize, const LinkRate& aRate);
 
-/// @brief What this instance ordered over one store's link and is not over yet,
-/// by its own count.
+/// @brief What this instance ordered over a store's link, or over those of all
+/// stores that are alike, and is not over yet, by its own count.
 ///
 /// A link carries one transfer after another, for all instances, and nobody
 /// tells how many wait. Each instance keeps to its share of the link's time, as
--- a/src/jujubehead/node/control/hub_exchange.cpp
+++ b/src/jujubehead/node/control/hub_exchange.cpp
@@ -89,13 +89,14 @@
     const std::size_t count = m_role.Hubs().size();
     const core::KnownInstance hub = m_role.Hubs()[next % count];
     std::string why;
+    bool has_more = false;
     try {
-      co_await AskHub(hub, cursor);
+      has_more = co_await AskHub(hub, cursor);
     } catch (const std::exception& error) {
       why = error.what();
     }
     if (why.empty()) {
-      if (!cursor.has_more) {
+      if (!has_more) {
         co_await net::Sleep(kHubPause);
       }
       continue;
@@ -136,11 +137,11 @@
   }
 }
 
-asio::awaitable<void>
+asio::awaitable<bool>
 HubExchange::AskHub(core::KnownInstance aHub, Cursor& aCursor)
 {
   if (aCursor.hub != aHub.id) {
-    aCursor = { aHub.id, {}, {}, false };
+    aCursor = { aHub.id, {}, {} };
   }
   const std::vector<core::HeardLoad> own =
     co_await ExchangeLoads(std::exchange(m_told_loads, {}));
@@ -164,7 +165,6 @@
   HubNews news = HubNewsOf(response.body, asked);
   aCursor.start = news.start;
   aCursor.parts = news.parts.cursor;
-  aCursor.has_more = news.parts.has_more;
   m_told_loads = std::move(news.loads);
   m_stores.TakeNews(news.parts, news.clock_ms, asked);
   if (news.rows) {
@@ -175,6 +175,7 @@
     }
     m_paths.OnFed(core::RuntimeClock::now() + kFedTime);
   }
+  co_return news.parts.has_more;
 }
 
 HubNews
--- a/src/jujubehead/node/control/hub_exchange.hpp
+++ b/src/jujubehead/node/control/hub_exchange.hpp
@@ -69,11 +69,11 @@
     std::string hub; ///< Its id.
     std::string start;
     core::PartCursor parts;
-    bool has_more = false; ///< The hub has more to tell at once.
   };
 
   boost::asio::awaitable<void> FollowHubs();
-  boost::asio::awaitable<void> AskHub(core::KnownInstance aHub,
+  /// @return whether the hub has more to tell at once.
+  boost::asio::awaitable<bool> AskHub(core::KnownInstance aHub,
                                       Cursor& aCursor);
   boost::asio::awaitable<void> ShareOwnLoads();
   boost::asio::awaitable<std::vector<core::HeardLoad>> ExchangeLoads(
--- a/src/jujubehead/node/forward/forward_attempt.cpp
+++ b/src/jujubehead/node/forward/forward_attempt.cpp
@@ -80,10 +80,7 @@
     call.cache_scope = "alone/" + m_facts.request_id;
     return call;
   }
-  core::CacheScope scope{ prompt.model, *call.weight_version, {} };
-  if (m_account != nullptr && m_account->dedicated) {
-    scope.account = m_account->id;
-  }
+  const core::CacheScope scope = ScopeOn(*call.weight_version);
   call.cache_scope = core::ToText(scope);
   m_placed =
     PlaceParts(m_state, prompt, scope, aTarget, m_route->objective, call);
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -428,16 +428,22 @@
   if (!m_facts.prompt || aTargets.empty()) {
     return std::nullopt;
   }
-  const core::ModelId& model = m_facts.prompt->model;
-  core::CacheScope scope{ model, 0, {} };
+  std::uint64_t newest = 0;
   for (const auto& target : aTargets) {
-    const auto version = target->VersionOf(model).value_or(0);
-    scope.weight_version = std::max(scope.weight_version, version);
+    const auto version = target->VersionOf(m_facts.prompt->model);
+    newest = std::max(newest, version.value_or(0));
   }
+  return StorePlaceOf(m_state, *m_facts.prompt, ScopeOn(newest), m_service);
+}
+
+core::CacheScope
+ForwardRun::ScopeOn(std::uint64_t aWeightVersion) const
+{
+  core::CacheScope scope{ m_facts.prompt->model, aWeightVersion, {} };
   if (m_account != nullptr && m_account->dedicated) {
     scope.account = m_account->id;
   }
-  return StorePlaceOf(m_state, *m_facts.prompt, scope, m_service);
+  return scope;
 }
 
 std::shared_ptr<FleetTarget>
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -57,6 +57,8 @@
   [[nodiscard]] std::shared_ptr<FleetTarget> Choose();
   [[nodiscard]] std::vector<std::shared_ptr<FleetTarget>> Candidates() const;
   [[nodiscard]] TargetCall CallFor(const FleetTarget& aTarget);
+  /// @return who may share the prompt's parts, on that version of its weights.
+  [[nodiscard]] core::CacheScope ScopeOn(std::uint64_t aWeightVersion) const;
   /// @return the data centre that placement prefers for the prompt, if any.
   [[nodiscard]] std::optional<core::DataCentreId> StorePlace(
     std::span<const std::shared_ptr<FleetTarget>> aTargets) const;
--- a/src/jujubehead/node/forward/forward_state.hpp
+++ b/src/jujubehead/node/forward/forward_state.hpp
@@ -62,6 +62,8 @@
   /// By the route's name.
   std::unordered_map<std::string, core::WaitPredictor> waits;
   core::PartUses part_uses;
+  /// Of stores with such a link together: parts spread evenly over them, and an
+  /// instance's share of a single one is too small to tell anything.
   std::map<core::LinkRate, core::StoreLink> links;
   std::unordered_map<core::ServiceId, core::TrafficShare> shares;
   std::mt19937_64 random;
--- a/src/jujubehead/node/forward/part_places.cpp
+++ b/src/jujubehead/node/forward/part_places.cpp
@@ -105,58 +105,59 @@
                                       : nullptr;
   }
 
-  [[nodiscard]] core::TransferOffer OfferOf(const core::DeclaredStore& aStore,
-                                            const core::PromptPart& aPart)
+  /// A transfer that may be ordered.
+  struct Transfer
   {
+    core::StoreLink& links; ///< Of all stores with such a link.
+    double share = 0;       ///< Of this instance, over all of them.
+    core::Duration link_time{};
     core::TransferOffer offer;
-    offer.wait = LinksLike(aStore).Wait(ShareOf(aStore), m_now);
-    offer.transfer =
-      m_look.LinkTime(aStore, aPart, m_data_centre) + aStore.first_delay;
-    offer.objective = m_objective;
-    m_placed.link_wait = std::max(m_placed.link_wait, offer.wait);
-    return offer;
-  }
-
-  void Order(const core::DeclaredStore& aStore, const core::PromptPart& aPart)
-  {
-    LinksLike(aStore).Add(
-      m_look.LinkTime(aStore, aPart, m_data_centre), ShareOf(aStore), m_now);
-  }
+  };
 
-  core::StoreLink& LinksLike(const core::DeclaredStore& aStore)
+  Transfer TransferOf(const core::DeclaredStore& aStore,
+                      const core::PromptPart& aPart)
   {
-    return m_state.links[StoreLook::RateOf(aStore)];
+    Transfer transfer{ m_state.links[StoreLook::RateOf(aStore)], 0, {}, {} };
+    transfer.share = m_share * static_cast<double>(m_look.Alike(aStore));
+    transfer.link_time = m_look.LinkTime(aStore, aPart, m_data_centre);
+    transfer.offer.wait = transfer.links.Wait(transfer.share, m_now);
+    transfer.offer.transfer = transfer.link_time + aStore.first_delay;
+    transfer.offer.objective = m_objective;
+    m_placed.link_wait = std::max(m_placed.link_wait, transfer.offer.wait);
+    return transfer;
   }
 
-  [[nodiscard]] double ShareOf(const core::DeclaredStore& aStore) const
+  void Order(const Transfer& aTransfer)
   {
-    return m_share * static_cast<double>(m_look.Alike(aStore));
+    aTransfer.links.Add(aTransfer.link_time, aTransfer.share, m_now);
   }
 
   void ReadOrPassOver(const core::DeclaredStore& aStore,
                       const core::PromptPart& aPart,
                       std::size_t aIndex)
   {
-    if (!core::IsWorthReading(OfferOf(aStore, aPart))) {
+    const Transfer transfer = TransferOf(aStore, aPart);
+    if (!core::IsWorthReading(transfer.offer)) {
       m_placed.passed_over += aPart.tokens;
       m_placed.anew += aPart.tokens;
       return;
     }
     m_call.read_from[aIndex] = { aStore.address, aPart.tokens };
     m_placed.transferred += aPart.tokens;
-    Order(aStore, aPart);
+    Order(transfer);
   }
 
   void Keep(const core::DeclaredStore& aStore,
             const core::PromptPart& aPart,
             std::size_t aIndex)
   {
-    if (!core::IsWorthKeeping(OfferOf(aStore, aPart))) {
+    const Transfer transfer = TransferOf(aStore, aPart);
+    if (!core::IsWorthKeeping(transfer.offer)) {
       return;
     }
     m_call.keep_at[aIndex] = { aStore.address, aPart.tokens };
     m_placed.kept += aPart.tokens;
-    Order(aStore, aPart);
+    Order(transfer);
   }
 
   ForwardState& m_state;
