--- a/include/jujubehead/core/context/part_directory.hpp
+++ b/include/jujubehead/core/context/part_directory.hpp
@@ -70,6 +70,8 @@
   void OnSilence(const StoreId& aStore);
   /// @brief Parts that left a store, before the store itself tells.
   void Drop(const StoreId& aStore, const std::vector<ScopedPart>& aParts);
+  /// @brief Forgets the blocks of scopes that are asked for, at all stores.
+  void DropWhere(const std::function<bool(std::string_view aScope)>& aIsAsked);
   /// @brief Forgets the stores that are not among these.
   void KeepOnly(const std::vector<StoreId>& aStores);
 
--- a/include/jujubehead/core/context/part_log.hpp
+++ b/include/jujubehead/core/context/part_log.hpp
@@ -3,9 +3,11 @@
 
 #include <cstddef>       // for size_t
 #include <cstdint>       // for uint64_t
+#include <functional>    // for function
 #include <map>           // for map
 #include <optional>      // for optional
 #include <string>        // for string
+#include <string_view>   // for string_view
 #include <unordered_map> // for unordered_map
 #include <vector>        // for vector
 
@@ -81,6 +83,12 @@
   void OnPage(const StoreId& aStore, const PartEventPage& aPage, Instant aNow);
   void OnSilence(const StoreId& aStore);
 
+  /// @brief Forgets the parts of scopes that are asked for, without telling it:
+  /// those that ask here forget them by the same rule. When weights are
+  /// replaced all parts of the old ones go at once, and to name each of them to
+  /// each asker takes a hub's whole time (metastable overload: askers that
+  /// time out go to the next hub and begin with all of its parts).
+  void DropWhere(const std::function<bool(std::string_view aScope)>& aIsAsked);
   /// @param aCursor where the asker stands.
   [[nodiscard]] PartNews ReadAfter(const PartCursor& aCursor,
                                    Instant aNow) const;
--- a/include/jujubehead/core/membership/instance_book.hpp
+++ b/include/jujubehead/core/membership/instance_book.hpp
@@ -1,11 +1,12 @@
 #ifndef JUJUBEHEAD_CORE_MEMBERSHIP_INSTANCE_BOOK_HPP
 #define JUJUBEHEAD_CORE_MEMBERSHIP_INSTANCE_BOOK_HPP
 
-#include <cstdint>  // for uint64_t
-#include <map>      // for map
-#include <optional> // for optional
-#include <string>   // for string
-#include <vector>   // for vector
+#include <cstdint>     // for uint64_t
+#include <map>         // for map
+#include <optional>    // for optional
+#include <string>      // for string
+#include <string_view> // for string_view
+#include <vector>      // for vector
 
 #include "jujubehead/core/runtime_clock.hpp" // for Instant, Duration
 
@@ -16,8 +17,16 @@
 {
   std::string id;
   std::string address;
+  double capacity = 0; ///< Against other instances; 0: not told.
 };
 
+/// @return an instance's row, and what a row says of one. The capacity follows
+/// the address where it is told; instances of older versions tell none.
+std::string
+RowOf(const KnownInstance& aInstance);
+KnownInstance
+InstanceOf(std::string aId, std::string_view aRow);
+
 /// @brief Times of the rows by which instances find each other.
 struct InstanceBookOptions
 {
@@ -33,7 +42,7 @@
 struct InstanceRowWrite
 {
   std::string id;
-  std::optional<std::string> address; ///< Nothing: the row is to go.
+  std::optional<std::string> value;   ///< Nothing: the row is to go.
   std::uint64_t expected_version = 0; ///< 0: there is no row.
 };
 
@@ -44,13 +53,11 @@
 class InstanceBook
 {
 public:
-  InstanceBook(std::string aSelf,
-               std::string aAddress,
-               InstanceBookOptions aOptions = {});
+  explicit InstanceBook(KnownInstance aSelf, InstanceBookOptions aOptions = {});
 
-  /// @param aAddress nothing: the row is gone.
+  /// @param aValue nothing: the row is gone.
   void OnRow(const std::string& aId,
-             std::optional<std::string> aAddress,
+             std::optional<std::string> aValue,
              std::uint64_t aVersion,
              Instant aNow);
   /// @brief All rows were read, and those told since `BeginAll` are all.
@@ -67,13 +74,12 @@
 private:
   struct Row
   {
-    std::string address;
+    std::string value;
     std::uint64_t version = 0;
     Instant seen{}; ///< When it was first seen as it is.
   };
 
-  std::string m_self;
-  std::string m_address;
+  KnownInstance m_self;
   InstanceBookOptions m_options;
   bool m_is_read = false;
   std::map<std::string, Row> m_rows; ///< By id.
--- a/include/jujubehead/core/routing/load_estimate.hpp
+++ b/include/jujubehead/core/routing/load_estimate.hpp
@@ -28,6 +28,12 @@
 {
 public:
   void OnReport(double aOthers, double aWaiting, Instant aNow);
+  /// @brief A request of this instance ended.
+  void OnEnded(Duration aLasted);
+  /// @return the age at which a report of one target halves in weight. It
+  /// follows how long requests last: a target's load stays as it was until they
+  /// end. One second before the first has ended.
+  [[nodiscard]] Duration HalfLife() const;
   /// @return requests of other instances at a target.
   [[nodiscard]] double Others(Instant aNow) const
   {
@@ -45,6 +51,9 @@
   std::optional<Instant> m_told; ///< By the last answer.
   double m_others = 0;
   double m_waiting = 0;
+  // Moving means, in seconds and their squares.
+  double m_lasted = 0;
+  double m_lasted_squared = 0;
 };
 
 /// @brief Estimates the requests at a target: those of this instance, which it
@@ -64,7 +73,7 @@
   }
 
   void OnBegin() { ++m_own; }
-  void OnEnd() { --m_own; }
+  void OnEnd(Duration aLasted);
   /// @brief The target told its load, this instance's requests included.
   void OnReport(const ReportedLoad& aLoad, Instant aNow);
   /// @brief Another instance heard its load. It says nothing of what is usual,
--- a/include/jujubehead/node/forward/entry_options.hpp
+++ b/include/jujubehead/node/forward/entry_options.hpp
@@ -26,6 +26,8 @@
   std::string relay_address;
   /// Where to ask other instances before their rows were read, `ip:port` each.
   std::vector<std::string> relay_seeds;
+  /// What this machine can bear against those of other instances; 0: not told.
+  double capacity = 0;
   core::RepeatBudgetOptions repeats;
   core::TargetBookOptions registry;
   /// Longest time between SIGTERM and the end.
--- a/src/jujubehead/app/command_specs.cpp
+++ b/src/jujubehead/app/command_specs.cpp
@@ -41,6 +41,7 @@
         "table_service",
         "relay",
         "relay_seeds",
+        "capacity",
         "retry_share",
         "retry_fixed",
         "retry_window",
--- a/src/jujubehead/app/flags.cpp
+++ b/src/jujubehead/app/flags.cpp
@@ -75,6 +75,11 @@
 DEFINE_string(relay_seeds,
               "",
               "instances to ask while the store is away, as ip:port,ip:port");
+DEFINE_double(capacity,
+              0,
+              "what this machine can bear against those of other instances, "
+              "as its share of a core; instances with half of the most or "
+              "more watch for the others; 0: not told");
 DEFINE_double(retry_share,
               0.1,
               "requests sent once more, to one service, as a share of its "
@@ -176,6 +181,7 @@
   values.metrics = FLAGS_metrics;
   values.relay = FLAGS_relay;
   values.relay_seeds = FLAGS_relay_seeds;
+  values.capacity = FLAGS_capacity;
   values.retry_share = FLAGS_retry_share;
   values.retry_fixed = FLAGS_retry_fixed;
   values.retry_window = FLAGS_retry_window;
--- a/src/jujubehead/app/flags.hpp
+++ b/src/jujubehead/app/flags.hpp
@@ -48,6 +48,7 @@
   std::string metrics;
   std::string relay;
   std::string relay_seeds;
+  double capacity = 0;
   double retry_share = 0;
   double retry_fixed = 0;
   std::uint32_t retry_window = 0;
--- a/src/jujubehead/core/context/part_directory.cpp
+++ b/src/jujubehead/core/context/part_directory.cpp
@@ -13,6 +13,12 @@
   return std::string(aScope).append(1, kKeySeparator).append(aPart);
 }
 
+std::string_view
+ScopeOf(std::string_view aKey)
+{
+  return aKey.substr(0, aKey.find(kKeySeparator));
+}
+
 } // namespace
 
 PartDirectory::PartDirectory(PartDirectoryOptions aOptions)
@@ -71,6 +77,19 @@
   }
 }
 
+void
+PartDirectory::DropWhere(
+  const std::function<bool(std::string_view aScope)>& aIsAsked)
+{
+  for (auto& [id, store] : m_stores) {
+    std::erase_if(store.tokens, [&, &kept = store.kept](const auto& aEntry) {
+      const bool is_asked = aIsAsked(ScopeOf(aEntry.first));
+      kept -= is_asked ? aEntry.second : 0;
+      return is_asked;
+    });
+  }
+}
+
 void
 PartDirectory::KeepOnly(const std::vector<StoreId>& aStores)
 {
@@ -121,10 +140,12 @@
     return parts;
   }
   for (const auto& [key, tokens] : found->second.tokens) {
-    const std::size_t separator = key.find(kKeySeparator);
-    const std::string_view scope = std::string_view(key).substr(0, separator);
-    if (parts.size() < aMost && aIsAskedFor(scope)) {
-      parts.push_back({ std::string(scope), key.substr(separator + 1) });
+    if (parts.size() == aMost) {
+      break;
+    }
+    const std::string_view scope = ScopeOf(key);
+    if (aIsAskedFor(scope)) {
+      parts.push_back({ std::string(scope), key.substr(scope.size() + 1) });
     }
   }
   return parts;
--- a/src/jujubehead/core/context/part_directory_test.cpp
+++ b/src/jujubehead/core/context/part_directory_test.cpp
@@ -115,3 +115,15 @@
     CHECK_TEXT(!CacheScopeOf(text).has_value(), text);
   }
 }
+
+TEST(PartDirectory, ForgottenScopesLeaveTheirRoom)
+{
+  directory.OnPage(
+    store,
+    Page(1, { { "old", "a", 300, true }, { "scope", "part", 800, true } }),
+    now);
+  directory.DropWhere([](std::string_view aScope) { return aScope == "old"; });
+  LONGS_EQUAL(0, directory.TokensAt(store, "old", "a", now));
+  LONGS_EQUAL(800, Tokens());
+  LONGS_EQUAL(800, directory.TokensKept(store));
+}
--- a/src/jujubehead/core/context/part_log.cpp
+++ b/src/jujubehead/core/context/part_log.cpp
@@ -45,11 +45,28 @@
   }
 }
 
+void
+PartLog::DropWhere(const std::function<bool(std::string_view aScope)>& aIsAsked)
+{
+  for (auto change = m_changes.begin(); change != m_changes.end();) {
+    if (!aIsAsked(change->second.scope)) {
+      ++change;
+      continue;
+    }
+    m_stores.at(change->second.store).places.erase(KeyOf(change->second));
+    m_gone.erase(change->first);
+    change = m_changes.erase(change);
+  }
+}
+
 void
 PartLog::Put(Store& aStore, PartChange aChange)
 {
   const std::string key = KeyOf(aChange);
   const auto known = aStore.places.find(key);
+  if (known == aStore.places.end() && aChange.tokens == 0) {
+    return; // Nobody was told of it.
+  }
   if (known != aStore.places.end()) {
     m_changes.erase(known->second);
     m_gone.erase(known->second);
--- a/src/jujubehead/core/context/part_log_test.cpp
+++ b/src/jujubehead/core/context/part_log_test.cpp
@@ -188,3 +188,33 @@
   });
   CHECK(holds);
 }
+
+// Metastable overload: all parts of replaced weights go at once. To name each
+// of them would make everyone who asks begin anew with the whole list.
+TEST(PartLog, PartsOfForgottenScopesAreNotNamedOneByOne)
+{
+  PartLogOptions options;
+  options.most_gone = 10;
+  PartLog log(options);
+  constexpr int kMany = 200;
+  std::vector<PartEvent> kept;
+  std::vector<PartEvent> freed;
+  for (int i = 0; i < kMany; ++i) {
+    const std::string part = "p" + std::to_string(i);
+    kept.push_back({ "old", part, 100, true });
+    freed.push_back({ "old", part, 0, false });
+  }
+  kept.push_back({ "new", "n", 100, true });
+  log.OnPage(store, Page(1, kept), kNow);
+  Follower follower;
+  follower.ReadAll(log);
+  LONGS_EQUAL(kMany + 1, follower.parts.size());
+  log.DropWhere([](std::string_view aScope) { return aScope == "old"; });
+  log.OnPage(store, Page(1, freed), kNow);
+  const PartNews news = log.ReadAfter(follower.cursor, kNow);
+  CHECK_FALSE(news.is_all);
+  CHECK(news.changes.empty());
+  Follower later;
+  later.ReadAll(log);
+  LONGS_EQUAL(1, later.parts.size());
+}
--- /dev/null
+++ b/src/jujubehead/core/membership/hub_choice.cpp
@@ -0,0 +1,47 @@
+#include "jujubehead/core/membership/hub_choice.hpp"
+
+#include <algorithm> // for min
+
+namespace jujubehead::core {
+namespace {
+
+constexpr Duration kFirstPause = std::chrono::milliseconds(200);
+constexpr Duration kLongestPause = std::chrono::milliseconds(3200);
+constexpr std::uint32_t kMostDoublings = 4;
+
+} // namespace
+
+std::size_t
+HubChoice::Next(std::size_t aHubs) const
+{
+  return aHubs == 0 ? 0 : m_next % aHubs;
+}
+
+void
+HubChoice::OnAnswer()
+{
+  // One answer does not show that the hubs can bear all askers again.
+  m_failures -= m_failures > 0 ? 1 : 0;
+  m_is_late = false;
+}
+
+Duration
+HubChoice::OnFailure(HubFailure aFailure, double aJitter)
+{
+  const bool is_left = aFailure == HubFailure::kGone || m_is_late;
+  m_is_late = !is_left;
+  m_next += is_left ? 1 : 0;
+  const std::uint32_t doublings = std::min(m_failures, kMostDoublings);
+  ++m_failures;
+  if (aFailure == HubFailure::kGone && m_failures == 1) {
+    return {};
+  }
+  const Duration longest =
+    std::min(kFirstPause * (1 << doublings), kLongestPause);
+  // From half of it, so that those that failed together come back apart.
+  const double part = (1 + aJitter) / 2;
+  return Duration(
+    static_cast<Duration::rep>(part * static_cast<double>(longest.count())));
+}
+
+} // namespace jujubehead::core
--- a/src/jujubehead/core/membership/hubs.cpp
+++ b/src/jujubehead/core/membership/hubs.cpp
@@ -1,6 +1,6 @@
 #include "jujubehead/core/membership/hubs.hpp"
 
-#include <algorithm> // for sort, any_of, find_if
+#include <algorithm> // for sort, any_of, count_if, max, stable_partition
 #include <cstdint>   // for uint64_t
 
 #include "jujubehead/core/routing/placement.hpp" // for PlacementHash
@@ -8,21 +8,41 @@
 namespace jujubehead::core {
 namespace {
 
+/// Names that differ in their last letter only must not come side by side:
+/// instances of one data centre often have such names.
+std::uint64_t
+OrderBySeed(std::string_view aSeed, std::string_view aId)
+{
+  return PlacementHash(std::string(aSeed).append(1, '/').append(aId));
+}
+
 void
 SortBySeed(std::vector<KnownInstance>& aInstances, std::string_view aSeed)
 {
-  // Names that differ in their last letter only must not come side by side:
-  // instances of one data centre often have such names.
-  const auto rank = [&](const KnownInstance& aOne) {
-    return PlacementHash(std::string(aSeed) + '/' + aOne.id);
-  };
   std::sort(aInstances.begin(),
             aInstances.end(),
             [&](const KnownInstance& aOne, const KnownInstance& aOther) {
-              return rank(aOne) < rank(aOther);
+              return OrderBySeed(aSeed, aOne.id) <
+                     OrderBySeed(aSeed, aOther.id);
             });
 }
 
+/// Those that can bear as much as half of the largest go first; the others
+/// follow in their order.
+void
+PutFitFirst(std::vector<KnownInstance>& aInstances)
+{
+  constexpr double kFitShare = 0.5;
+  double most = 0;
+  for (const KnownInstance& one : aInstances) {
+    most = std::max(most, one.capacity);
+  }
+  std::stable_partition(
+    aInstances.begin(), aInstances.end(), [&](const KnownInstance& aOne) {
+      return aOne.capacity >= kFitShare * most;
+    });
+}
+
 } // namespace
 
 std::vector<KnownInstance>
@@ -32,6 +52,7 @@
 {
   if (aInstances.size() > aOptions.most_without) {
     SortBySeed(aInstances, "hub");
+    PutFitFirst(aInstances);
     aInstances.resize(aOptions.hubs);
   }
   SortBySeed(aInstances, aSelf);
@@ -39,16 +60,16 @@
 }
 
 std::size_t
-RankOf(std::vector<KnownInstance> aInstances,
+RankOf(std::span<const KnownInstance> aInstances,
        std::string_view aSelf,
        std::string_view aSeed)
 {
-  SortBySeed(aInstances, aSeed);
-  const auto self =
-    std::find_if(aInstances.begin(),
-                 aInstances.end(),
-                 [&](const KnownInstance& aOne) { return aOne.id == aSelf; });
-  return static_cast<std::size_t>(self - aInstances.begin());
+  const std::uint64_t own = OrderBySeed(aSeed, aSelf);
+  const auto before = std::count_if(
+    aInstances.begin(), aInstances.end(), [&](const KnownInstance& aOne) {
+      return OrderBySeed(aSeed, aOne.id) < own;
+    });
+  return static_cast<std::size_t>(before);
 }
 
 void
@@ -59,7 +80,7 @@
   m_hubs = HubsOf(std::move(aInstances), m_self, aOptions);
   m_is_hub =
     std::any_of(m_hubs.begin(), m_hubs.end(), [&](const KnownInstance& aOne) {
-      return aOne.id == m_self;
+      return IsSelf(aOne);
     });
 }
 
--- a/src/jujubehead/core/membership/hubs_test.cpp
+++ b/src/jujubehead/core/membership/hubs_test.cpp
@@ -75,6 +75,37 @@
   }
 }
 
+// Hot spot: a hub sends the same to dozens of instances, which is more than the
+// smallest machines can bear.
+TEST(Hubs, TheyAreInstancesOfMuchCapacity)
+{
+  auto all = Instances(295);
+  for (std::size_t i = 0; i < all.size(); ++i) {
+    all[i].capacity = i % 16 == 0 ? 0.5 : 0.12;
+  }
+  for (const KnownInstance& hub : HubsOf(all, "i7")) {
+    DOUBLES_EQUAL(0.5, hub.capacity, 1e-9);
+  }
+  // Two of them are too few to watch for all.
+  for (std::size_t i = 32; i < all.size(); ++i) {
+    all[i].capacity = 0.12;
+  }
+  const auto hubs = Ids(HubsOf(all, "i7"));
+  LONGS_EQUAL(8, hubs.size());
+  CHECK(hubs.contains("i0") && hubs.contains("i16"));
+}
+
+TEST(Hubs, TheRankIsThePlaceInTheOrderOfAll)
+{
+  const auto all = Instances(40);
+  std::set<std::size_t> ranks;
+  for (const KnownInstance& one : all) {
+    ranks.insert(RankOf(all, one.id, "store"));
+  }
+  LONGS_EQUAL(40, ranks.size());
+  LONGS_EQUAL(39, *ranks.rbegin());
+}
+
 TEST(Hubs, OneThatGoesIsReplacedByOne)
 {
   auto all = Instances(40);
@@ -106,3 +137,17 @@
   }
   LONGS_EQUAL(8, hubs);
 }
+
+// Thundering herd: all instances start at one moment, and before they know of
+// each other each one would watch everything.
+TEST(Hubs, OneThatStartsWatchesOnceItKnowsOthersOrIsSurelyAlone)
+{
+  const Instant start = Instant(std::chrono::hours(1));
+  HubRole role("i0");
+  role.OnStart(start);
+  CHECK(role.IsHub());
+  CHECK_FALSE(role.Watches(start + std::chrono::milliseconds(2299)));
+  CHECK(role.Watches(start + std::chrono::milliseconds(2300)));
+  role.Update(Instances(9));
+  CHECK(role.Watches(start));
+}
--- a/src/jujubehead/core/membership/instance_book.cpp
+++ b/src/jujubehead/core/membership/instance_book.cpp
@@ -1,21 +1,50 @@
 #include "jujubehead/core/membership/instance_book.hpp"
 
+#include <sstream> // for istringstream, ostringstream
 #include <utility> // for move
 
 namespace jujubehead::core {
 
-InstanceBook::InstanceBook(std::string aSelf,
-                           std::string aAddress,
-                           InstanceBookOptions aOptions)
+namespace {
+
+constexpr char kSeparator = ' ';
+
+} // namespace
+
+std::string
+RowOf(const KnownInstance& aInstance)
+{
+  if (aInstance.capacity <= 0) {
+    return aInstance.address;
+  }
+  std::ostringstream row;
+  row << aInstance.address << kSeparator << aInstance.capacity;
+  return row.str();
+}
+
+KnownInstance
+InstanceOf(std::string aId, std::string_view aRow)
+{
+  const std::size_t end = aRow.find(kSeparator);
+  KnownInstance instance;
+  instance.id = std::move(aId);
+  instance.address = aRow.substr(0, end);
+  if (end != std::string_view::npos) {
+    // What cannot be read leaves it at 0, as if it were not told.
+    std::istringstream(std::string(aRow.substr(end))) >> instance.capacity;
+  }
+  return instance;
+}
+
+InstanceBook::InstanceBook(KnownInstance aSelf, InstanceBookOptions aOptions)
   : m_self(std::move(aSelf))
-  , m_address(std::move(aAddress))
   , m_options(aOptions)
 {
 }
 
 void
 InstanceBook::OnRow(const std::string& aId,
-                    std::optional<std::string> aAddress,
+                    std::optional<std::string> aValue,
                     std::uint64_t aVersion,
                     Instant aNow)
 {
@@ -23,8 +52,8 @@
   if (known != m_rows.end() && aVersion <= known->second.version) {
     return;
   }
-  if (aAddress) {
-    m_rows[aId] = { std::move(*aAddress), aVersion, aNow };
+  if (aValue) {
+    m_rows[aId] = { std::move(*aValue), aVersion, aNow };
   } else if (known != m_rows.end()) {
     m_rows.erase(known);
   }
@@ -35,8 +64,9 @@
 {
   std::vector<KnownInstance> others;
   for (const auto& [id, row] : m_rows) {
-    if (id != m_self && row.address != m_address) {
-      others.push_back({ id, row.address });
+    KnownInstance other = InstanceOf(id, row.value);
+    if (id != m_self.id && other.address != m_self.address) {
+      others.push_back(std::move(other));
     }
   }
   return others;
@@ -46,7 +76,7 @@
 InstanceBook::All() const
 {
   std::vector<KnownInstance> all = Others();
-  all.push_back({ m_self, m_address });
+  all.push_back(m_self);
   return all;
 }
 
@@ -56,16 +86,16 @@
   if (!m_is_read) {
     return std::nullopt;
   }
-  const auto own = m_rows.find(m_self);
+  const auto own = m_rows.find(m_self.id);
   if (own == m_rows.end()) {
-    return InstanceRowWrite{ m_self, m_address, 0 };
+    return InstanceRowWrite{ m_self.id, RowOf(m_self), 0 };
   }
   const bool is_old = aNow - own->second.seen >= m_options.refresh;
-  if (own->second.address != m_address || is_old) {
-    return InstanceRowWrite{ m_self, m_address, own->second.version };
+  if (own->second.value != RowOf(m_self) || is_old) {
+    return InstanceRowWrite{ m_self.id, RowOf(m_self), own->second.version };
   }
   for (const auto& [id, row] : m_rows) {
-    if (id != m_self && aNow - row.seen >= m_options.expiry) {
+    if (id != m_self.id && aNow - row.seen >= m_options.expiry) {
       return InstanceRowWrite{ id, std::nullopt, row.version };
     }
   }
--- a/src/jujubehead/core/membership/instance_book_test.cpp
+++ b/src/jujubehead/core/membership/instance_book_test.cpp
@@ -9,7 +9,7 @@
 TEST_GROUP(InstanceBook)
 {
   const Instant now = Instant(std::chrono::hours(5));
-  InstanceBook book{ "i1", "10.0.0.1:7" };
+  InstanceBook book{ KnownInstance{ "i1", "10.0.0.1:7" } };
 
   void ReadNothing()
   {
@@ -29,7 +29,7 @@
   const auto write = book.NextWrite(now);
   CHECK(write.has_value());
   STRCMP_EQUAL("i1", write->id.c_str());
-  STRCMP_EQUAL("10.0.0.1:7", write->address->c_str());
+  STRCMP_EQUAL("10.0.0.1:7", write->value->c_str());
   LONGS_EQUAL(0, write->expected_version);
   book.OnRow("i1", "10.0.0.1:7", 5, now);
   CHECK_FALSE(book.NextWrite(now + minutes(9)).has_value());
@@ -43,7 +43,7 @@
   book.OnRow("i1", "10.9.9.9:7", 4, now);
   book.EndAll();
   const auto write = book.NextWrite(now);
-  STRCMP_EQUAL("10.0.0.1:7", write->address->c_str());
+  STRCMP_EQUAL("10.0.0.1:7", write->value->c_str());
   LONGS_EQUAL(4, write->expected_version);
 }
 
@@ -67,7 +67,7 @@
   CHECK_FALSE(book.NextWrite(now + minutes(30) - seconds(1)).has_value());
   const auto write = book.NextWrite(now + minutes(30));
   STRCMP_EQUAL("i2", write->id.c_str());
-  CHECK_FALSE(write->address.has_value());
+  CHECK_FALSE(write->value.has_value());
   LONGS_EQUAL(2, write->expected_version);
   // It was refreshed after all.
   book.OnRow("i2", "10.0.0.2:7", 9, now + minutes(30));
@@ -82,3 +82,16 @@
   book.OnRow("i2", std::nullopt, 4, now);
   STRCMP_EQUAL("10.0.0.2:7", book.Others()[0].address.c_str());
 }
+
+TEST(InstanceBook, TheCapacityFollowsTheAddress)
+{
+  const KnownInstance told{ "i1", "10.0.0.1:7", 0.5 };
+  STRCMP_EQUAL("10.0.0.1:7 0.5", RowOf(told).c_str());
+  const KnownInstance back = InstanceOf("i1", RowOf(told));
+  STRCMP_EQUAL("10.0.0.1:7", back.address.c_str());
+  DOUBLES_EQUAL(0.5, back.capacity, 1e-9);
+  // An instance of an older version, and another writer.
+  DOUBLES_EQUAL(0, InstanceOf("i2", "10.0.0.2:7").capacity, 1e-9);
+  DOUBLES_EQUAL(0, InstanceOf("i2", "10.0.0.2:7 much").capacity, 1e-9);
+  STRCMP_EQUAL("10.0.0.2:7", InstanceOf("i2", "10.0.0.2:7 x").address.c_str());
+}
--- a/src/jujubehead/core/routing/load_estimate.cpp
+++ b/src/jujubehead/core/routing/load_estimate.cpp
@@ -1,15 +1,22 @@
 #include "jujubehead/core/routing/load_estimate.hpp"
 
-#include <algorithm> // for max
+#include <algorithm> // for clamp, max
 #include <chrono>    // for duration
 #include <cmath>     // for exp2
 
 namespace jujubehead::core {
 namespace {
 
-/// What a target told halves in weight with this age: about the time that a
-/// request lasts, after which others run there.
-constexpr std::chrono::duration<double> kHalfLife{ 1.0 };
+using Seconds = std::chrono::duration<double>;
+
+/// Half-life of a report before it is known how long requests last.
+constexpr Duration kFirstHalfLife = std::chrono::seconds(1);
+constexpr Duration kShortestHalfLife = std::chrono::milliseconds(100);
+constexpr Duration kLongestHalfLife = std::chrono::seconds(10);
+/// Weight of one request in how long they last.
+constexpr double kLastedWeight = 0.02;
+/// A queue lasts so many times as long as the requests in it.
+constexpr double kQueueTimes = 2;
 
 /// Without any answer of a service for so long, what was usual there fades, and
 /// halves in this time. Even the slowest instance gets several answers a
@@ -34,6 +41,28 @@
   m_told = aNow;
 }
 
+void
+UsualLoad::OnEnded(Duration aLasted)
+{
+  const double seconds = Seconds(aLasted).count();
+  m_lasted += kLastedWeight * (seconds - m_lasted);
+  m_lasted_squared += kLastedWeight * (seconds * seconds - m_lasted_squared);
+}
+
+Duration
+UsualLoad::HalfLife() const
+{
+  if (m_lasted <= 0) {
+    return kFirstHalfLife;
+  }
+  // How long a request lasts that is found running, in the mean. The queue that
+  // it is part of outlives it.
+  const double found = m_lasted_squared / m_lasted;
+  const auto half =
+    std::chrono::duration_cast<Duration>(Seconds(kQueueTimes * found));
+  return std::clamp(half, kShortestHalfLife, kLongestHalfLife);
+}
+
 double
 UsualLoad::Weight(Instant aNow) const
 {
@@ -44,6 +73,15 @@
   return std::exp2(-(over / kUsualHalfLife));
 }
 
+void
+LoadEstimate::OnEnd(Duration aLasted)
+{
+  --m_own;
+  if (m_usual) {
+    m_usual->OnEnded(aLasted);
+  }
+}
+
 void
 LoadEstimate::Take(const ReportedLoad& aLoad, Instant aHeard)
 {
@@ -76,8 +114,9 @@
   if (!m_told) {
     return aUsual;
   }
-  const std::chrono::duration<double> age = aNow - *m_told;
-  return aUsual + (aTold - aUsual) * std::exp2(-(age / kHalfLife));
+  const Seconds age = aNow - *m_told;
+  const Seconds half = m_usual ? m_usual->HalfLife() : kFirstHalfLife;
+  return aUsual + (aTold - aUsual) * std::exp2(-(age / half));
 }
 
 double
--- a/src/jujubehead/core/routing/load_news.cpp
+++ b/src/jujubehead/core/routing/load_news.cpp
@@ -3,6 +3,8 @@
 #include <algorithm> // for max, sort
 #include <utility>   // for move
 
+#include "jujubehead/core/routing/placement.hpp" // for PlacementHash
+
 namespace jujubehead::core {
 namespace {
 
@@ -13,8 +15,23 @@
   return requests / std::max(aLoad.slots, 1U);
 }
 
+/// More than any target has, for each of its places.
+constexpr ReportedLoad kLoadOfGone{ 64, 64, 1 };
+
 } // namespace
 
+TargetKey
+KeyOf(const TargetId& aTarget)
+{
+  return static_cast<TargetKey>(PlacementHash(aTarget.View()));
+}
+
+HeardLoad
+GoneTarget(const TargetId& aTarget, Instant aNow)
+{
+  return { KeyOf(aTarget), kLoadOfGone, aNow, true };
+}
+
 void
 LoadNews::Put(const HeardLoad& aLoad)
 {
--- a/src/jujubehead/core/routing/load_news_test.cpp
+++ b/src/jujubehead/core/routing/load_news_test.cpp
@@ -19,7 +19,7 @@
 HeardLoad
 Heard(const std::string& aTarget, std::uint32_t aWaiting, Instant aHeard)
 {
-  return { TargetId(aTarget), { 12, aWaiting, 12 }, aHeard };
+  return { KeyOf(TargetId(aTarget)), { 12, aWaiting, 12 }, aHeard };
 }
 
 /// 74 instances place prompts at 140 targets, whose requests last a second;
@@ -52,18 +52,19 @@
   for (std::size_t step = 0; step < kSteps; ++step) {
     const Instant now = kNow + milliseconds(kStepMs * step);
     for (const auto& [instance, target] : ends[step]) {
-      estimates[instance][target].OnEnd();
+      estimates[instance][target].OnEnd(milliseconds(kStepMs * kLastsSteps));
       --load[target];
       const ReportedLoad told{ std::min(load[target], 12U),
                                load[target] > 12 ? load[target] - 12 : 0,
                                12 };
       estimates[instance][target].OnReport(told, now);
-      hub.Put({ TargetId(std::to_string(target)), told, now });
+      hub.Put({ static_cast<TargetKey>(target), told, now });
     }
     if (aIsTold && step % kAskSteps == 0) {
       for (const HeardLoad& one : hub.Busiest(now)) {
         for (auto& estimate : estimates) {
-          estimate[std::stoul(one.target.Text())].OnTold(one.load, one.heard);
+          estimate[static_cast<std::size_t>(one.target)].OnTold(one.load,
+                                                                one.heard);
         }
       }
     }
@@ -112,8 +113,8 @@
   news.Put(Heard("d", 9, kNow - milliseconds(1501)));
   const auto busiest = news.Busiest(kNow);
   LONGS_EQUAL(2, busiest.size());
-  STRCMP_EQUAL("b", busiest.at(0).target.Text().c_str());
-  STRCMP_EQUAL("c", busiest.at(1).target.Text().c_str());
+  CHECK(busiest.at(0).target == KeyOf(TargetId("b")));
+  CHECK(busiest.at(1).target == KeyOf(TargetId("c")));
   LONGS_EQUAL(2, news.TakeBusiest(kNow).size());
   LONGS_EQUAL(0, news.Busiest(kNow).size());
 }
@@ -126,3 +127,15 @@
   CHECK(alone > 20);
   CHECK(told < 0.85 * alone);
 }
+
+TEST(LoadNews, ATargetThatIsGoneGoesBeforeAllLoads)
+{
+  LoadNews news;
+  news.Put(Heard("a", 40, kNow));
+  news.Put(GoneTarget(TargetId("b"), kNow));
+  const auto busiest = news.Busiest(kNow);
+  CHECK(busiest.at(0).is_gone && busiest.at(0).target == KeyOf(TargetId("b")));
+  // It answered another instance since.
+  news.Put(Heard("b", 0, kNow + milliseconds(10)));
+  CHECK_FALSE(news.Busiest(kNow).at(1).is_gone);
+}
--- a/src/jujubehead/core/routing/placement_test.cpp
+++ b/src/jujubehead/core/routing/placement_test.cpp
@@ -125,10 +125,29 @@
   load.OnReport({ 10, 3, 64 }, now);
   DOUBLES_EQUAL(13, load.Requests(now), 0.01);
   DOUBLES_EQUAL(7, load.Requests(now + std::chrono::seconds(1)), 0.01);
-  load.OnEnd();
+  load.OnEnd(std::chrono::seconds(1));
   DOUBLES_EQUAL(0, load.Requests(now + std::chrono::seconds(30)), 0.01);
 }
 
+// Requests of seconds keep a target's load as it was for seconds; calls of
+// milliseconds do not.
+TEST(LoadEstimate, AReportCountsForAsLongAsRequestsLast)
+{
+  const Instant now = Instant(std::chrono::hours(1));
+  const auto after_a_second = [&](Duration aLasted) {
+    const auto usual = std::make_shared<UsualLoad>();
+    LoadEstimate target(usual);
+    for (int i = 0; i < 500; ++i) {
+      target.OnBegin();
+      target.OnEnd(aLasted);
+    }
+    target.OnTold({ 10, 0, 16 }, now);
+    return target.Requests(now + std::chrono::seconds(1));
+  };
+  CHECK(after_a_second(std::chrono::seconds(6)) > 7);
+  CHECK(after_a_second(std::chrono::milliseconds(20)) < 0.1);
+}
+
 TEST(LoadEstimate, WhatATargetDoesNotTellIsTakenFromItsFleet)
 {
   const Instant now = Instant(std::chrono::hours(1));
--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -1,5 +1,6 @@
 #include "entry_control.hpp"
 
+#include <random>  // for minstd_rand, uniform_int_distribution
 #include <utility> // for move
 
 #include <boost/asio/co_spawn.hpp> // for co_spawn
@@ -28,6 +29,23 @@
 constexpr std::string_view kInstancePrefix = "instances/";
 /// Between two looks at those rows: a new instance is found within seconds.
 constexpr core::Duration kInstanceRowsTime = std::chrono::seconds(2);
+/// Instances that start together write their rows spread over this time, as
+/// one part of the store takes some 200 writes a second.
+constexpr std::chrono::milliseconds kFirstRowLeast{ 100 };
+constexpr std::chrono::milliseconds kFirstRowMost{ 1100 };
+/// After a start: until all that start with it have written their rows.
+constexpr core::Duration kRowsSettle = std::chrono::milliseconds(1600);
+
+/// @return the time until the first look at the instances' rows.
+core::Duration
+FirstRowPause()
+{
+  std::minstd_rand random{ std::random_device{}() };
+  std::uniform_int_distribution<std::chrono::milliseconds::rep> spread(
+    kFirstRowLeast.count(), kFirstRowMost.count());
+  return std::chrono::milliseconds(spread(random));
+}
+
 void
 LogUnread(std::string_view aFeed, const std::vector<std::string>& aUnread)
 {
@@ -49,7 +67,9 @@
   , m_platform(std::move(aPlatform))
   , m_paths(aPaths)
   , m_forwarder(aForwarder)
-  , m_instances(aOptions.instance_id.Text(), aOptions.relay_address)
+  , m_instances(core::KnownInstance{ aOptions.instance_id.Text(),
+                                     aOptions.relay_address,
+                                     aOptions.capacity })
   , m_role(aOptions.instance_id.Text())
   , m_book(aOptions.registry)
   , m_deadlines(aContext,
@@ -64,9 +84,7 @@
               *m_platform.orders,
               m_platform.known->StoreClock(),
               aForwarder)
-  , m_keeper(aContext,
-             *m_platform.stores,
-             [this] { return m_weights.WasLastHolder(); })
+  , m_keeper(aContext, *m_platform.stores, HooksOfKeeper())
   , m_stores(aContext, *m_platform.stores, m_role, HooksOfStores())
   , m_hubs(aContext, m_role, m_stores, *m_platform.known, aPaths, HooksOfHubs())
 {
@@ -89,6 +107,21 @@
   return hooks;
 }
 
+StoreKeeperHooks
+EntryControl::HooksOfKeeper()
+{
+  StoreKeeperHooks hooks;
+  hooks.rank = [this](const core::StoreId& aStore) {
+    return core::RankOf(
+      m_instances.All(), m_options.instance_id.View(), aStore.View());
+  };
+  hooks.on_unread = [this](core::SupersededScopes aScopes) {
+    m_stores.Forget(aScopes);
+    m_forwarder.ForgetParts(std::move(aScopes));
+  };
+  return hooks;
+}
+
 WeightsDeadlinesHooks
 EntryControl::HooksOfDeadlines()
 {
@@ -129,6 +162,7 @@
 void
 EntryControl::Start()
 {
+  m_role.OnStart(core::RuntimeClock::now());
   FollowHooks<OperatorNews> operators;
   operators.on_news = [this](const OperatorNews& aNews, bool aIsAll) {
     OnOperatorNews(aNews, aIsAll);
@@ -140,6 +174,8 @@
   };
   FollowOptions operator_options;
   operator_options.name = "operator";
+  // It is followed from the start: the times of what it says count from when it
+  // was first heard.
   asio::co_spawn(m_context,
                  Follow(*m_platform.operators, operator_options, operators),
                  asio::detached);
@@ -155,6 +191,8 @@
   FollowOptions registry_options;
   registry_options.name = "registry";
   registry_options.pause = kRegistryPause;
+  registry_options.settle = core::kRoleSettle;
+  registry_options.is_settled = [this] { return IsSettled(); };
   asio::co_spawn(m_context,
                  Follow(*m_platform.registry, registry_options, registry),
                  asio::detached);
@@ -166,6 +204,8 @@
   shared_options.name = "shared";
   shared_options.wait = kSharedWait;
   shared_options.pause = kSharedPause;
+  shared_options.settle = kRowsSettle;
+  shared_options.is_settled = [this] { return IsSettled(); };
   asio::co_spawn(m_context,
                  Follow<SharedNews>(*m_platform.shared, shared_options, shared),
                  asio::detached);
@@ -180,6 +220,13 @@
   m_keeper.Start();
 }
 
+bool
+EntryControl::IsSettled() const
+{
+  const core::Instant now = core::RuntimeClock::now();
+  return m_role.Watches(now) || m_paths.IsFed(now);
+}
+
 bool
 EntryControl::IsReady() const
 {
@@ -293,8 +340,10 @@
 asio::awaitable<void>
 EntryControl::KeepInstanceRows()
 {
+  core::Duration pause = FirstRowPause();
   for (;;) {
-    co_await net::Sleep(kInstanceRowsTime);
+    co_await net::Sleep(pause);
+    pause = kInstanceRowsTime;
     const auto write = m_instances.NextWrite(core::RuntimeClock::now());
     if (!write) {
       continue;
@@ -303,7 +352,7 @@
       // What was written comes back with the news.
       std::string key = std::string(kInstancePrefix) + write->id;
       co_await m_platform.shared->Put(
-        std::move(key), write->address, write->expected_version);
+        std::move(key), write->value, write->expected_version);
     } catch (const PlatformError& error) {
       DecisionLog::WriteAlways(LogLine("instance_row_unwritten")
                                  .Add("instance", write->id)
--- a/src/jujubehead/node/control/entry_control.hpp
+++ b/src/jujubehead/node/control/entry_control.hpp
@@ -65,9 +65,13 @@
   void OnRegistryNews(const RegistryNews& aNews, bool aIsAll);
   void OnSharedNews(const SharedNews& aNews, bool aIsAll);
   void SetInstances();
+  /// @return whether this instance is to follow the operators' store, or a hub
+  /// tells what it says.
+  [[nodiscard]] bool IsSettled() const;
   boost::asio::awaitable<void> KeepInstanceRows();
   void PublishTargets();
   StoreWatchHooks HooksOfStores();
+  StoreKeeperHooks HooksOfKeeper();
   HubHooks HooksOfHubs();
   WeightsDeadlinesHooks HooksOfDeadlines();
   boost::asio::awaitable<void> TickRegistry();
--- a/src/jujubehead/node/control/follow.hpp
+++ b/src/jujubehead/node/control/follow.hpp
@@ -9,6 +9,7 @@
 
 #include <boost/asio/awaitable.hpp> // for awaitable
 
+#include "jujubehead/core/membership/hubs.hpp"  // for HubRole
 #include "jujubehead/core/runtime_clock.hpp"    // for Duration
 #include "jujubehead/net/timer.hpp"             // for Sleep
 #include "jujubehead/node/control/platform.hpp" // for Feed, PlatformFault
@@ -26,6 +27,12 @@
   core::Duration wait = std::chrono::milliseconds(1200);
   /// Pause after changes came, so that many small ones come together.
   core::Duration pause{};
+  /// Longest pause after the first reading. When all instances start at once,
+  /// their own rows appear one by one, and each would be read by all of them
+  /// (thundering herd); those that find a hub meanwhile need not read at all.
+  core::Duration settle{};
+  /// Ends that pause.
+  std::function<bool()> is_settled = [] { return true; };
 };
 
 /// @brief What is done with what a feed tells.
@@ -50,6 +57,27 @@
   return std::chrono::milliseconds(spread(random));
 }
 
+/// @return the pause until an instance looks again whether it has become a hub,
+/// or is one no more.
+inline core::Duration
+RolePause(const core::HubRole& aRole)
+{
+  constexpr core::Duration kSettling = std::chrono::milliseconds(200);
+  constexpr core::Duration kUsual = std::chrono::seconds(2);
+  return aRole.IsSettling(core::RuntimeClock::now()) ? kSettling : kUsual;
+}
+
+/// @brief Waits until a start has settled.
+inline boost::asio::awaitable<void>
+Settle(FollowOptions aOptions)
+{
+  constexpr core::Duration kLook = std::chrono::milliseconds(50);
+  const core::Instant until = core::RuntimeClock::now() + aOptions.settle;
+  while (core::RuntimeClock::now() < until && !aOptions.is_settled()) {
+    co_await net::Sleep(kLook);
+  }
+}
+
 /// @brief Follows a feed for ever, over outages and lost history. What is older
 /// than what was seen is passed over: a service may answer from the past.
 template<typename News>
@@ -59,6 +87,7 @@
   std::optional<std::uint64_t> cursor;
   std::uint64_t newest = 0;
   bool is_lost = true;
+  bool is_start = true;
   for (;;) {
     std::optional<PlatformFault> fault;
     std::string why;
@@ -68,7 +97,12 @@
       if (reads_all) {
         news = co_await aFeed.ReadAll();
       } else {
-        news = co_await aFeed.ReadChanges(*cursor, aOptions.wait);
+        // What changed while the start settled is read without a wait, as
+        // others may be waiting to hear of this instance that it did.
+        const core::Duration wait =
+          is_start ? core::Duration(0) : aOptions.wait;
+        is_start = false;
+        news = co_await aFeed.ReadChanges(*cursor, wait);
       }
       if (is_lost) {
         is_lost = false;
@@ -92,7 +126,9 @@
       why = error.what();
     }
     if (!fault) {
-      if (aOptions.pause > core::Duration(0) && !aFeed.IsFree()) {
+      if (is_start) {
+        co_await Settle(aOptions);
+      } else if (aOptions.pause > core::Duration(0) && !aFeed.IsFree()) {
         co_await net::Sleep(aOptions.pause);
       }
       continue;
--- a/src/jujubehead/node/control/hub_exchange.cpp
+++ b/src/jujubehead/node/control/hub_exchange.cpp
@@ -9,12 +9,13 @@
 #include <boost/asio/detached.hpp>      // for detached
 #include <boost/asio/use_awaitable.hpp> // for use_awaitable
 
-#include "jujubehead/net/random_text.hpp"       // for RandomText
-#include "jujubehead/net/timer.hpp"             // for Sleep
-#include "jujubehead/node/control/platform.hpp" // for PlatformError
+#include "jujubehead/core/membership/hub_choice.hpp" // for HubChoice
+#include "jujubehead/net/random_text.hpp"            // for RandomText
+#include "jujubehead/net/timer.hpp"                  // for Sleep
+#include "jujubehead/node/control/platform.hpp"      // for PlatformError
 
 #include "../forward/decision_log.hpp" // for DecisionLog
-#include "follow.hpp"                  // for SpreadPause
+#include "follow.hpp"                  // for SpreadPause, RolePause
 
 namespace jujubehead::node {
 namespace {
@@ -24,13 +25,14 @@
 constexpr unsigned kOk = 200;
 constexpr unsigned kUnavailable = 503;
 constexpr std::size_t kStartBytes = 6;
+/// The form in which loads are told; an instance of an older version tells them
+/// in another, and neither takes the other's.
+constexpr const char* kLoadsForm = "2";
 /// Between two questions to a hub. With a hub's own call of a store it stays
 /// below the time for which a store is believed.
 constexpr core::Duration kHubPause = std::chrono::milliseconds(220);
 /// A hub answers from memory; one that takes longer is frozen or cut off.
 constexpr core::Duration kHubTimeout = std::chrono::milliseconds(300);
-/// Between two looks of a hub whether it still is one.
-constexpr core::Duration kRoleTime = std::chrono::seconds(2);
 /// Rows that are older are not told: the one who asks reads the store itself. A
 /// hub's own wait for changes, its answer's way, and a late wake-up.
 constexpr core::Duration kOldestRows = std::chrono::milliseconds(1400);
@@ -76,37 +78,41 @@
 asio::awaitable<void>
 HubExchange::FollowHubs()
 {
-  Cursor cursor;
-  std::size_t next = 0;
+  core::HubChoice choice;
   for (;;) {
     if (m_role.IsHub()) {
       if (m_role.HasFollowers()) {
         co_await ShareOwnLoads();
+        PassOnLoads();
       }
-      co_await net::Sleep(m_role.HasFollowers() ? kHubPause : kRoleTime);
+      const core::Duration pause =
+        m_role.HasFollowers() ? kHubPause : RolePause(m_role);
+      co_await net::Sleep(pause);
       continue;
     }
-    const std::size_t count = m_role.Hubs().size();
-    const core::KnownInstance hub = m_role.Hubs()[next % count];
+    const core::KnownInstance hub =
+      m_role.Hubs()[choice.Next(m_role.Hubs().size())];
+    core::Duration pause{};
+    std::optional<core::HubFailure> failure;
     std::string why;
-    bool has_more = false;
     try {
-      has_more = co_await AskHub(hub, cursor);
+      const bool has_more = co_await AskHub(hub, m_cursors[hub.id]);
+      choice.OnAnswer();
+      pause = has_more ? core::Duration(0) : kHubPause;
+    } catch (const net::HttpCallError& error) {
+      why = error.what();
+      failure =
+        error.Dispatched() ? core::HubFailure::kLate : core::HubFailure::kGone;
     } catch (const std::exception& error) {
       why = error.what();
+      failure = core::HubFailure::kGone;
     }
-    if (why.empty()) {
-      if (!has_more) {
-        co_await net::Sleep(kHubPause);
-      }
-      continue;
+    if (failure) {
+      DecisionLog::WriteAlways(
+        LogLine("hub_failed").Add("hub", hub.id).Add("why", why));
+      pause = choice.OnFailure(*failure, m_jitter(m_random));
     }
-    DecisionLog::WriteAlways(
-      LogLine("hub_left").Add("hub", hub.id).Add("why", why));
-    ++next;
-    if (next % count == 0) {
-      m_stores.TakeSilence();
-      const core::Duration pause = SpreadPause();
+    if (pause > core::Duration(0)) {
       co_await net::Sleep(pause);
     }
   }
@@ -133,23 +139,66 @@
   const auto told = m_loads.Busiest(core::RuntimeClock::now());
   const std::vector<core::HeardLoad> own = co_await ExchangeLoads(told);
   for (const core::HeardLoad& one : own) {
-    m_loads.Put(one);
+    OnReported(one);
   }
 }
 
+void
+HubExchange::OnReported(const core::HeardLoad& aLoad)
+{
+  m_loads.Put(aLoad);
+  m_unshared.Put(aLoad);
+}
+
+void
+HubExchange::PassOnLoads()
+{
+  const core::Instant now = core::RuntimeClock::now();
+  const std::vector<core::HeardLoad> loads = m_unshared.TakeBusiest(now);
+  if (loads.empty()) {
+    return;
+  }
+  const std::string bytes = LoadsToBytes(loads, now);
+  for (const core::KnownInstance& hub : m_role.Hubs()) {
+    if (!m_role.IsSelf(hub) && m_sending.insert(hub.id).second) {
+      asio::co_spawn(m_context, SendLoads(hub, bytes), asio::detached);
+    }
+  }
+}
+
+asio::awaitable<void>
+HubExchange::SendLoads(core::KnownInstance aHub, std::string aLoads)
+{
+  net::HttpCall call;
+  call.authority = aHub.address;
+  call.method = "POST";
+  call.target = std::string(kHubLoadsPath);
+  call.body = std::move(aLoads);
+  call.connect_timeout = kHubTimeout;
+  call.idle_timeout = kHubTimeout;
+  try {
+    co_await m_client->Fetch(std::move(call));
+  } catch (const std::exception&) {
+    // The next report replaces this one. Those that ask that hub leave it, and
+    // say so in the log.
+  }
+  m_sending.erase(aHub.id);
+}
+
 asio::awaitable<bool>
 HubExchange::AskHub(core::KnownInstance aHub, Cursor& aCursor)
 {
-  if (aCursor.hub != aHub.id) {
-    aCursor = { aHub.id, {}, {} };
-  }
-  const std::vector<core::HeardLoad> own =
-    co_await ExchangeLoads(std::exchange(m_told_loads, {}));
+  std::vector<core::HeardLoad> own = co_await ExchangeLoads({});
+  own.insert(own.end(), m_untold_loads.begin(), m_untold_loads.end());
+  m_untold_loads.clear();
   net::HttpCall call;
   call.authority = aHub.address;
   call.method = "POST";
-  call.body = LoadsToBytes(own, core::RuntimeClock::now());
-  call.target = std::string(kHubNewsPath) + "?start=" + aCursor.start +
+  if (aCursor.takes_loads) {
+    call.body = LoadsToBytes(own, core::RuntimeClock::now());
+  }
+  call.target = std::string(kHubNewsPath) + "?form=" + kLoadsForm +
+                "&start=" + aCursor.start +
                 "&after=" + std::to_string(aCursor.parts.next) +
                 "&since=" + std::to_string(aCursor.parts.since) +
                 "&rows=" + m_rows.Cursors();
@@ -165,7 +214,8 @@
   HubNews news = HubNewsOf(response.body, asked);
   aCursor.start = news.start;
   aCursor.parts = news.parts.cursor;
-  m_told_loads = std::move(news.loads);
+  aCursor.takes_loads = news.has_loads;
+  m_untold_loads = co_await ExchangeLoads(std::move(news.loads));
   m_stores.TakeNews(news.parts, news.clock_ms, asked);
   if (news.rows) {
     const core::Instant told = asked - news.rows->age;
@@ -182,8 +232,11 @@
 HubExchange::NewsFor(const net::HttpRequest& aRequest)
 {
   const core::Instant now = core::RuntimeClock::now();
-  for (const core::HeardLoad& one : LoadsOf(aRequest.body, now)) {
-    m_loads.Put(one);
+  const bool has_loads = aRequest.Query("form") == kLoadsForm;
+  if (has_loads) {
+    for (const core::HeardLoad& one : LoadsOf(aRequest.body, now)) {
+      OnReported(one);
+    }
   }
   const bool knows_start = aRequest.Query("start") == m_start;
   core::PartCursor cursor;
@@ -193,6 +246,7 @@
   }
   HubNews news;
   news.start = m_start;
+  news.has_loads = has_loads;
   news.loads = m_loads.Busiest(now);
   news.parts = m_stores.Log().ReadAfter(cursor, now);
   news.clock_ms = m_stores.ClockMs(now);
@@ -218,4 +272,19 @@
   co_await aExchange.Send(std::move(response));
 }
 
+asio::awaitable<void>
+HubExchange::HandleLoads(net::HttpExchange& aExchange)
+{
+  const core::Instant now = core::RuntimeClock::now();
+  net::HttpResponse response;
+  if (!m_role.IsHub()) {
+    response.status = kUnavailable;
+  } else {
+    for (const core::HeardLoad& one : LoadsOf(aExchange.Request().body, now)) {
+      m_loads.Put(one);
+    }
+  }
+  co_await aExchange.Send(std::move(response));
+}
+
 } // namespace jujubehead::node
--- a/src/jujubehead/node/control/hub_news_codec.cpp
+++ b/src/jujubehead/node/control/hub_news_codec.cpp
@@ -1,8 +1,10 @@
 #include "hub_news_codec.hpp"
 
+#include <algorithm>   // for clamp, min
 #include <chrono>      // for duration_cast
 #include <cstddef>     // for size_t
 #include <map>         // for map
+#include <stdexcept>   // for invalid_argument
 #include <string_view> // for string_view
 
 #include <nlohmann/json.hpp> // for json
@@ -19,14 +21,22 @@
   kEpoch,
   kAgeMs,
 };
-enum LoadPlace : std::size_t
+/// A load in eight bytes: the target's key, lowest byte first, and then these.
+enum LoadByte : std::size_t
 {
-  kTarget,
-  kRunning,
+  kRunning = sizeof(core::TargetKey),
   kWaiting,
   kSlots,
-  kLoadAgeMs,
+  kLoadAge, ///< In kAgeUnit, rounded up.
+  kLoadBytes,
 };
+
+constexpr unsigned kByteBits = 8;
+constexpr std::int64_t kMostInByte = 255;
+/// Instead of running requests: the target is gone.
+constexpr std::uint32_t kGoneMark = 255;
+constexpr core::Duration kAgeUnit = std::chrono::milliseconds(10);
+
 enum ChangePlace : std::size_t
 {
   kStore, ///< Its index among the stores.
@@ -41,35 +51,41 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
 }
 
-json
-ToJson(const std::vector<core::HeardLoad>& aLoads, core::Instant aNow)
+char
+ToByte(std::int64_t aNumber)
 {
-  json loads = json::array();
-  for (const core::HeardLoad& one : aLoads) {
-    loads.push_back(json::array({ one.target.Text(),
-                                  one.load.running,
-                                  one.load.waiting,
-                                  one.load.slots,
-                                  Milliseconds(aNow - one.heard) + 1 }));
-  }
-  return loads;
+  return static_cast<char>(std::clamp<std::int64_t>(aNumber, 0, kMostInByte));
 }
 
-std::vector<core::HeardLoad>
-LoadsFrom(const json& aLoads, core::Instant aTold)
+std::uint32_t
+FromByte(char aByte)
 {
-  std::vector<core::HeardLoad> loads;
-  for (const json& one : aLoads) {
-    core::HeardLoad heard;
-    heard.target = core::TargetId(one.at(kTarget).get<std::string>());
-    heard.load.running = one.at(kRunning).get<std::uint32_t>();
-    heard.load.waiting = one.at(kWaiting).get<std::uint32_t>();
-    heard.load.slots = one.at(kSlots).get<std::uint32_t>();
-    heard.heard =
-      aTold - std::chrono::milliseconds(one.at(kLoadAgeMs).get<std::int64_t>());
-    loads.push_back(std::move(heard));
+  return static_cast<unsigned char>(aByte);
+}
+
+/// Requests that run, so that no count reads as kGoneMark.
+std::uint32_t
+RunningByte(const core::HeardLoad& aLoad)
+{
+  return aLoad.is_gone ? kGoneMark
+                       : std::min(aLoad.load.running, kGoneMark - 1);
+}
+
+core::HeardLoad
+LoadAt(std::string_view aBytes, core::Instant aTold)
+{
+  std::uint32_t key = 0;
+  for (std::size_t i = 0; i < sizeof(key); ++i) {
+    key |= FromByte(aBytes[i]) << (i * kByteBits);
   }
-  return loads;
+  core::HeardLoad heard;
+  heard.target = static_cast<core::TargetKey>(key);
+  heard.load.running = FromByte(aBytes[kRunning]);
+  heard.load.waiting = FromByte(aBytes[kWaiting]);
+  heard.load.slots = FromByte(aBytes[kSlots]);
+  heard.heard = aTold - FromByte(aBytes[kLoadAge]) * kAgeUnit;
+  heard.is_gone = heard.load.running == kGoneMark;
+  return heard;
 }
 
 } // namespace
@@ -78,14 +94,32 @@
 LoadsToBytes(const std::vector<core::HeardLoad>& aLoads, core::Instant aNow)
 {
   std::string bytes;
-  json::to_cbor(ToJson(aLoads, aNow), bytes);
+  bytes.reserve(aLoads.size() * kLoadBytes);
+  for (const core::HeardLoad& one : aLoads) {
+    const auto key = static_cast<std::uint32_t>(one.target);
+    for (std::size_t i = 0; i < sizeof(key); ++i) {
+      bytes += ToByte((key >> (i * kByteBits)) & kMostInByte);
+    }
+    bytes += ToByte(RunningByte(one));
+    bytes += ToByte(one.load.waiting);
+    bytes += ToByte(one.load.slots);
+    bytes += ToByte((aNow - one.heard) / kAgeUnit + 1);
+  }
   return bytes;
 }
 
 std::vector<core::HeardLoad>
 LoadsOf(std::string_view aBytes, core::Instant aTold)
 {
-  return LoadsFrom(json::from_cbor(aBytes.begin(), aBytes.end()), aTold);
+  if (aBytes.size() % kLoadBytes != 0) {
+    throw std::invalid_argument("loads cut short");
+  }
+  std::vector<core::HeardLoad> loads;
+  loads.reserve(aBytes.size() / kLoadBytes);
+  for (std::size_t at = 0; at < aBytes.size(); at += kLoadBytes) {
+    loads.push_back(LoadAt(aBytes.substr(at, kLoadBytes), aTold));
+  }
+  return loads;
 }
 
 std::string
@@ -119,7 +153,11 @@
                    { "stores", std::move(stores) },
                    { "scopes", std::move(scopes) },
                    { "changes", std::move(changes) } };
-  message["loads"] = ToJson(aNews.loads, aNow);
+  if (aNews.has_loads) {
+    message["loads"] = LoadsToBytes(aNews.loads, aNow);
+  } else {
+    message["loads"] = json::array();
+  }
   if (aNews.rows) {
     message["rows"] = aNews.rows->bytes;
     message["rows_age"] = Milliseconds(aNews.rows->age) + 1;
@@ -150,7 +188,12 @@
     result.rows =
       RowNews{ rows->get<std::string>(), std::chrono::milliseconds(age) };
   }
-  result.loads = LoadsFrom(message.at("loads"), aTold);
+  // An instance of an older version tells them in another form.
+  const json& loads = message.at("loads");
+  result.has_loads = loads.is_string();
+  if (result.has_loads) {
+    result.loads = LoadsOf(loads.get<std::string>(), aTold);
+  }
   for (const json& store : message.at("stores")) {
     result.parts.stores.push_back(
       { core::StoreId(store.at(kId).get<std::string>()),
--- a/src/jujubehead/node/control/hub_news_codec.hpp
+++ b/src/jujubehead/node/control/hub_news_codec.hpp
@@ -23,12 +23,14 @@
   /// The clock of targets and stores when it was told, in ms.
   std::optional<std::int64_t> clock_ms;
   std::vector<core::HeardLoad> loads; ///< Of the busiest targets.
+  /// Whether both sides know the present form of loads.
+  bool has_loads = false;
   /// Of the operators' store; nothing while the hub does not hear it.
   std::optional<RowNews> rows;
 };
 
-/// @return loads as CBOR, with their ages, and back.
-/// @throws std::exception when the bytes are no loads.
+/// @return loads in eight bytes each, with their ages, and back. Counts end at
+/// 255, ages at 2.5 s. @throws std::exception when the bytes are no loads.
 std::string
 LoadsToBytes(const std::vector<core::HeardLoad>& aLoads, core::Instant aNow);
 std::vector<core::HeardLoad>
--- a/src/jujubehead/node/control/hub_news_codec_test.cpp
+++ b/src/jujubehead/node/control/hub_news_codec_test.cpp
@@ -28,7 +28,8 @@
                               { core::StoreId("s1"), "w2", "b", 100 },
                               { core::StoreId("s1"), "w1", "c", 100 } };
     message.clock_ms = 123456;
-    message.loads = { { core::TargetId("t1"),
+    message.has_loads = true;
+    message.loads = { { core::KeyOf(core::TargetId("t1")),
                         { 12, 3, 12 },
                         kNow - std::chrono::milliseconds(40) } };
     message.rows = node::RowNews{ std::string("\xff\x00rows", 6),
@@ -73,11 +74,38 @@
   CHECK_THROWS(std::exception, node::ToBytes(message, kNow));
 }
 
+TEST(HubNewsCodec, ALoadTakesEightBytesAndCountsEndAtTheirMost)
+{
+  core::HeardLoad full{ core::KeyOf(core::TargetId("t2")),
+                        { 4000, 4000, 4000 },
+                        kNow - std::chrono::hours(1) };
+  const core::HeardLoad gone = core::GoneTarget(core::TargetId("t3"), kNow);
+  const std::string bytes = node::LoadsToBytes({ full, gone }, kNow);
+  LONGS_EQUAL(16, bytes.size());
+  const auto back = node::LoadsOf(bytes, kNow);
+  CHECK(back.at(0).target == full.target);
+  LONGS_EQUAL(254, back.at(0).load.running);
+  LONGS_EQUAL(255, back.at(0).load.waiting);
+  CHECK(back.at(0).heard == kNow - std::chrono::milliseconds(2550));
+  CHECK_FALSE(back.at(0).is_gone);
+  CHECK(back.at(1).is_gone && back.at(1).target == gone.target);
+}
+
+// A rolling replacement: an instance of an older version tells loads as a list.
+TEST(HubNewsCodec, LoadsInAnotherFormAreLeftOut)
+{
+  message.has_loads = false;
+  const HubNews back = node::HubNewsOf(node::ToBytes(message, kNow), kNow);
+  CHECK_FALSE(back.has_loads);
+  CHECK(back.loads.empty());
+  LONGS_EQUAL(42, back.parts.cursor.next);
+}
+
 TEST(HubNewsCodec, LoadsAreReadBackAndNoneFromOtherBytes)
 {
   const auto back =
     node::LoadsOf(node::LoadsToBytes(message.loads, kNow), kNow);
-  STRCMP_EQUAL("t1", back.at(0).target.Text().c_str());
+  CHECK(back.at(0).target == core::KeyOf(core::TargetId("t1")));
   LONGS_EQUAL(12, back.at(0).load.slots);
   CHECK_THROWS(std::exception, node::LoadsOf("x", kNow));
 }
--- a/src/jujubehead/node/control/store_keeper.cpp
+++ b/src/jujubehead/node/control/store_keeper.cpp
@@ -1,12 +1,12 @@
 #include "store_keeper.hpp"
 
-#include <utility> // for move
+#include <string_view> // for string_view
+#include <utility>     // for move
 
 #include <boost/asio/co_spawn.hpp> // for co_spawn
 #include <boost/asio/detached.hpp> // for detached
 
-#include "jujubehead/core/context/cache_scope.hpp" // for CacheScopeOf
-#include "jujubehead/net/timer.hpp"                // for Sleep
+#include "jujubehead/net/timer.hpp" // for Sleep
 
 #include "../forward/decision_log.hpp" // for DecisionLog
 #include "../reading_times.hpp"        // for kHearTime, kReadTime
@@ -17,21 +17,25 @@
 namespace asio = boost::asio;
 
 constexpr core::Duration kLookTime = std::chrono::seconds(1);
-/// For the ways of what was heard, and clocks that run unevenly.
+/// For the transit of what was heard, and clocks that run unevenly.
 constexpr core::Duration kMargin = std::chrono::milliseconds(1000);
-/// The others wait for the first one's work to show.
-constexpr core::Duration kOthersWait = std::chrono::seconds(3);
-/// Parts in one call; their names take some 40 bytes each.
+/// From one rank's turn to the next: a call to the store, and the time until
+/// all have heard of what it freed.
+constexpr core::Duration kTurn = std::chrono::milliseconds(1500);
+/// Blocks in one call; their names take some 40 bytes each.
 constexpr std::size_t kMostAtOnce = 400;
 
+/// Nobody reads blocks that were superseded for this long.
+constexpr core::Duration kUnreadAfter = kHearTime + kReadTime + kMargin;
+
 } // namespace
 
 StoreKeeper::StoreKeeper(asio::io_context& aContext,
                          StoreCalls& aCalls,
-                         std::function<bool()> aIsFirst)
+                         StoreKeeperHooks aHooks)
   : m_context(aContext)
   , m_calls(aCalls)
-  , m_is_first(std::move(aIsFirst))
+  , m_hooks(std::move(aHooks))
 {
 }
 
@@ -57,11 +61,9 @@
 StoreKeeper::SetWanted(
   const std::map<core::ModelId, core::WantedWeights>& aWanted)
 {
+  const core::Instant now = core::RuntimeClock::now();
   for (const auto& [model, wanted] : aWanted) {
-    Newest& known = m_newest[model];
-    if (wanted.Newest() > known.version) {
-      known = { wanted.Newest(), core::RuntimeClock::now() };
-    }
+    m_versions.OnWanted(model, wanted.Newest(), now);
   }
 }
 
@@ -79,52 +81,71 @@
   m_parts.OnSilence(aStore);
 }
 
-bool
-StoreKeeper::IsReplaced(std::string_view aScope, core::Instant aNow) const
-{
-  const auto scope = core::CacheScopeOf(aScope);
-  if (!scope) {
-    return false;
-  }
-  const auto newest = m_newest.find(scope->model);
-  if (newest == m_newest.end() ||
-      scope->weight_version >= newest->second.version) {
-    return false;
-  }
-  const core::Duration wait = kHearTime + kReadTime + kMargin +
-                              (m_is_first() ? core::Duration(0) : kOthersWait);
-  return aNow - newest->second.heard >= wait;
-}
-
 asio::awaitable<void>
 StoreKeeper::Run()
 {
   for (;;) {
     co_await net::Sleep(kLookTime);
+    const core::Instant now = core::RuntimeClock::now();
+    const std::size_t due = m_versions.Due(kUnreadAfter, now);
+    if (due != m_due) {
+      m_due = due;
+      m_has_turns = true;
+      m_hooks.on_unread(core::SupersededScopes(m_versions, now - kUnreadAfter));
+    }
+    if (!m_has_turns) {
+      continue;
+    }
+    m_has_turns = false;
     const std::vector<core::DeclaredStore> stores = m_stores;
     for (const core::DeclaredStore& store : stores) {
-      co_await FreeAt(store);
+      const bool has_left = co_await FreeAt(store);
+      m_has_turns |= has_left;
     }
   }
 }
 
-asio::awaitable<void>
+std::vector<core::ScopedPart>
+StoreKeeper::SupersededAt(const core::StoreId& aStore,
+                          core::Duration aFor) const
+{
+  core::SupersededScopes scopes(m_versions, core::RuntimeClock::now() - aFor);
+  return m_parts.PartsWhere(aStore, kMostAtOnce, [&](std::string_view aScope) {
+    return scopes.Contains(aScope);
+  });
+}
+
+asio::awaitable<bool>
 StoreKeeper::FreeAt(core::DeclaredStore aStore)
 {
-  const core::Instant now = core::RuntimeClock::now();
-  if (!m_parts.IsPresent(aStore.id, now)) {
-    co_return;
+  if (SupersededAt(aStore.id, kUnreadAfter).empty()) {
+    co_return false;
+  }
+  if (!m_parts.IsPresent(aStore.id, core::RuntimeClock::now())) {
+    co_return true;
+  }
+  const auto rank = static_cast<core::Duration::rep>(m_hooks.rank(aStore.id));
+  const core::Duration due = kUnreadAfter + rank * kTurn;
+  for (;;) {
+    std::vector<core::ScopedPart> parts = SupersededAt(aStore.id, due);
+    if (parts.empty()) {
+      break;
+    }
+    const bool is_freed = co_await Free(aStore, std::move(parts));
+    if (!is_freed) {
+      co_return true;
+    }
   }
+  co_return !SupersededAt(aStore.id, kUnreadAfter).empty();
+}
+
+asio::awaitable<bool>
+StoreKeeper::Free(core::DeclaredStore aStore,
+                  std::vector<core::ScopedPart> aParts)
+{
   FreeOrder order;
   order.epoch = m_parts.EpochOf(aStore.id);
-  order.parts =
-    m_parts.PartsWhere(aStore.id, kMostAtOnce, [&](std::string_view aScope) {
-      return IsReplaced(aScope, now);
-    });
-  const std::size_t count = order.parts.size();
-  if (count == 0) {
-    co_return;
-  }
+  order.parts = std::move(aParts);
   std::string why;
   try {
     co_await m_calls.Free(aStore.address, order);
@@ -132,12 +153,14 @@
   } catch (const std::exception& error) {
     why = error.what();
   }
-  LogLine line("replaced_parts_freed");
-  line.Add("store", aStore.id.View()).Add("parts", std::uint64_t(count));
+  LogLine line("superseded_blocks_freed");
+  line.Add("store", aStore.id.View())
+    .Add("blocks", std::uint64_t(order.parts.size()));
   if (!why.empty()) {
     line.Add("failed", why);
   }
   DecisionLog::WriteAlways(line);
+  co_return why.empty();
 }
 
 } // namespace jujubehead::node
--- a/src/jujubehead/node/control/store_watch.cpp
+++ b/src/jujubehead/node/control/store_watch.cpp
@@ -8,7 +8,7 @@
 #include "jujubehead/net/timer.hpp" // for Sleep
 
 #include "../forward/decision_log.hpp" // for DecisionLog
-#include "follow.hpp"                  // for SpreadPause
+#include "follow.hpp"                  // for SpreadPause, RolePause
 
 namespace jujubehead::node {
 namespace {
@@ -18,8 +18,6 @@
 /// A store that has no place for a call is asked again after this many of the
 /// usual pauses, since many others ask it.
 constexpr int kBusyPauses = 4;
-/// Between two looks of an instance that is no hub whether it became one.
-constexpr core::Duration kRoleTime = std::chrono::seconds(2);
 
 } // namespace
 
@@ -110,8 +108,9 @@
     if (known == m_followed.end() || known->second != aStore.address) {
       co_return;
     }
-    if (!m_role.IsHub()) {
-      co_await net::Sleep(kRoleTime);
+    if (!m_role.Watches(core::RuntimeClock::now())) {
+      const core::Duration pause = RolePause(m_role);
+      co_await net::Sleep(pause);
       continue;
     }
     const core::Watchers watchers{ m_role.Hubs().size(), aStore.most_watchers };
@@ -154,11 +153,10 @@
 }
 
 void
-StoreWatch::TakeSilence()
+StoreWatch::Forget(core::SupersededScopes aScopes)
 {
-  for (const auto& [store, address] : m_followed) {
-    m_hooks.on_silence(store);
-  }
+  m_log.DropWhere(
+    [&](std::string_view aScope) { return aScopes.Contains(aScope); });
 }
 
 } // namespace jujubehead::node
--- a/src/jujubehead/node/control/store_watch.hpp
+++ b/src/jujubehead/node/control/store_watch.hpp
@@ -11,11 +11,12 @@
 #include <boost/asio/awaitable.hpp>  // for awaitable
 #include <boost/asio/io_context.hpp> // for io_context
 
-#include "jujubehead/core/context/part_log.hpp"      // for PartLog
-#include "jujubehead/core/context/watch_pace.hpp"    // for Watchers
-#include "jujubehead/core/membership/hubs.hpp"       // for HubRole
-#include "jujubehead/core/routing/configuration.hpp" // for DeclaredStore
-#include "jujubehead/node/control/platform.hpp"      // for StoreCalls
+#include "jujubehead/core/context/part_log.hpp"            // for PartLog
+#include "jujubehead/core/context/watch_pace.hpp"          // for Watchers
+#include "jujubehead/core/membership/hubs.hpp"             // for HubRole
+#include "jujubehead/core/routing/configuration.hpp"       // for DeclaredStore
+#include "jujubehead/core/weights/superseded_versions.hpp" // for Superseded...
+#include "jujubehead/node/control/platform.hpp"            // for StoreCalls
 
 #include "../forward/target_clock.hpp" // for TargetClock
 
@@ -58,8 +59,8 @@
   void TakeNews(const core::PartNews& aNews,
                 std::optional<std::int64_t> aClockMs,
                 core::Instant aTold);
-  /// @brief No hub answers.
-  void TakeSilence();
+  /// @brief Forgets the blocks of scopes that nobody reads any more.
+  void Forget(core::SupersededScopes aScopes);
 
 private:
   /// What came of asking a store for its events.
--- a/src/jujubehead/node/control/weights_deadlines_test.cpp
+++ b/src/jujubehead/node/control/weights_deadlines_test.cpp
@@ -85,7 +85,7 @@
 {
   Instance(asio::io_context& aContext, Rows& aRows, std::size_t aIndex)
     : shared(aRows)
-    , book(Name(aIndex), Name(aIndex))
+    , book(core::KnownInstance{ Name(aIndex), Name(aIndex) })
   {
     options.instance_id = core::InstanceId(Name(aIndex));
     for (std::size_t i = 0; i < kInstances; ++i) {
--- a/src/jujubehead/node/control/weights_giver.hpp
+++ b/src/jujubehead/node/control/weights_giver.hpp
@@ -41,8 +41,6 @@
   void SetTargets(std::vector<core::RegisteredTarget> aTargets);
   void OnSharedNews(const SharedNews& aNews, bool aIsAll);
   [[nodiscard]] bool HoldsLease() const;
-  /// @return whether this instance was the last to hold the lease.
-  [[nodiscard]] bool WasLastHolder() const { return m_lease.WasLastHolder(); }
 
 private:
   /// What is known of one model's roll-out.
--- a/src/jujubehead/node/entry.cpp
+++ b/src/jujubehead/node/entry.cpp
@@ -96,6 +96,8 @@
   {
     if (aExchange.Request().Path() == kHubNewsPath) {
       co_await m_control.Hubs().Handle(aExchange);
+    } else if (aExchange.Request().Path() == kHubLoadsPath) {
+      co_await m_control.Hubs().HandleLoads(aExchange);
     } else {
       co_await m_relay.Handle(aExchange);
     }
--- a/src/jujubehead/node/forward/forward_attempt.cpp
+++ b/src/jujubehead/node/forward/forward_attempt.cpp
@@ -111,7 +111,7 @@
   aTarget->load.OnBegin();
   aTarget->health.OnSend(core::RuntimeClock::now());
   const Ended ended = co_await Exchange(*aTarget, exchange);
-  aTarget->load.OnEnd();
+  aTarget->load.OnEnd(core::RuntimeClock::now() - m_sent);
   aTarget->streaming -= m_is_streaming ? 1 : 0;
   m_is_streaming = false;
   m_exchange = nullptr;
@@ -132,6 +132,9 @@
     if (!IsOver()) {
       aTarget.health.OnUnreachable(core::RuntimeClock::now());
     }
+    if (aExchange.WasRefused()) {
+      ReportGone(aTarget);
+    }
     co_return AttemptEnd::kNotSent;
   }
   if (IsOver()) {
@@ -149,7 +152,7 @@
   const ReplyFacts& facts = aExchange.Facts();
   const unsigned status = aExchange.Head().status;
   if (facts.not_run) {
-    co_return EndRefused(aTarget, facts);
+    co_return EndRefused(aTarget, status, facts);
   }
   if (!facts.is_signed || facts.is_encoded || PromisesNotRun(status)) {
     m_last_why = "not a target's answer, status " + std::to_string(status);
@@ -171,7 +174,8 @@
   if (aFacts.load) {
     aTarget.load.OnReport(*aFacts.load, now);
     if (m_state.tells_loads) {
-      m_state.heard_loads.Put({ aTarget.target.id, *aFacts.load, now });
+      m_state.heard_loads.Put(
+        { core::KeyOf(aTarget.target.id), *aFacts.load, now });
     }
   }
   if (aFacts.weight_version && m_facts.prompt) {
@@ -179,6 +183,15 @@
   }
 }
 
+void
+ForwardRun::ReportGone(const FleetTarget& aTarget)
+{
+  if (m_state.tells_loads) {
+    m_state.heard_loads.Put(
+      core::GoneTarget(aTarget.target.id, core::RuntimeClock::now()));
+  }
+}
+
 ForwardRun::Ended
 ForwardRun::EndBroken(FleetTarget& aTarget, const TargetExchange& aExchange)
 {
@@ -195,7 +208,9 @@
 }
 
 ForwardRun::Ended
-ForwardRun::EndRefused(FleetTarget& aTarget, const ReplyFacts& aFacts)
+ForwardRun::EndRefused(FleetTarget& aTarget,
+                       unsigned aStatus,
+                       const ReplyFacts& aFacts)
 {
   m_last_why = "the target refused it";
   m_state.metrics.Add(Counter::kTargetRefusals);
@@ -203,6 +218,9 @@
   // weights than it told, is left alone until the registry says more.
   if (!aFacts.load && !aFacts.weight_version) {
     aTarget.health.OnUnreachable(core::RuntimeClock::now());
+    if (aStatus == kMisdirected) {
+      ReportGone(aTarget);
+    }
   } else {
     aTarget.health.OnAnswer();
   }
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -73,7 +73,11 @@
                                            TargetExchange& aExchange,
                                            ReplyPart aPart);
   Ended EndBroken(FleetTarget& aTarget, const TargetExchange& aExchange);
-  Ended EndRefused(FleetTarget& aTarget, const ReplyFacts& aFacts);
+  Ended EndRefused(FleetTarget& aTarget,
+                   unsigned aStatus,
+                   const ReplyFacts& aFacts);
+  /// @brief Another process, or none, is at the target's address.
+  void ReportGone(const FleetTarget& aTarget);
   void NoteReply(FleetTarget& aTarget, const ReplyFacts& aFacts);
   void Count(core::AttemptEnd aEnd);
   void SetPatience(const FleetTarget& aTarget);
--- a/src/jujubehead/node/forward/forwarder.cpp
+++ b/src/jujubehead/node/forward/forwarder.cpp
@@ -232,6 +232,15 @@
     });
 }
 
+void
+Forwarder::ForgetParts(core::SupersededScopes aScopes)
+{
+  asio::post(m_context, [this, scopes = std::move(aScopes)]() mutable {
+    m_state.parts.DropWhere(
+      [&](std::string_view aScope) { return scopes.Contains(aScope); });
+  });
+}
+
 void
 Forwarder::ExchangeLoads(
   std::vector<core::HeardLoad> aTold,
@@ -239,13 +248,14 @@
 {
   asio::post(m_context,
              [this, told = std::move(aTold), give = std::move(aGive)] {
+               const core::Instant now = core::RuntimeClock::now();
                for (const core::HeardLoad& one : told) {
-                 if (const auto target = m_state.fleet.Find(one.target)) {
-                   target->load.OnTold(one.load, one.heard);
+                 if (const auto target = m_state.fleet.FindByKey(one.target)) {
+                   target->OnReport(one, now);
                  }
                }
                m_state.tells_loads = true;
-               give(m_state.heard_loads.TakeBusiest(core::RuntimeClock::now()));
+               give(m_state.heard_loads.TakeBusiest(now));
              });
 }
 
--- a/src/jujubehead/node/forward/forwarder.hpp
+++ b/src/jujubehead/node/forward/forwarder.hpp
@@ -15,8 +15,9 @@
 #include "jujubehead/core/context/part_directory.hpp" // for PartEventPage
 #include "jujubehead/core/routing/configuration.hpp"  // for Configuration
 #include "jujubehead/core/routing/target_book.hpp"    // for RegisteredTarget
-#include "jujubehead/node/forward/dialect.hpp"        // for Dialect
-#include "jujubehead/node/forward/entry_options.hpp"  // for EntryOptions
+#include "jujubehead/core/weights/superseded_versions.hpp" // for Superseded...
+#include "jujubehead/node/forward/dialect.hpp"             // for Dialect
+#include "jujubehead/node/forward/entry_options.hpp"       // for EntryOptions
 
 #include "caller_session.hpp" // for RequestHandler
 #include "forward_state.hpp"  // for ForwardState
@@ -60,6 +61,8 @@
   void OnPartEvents(core::StoreId aStore,
                     core::PartEventPage aPage,
                     core::Instant aHeard);
+  /// @brief Forgets the blocks of scopes that nobody reads any more.
+  void ForgetParts(core::SupersededScopes aScopes);
   /// @brief Exchanges loads of targets with other instances: takes what these
   /// heard, and gives what this one heard since the last time.
   /// @param aGive called on the traffic thread.
--- a/src/jujubehead/node/forward/part_places_test.cpp
+++ b/src/jujubehead/node/forward/part_places_test.cpp
@@ -241,7 +241,7 @@
   targets[home]->load.OnBegin();
   ReadFromHome(state, prompt, away, call);
   CHECK(call.read_from.empty());
-  targets[home]->load.OnEnd();
+  targets[home]->load.OnEnd(std::chrono::seconds(1));
   targets[home]->health.OnUnreachable(now);
   ReadFromHome(state, prompt, away, call);
   CHECK(call.read_from.empty());
--- a/src/jujubehead/node/forward/target_exchange.cpp
+++ b/src/jujubehead/node/forward/target_exchange.cpp
@@ -45,6 +45,7 @@
   const error_code error = co_await connection->Connect(m_target->endpoint);
   if (error) {
     m_why = "connect: " + error.message();
+    m_was_refused = error == asio::error::connection_refused;
     Close();
     co_return false;
   }
--- a/src/jujubehead/node/forward/target_exchange.hpp
+++ b/src/jujubehead/node/forward/target_exchange.hpp
@@ -72,6 +72,8 @@
   /// @return bytes of the body that came and were not taken yet.
   [[nodiscard]] std::string& Body() { return m_body; }
   [[nodiscard]] bool IsOnNewConnection() const { return m_is_new; }
+  /// @return whether nothing listens at the target's address.
+  [[nodiscard]] bool WasRefused() const { return m_was_refused; }
   /// @return why it was broken.
   [[nodiscard]] const std::string& Why() const { return m_why; }
 
@@ -101,6 +103,7 @@
   std::string m_body;
   std::string m_why;
   bool m_is_new = false;
+  bool m_was_refused = false;
   bool m_is_clean = true; ///< Nothing unexpected came on the connection.
 };
 
--- a/src/jujubehead/node/forward/target_fleet.cpp
+++ b/src/jujubehead/node/forward/target_fleet.cpp
@@ -31,6 +31,23 @@
   return std::max(registered.value_or(0), told->second);
 }
 
+void
+FleetTarget::OnReport(const core::HeardLoad& aReport, core::Instant aNow)
+{
+  if (!aReport.is_gone) {
+    load.OnTold(aReport.load, aReport.heard);
+    return;
+  }
+  // The same report comes several times.
+  if (aReport.heard <= std::max(last_heard, last_gone)) {
+    return;
+  }
+  last_gone = aReport.heard;
+  if (health.IsUsable(aNow)) {
+    health.OnUnreachable(aNow);
+  }
+}
+
 void
 FleetTarget::OnVersion(const core::ModelId& aModel, std::uint64_t aVersion)
 {
@@ -101,6 +118,7 @@
   auto before = std::move(m_targets);
   m_targets.clear();
   m_by_service.clear();
+  m_by_key.clear();
   for (const core::RegisteredTarget& target : aTargets) {
     const auto endpoint = FindEndpoint(target.address);
     if (!endpoint) {
@@ -132,6 +150,7 @@
       known->CloseResting();
     }
     m_targets.emplace(target.id, known);
+    m_by_key.emplace(core::KeyOf(target.id), known);
     m_by_service[target.service].push_back(known);
   }
   for (const auto& [id, gone] : before) {
@@ -172,4 +191,11 @@
   return found == m_targets.end() ? nullptr : found->second;
 }
 
+std::shared_ptr<FleetTarget>
+TargetFleet::FindByKey(core::TargetKey aKey) const
+{
+  const auto found = m_by_key.find(aKey);
+  return found == m_by_key.end() ? nullptr : found->second;
+}
+
 } // namespace jujubehead::node
--- a/src/jujubehead/node/forward/target_fleet.hpp
+++ b/src/jujubehead/node/forward/target_fleet.hpp
@@ -12,6 +12,7 @@
 #include <boost/asio/ip/tcp.hpp> // for tcp
 
 #include "jujubehead/core/routing/load_estimate.hpp"    // for LoadEstimate
+#include "jujubehead/core/routing/load_news.hpp"        // for HeardLoad
 #include "jujubehead/core/routing/target_book.hpp"      // for RegisteredTarget
 #include "jujubehead/core/routing/target_health.hpp"    // for TargetHealth
 #include "jujubehead/net/http1/outbound_connection.hpp" // for OutboundConnection
@@ -29,11 +30,15 @@
   bool is_gone = false;        ///< Left the registry, or leaves.
   bool is_loading = false;     ///< Takes new weights just now.
   core::Instant last_heard{};  ///< When it last answered anything.
+  core::Instant last_gone{};   ///< When another instance last found it gone.
   std::uint32_t streaming = 0; ///< Streams of this instance that run there.
 
   /// @return the version of a model's weights, by the newest word of it.
   [[nodiscard]] std::optional<std::uint64_t> VersionOf(
     const core::ModelId& aModel) const;
+  /// @brief Another instance learned something of the target. That it is gone
+  /// counts only if it is newer than its last answer to this instance.
+  void OnReport(const core::HeardLoad& aReport, core::Instant aNow);
   /// @brief The target told a version itself.
   void OnVersion(const core::ModelId& aModel, std::uint64_t aVersion);
 
@@ -65,12 +70,15 @@
     const core::ServiceId& aService) const;
   [[nodiscard]] std::shared_ptr<FleetTarget> Find(
     const core::TargetId& aId) const;
+  [[nodiscard]] std::shared_ptr<FleetTarget> FindByKey(
+    core::TargetKey aKey) const;
   [[nodiscard]] bool IsEmpty() const { return m_targets.empty(); }
 
 private:
   std::map<core::TargetId, std::shared_ptr<FleetTarget>> m_targets;
   std::unordered_map<core::ServiceId, std::vector<std::shared_ptr<FleetTarget>>>
     m_by_service;
+  std::unordered_map<core::TargetKey, std::shared_ptr<FleetTarget>> m_by_key;
   std::set<core::TargetId> m_loading;
   std::unordered_map<core::ServiceId, std::shared_ptr<core::UsualLoad>> m_usual;
 };
--- /dev/null
+++ b/src/jujubehead/node/forward/target_fleet_test.cpp
@@ -0,0 +1,96 @@
+#include "target_fleet.hpp"
+
+#include <random> // for mt19937
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+using namespace jujubehead;
+using node::FleetTarget;
+using std::chrono::milliseconds;
+
+namespace {
+
+const core::Instant kNow = core::Instant(std::chrono::hours(1));
+
+core::HeardLoad
+Gone(core::Instant aNow)
+{
+  return core::GoneTarget(core::TargetId("t"), aNow);
+}
+
+/// A third of 240 targets crash, and 295 instances send to any that they take
+/// for usable, 1,738 requests a second for two seconds.
+/// @param aTellsAfter the time until all know what one of them found.
+/// @return requests that met a target that is gone.
+int
+FailedRequests(std::optional<core::Duration> aTellsAfter)
+{
+  constexpr std::size_t kInstances = 295;
+  constexpr std::size_t kTargets = 240;
+  constexpr std::size_t kGone = kTargets / 3;
+  constexpr int kRequests = 3476;
+  constexpr std::chrono::microseconds kBetween{ 575 };
+  std::mt19937 random(5);
+  std::vector<std::vector<FleetTarget>> fleets(kInstances);
+  for (auto& fleet : fleets) {
+    fleet.resize(kTargets);
+  }
+  std::vector<std::optional<core::Instant>> found(kGone);
+  int failed = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    const core::Instant now = kNow + i * kBetween;
+    auto& fleet = fleets[random() % kInstances];
+    std::size_t target = random() % kTargets;
+    for (; !fleet[target].health.IsUsable(now); target = random() % kTargets) {
+    }
+    if (target >= kGone) {
+      continue;
+    }
+    if (aTellsAfter && found[target] && now - *found[target] >= *aTellsAfter) {
+      fleet[target].OnReport(Gone(*found[target]), now);
+      found[target] = now - *aTellsAfter;
+      continue;
+    }
+    ++failed;
+    fleet[target].health.OnUnreachable(now);
+    if (!found[target]) {
+      found[target] = now;
+    }
+  }
+  return failed;
+}
+
+} // namespace
+
+TEST_GROUP(TargetFleet){};
+
+TEST(TargetFleet, OneThatAnotherInstanceFoundGoneIsLeftAlone)
+{
+  FleetTarget target;
+  target.OnReport(Gone(kNow), kNow);
+  CHECK_FALSE(target.health.IsUsable(kNow));
+  CHECK(target.health.IsUsable(kNow + milliseconds(500)));
+  // The same report again is no new evidence.
+  target.OnReport(Gone(kNow), kNow + milliseconds(600));
+  CHECK(target.health.IsUsable(kNow + milliseconds(600)));
+}
+
+TEST(TargetFleet, ItsOwnAnswerIsBelievedBeforeAnOlderReport)
+{
+  FleetTarget target;
+  target.last_heard = kNow;
+  target.OnReport(Gone(kNow - milliseconds(1)), kNow);
+  CHECK(target.health.IsUsable(kNow));
+  target.OnReport(Gone(kNow + milliseconds(1)), kNow + milliseconds(1));
+  CHECK_FALSE(target.health.IsUsable(kNow + milliseconds(1)));
+}
+
+// Retry storm: each of many instances would find out by a failed request of its
+// own, for each target that crashed.
+TEST(TargetFleet, WhatOneInstanceFoundGoneSparesTheOthersTheirFailures)
+{
+  const int alone = FailedRequests(std::nullopt);
+  const int told = FailedRequests(milliseconds(500));
+  CHECK(alone > 900);
+  CHECK(told < alone / 2);
+}
--- a/standin/hub_exchange_test.cpp
+++ b/standin/hub_exchange_test.cpp
@@ -43,7 +43,10 @@
     , door(net::HttpServer::Create(aContext,
                                    {},
                                    [this](net::HttpExchange& aExchange) {
-                                     return hubs.Handle(aExchange);
+                                     return aExchange.Request().Path() ==
+                                                node::kHubLoadsPath
+                                              ? hubs.HandleLoads(aExchange)
+                                              : hubs.Handle(aExchange);
                                    }))
   {
   }
@@ -244,20 +247,52 @@
 TEST(HubExchange, LoadsThatOneHeardReachTheOthers)
 {
   const core::Instant now = core::RuntimeClock::now();
-  hub->own_loads = { { core::TargetId("t1"), { 12, 5, 12 }, now } };
-  follower->own_loads = { { core::TargetId("t2"), { 12, 9, 12 }, now } };
+  hub->own_loads = {
+    { core::KeyOf(core::TargetId("t1")), { 12, 5, 12 }, now }
+  };
+  follower->own_loads = {
+    { core::KeyOf(core::TargetId("t2")), { 12, 9, 12 }, now }
+  };
   hub->hubs.Start();
   follower->hubs.Start();
   const auto knows = [](const Instance& aInstance, const char* aTarget) {
     return std::any_of(aInstance.told_loads.begin(),
                        aInstance.told_loads.end(),
                        [&](const core::HeardLoad& aLoad) {
-                         return aLoad.target == core::TargetId(aTarget);
+                         return aLoad.target ==
+                                core::KeyOf(core::TargetId(aTarget));
                        });
   };
   CHECK(Await([&] { return knows(*follower, "t1") && knows(*hub, "t2"); }));
 }
 
+// Hot spots: a target is busy by the requests of all instances, so what is
+// reported to one hub has to reach those that ask another.
+TEST(HubExchange, LoadsReportedToOneHubReachTheOtherHubs)
+{
+  const std::vector<core::KnownInstance> all = { { "one", one.Address() },
+                                                 { "other", other.Address() } };
+  core::HubOptions options;
+  options.most_without = 1;
+  options.hubs = 2;
+  one.role.Update(all, options);
+  other.role.Update(all, options);
+  CHECK(one.role.HasFollowers() && other.role.HasFollowers());
+  const core::Instant now = core::RuntimeClock::now();
+  one.own_loads = { { core::KeyOf(core::TargetId("t1")), { 12, 5, 12 }, now } };
+  one.hubs.Start();
+  other.hubs.Start();
+  CHECK(Await([&] {
+    return std::any_of(other.told_loads.begin(),
+                       other.told_loads.end(),
+                       [](const core::HeardLoad& aLoad) {
+                         return aLoad.target ==
+                                  core::KeyOf(core::TargetId("t1")) &&
+                                aLoad.load.waiting == 5;
+                       });
+  }));
+}
+
 TEST(HubExchange, OneThatIsNoHubSaysSo)
 {
   net::HttpCall call;
