Prompts leave their homes later

Hypothesis: leaving costs more than a short wait, so a looser bound serves more callers in time. Kept: 1.5 and 2.

--- a/include/jujubehead/core/routing/placement.hpp
+++ b/include/jujubehead/core/routing/placement.hpp
@@ -24,9 +24,10 @@
 struct PlacementOptions
 {
   /// A prompt leaves its home when the home has more than this many times the
-  /// mean load, and `bound_extra` requests. Bounds of 1.2 to 3 measured alike.
-  double bound = 1.2;
-  double bound_extra = 1;
+  /// mean load, and `bound_extra` requests: what the home has cached is then
+  /// recomputed elsewhere, which costs more than a short wait.
+  double bound = 1.5;
+  double bound_extra = 2;
   /// Load that a target in another data centre counts more: the way there
   /// costs little beside a request's time, so it only settles near ties.
   double far_penalty = 0.5;
