A bound of hubs' pauses that its doublings already give; includes of what went

Cause: reading the change once more. The longest pause to a hub, 3.2 s, stood beside four doublings of 200 ms, which end at the same 3.2 s, so the bound never decided anything. Two include comments named calls that the file no longer makes.

--- a/src/jujubehead/core/membership/hub_choice.cpp
+++ b/src/jujubehead/core/membership/hub_choice.cpp
@@ -6,7 +6,6 @@
 namespace {
 
 constexpr Duration kFirstPause = std::chrono::milliseconds(200);
-constexpr Duration kLongestPause = std::chrono::milliseconds(3200);
 constexpr std::uint32_t kMostDoublings = 4;
 
 } // namespace
@@ -36,8 +35,7 @@
   if (aFailure == HubFailure::kGone && m_failures == 1) {
     return {};
   }
-  const Duration longest =
-    std::min(kFirstPause * (1 << doublings), kLongestPause);
+  const Duration longest = kFirstPause * (1 << doublings);
   // From half of it, so that those that failed together come back apart.
   const double part = (1 + aJitter) / 2;
   return Duration(
--- a/src/jujubehead/node/control/hub_exchange.cpp
+++ b/src/jujubehead/node/control/hub_exchange.cpp
@@ -2,7 +2,7 @@
 
 #include <charconv> // for from_chars
 #include <optional> // for optional
-#include <utility>  // for exchange, move
+#include <utility>  // for move
 
 #include <boost/asio/as_tuple.hpp>      // for as_tuple
 #include <boost/asio/co_spawn.hpp>      // for co_spawn
@@ -15,7 +15,7 @@
 #include "jujubehead/node/control/platform.hpp"      // for PlatformError
 
 #include "../forward/decision_log.hpp" // for DecisionLog
-#include "follow.hpp"                  // for SpreadPause, RolePause
+#include "follow.hpp"                  // for RolePause
 
 namespace jujubehead::node {
 namespace {
