--- a/include/jujubehead/core/change_log.hpp
+++ b/include/jujubehead/core/change_log.hpp
@@ -21,9 +21,10 @@
   kInstance,
   kStore,
   kService,
+  kDataCentre,
 };
 
-/// @return `target`, `instance`, `store` or `service`.
+/// @return `target`, `instance`, `store`, `service` or `data_centre`.
 std::string_view
 StopKindName(StopKind aKind);
 
--- a/include/jujubehead/core/ids.hpp
+++ b/include/jujubehead/core/ids.hpp
@@ -46,6 +46,8 @@
 using InstanceId = Id<struct InstanceKind>;
 /// A data centre.
 using DataCentreId = Id<struct DataCentreKind>;
+/// A region: a group of data centres.
+using RegionId = Id<struct RegionKind>;
 /// One request of one caller, unique over the whole system.
 using RequestId = Id<struct RequestKind>;
 
--- a/include/jujubehead/node/forward/entry_options.hpp
+++ b/include/jujubehead/node/forward/entry_options.hpp
@@ -6,6 +6,7 @@
 #include <vector>  // for vector
 
 #include "jujubehead/core/ids.hpp"                      // for InstanceId
+#include "jujubehead/core/routing/homes.hpp"            // for DataCentreRegions
 #include "jujubehead/core/routing/target_directory.hpp" // for TargetDirectoryOptions
 #include "jujubehead/core/routing/windowed_retry_budget.hpp" // for WindowedRetryBudgetOptions
 #include "jujubehead/core/runtime_clock.hpp"                 // for Duration
@@ -17,10 +18,11 @@
 {
   core::InstanceId instance_id;
   core::DataCentreId data_centre;
-  std::string caller_address;  ///< `ip:port` for callers.
-  std::string ready_address;   ///< `ip:port` for health checks.
-  std::string metrics_address; ///< `ip:port`; empty: none.
-  std::string table_service;   ///< `ip:port` of the operators' table store.
+  core::DataCentreRegions regions; ///< Of all data centres; empty: unknown.
+  std::string caller_address;      ///< `ip:port` for callers.
+  std::string ready_address;       ///< `ip:port` for health checks.
+  std::string metrics_address;     ///< `ip:port`; empty: none.
+  std::string table_service;       ///< `ip:port` of the operators' table store.
   /// `ip:port` where other instances reach the store through this one; empty:
   /// no relay, and this instance uses no other's.
   std::string relay_address;
--- a/include/jujubehead/node/status.hpp
+++ b/include/jujubehead/node/status.hpp
@@ -20,6 +20,7 @@
   std::uint64_t reserved = 0; ///< Held for earlier permits not accounted for.
   std::uint64_t limit = 0;
   bool stopping = false;
+  std::string data_centre;
 
   friend bool operator==(const OwnedTargetStatus&,
                          const OwnedTargetStatus&) = default;
@@ -30,6 +31,7 @@
 {
   std::string target;
   std::uint64_t requests = 0;
+  std::string data_centre;
 
   friend bool operator==(const RunsStatus&, const RunsStatus&) = default;
 };
--- a/src/jujubehead/app/command_line.cpp
+++ b/src/jujubehead/app/command_line.cpp
@@ -128,6 +128,7 @@
     options.relay_address = m_check.Authority("relay", values.relay, false);
     options.relay_seeds =
       m_check.Authorities("relay_seeds", values.relay_seeds);
+    options.regions = m_check.Regions("regions", values.regions);
     options.capacity = m_check.NotNegative("capacity", values.capacity);
     options.repeats.per_request =
       m_check.Share("retry_share", values.retry_share);
@@ -209,6 +210,10 @@
   /// behind a KIND.
   core::StopSubject Subject()
   {
+    if (m_arguments.IsGiven("data_centre")) {
+      return { core::StopKind::kDataCentre,
+               m_check.Name("data_centre", m_values.data_centre) };
+    }
     const std::size_t colon = m_argument.find(':');
     if (colon == std::string::npos) {
       return { core::StopKind::kTarget, m_argument };
@@ -216,7 +221,7 @@
     const auto kind = core::ParseStopKind(m_argument.substr(0, colon));
     if (!kind) {
       m_check.AddArgument("unknown kind '" + m_argument.substr(0, colon) + "'",
-                          "target, store, service or instance");
+                          "target, store, service, instance or data_centre");
     }
     return { kind.value_or(core::StopKind::kTarget),
              m_argument.substr(colon + 1) };
@@ -274,7 +279,11 @@
   const std::string usage = "jujubehead " + std::string(aSpec.name) +
                             (aSpec.argument.empty() ? "" : " ") +
                             std::string(aSpec.argument);
-  const bool may_have = !aSpec.argument.empty();
+  // The environment's data centre is an instance's; only a flag names the one
+  // to drain.
+  const bool is_data_centre_stop =
+    aSpec.name == "drain" && aArguments.IsGiven("data_centre");
+  const bool may_have = !aSpec.argument.empty() && !is_data_centre_stop;
   const bool must_have = may_have && aSpec.name != "help";
   const std::size_t given = aArguments.words.size() - 1;
   if (must_have && given == 0) {
--- a/src/jujubehead/app/command_line_test.cpp
+++ b/src/jujubehead/app/command_line_test.cpp
@@ -175,6 +175,50 @@
           .starts_with("arguments: unknown kind 'rack'"));
 }
 
+TEST(CommandLine, DrainTakesADataCentreByFlagOrKind)
+{
+  const std::vector<std::string> platform = { "--table_service=127.0.0.1:2",
+                                              "--object_store=127.0.0.1:3" };
+  const auto drain = [&](std::vector<std::string> aArguments) {
+    aArguments.insert(aArguments.begin(), "drain");
+    aArguments.insert(aArguments.end(), platform.begin(), platform.end());
+    return aArguments;
+  };
+  for (const char* argument : { "data_centre:kochi-1",
+                                "--data_centre=kochi-1",
+                                "--data-centre=kochi-1" }) {
+    const auto command = As<DrainCommand>(drain({ argument }));
+    CHECK(command.subject.kind == StopKind::kDataCentre);
+    CHECK_EQUAL(std::string("kochi-1"), command.subject.id);
+  }
+  CHECK(FindingsOf(drain({ "t1", "--data_centre=kochi-1" }))
+          .find("'t1' is too much") != std::string::npos);
+  // The environment's data centre, of an instance, is not the one to drain.
+  variables["JUJUBEHEAD_DATA_CENTRE"] = "kochi-1";
+  CHECK(FindingsOf(drain({})).find("[KIND:]ID is given") != std::string::npos);
+}
+
+TEST(CommandLine, RegionsAreParsed)
+{
+  const auto entry = [](const std::string& aRegions) {
+    return std::vector<std::string>{ "entry",
+                                     "--instance_id=i1",
+                                     "--data_centre=d1",
+                                     "--callers=127.0.0.1:1",
+                                     "--ready=127.0.0.1:2",
+                                     "--table_service=127.0.0.1:3",
+                                     "--regions=" + aRegions };
+  };
+  const auto options = As<EntryCommand>(entry("d1=north,d2=south")).options;
+  CHECK(options.regions.at(jujubehead::core::DataCentreId("d2")) ==
+        jujubehead::core::RegionId("south"));
+  LONGS_EQUAL(2, options.regions.size());
+  for (const char* wrong : { "d1", "d1=", "=north", "d1=north,d1=south" }) {
+    CHECK_TEXT(FindingsOf(entry(wrong)).find("--regions") != std::string::npos,
+               wrong);
+  }
+}
+
 TEST(CommandLine, WordsAreChecked)
 {
   CHECK(FindingsOf({ "serv" }).starts_with("arguments: unknown command"));
--- a/src/jujubehead/app/command_specs.cpp
+++ b/src/jujubehead/app/command_specs.cpp
@@ -41,6 +41,7 @@
         "table_service",
         "relay",
         "relay_seeds",
+        "regions",
         "capacity",
         "retry_share",
         "retry_fixed",
@@ -93,12 +94,17 @@
       { "jujubehead table >table.csv" } },
     { "drain",
       "[KIND:]ID",
-      "begin a planned stop of a target, store, service or instance",
-      "KIND is target (the default), store, service or instance. No new work\n"
-      "goes there; what runs is let finish. Waits until nothing runs there "
-      "any\n"
-      "more and says what it waits for. Interrupting it leaves the stop in\n"
-      "place; --undo takes it back.",
+      "begin a planned stop of a target, store, service, instance or data "
+      "centre",
+      "KIND is target (the default), store, service, instance or "
+      "data_centre.\n"
+      "No new work goes there; what runs is let finish. Waits until nothing\n"
+      "runs there any more and says what it waits for. Interrupting it "
+      "leaves\n"
+      "the stop in place; --undo takes it back. A stop of a data centre "
+      "covers\n"
+      "all targets, services and stores there, also those that start later;\n"
+      "--data_centre=NAME stands for data_centre:NAME.",
       { "table_service",
         "object_store",
         "members",
@@ -107,8 +113,10 @@
         "listen_authority",
         "author",
         "deadline",
+        "data_centre",
         "undo" },
       { "jujubehead drain engine-7 --deadline=600",
+        "jujubehead drain --data_centre=kochi-1",
         "jujubehead drain instance:i3",
         "jujubehead drain engine-7 --undo" } },
     { "status",
--- a/src/jujubehead/app/commands_test.cpp
+++ b/src/jujubehead/app/commands_test.cpp
@@ -202,7 +202,7 @@
   status.instance_id = "i1";
   NextStatus(status);
   status.table_version = 1;
-  status.runs = { { "t1", 1 } };
+  status.runs = { { "t1", 1, "" } };
   NextStatus(status);
   status.runs.clear();
   NextStatus(status);
@@ -237,8 +237,8 @@
   node::InstanceStatus status;
   status.instance_id = "i1";
   status.ready = true;
-  status.targets = { { "t1", "m", 3, 2, 1, 0, 8, true },
-                     { "t2", "m", 3, 4, 0, 0, 8, false } };
+  status.targets = { { "t1", "m", 3, 2, 1, 0, 8, true, "" },
+                     { "t2", "m", 3, 4, 0, 0, 8, false, "" } };
   NextStatus(status);
   world.client.NextFails(false);
   CHECK(Do(command) == ExitCode::kFailed);
@@ -255,6 +255,23 @@
   CHECK(Said("\"instance_id\": \"i1\""));
 }
 
+TEST(Commands, StatusShowsWhatAStoppedDataCentreStillRuns)
+{
+  StatusCommand command;
+  command.instances = { { "127.0.0.1:1" }, "", "operator" };
+  node::InstanceStatus status;
+  status.ready = true;
+  status.stops = { { "data_centre", "north", 0 }, { "target", "t4", 0 } };
+  status.runs = { { "t1", 2, "north" },
+                  { "t2", 3, "north" },
+                  { "t3", 4, "south" } };
+  NextStatus(status);
+  CHECK(Do(command) == ExitCode::kDone);
+  CHECK(Said("data_centre north"));
+  CHECK(Said("in data centre north: 5 requests left at 2 targets"));
+  CHECK_FALSE(Said("in data centre south"));
+}
+
 TEST(Commands, KeyMakesASecretAndItsHash)
 {
   CHECK(Do(KeyCommand{ "shop" }) == ExitCode::kDone);
--- a/src/jujubehead/app/drain_progress.cpp
+++ b/src/jujubehead/app/drain_progress.cpp
@@ -23,24 +23,27 @@
   void OfTarget(const std::string& aId)
   {
     for (const node::RunsStatus& runs : m_status.runs) {
-      if (runs.target == aId && runs.requests != 0) {
-        Add("runs " + Count(runs.requests, "request") + " there");
+      if (runs.target == aId) {
+        AddRuns(runs);
       }
     }
     for (const node::OwnedTargetStatus& target : m_status.targets) {
-      if (target.id != aId) {
-        continue;
+      if (target.id == aId) {
+        AddOwned(target);
       }
-      if (target.running != 0) {
-        Add("has " + Count(target.running, "permit") + " in use as its owner");
-      }
-      if (target.waiting != 0) {
-        Add("has " + Count(target.waiting, "request") +
-            " waiting as its owner");
+    }
+  }
+
+  void OfDataCentre(const std::string& aId)
+  {
+    for (const node::RunsStatus& runs : m_status.runs) {
+      if (runs.data_centre == aId) {
+        AddRuns(runs, " at " + runs.target);
       }
-      if (target.reserved != 0) {
-        Add("keeps " + Count(target.reserved, "place") +
-            " for runs not accounted for");
+    }
+    for (const node::OwnedTargetStatus& target : m_status.targets) {
+      if (target.data_centre == aId) {
+        AddOwned(target, " at " + target.id);
       }
     }
   }
@@ -69,6 +72,31 @@
   }
 
 private:
+  void AddRuns(const node::RunsStatus& aRuns, const std::string& aWhere = {})
+  {
+    if (aRuns.requests != 0) {
+      Add("runs " + Count(aRuns.requests, "request") +
+          (aWhere.empty() ? " there" : aWhere));
+    }
+  }
+
+  void AddOwned(const node::OwnedTargetStatus& aTarget,
+                const std::string& aWhere = {})
+  {
+    if (aTarget.running != 0) {
+      Add("has " + Count(aTarget.running, "permit") + " in use as its owner" +
+          aWhere);
+    }
+    if (aTarget.waiting != 0) {
+      Add("has " + Count(aTarget.waiting, "request") + " waiting as its owner" +
+          aWhere);
+    }
+    if (aTarget.reserved != 0) {
+      Add("keeps " + Count(aTarget.reserved, "place") +
+          " for runs not accounted for" + aWhere);
+    }
+  }
+
   void Add(const std::string& aReason)
   {
     m_reasons.push_back("instance " + m_status.instance_id + ' ' + aReason);
@@ -109,6 +137,9 @@
       case core::StopKind::kInstance:
         of.OfInstance(aSubject.id);
         break;
+      case core::StopKind::kDataCentre:
+        of.OfDataCentre(aSubject.id);
+        break;
     }
   }
   return reasons;
--- a/src/jujubehead/app/drain_progress_test.cpp
+++ b/src/jujubehead/app/drain_progress_test.cpp
@@ -30,9 +30,9 @@
 {
   const StopSubject target{ StopKind::kTarget, "t1" };
   CHECK_EQUAL(std::string(), Waits(target));
-  status.runs = { { "t1", 2 }, { "t2", 9 } };
-  status.targets = { { "t1", "m", 3, 1, 4, 5, 8, true },
-                     { "t2", "m", 3, 9, 9, 9, 9, false } };
+  status.runs = { { "t1", 2, "" }, { "t2", 9, "" } };
+  status.targets = { { "t1", "m", 3, 1, 4, 5, 8, true, "" },
+                     { "t2", "m", 3, 9, 9, 9, 9, false, "" } };
   STRCMP_EQUAL("instance i1 runs 2 requests there\n"
                "instance i1 has 1 permit in use as its owner\n"
                "instance i1 has 4 requests waiting as its owner\n"
@@ -57,6 +57,18 @@
                Waits({ StopKind::kStore, "s1" }).c_str());
 }
 
+TEST(DrainProgress, ADataCentreIsDrainedWhenAllItsTargetsAre)
+{
+  const StopSubject north{ StopKind::kDataCentre, "north" };
+  CHECK_EQUAL(std::string(), Waits(north));
+  status.runs = { { "t1", 2, "north" }, { "t2", 9, "south" } };
+  status.targets = { { "t1", "m", 3, 1, 0, 0, 8, true, "north" },
+                     { "t2", "m", 3, 9, 9, 9, 9, false, "south" } };
+  STRCMP_EQUAL("instance i1 runs 2 requests at t1\n"
+               "instance i1 has 1 permit in use as its owner at t1\n",
+               Waits(north).c_str());
+}
+
 TEST(DrainProgress, SilenceAndOldTablesAreReasons)
 {
   status.table_version = 4;
--- a/src/jujubehead/app/flags.cpp
+++ b/src/jujubehead/app/flags.cpp
@@ -1,6 +1,6 @@
 #include "flags.hpp"
 
-#include <algorithm> // for transform
+#include <algorithm> // for replace, transform
 #include <cctype>    // for toupper
 #include <utility>   // for move
 
@@ -75,6 +75,11 @@
 DEFINE_string(relay_seeds,
               "",
               "instances to ask while the store is away, as ip:port,ip:port");
+DEFINE_string(regions,
+              "",
+              "the region of each data centre, as "
+              "DATA_CENTRE=REGION,DATA_CENTRE=REGION; needed where routes or "
+              "client accounts are bound to regions");
 DEFINE_double(capacity,
               0,
               "what this machine can bear against those of other instances, "
@@ -181,6 +186,7 @@
   values.metrics = FLAGS_metrics;
   values.relay = FLAGS_relay;
   values.relay_seeds = FLAGS_relay_seeds;
+  values.regions = FLAGS_regions;
   values.capacity = FLAGS_capacity;
   values.retry_share = FLAGS_retry_share;
   values.retry_fixed = FLAGS_retry_fixed;
@@ -239,7 +245,8 @@
   void ReadFlag(const std::string& aText)
   {
     const std::size_t equals = aText.find('=');
-    const std::string name = aText.substr(0, equals);
+    std::string name = aText.substr(0, equals);
+    std::replace(name.begin(), name.end(), '-', '_');
     if (equals != std::string::npos) {
       Set(name, aText.substr(equals + 1));
     } else if (name.starts_with("no") && IsSwitch(name.substr(2))) {
@@ -328,6 +335,13 @@
   return sources.contains(aFlag);
 }
 
+bool
+Arguments::IsGiven(std::string_view aFlag) const
+{
+  const auto source = sources.find(aFlag);
+  return source != sources.end() && source->second == FlagSource::kCommandLine;
+}
+
 Arguments
 ParseArguments(std::span<const std::string> aArguments,
                const Environment& aEnvironment)
--- a/src/jujubehead/app/flags.hpp
+++ b/src/jujubehead/app/flags.hpp
@@ -48,6 +48,7 @@
   std::string metrics;
   std::string relay;
   std::string relay_seeds;
+  std::string regions;
   double capacity = 0;
   double retry_share = 0;
   double retry_fixed = 0;
@@ -82,6 +83,8 @@
   /// @return the place of a flag, for findings.
   [[nodiscard]] core::Place PlaceOf(std::string_view aFlag) const;
   [[nodiscard]] bool IsSet(std::string_view aFlag) const;
+  /// @return whether a flag is on the command line itself.
+  [[nodiscard]] bool IsGiven(std::string_view aFlag) const;
 };
 
 /// @brief Takes a command line apart, without the program's name. Variables
--- a/src/jujubehead/app/run_status.cpp
+++ b/src/jujubehead/app/run_status.cpp
@@ -182,6 +182,45 @@
     for (const std::string& stop : stops) {
       m_out << "  " << stop << '\n';
     }
+    for (const auto& [data_centre, left] : RequestsInStoppedDataCentres()) {
+      m_out << "  in data centre " << data_centre << ": " << left.requests
+            << " requests left at " << left.targets.size() << " targets\n";
+    }
+  }
+
+  /// What a stopped data centre still runs.
+  struct RequestsLeft
+  {
+    std::uint64_t requests = 0;
+    std::set<std::string> targets;
+  };
+
+  [[nodiscard]] std::map<std::string, RequestsLeft>
+  RequestsInStoppedDataCentres() const
+  {
+    const auto kind = core::StopKindName(core::StopKind::kDataCentre);
+    std::map<std::string, RequestsLeft> left;
+    for (const InstanceReport& report : m_reports) {
+      if (const node::InstanceStatus* status = report.Status()) {
+        for (const node::StopStatus& stop : status->stops) {
+          if (stop.kind == kind) {
+            left.try_emplace(stop.id);
+          }
+        }
+      }
+    }
+    for (const InstanceReport& report : m_reports) {
+      if (const node::InstanceStatus* status = report.Status()) {
+        for (const node::RunsStatus& runs : status->runs) {
+          const auto found = left.find(runs.data_centre);
+          if (found != left.end() && runs.requests != 0) {
+            found->second.requests += runs.requests;
+            found->second.targets.insert(runs.target);
+          }
+        }
+      }
+    }
+    return left;
   }
 
   template<typename Visit>
--- a/src/jujubehead/app/settings_check.cpp
+++ b/src/jujubehead/app/settings_check.cpp
@@ -143,6 +143,30 @@
   return authorities;
 }
 
+core::DataCentreRegions
+SettingsCheck::Regions(std::string_view aFlag, const std::string& aValue)
+{
+  core::DataCentreRegions regions;
+  std::istringstream list(aValue);
+  std::string one;
+  while (std::getline(list, one, ',')) {
+    const std::size_t equals = one.find('=');
+    if (equals == 0 || equals == std::string::npos ||
+        equals + 1 == one.size()) {
+      Add(aFlag, "'" + one + "'", "DATA_CENTRE=REGION");
+      continue;
+    }
+    const bool is_new =
+      regions
+        .emplace(one.substr(0, equals), core::RegionId(one.substr(equals + 1)))
+        .second;
+    if (!is_new) {
+      Add(aFlag, "'" + one + "'", "one region for each data centre");
+    }
+  }
+  return regions;
+}
+
 std::uint32_t
 SettingsCheck::Range(std::string_view aFlag,
                      std::uint32_t aValue,
--- a/src/jujubehead/app/settings_check.hpp
+++ b/src/jujubehead/app/settings_check.hpp
@@ -10,7 +10,8 @@
 #include "command.hpp"                 // for PlatformOptions, InstancesOptions
 #include "flags.hpp"                   // for Arguments
 #include "jujubehead/core/finding.hpp" // for Findings
-#include "jujubehead/net/tls.hpp"      // for TlsCredentials
+#include "jujubehead/core/routing/homes.hpp" // for DataCentreRegions
+#include "jujubehead/net/tls.hpp"            // for TlsCredentials
 
 namespace jujubehead::app {
 
@@ -46,6 +47,10 @@
                         bool aRequired);
   std::vector<std::string> Authorities(std::string_view aFlag,
                                        const std::string& aValue);
+  /// @return the region of each data centre, from
+  /// `DATA_CENTRE=REGION,DATA_CENTRE=REGION`.
+  core::DataCentreRegions Regions(std::string_view aFlag,
+                                  const std::string& aValue);
   std::uint32_t Range(std::string_view aFlag,
                       std::uint32_t aValue,
                       std::uint32_t aMin,
--- a/src/jujubehead/core/change_log.cpp
+++ b/src/jujubehead/core/change_log.cpp
@@ -8,10 +8,11 @@
 namespace jujubehead::core {
 namespace {
 
-constexpr std::array<std::string_view, 4> kStopKindNames = { "target",
+constexpr std::array<std::string_view, 5> kStopKindNames = { "target",
                                                              "instance",
                                                              "store",
-                                                             "service" };
+                                                             "service",
+                                                             "data_centre" };
 
 bool
 IsBefore(const StopMark& aMark, const StopSubject& aSubject)
--- a/src/jujubehead/node/entry_service.cpp
+++ b/src/jujubehead/node/entry_service.cpp
@@ -14,6 +14,7 @@
 #include "jujubehead/node/directory_service.hpp" // for DirectoryService, RawKey
 #include "jujubehead/node/member_book.hpp"       // for MemberBook
 #include "jujubehead/node/peer_calls.hpp"        // for PeerCalls
+#include "jujubehead/node/planned_stops.hpp"     // for IsStopping
 
 namespace jujubehead::node {
 namespace {
@@ -223,12 +224,7 @@
   std::vector<core::TargetId> usable;
   for (const net::Member* member : m_members.TargetsOf(aAsk.model)) {
     core::TargetId target(member->id);
-    const auto kind = member->kind == net::MemberKind::kService
-                        ? core::StopKind::kService
-                        : core::StopKind::kTarget;
-    const bool stops =
-      member->leaving || m_table.FindStop({ kind, member->id }) != nullptr;
-    if (!stops && !Contains(aAsk.avoid, target)) {
+    if (!IsStopping(m_table, *member) && !Contains(aAsk.avoid, target)) {
       usable.push_back(std::move(target));
     }
   }
@@ -384,7 +380,7 @@
 {
   std::vector<core::InstanceId> stores;
   for (const net::Member* store : m_members.Stores()) {
-    if (!store->leaving) {
+    if (!IsStopping(m_table, *store)) {
       stores.emplace_back(store->id);
     }
   }
@@ -470,7 +466,10 @@
   for (const auto& [target, holder] : m_holders) {
     const std::size_t count = holder.Held().size();
     if (count > 0) {
-      runs.push_back({ target.Text(), count });
+      const net::Member* member = m_members.Find(target.View());
+      runs.push_back({ target.Text(),
+                       count,
+                       member == nullptr ? "" : member->data_centre.Text() });
     }
   }
   return runs;
--- a/src/jujubehead/node/owner_service.cpp
+++ b/src/jujubehead/node/owner_service.cpp
@@ -9,6 +9,7 @@
 #include "jujubehead/node/directory_service.hpp" // for DirectoryService
 #include "jujubehead/node/member_book.hpp"       // for MemberBook
 #include "jujubehead/node/peer_calls.hpp"        // for PeerCalls
+#include "jujubehead/node/planned_stops.hpp"     // for IsStopping
 
 namespace jujubehead::node {
 namespace {
@@ -361,6 +362,7 @@
     OwnedTargetStatus status;
     status.id = target.Text();
     status.model = member == nullptr ? "" : member->model.Text();
+    status.data_centre = member == nullptr ? "" : member->data_centre.Text();
     status.epoch = owned.book.Epoch();
     status.running = owned.book.Held().size();
     status.waiting = owned.book.Waiting();
@@ -388,13 +390,7 @@
 OwnerService::IsStopping(const core::TargetId& aTarget) const
 {
   const net::Member* member = m_members.Find(aTarget.View());
-  if (member == nullptr || member->leaving) {
-    return true;
-  }
-  const auto kind = member->kind == net::MemberKind::kService
-                      ? core::StopKind::kService
-                      : core::StopKind::kTarget;
-  return m_table.FindStop({ kind, aTarget.Text() }) != nullptr;
+  return member == nullptr || node::IsStopping(m_table, *member);
 }
 
 void
--- a/src/jujubehead/node/status.cpp
+++ b/src/jujubehead/node/status.cpp
@@ -13,8 +13,12 @@
                                                 waiting,
                                                 reserved,
                                                 limit,
-                                                stopping)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunsStatus, target, requests)
+                                                stopping,
+                                                data_centre)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunsStatus,
+                                                target,
+                                                requests,
+                                                data_centre)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(OwnedStoreStatus,
                                                 id,
                                                 epoch,
--- a/src/jujubehead/node/status_test.cpp
+++ b/src/jujubehead/node/status_test.cpp
@@ -11,9 +11,9 @@
   InstanceStatus status;
   status.instance_id = "i1";
   status.not_ready = "a \"reason\"";
-  status.targets = { { "t1", "m", 3, 2, 1, 0, 8, true } };
+  status.targets = { { "t1", "m", 3, 2, 1, 0, 8, true, "d1" } };
   status.stores = { { "s1", 4, 77, false } };
-  status.runs = { { "t1", 2 } };
+  status.runs = { { "t1", 2, "d1" } };
   status.stops = { { "target", "t1", 99 } };
   CHECK(InstanceStatusFromJson(ToJson(status)) == status);
 }
