Entry instances: planned stops of data centres, cold targets, homes

Cause: no code read the operators' stop of a data centre, the time for which targets stay cold, or the regions of routes and accounts.

Targets of a stopped data centre get no first tries, retries, resumed streams or transfers, its stores no reads and writes; what runs there may end. It is checked again after the connection has been opened. The end of a stop counts its targets as cold for their declared time. A cold target gets nothing; then its share of placement rises over one more cold period, and its prompts' parts are read from the targets that stood in for it. When all targets are cold, requests are refused at once with the time until the first is warm.

--- a/bench/placement_bench.cpp
+++ b/bench/placement_bench.cpp
@@ -91,7 +91,9 @@
 Decide(node::ForwardState& aState, const core::Prompt& aPrompt)
 {
   const core::Instant now = core::RuntimeClock::now();
-  const auto place = node::StoreDataCentreOf(aState, aPrompt, kScope, kService);
+  const core::Homes homes({}, {}, aState.options.regions);
+  const auto place =
+    node::StoreDataCentreOf(aState, aPrompt, kScope, kService, homes);
   const auto targets = aState.fleet.Of(kService);
   std::vector<core::PlacementCandidate> candidates;
   candidates.reserve(targets.size());
@@ -110,6 +112,7 @@
                       aPrompt,
                       kScope,
                       *targets.at(chosen.value_or(0)),
+                      homes,
                       std::chrono::milliseconds(600),
                       call);
 }
--- a/include/jujubehead/core/routing/configuration.hpp
+++ b/include/jujubehead/core/routing/configuration.hpp
@@ -38,6 +38,7 @@
   Duration objective{};          ///< To the response, or to its first event.
   std::uint32_t urgency = 5;     ///< 0 to 9, 0 is the most urgent.
   std::uint32_t max_targets = 1; ///< Targets that one request may run on.
+  std::vector<RegionId> homes;   ///< Allowed regions; empty: all.
 };
 
 /// @brief A KV cache store, as declared.
@@ -61,6 +62,7 @@
   std::uint64_t kv_capacity_tokens = 0; ///< Of one target; 0: no model.
   std::uint64_t kv_token_bytes = 0;     ///< KV cache per token; 0: unknown.
   double bytes_per_second = 0;          ///< Of a target's link; 0: unknown.
+  Duration cold_time{}; ///< A target is cold this long after it starts.
 };
 
 /// @brief A client account with its keys.
@@ -70,6 +72,7 @@
   std::vector<std::string> keys;
   std::optional<std::uint32_t> urgency; ///< Overrides the route's.
   bool dedicated = false; ///< Shares no stored KV cache with other accounts.
+  std::vector<RegionId> homes; ///< Allowed regions; empty: all.
 };
 
 /// @brief Size limits and timeouts of callers' requests.
--- a/include/jujubehead/core/routing/target_directory.hpp
+++ b/include/jujubehead/core/routing/target_directory.hpp
@@ -34,6 +34,11 @@
   std::vector<LoadedModel> models;
   std::uint64_t started_ms = 0; ///< Start time since the epoch, by its clock.
   std::uint64_t heartbeat = 0;  ///< Sequence number of its report since start.
+  /// How much longer it stays cold, as of the report; 0: it is not cold.
+  Duration cold_left{};
+  /// The latest end of its cold period, by this instance's clock; set by
+  /// TargetDirectory.
+  Instant cold_until{};
 
   /// @return the version of a model's weights; nothing when it has none.
   [[nodiscard]] std::optional<std::uint64_t> VersionOf(
@@ -108,7 +113,7 @@
     Instant since;
   };
 
-  bool Put(RegisteredTarget aTarget);
+  bool Put(RegisteredTarget aTarget, Instant aNow);
   [[nodiscard]] bool IsLateReport(const RegisteredTarget& aTarget) const;
   bool Remove(const TargetId& aId, Instant aNow);
   [[nodiscard]] bool IsReregistering(Instant aNow) const;
--- a/include/jujubehead/node/control/platform.hpp
+++ b/include/jujubehead/node/control/platform.hpp
@@ -10,8 +10,9 @@
 
 #include <boost/asio/awaitable.hpp> // for awaitable
 
-#include "jujubehead/core/context/part_directory.hpp"   // for PartEventPage
-#include "jujubehead/core/routing/configuration.hpp"    // for Declarations
+#include "jujubehead/core/context/part_directory.hpp"    // for PartEventPage
+#include "jujubehead/core/routing/configuration.hpp"     // for Declarations
+#include "jujubehead/core/routing/data_centre_stops.hpp" // for DataCentreStop...
 #include "jujubehead/core/routing/target_directory.hpp" // for RegistrationChange
 #include "jujubehead/core/runtime_clock.hpp"            // for Duration
 #include "jujubehead/node/control/row_cache.hpp"        // for RowCache
@@ -61,6 +62,7 @@
   core::Instant requested_at{}; ///< When the request was sent.
   std::optional<core::Declarations> declarations;
   std::vector<core::LoadedModel> wanted; ///< To roll out to all targets.
+  std::vector<core::DataCentreStopChange> stops;
   std::vector<std::string>
     skipped_rows; ///< Rows that failed to parse, and why.
 };
--- a/src/jujubehead/core/routing/target_directory.cpp
+++ b/src/jujubehead/core/routing/target_directory.cpp
@@ -24,6 +24,17 @@
   return tie(aOne) == tie(aOther);
 }
 
+/// Whether a report tells of a cold period that the known one does not cover,
+/// or of its end.
+bool
+ChangesColdPeriod(const RegisteredTarget& aKnown,
+                  const RegisteredTarget& aReport)
+{
+  const bool is_cold = aReport.cold_left > Duration(0);
+  return is_cold ? aReport.cold_until > aKnown.cold_until
+                 : aKnown.cold_left > Duration(0);
+}
+
 bool
 IsOlder(const RegisteredTarget& aReport, const RegisteredTarget& aKnown)
 {
@@ -77,11 +88,14 @@
 }
 
 bool
-TargetDirectory::Put(RegisteredTarget aTarget)
+TargetDirectory::Put(RegisteredTarget aTarget, Instant aNow)
 {
   if (IsLateReport(aTarget)) {
     return false;
   }
+  // Counted from the receipt of the report, this is never before the real end.
+  aTarget.cold_until =
+    aTarget.cold_left > Duration(0) ? aNow + aTarget.cold_left : Instant{};
   m_removed.erase(aTarget.id);
   const auto [entry, is_new] =
     m_entries.try_emplace(aTarget.id, Entry{ aTarget, std::nullopt });
@@ -92,10 +106,14 @@
   if (IsOlder(aTarget, known.target)) {
     return false;
   }
+  if (!IsOlder(known.target, aTarget)) {
+    aTarget.cold_until = known.target.cold_until; // The same report again.
+  }
   known.kept_until.reset();
   aTarget.leaving |=
     known.target.leaving && known.target.started_ms == aTarget.started_ms;
-  const bool changed = !IsSameForRouting(aTarget, known.target);
+  const bool changed = !IsSameForRouting(aTarget, known.target) ||
+                       ChangesColdPeriod(known.target, aTarget);
   known.target = std::move(aTarget);
   return changed;
 }
@@ -124,7 +142,8 @@
 {
   bool changed = false;
   for (const RegistrationChange& change : aChanges) {
-    changed |= change.target ? Put(*change.target) : Remove(change.id, aNow);
+    changed |=
+      change.target ? Put(*change.target, aNow) : Remove(change.id, aNow);
   }
   return changed;
 }
@@ -137,7 +156,7 @@
   std::set<TargetId> present;
   for (const RegisteredTarget& target : aAll) {
     present.insert(target.id);
-    changed |= Put(target);
+    changed |= Put(target, aNow);
   }
   std::vector<TargetId> absent;
   for (const auto& [id, entry] : m_entries) {
--- a/src/jujubehead/core/routing/target_directory_test.cpp
+++ b/src/jujubehead/core/routing/target_directory_test.cpp
@@ -142,3 +142,21 @@
 {
   CHECK_FALSE(book.Apply({ Put(TargetAt("t1", 2)) }, now));
 }
+
+TEST(TargetDirectory, AColdPeriodCountsFromTheReceiptOfItsReport)
+{
+  RegisteredTarget target = TargetAt("t1", 2);
+  target.cold_left = milliseconds(3000);
+  CHECK(book.Apply({ Put(target) }, now));
+  CHECK(book.Targets().front().cold_until == now + milliseconds(3000));
+  // The same report read again does not extend it.
+  book.Apply({ Put(target) }, now + milliseconds(500));
+  CHECK(book.Targets().front().cold_until == now + milliseconds(3000));
+  // The target becomes cold again, with the same id.
+  target.heartbeat = 3;
+  CHECK(book.Apply({ Put(target) }, now + milliseconds(900)));
+  CHECK(book.Targets().front().cold_until == now + milliseconds(3900));
+  CHECK(book.Apply({ Put(TargetAt("t1", 4)) }, now + milliseconds(1000)));
+  CHECK(book.Targets().front().cold_until == Instant{});
+  CHECK_FALSE(book.Apply({ Put(TargetAt("t1", 5)) }, now + milliseconds(1100)));
+}
--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -1,7 +1,8 @@
 #include "entry_control.hpp"
 
-#include <random>  // for minstd_rand, uniform_int_distribution
-#include <utility> // for move
+#include <algorithm> // for count_if
+#include <random>    // for minstd_rand, uniform_int_distribution
+#include <utility>   // for move
 
 #include <boost/asio/co_spawn.hpp> // for co_spawn
 #include <boost/asio/detached.hpp> // for detached
@@ -270,9 +271,46 @@
     m_reclaimer.SetStores(m_configuration->All().stores);
     m_stores.SetStores(m_configuration->All().stores);
   }
+  ApplyStops(aUpdate, aIsAll);
   m_deadlines.OnOperatorUpdate(aUpdate, aIsAll);
 }
 
+void
+EntryControl::ApplyStops(const OperatorUpdate& aUpdate, bool aIsAll)
+{
+  const core::Instant now = core::RuntimeClock::now();
+  const core::DataCentreStopUpdate update =
+    aIsAll ? m_stops.Replace(aUpdate.stops, now)
+           : m_stops.Apply(aUpdate.stops, now);
+  if (update.IsEmpty()) {
+    return;
+  }
+  for (const core::DataCentreId& data_centre : update.begun) {
+    LogStop("data_centre_stop_begun", data_centre);
+  }
+  for (const core::DataCentreId& data_centre : update.ended) {
+    LogStop("data_centre_stop_ended", data_centre);
+  }
+  m_forwarder.SetStoppedDataCentres(m_stops.Names(), update.ended);
+}
+
+void
+EntryControl::LogStop(std::string_view aEvent,
+                      const core::DataCentreId& aDataCentre) const
+{
+  const auto targets = m_book.Targets();
+  const auto count =
+    std::count_if(targets.begin(), targets.end(), [&](const auto& aTarget) {
+      return aTarget.data_centre == aDataCentre;
+    });
+  const bool is_known = count != 0 || aDataCentre == m_options.data_centre ||
+                        m_options.regions.contains(aDataCentre);
+  DecisionLog::WriteUnthrottled(LogLine(aEvent)
+                                  .Add("data_centre", aDataCentre.View())
+                                  .Add("known", is_known ? "yes" : "no")
+                                  .Add("targets", std::uint64_t(count)));
+}
+
 void
 EntryControl::OnRegistryUpdate(const RegistryUpdate& aUpdate, bool aIsAll)
 {
--- a/src/jujubehead/node/control/entry_control.hpp
+++ b/src/jujubehead/node/control/entry_control.hpp
@@ -11,9 +11,10 @@
 
 #include "jujubehead/core/membership/instance_directory.hpp" // for InstanceDirectory
 #include "jujubehead/core/membership/store_paths.hpp"        // for StorePaths
-#include "jujubehead/core/routing/target_directory.hpp" // for TargetDirectory
-#include "jujubehead/node/control/platform.hpp"         // for Platform
-#include "jujubehead/node/forward/entry_options.hpp"    // for EntryOptions
+#include "jujubehead/core/routing/data_centre_stops.hpp" // for DataCentreStops
+#include "jujubehead/core/routing/target_directory.hpp"  // for TargetDirectory
+#include "jujubehead/node/control/platform.hpp"          // for Platform
+#include "jujubehead/node/forward/entry_options.hpp"     // for EntryOptions
 
 #include "../forward/forwarder.hpp" // for Forwarder
 #include "block_reclaimer.hpp"      // for BlockReclaimer
@@ -49,6 +50,8 @@
   /// @return the exchange that answers polls of other instances.
   [[nodiscard]] HubExchange& Hubs() { return m_hubs; }
   [[nodiscard]] std::size_t Targets() const { return m_target_count; }
+  /// @return the planned stops of data centres.
+  [[nodiscard]] const core::DataCentreStops& Stops() const { return m_stops; }
   /// @return metrics of the wanted weights.
   [[nodiscard]] std::vector<Gauge> WeightsGauges() const
   {
@@ -74,6 +77,9 @@
   BlockReclaimerHooks MakeReclaimerHooks();
   HubHooks MakeHubHooks();
   WeightsDeadlinesHooks MakeDeadlineHooks();
+  void ApplyStops(const OperatorUpdate& aUpdate, bool aIsAll);
+  void LogStop(std::string_view aEvent,
+               const core::DataCentreId& aDataCentre) const;
   boost::asio::awaitable<void> TickRegistry();
 
   boost::asio::io_context& m_context;
@@ -85,6 +91,7 @@
   core::HubRole m_role;
   std::shared_ptr<const core::Configuration> m_configuration;
   core::TargetDirectory m_book;
+  core::DataCentreStops m_stops;
   bool m_registry_read = false;
   std::uint64_t m_operator_cursor = 0;
   std::uint64_t m_registry_cursor = 0;
--- a/src/jujubehead/node/entry.cpp
+++ b/src/jujubehead/node/entry.cpp
@@ -134,6 +134,12 @@
     gauge("jujubehead_ready",
           "Whether callers are taken.",
           !m_stopping && m_control.IsReady() ? 1 : 0);
+    gauge("jujubehead_stopped_data_centres",
+          "Data centres with a planned stop.",
+          static_cast<double>(m_control.Stops().All().size()));
+    gauge("jujubehead_requests_in_stopped_data_centres",
+          "Requests under way in data centres with a planned stop.",
+          static_cast<double>(m_forwarder.RequestsInStopped()));
     for (Gauge& one : m_control.WeightsGauges()) {
       gauges.push_back(std::move(one));
     }
--- a/src/jujubehead/node/forward/forward_attempt.cpp
+++ b/src/jujubehead/node/forward/forward_attempt.cpp
@@ -83,12 +83,12 @@
   }
   const core::CacheScope scope = ScopeFor(*call.weight_version);
   call.cache_scope = core::ToText(scope);
-  m_planned =
-    PlanTransfers(m_state, prompt, scope, aTarget, m_route->objective, call);
+  m_planned = PlanTransfers(
+    m_state, prompt, scope, aTarget, m_homes, m_route->objective, call);
   m_state.metrics.Add(Counter::kImportedTokens, m_planned.transferred);
   m_state.metrics.Add(Counter::kRecomputedTokens, m_planned.recomputed);
   m_state.metrics.Add(Counter::kPassedOverTokens, m_planned.skipped);
-  ReadFromHomeTarget(m_state, prompt, aTarget, call);
+  ReadFromHomeTarget(m_state, prompt, aTarget, m_homes, call);
   return call;
 }
 
@@ -114,6 +114,9 @@
   aTarget->health.OnSend(core::RuntimeClock::now());
   const AttemptFailure failure = co_await Exchange(*aTarget, exchange);
   aTarget->load.OnEnd(core::RuntimeClock::now() - m_sent_at);
+  if (aTarget->is_stopped) {
+    m_state.OnStoppedDataCentreProgress(aTarget->target.data_centre);
+  }
   aTarget->active_streams -= m_is_streaming ? 1 : 0;
   m_is_streaming = false;
   m_exchange = nullptr;
@@ -142,6 +145,11 @@
   if (IsCancelled()) {
     co_return AttemptOutcome::kNotSent;
   }
+  // Its state may have changed while the connection was opened.
+  if (!aTarget.Accepts(core::RuntimeClock::now())) {
+    m_last_error = "target no longer takes requests";
+    co_return AttemptOutcome::kNotSent;
+  }
   const TargetCall call = BuildCall(aTarget);
   m_last_weights = call.weight_version;
   aExchange.Send(
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -66,6 +66,7 @@
                        std::shared_ptr<CallerSession> aSession)
   : m_state(aState)
   , m_session(std::move(aSession))
+  , m_homes({}, {}, aState.options.regions)
   , m_deadline_timer(m_session->Executor(),
                      [this] {
                        m_timed_out = true;
@@ -115,6 +116,10 @@
   if (auto refusal = Identify()) {
     return refusal;
   }
+  m_homes = core::Homes(m_route->homes,
+                        m_account != nullptr ? m_account->homes
+                                             : std::vector<core::RegionId>(),
+                        m_state.options.regions);
   if (core::RuntimeClock::now() +
         std::min(m_route->timeout, kUsualMaxDuration) >
       m_state.exits_at) {
@@ -187,8 +192,7 @@
     const auto target = m_history.has_time ? ChooseTarget() : nullptr;
     if (!target) {
       if (m_last_error.empty()) {
-        m_last_error =
-          m_history.has_time ? "no target available" : "no time left";
+        ExplainNoTarget();
       }
       co_await Finish(core::StepWithoutRetry(last, m_history));
       co_return;
@@ -292,7 +296,10 @@
       m_expires_at == core::Instant{} ? std::chrono::seconds(1) : TimeLeft());
     const auto most =
       std::max<std::int64_t>(left.count() / kRetryAfterDivisor, 1);
-    const auto wait = std::min(spread(m_state.random), most);
+    const auto available_in =
+      std::chrono::duration_cast<std::chrono::milliseconds>(m_available_in);
+    const auto wait =
+      std::min(available_in.count() + spread(m_state.random), most);
     std::string seconds = std::to_string(wait / 1000) + ".";
     const std::string digits = std::to_string(wait % 1000);
     seconds.append(3 - digits.size(), '0').append(digits);
@@ -352,6 +359,27 @@
   }
 }
 
+void
+ForwardRun::ExplainNoTarget()
+{
+  if (!m_history.has_time) {
+    m_last_error = "no time left";
+    return;
+  }
+  m_last_error = "no target available";
+  const core::Instant now = core::RuntimeClock::now();
+  core::Instant first = core::Instant::max();
+  for (const auto& target : m_state.fleet.Of(m_service)) {
+    if (IsAllowed(*target) && target->cold_start.IsCold(now)) {
+      first = std::min(first, target->cold_start.ColdUntil());
+    }
+  }
+  if (first != core::Instant::max()) {
+    m_last_error = "all targets are cold";
+    m_available_in = first - now;
+  }
+}
+
 std::vector<std::shared_ptr<FleetTarget>>
 ForwardRun::Candidates() const
 {
@@ -359,7 +387,8 @@
   std::vector<std::shared_ptr<FleetTarget>> all;
   std::vector<std::shared_ptr<FleetTarget>> usable;
   for (auto& target : m_state.fleet.Of(m_service)) {
-    if (m_tried_targets.contains(target->target.id) || target->is_loading) {
+    if (m_tried_targets.contains(target->target.id) || !target->Accepts(now) ||
+        !IsAllowed(*target)) {
       continue;
     }
     if (target->health.IsUsable(now)) {
@@ -441,7 +470,7 @@
     newest = std::max(newest, version.value_or(0));
   }
   return StoreDataCentreOf(
-    m_state, *m_metadata.prompt, ScopeFor(newest), m_service);
+    m_state, *m_metadata.prompt, ScopeFor(newest), m_service, m_homes);
 }
 
 core::CacheScope
@@ -469,6 +498,7 @@
     core::PlacementCandidate candidate;
     candidate.name_hash = target->name_hash;
     candidate.load = target->load.Requests(now);
+    candidate.capacity = target->cold_start.Share(now);
     candidate.is_near = target_data_centre == m_state.options.data_centre;
     candidate.is_near_store = preferred && target_data_centre == *preferred;
     own += target->load.Own();
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -12,6 +12,7 @@
 #include <boost/asio/awaitable.hpp> // for awaitable
 
 #include "jujubehead/core/routing/attempt_plan.hpp" // for AttemptHistory
+#include "jujubehead/core/routing/homes.hpp"        // for Homes
 #include "jujubehead/net/deadline.hpp"              // for Deadline
 #include "jujubehead/net/http1/event_cutter.hpp"    // for EventCutter
 
@@ -55,7 +56,16 @@
   [[nodiscard]] bool IsWorthSending(const FleetTarget& aTarget);
   [[nodiscard]] std::uint32_t Urgency() const;
   [[nodiscard]] std::shared_ptr<FleetTarget> ChooseTarget();
+  /// @return the targets that the request may run on now.
   [[nodiscard]] std::vector<std::shared_ptr<FleetTarget>> Candidates() const;
+  /// @return whether the account's and the route's regions allow a target.
+  [[nodiscard]] bool IsAllowed(const FleetTarget& aTarget) const
+  {
+    return m_homes.Allow(aTarget.target.data_centre);
+  }
+  /// @brief Finds out why there is no candidate: sets m_last_error and the
+  /// time after which a retry is useful.
+  void ExplainNoTarget();
   [[nodiscard]] TargetCall BuildCall(const FleetTarget& aTarget);
   /// @return the scope that shares the prompt's parts at a weight version.
   [[nodiscard]] core::CacheScope ScopeFor(std::uint64_t aWeightVersion) const;
@@ -107,6 +117,7 @@
   std::shared_ptr<const core::Configuration> m_configuration;
   const core::Route* m_route = nullptr;
   const core::DeclaredAccount* m_account = nullptr;
+  core::Homes m_homes;
   core::ServiceId m_service;
   CallerMetadata m_metadata;
   core::Instant m_expires_at{};
@@ -120,6 +131,8 @@
   PlannedTokens m_planned;   ///< Current attempt.
   double m_load_at_send = 0; ///< Requests at the target at m_sent_at.
   std::string m_last_error;
+  /// Time until targets that are all cold take requests again; 0: none is.
+  core::Duration m_available_in{};
   std::string m_last_target;
   /// Expected weight version of the last target.
   std::optional<std::uint64_t> m_last_weights;
--- a/src/jujubehead/node/forward/forward_state.hpp
+++ b/src/jujubehead/node/forward/forward_state.hpp
@@ -1,6 +1,7 @@
 #ifndef JUJUBEHEAD_NODE_FORWARD_FORWARD_STATE_HPP
 #define JUJUBEHEAD_NODE_FORWARD_FORWARD_STATE_HPP
 
+#include <atomic>        // for atomic
 #include <cstdint>       // for uint64_t
 #include <map>           // for map
 #include <memory>        // for shared_ptr
@@ -48,6 +49,17 @@
     return budgets.try_emplace(aService, options.repeats).first->second;
   }
 
+  /// @brief Counts the requests left in data centres with a planned stop.
+  /// Called when one of them ended in `aDataCentre`.
+  void OnStoppedDataCentreProgress(const core::DataCentreId& aDataCentre)
+  {
+    requests_in_stopped = fleet.RequestsInStopped();
+    if (fleet.IsStopped(aDataCentre) && fleet.RequestsIn(aDataCentre) == 0) {
+      DecisionLog::WriteUnthrottled(
+        LogLine("data_centre_empty").Add("data_centre", aDataCentre.View()));
+    }
+  }
+
   const EntryOptions& options;
   const HeaderCodec& header_codec;
   ThreadMetrics& metrics;
@@ -70,6 +82,9 @@
   std::mt19937_64 random;
   TargetClock target_clock;
   core::Instant last_operator_contact{}; ///< Last read of the operator's rows.
+  /// Requests of this instance in data centres with a planned stop; read by
+  /// the control thread.
+  std::atomic<std::uint64_t> requests_in_stopped{ 0 };
   bool is_stopping = false;
   /// Exit time of a stopping instance.
   core::Instant exits_at = core::Instant::max();
--- a/src/jujubehead/node/forward/forwarder.cpp
+++ b/src/jujubehead/node/forward/forwarder.cpp
@@ -176,6 +176,11 @@
       stores.push_back(store.id);
     }
     m_state.parts.KeepOnly(stores);
+    std::unordered_map<core::ServiceId, core::Duration> cold_times;
+    for (const core::DeclaredService& service : value->All().services) {
+      cold_times.emplace(service.id, service.cold_time);
+    }
+    m_state.fleet.SetColdTimes(std::move(cold_times));
     m_state.configuration = value;
   });
 }
@@ -196,6 +201,18 @@
   });
 }
 
+void
+Forwarder::SetStoppedDataCentres(std::set<core::DataCentreId> aStopped,
+                                 std::set<core::DataCentreId> aEnded)
+{
+  asio::post(
+    m_context,
+    [this, stopped = std::move(aStopped), ended = std::move(aEnded)]() mutable {
+      m_state.fleet.SetStoppedDataCentres(std::move(stopped), ended);
+      m_state.requests_in_stopped = m_state.fleet.RequestsInStopped();
+    });
+}
+
 void
 Forwarder::SetWantedWeights(
   std::map<core::ModelId, core::DesiredWeights> aWanted)
--- a/src/jujubehead/node/forward/forwarder.hpp
+++ b/src/jujubehead/node/forward/forwarder.hpp
@@ -49,11 +49,20 @@
   void CloseIdle();
   [[nodiscard]] std::size_t Sessions() const { return m_session_count; }
   [[nodiscard]] std::size_t OpenRequests() const { return m_open_requests; }
+  /// @return this instance's requests in data centres with a planned stop.
+  [[nodiscard]] std::uint64_t RequestsInStopped() const
+  {
+    return m_state.requests_in_stopped;
+  }
   [[nodiscard]] std::uint16_t Port() const;
 
   void SetConfiguration(std::shared_ptr<const core::Configuration> aValue);
   void SetTargets(std::vector<core::RegisteredTarget> aTargets);
   void SetLoading(std::set<core::TargetId> aTargets);
+  /// @brief Sets which data centres have a planned stop.
+  /// @param aEnded those whose stop has just ended.
+  void SetStoppedDataCentres(std::set<core::DataCentreId> aStopped,
+                             std::set<core::DataCentreId> aEnded);
   void SetWantedWeights(std::map<core::ModelId, core::DesiredWeights> aWanted);
   /// @brief Records that a version of a model has been loaded at a target.
   void OnWeightsLoaded(core::TargetId aTarget, core::LoadedModel aLoaded);
--- a/src/jujubehead/node/forward/store_index.cpp
+++ b/src/jujubehead/node/forward/store_index.cpp
@@ -11,17 +11,30 @@
 /// blocks, and other writes may be in flight.
 constexpr double kFullFraction = 0.93;
 
+std::vector<const core::DeclaredStore*>
+UsableStores(const ForwardState& aState, const core::Homes& aHomes)
+{
+  std::vector<const core::DeclaredStore*> usable;
+  for (const core::DeclaredStore& store : aState.configuration->All().stores) {
+    if (aHomes.Allow(store.data_centre) &&
+        !aState.fleet.IsStopped(store.data_centre)) {
+      usable.push_back(&store);
+    }
+  }
+  return usable;
+}
+
 std::vector<core::StorePlacementInput>
-FactsOf(const std::vector<core::DeclaredStore>& aStores)
+FactsOf(const std::vector<const core::DeclaredStore*>& aStores)
 {
   std::vector<core::StorePlacementInput> facts;
   facts.reserve(aStores.size());
-  for (const core::DeclaredStore& store : aStores) {
+  for (const core::DeclaredStore* store : aStores) {
     core::StorePlacementInput one;
-    one.name_hash = core::PlacementHash(store.id.View());
-    one.data_centre = store.data_centre.View();
-    one.capacity_tokens = static_cast<double>(store.capacity_tokens);
-    one.rate = StoreIndex::LinkRateOf(store);
+    one.name_hash = core::PlacementHash(store->id.View());
+    one.data_centre = store->data_centre.View();
+    one.capacity_tokens = static_cast<double>(store->capacity_tokens);
+    one.rate = StoreIndex::LinkRateOf(*store);
     facts.push_back(one);
   }
   return facts;
@@ -31,9 +44,10 @@
 
 StoreIndex::StoreIndex(const ForwardState& aState,
                        std::string_view aScope,
-                       const core::ServiceId& aService)
+                       const core::ServiceId& aService,
+                       const core::Homes& aHomes)
   : m_state(aState)
-  , m_stores(aState.configuration->All().stores)
+  , m_stores(UsableStores(aState, aHomes))
   , m_facts(FactsOf(m_stores))
   , m_scope(aScope)
   , m_now(core::RuntimeClock::now())
@@ -54,8 +68,8 @@
 {
   const core::LinkRate rate = LinkRateOf(aStore);
   return static_cast<std::size_t>(std::count_if(
-    m_stores.begin(), m_stores.end(), [&](const core::DeclaredStore& aOther) {
-      return LinkRateOf(aOther) == rate;
+    m_stores.begin(), m_stores.end(), [&](const core::DeclaredStore* aOther) {
+      return LinkRateOf(*aOther) == rate;
     }));
 }
 
@@ -101,7 +115,7 @@
   const auto homes = core::SelectHomeStores(
     core::PlacementHash(aPart.id), TransferSizeOf(aPart, false), m_facts);
   for (const core::StoreHome& one : homes) {
-    const core::DeclaredStore& store = m_stores[one.index];
+    const core::DeclaredStore& store = *m_stores[one.index];
     if (HasPart(store, aPart)) {
       return { &store, true };
     }
@@ -120,14 +134,14 @@
 {
   const core::DeclaredStore* fastest = nullptr;
   core::Duration shortest{};
-  for (const core::DeclaredStore& store : m_stores) {
-    if (store.data_centre != aDataCentre) {
+  for (const core::DeclaredStore* store : m_stores) {
+    if (store->data_centre != aDataCentre) {
       continue;
     }
     const core::Duration time =
-      LinkTime(store, aPart, aDataCentre) + store.base_latency;
+      LinkTime(*store, aPart, aDataCentre) + store->base_latency;
     if (fastest == nullptr || time < shortest) {
-      fastest = &store;
+      fastest = store;
       shortest = time;
     }
   }
--- a/src/jujubehead/node/forward/store_index.hpp
+++ b/src/jujubehead/node/forward/store_index.hpp
@@ -8,6 +8,7 @@
 #include "jujubehead/core/context/prompt.hpp"          // for PromptPart
 #include "jujubehead/core/context/store_placement.hpp" // for StorePlacementInput
 #include "jujubehead/core/routing/configuration.hpp"   // for DeclaredStore
+#include "jujubehead/core/routing/homes.hpp"           // for Homes
 
 #include "forward_state.hpp" // for ForwardState
 
@@ -20,14 +21,16 @@
   bool has_part = false;
 };
 
-/// @brief Looks up the stores for the parts of one prompt. Holds references to
-/// its arguments, which must outlive it.
+/// @brief Looks up the stores for the parts of one prompt: those in allowed
+/// regions whose data centre has no planned stop. Holds references to its
+/// arguments, which must outlive it.
 class StoreIndex
 {
 public:
   StoreIndex(const ForwardState& aState,
              std::string_view aScope,
-             const core::ServiceId& aService);
+             const core::ServiceId& aService,
+             const core::Homes& aHomes);
 
   /// @return whether a store has all tokens of a part.
   [[nodiscard]] bool HasPart(const core::DeclaredStore& aStore,
@@ -59,7 +62,7 @@
                                                   bool aIsFar) const;
 
   const ForwardState& m_state;
-  const std::vector<core::DeclaredStore>& m_stores;
+  std::vector<const core::DeclaredStore*> m_stores;
   std::vector<core::StorePlacementInput> m_facts;
   std::string_view m_scope;
   std::uint64_t m_token_bytes = 0;
--- a/src/jujubehead/node/forward/target_fleet.cpp
+++ b/src/jujubehead/node/forward/target_fleet.cpp
@@ -1,6 +1,7 @@
 #include "target_fleet.hpp"
 
 #include <algorithm> // for max, min
+#include <utility>   // for move
 
 #include "jujubehead/core/routing/placement.hpp" // for PlacementHash
 #include "jujubehead/node/endpoint.hpp"          // for FindEndpoint
@@ -117,6 +118,7 @@
 void
 TargetFleet::Update(const std::vector<core::RegisteredTarget>& aTargets)
 {
+  const core::Instant now = core::RuntimeClock::now();
   auto before = std::move(m_targets);
   m_targets.clear();
   m_by_service.clear();
@@ -147,7 +149,10 @@
     }
     known->target = target;
     known->is_gone = target.leaving;
+    known->is_stopped = m_stopped.contains(target.data_centre);
     known->is_loading = m_loading.contains(target.id);
+    UpdateColdStart(*known, now);
+    ApplyEndOfStop(*known, now);
     if (known->is_gone) {
       known->CloseIdleConnections();
     }
@@ -170,6 +175,73 @@
   }
 }
 
+void
+TargetFleet::UpdateColdStart(FleetTarget& aTarget, core::Instant aNow) const
+{
+  if (aTarget.target.cold_until > aNow) {
+    aTarget.cold_start.OnCold(aNow, aTarget.target.cold_until);
+  } else {
+    aTarget.cold_start.OnWarmReport(aNow);
+  }
+}
+
+void
+TargetFleet::SetStoppedDataCentres(std::set<core::DataCentreId> aStopped,
+                                   const std::set<core::DataCentreId>& aEnded)
+{
+  const core::Instant now = core::RuntimeClock::now();
+  m_stopped = std::move(aStopped);
+  for (const core::DataCentreId& data_centre : aEnded) {
+    m_stop_ended_at[data_centre] = now;
+  }
+  for (const auto& [id, target] : m_targets) {
+    target->is_stopped = m_stopped.contains(target->target.data_centre);
+    ApplyEndOfStop(*target, now);
+  }
+}
+
+void
+TargetFleet::ApplyEndOfStop(FleetTarget& aTarget, core::Instant aNow) const
+{
+  const auto ended = m_stop_ended_at.find(aTarget.target.data_centre);
+  const auto cold_time = m_cold_times.find(aTarget.target.service);
+  if (ended == m_stop_ended_at.end() || cold_time == m_cold_times.end()) {
+    return;
+  }
+  const core::Instant until = ended->second + cold_time->second;
+  if (until > aNow) {
+    aTarget.cold_start.OnUnknown(aNow, until);
+  }
+}
+
+void
+TargetFleet::SetColdTimes(
+  std::unordered_map<core::ServiceId, core::Duration> aColdTimes)
+{
+  m_cold_times = std::move(aColdTimes);
+}
+
+std::uint64_t
+TargetFleet::RequestsIn(const core::DataCentreId& aDataCentre) const
+{
+  std::uint64_t requests = 0;
+  for (const auto& [id, target] : m_targets) {
+    requests +=
+      target->target.data_centre == aDataCentre ? target->load.Own() : 0;
+  }
+  return requests;
+}
+
+std::uint64_t
+TargetFleet::RequestsInStopped() const
+{
+  std::uint64_t requests = 0;
+  for (const core::DataCentreId& data_centre : m_stopped) {
+    requests += RequestsIn(data_centre);
+  }
+  return requests;
+}
+
 std::vector<std::shared_ptr<FleetTarget>>
 TargetFleet::Of(const core::ServiceId& aService) const
 {
@@ -179,7 +251,7 @@
     return targets;
   }
   for (const auto& target : found->second) {
-    if (!target->is_gone) {
+    if (!target->is_gone && !target->is_stopped) {
       targets.push_back(target);
     }
   }
--- a/src/jujubehead/node/forward/target_fleet.hpp
+++ b/src/jujubehead/node/forward/target_fleet.hpp
@@ -11,6 +11,7 @@
 
 #include <boost/asio/ip/tcp.hpp> // for tcp
 
+#include "jujubehead/core/routing/cold_start.hpp"       // for ColdStart
 #include "jujubehead/core/routing/load_estimate.hpp"    // for LoadEstimate
 #include "jujubehead/core/routing/load_reports.hpp"     // for TargetLoadReport
 #include "jujubehead/core/routing/target_directory.hpp" // for RegisteredTarget
@@ -27,13 +28,20 @@
   boost::asio::ip::tcp::endpoint endpoint;
   core::TargetHealth health;
   core::LoadEstimate load;
+  core::ColdStart cold_start;
   bool is_gone = false;             ///< Has left the registry or is leaving.
+  bool is_stopped = false;          ///< Its data centre has a planned stop.
   bool is_loading = false;          ///< Is loading new weights.
   core::Instant last_response_at{}; ///< Last response to this instance.
   core::Instant
     last_gone_report_at{};          ///< Last such report of another instance.
   std::uint32_t active_streams = 0; ///< Streams of this instance.
 
+  /// @return whether requests may be sent to it, however loaded it is.
+  [[nodiscard]] bool Accepts(core::Instant aNow) const
+  {
+    return !is_gone && !is_stopped && !is_loading && !cold_start.IsCold(aNow);
+  }
   /// @return the newest known version of a model's weights.
   [[nodiscard]] std::optional<std::uint64_t> VersionOf(
     const core::ModelId& aModel) const;
@@ -65,10 +73,28 @@
   void Update(const std::vector<core::RegisteredTarget>& aTargets);
   /// @brief Sets which targets are loading new weights.
   void SetLoading(const std::set<core::TargetId>& aTargets);
+  /// @brief Sets which data centres have a planned stop.
+  /// @param aEnded those whose stop has just ended: their targets may have
+  /// become cold meanwhile and count as such.
+  void SetStoppedDataCentres(std::set<core::DataCentreId> aStopped,
+                             const std::set<core::DataCentreId>& aEnded = {});
+  /// @brief Sets how long the targets of each service stay cold.
+  void SetColdTimes(
+    std::unordered_map<core::ServiceId, core::Duration> aColdTimes);
 
-  /// @return the targets of a service that accept requests.
+  /// @return the targets of a service that accept requests, except those that
+  /// are loading weights or cold for the moment; see FleetTarget::Accepts().
   [[nodiscard]] std::vector<std::shared_ptr<FleetTarget>> Of(
     const core::ServiceId& aService) const;
+  [[nodiscard]] bool IsStopped(const core::DataCentreId& aDataCentre) const
+  {
+    return m_stopped.contains(aDataCentre);
+  }
+  /// @return this instance's requests at targets of a data centre.
+  [[nodiscard]] std::uint64_t RequestsIn(
+    const core::DataCentreId& aDataCentre) const;
+  /// @return this instance's requests in all data centres with a planned stop.
+  [[nodiscard]] std::uint64_t RequestsInStopped() const;
   [[nodiscard]] std::shared_ptr<FleetTarget> Find(
     const core::TargetId& aId) const;
   [[nodiscard]] std::shared_ptr<FleetTarget> FindByKey(
@@ -76,11 +102,19 @@
   [[nodiscard]] bool IsEmpty() const { return m_targets.empty(); }
 
 private:
+  void UpdateColdStart(FleetTarget& aTarget, core::Instant aNow) const;
+  /// @brief Treats a target as cold if a stop of its data centre ended within
+  /// its service's cold time.
+  void ApplyEndOfStop(FleetTarget& aTarget, core::Instant aNow) const;
+
   std::map<core::TargetId, std::shared_ptr<FleetTarget>> m_targets;
   std::unordered_map<core::ServiceId, std::vector<std::shared_ptr<FleetTarget>>>
     m_by_service;
   std::unordered_map<core::TargetKey, std::shared_ptr<FleetTarget>> m_by_key;
   std::set<core::TargetId> m_loading;
+  std::set<core::DataCentreId> m_stopped;
+  std::map<core::DataCentreId, core::Instant> m_stop_ended_at;
+  std::unordered_map<core::ServiceId, core::Duration> m_cold_times;
   std::unordered_map<core::ServiceId, std::shared_ptr<core::ServiceLoadAverage>>
     m_usual;
 };
--- a/src/jujubehead/node/forward/target_fleet_test.cpp
+++ b/src/jujubehead/node/forward/target_fleet_test.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 
+const core::ServiceId kModels("models");
 const core::Instant kNow = core::Instant(std::chrono::hours(1));
 
 core::TargetLoadReport
@@ -61,6 +62,17 @@
   return failed;
 }
 
+core::RegisteredTarget
+TargetIn(const std::string& aId, const std::string& aDataCentre)
+{
+  core::RegisteredTarget target;
+  target.id = core::TargetId(aId);
+  target.service = kModels;
+  target.address = "127.0.0.1:90";
+  target.data_centre = core::DataCentreId(aDataCentre);
+  return target;
+}
+
 } // namespace
 
 TEST_GROUP(TargetFleet){};
@@ -95,3 +107,83 @@
   CHECK(without_reports > 900);
   CHECK(with_reports < without_reports / 2);
 }
+
+TEST(TargetFleet, AStoppedDataCentreTakesNoRequestsAlsoFromNewTargets)
+{
+  node::TargetFleet fleet;
+  fleet.Update({ TargetIn("t1", "north"), TargetIn("t2", "south") });
+  fleet.SetStoppedDataCentres({ core::DataCentreId("north") });
+  LONGS_EQUAL(1, fleet.Of(kModels).size());
+  fleet.Update({ TargetIn("t1", "north"),
+                 TargetIn("t2", "south"),
+                 TargetIn("t3", "north") });
+  LONGS_EQUAL(1, fleet.Of(kModels).size());
+  CHECK_FALSE(
+    fleet.Find(core::TargetId("t3"))->Accepts(core::RuntimeClock::now()));
+  fleet.SetStoppedDataCentres(
+    { core::DataCentreId("north"), core::DataCentreId("south") });
+  CHECK(fleet.Of(kModels).empty());
+}
+
+TEST(TargetFleet, CountsTheRequestsLeftInStoppedDataCentres)
+{
+  node::TargetFleet fleet;
+  fleet.Update({ TargetIn("t1", "north"), TargetIn("t2", "south") });
+  for (const auto& target : fleet.Of(kModels)) {
+    target->load.OnBegin();
+  }
+  LONGS_EQUAL(0, fleet.RequestsInStopped());
+  fleet.SetStoppedDataCentres({ core::DataCentreId("north") });
+  LONGS_EQUAL(1, fleet.RequestsInStopped());
+  fleet.Find(core::TargetId("t1"))->load.OnEnd(milliseconds(10));
+  LONGS_EQUAL(0, fleet.RequestsInStopped());
+}
+
+// Targets become cold while their data centre is stopped, and the report of it
+// may arrive after that of the stop's end.
+TEST(TargetFleet, TargetsOfADataCentreWhoseStopEndedCountAsCold)
+{
+  node::TargetFleet fleet;
+  fleet.SetColdTimes({ { kModels, std::chrono::seconds(3) } });
+  fleet.Update({ TargetIn("t1", "north"), TargetIn("t2", "south") });
+  fleet.SetStoppedDataCentres({ core::DataCentreId("north") });
+  fleet.SetStoppedDataCentres({}, { core::DataCentreId("north") });
+  const core::Instant now = core::RuntimeClock::now();
+  const auto stopped = fleet.Find(core::TargetId("t1"));
+  CHECK_FALSE(stopped->Accepts(now));
+  CHECK(fleet.Find(core::TargetId("t2"))->Accepts(now));
+  // An older report, of when it was warm, does not end that.
+  fleet.Update({ TargetIn("t1", "north"), TargetIn("t2", "south") });
+  CHECK_FALSE(stopped->Accepts(now + milliseconds(2900)));
+  CHECK(stopped->Accepts(now + milliseconds(3100)));
+}
+
+TEST(TargetFleet, ATargetThatReportsToBeColdTakesNoRequests)
+{
+  node::TargetFleet fleet;
+  const core::Instant now = core::RuntimeClock::now();
+  core::RegisteredTarget target = TargetIn("t1", "north");
+  target.cold_until = now + std::chrono::seconds(3);
+  fleet.Update({ target });
+  const auto cold = fleet.Find(core::TargetId("t1"));
+  CHECK_FALSE(cold->Accepts(now + milliseconds(2999)));
+  // The same target becomes cold again without a restart.
+  fleet.Update({ TargetIn("t1", "north") });
+  CHECK(cold->Accepts(now + milliseconds(3000)));
+  target.cold_until = now + std::chrono::seconds(9);
+  fleet.Update({ target });
+  CHECK_FALSE(cold->Accepts(now + milliseconds(8999)));
+}
+
+// The registry and the stops are read separately, so a target may become known
+// after the stop of its data centre has ended.
+TEST(TargetFleet, ATargetThatBecomesKnownJustAfterAStopCountsAsCold)
+{
+  node::TargetFleet fleet;
+  fleet.SetColdTimes({ { kModels, std::chrono::seconds(3) } });
+  fleet.SetStoppedDataCentres({}, { core::DataCentreId("north") });
+  fleet.Update({ TargetIn("t1", "north"), TargetIn("t2", "south") });
+  const core::Instant now = core::RuntimeClock::now();
+  CHECK_FALSE(fleet.Find(core::TargetId("t1"))->Accepts(now));
+  CHECK(fleet.Find(core::TargetId("t2"))->Accepts(now));
+}
--- a/src/jujubehead/node/forward/transfer_plan.cpp
+++ b/src/jujubehead/node/forward/transfer_plan.cpp
@@ -61,13 +61,14 @@
 public:
   TransferPlanner(ForwardState& aState,
                   const FleetTarget& aTarget,
+                  const core::Homes& aHomes,
                   core::Duration aObjective,
                   TargetCall& aCall)
     : m_state(aState)
     , m_data_centre(aTarget.target.data_centre)
     , m_objective(aObjective)
     , m_call(aCall)
-    , m_lookup(aState, aCall.cache_scope, aTarget.target.service)
+    , m_lookup(aState, aCall.cache_scope, aTarget.target.service, aHomes)
     , m_share(aState.shares[aTarget.target.service].Value())
     , m_now(core::RuntimeClock::now())
   {
@@ -181,6 +182,7 @@
               const core::Prompt& aPrompt,
               const core::CacheScope& aScope,
               const FleetTarget& aTarget,
+              const core::Homes& aHomes,
               core::Duration aObjective,
               TargetCall& aCall)
 {
@@ -193,7 +195,7 @@
   aCall.read_deadline_ms = read_until;
   aCall.read_from.resize(aPrompt.parts.size());
   aCall.store_at.resize(aPrompt.parts.size());
-  TransferPlanner planner(aState, aTarget, aObjective, aCall);
+  TransferPlanner planner(aState, aTarget, aHomes, aObjective, aCall);
   for (std::size_t i = 0; i + 1 < aPrompt.parts.size(); ++i) {
     planner.Plan(aPrompt.parts[i], i);
   }
@@ -204,13 +206,14 @@
 StoreDataCentreOf(const ForwardState& aState,
                   const core::Prompt& aPrompt,
                   const core::CacheScope& aScope,
-                  const core::ServiceId& aService)
+                  const core::ServiceId& aService,
+                  const core::Homes& aHomes)
 {
   if (!HasSharedParts(aState, aPrompt)) {
     return std::nullopt;
   }
   const std::string scope = core::ToText(aScope);
-  const StoreIndex lookup(aState, scope, aService);
+  const StoreIndex lookup(aState, scope, aService, aHomes);
   const core::PromptPart& part = aPrompt.parts[aPrompt.parts.size() - 2];
   const core::DataCentreId other_data_centre;
   const PartHome home = lookup.FindHome(part, other_data_centre);
@@ -229,10 +232,17 @@
 ReadFromHomeTarget(const ForwardState& aState,
                    const core::Prompt& aPrompt,
                    const FleetTarget& aTarget,
+                   const core::Homes& aHomes,
                    TargetCall& aCall)
 {
   const core::Instant now = core::RuntimeClock::now();
-  const auto targets = aState.fleet.Of(aTarget.target.service);
+  auto targets = aState.fleet.Of(aTarget.target.service);
+  // The cache of a target that was cold is still empty; the prompts' parts are
+  // at the targets that stood in for it.
+  std::erase_if(targets, [&](const auto& aHome) {
+    return aHome->cold_start.Share(now) < 1 ||
+           !aHomes.Allow(aHome->target.data_centre);
+  });
   std::vector<core::PlacementCandidate> homes;
   homes.reserve(targets.size());
   for (const auto& target : targets) {
@@ -246,7 +256,7 @@
     return;
   }
   const FleetTarget& home = *targets[*index];
-  if (!IsProbablyAlive(home, now) || home.is_loading ||
+  if (!IsProbablyAlive(home, now) || !home.Accepts(now) ||
       home.VersionOf(aPrompt.model) != aCall.weight_version) {
     return;
   }
--- a/src/jujubehead/node/forward/transfer_plan.hpp
+++ b/src/jujubehead/node/forward/transfer_plan.hpp
@@ -6,6 +6,7 @@
 
 #include "jujubehead/core/context/cache_scope.hpp"  // for CacheScope
 #include "jujubehead/core/context/prompt.hpp"       // for Prompt
+#include "jujubehead/core/routing/homes.hpp"        // for Homes
 #include "jujubehead/node/forward/header_codec.hpp" // for TargetCall
 
 #include "forward_state.hpp" // for ForwardState
@@ -30,12 +31,14 @@
 /// Stores are not used for weights that are being replaced, nor while the
 /// operator, which may replace them, is out of contact.
 /// Planned transfers count as load on the store's link from then on.
+/// @param aHomes regions in which the prompt's parts may lie.
 /// @param aObjective of the request, to its first token.
 PlannedTokens
 PlanTransfers(ForwardState& aState,
               const core::Prompt& aPrompt,
               const core::CacheScope& aScope,
               const FleetTarget& aTarget,
+              const core::Homes& aHomes,
               core::Duration aObjective,
               TargetCall& aCall);
 
@@ -46,7 +49,8 @@
 StoreDataCentreOf(const ForwardState& aState,
                   const core::Prompt& aPrompt,
                   const core::CacheScope& aScope,
-                  const core::ServiceId& aService);
+                  const core::ServiceId& aService,
+                  const core::Homes& aHomes);
 
 /// @brief Fills in the prompt's home target as the source of parts that are not
 /// read from a store: when a request runs elsewhere, its home target has
@@ -56,6 +60,7 @@
 ReadFromHomeTarget(const ForwardState& aState,
                    const core::Prompt& aPrompt,
                    const FleetTarget& aTarget,
+                   const core::Homes& aHomes,
                    TargetCall& aCall);
 
 } // namespace jujubehead::node
--- a/src/jujubehead/node/forward/transfer_plan_test.cpp
+++ b/src/jujubehead/node/forward/transfer_plan_test.cpp
@@ -74,6 +74,9 @@
   TargetCall call;
   FleetTarget target;
   core::Instant now = core::RuntimeClock::now();
+  core::DataCentreRegions regions{ { core::DataCentreId("d"),
+                                     core::RegionId("north") } };
+  core::Homes homes{ {}, {}, regions };
 
   void Declare(std::vector<core::DeclaredStore> aStores)
   {
@@ -108,7 +111,8 @@
   }
   PlannedTokens Plan()
   {
-    return PlanTransfers(state, prompt, kScope, target, kObjective, call);
+    return PlanTransfers(
+      state, prompt, kScope, target, homes, kObjective, call);
   }
   bool Reads()
   {
@@ -219,47 +223,90 @@
   store.bytes_per_second = 1e9;
   Declare({ store });
   const core::ServiceId models("models");
-  CHECK_FALSE(StoreDataCentreOf(state, prompt, kScope, models).has_value());
+  CHECK_FALSE(
+    StoreDataCentreOf(state, prompt, kScope, models, homes).has_value());
   ReportCompletePart();
-  CHECK(StoreDataCentreOf(state, prompt, kScope, models) ==
+  CHECK(StoreDataCentreOf(state, prompt, kScope, models, homes) ==
         core::DataCentreId("d"));
   store.bytes_per_second = 1e10;
   Declare({ store });
-  CHECK_FALSE(StoreDataCentreOf(state, prompt, kScope, models).has_value());
+  CHECK_FALSE(
+    StoreDataCentreOf(state, prompt, kScope, models, homes).has_value());
 }
 
 TEST(TransferPlan, ReadsOnlyFromLiveHomeTargetWithSameWeights)
 {
   state.fleet.Update({ TargetAt("t1"), TargetAt("t2") });
   const auto targets = state.fleet.Of(core::ServiceId("models"));
-  std::vector<core::PlacementCandidate> homes(2);
-  homes[0].name_hash = targets[0]->name_hash;
-  homes[1].name_hash = targets[1]->name_hash;
-  const auto home = *core::WeightedOwner(core::PlacementHash("b"), homes);
+  std::vector<core::PlacementCandidate> candidates(2);
+  candidates[0].name_hash = targets[0]->name_hash;
+  candidates[1].name_hash = targets[1]->name_hash;
+  const auto home = *core::WeightedOwner(core::PlacementHash("b"), candidates);
   FleetTarget& away = *targets[1 - home];
   call.weight_version = 2;
   // A request is outstanding and there was no response: it may be dead.
   targets[home]->load.OnBegin();
-  ReadFromHomeTarget(state, prompt, away, call);
+  ReadFromHomeTarget(state, prompt, away, homes, call);
   CHECK(call.read_from.empty());
   targets[home]->load.OnEnd(std::chrono::seconds(1));
   targets[home]->health.OnUnreachable(now);
-  ReadFromHomeTarget(state, prompt, away, call);
+  ReadFromHomeTarget(state, prompt, away, homes, call);
   CHECK(call.read_from.empty());
   targets[home]->health.OnAnswer();
   // With many instances, each seldom gets a response from a healthy target.
-  ReadFromHomeTarget(state, prompt, away, call);
+  ReadFromHomeTarget(state, prompt, away, homes, call);
   STRCMP_EQUAL("127.0.0.1:90", call.read_from[1].address.c_str());
   call.read_from.clear();
   targets[home]->load.OnBegin();
   targets[home]->last_response_at = now;
-  ReadFromHomeTarget(state, prompt, *targets[home], call);
+  ReadFromHomeTarget(state, prompt, *targets[home], homes, call);
   CHECK(call.read_from.empty());
-  ReadFromHomeTarget(state, prompt, away, call);
+  ReadFromHomeTarget(state, prompt, away, homes, call);
   STRCMP_EQUAL("127.0.0.1:90", call.read_from[1].address.c_str());
   CHECK(call.read_from[2].address.empty());
   call.read_from.clear();
   call.weight_version = 3;
-  ReadFromHomeTarget(state, prompt, away, call);
+  ReadFromHomeTarget(state, prompt, away, homes, call);
   CHECK(call.read_from.empty());
 }
+
+TEST(TransferPlan, NeitherReadsNorWritesInAStoppedDataCentre)
+{
+  ReportCompletePart();
+  CHECK(Reads());
+  state.fleet.SetStoppedDataCentres({ core::DataCentreId("d") });
+  call.read_from.clear();
+  CHECK_FALSE(Reads());
+  CHECK(call.store_at.at(1).address.empty());
+  state.fleet.SetStoppedDataCentres({});
+  CHECK(Reads());
+}
+
+TEST(TransferPlan, KeepsPartsWithinTheAllowedRegions)
+{
+  ReportCompletePart();
+  homes = core::Homes({ std::vector{ core::RegionId("south") } }, {}, regions);
+  CHECK_FALSE(Reads());
+  CHECK(call.store_at.at(1).address.empty());
+  homes = core::Homes({}, { std::vector{ core::RegionId("north") } }, regions);
+  CHECK(Reads());
+}
+
+// A target that was cold has lost its cache: its prompts' parts are at the
+// targets that stood in for it.
+TEST(TransferPlan, ATargetThatWasColdReadsFromTheOneThatStoodInForIt)
+{
+  call.weight_version = 2;
+  state.fleet.SetColdTimes(
+    { { core::ServiceId("models"), std::chrono::seconds(1) } });
+  state.fleet.Update({ TargetAt("t1"), TargetAt("t2") });
+  for (const auto& returned : state.fleet.Of(core::ServiceId("models"))) {
+    for (const auto& other : state.fleet.Of(core::ServiceId("models"))) {
+      other->cold_start = core::ColdStart();
+    }
+    returned->cold_start.OnCold(now - std::chrono::seconds(1), now);
+    call.read_from.clear();
+    ReadFromHomeTarget(state, prompt, *returned, homes, call);
+    STRCMP_EQUAL("127.0.0.1:90", call.read_from.at(1).address.c_str());
+  }
+}
