Ownership: a lease that waits for a vote whose candidate has given up goes on

Cause: a witness votes once and for good. When its candidate's election can't complete (another witness is gone), the candidate stays alive and the holder's lease stays expired: nobody owns its groups any more.

The candidate is asked already. Its own reply that it has released the lease means that it will not take over, so its voter's vote no longer holds the holder back.

Ruled out: the lease read being too old (it is read again as soon as the witnesses allow it), witnesses that refused.

Tried and reverted: the same for candidates that are gone without a lease row.

--- a/src/jujubehead/core/lease_reaper.cpp
+++ b/src/jujubehead/core/lease_reaper.cpp
@@ -78,6 +78,36 @@
          reply->second.vote == Vote::kGranted;
 }
 
+bool
+LeaseReaper::HasReleased(const Incarnation& aLease,
+                         const Incarnation& aProcess) const
+{
+  const auto found = m_polls.find(aLease);
+  if (found == m_polls.end()) {
+    return false;
+  }
+  const auto reply = found->second.replies.find(aProcess.instance);
+  return reply != found->second.replies.end() &&
+         reply->second.voter.IsSameProcess(aProcess) &&
+         reply->second.vote == Vote::kGranted;
+}
+
+std::optional<Incarnation>
+LeaseReaper::CandidateOf(const Incarnation& aLease,
+                         const Incarnation& aWitness) const
+{
+  const auto found = m_polls.find(aLease);
+  if (found == m_polls.end()) {
+    return std::nullopt;
+  }
+  const auto reply = found->second.replies.find(aWitness.instance);
+  if (reply == found->second.replies.end() || reply->second.voter != aWitness ||
+      reply->second.vote != Vote::kGrantedToOther) {
+    return std::nullopt;
+  }
+  return reply->second.voted_for;
+}
+
 void
 LeaseReaper::Retain(const std::set<Incarnation>& aSuspects)
 {
--- a/src/jujubehead/core/lease_reaper.hpp
+++ b/src/jujubehead/core/lease_reaper.hpp
@@ -34,6 +34,14 @@
   /// over.
   [[nodiscard]] bool HasGranted(const Incarnation& aLease,
                                 const Incarnation& aWitness) const;
+  /// @return whether a process will not take over any more, by its last reply.
+  [[nodiscard]] bool HasReleased(const Incarnation& aLease,
+                                 const Incarnation& aProcess) const;
+  /// @return the candidate that a witness voted for in an election, by its last
+  /// reply; nothing if it did not vote in one.
+  [[nodiscard]] std::optional<Incarnation> CandidateOf(
+    const Incarnation& aLease,
+    const Incarnation& aWitness) const;
   /// @brief Discards the polls of all other leases.
   void Retain(const std::set<Incarnation>& aSuspects);
   /// @return the leases that must be ended together with this one, itself
--- a/src/jujubehead/core/ownership_impl.hpp
+++ b/src/jujubehead/core/ownership_impl.hpp
@@ -125,6 +125,10 @@
     Instant aNow) const;
   [[nodiscard]] std::optional<Incarnation> ProcessOf(
     const InstanceId& aInstance) const;
+  /// @return whether a process has ended, by the members or because a later
+  /// one reports under its instance's name.
+  [[nodiscard]] bool IsProcessGone(const Incarnation& aProcess, Instant aNow);
+  [[nodiscard]] bool HasLeaseRow(const Incarnation& aProcess) const;
   [[nodiscard]] bool AreAllWitnessesReplaceable(Instant aNow);
   /// @return the other instances that may hold leases now.
   [[nodiscard]] std::vector<InstanceId> OtherHolders() const;
--- a/src/jujubehead/core/ownership_tick.cpp
+++ b/src/jujubehead/core/ownership_tick.cpp
@@ -352,6 +352,24 @@
     std::move(write), m_options.rules.other_rows_per_second, aNow);
 }
 
+bool
+Ownership::Impl::IsProcessGone(const Incarnation& aProcess, Instant aNow)
+{
+  const auto reported = m_processes.find(aProcess.instance);
+  const bool replaced =
+    reported != m_processes.end() && !reported->second.IsSameProcess(aProcess);
+  return replaced || m_watch.IsGone(aProcess.instance, aNow);
+}
+
+bool
+Ownership::Impl::HasLeaseRow(const Incarnation& aProcess) const
+{
+  const auto rows = m_map.LeasesOf(aProcess.instance);
+  return std::any_of(rows.begin(), rows.end(), [&](const LeaseRow& aRow) {
+    return aRow.lease.IsSameProcess(aProcess);
+  });
+}
+
 bool
 Ownership::Impl::AreAllWitnessesReplaceable(Instant aNow)
 {
@@ -365,23 +383,21 @@
     if (m_reaper.HasGranted(row.lease, witness)) {
       continue;
     }
-    const auto reported = m_processes.find(witness.instance);
-    const bool replaced =
-      reported != m_processes.end() && !reported->second.IsSameProcess(witness);
-    const bool gone = replaced || m_watch.IsGone(witness.instance, aNow);
+    // A vote is for good. Nobody takes over by it once its candidate has given
+    // up its election.
+    const auto candidate = m_reaper.CandidateOf(row.lease, witness);
+    if (candidate && !candidate->IsSameProcess(witness)) {
+      if (m_reaper.HasReleased(row.lease, *candidate)) {
+        continue;
+      }
+      return false;
+    }
+    const bool gone = IsProcessGone(witness, aNow);
     if (!gone && m_lease->IsAcking(witness, aNow)) {
       continue;
     }
-    if (!gone || m_lease->IsRefusedBy(witness)) {
-      return false;
-    }
     // It may have taken over before it was gone.
-    const auto rows = m_map.LeasesOf(witness.instance);
-    const bool may_own =
-      std::any_of(rows.begin(), rows.end(), [&](const LeaseRow& aRow) {
-        return aRow.lease.IsSameProcess(witness);
-      });
-    if (may_own) {
+    if (!gone || m_lease->IsRefusedBy(witness) || HasLeaseRow(witness)) {
       return false;
     }
   }
