Cold targets: no slow start after the cold period

Cause: after its cold time a target's share of placement rose over one more cold period.

The bounded load of placement already limits what returns at once; the rise only kept capacity idle. Its cache still counts as empty for one cold period, so its prompts' parts are read from the targets that stood in.

--- a/include/jujubehead/core/routing/cold_start.hpp
+++ b/include/jujubehead/core/routing/cold_start.hpp
@@ -5,23 +5,19 @@
 
 namespace jujubehead::core {
 
-/// @brief Keeps requests away from a target while it is cold, then lets its
-/// load return gradually (slow start).
+/// @brief Keeps requests away from a target while it is cold.
 ///
 /// A cold target tolerates a limited number of requests per second, summed over
 /// all instances. Instances neither know how many of them would send to it nor
 /// exchange messages for a request, so no division of that rate among them is
-/// safe for every membership view; sending nothing is.
-///
-/// After the cold period the target's cache is empty, and all prompts that hash
-/// to it would return in the same second (thundering herd). Its share of the
-/// placement rises linearly over one more cold period.
+/// safe for every membership view; sending nothing is. Afterwards the bounded
+/// load of placement limits what returns to it.
 ///
 /// @code
 /// ColdStart start;
 /// start.OnCold(now, now + std::chrono::seconds(3));
-/// start.Share(now);                             // 0
-/// start.Share(now + std::chrono::seconds(10));  // 1
+/// start.IsCold(now);                            // true
+/// start.IsCold(now + std::chrono::seconds(3));  // false
 /// @endcode
 class ColdStart
 {
@@ -39,9 +35,9 @@
   [[nodiscard]] bool IsCold(Instant aNow) const { return aNow < m_cold_until; }
   /// @return the end of the cold period; in the past if there is none.
   [[nodiscard]] Instant ColdUntil() const { return m_cold_until; }
-  /// @return the share of its usual load that the target may take: 0 while it
-  /// is cold, then rising to 1.
-  [[nodiscard]] double Share(Instant aNow) const;
+  /// @return whether the target was cold until shortly before: its cache has
+  /// hardly been filled again.
+  [[nodiscard]] bool WasColdRecently(Instant aNow) const;
 
 private:
   Instant m_cold_since{};
--- a/src/jujubehead/core/routing/cold_start.cpp
+++ b/src/jujubehead/core/routing/cold_start.cpp
@@ -1,16 +1,8 @@
 #include "jujubehead/core/routing/cold_start.hpp"
 
-#include <algorithm> // for max, min
+#include <algorithm> // for max
 
 namespace jujubehead::core {
-namespace {
-
-/// Share right after the cold period. Above zero, so that the target is probed
-/// by some requests at once.
-constexpr double kFirstShare = 0.1;
-
-} // namespace
-
 void
 ColdStart::OnCold(Instant aNow, Instant aUntil)
 {
@@ -35,20 +27,10 @@
   OnCold(aNow, std::max(m_cold_until, aUntil));
 }
 
-double
-ColdStart::Share(Instant aNow) const
+bool
+ColdStart::WasColdRecently(Instant aNow) const
 {
-  if (IsCold(aNow)) {
-    return 0;
-  }
-  const Duration rise = m_cold_until - m_cold_since;
-  const Duration passed = aNow - m_cold_until;
-  if (passed >= rise) {
-    return 1;
-  }
-  const double fraction =
-    static_cast<double>(passed.count()) / static_cast<double>(rise.count());
-  return kFirstShare + (1 - kFirstShare) * fraction;
+  return aNow - m_cold_until < m_cold_until - m_cold_since;
 }
 
 } // namespace jujubehead::core
--- a/src/jujubehead/node/forward/transfer_plan.cpp
+++ b/src/jujubehead/node/forward/transfer_plan.cpp
@@ -240,7 +240,7 @@
   // The cache of a target that was cold is still empty; the prompts' parts are
   // at the targets that stood in for it.
   std::erase_if(targets, [&](const auto& aHome) {
-    return aHome->cold_start.Share(now) < 1 ||
+    return aHome->cold_start.WasColdRecently(now) ||
            !aHomes.Allow(aHome->target.data_centre);
   });
   std::vector<core::PlacementCandidate> homes;
