Plain targets: the less loaded of two random ones

Cause: each instance sent a call to the least loaded target by reports up to seconds old, so that all chose the same one (herding). New test: 71 instances, 4 targets of 6 slots, reports up to 300 ms old.

Two choices are kept: they need no count of slots.

--- a/include/jujubehead/core/routing/placement.hpp
+++ b/include/jujubehead/core/routing/placement.hpp
@@ -58,6 +58,16 @@
             std::span<const PlacementCandidate> aCandidates,
             const PlacementOptions& aOptions = {});
 
+/// @brief Places a request without cache affinity at the less loaded of two
+/// random targets (power of two choices). Reports of loads are old when there
+/// are many instances, and all would send to the target that was the least
+/// loaded (herding).
+/// @param aSalt selects the two targets.
+std::optional<std::size_t>
+PlaceByTwoChoices(std::uint64_t aSalt,
+                  std::span<const PlacementCandidate> aCandidates,
+                  const PlacementOptions& aOptions = {});
+
 /// @return the index of the member that a key is assigned to, in proportion to
 /// the capacities; nothing when there is none. A member that joins or leaves
 /// moves only its own keys.
--- a/src/jujubehead/core/routing/placement.cpp
+++ b/src/jujubehead/core/routing/placement.cpp
@@ -39,6 +39,15 @@
   return capacity > 0 ? aOptions.bound * load / capacity : 0;
 }
 
+/// @return the load relative to the capacity, with the penalty of distance.
+double
+RelativeLoad(const PlacementCandidate& aCandidate,
+             const PlacementOptions& aOptions)
+{
+  const double penalty = aCandidate.is_near ? 0 : aOptions.far_penalty;
+  return (aCandidate.load + penalty) / aCandidate.capacity;
+}
+
 } // namespace
 
 std::uint64_t
@@ -92,10 +101,8 @@
   double best_load = 0;
   double best_score = 0;
   for (std::size_t i = 0; i < aCandidates.size(); ++i) {
-    const PlacementCandidate& candidate = aCandidates[i];
-    const double penalty = candidate.is_near ? 0 : aOptions.far_penalty;
-    const double load = (candidate.load + penalty) / candidate.capacity;
-    const double score = Score(aSalt, candidate);
+    const double load = RelativeLoad(aCandidates[i], aOptions);
+    const double score = Score(aSalt, aCandidates[i]);
     if (!best || load < best_load ||
         (load == best_load && score > best_score)) {
       best = i;
@@ -106,6 +113,35 @@
   return best;
 }
 
+std::optional<std::size_t>
+PlaceByTwoChoices(std::uint64_t aSalt,
+                  std::span<const PlacementCandidate> aCandidates,
+                  const PlacementOptions& aOptions)
+{
+  std::optional<std::size_t> first;
+  std::optional<std::size_t> second;
+  double first_score = 0;
+  double second_score = 0;
+  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+    const double score = Score(aSalt, aCandidates[i]);
+    if (!first || score > first_score) {
+      second = first;
+      second_score = first_score;
+      first = i;
+      first_score = score;
+    } else if (!second || score > second_score) {
+      second = i;
+      second_score = score;
+    }
+  }
+  if (!second) {
+    return first;
+  }
+  const bool is_second_less = RelativeLoad(aCandidates[*second], aOptions) <
+                              RelativeLoad(aCandidates[*first], aOptions);
+  return is_second_less ? second : first;
+}
+
 std::optional<std::size_t>
 WeightedOwner(std::uint64_t aKey,
               std::span<const PlacementCandidate> aCandidates)
--- a/src/jujubehead/core/routing/placement_test.cpp
+++ b/src/jujubehead/core/routing/placement_test.cpp
@@ -102,8 +102,64 @@
   CHECK(*PlaceByLoad(7, candidates) != 1);
 }
 
+TEST(Placement, OfTwoRandomTargetsTheLessLoadedIsChosen)
+{
+  auto candidates = Candidates(2);
+  candidates[0].load = 3;
+  for (std::uint64_t salt = 0; salt < 20; ++salt) {
+    LONGS_EQUAL(1, *PlaceByTwoChoices(salt, candidates));
+  }
+  candidates[1].load = 5;
+  LONGS_EQUAL(0, *PlaceByTwoChoices(7, candidates));
+  candidates.resize(1);
+  LONGS_EQUAL(0, *PlaceByTwoChoices(7, candidates));
+}
+
+// Herding: 71 instances send 288 calls per second of 60 ms to 4 targets of 6
+// slots, and know loads as of up to 300 ms ago.
+TEST(Placement, TwoChoicesAvoidHerdingOnOldReports)
+{
+  using Place =
+    std::optional<std::size_t> (*)(std::uint64_t,
+                                   std::span<const PlacementCandidate>,
+                                   const PlacementOptions&);
+  const auto calls_over_slots = [](Place aPlace) {
+    constexpr int kCalls = 4000;
+    constexpr double kSlots = 6;
+    constexpr double kInterval = 1000.0 / 288; // ms
+    constexpr double kDuration = 60;           // ms
+    constexpr double kReportInterval = 300;    // ms
+    auto reported = Candidates(4);
+    auto actual = reported;
+    std::vector<std::pair<double, std::size_t>> ends;
+    int over = 0;
+    double next_report = 0;
+    for (int i = 0; i < kCalls; ++i) {
+      const double now = i * kInterval;
+      std::erase_if(ends, [&](const auto& aCall) {
+        actual[aCall.second].load -= aCall.first <= now ? 1 : 0;
+        return aCall.first <= now;
+      });
+      if (now >= next_report) {
+        reported = actual;
+        next_report += kReportInterval;
+      }
+      const std::size_t target =
+        *aPlace(static_cast<std::uint64_t>(i), reported, {});
+      ends.emplace_back(now + kDuration, target);
+      actual[target].load += 1;
+      over += actual[target].load > kSlots ? 1 : 0;
+    }
+    return over;
+  };
+  const int least = calls_over_slots(PlaceByLoad);
+  const int two = calls_over_slots(PlaceByTwoChoices);
+  CHECK(least > 2 * two);
+}
+
 TEST(Placement, NothingIsPlacedWithoutCandidates)
 {
+  CHECK_FALSE(PlaceByTwoChoices(1, {}).has_value());
   CHECK_FALSE(PlacePrompt(1, {}).has_value());
   CHECK_FALSE(PlaceByLoad(1, {}).has_value());
   CHECK_FALSE(WeightedOwner(1, {}).has_value());
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -4,7 +4,7 @@
 #include <cmath>     // for lround
 #include <utility>   // for move
 
-#include "jujubehead/core/routing/placement.hpp" // for PlacePrompt, PlaceByLoad
+#include "jujubehead/core/routing/placement.hpp" // for PlacePrompt, PlaceByTwoChoices
 
 namespace jujubehead::node {
 namespace {
@@ -498,7 +498,6 @@
     core::PlacementCandidate candidate;
     candidate.name_hash = target->name_hash;
     candidate.load = target->load.Requests(now);
-    candidate.capacity = target->cold_start.Share(now);
     candidate.is_near = target_data_centre == m_state.options.data_centre;
     candidate.is_near_store = preferred && target_data_centre == *preferred;
     own += target->load.Own();
@@ -511,7 +510,7 @@
     has_home
       ? core::PlacePrompt(
           core::PlacementHash(m_metadata.prompt->AffinityPart()), candidates)
-      : core::PlaceByLoad(m_state.random(), candidates);
+      : core::PlaceByTwoChoices(m_state.random(), candidates);
   return index ? targets[*index] : nullptr;
 }
 
