Split ownership_tick and forward_run by subject

Now ownership_tick, ownership_witnesses, ownership_leases, ownership_groups, and forward_run, target_choice. Functions are moved unchanged; two constants that several files use went to ownership_impl.

--- a/src/jujubehead/core/ownership_impl.hpp
+++ b/src/jujubehead/core/ownership_impl.hpp
@@ -16,6 +16,12 @@
 
 namespace jujubehead::core {
 
+/// Epochs of claims through the table service are multiples of this; takeovers
+/// by witnesses increment the epoch in between.
+inline constexpr std::uint64_t kEpochStride = 16;
+/// Rows of groups per transaction; leaves room for checks and deletes.
+inline constexpr std::size_t kMaxGroupsPerWrite = 80;
+
 /// @brief Combines the roles of lease holder, witness and claimant. Results of
 /// the table service arrive as rows, and state is derived from rows alone, so
 /// that a lost response needs no special handling.
--- /dev/null
+++ b/src/jujubehead/node/forward/target_choice.cpp
@@ -0,0 +1,181 @@
+#include "forward_run.hpp"
+
+#include <algorithm> // for max, min
+#include <cmath>     // for lround
+#include <utility>   // for move
+
+#include "jujubehead/core/routing/placement.hpp" // for PlacePrompt
+
+#include "transfer_plan.hpp" // for StoreDataCentreOf
+
+// Which target a request is sent to, and whether it is admitted.
+
+namespace jujubehead::node {
+namespace {
+
+constexpr std::int64_t kMicrosPerMs = 1000;
+/// A target whose weights expire within this time gets no new requests, as most
+/// would not finish.
+constexpr core::Duration kOldWeightsMargin = std::chrono::milliseconds(2500);
+/// Share of a service's targets that must hold the newest weights before
+/// requests go to those only; fewer could not handle the load.
+constexpr double kMinNewestShare = 0.5;
+
+} // namespace
+
+void
+ForwardRun::ExplainNoTarget()
+{
+  if (!m_history.has_time) {
+    m_last_error = "no time left";
+    return;
+  }
+  m_last_error = "no target available";
+  const core::Instant now = core::RuntimeClock::now();
+  core::Instant first = core::Instant::max();
+  for (const auto& target : m_state.fleet.Of(m_service)) {
+    if (IsAllowed(*target) && target->cold_start.IsCold(now)) {
+      first = std::min(first, target->cold_start.ColdUntil());
+    }
+  }
+  if (first != core::Instant::max()) {
+    m_last_error = "all targets are cold";
+    m_available_in = first - now;
+  }
+}
+
+std::vector<std::shared_ptr<FleetTarget>>
+ForwardRun::Candidates() const
+{
+  const core::Instant now = core::RuntimeClock::now();
+  std::vector<std::shared_ptr<FleetTarget>> all;
+  std::vector<std::shared_ptr<FleetTarget>> usable;
+  for (auto& target : m_state.fleet.Of(m_service)) {
+    if (m_tried_targets.contains(target->target.id) || !target->Accepts(now) ||
+        !IsAllowed(*target)) {
+      continue;
+    }
+    if (target->health.IsUsable(now)) {
+      usable.push_back(target);
+    }
+    all.push_back(std::move(target));
+  }
+  auto& chosen = usable.empty() ? all : usable;
+  if (!m_metadata.prompt) {
+    return std::move(chosen);
+  }
+  const auto wanted = m_state.wanted_weights.find(m_metadata.prompt->model);
+  if (wanted == m_state.wanted_weights.end()) {
+    return std::move(chosen);
+  }
+  std::vector<std::shared_ptr<FleetTarget>> newest;
+  for (const auto& target : chosen) {
+    const auto version =
+      target->VersionOf(m_metadata.prompt->model).value_or(0);
+    if (version >= wanted->second.Newest()) {
+      newest.push_back(target);
+    }
+  }
+  if (!newest.empty() &&
+      static_cast<double>(newest.size()) >=
+        kMinNewestShare *
+          static_cast<double>(m_state.fleet.Of(m_service).size())) {
+    return newest;
+  }
+  std::erase_if(chosen, [&](const auto& aTarget) {
+    return aTarget->VersionOf(m_metadata.prompt->model).value_or(0) <
+           wanted->second.OldestAllowed(now + kOldWeightsMargin);
+  });
+  return std::move(chosen);
+}
+
+bool
+ForwardRun::IsWorthSending(const FleetTarget& aTarget)
+{
+  if (!m_metadata.prompt || m_history.sends > 0 ||
+      !m_metadata.resume_after.empty()) {
+    return true;
+  }
+  const core::Instant now = core::RuntimeClock::now();
+  core::AdmissionInput input;
+  input.predicted = m_state.waits[m_route->name].At(aTarget.load.Requests(now));
+  input.objective = m_route->objective;
+  input.urgency = Urgency();
+  input.waiting = aTarget.load.Waiting(now);
+  if (core::IsAdmitted(input)) {
+    return true;
+  }
+  m_last_error = "not admitted: predicted " +
+                 std::to_string(input.predicted->count() / kMicrosPerMs) +
+                 " ms, objective " +
+                 std::to_string(input.objective.count() / kMicrosPerMs) +
+                 " ms, urgency " + std::to_string(input.urgency) + ", " +
+                 std::to_string(std::lround(input.waiting)) + " waiting";
+  return false;
+}
+
+std::uint32_t
+ForwardRun::Urgency() const
+{
+  return m_account != nullptr ? m_account->urgency.value_or(m_route->urgency)
+                              : m_route->urgency;
+}
+
+std::optional<core::DataCentreId>
+ForwardRun::PreferredDataCentre(
+  std::span<const std::shared_ptr<FleetTarget>> aTargets) const
+{
+  if (!m_metadata.prompt || aTargets.empty()) {
+    return std::nullopt;
+  }
+  std::uint64_t newest = 0;
+  for (const auto& target : aTargets) {
+    const auto version = target->VersionOf(m_metadata.prompt->model);
+    newest = std::max(newest, version.value_or(0));
+  }
+  return StoreDataCentreOf(
+    m_state, *m_metadata.prompt, ScopeFor(newest), m_service, m_homes);
+}
+
+core::CacheScope
+ForwardRun::ScopeFor(std::uint64_t aWeightVersion) const
+{
+  core::CacheScope scope{ m_metadata.prompt->model, aWeightVersion, {} };
+  if (m_account != nullptr && m_account->dedicated) {
+    scope.account = m_account->id;
+  }
+  return scope;
+}
+
+std::shared_ptr<FleetTarget>
+ForwardRun::ChooseTarget()
+{
+  const core::Instant now = core::RuntimeClock::now();
+  const auto targets = Candidates();
+  std::vector<core::PlacementCandidate> candidates;
+  candidates.reserve(targets.size());
+  const auto preferred = PreferredDataCentre(targets);
+  double own = 0;
+  double all = 0;
+  for (const auto& target : targets) {
+    const core::DataCentreId& target_data_centre = target->target.data_centre;
+    core::PlacementCandidate candidate;
+    candidate.name_hash = target->name_hash;
+    candidate.load = target->load.Requests(now);
+    candidate.is_near = target_data_centre == m_state.options.data_centre;
+    candidate.is_near_store = preferred && target_data_centre == *preferred;
+    own += target->load.Own();
+    all += candidate.load;
+    candidates.push_back(candidate);
+  }
+  m_state.shares[m_service].AddSample(own, all);
+  const bool has_home = m_metadata.prompt && !m_metadata.prompt->parts.empty();
+  const auto index =
+    has_home
+      ? core::PlacePrompt(
+          core::PlacementHash(m_metadata.prompt->AffinityPart()), candidates)
+      : core::PlaceByTwoChoices(m_state.random(), candidates);
+  return index ? targets[*index] : nullptr;
+}
+
+} // namespace jujubehead::node
