--- a/src/jujubehead/app/command_line_test.cpp
+++ b/src/jujubehead/app/command_line_test.cpp
@@ -32,6 +32,13 @@
   {
     return std::get<T>(Read(aArguments).value());
   }
+  static std::vector<std::string> Drain(std::vector<std::string> aArguments)
+  {
+    aArguments.insert(aArguments.begin(), "drain");
+    aArguments.push_back("--table_service=127.0.0.1:2");
+    aArguments.push_back("--object_store=127.0.0.1:3");
+    return aArguments;
+  }
   static std::vector<std::string> Serve()
   {
     return { "serve",
@@ -157,45 +164,31 @@
 
 TEST(CommandLine, DrainNamesItsKind)
 {
-  const std::vector<std::string> platform = { "--table_service=127.0.0.1:2",
-                                              "--object_store=127.0.0.1:3" };
-  const auto drain = [&](std::vector<std::string> aArguments) {
-    aArguments.insert(aArguments.begin(), "drain");
-    aArguments.insert(aArguments.end(), platform.begin(), platform.end());
-    return aArguments;
-  };
-  const auto target = As<DrainCommand>(drain({ "t1", "--deadline=60" }));
+  const auto target = As<DrainCommand>(Drain({ "t1", "--deadline=60" }));
   CHECK(target.subject.kind == StopKind::kTarget);
   CHECK_EQUAL(60U, target.deadline_s);
-  const auto instance = As<DrainCommand>(drain({ "instance:i1", "--undo" }));
+  const auto instance = As<DrainCommand>(Drain({ "instance:i1", "--undo" }));
   CHECK(instance.subject.kind == StopKind::kInstance);
   CHECK_EQUAL(std::string("i1"), instance.subject.id);
   CHECK(instance.undo);
-  CHECK(FindingsOf(drain({ "rack:7" }))
+  CHECK(FindingsOf(Drain({ "rack:7" }))
           .starts_with("arguments: unknown kind 'rack'"));
 }
 
 TEST(CommandLine, DrainTakesADataCentreByFlagOrKind)
 {
-  const std::vector<std::string> platform = { "--table_service=127.0.0.1:2",
-                                              "--object_store=127.0.0.1:3" };
-  const auto drain = [&](std::vector<std::string> aArguments) {
-    aArguments.insert(aArguments.begin(), "drain");
-    aArguments.insert(aArguments.end(), platform.begin(), platform.end());
-    return aArguments;
-  };
   for (const char* argument : { "data_centre:kochi-1",
                                 "--data_centre=kochi-1",
                                 "--data-centre=kochi-1" }) {
-    const auto command = As<DrainCommand>(drain({ argument }));
+    const auto command = As<DrainCommand>(Drain({ argument }));
     CHECK(command.subject.kind == StopKind::kDataCentre);
     CHECK_EQUAL(std::string("kochi-1"), command.subject.id);
   }
-  CHECK(FindingsOf(drain({ "t1", "--data_centre=kochi-1" }))
+  CHECK(FindingsOf(Drain({ "t1", "--data_centre=kochi-1" }))
           .find("'t1' is too much") != std::string::npos);
   // The environment's data centre, of an instance, is not the one to drain.
   variables["JUJUBEHEAD_DATA_CENTRE"] = "kochi-1";
-  CHECK(FindingsOf(drain({})).find("[KIND:]ID is given") != std::string::npos);
+  CHECK(FindingsOf(Drain({})).find("[KIND:]ID is given") != std::string::npos);
 }
 
 TEST(CommandLine, RegionsAreParsed)
--- a/src/jujubehead/core/lease_reaper.cpp
+++ b/src/jujubehead/core/lease_reaper.cpp
@@ -64,48 +64,43 @@
   }
 }
 
-bool
-LeaseReaper::HasGranted(const Incarnation& aLease,
-                        const Incarnation& aWitness) const
+const VoteReply*
+LeaseReaper::ReplyOf(const Incarnation& aLease, const InstanceId& aVoter) const
 {
   const auto found = m_polls.find(aLease);
   if (found == m_polls.end()) {
-    return false;
+    return nullptr;
   }
-  const auto reply = found->second.replies.find(aWitness.instance);
-  return reply != found->second.replies.end() &&
-         reply->second.voter == aWitness &&
-         reply->second.vote == Vote::kGranted;
+  const auto reply = found->second.replies.find(aVoter);
+  return reply == found->second.replies.end() ? nullptr : &reply->second;
+}
+
+bool
+LeaseReaper::HasGranted(const Incarnation& aLease,
+                        const Incarnation& aWitness) const
+{
+  const VoteReply* reply = ReplyOf(aLease, aWitness.instance);
+  return reply != nullptr && reply->voter == aWitness &&
+         reply->vote == Vote::kGranted;
 }
 
 bool
 LeaseReaper::HasReleased(const Incarnation& aLease,
                          const Incarnation& aProcess) const
 {
-  const auto found = m_polls.find(aLease);
-  if (found == m_polls.end()) {
-    return false;
-  }
-  const auto reply = found->second.replies.find(aProcess.instance);
-  return reply != found->second.replies.end() &&
-         reply->second.voter.IsSameProcess(aProcess) &&
-         reply->second.vote == Vote::kGranted;
+  const VoteReply* reply = ReplyOf(aLease, aProcess.instance);
+  return reply != nullptr && reply->voter.IsSameProcess(aProcess) &&
+         reply->vote == Vote::kGranted;
 }
 
 std::optional<Incarnation>
 LeaseReaper::CandidateOf(const Incarnation& aLease,
                          const Incarnation& aWitness) const
 {
-  const auto found = m_polls.find(aLease);
-  if (found == m_polls.end()) {
-    return std::nullopt;
-  }
-  const auto reply = found->second.replies.find(aWitness.instance);
-  if (reply == found->second.replies.end() || reply->second.voter != aWitness ||
-      reply->second.vote != Vote::kGrantedToOther) {
-    return std::nullopt;
-  }
-  return reply->second.voted_for;
+  const VoteReply* reply = ReplyOf(aLease, aWitness.instance);
+  const bool has_voted = reply != nullptr && reply->voter == aWitness &&
+                         reply->vote == Vote::kGrantedToOther;
+  return has_voted ? std::optional(reply->voted_for) : std::nullopt;
 }
 
 void
--- a/src/jujubehead/core/lease_reaper.hpp
+++ b/src/jujubehead/core/lease_reaper.hpp
@@ -66,6 +66,9 @@
     Instant now;
   };
 
+  /// @return the last reply of a voter; null if it has not replied.
+  [[nodiscard]] const VoteReply* ReplyOf(const Incarnation& aLease,
+                                         const InstanceId& aVoter) const;
   [[nodiscard]] static bool IsGone(const Poll& aPoll,
                                    const Incarnation& aMember,
                                    const Context& aContext);
