--- a/src/jujubehead/core/routing/cold_start.cpp
+++ b/src/jujubehead/core/routing/cold_start.cpp
@@ -3,6 +3,7 @@
 #include <algorithm> // for max
 
 namespace jujubehead::core {
+
 void
 ColdStart::OnCold(Instant aNow, Instant aUntil)
 {
--- a/src/jujubehead/node/forward/target_choice.cpp
+++ b/src/jujubehead/node/forward/target_choice.cpp
@@ -34,9 +34,13 @@
   const core::Instant now = core::RuntimeClock::now();
   core::Instant first = core::Instant::max();
   for (const auto& target : m_state.fleet.Of(m_service)) {
-    if (IsAllowed(*target) && target->cold_start.IsCold(now)) {
-      first = std::min(first, target->cold_start.ColdUntil());
+    if (!IsAllowed(*target)) {
+      continue;
+    }
+    if (!target->cold_start.IsCold(now)) {
+      return;
     }
+    first = std::min(first, target->cold_start.ColdUntil());
   }
   if (first != core::Instant::max()) {
     m_last_error = "all targets are cold";
