--- a/src/jujubehead/core/ownership_tick.cpp
+++ b/src/jujubehead/core/ownership_tick.cpp
@@ -1,4 +1,4 @@
-#include <algorithm> // for find, all_of
+#include <algorithm> // for any_of
 #include <utility>   // for move
 
 #include "jujubehead/core/rendezvous.hpp" // for RankByRendezvous
