Registry: only changes of targets reach the traffic thread

Cause: each page of the registry that changed anything handed all targets to the traffic thread and the rollout coordinator, which rebuilt their maps. The coordinator asked for outdated targets by building a list of all at each wake-up, and searched the smallest of all outdated ones again for each that starts.

TargetDirectory now collects what changed (TakeChanges), TargetFleet and RolloutCoordinator apply that, the coordinator keeps a set of outdated targets, and NextToLoad sorts them once by version and data centre.

Ruled out: a rate limit on whole lists delays leaving targets and stays linear.

Growth tests: 25 of 5,000, 10,000 and 20,000 targets leave while all report: 25 changes are handed on at each size (all targets before; the test does not compile on the old code, which has no way to ask for changes). A property test holds the changes against Targets() over arbitrary sequences. NextToLoad has no test that counts its operations.

--- a/include/jujubehead/core/routing/target_directory.hpp
+++ b/include/jujubehead/core/routing/target_directory.hpp
@@ -1,9 +1,11 @@
 #ifndef JUJUBEHEAD_CORE_ROUTING_TARGET_DIRECTORY_HPP
 #define JUJUBEHEAD_CORE_ROUTING_TARGET_DIRECTORY_HPP
 
+#include <cstddef>  // for size_t
 #include <cstdint>  // for uint64_t, uint32_t
 #include <map>      // for map
 #include <optional> // for optional
+#include <set>      // for set
 #include <string>   // for string
 #include <vector>   // for vector
 
@@ -98,8 +100,14 @@
   bool Tick(Instant aNow);
 
   [[nodiscard]] std::vector<RegisteredTarget> Targets() const;
+  /// @return how the result of Targets() has changed since the last call, each
+  /// target once. Costs as much as there are changes, however many targets.
+  [[nodiscard]] std::vector<RegistrationChange> TakeChanges();
+  [[nodiscard]] std::size_t Size() const { return m_entries.size(); }
+  /// @return the number of targets that are draining.
+  [[nodiscard]] std::size_t LeavingCount() const { return m_leaving; }
   /// @return the number of targets whose registration has expired.
-  [[nodiscard]] std::size_t ExpiredCount() const;
+  [[nodiscard]] std::size_t ExpiredCount() const { return m_expired; }
 
 private:
   struct Entry
@@ -117,10 +125,16 @@
   [[nodiscard]] bool IsLateReport(const RegisteredTarget& aTarget) const;
   bool Remove(const TargetId& aId, Instant aNow);
   [[nodiscard]] bool IsReregistering(Instant aNow) const;
+  /// @brief Adds an entry to the counts, or takes it off, around its change.
+  void Count(const Entry& aEntry);
+  void Uncount(const Entry& aEntry);
 
   TargetDirectoryOptions m_options;
   std::map<TargetId, Entry> m_entries;
   std::map<TargetId, Removed> m_removed;
+  std::set<TargetId> m_changed; ///< Since the last TakeChanges().
+  std::size_t m_leaving = 0;
+  std::size_t m_expired = 0;
   bool m_is_unavailable = false;
   std::optional<Instant> m_outage_end; ///< Of the registry's last outage.
 };
--- a/src/jujubehead/core/routing/target_directory.cpp
+++ b/src/jujubehead/core/routing/target_directory.cpp
@@ -1,7 +1,6 @@
 #include "jujubehead/core/routing/target_directory.hpp"
 
-#include <algorithm> // for find_if, count_if
-#include <set>       // for set
+#include <algorithm> // for find_if
 #include <tuple>     // for tie
 #include <utility>   // for move
 
@@ -100,6 +99,8 @@
   const auto [entry, is_new] =
     m_entries.try_emplace(aTarget.id, Entry{ aTarget, std::nullopt });
   if (is_new) {
+    Count(entry->second);
+    m_changed.insert(aTarget.id);
     return true;
   }
   Entry& known = entry->second;
@@ -109,12 +110,17 @@
   if (!IsOlder(known.target, aTarget)) {
     aTarget.cold_until = known.target.cold_until; // The same report again.
   }
+  Uncount(known);
   known.kept_until.reset();
   aTarget.leaving |=
     known.target.leaving && known.target.started_ms == aTarget.started_ms;
   const bool changed = !IsSameForRouting(aTarget, known.target) ||
                        ChangesColdPeriod(known.target, aTarget);
+  if (changed) {
+    m_changed.insert(aTarget.id);
+  }
   known.target = std::move(aTarget);
+  Count(known);
   return changed;
 }
 
@@ -128,11 +134,14 @@
   if (IsReregistering(aNow) && !found->second.target.leaving) {
     if (!found->second.kept_until) {
       found->second.kept_until = *m_outage_end + m_options.reregistration_time;
+      ++m_expired;
     }
     return false;
   }
+  Uncount(found->second);
   m_removed[aId] = { found->second.target, aNow };
   m_entries.erase(found);
+  m_changed.insert(aId);
   return true;
 }
 
@@ -176,12 +185,52 @@
   std::erase_if(m_removed, [&](const auto& aEntry) {
     return aNow - aEntry.second.since > m_options.removed_retention;
   });
+  if (m_expired == 0) {
+    return false;
+  }
   const std::size_t dropped = std::erase_if(m_entries, [&](const auto& aEntry) {
-    return aEntry.second.kept_until && aNow >= *aEntry.second.kept_until;
+    const Entry& entry = aEntry.second;
+    const bool is_due = entry.kept_until && aNow >= *entry.kept_until;
+    if (is_due) {
+      Uncount(entry);
+      m_changed.insert(aEntry.first);
+    }
+    return is_due;
   });
   return dropped != 0;
 }
 
+void
+TargetDirectory::Count(const Entry& aEntry)
+{
+  m_leaving += aEntry.target.leaving ? 1 : 0;
+  m_expired += aEntry.kept_until ? 1 : 0;
+}
+
+void
+TargetDirectory::Uncount(const Entry& aEntry)
+{
+  m_leaving -= aEntry.target.leaving ? 1 : 0;
+  m_expired -= aEntry.kept_until ? 1 : 0;
+}
+
+std::vector<RegistrationChange>
+TargetDirectory::TakeChanges()
+{
+  std::vector<RegistrationChange> changes;
+  changes.reserve(m_changed.size());
+  for (const TargetId& id : m_changed) {
+    const auto found = m_entries.find(id);
+    changes.push_back(
+      { id,
+        found == m_entries.end()
+          ? std::nullopt
+          : std::optional<RegisteredTarget>(found->second.target) });
+  }
+  m_changed.clear();
+  return changes;
+}
+
 std::vector<RegisteredTarget>
 TargetDirectory::Targets() const
 {
@@ -193,13 +242,4 @@
   return targets;
 }
 
-std::size_t
-TargetDirectory::ExpiredCount() const
-{
-  return static_cast<std::size_t>(
-    std::count_if(m_entries.begin(), m_entries.end(), [](const auto& aEntry) {
-      return aEntry.second.kept_until.has_value();
-    }));
-}
-
 } // namespace jujubehead::core
--- a/src/jujubehead/core/routing/target_directory_test.cpp
+++ b/src/jujubehead/core/routing/target_directory_test.cpp
@@ -1,6 +1,9 @@
 #include "jujubehead/core/routing/target_directory.hpp"
 
+#include <map> // for map
+
 #include <CppUTest/TestHarness.h> // for TEST
+#include <rapidcheck.h>           // for rc::check
 
 using namespace jujubehead::core;
 using std::chrono::milliseconds;
@@ -160,3 +163,85 @@
   CHECK(book.Targets().front().cold_until == Instant{});
   CHECK_FALSE(book.Apply({ Put(TargetAt("t1", 5)) }, now + milliseconds(1100)));
 }
+
+// Whoever applies only the changes must have the same targets as one that reads
+// all of them, whatever happens in between.
+TEST(TargetDirectory, ChangesLeadToTheSameTargets)
+{
+  const bool holds = rc::check([] {
+    TargetDirectory directory({});
+    Instant at{ std::chrono::seconds(100) };
+    directory.OnAnswer(at);
+    std::map<TargetId, RegisteredTarget> mirror;
+    const auto steps = *rc::gen::inRange(1, 50);
+    for (int i = 0; i < steps; ++i) {
+      at += milliseconds(*rc::gen::inRange(1, 1500));
+      const std::string id(1, static_cast<char>('a' + *rc::gen::inRange(0, 5)));
+      const auto heartbeat = static_cast<std::uint64_t>(i);
+      switch (*rc::gen::inRange(0, 7)) {
+        case 0:
+          directory.Apply({ Gone(id) }, at);
+          break;
+        case 1:
+          directory.OnNoResponse();
+          break;
+        case 2:
+          directory.OnAnswer(at);
+          break;
+        case 3:
+          directory.Replace({ TargetAt(id, heartbeat) }, at);
+          break;
+        case 4: {
+          RegisteredTarget leaving = TargetAt(id, heartbeat);
+          leaving.leaving = true;
+          directory.Apply({ Put(leaving) }, at);
+          break;
+        }
+        default:
+          directory.Apply({ Put(TargetAt(id, heartbeat)) }, at);
+      }
+      directory.Tick(at);
+      for (const RegistrationChange& change : directory.TakeChanges()) {
+        if (change.target) {
+          mirror.insert_or_assign(change.id, *change.target);
+        } else {
+          mirror.erase(change.id);
+        }
+      }
+      const auto targets = directory.Targets();
+      RC_ASSERT(targets.size() == mirror.size());
+      RC_ASSERT(targets.size() == directory.Size());
+      std::size_t leaving = 0;
+      for (const RegisteredTarget& target : targets) {
+        RC_ASSERT(mirror.contains(target.id));
+        RC_ASSERT(mirror.at(target.id).leaving == target.leaving);
+        leaving += target.leaving ? 1 : 0;
+      }
+      RC_ASSERT(directory.LeavingCount() == leaving);
+    }
+  });
+  CHECK(holds);
+}
+
+// The cost of a page of the registry follows its changes, not the fleet.
+TEST(TargetDirectory, ChangesDoNotGrowWithTheTargets)
+{
+  constexpr std::size_t kLeaving = 25;
+  for (const std::size_t count : { 5000U, 10000U, 20000U }) {
+    TargetDirectory directory({});
+    directory.OnAnswer(now);
+    std::vector<RegistrationChange> page;
+    for (std::size_t i = 0; i < count; ++i) {
+      page.push_back(Put(TargetAt("t" + std::to_string(i), 1)));
+    }
+    directory.Apply(page, now);
+    LONGS_EQUAL(count, directory.TakeChanges().size());
+    for (std::size_t i = 0; i < count; ++i) {
+      page[i].target->heartbeat = 2;
+      page[i].target->leaving = i < kLeaving;
+    }
+    directory.Apply(page, now);
+    LONGS_EQUAL(kLeaving, directory.TakeChanges().size());
+    CHECK(directory.TakeChanges().empty());
+  }
+}
--- a/src/jujubehead/core/weights/rollout.cpp
+++ b/src/jujubehead/core/weights/rollout.cpp
@@ -1,6 +1,7 @@
 #include "jujubehead/core/weights/rollout.hpp"
 
 #include <algorithm> // for min, max, min_element
+#include <deque>     // for deque
 #include <utility>   // for make_pair
 
 #include <nlohmann/json.hpp> // for json
@@ -9,6 +10,8 @@
 namespace {
 
 using nlohmann::json;
+/// Targets in the order of the span that they lie in.
+using Queue = std::deque<const RolloutTarget*>;
 
 /// A third of the targets load at once. Loading takes two to three seconds,
 /// including the end of running requests, so three rounds complete within the
@@ -90,29 +93,37 @@
 {
   std::map<DataCentreId, std::size_t> loading;
   std::size_t all_loading = 0;
-  std::vector<const RolloutTarget*> outdated;
+  // By version, then by data centre, in the order of the targets.
+  std::map<std::uint64_t, std::map<DataCentreId, Queue>> outdated;
   for (const RolloutTarget& target : aTargets) {
     if (target.is_loading) {
       ++loading[target.data_centre];
       ++all_loading;
     } else if (target.version < aWanted && !target.is_unanswered &&
                aNow >= target.not_before) {
-      outdated.push_back(&target);
+      outdated[target.version][target.data_centre].push_back(&target);
     }
   }
   std::vector<TargetId> next;
   const std::size_t width = RolloutWidth(aTargets.size());
   while (!outdated.empty() && all_loading + next.size() < width) {
+    auto& by_data_centre = outdated.begin()->second;
     const auto best = std::min_element(
-      outdated.begin(),
-      outdated.end(),
-      [&](const auto* aOne, const auto* aOther) {
-        return std::make_pair(aOne->version, loading[aOne->data_centre]) <
-               std::make_pair(aOther->version, loading[aOther->data_centre]);
+      by_data_centre.begin(),
+      by_data_centre.end(),
+      [&](const auto& aOne, const auto& aOther) {
+        return std::make_pair(loading[aOne.first], aOne.second.front()) <
+               std::make_pair(loading[aOther.first], aOther.second.front());
       });
-    ++loading[(*best)->data_centre];
-    next.push_back((*best)->id);
-    outdated.erase(best);
+    ++loading[best->first];
+    next.push_back(best->second.front()->id);
+    best->second.pop_front();
+    if (best->second.empty()) {
+      by_data_centre.erase(best);
+    }
+    if (by_data_centre.empty()) {
+      outdated.erase(outdated.begin());
+    }
   }
   return next;
 }
--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -320,7 +320,6 @@
   if (!aUpdate.is_from_cache) {
     m_book.OnAnswer(now);
   }
-  bool changed = !m_registry_read;
   if (aIsAll) {
     std::vector<core::RegisteredTarget> all;
     for (const core::RegistrationChange& change : aUpdate.changes) {
@@ -328,14 +327,12 @@
         all.push_back(*change.target);
       }
     }
-    changed |= m_book.Replace(all, now);
+    m_book.Replace(all, now);
   } else {
-    changed |= m_book.Apply(aUpdate.changes, now);
+    m_book.Apply(aUpdate.changes, now);
   }
   m_registry_read = true;
-  if (changed) {
-    PublishTargets();
-  }
+  PublishTargets();
 }
 
 void
@@ -411,19 +408,18 @@
 void
 EntryControl::PublishTargets()
 {
-  auto targets = m_book.Targets();
-  m_target_count = targets.size();
-  std::size_t leaving = 0;
-  for (const core::RegisteredTarget& target : targets) {
-    leaving += target.leaving ? 1 : 0;
+  std::vector<core::RegistrationChange> changes = m_book.TakeChanges();
+  if (changes.empty()) {
+    return;
   }
   DecisionLog::WriteUnthrottled(
     LogLine("targets_changed")
-      .Add("targets", std::uint64_t(targets.size()))
-      .Add("leaving", std::uint64_t(leaving))
+      .Add("targets", std::uint64_t(m_book.Size()))
+      .Add("changed", std::uint64_t(changes.size()))
+      .Add("leaving", std::uint64_t(m_book.LeavingCount()))
       .Add("lapsed", std::uint64_t(m_book.ExpiredCount())));
-  m_rollout.SetTargets(targets);
-  m_forwarder.SetTargets(std::move(targets));
+  m_rollout.ApplyTargets(changes);
+  m_forwarder.ApplyTargets(std::move(changes));
 }
 
 asio::awaitable<void>
@@ -431,9 +427,8 @@
 {
   for (;;) {
     co_await net::Sleep(kTickInterval);
-    if (m_book.Tick(core::RuntimeClock::now())) {
-      PublishTargets();
-    }
+    m_book.Tick(core::RuntimeClock::now());
+    PublishTargets();
   }
 }
 
--- a/src/jujubehead/node/control/entry_control.hpp
+++ b/src/jujubehead/node/control/entry_control.hpp
@@ -49,7 +49,7 @@
   [[nodiscard]] RowCache& CachedRows() const { return *m_platform.row_cache; }
   /// @return the exchange that answers polls of other instances.
   [[nodiscard]] HubExchange& Hubs() { return m_hubs; }
-  [[nodiscard]] std::size_t Targets() const { return m_target_count; }
+  [[nodiscard]] std::size_t Targets() const { return m_book.Size(); }
   /// @return the planned stops of data centres.
   [[nodiscard]] const core::DataCentreStops& Stops() const { return m_stops; }
   /// @return metrics of the wanted weights.
@@ -95,7 +95,6 @@
   bool m_registry_read = false;
   std::uint64_t m_operator_cursor = 0;
   std::uint64_t m_registry_cursor = 0;
-  std::size_t m_target_count = 0;
   WeightsDeadlines m_deadlines;
   RolloutCoordinator m_rollout;
   BlockReclaimer m_reclaimer;
--- a/src/jujubehead/node/control/rollout_coordinator.cpp
+++ b/src/jujubehead/node/control/rollout_coordinator.cpp
@@ -103,14 +103,66 @@
   std::map<core::ModelId, core::DesiredWeights> aWanted)
 {
   m_wanted = std::move(aWanted);
+  for (const auto& [model, wanted] : m_wanted) {
+    for (const auto& [id, target] : m_targets) {
+      UpdateOutdated(model, id);
+    }
+  }
   Wake();
 }
 
 void
-RolloutCoordinator::SetTargets(std::vector<core::RegisteredTarget> aTargets)
+RolloutCoordinator::ApplyTargets(
+  const std::vector<core::RegistrationChange>& aChanges)
 {
-  m_targets = std::move(aTargets);
-  Wake();
+  for (const core::RegistrationChange& change : aChanges) {
+    if (change.target) {
+      m_targets.insert_or_assign(change.id, *change.target);
+    } else {
+      m_targets.erase(change.id);
+    }
+    for (const auto& [model, wanted] : m_wanted) {
+      UpdateOutdated(model, change.id);
+    }
+  }
+  if (HasWork()) {
+    Wake();
+  }
+}
+
+void
+RolloutCoordinator::UpdateOutdated(const core::ModelId& aModel,
+                                   const core::TargetId& aTarget)
+{
+  const auto wanted = m_wanted.find(aModel);
+  const auto target = m_targets.find(aTarget);
+  const auto version = target == m_targets.end()
+                         ? std::nullopt
+                         : VersionAt(target->second, aModel);
+  if (version && wanted != m_wanted.end() &&
+      *version < wanted->second.Newest()) {
+    m_outdated[aModel].insert(aTarget);
+  } else {
+    m_outdated[aModel].erase(aTarget);
+  }
+}
+
+std::optional<std::uint64_t>
+RolloutCoordinator::VersionAt(const core::RegisteredTarget& aTarget,
+                              const core::ModelId& aModel) const
+{
+  const auto registered = aTarget.VersionOf(aModel);
+  if (!registered || aTarget.leaving) {
+    return std::nullopt;
+  }
+  const auto rollout = m_rollouts.find(aModel);
+  if (rollout == m_rollouts.end()) {
+    return registered;
+  }
+  const auto loaded = rollout->second.loaded.find(aTarget.id);
+  return loaded == rollout->second.loaded.end()
+           ? registered
+           : std::max(*registered, loaded->second);
 }
 
 void
@@ -174,6 +226,7 @@
   std::uint64_t& known = m_rollouts[aModel].loaded[aTarget];
   if (aVersion > known) {
     known = aVersion;
+    UpdateOutdated(aModel, aTarget);
     m_forwarder.OnWeightsLoaded(aTarget, { aModel, aVersion });
   }
 }
@@ -201,21 +254,17 @@
 {
   std::vector<core::RolloutTarget> targets;
   const auto found = m_rollouts.find(aModel);
-  for (const core::RegisteredTarget& target : m_targets) {
-    const auto registered = target.VersionOf(aModel);
-    if (!registered || target.leaving) {
+  for (const auto& [id, target] : m_targets) {
+    const auto version = VersionAt(target, aModel);
+    if (!version) {
       continue;
     }
     core::RolloutTarget one;
-    one.id = target.id;
+    one.id = id;
     one.data_centre = target.data_centre;
-    one.version = *registered;
+    one.version = *version;
     if (found != m_rollouts.end()) {
       const Rollout& rollout = found->second;
-      if (const auto loaded = rollout.loaded.find(target.id);
-          loaded != rollout.loaded.end()) {
-        one.version = std::max(one.version, loaded->second);
-      }
       one.is_loading = rollout.loading.contains(target.id);
       one.is_unanswered = rollout.unanswered.contains(target.id);
       if (const auto wait = rollout.not_before.find(target.id);
@@ -232,12 +281,8 @@
 RolloutCoordinator::HasWork() const
 {
   return std::any_of(
-    m_wanted.begin(), m_wanted.end(), [&](const auto& aWanted) {
-      const auto targets = TargetsOf(aWanted.first);
-      return std::any_of(
-        targets.begin(), targets.end(), [&](const auto& aTarget) {
-          return aTarget.version < aWanted.second.Newest();
-        });
+    m_outdated.begin(), m_outdated.end(), [](const auto& aOutdated) {
+      return !aOutdated.second.empty();
     });
 }
 
@@ -306,11 +351,10 @@
   for (const auto& [model, wanted] : m_wanted) {
     const auto next = core::NextToLoad(
       TargetsOf(model), wanted.Newest(), core::RuntimeClock::now());
-    for (const core::RegisteredTarget& target : m_targets) {
-      if (std::find(next.begin(), next.end(), target.id) != next.end()) {
-        m_rollouts[model].loading.insert(target.id);
-        asio::co_spawn(m_context, LoadTarget(model, target), asio::detached);
-      }
+    for (const core::TargetId& id : next) {
+      m_rollouts[model].loading.insert(id);
+      asio::co_spawn(
+        m_context, LoadTarget(model, m_targets.at(id)), asio::detached);
     }
     if (!next.empty()) {
       PublishLoading();
--- a/src/jujubehead/node/control/rollout_coordinator.hpp
+++ b/src/jujubehead/node/control/rollout_coordinator.hpp
@@ -1,6 +1,7 @@
 #ifndef JUJUBEHEAD_NODE_CONTROL_ROLLOUT_COORDINATOR_HPP
 #define JUJUBEHEAD_NODE_CONTROL_ROLLOUT_COORDINATOR_HPP
 
+#include <cstdint>  // for uint64_t
 #include <map>      // for map
 #include <optional> // for optional
 #include <set>      // for set
@@ -38,7 +39,8 @@
   /// @brief This instance is shutting down.
   void BeginStop() { m_lease.Retire(); }
   void SetWanted(std::map<core::ModelId, core::DesiredWeights> aWanted);
-  void SetTargets(std::vector<core::RegisteredTarget> aTargets);
+  /// @brief Applies changes of the registered targets.
+  void ApplyTargets(const std::vector<core::RegistrationChange>& aChanges);
   void OnSharedUpdate(const SharedUpdate& aUpdate, bool aIsAll);
   [[nodiscard]] bool HoldsLease() const;
 
@@ -90,9 +92,17 @@
   void ReadState(const core::ModelId& aModel, const SharedRow& aRow);
   void PublishLoading();
   void Wake();
+  /// @brief Notes whether a target has older weights of a model than wanted.
+  void UpdateOutdated(const core::ModelId& aModel,
+                      const core::TargetId& aTarget);
   [[nodiscard]] bool HasWork() const;
   [[nodiscard]] std::vector<core::RolloutTarget> TargetsOf(
     const core::ModelId& aModel) const;
+  /// @return the newest version that a target is known to hold; nothing when it
+  /// has none or is leaving.
+  [[nodiscard]] std::optional<std::uint64_t> VersionAt(
+    const core::RegisteredTarget& aTarget,
+    const core::ModelId& aModel) const;
 
   boost::asio::io_context& m_context;
   SharedRows& m_shared;
@@ -102,7 +112,8 @@
   core::CoordinatorLease m_lease;
   net::Timer m_wake;
   std::map<core::ModelId, core::DesiredWeights> m_wanted;
-  std::vector<core::RegisteredTarget> m_targets;
+  std::map<core::TargetId, core::RegisteredTarget> m_targets;
+  std::map<core::ModelId, std::set<core::TargetId>> m_outdated;
   std::map<core::ModelId, Rollout> m_rollouts;
   std::set<core::TargetId> m_published;
 };
--- a/src/jujubehead/node/forward/forwarder.cpp
+++ b/src/jujubehead/node/forward/forwarder.cpp
@@ -186,10 +186,10 @@
 }
 
 void
-Forwarder::SetTargets(std::vector<core::RegisteredTarget> aTargets)
+Forwarder::ApplyTargets(std::vector<core::RegistrationChange> aChanges)
 {
-  asio::post(m_context, [this, targets = std::move(aTargets)] {
-    m_state.fleet.Update(targets);
+  asio::post(m_context, [this, changes = std::move(aChanges)] {
+    m_state.fleet.Apply(changes);
   });
 }
 
--- a/src/jujubehead/node/forward/forwarder.hpp
+++ b/src/jujubehead/node/forward/forwarder.hpp
@@ -57,7 +57,7 @@
   [[nodiscard]] std::uint16_t Port() const;
 
   void SetConfiguration(std::shared_ptr<const core::Configuration> aValue);
-  void SetTargets(std::vector<core::RegisteredTarget> aTargets);
+  void ApplyTargets(std::vector<core::RegistrationChange> aChanges);
   void SetLoading(std::set<core::TargetId> aTargets);
   /// @brief Sets which data centres have a planned stop.
   /// @param aEnded those whose stop has just ended.
--- a/src/jujubehead/node/forward/target_fleet.cpp
+++ b/src/jujubehead/node/forward/target_fleet.cpp
@@ -118,52 +118,105 @@
 void
 TargetFleet::Update(const std::vector<core::RegisteredTarget>& aTargets)
 {
-  const core::Instant now = core::RuntimeClock::now();
-  auto before = std::move(m_targets);
-  m_targets.clear();
-  m_by_service.clear();
-  m_by_key.clear();
+  std::set<core::TargetId> present;
   for (const core::RegisteredTarget& target : aTargets) {
-    const auto endpoint = FindEndpoint(target.address);
-    if (!endpoint) {
-      LogWarning("targets",
-                 "target=" + target.id.Text() +
-                   " left_out=address_unreadable address=" + target.address);
-      continue;
+    present.insert(target.id);
+    Put(target);
+  }
+  std::vector<core::TargetId> absent;
+  for (const auto& [id, target] : m_targets) {
+    if (!present.contains(id)) {
+      absent.push_back(id);
     }
-    std::shared_ptr<FleetTarget> known;
-    const auto found = before.find(target.id);
-    if (found != before.end() && found->second->endpoint == *endpoint &&
-        found->second->target.started_ms == target.started_ms) {
-      known = std::move(found->second);
-      before.erase(found);
+  }
+  for (const core::TargetId& id : absent) {
+    Remove(id);
+  }
+}
+
+void
+TargetFleet::Apply(const std::vector<core::RegistrationChange>& aChanges)
+{
+  for (const core::RegistrationChange& change : aChanges) {
+    if (change.target) {
+      Put(*change.target);
     } else {
-      known = std::make_shared<FleetTarget>();
-      known->name_hash = core::PlacementHash(target.id.View());
-      auto& usual = m_usual[target.service];
-      if (!usual) {
-        usual = std::make_shared<core::ServiceLoadAverage>();
-      }
-      known->load = core::LoadEstimate(usual);
-      known->endpoint = *endpoint;
-    }
-    known->target = target;
-    known->is_gone = target.leaving;
-    known->is_stopped = m_stopped.contains(target.data_centre);
-    known->is_loading = m_loading.contains(target.id);
-    UpdateColdStart(*known, now);
-    ApplyEndOfStop(*known, now);
-    if (known->is_gone) {
-      known->CloseIdleConnections();
+      Remove(change.id);
     }
-    m_targets.emplace(target.id, known);
-    m_by_key.emplace(core::KeyOf(target.id), known);
-    m_by_service[target.service].push_back(known);
   }
-  for (const auto& [id, removed] : before) {
-    removed->is_gone = true;
-    removed->CloseIdleConnections();
+}
+
+void
+TargetFleet::Put(const core::RegisteredTarget& aTarget)
+{
+  const auto endpoint = FindEndpoint(aTarget.address);
+  if (!endpoint) {
+    LogWarning("targets",
+               "target=" + aTarget.id.Text() +
+                 " left_out=address_unreadable address=" + aTarget.address);
+    Remove(aTarget.id);
+    return;
+  }
+  std::shared_ptr<FleetTarget> known = Find(aTarget.id);
+  const bool is_same = known && known->endpoint == *endpoint &&
+                       known->target.started_ms == aTarget.started_ms &&
+                       known->target.service == aTarget.service;
+  if (!is_same) {
+    Remove(aTarget.id);
+    known = Insert(aTarget, *endpoint);
+  }
+  const core::Instant now = core::RuntimeClock::now();
+  known->target = aTarget;
+  known->is_gone = aTarget.leaving;
+  known->is_stopped = m_stopped.contains(aTarget.data_centre);
+  known->is_loading = m_loading.contains(aTarget.id);
+  UpdateColdStart(*known, now);
+  ApplyEndOfStop(*known, now);
+  if (known->is_gone) {
+    known->CloseIdleConnections();
+  }
+}
+
+std::shared_ptr<FleetTarget>
+TargetFleet::Insert(const core::RegisteredTarget& aTarget,
+                    const boost::asio::ip::tcp::endpoint& aEndpoint)
+{
+  auto target = std::make_shared<FleetTarget>();
+  target->target = aTarget;
+  target->name_hash = core::PlacementHash(aTarget.id.View());
+  target->endpoint = aEndpoint;
+  auto& usual = m_usual[aTarget.service];
+  if (!usual) {
+    usual = std::make_shared<core::ServiceLoadAverage>();
+  }
+  target->load = core::LoadEstimate(usual);
+  auto& service = m_by_service[aTarget.service];
+  target->service_index = service.size();
+  service.push_back(target);
+  m_targets.emplace(aTarget.id, target);
+  m_by_key[core::KeyOf(aTarget.id)] = target;
+  return target;
+}
+
+void
+TargetFleet::Remove(const core::TargetId& aId)
+{
+  const auto found = m_targets.find(aId);
+  if (found == m_targets.end()) {
+    return;
+  }
+  const std::shared_ptr<FleetTarget> removed = std::move(found->second);
+  m_targets.erase(found);
+  auto& service = m_by_service.at(removed->target.service);
+  std::swap(service[removed->service_index], service.back());
+  service[removed->service_index]->service_index = removed->service_index;
+  service.pop_back();
+  const auto by_key = m_by_key.find(core::KeyOf(aId));
+  if (by_key != m_by_key.end() && by_key->second == removed) {
+    m_by_key.erase(by_key);
   }
+  removed->is_gone = true;
+  removed->CloseIdleConnections();
 }
 
 void
--- a/src/jujubehead/node/forward/target_fleet.hpp
+++ b/src/jujubehead/node/forward/target_fleet.hpp
@@ -1,6 +1,7 @@
 #ifndef JUJUBEHEAD_NODE_FORWARD_TARGET_FLEET_HPP
 #define JUJUBEHEAD_NODE_FORWARD_TARGET_FLEET_HPP
 
+#include <cstddef>       // for size_t
 #include <cstdint>       // for uint64_t
 #include <map>           // for map
 #include <memory>        // for shared_ptr
@@ -36,6 +37,7 @@
   core::Instant
     last_gone_report_at{};          ///< Last such report of another instance.
   std::uint32_t active_streams = 0; ///< Streams of this instance.
+  std::size_t service_index = 0;    ///< Its index in its service's targets.
 
   /// @return whether requests may be sent to it, however loaded it is.
   [[nodiscard]] bool Accepts(core::Instant aNow) const
@@ -71,6 +73,9 @@
 public:
   /// @brief Replaces the targets by those in the registry.
   void Update(const std::vector<core::RegisteredTarget>& aTargets);
+  /// @brief Applies changes of the registry. Costs as much as there are
+  /// changes, however many targets.
+  void Apply(const std::vector<core::RegistrationChange>& aChanges);
   /// @brief Sets which targets are loading new weights.
   void SetLoading(const std::set<core::TargetId>& aTargets);
   /// @brief Sets which data centres have a planned stop.
@@ -102,6 +107,11 @@
   [[nodiscard]] bool IsEmpty() const { return m_targets.empty(); }
 
 private:
+  void Put(const core::RegisteredTarget& aTarget);
+  void Remove(const core::TargetId& aId);
+  std::shared_ptr<FleetTarget> Insert(
+    const core::RegisteredTarget& aTarget,
+    const boost::asio::ip::tcp::endpoint& aEndpoint);
   void UpdateColdStart(FleetTarget& aTarget, core::Instant aNow) const;
   /// @brief Treats a target as cold if a stop of its data centre ended within
   /// its service's cold time.
--- a/src/jujubehead/node/forward/target_fleet_test.cpp
+++ b/src/jujubehead/node/forward/target_fleet_test.cpp
@@ -187,3 +187,42 @@
   CHECK_FALSE(fleet.Find(core::TargetId("t1"))->Accepts(now));
   CHECK(fleet.Find(core::TargetId("t2"))->Accepts(now));
 }
+
+// Each change of the registry used to replace all targets at the traffic
+// thread, several times a second while targets restart: on a small instance
+// before thousands of targets that took most of its processor.
+TEST(TargetFleet, AppliesChangesAlone)
+{
+  node::TargetFleet fleet;
+  fleet.Update(
+    { TargetIn("a", "north"), TargetIn("b", "north"), TargetIn("c", "south") });
+  const auto kept = fleet.Find(core::TargetId("c"));
+  core::RegisteredTarget leaving = TargetIn("b", "north");
+  leaving.leaving = true;
+  fleet.Apply({ { core::TargetId("a"), std::nullopt },
+                { core::TargetId("b"), leaving },
+                { core::TargetId("d"), TargetIn("d", "south") } });
+  POINTERS_EQUAL(kept.get(), fleet.Find(core::TargetId("c")).get());
+  CHECK(fleet.Find(core::TargetId("a")) == nullptr);
+  CHECK(fleet.FindByKey(core::KeyOf(core::TargetId("a"))) == nullptr);
+  LONGS_EQUAL(2, fleet.Of(kModels).size()); // c and d; b is leaving
+}
+
+TEST(TargetFleet, TargetThatRestartsUnderItsIdIsAnother)
+{
+  node::TargetFleet fleet;
+  fleet.Update({ TargetIn("a", "north"), TargetIn("b", "north") });
+  const auto before = fleet.Find(core::TargetId("a"));
+  before->OnVersion(core::ModelId("m"), 7);
+  core::RegisteredTarget restarted = TargetIn("a", "north");
+  restarted.started_ms = 1;
+  fleet.Apply({ { core::TargetId("a"), restarted } });
+  const auto after = fleet.Find(core::TargetId("a"));
+  CHECK(before != after);
+  CHECK(before->is_gone);
+  CHECK_FALSE(after->VersionOf(core::ModelId("m")).has_value());
+  LONGS_EQUAL(2, fleet.Of(kModels).size());
+  fleet.Apply({ { core::TargetId("b"), std::nullopt } });
+  LONGS_EQUAL(1, fleet.Of(kModels).size());
+  POINTERS_EQUAL(after.get(), fleet.Of(kModels).front().get());
+}
