Updates flow down a tree: readers, relays of each data centre, followers

Cause: eight hubs, whatever the size of the fleet, chosen without regard to the data centre. At 984 instances 123 poll each hub, five of six from another data centre, and each hub reads every sign of life of 10,000 targets. Each instance that starts read all rows of the operators' store itself.

Now two readers follow the operators' store and the stores of parts (two standbys take over when neither answers), relays of each data centre poll a reader, one for each 64 instances and two from 17 on, and followers poll a relay of their data centre. Instances with the largest capacity are preferred at each level. An instance's row tells its data centre. A hub whose rows are stale is left at once. An instance that starts takes the rows from its hub, page by page, and reads the store itself only if none sends them, later the more instances it knows. The further down, the longer an instance waits before it reads the store itself.

Weighed: more hubs of the old kind (each reads all signs of life, so the store's bytes grow with the instances); two levels without a reader's level (relays that read the store: the same); sending loads between all relays (messages a relay grow with the fleet; the readers exchange them instead, relays poll twice as often).

Metrics: level, known instances, polls answered, bytes sent by kind, received.

--- a/include/jujubehead/core/context/part_log.hpp
+++ b/include/jujubehead/core/context/part_log.hpp
@@ -76,7 +76,9 @@
 /// concurrent calls that a store allows.
 ///
 /// A part appears once, at the position of its last change, so the log's length
-/// is bounded by the number of parts.
+/// is bounded by the number of parts. A part that is reported again unchanged
+/// keeps its position: a relay that moves to another upstream receives all
+/// parts again, and passes on only the differences.
 class PartLog
 {
 public:
@@ -84,6 +86,11 @@
 
   void OnPage(const StoreId& aStore, const PartEventPage& aPage, Instant aNow);
   void OnNoResponse(const StoreId& aStore);
+  /// @brief Begins a snapshot of all stores: parts that no page reports until
+  /// EndSnapshot() are logged as removed then. A snapshot that was begun before
+  /// and did not end is given up.
+  void BeginSnapshot() { ++m_generation; }
+  void EndSnapshot();
 
   /// @brief Drops the parts of all scopes that match, without logging removals:
   /// readers drop them by the same rule. When weights are replaced, all parts
@@ -96,15 +103,23 @@
                                       Instant aNow) const;
 
 private:
+  /// Where the log holds a part.
+  struct Entry
+  {
+    std::uint64_t position = 0;
+    std::uint64_t generation = 0; ///< Of the last snapshot that reported it.
+  };
   struct Store
   {
     std::uint64_t epoch = 0;
     std::optional<Instant> last_answer;
-    /// By scope and part.
-    std::unordered_map<std::string, std::uint64_t> positions;
+    std::unordered_map<std::string, Entry> entries; ///< By scope and part.
   };
 
   void Put(Store& aStore, PartChange aChange);
+  /// @brief Logs the matching parts as removed.
+  template<typename Matches>
+  void RemoveWhere(Store& aStore, Matches aMatches);
   void Clear(Store& aStore);
   void DropOldestRemoved();
 
@@ -114,6 +129,7 @@
   std::map<std::uint64_t, std::string> m_removed; ///< Keys of removed parts.
   std::uint64_t m_last = 0;
   std::uint64_t m_dropped = 0; ///< The newest position that was dropped.
+  std::uint64_t m_generation = 0;
 };
 
 } // namespace jujubehead::core
--- a/include/jujubehead/core/membership/hubs.hpp
+++ b/include/jujubehead/core/membership/hubs.hpp
@@ -2,6 +2,7 @@
 #define JUJUBEHEAD_CORE_MEMBERSHIP_HUBS_HPP
 
 #include <cstddef>     // for size_t
+#include <cstdint>     // for uint8_t
 #include <span>        // for span
 #include <string>      // for string
 #include <string_view> // for string_view
@@ -13,27 +14,63 @@
 
 namespace jujubehead::core {
 
-/// @brief How many instances watch the stores on behalf of all.
+/// @brief Shape of the tree by which updates reach all instances.
 struct HubOptions
 {
-  /// Up to this many instances, each one watches the stores directly: a store
-  /// accepts a watch call of each.
+  /// Up to this many instances, each one is a reader: a store accepts a watch
+  /// call of each.
   std::size_t max_without_hubs = 12;
-  /// Number of hubs when there are more instances. They take two thirds of the
-  /// watch calls that a store accepts, which leaves room for hubs that take
-  /// over. With 370 instances, 46 poll each hub.
-  std::size_t hubs = 8;
+  /// Instances that read the operators' store and watch the stores for all. Two
+  /// of them, so that the loss of one is no gap.
+  std::size_t readers = 2;
+  /// Relays that become readers when no reader answers.
+  std::size_t standbys = 2;
+  /// Followers of one relay. At four polls a second each, a relay answers 250
+  /// polls a second from memory.
+  std::size_t followers_per_relay = 64;
+  /// Data centres with more instances than this have two relays, so that the
+  /// loss of one leaves no crossing of data centres.
+  std::size_t max_with_one_relay = 16;
 };
 
-/// @return the hubs in the order in which the instance `aSelf` polls them; all
-/// instances when there are few. Instances with a large capacity are preferred,
-/// because a hub sends each update to dozens of instances (hot spot). All
-/// instances that know the same rows choose the same hubs, without
+/// @brief An instance's place in the tree.
+enum class HubLevel : std::uint8_t
+{
+  kReader,   ///< Reads the operators' store and watches the stores.
+  kStandby,  ///< A relay that becomes a reader when no reader answers.
+  kRelay,    ///< Polls a reader; followers of its data centre poll it.
+  kFollower, ///< Polls a relay.
+};
+
+/// @return the level's name, for logs.
+std::string_view
+NameOf(HubLevel aLevel);
+
+/// @brief An instance's place in the tree, and its neighbours.
+struct HubPlan
+{
+  HubLevel level = HubLevel::kReader;
+  /// The instances that it polls, in the order in which it tries them.
+  std::vector<KnownInstance> upstreams;
+  std::vector<KnownInstance> other_readers; ///< Of a reader.
+  bool is_tree = false;    ///< False: all instances are readers.
+  std::size_t readers = 1; ///< In the fleet.
+  std::size_t relays = 0;  ///< In the fleet, standbys included.
+};
+
+/// @brief Plans the tree through which updates reach all instances: the
+/// operators' store, readers, relays of each data centre, followers.
+///
+/// An instance's neighbours, and so what it sends and receives, do not grow
+/// with the fleet; a reader has one more for each 64 instances. Updates cross
+/// between data centres once a relay. Instances with a large capacity are
+/// preferred as readers and relays, which answer dozens of others (hot spot).
+/// All instances that know the same rows plan the same tree, without
 /// coordination.
-std::vector<KnownInstance>
-HubsOf(std::vector<KnownInstance> aInstances,
-       std::string_view aSelf,
-       const HubOptions& aOptions = {});
+HubPlan
+PlanHubs(std::vector<KnownInstance> aInstances,
+         std::string_view aSelf,
+         const HubOptions& aOptions = {});
 
 /// @return an instance's rank, from 0, in an order of all instances that
 /// depends on a seed. Instances that know the same rows compute the same order.
@@ -47,8 +84,12 @@
 /// three seconds after a start.
 inline constexpr Duration kHubSettleTime = std::chrono::milliseconds(2300);
 
-/// @brief The present hubs, and whether this instance is one of them. Until
-/// other instances are known it is a hub of its own.
+/// A standby that got no answer for this long becomes a reader: two polls of
+/// each reader that time out.
+inline constexpr Duration kStandbyDelay = std::chrono::milliseconds(900);
+
+/// @brief This instance's present place in the tree. Until other instances are
+/// known it is a reader of its own.
 class HubRole
 {
 public:
@@ -60,40 +101,51 @@
   /// @param aInstances all instances, including this one.
   void Update(std::vector<KnownInstance> aInstances,
               const HubOptions& aOptions = {});
-  [[nodiscard]] bool IsHub() const { return m_is_hub; }
   /// @brief Marks the start of this instance; if never called, IsSettling() is
   /// false.
   void OnStart(Instant aNow) { m_started = aNow; }
+  /// @brief An upstream answered a poll with current rows.
+  void OnUpstreamAnswer(Instant aNow) { m_upstream_answered = aNow; }
+
+  [[nodiscard]] HubLevel Level() const { return m_plan.level; }
   /// @return whether the other instances' rows may still be missing. All
   /// instances may have started at once, and until they know of each other each
-  /// one would act as a hub (thundering herd).
+  /// one would act as a reader (thundering herd).
   [[nodiscard]] bool IsSettling(Instant aNow) const
   {
-    return m_hubs.size() <= 1 && aNow - m_started < kHubSettleTime;
+    return m_known <= 1 && aNow - m_started < kHubSettleTime;
   }
   /// @return whether this instance watches the stores.
-  [[nodiscard]] bool Watches(Instant aNow) const
+  [[nodiscard]] bool Watches(Instant aNow) const;
+  /// @return whether other instances poll this one.
+  [[nodiscard]] bool HasFollowers() const
   {
-    return m_is_hub && !IsSettling(aNow);
+    return m_plan.level != HubLevel::kFollower && m_plan.is_tree;
   }
-  /// @return whether other instances poll this one.
-  [[nodiscard]] bool HasFollowers() const { return m_is_hub && m_has_non_hubs; }
-  [[nodiscard]] bool IsSelf(const KnownInstance& aOne) const
+  [[nodiscard]] const std::vector<KnownInstance>& Upstreams() const
   {
-    return aOne.id == m_self;
+    return m_plan.upstreams;
   }
-  /// @return the hubs in the order in which this instance polls them.
-  [[nodiscard]] const std::vector<KnownInstance>& Hubs() const
+  [[nodiscard]] const std::vector<KnownInstance>& OtherReaders() const
   {
-    return m_hubs;
+    return m_plan.other_readers;
   }
+  [[nodiscard]] std::size_t Readers() const { return m_plan.readers; }
+  [[nodiscard]] std::size_t Relays() const { return m_plan.relays; }
+  /// @return the number of known instances, this one included.
+  [[nodiscard]] std::size_t Known() const { return m_known; }
+  /// @return how long rows from an upstream count as fresh; then the operators'
+  /// store is read directly. Instances further down wait longer, so that the
+  /// upstream gets there first and they need not all read the store (thundering
+  /// herd).
+  [[nodiscard]] Duration RowsLifetime() const;
 
 private:
   std::string m_self;
-  std::vector<KnownInstance> m_hubs;
-  bool m_is_hub = true;
+  HubPlan m_plan;
+  std::size_t m_known = 1;
   Instant m_started{};
-  bool m_has_non_hubs = false;
+  Instant m_upstream_answered{};
 };
 
 } // namespace jujubehead::core
--- a/include/jujubehead/core/membership/instance_directory.hpp
+++ b/include/jujubehead/core/membership/instance_directory.hpp
@@ -8,6 +8,7 @@
 #include <string_view> // for string_view
 #include <vector>      // for vector
 
+#include "jujubehead/core/ids.hpp"           // for DataCentreId
 #include "jujubehead/core/runtime_clock.hpp" // for Instant, Duration
 
 namespace jujubehead::core {
@@ -16,16 +17,17 @@
 struct KnownInstance
 {
   std::string id;
-  std::string address; ///< `ip:port`.
-  double capacity = 0; ///< Relative to other instances; 0: unknown.
+  std::string address;        ///< `ip:port`.
+  double capacity = 0;        ///< Relative to other instances; 0: unknown.
+  DataCentreId data_centre{}; ///< Empty: unknown.
 };
 
-/// @return the value of an instance's row: its address, followed by its
-/// capacity unless that is unknown.
+/// @return the value of an instance's row: its address, capacity and data
+/// centre, the latter two left out when both are unknown.
 std::string
 EncodeInstanceRow(const KnownInstance& aInstance);
 /// @return the instance that a row describes. Rows of instances of older
-/// versions have no capacity.
+/// versions have no data centre, or no capacity either.
 KnownInstance
 DecodeInstanceRow(std::string aId, std::string_view aRow);
 
--- a/src/jujubehead/core/context/part_log.cpp
+++ b/src/jujubehead/core/context/part_log.cpp
@@ -1,6 +1,7 @@
 #include "jujubehead/core/context/part_log.hpp"
 
 #include <iterator> // for prev
+#include <set>      // for set
 #include <utility>  // for move
 
 namespace jujubehead::core {
@@ -29,14 +30,52 @@
     store.epoch = aPage.epoch;
   }
   store.last_answer = aNow;
+  std::set<std::string> reported;
   for (const PartEvent& event : aPage.events) {
-    Put(
-      store,
-      { aStore, event.scope, event.part, event.is_stored ? event.tokens : 0 });
+    PartChange change{
+      aStore, event.scope, event.part, event.is_stored ? event.tokens : 0
+    };
+    if (aPage.is_snapshot) {
+      reported.insert(KeyOf(change));
+    }
+    Put(store, std::move(change));
+  }
+  if (aPage.is_snapshot) {
+    RemoveWhere(store, [&](const std::string& aKey, const Entry&) {
+      return !reported.contains(aKey);
+    });
+  }
+  DropOldestRemoved();
+}
+
+void
+PartLog::EndSnapshot()
+{
+  for (auto& [id, store] : m_stores) {
+    RemoveWhere(store, [&](const std::string&, const Entry& aEntry) {
+      return aEntry.generation < m_generation;
+    });
   }
   DropOldestRemoved();
 }
 
+template<typename Matches>
+void
+PartLog::RemoveWhere(Store& aStore, Matches aMatches)
+{
+  std::vector<PartChange> removed;
+  for (const auto& [key, entry] : aStore.entries) {
+    PartChange change = m_changes.at(entry.position);
+    if (change.tokens > 0 && aMatches(key, entry)) {
+      change.tokens = 0;
+      removed.push_back(std::move(change));
+    }
+  }
+  for (PartChange& change : removed) {
+    Put(aStore, std::move(change));
+  }
+}
+
 void
 PartLog::OnNoResponse(const StoreId& aStore)
 {
@@ -54,7 +93,7 @@
       ++change;
       continue;
     }
-    m_stores.at(change->second.store).positions.erase(KeyOf(change->second));
+    m_stores.at(change->second.store).entries.erase(KeyOf(change->second));
     m_removed.erase(change->first);
     change = m_changes.erase(change);
   }
@@ -64,16 +103,21 @@
 PartLog::Put(Store& aStore, PartChange aChange)
 {
   const std::string key = KeyOf(aChange);
-  const auto known = aStore.positions.find(key);
-  if (known == aStore.positions.end() && aChange.tokens == 0) {
+  const auto known = aStore.entries.find(key);
+  if (known == aStore.entries.end() && aChange.tokens == 0) {
     return; // No reader knows the part.
   }
-  if (known != aStore.positions.end()) {
-    m_changes.erase(known->second);
-    m_removed.erase(known->second);
+  if (known != aStore.entries.end()) {
+    const auto logged = m_changes.find(known->second.position);
+    if (logged->second.tokens == aChange.tokens) {
+      known->second.generation = m_generation;
+      return;
+    }
+    m_changes.erase(logged);
+    m_removed.erase(known->second.position);
   }
   ++m_last;
-  aStore.positions[key] = m_last;
+  aStore.entries[key] = { m_last, m_generation };
   if (aChange.tokens == 0) {
     m_removed.emplace(m_last, key);
   }
@@ -83,11 +127,11 @@
 void
 PartLog::Clear(Store& aStore)
 {
-  for (const auto& [key, position] : aStore.positions) {
-    m_changes.erase(position);
-    m_removed.erase(position);
+  for (const auto& [key, entry] : aStore.entries) {
+    m_changes.erase(entry.position);
+    m_removed.erase(entry.position);
   }
-  aStore.positions.clear();
+  aStore.entries.clear();
 }
 
 void
@@ -97,7 +141,7 @@
     const auto oldest = m_removed.begin();
     m_dropped = oldest->first;
     const auto change = m_changes.find(oldest->first);
-    m_stores.at(change->second.store).positions.erase(oldest->second);
+    m_stores.at(change->second.store).entries.erase(oldest->second);
     m_changes.erase(change);
     m_removed.erase(oldest);
   }
--- a/src/jujubehead/core/context/part_log_test.cpp
+++ b/src/jujubehead/core/context/part_log_test.cpp
@@ -139,6 +139,50 @@
   LONGS_EQUAL(5000 - pages, follower.parts.size());
 }
 
+// A relay that moves to another reader receives all parts again. Logged anew,
+// they would all be sent to its dozens of followers.
+TEST(PartLog, PartsReportedAgainAreNotSentAgain)
+{
+  PartLog log;
+  const std::vector<PartEvent> events = { { "w1", "a", 100, true },
+                                          { "w1", "b", 100, true },
+                                          { "w1", "c", 100, true } };
+  log.OnPage(store, Page(7, events), kNow);
+  Follower follower;
+  follower.ReadToEnd(log);
+  log.BeginSnapshot();
+  log.OnPage(store, Page(7, { events[0] }), kNow);
+  log.OnPage(
+    store, Page(7, { { "w1", "c", 90, true }, { "w1", "d", 50, true } }), kNow);
+  log.EndSnapshot();
+  const PartLogPage page = log.ReadAfter(follower.cursor, kNow);
+  CHECK_FALSE(page.is_snapshot);
+  LONGS_EQUAL(3, page.changes.size()); // c has changed, d is new, b is gone
+  follower.ReadToEnd(log);
+  const std::map<std::string, std::uint64_t> expected = { { "a", 100 },
+                                                          { "c", 90 },
+                                                          { "d", 50 } };
+  CHECK(follower.parts == expected);
+}
+
+TEST(PartLog, AStoresSnapshotRemovesItsOtherParts)
+{
+  const StoreId other("s2");
+  PartLog log;
+  log.OnPage(store,
+             Page(7, { { "w1", "a", 100, true }, { "w1", "b", 100, true } }),
+             kNow);
+  log.OnPage(other, Page(3, { { "w1", "z", 100, true } }), kNow);
+  const PartCursor cursor = log.ReadAfter({}, kNow).cursor;
+  PartEventPage snapshot = Page(7, { { "w1", "b", 100, true } });
+  snapshot.is_snapshot = true;
+  log.OnPage(store, snapshot, kNow);
+  const PartLogPage page = log.ReadAfter(cursor, kNow);
+  LONGS_EQUAL(1, page.changes.size());
+  STRCMP_EQUAL("a", page.changes[0].part.c_str());
+  LONGS_EQUAL(0, page.changes[0].tokens);
+}
+
 TEST(PartLog, CursorOfAnotherLogGetsSnapshot)
 {
   PartLog log;
--- a/src/jujubehead/core/membership/hubs.cpp
+++ b/src/jujubehead/core/membership/hubs.cpp
@@ -1,13 +1,16 @@
 #include "jujubehead/core/membership/hubs.hpp"
 
-#include <algorithm> // for sort, any_of, count_if, max, stable_partition
-#include <cstdint>   // for uint64_t
+#include <algorithm> // for sort, any_of, count_if, max, partition, transform
+#include <iterator>  // for back_inserter
+#include <map>       // for map
 
 #include "jujubehead/core/routing/placement.hpp" // for PlacementHash
 
 namespace jujubehead::core {
 namespace {
 
+using Instances = std::vector<KnownInstance>;
+
 /// The order must scatter names that differ in their last letter only, because
 /// instances of one data centre often have such names.
 std::uint64_t
@@ -17,19 +20,29 @@
 }
 
 void
-SortBySeed(std::vector<KnownInstance>& aInstances, std::string_view aSeed)
+SortBySeed(Instances& aInstances, std::string_view aSeed)
 {
-  std::sort(aInstances.begin(),
-            aInstances.end(),
-            [&](const KnownInstance& aOne, const KnownInstance& aOther) {
-              return SeededHash(aSeed, aOne.id) < SeededHash(aSeed, aOther.id);
-            });
+  std::vector<std::pair<std::uint64_t, KnownInstance>> hashed;
+  hashed.reserve(aInstances.size());
+  for (KnownInstance& one : aInstances) {
+    const std::uint64_t hash = SeededHash(aSeed, one.id);
+    hashed.emplace_back(hash, std::move(one));
+  }
+  std::sort(
+    hashed.begin(), hashed.end(), [](const auto& aOne, const auto& aOther) {
+      return aOne.first < aOther.first;
+    });
+  aInstances.clear();
+  std::transform(hashed.begin(),
+                 hashed.end(),
+                 std::back_inserter(aInstances),
+                 [](auto& aOne) { return std::move(aOne.second); });
 }
 
 /// Instances with at least half of the largest capacity come first; the order
 /// is otherwise kept.
 void
-PutLargestFirst(std::vector<KnownInstance>& aInstances)
+PutLargestFirst(Instances& aInstances)
 {
   constexpr double kMinShareOfLargest = 0.5;
   double largest = 0;
@@ -42,20 +55,123 @@
     });
 }
 
-} // namespace
+/// @return the first instances, which are removed from `aFrom`.
+Instances
+TakeFirst(Instances& aFrom, std::size_t aCount)
+{
+  const auto end = aFrom.begin() + static_cast<Instances::difference_type>(
+                                     std::min(aCount, aFrom.size()));
+  Instances taken(std::make_move_iterator(aFrom.begin()),
+                  std::make_move_iterator(end));
+  aFrom.erase(aFrom.begin(), end);
+  return taken;
+}
 
-std::vector<KnownInstance>
-HubsOf(std::vector<KnownInstance> aInstances,
-       std::string_view aSelf,
-       const HubOptions& aOptions)
+bool
+Contains(const Instances& aInstances, std::string_view aId)
+{
+  return std::any_of(aInstances.begin(),
+                     aInstances.end(),
+                     [&](const KnownInstance& aOne) { return aOne.id == aId; });
+}
+
+std::size_t
+RelaysFor(std::size_t aInstances, const HubOptions& aOptions)
 {
-  if (aInstances.size() > aOptions.max_without_hubs) {
-    SortBySeed(aInstances, "hub");
-    PutLargestFirst(aInstances);
-    aInstances.resize(aOptions.hubs);
+  if (aInstances <= 1) {
+    return 0; // It polls a reader itself.
   }
+  const std::size_t needed = (aInstances + aOptions.followers_per_relay - 1) /
+                             aOptions.followers_per_relay;
+  const std::size_t least = aInstances > aOptions.max_with_one_relay ? 2 : 1;
+  return std::max(needed, least);
+}
+
+/// Appends the instances in an order of this instance's own, so that each hub
+/// gets its share of pollers.
+void
+AppendShuffled(Instances& aTo, Instances aInstances, std::string_view aSelf)
+{
   SortBySeed(aInstances, aSelf);
-  return aInstances;
+  for (KnownInstance& one : aInstances) {
+    if (one.id != aSelf) {
+      aTo.push_back(std::move(one));
+    }
+  }
+}
+
+} // namespace
+
+std::string_view
+NameOf(HubLevel aLevel)
+{
+  switch (aLevel) {
+    case HubLevel::kReader:
+      return "reader";
+    case HubLevel::kStandby:
+      return "standby";
+    case HubLevel::kRelay:
+      return "relay";
+    case HubLevel::kFollower:
+      break;
+  }
+  return "follower";
+}
+
+HubPlan
+PlanHubs(Instances aInstances,
+         std::string_view aSelf,
+         const HubOptions& aOptions)
+{
+  HubPlan plan;
+  plan.readers = aInstances.size();
+  if (aInstances.size() <= aOptions.max_without_hubs) {
+    return plan;
+  }
+  plan.is_tree = true;
+  DataCentreId own_data_centre;
+  for (const KnownInstance& one : aInstances) {
+    if (one.id == aSelf) {
+      own_data_centre = one.data_centre;
+    }
+  }
+  SortBySeed(aInstances, "hub");
+  PutLargestFirst(aInstances);
+  const Instances readers = TakeFirst(aInstances, aOptions.readers);
+  const Instances standbys = TakeFirst(aInstances, aOptions.standbys);
+  std::map<DataCentreId, Instances> by_data_centre;
+  for (KnownInstance& one : aInstances) {
+    by_data_centre[one.data_centre].push_back(std::move(one));
+  }
+  Instances own_relays;
+  plan.readers = readers.size();
+  plan.relays = standbys.size();
+  bool is_relay = false;
+  for (auto& [data_centre, others] : by_data_centre) {
+    PutLargestFirst(others);
+    Instances relays = TakeFirst(others, RelaysFor(others.size(), aOptions));
+    plan.relays += relays.size();
+    is_relay |= Contains(relays, aSelf);
+    if (data_centre == own_data_centre) {
+      own_relays = std::move(relays);
+    }
+  }
+  if (Contains(readers, aSelf)) {
+    AppendShuffled(plan.other_readers, readers, aSelf);
+    return plan;
+  }
+  if (Contains(standbys, aSelf)) {
+    plan.level = HubLevel::kStandby;
+    AppendShuffled(plan.upstreams, readers, aSelf);
+    return plan;
+  }
+  plan.level = is_relay ? HubLevel::kRelay : HubLevel::kFollower;
+  if (!is_relay) {
+    AppendShuffled(plan.upstreams, std::move(own_relays), aSelf);
+  }
+  AppendShuffled(plan.upstreams, readers, aSelf);
+  AppendShuffled(plan.upstreams, standbys, aSelf);
+  return plan;
 }
 
 std::size_t
@@ -72,15 +188,35 @@
 }
 
 void
-HubRole::Update(std::vector<KnownInstance> aInstances,
-                const HubOptions& aOptions)
+HubRole::Update(Instances aInstances, const HubOptions& aOptions)
 {
-  m_has_non_hubs = aInstances.size() > aOptions.max_without_hubs;
-  m_hubs = HubsOf(std::move(aInstances), m_self, aOptions);
-  m_is_hub =
-    std::any_of(m_hubs.begin(), m_hubs.end(), [&](const KnownInstance& aOne) {
-      return IsSelf(aOne);
-    });
+  m_known = aInstances.size();
+  m_plan = PlanHubs(std::move(aInstances), m_self, aOptions);
+}
+
+bool
+HubRole::Watches(Instant aNow) const
+{
+  if (m_plan.level == HubLevel::kStandby) {
+    return aNow - std::max(m_upstream_answered, m_started) > kStandbyDelay;
+  }
+  return m_plan.level == HubLevel::kReader && !IsSettling(aNow);
+}
+
+Duration
+HubRole::RowsLifetime() const
+{
+  constexpr Duration kPerLevel = std::chrono::milliseconds(500);
+  switch (m_plan.level) {
+    case HubLevel::kReader:
+    case HubLevel::kStandby:
+      return kStandbyDelay;
+    case HubLevel::kRelay:
+      return kStandbyDelay + kPerLevel;
+    case HubLevel::kFollower:
+      break;
+  }
+  return kStandbyDelay + 2 * kPerLevel;
 }
 
 } // namespace jujubehead::core
--- a/src/jujubehead/core/membership/instance_directory.cpp
+++ b/src/jujubehead/core/membership/instance_directory.cpp
@@ -1,7 +1,8 @@
 #include "jujubehead/core/membership/instance_directory.hpp"
 
-#include <sstream> // for istringstream, ostringstream
-#include <utility> // for move
+#include <algorithm> // for max
+#include <sstream>   // for istringstream, ostringstream
+#include <utility>   // for move
 
 namespace jujubehead::core {
 
@@ -14,11 +15,15 @@
 std::string
 EncodeInstanceRow(const KnownInstance& aInstance)
 {
-  if (aInstance.capacity <= 0) {
+  const bool has_data_centre = !aInstance.data_centre.View().empty();
+  if (aInstance.capacity <= 0 && !has_data_centre) {
     return aInstance.address;
   }
   std::ostringstream row;
-  row << aInstance.address << kSeparator << aInstance.capacity;
+  row << aInstance.address << kSeparator << std::max(aInstance.capacity, 0.0);
+  if (has_data_centre) {
+    row << kSeparator << aInstance.data_centre.View();
+  }
   return row.str();
 }
 
@@ -30,8 +35,12 @@
   instance.id = std::move(aId);
   instance.address = aRow.substr(0, end);
   if (end != std::string_view::npos) {
-    // A capacity that cannot be parsed stays 0, which means unknown.
-    std::istringstream(std::string(aRow.substr(end))) >> instance.capacity;
+    // What cannot be parsed stays unknown.
+    std::istringstream rest{ std::string(aRow.substr(end)) };
+    std::string data_centre;
+    if (rest >> instance.capacity >> data_centre) {
+      instance.data_centre = DataCentreId(std::move(data_centre));
+    }
   }
   return instance;
 }
--- a/src/jujubehead/core/membership/instance_directory_test.cpp
+++ b/src/jujubehead/core/membership/instance_directory_test.cpp
@@ -97,3 +97,17 @@
   STRCMP_EQUAL("10.0.0.2:7",
                DecodeInstanceRow("i2", "10.0.0.2:7 x").address.c_str());
 }
+
+TEST(InstanceDirectory, TheDataCentreFollowsTheCapacity)
+{
+  KnownInstance instance{ "i1", "10.0.0.1:7", 0.5, DataCentreId("north") };
+  STRCMP_EQUAL("10.0.0.1:7 0.5 north", EncodeInstanceRow(instance).c_str());
+  const KnownInstance parsed =
+    DecodeInstanceRow("i1", EncodeInstanceRow(instance));
+  CHECK(parsed.data_centre == DataCentreId("north"));
+  DOUBLES_EQUAL(0.5, parsed.capacity, 1e-9);
+  instance.capacity = 0;
+  STRCMP_EQUAL("10.0.0.1:7 0 north", EncodeInstanceRow(instance).c_str());
+  CHECK(DecodeInstanceRow("i1", "10.0.0.1:7 0.5").data_centre ==
+        DataCentreId());
+}
--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -15,6 +15,12 @@
 
 namespace asio = boost::asio;
 
+/// An instance that starts takes the rows of the operators' store from a hub.
+/// It reads the store itself when none has sent them by then, after a random
+/// share of kDirectReadSpread for each instance: all may have started at once,
+/// and each such read transfers all targets.
+constexpr core::Duration kHubFeedDelay = std::chrono::milliseconds(3000);
+constexpr core::Duration kDirectReadSpread = std::chrono::milliseconds(10);
 /// Interval of the check for lapsed registrations, whose limits are seconds.
 constexpr core::Duration kTickInterval = std::chrono::milliseconds(400);
 /// Batches the reports of many targets into one page; a third of the time in
@@ -39,6 +45,14 @@
 /// their rows.
 constexpr core::Duration kRowsSettle = std::chrono::milliseconds(1600);
 
+/// @return a random number from 0 to 1.
+double
+RandomShare()
+{
+  std::minstd_rand random{ std::random_device{}() };
+  return std::uniform_real_distribution<>(0, 1)(random);
+}
+
 /// @return the delay of the first check of the instances' rows.
 core::Duration
 FirstRowDelay()
@@ -72,9 +86,11 @@
   , m_forwarder(aForwarder)
   , m_instances(core::KnownInstance{ aOptions.instance_id.Text(),
                                      aOptions.relay_address,
-                                     aOptions.capacity })
+                                     aOptions.capacity,
+                                     aOptions.data_centre })
   , m_role(aOptions.instance_id.Text())
   , m_book(aOptions.registry)
+  , m_direct_read_share(RandomShare())
   , m_deadlines(aContext,
                 aOptions,
                 *m_platform.shared,
@@ -171,7 +187,8 @@
 void
 EntryControl::Start()
 {
-  m_role.OnStart(core::RuntimeClock::now());
+  m_started = core::RuntimeClock::now();
+  m_role.OnStart(m_started);
   FollowHooks<OperatorUpdate> operators;
   operators.on_update = [this](const OperatorUpdate& aUpdate, bool aIsAll) {
     OnOperatorUpdate(aUpdate, aIsAll);
@@ -183,6 +200,7 @@
   };
   FollowOptions operator_options;
   operator_options.name = "operator";
+  operator_options.may_read_all = [this] { return MayReadAll(); };
   // Without a settling pause: deadlines count from when a change was first
   // received.
   asio::co_spawn(m_context,
@@ -199,6 +217,7 @@
   };
   FollowOptions registry_options;
   registry_options.name = "registry";
+  registry_options.may_read_all = [this] { return MayReadAll(); };
   registry_options.pause = kRegistryPause;
   registry_options.settle = core::kHubSettleTime;
   registry_options.is_settled = [this] { return IsSettled(); };
@@ -209,6 +228,7 @@
   shared.on_update = [this](const SharedUpdate& aUpdate, bool aIsAll) {
     OnSharedUpdate(aUpdate, aIsAll);
   };
+  shared.on_failure = [this](PlatformFault) { m_has_shared_failed = true; };
   FollowOptions shared_options;
   shared_options.name = "shared";
   shared_options.wait = kSharedWait;
@@ -237,6 +257,17 @@
   return m_role.Watches(now) || m_paths.HasHubFeed(now);
 }
 
+bool
+EntryControl::MayReadAll() const
+{
+  const core::Duration spread(static_cast<core::Duration::rep>(
+    m_direct_read_share *
+    static_cast<double>((kDirectReadSpread * m_role.Known()).count())));
+  const bool is_alone = m_has_shared_failed && m_role.Known() <= 1;
+  return m_options.relay_address.empty() || is_alone || IsSettled() ||
+         core::RuntimeClock::now() - m_started >= kHubFeedDelay + spread;
+}
+
 bool
 EntryControl::IsReady() const
 {
--- a/src/jujubehead/node/control/entry_control.hpp
+++ b/src/jujubehead/node/control/entry_control.hpp
@@ -2,6 +2,7 @@
 #define JUJUBEHEAD_NODE_CONTROL_ENTRY_CONTROL_HPP
 
 #include <algorithm> // for min
+#include <cstddef>   // for size_t
 #include <cstdint>   // for uint64_t
 #include <memory>    // for unique_ptr
 #include <vector>    // for vector
@@ -49,6 +50,8 @@
   [[nodiscard]] RowCache& CachedRows() const { return *m_platform.row_cache; }
   /// @return the exchange that answers polls of other instances.
   [[nodiscard]] HubExchange& Hubs() { return m_hubs; }
+  [[nodiscard]] const HubExchange& Hubs() const { return m_hubs; }
+  [[nodiscard]] const core::HubRole& Role() const { return m_role; }
   [[nodiscard]] std::size_t Targets() const { return m_book.Size(); }
   /// @return the planned stops of data centres.
   [[nodiscard]] const core::DataCentreStops& Stops() const { return m_stops; }
@@ -71,6 +74,9 @@
   /// @return true once this instance either watches the operators' store itself
   /// or receives its rows from a hub.
   [[nodiscard]] bool IsSettled() const;
+  /// @return whether all rows may be read from the operators' store. An
+  /// instance that starts waits for a hub to send them.
+  [[nodiscard]] bool MayReadAll() const;
   boost::asio::awaitable<void> MaintainInstanceRows();
   void PublishTargets();
   StoreWatchHooks MakeStoreHooks();
@@ -95,6 +101,10 @@
   bool m_registry_read = false;
   std::uint64_t m_operator_cursor = 0;
   std::uint64_t m_registry_cursor = 0;
+  core::Instant m_started{};
+  bool m_has_shared_failed = false; ///< A read of the shared rows failed.
+  /// Uniform in 0 to 1; spreads direct reads of instances that start together.
+  double m_direct_read_share;
   WeightsDeadlines m_deadlines;
   RolloutCoordinator m_rollout;
   BlockReclaimer m_reclaimer;
--- a/src/jujubehead/node/control/follow.hpp
+++ b/src/jujubehead/node/control/follow.hpp
@@ -33,6 +33,8 @@
   core::Duration settle{};
   /// Ends that pause early.
   std::function<bool()> is_settled = [] { return true; };
+  /// Holds back a read of everything until others had time to send it.
+  std::function<bool()> may_read_all = [] { return true; };
 };
 
 /// @brief Callbacks of Follow().
@@ -67,6 +69,16 @@
   return aRole.IsSettling(core::RuntimeClock::now()) ? kSettling : kUsual;
 }
 
+/// @brief Waits until a condition holds.
+inline boost::asio::awaitable<void>
+WaitUntil(std::function<bool()> aCondition)
+{
+  constexpr core::Duration kCheckInterval = std::chrono::milliseconds(50);
+  while (!aCondition()) {
+    co_await net::Sleep(kCheckInterval);
+  }
+}
+
 /// @brief Waits until the instances that start together have settled.
 inline boost::asio::awaitable<void>
 WaitUntilSettled(FollowOptions aOptions)
@@ -96,6 +108,7 @@
       const bool reads_all = !cursor;
       Update update;
       if (reads_all) {
+        co_await WaitUntil(aOptions.may_read_all);
         update = co_await aFeed.ReadAll();
       } else {
         // Changes made during the start-up pause are read without a wait:
--- a/src/jujubehead/node/control/hub_exchange.cpp
+++ b/src/jujubehead/node/control/hub_exchange.cpp
@@ -28,17 +28,23 @@
 /// Version of the loads encoding; an older instance uses another one, and
 /// neither accepts the other's.
 constexpr const char* kLoadsEncoding = "2";
-/// Poll interval. Together with a hub's own poll of a store it stays below the
-/// time after which a store's state counts as stale.
-constexpr core::Duration kHubPollInterval = std::chrono::milliseconds(220);
+/// Poll interval of followers. Together with the polls of the relay and the
+/// reader above it stays below the time after which a store's state counts as
+/// stale.
+constexpr core::Duration kFollowerPollInterval = std::chrono::milliseconds(220);
+/// Poll interval of relays, which are few.
+constexpr core::Duration kRelayPollInterval = std::chrono::milliseconds(110);
 /// A hub answers from memory; one that takes longer is hung or unreachable.
 constexpr core::Duration kHubTimeout = std::chrono::milliseconds(300);
-/// Older rows are not sent; the polling instance then reads the store itself.
-/// Covers a hub's own wait for changes, network transit and a late wake-up.
+/// Older rows are not sent; the polling instance then asks another hub. Covers
+/// a reader's own wait for changes, network transit and a late wake-up.
 constexpr core::Duration kMaxRowAge = std::chrono::milliseconds(1400);
-/// How long rows from a hub count as fresh; then the store is read directly.
-/// Covers two polls, one of which fails.
-constexpr core::Duration kHubRowsLifetime = std::chrono::milliseconds(900);
+/// The same at a relay: two polls of its upstream later.
+constexpr core::Duration kMaxRelayedRowAge = std::chrono::milliseconds(1700);
+/// Rows in one reply to an instance that starts, of some 300 bytes each: a
+/// small instance's link transfers them within kHubTimeout, and a relay sends
+/// them to dozens at once.
+constexpr std::size_t kMaxRowsInReply = 800;
 
 std::uint64_t
 ParseNumber(const std::optional<std::string>& aText)
@@ -53,7 +59,7 @@
 } // namespace
 
 HubExchange::HubExchange(asio::io_context& aContext,
-                         const core::HubRole& aRole,
+                         core::HubRole& aRole,
                          StoreWatch& aStores,
                          RowCache& aRows,
                          core::StorePaths& aPaths,
@@ -69,6 +75,12 @@
 {
 }
 
+bool
+HubExchange::IsHub() const
+{
+  return m_role.Level() != core::HubLevel::kFollower;
+}
+
 void
 HubExchange::Start()
 {
@@ -80,25 +92,26 @@
 {
   core::HubSelector choice;
   for (;;) {
-    if (m_role.IsHub()) {
-      if (m_role.HasFollowers()) {
-        co_await SyncOwnLoads();
-        ForwardLoads();
-      }
-      const core::Duration pause =
-        m_role.HasFollowers() ? kHubPollInterval : RoleCheckInterval(m_role);
-      co_await net::Sleep(pause);
+    UpdateLevel();
+    if (m_role.Upstreams().empty()) {
+      co_await ActAsReader();
       continue;
     }
     const core::KnownInstance hub =
-      m_role.Hubs()[choice.Next(m_role.Hubs().size())];
+      m_role.Upstreams()[choice.Next(m_role.Upstreams().size())];
     core::Duration pause{};
     std::optional<core::HubFailure> failure;
     std::string why;
     try {
-      const bool has_more = co_await PollHub(hub, m_cursors[hub.id]);
-      choice.OnAnswer();
-      pause = has_more ? core::Duration(0) : kHubPollInterval;
+      const PollResult result = co_await PollHub(hub, m_cursors[hub.id]);
+      if (result == PollResult::kStale) {
+        why = "its rows are stale";
+        failure = core::HubFailure::kNotServing;
+      } else {
+        choice.OnAnswer();
+        pause =
+          result == PollResult::kHasMore ? core::Duration(0) : PollInterval();
+      }
     } catch (const net::HttpCallError& error) {
       why = error.what();
       failure = error.Dispatched() ? core::HubFailure::kTimeout
@@ -118,6 +131,46 @@
   }
 }
 
+void
+HubExchange::UpdateLevel()
+{
+  const core::HubLevel level = m_role.Level();
+  if (m_level == level) {
+    return;
+  }
+  // A follower keeps no log of parts; as a relay it needs all of them again.
+  if (m_level == core::HubLevel::kFollower) {
+    m_cursors.clear();
+  }
+  m_level = level;
+  DecisionLog::WriteUnthrottled(
+    LogLine("hub_level")
+      .Add("level", core::NameOf(level))
+      .Add("upstream",
+           m_role.Upstreams().empty() ? "none" : m_role.Upstreams().front().id)
+      .Add("instances", std::uint64_t(m_role.Known()))
+      .Add("readers", std::uint64_t(m_role.Readers()))
+      .Add("relays", std::uint64_t(m_role.Relays())));
+}
+
+asio::awaitable<void>
+HubExchange::ActAsReader()
+{
+  if (m_role.HasFollowers()) {
+    co_await SyncOwnLoads();
+    ForwardLoads();
+  }
+  const core::Duration pause =
+    m_role.HasFollowers() ? kRelayPollInterval : RoleCheckInterval(m_role);
+  co_await net::Sleep(pause);
+}
+
+core::Duration
+HubExchange::PollInterval() const
+{
+  return m_role.HasFollowers() ? kRelayPollInterval : kFollowerPollInterval;
+}
+
 asio::awaitable<std::vector<core::TargetLoadReport>>
 HubExchange::ExchangeLoads(std::vector<core::TargetLoadReport> aReported)
 {
@@ -161,8 +214,8 @@
     return;
   }
   const std::string bytes = LoadsToBytes(loads, now);
-  for (const core::KnownInstance& hub : m_role.Hubs()) {
-    if (!m_role.IsSelf(hub) && m_pending_hubs.insert(hub.id).second) {
+  for (const core::KnownInstance& hub : m_role.OtherReaders()) {
+    if (m_pending_hubs.insert(hub.id).second) {
       asio::co_spawn(m_context, SendLoads(hub, bytes), asio::detached);
     }
   }
@@ -178,6 +231,7 @@
   call.body = std::move(aLoads);
   call.connect_timeout = kHubTimeout;
   call.idle_timeout = kHubTimeout;
+  m_counters.loads_sent += call.body.size();
   try {
     co_await m_client->Fetch(std::move(call));
   } catch (const std::exception&) {
@@ -187,23 +241,41 @@
   m_pending_hubs.erase(aHub.id);
 }
 
-asio::awaitable<bool>
-HubExchange::PollHub(core::KnownInstance aHub, Cursor& aCursor)
+asio::awaitable<std::vector<core::TargetLoadReport>>
+HubExchange::LoadsForUpstream()
 {
   std::vector<core::TargetLoadReport> own = co_await ExchangeLoads({});
   own.insert(own.end(), m_pending_loads.begin(), m_pending_loads.end());
   m_pending_loads.clear();
+  if (!m_role.HasFollowers()) {
+    co_return own;
+  }
+  for (const core::TargetLoadReport& load : own) {
+    OnReported(load);
+  }
+  co_return m_unsent_loads.TakeBusiest(core::RuntimeClock::now());
+}
+
+asio::awaitable<HubExchange::PollResult>
+HubExchange::PollHub(core::KnownInstance aHub, Cursor& aCursor)
+{
+  if (m_upstream != aHub.id) {
+    m_upstream = aHub.id;
+    m_rows.AbandonFill();
+  }
+  const std::vector<core::TargetLoadReport> loads = co_await LoadsForUpstream();
   net::HttpCall call;
   call.authority = aHub.address;
   call.method = "POST";
   if (aCursor.supports_loads) {
-    call.body = LoadsToBytes(own, core::RuntimeClock::now());
+    call.body = LoadsToBytes(loads, core::RuntimeClock::now());
+    m_counters.loads_sent += call.body.size();
   }
   call.target = std::string(kHubUpdatesPath) + "?form=" + kLoadsEncoding +
                 "&start=" + aCursor.start +
                 "&after=" + std::to_string(aCursor.parts.next) +
                 "&since=" + std::to_string(aCursor.parts.since) +
-                "&rows=" + m_rows.Cursors();
+                "&paged=1&rows=" + m_rows.Cursors();
   call.connect_timeout = kHubTimeout;
   call.idle_timeout = kHubTimeout;
   // The hub's data is at most as old as the request.
@@ -213,22 +285,34 @@
     throw PlatformError(PlatformFault::kBusy,
                         "status " + std::to_string(response.status));
   }
+  m_counters.received += response.body.size();
   HubUpdate update = HubUpdateFromBytes(response.body, requested_at);
   aCursor.start = update.start;
   aCursor.parts = update.parts.cursor;
   aCursor.supports_loads = update.has_loads;
+  if (m_role.HasFollowers()) {
+    for (const core::TargetLoadReport& load : update.loads) {
+      m_loads.Put(load);
+    }
+  }
   m_pending_loads = co_await ExchangeLoads(std::move(update.loads));
   m_stores.ApplyUpdate(update.parts, update.clock_ms, requested_at);
-  if (update.rows) {
-    const core::Instant as_of = requested_at - update.rows->age;
-    const bool has_unread =
-      m_rows.ApplyUpdate(update.rows->bytes, as_of, requested_at);
-    if (!has_unread) {
-      m_hooks.on_synced(as_of);
-    }
-    m_paths.OnHubFeed(core::RuntimeClock::now() + kHubRowsLifetime);
+  if (!update.rows) {
+    co_return PollResult::kStale;
+  }
+  const core::Instant as_of = requested_at - update.rows->age;
+  const bool has_unread = m_rows.ApplyUpdate(*update.rows, as_of, requested_at);
+  if (update.rows->has_more) {
+    co_return PollResult::kHasMore;
   }
-  co_return update.parts.has_more;
+  if (!has_unread) {
+    m_hooks.on_synced(as_of);
+  }
+  const core::Instant now = core::RuntimeClock::now();
+  m_role.OnUpstreamAnswer(now);
+  m_paths.OnHubFeed(now + m_role.RowsLifetime());
+  co_return update.parts.has_more ? PollResult::kHasMore
+                                  : PollResult::kComplete;
 }
 
 HubUpdate
@@ -254,8 +338,13 @@
   update.loads = m_loads.Busiest(now);
   update.parts = m_stores.Log().ReadAfter(cursor, now);
   update.clock_ms = m_stores.ClockMs(now);
-  update.rows = m_rows.UpdateSince(aRequest.Query("rows").value_or(""), now);
-  if (update.rows && update.rows->age > kMaxRowAge) {
+  const bool is_paged = aRequest.Query("paged").has_value();
+  update.rows = m_rows.UpdateSince(aRequest.Query("rows").value_or(""),
+                                   is_paged ? kMaxRowsInReply : kAllRows,
+                                   now);
+  const core::Duration max_age =
+    m_role.Upstreams().empty() ? kMaxRowAge : kMaxRelayedRowAge;
+  if (update.rows && update.rows->age > max_age) {
     update.rows.reset();
   }
   return update;
@@ -265,13 +354,17 @@
 HubExchange::Handle(net::HttpExchange& aExchange)
 {
   net::HttpResponse response;
-  if (!m_role.IsHub()) {
+  if (!IsHub()) {
     response.status = kUnavailable;
     response.body = "this instance is not a hub\n";
   } else {
+    const core::Instant now = core::RuntimeClock::now();
+    const HubUpdate update = UpdateFor(aExchange.Request());
     response.headers.Add("Content-Type", "application/cbor");
-    response.body =
-      ToBytes(UpdateFor(aExchange.Request()), core::RuntimeClock::now());
+    response.body = ToBytes(update, now);
+    ++m_counters.polls_answered;
+    m_counters.rows_sent += update.rows ? update.rows->bytes.size() : 0;
+    m_counters.sent += response.body.size();
   }
   co_await aExchange.Send(std::move(response));
 }
@@ -281,7 +374,7 @@
 {
   const core::Instant now = core::RuntimeClock::now();
   net::HttpResponse response;
-  if (!m_role.IsHub()) {
+  if (!IsHub()) {
     response.status = kUnavailable;
   } else {
     for (const core::TargetLoadReport& load :
--- a/src/jujubehead/node/control/hub_exchange.hpp
+++ b/src/jujubehead/node/control/hub_exchange.hpp
@@ -5,6 +5,7 @@
 #include <functional>  // for function
 #include <map>         // for map
 #include <memory>      // for unique_ptr
+#include <optional>    // for optional
 #include <random>      // for minstd_rand, uniform_real_distribution
 #include <set>         // for set
 #include <string>      // for string
@@ -44,23 +45,34 @@
     exchange_loads;
 };
 
-/// @brief Distributes shared state through hubs. In a large fleet a few
-/// instances, the hubs, watch the stores, and the others poll one of them a few
-/// times a second for the parts that the stores hold, changes in the operators'
-/// store, and the loads of the busiest targets.
+/// @brief Bytes that an instance exchanged with other instances since its
+/// start, by kind.
+struct HubCounters
+{
+  std::uint64_t polls_answered = 0;
+  std::uint64_t sent = 0;       ///< All replies to polls.
+  std::uint64_t rows_sent = 0;  ///< Of these, rows of the operators' store.
+  std::uint64_t loads_sent = 0; ///< With polls, and to other readers.
+  std::uint64_t received = 0;   ///< All replies to this instance's polls.
+};
+
+/// @brief Distributes shared state down the tree of core::HubPlan. Readers
+/// watch the stores, relays poll a reader and followers a relay, a few times a
+/// second, for the parts that the stores hold, changes in the operators' store,
+/// and the loads of the busiest targets.
 ///
-/// Data from a hub carries its age, so that an instance can judge its freshness
-/// as well as if it had read the data itself.
+/// Data from a hub, a reader or relay, carries its age, so that an instance can
+/// judge its freshness as well as if it had read the data itself.
 ///
-/// Each hub forwards the loads reported to it to all other hubs, because a
-/// target's load comes from all instances: those that poll one hub are only a
-/// sample of the fleet, too small to detect a hot spot in time.
+/// Loads are reported up the tree, and each reader forwards them to the other
+/// readers, because a target's load comes from all instances: those below one
+/// hub are only a sample of the fleet, too small to detect a hot spot in time.
 class HubExchange
 {
 public:
   /// @param aStores watched by a hub; a polling instance applies updates to it.
   HubExchange(boost::asio::io_context& aContext,
-              const core::HubRole& aRole,
+              core::HubRole& aRole,
               StoreWatch& aStores,
               RowCache& aRows,
               core::StorePaths& aPaths,
@@ -69,8 +81,9 @@
   void Start();
   /// @brief Answers a kHubUpdatesPath request of another instance.
   boost::asio::awaitable<void> Handle(net::HttpExchange& aExchange);
-  /// @brief Answers a kHubLoadsPath request of another hub.
+  /// @brief Answers a kHubLoadsPath request of another reader.
   boost::asio::awaitable<void> HandleLoads(net::HttpExchange& aExchange);
+  [[nodiscard]] const HubCounters& Counters() const { return m_counters; }
 
 private:
   /// Position in a hub's updates.
@@ -81,13 +94,25 @@
     bool supports_loads = false; ///< Whether the hub supports kLoadsEncoding.
   };
 
+  enum class PollResult : std::uint8_t
+  {
+    kComplete,
+    kHasMore, ///< More can be read at once.
+    kStale,   ///< The hub has no current rows.
+  };
+
+  [[nodiscard]] bool IsHub() const;
   boost::asio::awaitable<void> FollowHubs();
-  /// @return whether the hub has more data to send at once.
-  boost::asio::awaitable<bool> PollHub(core::KnownInstance aHub,
-                                       Cursor& aCursor);
+  void UpdateLevel();
+  boost::asio::awaitable<void> ActAsReader();
+  [[nodiscard]] core::Duration PollInterval() const;
+  boost::asio::awaitable<PollResult> PollHub(core::KnownInstance aHub,
+                                             Cursor& aCursor);
+  boost::asio::awaitable<std::vector<core::TargetLoadReport>>
+  LoadsForUpstream();
   boost::asio::awaitable<void> SyncOwnLoads();
   /// @brief Starts sending the loads reported here since the last call to the
-  /// other hubs, except those with a request still outstanding.
+  /// other readers, except those with a request still outstanding.
   void ForwardLoads();
   boost::asio::awaitable<void> SendLoads(core::KnownInstance aHub,
                                          std::string aLoads);
@@ -98,7 +123,7 @@
   [[nodiscard]] HubUpdate UpdateFor(const net::HttpRequest& aRequest);
 
   boost::asio::io_context& m_context;
-  const core::HubRole& m_role;
+  core::HubRole& m_role;
   StoreWatch& m_stores;
   RowCache& m_rows;
   core::StorePaths& m_paths;
@@ -109,11 +134,14 @@
   std::map<std::string, Cursor> m_cursors;
   std::minstd_rand m_random{ std::random_device{}() };
   std::uniform_real_distribution<> m_jitter{ 0, 1 };
-  core::LoadReports m_loads;        ///< Reported to this instance as a hub.
-  core::LoadReports m_unsent_loads; ///< Of these, not yet sent to other hubs.
+  core::LoadReports m_loads;            ///< Reported to this instance as a hub.
+  core::LoadReports m_unsent_loads;     ///< Of these, not yet sent upwards.
   std::set<std::string> m_pending_hubs; ///< Ids of hubs with a pending request.
   std::string m_start;                  ///< Identifies this run of the process.
   std::unique_ptr<net::HttpClient> m_client;
+  std::optional<core::HubLevel> m_level; ///< As last logged.
+  std::string m_upstream;                ///< Id of the hub polled last.
+  HubCounters m_counters;
 };
 
 } // namespace jujubehead::node
--- a/src/jujubehead/node/control/hub_update_codec.cpp
+++ b/src/jujubehead/node/control/hub_update_codec.cpp
@@ -163,6 +163,7 @@
   if (aUpdate.rows) {
     message["rows"] = aUpdate.rows->bytes;
     message["rows_age"] = Milliseconds(aUpdate.rows->age) + 1;
+    message["rows_more"] = aUpdate.rows->has_more;
   }
   if (aUpdate.clock_ms) {
     message["clock"] = *aUpdate.clock_ms;
@@ -187,8 +188,9 @@
   }
   if (const auto rows = message.find("rows"); rows != message.end()) {
     const auto age = message.at("rows_age").get<std::int64_t>();
-    result.rows =
-      RowUpdate{ rows->get<std::string>(), std::chrono::milliseconds(age) };
+    result.rows = RowUpdate{ rows->get<std::string>(),
+                             std::chrono::milliseconds(age),
+                             message.value("rows_more", false) };
   }
   // An older version sends another encoding.
   const json& loads = message.at("loads");
--- a/src/jujubehead/node/control/store_watch.cpp
+++ b/src/jujubehead/node/control/store_watch.cpp
@@ -113,7 +113,7 @@
       co_await net::Sleep(pause);
       continue;
     }
-    const core::Watchers watchers{ m_role.Hubs().size(), aStore.max_watchers };
+    const core::Watchers watchers{ m_role.Readers(), aStore.max_watchers };
     const core::Instant started = core::RuntimeClock::now();
     const PollOutcome outcome = co_await PollStore(aStore, watchers, cursor);
     core::Duration pause =
@@ -146,9 +146,28 @@
     pages[change.store].events.push_back(
       { change.scope, change.part, change.tokens, change.tokens > 0 });
   }
+  const bool is_logged = m_role.HasFollowers();
+  if (is_logged && aUpdate.is_snapshot) {
+    m_log.BeginSnapshot();
+    m_is_snapshot_open = true;
+  }
   for (const core::StoreStatus& store : aUpdate.stores) {
-    m_hooks.on_page(
-      store.store, std::move(pages[store.store]), aSentAt - store.age);
+    core::PartEventPage& page = pages[store.store];
+    const core::Instant as_of = aSentAt - store.age;
+    if (is_logged) {
+      // The log compares a snapshot as a whole, which spans several pages.
+      core::PartEventPage logged = page;
+      logged.is_snapshot = false;
+      m_log.OnPage(store.store, logged, as_of);
+    }
+    m_hooks.on_page(store.store, std::move(page), as_of);
+  }
+  if (m_is_snapshot_open && !aUpdate.has_more) {
+    m_log.EndSnapshot();
+    m_is_snapshot_open = false;
+  }
+  if (aClockMs) {
+    m_clock.OnReading(*aClockMs, core::RuntimeClock::now());
   }
 }
 
--- a/src/jujubehead/node/control/store_watch.hpp
+++ b/src/jujubehead/node/control/store_watch.hpp
@@ -54,7 +54,7 @@
   {
     return m_clock.At(aNow);
   }
-  /// @brief Applies an update from a hub.
+  /// @brief Applies an update from a hub; relays log it for their followers.
   /// @param aSentAt assumed time at which the hub sent it.
   void ApplyUpdate(const core::PartLogPage& aUpdate,
                    std::optional<std::int64_t> aClockMs,
@@ -92,6 +92,7 @@
   StoreWatchHooks m_hooks;
   std::map<core::StoreId, std::string> m_followed; ///< Store to address.
   core::PartLog m_log;
+  bool m_is_snapshot_open = false; ///< More pages of a hub's snapshot follow.
   TargetClock m_clock;
 };
 
