Retries: the fixed number is shared by the instances that are known

Cause: each instance had a 400th of the fixed retries. With 984 instances that is 2.46 times what is allowed, with nine it is a 44th of it.

FleetShare divides by the instances with a row. No message is sent when a share is used.

Weighed: a larger constant (unsafe beyond it, of no use below); grants lent from a counter row (a write a grant, and none while the store is away); a share lent by hubs (a hub that pauses would have to be waited out before another lends).

A row that was deleted after 30 minutes without a refresh, of an instance that lives, is counted by nobody for up to 6 s until that instance notices.

--- a/include/jujubehead/core/membership/instance_directory.hpp
+++ b/include/jujubehead/core/membership/instance_directory.hpp
@@ -1,6 +1,7 @@
 #ifndef JUJUBEHEAD_CORE_MEMBERSHIP_INSTANCE_DIRECTORY_HPP
 #define JUJUBEHEAD_CORE_MEMBERSHIP_INSTANCE_DIRECTORY_HPP
 
+#include <cstddef>     // for size_t
 #include <cstdint>     // for uint64_t
 #include <map>         // for map
 #include <optional>    // for optional
@@ -72,6 +73,10 @@
   /// @brief Ends a snapshot.
   void EndAll() { m_is_read = true; }
 
+  /// @return the number of instances with a row.
+  [[nodiscard]] std::size_t RowCount() const { return m_rows.size(); }
+  /// @return whether this instance's own row is among them.
+  [[nodiscard]] bool HasOwnRow() const { return m_rows.contains(m_self.id); }
   /// @return the other instances.
   [[nodiscard]] std::vector<KnownInstance> Others() const;
   /// @return the other instances and this one.
--- a/include/jujubehead/core/routing/windowed_retry_budget.hpp
+++ b/include/jujubehead/core/routing/windowed_retry_budget.hpp
@@ -16,7 +16,7 @@
   Duration window = std::chrono::seconds(10);
   /// Retries allowed per request in the window.
   double per_request = 0.2;
-  /// Additional retries allowed in a window, for this instance alone.
+  /// Additional retries allowed in a window, over all instances together.
   double fixed = 1;
 };
 
@@ -24,10 +24,9 @@
 /// plus a fixed number.
 ///
 /// Each instance keeps to its own part, so all instances together keep to the
-/// total without coordination, however many join or leave: requests are counted
-/// where they arrive, and `fixed` is the total divided by the maximum number of
-/// instances. RetryBudget, in contrast, limits a long-term share and has no
-/// window.
+/// total: requests are counted where they arrive, and of `fixed` each has the
+/// share that it was given last, see FleetShare. RetryBudget, in contrast,
+/// limits a long-term share and has no window.
 ///
 /// The limit holds over any sliding window because, of the slots counted,
 /// retries include one slot more than a window and requests one fewer.
@@ -36,6 +35,10 @@
 public:
   explicit WindowedRetryBudget(WindowedRetryBudgetOptions aOptions);
 
+  /// @brief Sets this instance's share of the fixed retries, 0 to 1; 0 before
+  /// the first call.
+  /// @param aUntil the share is 0 from then on.
+  void SetFixedShare(double aShare, Instant aUntil);
   void OnRequest(Instant aNow);
   /// @return whether one more retry may be sent now; counts it if so.
   [[nodiscard]] bool TryToRetry(Instant aNow);
@@ -58,6 +61,8 @@
   std::array<Slot, kSlots> m_slots{};
   std::int64_t m_number = 0; ///< Of the current slot, since the clock's epoch.
   std::uint64_t m_denied = 0;
+  double m_fixed_share = 0;
+  Instant m_share_until{};
 };
 
 } // namespace jujubehead::core
--- a/include/jujubehead/node/control/platform.hpp
+++ b/include/jujubehead/node/control/platform.hpp
@@ -122,6 +122,9 @@
     std::string aKey,
     std::optional<std::string> aValue,
     std::uint64_t aExpectedVersion) = 0;
+  /// @return a time as of which the rows that were read are current; nothing
+  /// when that is unknown.
+  [[nodiscard]] virtual std::optional<core::Instant> CurrentAsOf() const = 0;
 };
 
 /// @brief A target's report on its weights; a few hundred ms old.
--- a/src/jujubehead/app/command_line.cpp
+++ b/src/jujubehead/app/command_line.cpp
@@ -14,10 +14,6 @@
 constexpr std::uint32_t kMaxDeadline = 7 * 24 * 3600;
 constexpr std::uint32_t kMaxRetryWindow = 3600;
 constexpr std::uint32_t kMaxMilliseconds = 3600 * 1000;
-/// Most instances that may share the fixed number of retries: the 370 that are
-/// planned, and those that take another's place within a window. Each takes its
-/// part without knowing how many live, so the whole is never exceeded.
-constexpr double kMostInstances = 400;
 
 /// Builds commands from their flags and the one argument some of them take.
 class Builder
@@ -133,7 +129,7 @@
     options.repeats.per_request =
       m_check.Share("retry_share", values.retry_share);
     options.repeats.fixed =
-      m_check.NotNegative("retry_fixed", values.retry_fixed) / kMostInstances;
+      m_check.NotNegative("retry_fixed", values.retry_fixed);
     options.repeats.window = std::chrono::seconds(
       m_check.Range("retry_window", values.retry_window, 1, kMaxRetryWindow));
     options.stop_grace = std::chrono::seconds(
--- a/src/jujubehead/core/routing/windowed_retry_budget.cpp
+++ b/src/jujubehead/core/routing/windowed_retry_budget.cpp
@@ -21,6 +21,13 @@
   m_number = std::max(m_number, number);
 }
 
+void
+WindowedRetryBudget::SetFixedShare(double aShare, Instant aUntil)
+{
+  m_fixed_share = aShare;
+  m_share_until = aUntil;
+}
+
 void
 WindowedRetryBudget::OnRequest(Instant aNow)
 {
@@ -40,8 +47,9 @@
     retries += m_slots[i].retries;
     requests += i == oldest ? 0 : m_slots[i].requests;
   }
-  const double allowed =
-    m_options.per_request * static_cast<double>(requests) + m_options.fixed;
+  const double share = aNow < m_share_until ? m_fixed_share : 0;
+  const double allowed = m_options.per_request * static_cast<double>(requests) +
+                         m_options.fixed * share;
   if (static_cast<double>(retries + 1) > allowed) {
     ++m_denied;
     return false;
--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -89,6 +89,7 @@
                                      aOptions.capacity,
                                      aOptions.data_centre })
   , m_role(aOptions.instance_id.Text())
+  , m_share(core::FleetShareOptions{ aOptions.repeats.window })
   , m_book(aOptions.registry)
   , m_direct_read_share(RandomShare())
   , m_deadlines(aContext,
@@ -412,6 +413,20 @@
   m_role.Update(m_instances.All());
 }
 
+void
+EntryControl::UpdateShare()
+{
+  const core::Instant now = core::RuntimeClock::now();
+  if (const auto as_of = m_platform.shared->CurrentAsOf()) {
+    m_share.OnView(
+      m_instances.RowCount(), m_instances.HasOwnRow(), *as_of, now);
+  }
+  const double share = m_share.At(now);
+  if (share > 0) {
+    m_forwarder.SetRetryShare(share, m_share.ValidUntil());
+  }
+}
+
 asio::awaitable<void>
 EntryControl::MaintainInstanceRows()
 {
@@ -460,6 +475,7 @@
     co_await net::Sleep(kTickInterval);
     m_book.Tick(core::RuntimeClock::now());
     PublishTargets();
+    UpdateShare();
   }
 }
 
--- a/src/jujubehead/node/control/entry_control.hpp
+++ b/src/jujubehead/node/control/entry_control.hpp
@@ -10,6 +10,7 @@
 #include <boost/asio/awaitable.hpp>  // for awaitable
 #include <boost/asio/io_context.hpp> // for io_context
 
+#include "jujubehead/core/membership/fleet_share.hpp"        // for FleetShare
 #include "jujubehead/core/membership/instance_directory.hpp" // for InstanceDirectory
 #include "jujubehead/core/membership/store_paths.hpp"        // for StorePaths
 #include "jujubehead/core/routing/data_centre_stops.hpp" // for DataCentreStops
@@ -71,6 +72,8 @@
   void OnRegistryUpdate(const RegistryUpdate& aUpdate, bool aIsAll);
   void OnSharedUpdate(const SharedUpdate& aUpdate, bool aIsAll);
   void SetInstances();
+  /// @brief Updates this instance's share of the fleet's fixed retries.
+  void UpdateShare();
   /// @return true once this instance either watches the operators' store itself
   /// or receives its rows from a hub.
   [[nodiscard]] bool IsSettled() const;
@@ -95,6 +98,7 @@
   Forwarder& m_forwarder;
   core::InstanceDirectory m_instances;
   core::HubRole m_role;
+  core::FleetShare m_share;
   std::shared_ptr<const core::Configuration> m_configuration;
   core::TargetDirectory m_book;
   core::DataCentreStops m_stops;
--- a/src/jujubehead/node/control/weights_deadlines_test.cpp
+++ b/src/jujubehead/node/control/weights_deadlines_test.cpp
@@ -58,6 +58,10 @@
   {
     co_return node::SharedUpdate{};
   }
+  [[nodiscard]] std::optional<core::Instant> CurrentAsOf() const override
+  {
+    return std::nullopt;
+  }
   asio::awaitable<std::optional<std::uint64_t>> Put(
     std::string aKey,
     std::optional<std::string> aValue,
--- a/src/jujubehead/node/forward/forward_state.hpp
+++ b/src/jujubehead/node/forward/forward_state.hpp
@@ -46,7 +46,10 @@
   /// @return the retry budget of a service.
   core::WindowedRetryBudget& BudgetOf(const core::ServiceId& aService)
   {
-    return budgets.try_emplace(aService, options.repeats).first->second;
+    core::WindowedRetryBudget& budget =
+      budgets.try_emplace(aService, options.repeats).first->second;
+    budget.SetFixedShare(retry_share, retry_share_until);
+    return budget;
   }
 
   /// @brief Counts the requests left in data centres with a planned stop.
@@ -71,6 +74,8 @@
   core::LoadReports pending_load_reports; ///< Not sent to them yet.
   core::PartDirectory parts;
   std::unordered_map<core::ServiceId, core::WindowedRetryBudget> budgets;
+  double retry_share = 0; ///< This instance's share of the fixed retries.
+  core::Instant retry_share_until{};
   /// By route name.
   std::unordered_map<std::string, core::WaitPredictor> waits;
   core::PrefixPopularity part_uses;
--- a/src/jujubehead/node/forward/forwarder.cpp
+++ b/src/jujubehead/node/forward/forwarder.cpp
@@ -277,6 +277,15 @@
     });
 }
 
+void
+Forwarder::SetRetryShare(double aShare, core::Instant aUntil)
+{
+  asio::post(m_context, [this, aShare, aUntil] {
+    m_state.retry_share = aShare;
+    m_state.retry_share_until = aUntil;
+  });
+}
+
 void
 Forwarder::OnOperatorContact(core::Instant aWhen)
 {
--- a/src/jujubehead/node/forward/forwarder.hpp
+++ b/src/jujubehead/node/forward/forwarder.hpp
@@ -77,6 +77,8 @@
   void ExchangeLoads(
     std::vector<core::TargetLoadReport> aReports,
     std::function<void(std::vector<core::TargetLoadReport>)> aOnPending);
+  /// @brief Sets this instance's share of the fleet's fixed retries.
+  void SetRetryShare(double aShare, core::Instant aUntil);
   void OnStoreUnreachable(core::StoreId aStore);
   void OnOperatorContact(core::Instant aWhen);
 
--- a/standin/entry_deployment.cpp
+++ b/standin/entry_deployment.cpp
@@ -132,7 +132,7 @@
     m_options.data_centre = core::DataCentreId("dc-1");
     m_options.caller_address = "127.0.0.1:0";
     m_options.table_service = m_stand_ins.at("rows")->Authority();
-    m_options.repeats.fixed = 100;
+    m_options.repeats.per_request = 100;
     m_options.weights_time = aOptions.weights_time;
     Restart();
   }
