Loads: each report is sent once to each reader

Cause: every poll brought the 224 busiest reports of the last 1.5 s, so each was sent some seven times, and of the loads of 10,000 targets only the busiest 2 % were sent at all. Where more than 224 targets crash together, the reports that they are gone did not all fit either.

A hub now keeps a position for each reader and sends what was put since, the busiest first where a message does not hold all. The size of a message and so the bound of 8 KB a second are the same.

Ruled out: a threshold below which loads are not told; what counts as idle depends on the slots of a target, and a target that became idle again would keep its last report.

Tests: each report once; at 600, 1,200 and 2,400 reports a poll a reader gets 224, the busiest among them (on the old code the second poll repeats the first).

--- a/include/jujubehead/core/routing/load_reports.hpp
+++ b/include/jujubehead/core/routing/load_reports.hpp
@@ -1,10 +1,11 @@
 #ifndef JUJUBEHEAD_CORE_ROUTING_LOAD_REPORTS_HPP
 #define JUJUBEHEAD_CORE_ROUTING_LOAD_REPORTS_HPP
 
-#include <cstddef> // for size_t
-#include <cstdint> // for uint32_t
-#include <map>     // for map
-#include <vector>  // for vector
+#include <cstddef>       // for size_t
+#include <cstdint>       // for uint32_t, uint64_t
+#include <map>           // for map
+#include <unordered_map> // for unordered_map
+#include <vector>        // for vector
 
 #include "jujubehead/core/ids.hpp"                   // for TargetId
 #include "jujubehead/core/routing/load_estimate.hpp" // for ReportedLoad
@@ -46,7 +47,7 @@
   /// Older reports are obsolete, as requests last about a second.
   Duration max_age = std::chrono::milliseconds(1500);
   /// In one message. At eight bytes each and four messages a second this stays
-  /// within 8 KB a second however many targets there are.
+  /// within 8 KB a second however many targets report.
   std::size_t max_reports = 224;
 };
 
@@ -55,9 +56,9 @@
 ///
 /// With many instances, each one gets a report of a target only every few
 /// seconds. Without exchange it would send prompts to full targets, and each
-/// instance would lose a request on each crashed target (retry storm). Only the
-/// busiest targets are exchanged, as these are to be avoided; the others have
-/// free slots.
+/// instance would lose a request on each crashed target (retry storm). Where a
+/// message cannot hold all, the busiest targets are in it, as these are to be
+/// avoided; the others have free slots.
 class LoadReports
 {
 public:
@@ -66,8 +67,20 @@
   {
   }
 
+  /// Reports that a reader has not had, and its position after them.
+  struct Page
+  {
+    std::vector<TargetLoadReport> reports;
+    std::uint64_t next = 0;
+  };
+
   /// @brief Keeps a report if it is the newest of its target.
   void Put(const TargetLoadReport& aLoad);
+  /// @brief Returns each report once to each reader: repeated in each message
+  /// while it is valid, a report would be sent seven times.
+  /// @param aAfter the reader's position; 0 at first.
+  /// @return the busiest targets of the reports put since.
+  [[nodiscard]] Page BusiestAfter(std::uint64_t aAfter, Instant aNow);
   /// @return the busiest targets, by requests per slot. Drops reports older
   /// than `max_age`.
   [[nodiscard]] std::vector<TargetLoadReport> Busiest(Instant aNow);
@@ -75,8 +88,19 @@
   [[nodiscard]] std::vector<TargetLoadReport> TakeBusiest(Instant aNow);
 
 private:
+  struct Entry
+  {
+    TargetLoadReport report;
+    std::uint64_t position = 0;
+  };
+
+  void DropOld(Instant aNow);
+  void KeepBusiest(std::vector<TargetLoadReport>& aReports) const;
+
   LoadReportsOptions m_options;
-  std::map<TargetKey, TargetLoadReport> m_loads;
+  std::unordered_map<TargetKey, Entry> m_loads;
+  std::map<std::uint64_t, TargetKey> m_by_position; ///< The oldest put first.
+  std::uint64_t m_last = 0;
 };
 
 } // namespace jujubehead::core
--- a/src/jujubehead/core/routing/load_reports.cpp
+++ b/src/jujubehead/core/routing/load_reports.cpp
@@ -35,32 +35,65 @@
 void
 LoadReports::Put(const TargetLoadReport& aLoad)
 {
-  const auto [known, is_new] = m_loads.try_emplace(aLoad.target, aLoad);
-  if (!is_new && aLoad.reported_at > known->second.reported_at) {
-    known->second = aLoad;
+  const auto [known, is_new] = m_loads.try_emplace(aLoad.target);
+  Entry& entry = known->second;
+  if (!is_new) {
+    if (aLoad.reported_at <= entry.report.reported_at) {
+      return;
+    }
+    m_by_position.erase(entry.position);
   }
+  entry = { aLoad, ++m_last };
+  m_by_position.emplace(m_last, aLoad.target);
 }
 
-std::vector<TargetLoadReport>
-LoadReports::Busiest(Instant aNow)
+void
+LoadReports::DropOld(Instant aNow)
 {
-  std::erase_if(m_loads, [&](const auto& aEntry) {
-    return aNow - aEntry.second.reported_at > m_options.max_age;
-  });
-  std::vector<TargetLoadReport> busiest;
-  busiest.reserve(m_loads.size());
-  for (const auto& [target, load] : m_loads) {
-    busiest.push_back(load);
+  const auto is_old = [&](TargetKey aTarget) {
+    return aNow - m_loads.at(aTarget).report.reported_at > m_options.max_age;
+  };
+  // Reports are put in about the order of their age.
+  while (!m_by_position.empty() && is_old(m_by_position.begin()->second)) {
+    m_loads.erase(m_by_position.begin()->second);
+    m_by_position.erase(m_by_position.begin());
   }
-  std::sort(busiest.begin(),
-            busiest.end(),
+}
+
+void
+LoadReports::KeepBusiest(std::vector<TargetLoadReport>& aReports) const
+{
+  std::sort(aReports.begin(),
+            aReports.end(),
             [](const TargetLoadReport& aOne, const TargetLoadReport& aOther) {
               return RequestsPerSlot(aOne.load) > RequestsPerSlot(aOther.load);
             });
-  if (busiest.size() > m_options.max_reports) {
-    busiest.resize(m_options.max_reports);
+  if (aReports.size() > m_options.max_reports) {
+    aReports.resize(m_options.max_reports);
   }
-  return busiest;
+}
+
+LoadReports::Page
+LoadReports::BusiestAfter(std::uint64_t aAfter, Instant aNow)
+{
+  DropOld(aNow);
+  Page page;
+  page.next = m_last;
+  for (auto at = m_by_position.upper_bound(aAfter); at != m_by_position.end();
+       ++at) {
+    const TargetLoadReport& report = m_loads.at(at->second).report;
+    if (aNow - report.reported_at <= m_options.max_age) {
+      page.reports.push_back(report);
+    }
+  }
+  KeepBusiest(page.reports);
+  return page;
+}
+
+std::vector<TargetLoadReport>
+LoadReports::Busiest(Instant aNow)
+{
+  return BusiestAfter(0, aNow).reports;
 }
 
 std::vector<TargetLoadReport>
@@ -68,6 +101,7 @@
 {
   std::vector<TargetLoadReport> busiest = Busiest(aNow);
   m_loads.clear();
+  m_by_position.clear();
   return busiest;
 }
 
--- a/src/jujubehead/core/routing/load_reports_test.cpp
+++ b/src/jujubehead/core/routing/load_reports_test.cpp
@@ -119,6 +119,46 @@
   LONGS_EQUAL(0, news.Busiest(kNow).size());
 }
 
+// Sent with every poll for as long as they were valid, 224 reports took the
+// whole of what an instance may receive, and left out most targets of a large
+// fleet.
+TEST(LoadReports, EachReportIsSentOnce)
+{
+  LoadReports reports;
+  reports.Put(ReportOf("a", 1, kNow));
+  const LoadReports::Page first = reports.BusiestAfter(0, kNow);
+  LONGS_EQUAL(1, first.reports.size());
+  CHECK(reports.BusiestAfter(first.next, kNow).reports.empty());
+  reports.Put(ReportOf("a", 2, kNow + milliseconds(1)));
+  reports.Put(ReportOf("b", 2, kNow + milliseconds(1)));
+  LONGS_EQUAL(2, reports.BusiestAfter(first.next, kNow).reports.size());
+}
+
+// What a follower receives must not grow with the fleet: requests, and so
+// reports, do.
+TEST(LoadReports, ReportsReceivedAreBounded)
+{
+  constexpr milliseconds kPoll{ 220 };
+  constexpr int kPolls = 20;
+  const LoadReportsOptions options;
+  for (const std::size_t per_poll : { 600U, 1200U, 2400U }) {
+    LoadReports reports;
+    std::uint64_t next = 0;
+    std::size_t target = 0;
+    for (int poll = 0; poll < kPolls; ++poll) {
+      const Instant now = kNow + poll * kPoll;
+      for (std::size_t i = 0; i < per_poll; ++i) {
+        const std::uint32_t waiting = i == 0 ? 9 : 0;
+        reports.Put(ReportOf("t" + std::to_string(++target), waiting, now));
+      }
+      const LoadReports::Page page = reports.BusiestAfter(next, now);
+      next = page.next;
+      LONGS_EQUAL(options.max_reports, page.reports.size());
+      LONGS_EQUAL(9, page.reports.front().load.waiting);
+    }
+  }
+}
+
 TEST(LoadReports, ExchangedReportsSpreadLoadMoreEvenly)
 {
   const double separate = MeanOverload(false);
--- a/src/jujubehead/node/control/hub_exchange.cpp
+++ b/src/jujubehead/node/control/hub_exchange.cpp
@@ -189,9 +189,11 @@
 asio::awaitable<void>
 HubExchange::SyncOwnLoads()
 {
-  const auto busiest = m_loads.Busiest(core::RuntimeClock::now());
+  core::LoadReports::Page page =
+    m_loads.BusiestAfter(m_own_next_load, core::RuntimeClock::now());
+  m_own_next_load = page.next;
   const std::vector<core::TargetLoadReport> own =
-    co_await ExchangeLoads(busiest);
+    co_await ExchangeLoads(std::move(page.reports));
   for (const core::TargetLoadReport& load : own) {
     OnReported(load);
   }
@@ -275,6 +277,7 @@
                 "&start=" + aCursor.start +
                 "&after=" + std::to_string(aCursor.parts.next) +
                 "&since=" + std::to_string(aCursor.parts.since) +
+                "&loads=" + std::to_string(aCursor.loads) +
                 "&paged=1&rows=" + m_rows.Cursors();
   call.connect_timeout = kHubTimeout;
   call.idle_timeout = kHubTimeout;
@@ -289,6 +292,7 @@
   HubUpdate update = HubUpdateFromBytes(response.body, requested_at);
   aCursor.start = update.start;
   aCursor.parts = update.parts.cursor;
+  aCursor.loads = update.next_loads;
   aCursor.supports_loads = update.has_loads;
   if (m_role.HasFollowers()) {
     for (const core::TargetLoadReport& load : update.loads) {
@@ -335,7 +339,11 @@
   HubUpdate update;
   update.start = m_start;
   update.has_loads = has_loads;
-  update.loads = m_loads.Busiest(now);
+  const std::uint64_t loads_after =
+    knows_start ? ParseNumber(aRequest.Query("loads")) : 0;
+  core::LoadReports::Page loads = m_loads.BusiestAfter(loads_after, now);
+  update.loads = std::move(loads.reports);
+  update.next_loads = loads.next;
   update.parts = m_stores.Log().ReadAfter(cursor, now);
   update.clock_ms = m_stores.ClockMs(now);
   const bool is_paged = aRequest.Query("paged").has_value();
--- a/src/jujubehead/node/control/hub_exchange.hpp
+++ b/src/jujubehead/node/control/hub_exchange.hpp
@@ -91,6 +91,7 @@
   {
     std::string start;
     core::PartCursor parts;
+    std::uint64_t loads = 0;
     bool supports_loads = false; ///< Whether the hub supports kLoadsEncoding.
   };
 
@@ -135,6 +136,7 @@
   std::minstd_rand m_random{ std::random_device{}() };
   std::uniform_real_distribution<> m_jitter{ 0, 1 };
   core::LoadReports m_loads;            ///< Reported to this instance as a hub.
+  std::uint64_t m_own_next_load = 0;    ///< Of these, not yet applied here.
   core::LoadReports m_unsent_loads;     ///< Of these, not yet sent upwards.
   std::set<std::string> m_pending_hubs; ///< Ids of hubs with a pending request.
   std::string m_start;                  ///< Identifies this run of the process.
--- a/src/jujubehead/node/control/hub_update_codec.cpp
+++ b/src/jujubehead/node/control/hub_update_codec.cpp
@@ -157,6 +157,7 @@
                    { "changes", std::move(changes) } };
   if (aUpdate.has_loads) {
     message["loads"] = LoadsToBytes(aUpdate.loads, aNow);
+    message["next_loads"] = aUpdate.next_loads;
   } else {
     message["loads"] = json::array();
   }
@@ -197,6 +198,7 @@
   result.has_loads = loads.is_string();
   if (result.has_loads) {
     result.loads = LoadsFromBytes(loads.get<std::string>(), aSentAt);
+    result.next_loads = message.value("next_loads", std::uint64_t(0));
   }
   for (const json& store : message.at("stores")) {
     result.parts.stores.push_back(
--- a/src/jujubehead/node/control/hub_update_codec.hpp
+++ b/src/jujubehead/node/control/hub_update_codec.hpp
@@ -1,7 +1,7 @@
 #ifndef JUJUBEHEAD_NODE_CONTROL_HUB_UPDATE_CODEC_HPP
 #define JUJUBEHEAD_NODE_CONTROL_HUB_UPDATE_CODEC_HPP
 
-#include <cstdint>     // for int64_t
+#include <cstdint>     // for int64_t, uint64_t
 #include <optional>    // for optional
 #include <string>      // for string
 #include <string_view> // for string_view
@@ -22,6 +22,7 @@
   /// Clock of targets and stores at the time of sending, in ms.
   std::optional<std::int64_t> clock_ms;
   std::vector<core::TargetLoadReport> loads; ///< Of the busiest targets.
+  std::uint64_t next_loads = 0; ///< Position in the hub's loads after these.
   /// Whether both sides support the current loads encoding.
   bool has_loads = false;
   /// Of the operators' store; empty while the hub cannot reach it.
--- a/src/jujubehead/node/control/hub_update_codec_test.cpp
+++ b/src/jujubehead/node/control/hub_update_codec_test.cpp
@@ -33,7 +33,9 @@
                         { 12, 3, 12 },
                         kNow - std::chrono::milliseconds(40) } };
     message.rows = node::RowUpdate{ std::string("\xff\x00rows", 6),
-                                    std::chrono::milliseconds(70) };
+                                    std::chrono::milliseconds(70),
+                                    true };
+    message.next_loads = 17;
   }
 };
 
@@ -52,6 +54,8 @@
   LONGS_EQUAL(3, back.loads.at(0).load.waiting);
   CHECK(back.loads.at(0).reported_at <= message.loads.at(0).reported_at);
   CHECK(back.rows->age >= message.rows->age);
+  CHECK(back.rows->has_more);
+  LONGS_EQUAL(17, back.next_loads);
   // Ages are rounded up.
   CHECK(back.parts.stores.at(1).age >= message.parts.stores.at(1).age);
   CHECK(back.parts.changes.at(0).store == core::StoreId("s2"));
