Roll-out: one coordinator for thousands of targets

Causes: each target that finished wrote the whole state again, at 10,000 targets some 160 KB of 64 KB that a row holds; the coordinator polled each of 3,252 loading targets eight times a second; and the lease went to any instance, most of them of 0.12 core.

The state is written at most every 200 ms and what does not fit is left out, targets that are done first. The interval of polls grows with the targets that load, so that the polls a second stay below 7,000. Followers wait half a second longer for the lease than hubs, which have the largest capacity.

Weighed: rows by data centre (each still the whole list of its part at each write), and a hash range in place of names (one number, but exceptions need names again); left for later.

Tests: the row fits and the polls a second are bounded at 5,000, 10,000 and 20,000 targets; a choice of 6,667 of 20,000 is even over data centres.

Shared rows are read once a second, not six times, while no hub sends them.

--- a/include/jujubehead/core/weights/rollout.hpp
+++ b/include/jujubehead/core/weights/rollout.hpp
@@ -52,6 +52,11 @@
 std::size_t
 RolloutWidth(std::size_t aTargets);
 
+/// @return the interval at which the coordinator polls each loading target. It
+/// grows with their number, so that the polls a second stay the same.
+Duration
+RolloutPollInterval(std::size_t aLoading);
+
 /// @return the targets to load next, within the limit of RolloutWidth(). Those
 /// with the oldest weights go first, because their deadline is the earliest;
 /// then those in the data centres with the fewest loading targets. A target
@@ -71,7 +76,13 @@
   std::vector<TargetId> done;
 };
 
+/// Longest text of a RolloutState, in bytes: what one row of the operators'
+/// store holds, less a margin.
+inline constexpr std::size_t kMaxRolloutText = 60000;
+
 /// @brief Converts the state to text and back; invalid text gives an empty one.
+/// Targets that do not fit are left out, those that are done first: instances
+/// learn of these from the registry, and of the others by their refusals.
 std::string
 ToText(const RolloutState& aState);
 RolloutState
--- a/src/jujubehead/core/weights/rollout.cpp
+++ b/src/jujubehead/core/weights/rollout.cpp
@@ -18,11 +18,18 @@
 /// ten seconds that operators allow, while two thirds carry the traffic.
 constexpr std::size_t kRounds = 3;
 
+/// Adds names until the text would be longer than `aLeft`, which is reduced.
 json
-Names(const std::vector<TargetId>& aTargets)
+Names(const std::vector<TargetId>& aTargets, std::size_t& aLeft)
 {
+  constexpr std::size_t kQuotesAndComma = 3;
   json names = json::array();
   for (const TargetId& target : aTargets) {
+    const std::size_t size = target.Text().size() + kQuotesAndComma;
+    if (size > aLeft) {
+      break;
+    }
+    aLeft -= size;
     names.push_back(target.Text());
   }
   return names;
@@ -86,6 +93,15 @@
   return std::max<std::size_t>(1, (aTargets + kRounds - 1) / kRounds);
 }
 
+Duration
+RolloutPollInterval(std::size_t aLoading)
+{
+  constexpr Duration kMinInterval = std::chrono::milliseconds(120);
+  constexpr Duration kPerTarget = std::chrono::microseconds(150);
+  return std::max(kMinInterval,
+                  kPerTarget * static_cast<Duration::rep>(aLoading));
+}
+
 std::vector<TargetId>
 NextToLoad(std::span<const RolloutTarget> aTargets,
            std::uint64_t aWanted,
@@ -131,10 +147,12 @@
 std::string
 ToText(const RolloutState& aState)
 {
+  constexpr std::size_t kFrame = 100; // Field names, version, brackets.
+  std::size_t left = kMaxRolloutText - kFrame;
+  const json loading = Names(aState.loading, left);
+  const json done = Names(aState.done, left);
   return json{
-    { "version", aState.version },
-    { "loading", Names(aState.loading) },
-    { "done", Names(aState.done) }
+    { "version", aState.version }, { "loading", loading }, { "done", done }
   }.dump();
 }
 
--- a/src/jujubehead/core/weights/rollout_test.cpp
+++ b/src/jujubehead/core/weights/rollout_test.cpp
@@ -99,3 +99,50 @@
   LONGS_EQUAL(0, RolloutStateOf("{\"version\":\"x\"}").version);
   LONGS_EQUAL(0, RolloutStateOf("]").version);
 }
+
+// All of a large fleet's targets at once made the row larger than the store
+// takes, and the other instances learnt nothing of the roll-out.
+TEST(Rollout, StateFitsOneRowAtAnySize)
+{
+  for (const std::size_t count : { 5000U, 10000U, 20000U }) {
+    RolloutState state;
+    state.version = 7;
+    for (const RolloutTarget& target : Targets(count)) {
+      (state.loading.size() < count / 3 ? state.loading : state.done)
+        .push_back(target.id);
+    }
+    const std::string text = ToText(state);
+    CHECK(text.size() <= kMaxRolloutText);
+    const RolloutState back = RolloutStateOf(text);
+    LONGS_EQUAL(7, back.version);
+    CHECK(back.loading.size() == state.loading.size() || back.done.empty());
+  }
+}
+
+// One coordinator polls all loading targets.
+TEST(Rollout, PollsASecondAreBoundedAtAnySize)
+{
+  constexpr double kMaxPerSecond = 7000;
+  for (const std::size_t targets : { 5000U, 10000U, 20000U }) {
+    const std::size_t loading = RolloutWidth(targets);
+    const double per_second =
+      static_cast<double>(loading) * 1e6 /
+      static_cast<double>(std::chrono::duration_cast<std::chrono::microseconds>(
+                            RolloutPollInterval(loading))
+                            .count());
+    CHECK(per_second <= kMaxPerSecond);
+  }
+  CHECK(RolloutPollInterval(30) == std::chrono::milliseconds(120));
+}
+
+// Choosing the next targets once took a pass over all outdated ones for each.
+TEST(Rollout, LargeFleetsLoadEvenlyOverDataCentres)
+{
+  const auto next = NextToLoad(Targets(20000), 2, now);
+  LONGS_EQUAL(RolloutWidth(20000), next.size());
+  std::size_t odd = 0;
+  for (const TargetId& id : next) {
+    odd += (id.Text().back() - '0') % 2 == 1 ? 1 : 0;
+  }
+  CHECK(odd * 2 <= next.size() + 1 && odd * 2 + 1 >= next.size());
+}
--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -21,6 +21,10 @@
 /// and each such read transfers all targets.
 constexpr core::Duration kHubFeedDelay = std::chrono::milliseconds(3000);
 constexpr core::Duration kDirectReadSpread = std::chrono::milliseconds(10);
+/// Pause between reads of the shared rows while no hub sends them.
+constexpr core::Duration kUnsettledPause = std::chrono::milliseconds(1000);
+/// Lets a hub, an instance of large capacity, take the lease for orders first.
+constexpr core::Duration kFollowerLeaseDelay = std::chrono::milliseconds(500);
 /// Interval of the check for lapsed registrations, whose limits are seconds.
 constexpr core::Duration kTickInterval = std::chrono::milliseconds(400);
 /// Batches the reports of many targets into one page; a third of the time in
@@ -236,6 +240,7 @@
   shared_options.pause = kSharedPause;
   shared_options.settle = kRowsSettle;
   shared_options.is_settled = [this] { return IsSettled(); };
+  shared_options.unsettled_pause = kUnsettledPause;
   asio::co_spawn(
     m_context,
     Follow<SharedUpdate>(*m_platform.shared, shared_options, shared),
@@ -411,6 +416,9 @@
   }
   m_paths.SetInstances(std::move(addresses));
   m_role.Update(m_instances.All());
+  m_rollout.SetLeaseDelay(m_role.Level() == core::HubLevel::kFollower
+                            ? kFollowerLeaseDelay
+                            : core::Duration(0));
 }
 
 void
--- a/src/jujubehead/node/control/follow.hpp
+++ b/src/jujubehead/node/control/follow.hpp
@@ -33,6 +33,9 @@
   core::Duration settle{};
   /// Ends that pause early.
   std::function<bool()> is_settled = [] { return true; };
+  /// Pause after an update while not settled: rows of other instances that
+  /// start appear one by one for seconds.
+  core::Duration unsettled_pause{};
   /// Holds back a read of everything until others had time to send it.
   std::function<bool()> may_read_all = [] { return true; };
 };
@@ -142,8 +145,12 @@
     if (!fault) {
       if (is_start) {
         co_await WaitUntilSettled(aOptions);
-      } else if (aOptions.pause > core::Duration(0) && !aFeed.IsFree()) {
-        co_await net::Sleep(aOptions.pause);
+      } else if (!aFeed.IsFree()) {
+        const core::Duration pause =
+          aOptions.is_settled() ? aOptions.pause : aOptions.unsettled_pause;
+        if (pause > core::Duration(0)) {
+          co_await net::Sleep(pause);
+        }
       }
       continue;
     }
--- a/src/jujubehead/node/control/rollout_coordinator.cpp
+++ b/src/jujubehead/node/control/rollout_coordinator.cpp
@@ -37,7 +37,8 @@
 /// First poll after an order; loading takes most of a second once the running
 /// requests have ended.
 constexpr core::Duration kFirstPollDelay = std::chrono::milliseconds(700);
-constexpr core::Duration kPollInterval = std::chrono::milliseconds(120);
+/// Least time between two writes of a roll-out's state; less than kNoticeTime.
+constexpr core::Duration kStateInterval = std::chrono::milliseconds(200);
 /// Resend interval of an unanswered order, in case it was lost; a target
 /// accepts only the first one that arrives.
 constexpr core::Duration kResendInterval = std::chrono::seconds(2);
@@ -337,7 +338,8 @@
   }
   if (m_lease.IsRenewalDue(now)) {
     if (!m_lease.WasLastHolder()) {
-      const core::Duration pause = kNonHolderDelay + JitteredRetryDelay();
+      const core::Duration pause =
+        kNonHolderDelay + m_lease_delay + JitteredRetryDelay();
       co_await net::Sleep(pause);
       if (!m_lease.MayAcquire(core::RuntimeClock::now())) {
         co_return;
@@ -359,17 +361,44 @@
     if (!next.empty()) {
       PublishLoading();
       const core::ModelId written = model;
-      co_await WriteState(written);
+      co_await WriteStateInTurn(written);
       // m_wanted may have changed meanwhile.
       break;
     }
   }
 }
 
+core::Duration
+RolloutCoordinator::PollInterval(const core::ModelId& aModel) const
+{
+  const auto rollout = m_rollouts.find(aModel);
+  const std::size_t loading =
+    rollout == m_rollouts.end() ? 0 : rollout->second.loading.size();
+  return core::RolloutPollInterval(loading);
+}
+
+asio::awaitable<void>
+RolloutCoordinator::WriteStateInTurn(core::ModelId aModel)
+{
+  Rollout& rollout = m_rollouts[aModel];
+  if (rollout.is_write_pending) {
+    co_return; // It will include this change.
+  }
+  const core::Instant due = rollout.written_at + kStateInterval;
+  const core::Duration wait = due - core::RuntimeClock::now();
+  if (wait > core::Duration(0)) {
+    rollout.is_write_pending = true;
+    co_await net::Sleep(wait);
+    rollout.is_write_pending = false;
+  }
+  co_await WriteState(aModel);
+}
+
 asio::awaitable<void>
 RolloutCoordinator::WriteState(core::ModelId aModel)
 {
   Rollout& rollout = m_rollouts[aModel];
+  rollout.written_at = core::RuntimeClock::now();
   core::RolloutState state;
   state.version = m_wanted[aModel].Newest();
   state.loading = { rollout.loading.begin(), rollout.loading.end() };
@@ -411,7 +440,8 @@
                                       .Add("why", error.what()));
     }
     if (!is_loaded) {
-      co_await net::Sleep(kPollInterval);
+      const core::Duration pause = PollInterval(aModel);
+      co_await net::Sleep(pause);
     }
   }
   Rollout& rollout = m_rollouts[aModel];
@@ -428,7 +458,7 @@
       .Add("took", core::RuntimeClock::now() - loading.started_at));
   PublishLoading();
   if (HoldsLease()) {
-    co_await WriteState(aModel);
+    co_await WriteStateInTurn(aModel);
   }
   Wake();
 }
@@ -493,7 +523,7 @@
   const core::Instant now = core::RuntimeClock::now();
   if (report.is_busy) {
     if (SetUnanswered(aModel, aTarget.id, false)) {
-      co_await WriteState(aModel);
+      co_await WriteStateInTurn(aModel);
     }
     co_return false;
   }
@@ -508,7 +538,7 @@
     co_await SendOrder(aModel, aTarget, report, aLoading);
   if (!answer) {
     if (SetUnanswered(aModel, aTarget.id, true)) {
-      co_await WriteState(aModel);
+      co_await WriteStateInTurn(aModel);
     }
     co_return false;
   }
--- a/src/jujubehead/node/control/rollout_coordinator.hpp
+++ b/src/jujubehead/node/control/rollout_coordinator.hpp
@@ -42,6 +42,9 @@
   /// @brief Applies changes of the registered targets.
   void ApplyTargets(const std::vector<core::RegistrationChange>& aChanges);
   void OnSharedUpdate(const SharedUpdate& aUpdate, bool aIsAll);
+  /// @brief Delays attempts to take the lease, for instances that are too small
+  /// to send thousands of orders while larger ones can.
+  void SetLeaseDelay(core::Duration aDelay) { m_lease_delay = aDelay; }
   [[nodiscard]] bool HoldsLease() const;
 
 private:
@@ -56,12 +59,19 @@
     std::set<core::TargetId> loading_elsewhere;
     core::Instant received_at{}; ///< Of loading_elsewhere.
     std::uint64_t row_version = 0;
+    core::Instant written_at{};    ///< When the state was last written.
+    bool is_write_pending = false; ///< A write waits for its turn.
   };
 
   boost::asio::awaitable<void> Run();
   boost::asio::awaitable<void> RunStep();
   boost::asio::awaitable<bool> WriteLease();
   boost::asio::awaitable<void> WriteState(core::ModelId aModel);
+  /// @brief Writes the state at once, or, soon after the last write, in its
+  /// turn: thousands of targets finish within seconds, and each write has all
+  /// of them.
+  boost::asio::awaitable<void> WriteStateInTurn(core::ModelId aModel);
+  [[nodiscard]] core::Duration PollInterval(const core::ModelId& aModel) const;
   boost::asio::awaitable<void> LoadTarget(core::ModelId aModel,
                                           core::RegisteredTarget aTarget);
   /// State kept between two polls of a target that is to load.
@@ -111,6 +121,7 @@
   Forwarder& m_forwarder;
   core::CoordinatorLease m_lease;
   net::Timer m_wake;
+  core::Duration m_lease_delay{};
   std::map<core::ModelId, core::DesiredWeights> m_wanted;
   std::map<core::TargetId, core::RegisteredTarget> m_targets;
   std::map<core::ModelId, std::set<core::TargetId>> m_outdated;
