--- a/src/jujubehead/core/membership/hubs_test.cpp
+++ b/src/jujubehead/core/membership/hubs_test.cpp
@@ -3,6 +3,7 @@
 #include <algorithm> // for max, find_if
 #include <map>       // for map
 #include <set>       // for set
+#include <utility>   // for move
 
 #include <CppUTest/TestHarness.h> // for TEST
 
@@ -23,7 +24,9 @@
     const std::string number = std::to_string(i);
     const std::string& place = kPlaces[i % kPlaces.size()];
     const double capacity = i / kPlaces.size() % 16 == 0 ? 1.0 : 0.12;
-    all.push_back({ "entry-" + place + "-" + number,
+    std::string id = "entry-";
+    id.append(place).append("-").append(number);
+    all.push_back({ std::move(id),
                     "10.0.0." + number + ":7",
                     capacity,
                     DataCentreId(place) });
