Updates cross to each data centre once; pages of parts are paced

The first relay of a data centre polls a reader, the others poll that one. Followers pause 60 ms between two pages of parts, as all relays' time went into pages when many instances started at once.

--- a/include/jujubehead/core/membership/hubs.hpp
+++ b/include/jujubehead/core/membership/hubs.hpp
@@ -36,9 +36,11 @@
 /// @brief An instance's place in the tree.
 enum class HubLevel : std::uint8_t
 {
-  kReader,   ///< Reads the operators' store and watches the stores.
-  kStandby,  ///< A relay that becomes a reader when no reader answers.
-  kRelay,    ///< Polls a reader; followers of its data centre poll it.
+  kReader,  ///< Reads the operators' store and watches the stores.
+  kStandby, ///< A relay that becomes a reader when no reader answers.
+  /// The first one of a data centre polls a reader, the others poll that one;
+  /// followers of the data centre poll any of them.
+  kRelay,
   kFollower, ///< Polls a relay.
 };
 
@@ -62,8 +64,8 @@
 /// operators' store, readers, relays of each data centre, followers.
 ///
 /// An instance's neighbours, and so what it sends and receives, do not grow
-/// with the fleet; a reader has one more for each 64 instances. Updates cross
-/// between data centres once a relay. Instances with a large capacity are
+/// with the fleet, and updates cross to a data centre once, and once to each
+/// standby. Instances with a large capacity are
 /// preferred as readers and relays, which answer dozens of others (hot spot).
 /// All instances that know the same rows plan the same tree, without
 /// coordination.
--- a/src/jujubehead/core/membership/hubs.cpp
+++ b/src/jujubehead/core/membership/hubs.cpp
@@ -166,9 +166,10 @@
     return plan;
   }
   plan.level = is_relay ? HubLevel::kRelay : HubLevel::kFollower;
-  if (!is_relay) {
-    AppendShuffled(plan.upstreams, std::move(own_relays), aSelf);
+  if (is_relay) {
+    own_relays.resize(own_relays.front().id == aSelf ? 0 : 1);
   }
+  AppendShuffled(plan.upstreams, std::move(own_relays), aSelf);
   AppendShuffled(plan.upstreams, readers, aSelf);
   AppendShuffled(plan.upstreams, standbys, aSelf);
   return plan;
--- a/src/jujubehead/node/control/hub_exchange.cpp
+++ b/src/jujubehead/node/control/hub_exchange.cpp
@@ -41,6 +41,9 @@
 constexpr core::Duration kMaxRowAge = std::chrono::milliseconds(1400);
 /// The same at a relay: two polls of its upstream later.
 constexpr core::Duration kMaxRelayedRowAge = std::chrono::milliseconds(1700);
+/// Pause between two pages of parts. When many instances start at once, all
+/// their relays' time would go into pages, and polls would time out.
+constexpr core::Duration kPartPagePause = std::chrono::milliseconds(60);
 /// Rows in one reply to an instance that starts, of some 300 bytes each: a
 /// small instance's link transfers them within kHubTimeout, and a relay sends
 /// them to dozens at once.
@@ -109,8 +112,7 @@
         failure = core::HubFailure::kNotServing;
       } else {
         choice.OnAnswer();
-        pause =
-          result == PollResult::kHasMore ? core::Duration(0) : PollInterval();
+        pause = PauseAfter(result);
       }
     } catch (const net::HttpCallError& error) {
       why = error.what();
@@ -166,8 +168,14 @@
 }
 
 core::Duration
-HubExchange::PollInterval() const
+HubExchange::PauseAfter(PollResult aResult) const
 {
+  if (aResult == PollResult::kHasMoreRows) {
+    return {};
+  }
+  if (aResult == PollResult::kHasMoreParts) {
+    return m_role.HasFollowers() ? core::Duration(0) : kPartPagePause;
+  }
   return m_role.HasFollowers() ? kRelayPollInterval : kFollowerPollInterval;
 }
 
@@ -307,7 +315,7 @@
   const core::Instant as_of = requested_at - update.rows->age;
   const bool has_unread = m_rows.ApplyUpdate(*update.rows, as_of, requested_at);
   if (update.rows->has_more) {
-    co_return PollResult::kHasMore;
+    co_return PollResult::kHasMoreRows;
   }
   if (!has_unread) {
     m_hooks.on_synced(as_of);
@@ -315,7 +323,7 @@
   const core::Instant now = core::RuntimeClock::now();
   m_role.OnUpstreamAnswer(now);
   m_paths.OnHubFeed(now + m_role.RowsLifetime());
-  co_return update.parts.has_more ? PollResult::kHasMore
+  co_return update.parts.has_more ? PollResult::kHasMoreParts
                                   : PollResult::kComplete;
 }
 
--- a/src/jujubehead/node/control/hub_exchange.hpp
+++ b/src/jujubehead/node/control/hub_exchange.hpp
@@ -98,15 +98,16 @@
   enum class PollResult : std::uint8_t
   {
     kComplete,
-    kHasMore, ///< More can be read at once.
-    kStale,   ///< The hub has no current rows.
+    kHasMoreRows,  ///< Rows are missing.
+    kHasMoreParts, ///< All rows are there, parts are missing.
+    kStale,        ///< The hub has no current rows.
   };
 
   [[nodiscard]] bool IsHub() const;
   boost::asio::awaitable<void> FollowHubs();
   void UpdateLevel();
   boost::asio::awaitable<void> ActAsReader();
-  [[nodiscard]] core::Duration PollInterval() const;
+  [[nodiscard]] core::Duration PauseAfter(PollResult aResult) const;
   boost::asio::awaitable<PollResult> PollHub(core::KnownInstance aHub,
                                              Cursor& aCursor);
   boost::asio::awaitable<std::vector<core::TargetLoadReport>>
