Parts: one wake-up for all stores of an update; readers watch more closely

Causes: a hub's update has a page of each store, and each page was posted to the traffic thread by itself: 101 a poll, 4.5 polls a second. And a store's state counts as stale after 0.9 s: a reader's quiet poll takes up to 0.62 s, and two relays and a follower add up to 0.44 s.

The pages of an update are posted together. Readers with followers wait 250 ms for events, still no probe by the stores' rules, where others wait 500 ms.

Ruled out: a longer time until a store counts as stale; it is what keeps a part that is being written again from being read.

--- a/include/jujubehead/core/context/part_directory.hpp
+++ b/include/jujubehead/core/context/part_directory.hpp
@@ -42,6 +42,15 @@
   std::vector<PartEvent> events;
 };
 
+/// @brief A store's page, and the time at which the store is assumed to have
+/// sent it.
+struct StorePage
+{
+  StoreId store;
+  PartEventPage page;
+  Instant as_of{};
+};
+
 /// @brief How long a store's entries stay valid without an answer.
 struct PartDirectoryOptions
 {
--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -123,11 +123,11 @@
 EntryControl::MakeStoreHooks()
 {
   StoreWatchHooks hooks;
-  hooks.on_page = [this](const core::StoreId& aStore,
-                         core::PartEventPage aPage,
-                         core::Instant aAsOf) {
-    m_reclaimer.OnPage(aStore, aPage, aAsOf);
-    m_forwarder.OnPartEvents(aStore, std::move(aPage), aAsOf);
+  hooks.on_pages = [this](std::vector<core::StorePage> aPages) {
+    for (const core::StorePage& one : aPages) {
+      m_reclaimer.OnPage(one.store, one.page, one.as_of);
+    }
+    m_forwarder.OnPartEvents(std::move(aPages));
   };
   hooks.on_failure = [this](const core::StoreId& aStore) {
     m_reclaimer.OnNoResponse(aStore);
--- a/src/jujubehead/node/control/store_watch.cpp
+++ b/src/jujubehead/node/control/store_watch.cpp
@@ -19,6 +19,10 @@
 /// instances poll it.
 constexpr int kBusyRetryFactor = 4;
 
+/// Wait of a reader with followers. A store's state counts as stale after
+/// 900 ms, of which the polls of two relays and a follower take half.
+constexpr core::Duration kHubWait = std::chrono::milliseconds(250);
+
 } // namespace
 
 StoreWatch::StoreWatch(asio::io_context& aContext,
@@ -69,8 +73,13 @@
   std::string why;
   PollOutcome outcome = PollOutcome::kSilent;
   try {
-    core::PartEventPage page = co_await m_calls.Read(
-      aStore.address, aCursor.since, core::WatchTimeout(aWatchers));
+    core::WatchPacingOptions pacing;
+    if (m_role.HasFollowers()) {
+      pacing.default_wait = kHubWait;
+    }
+    const core::Duration wait = core::WatchTimeout(aWatchers, pacing);
+    core::PartEventPage page =
+      co_await m_calls.Read(aStore.address, aCursor.since, wait);
     const core::Instant now = core::RuntimeClock::now();
     // A restarted store numbers its events from the start again.
     const bool is_new = page.epoch != aCursor.epoch;
@@ -80,7 +89,9 @@
       m_clock.OnReading(*page.clock_ms, now);
     }
     m_log.OnPage(aStore.id, page, now);
-    m_hooks.on_page(aStore.id, std::move(page), now);
+    std::vector<core::StorePage> pages;
+    pages.push_back({ aStore.id, std::move(page), now });
+    m_hooks.on_pages(std::move(pages));
     outcome = PollOutcome::kAnswered;
   } catch (const PlatformError& error) {
     why = error.what();
@@ -151,6 +162,8 @@
     m_log.BeginSnapshot();
     m_is_snapshot_open = true;
   }
+  std::vector<core::StorePage> all;
+  all.reserve(aUpdate.stores.size());
   for (const core::StoreStatus& store : aUpdate.stores) {
     core::PartEventPage& page = pages[store.store];
     const core::Instant as_of = aSentAt - store.age;
@@ -160,8 +173,9 @@
       logged.is_snapshot = false;
       m_log.OnPage(store.store, logged, as_of);
     }
-    m_hooks.on_page(store.store, std::move(page), as_of);
+    all.push_back({ store.store, std::move(page), as_of });
   }
+  m_hooks.on_pages(std::move(all));
   if (m_is_snapshot_open && !aUpdate.has_more) {
     m_log.EndSnapshot();
     m_is_snapshot_open = false;
--- a/src/jujubehead/node/control/store_watch.hpp
+++ b/src/jujubehead/node/control/store_watch.hpp
@@ -25,11 +25,9 @@
 /// @brief Callbacks of a StoreWatch.
 struct StoreWatchHooks
 {
-  /// @param aAsOf assumed time at which the store sent the page.
-  std::function<void(const core::StoreId& aStore,
-                     core::PartEventPage aPage,
-                     core::Instant aAsOf)>
-    on_page;
+  /// Takes the pages that came together, so that a hub's update, which has one
+  /// of each store, wakes up the traffic thread once.
+  std::function<void(std::vector<core::StorePage> aPages)> on_pages;
   std::function<void(const core::StoreId& aStore)> on_failure;
 };
 
--- a/src/jujubehead/node/forward/forwarder.cpp
+++ b/src/jujubehead/node/forward/forwarder.cpp
@@ -234,19 +234,17 @@
 }
 
 void
-Forwarder::OnPartEvents(core::StoreId aStore,
-                        core::PartEventPage aPage,
-                        core::Instant aReceivedAt)
+Forwarder::OnPartEvents(std::vector<core::StorePage> aPages)
 {
-  asio::post(
-    m_context,
-    [this, aReceivedAt, store = std::move(aStore), page = std::move(aPage)] {
-      m_state.parts.OnPage(store, page, aReceivedAt);
-      if (page.clock_ms) {
-        const core::Instant now = core::RuntimeClock::now();
-        m_state.target_clock.OnReading(*page.clock_ms, now);
+  asio::post(m_context, [this, pages = std::move(aPages)] {
+    const core::Instant now = core::RuntimeClock::now();
+    for (const core::StorePage& one : pages) {
+      m_state.parts.OnPage(one.store, one.page, one.as_of);
+      if (one.page.clock_ms) {
+        m_state.target_clock.OnReading(*one.page.clock_ms, now);
       }
-    });
+    }
+  });
 }
 
 void
--- a/src/jujubehead/node/forward/forwarder.hpp
+++ b/src/jujubehead/node/forward/forwarder.hpp
@@ -66,9 +66,7 @@
   void SetWantedWeights(std::map<core::ModelId, core::DesiredWeights> aWanted);
   /// @brief Records that a version of a model has been loaded at a target.
   void OnWeightsLoaded(core::TargetId aTarget, core::LoadedModel aLoaded);
-  void OnPartEvents(core::StoreId aStore,
-                    core::PartEventPage aPage,
-                    core::Instant aReceivedAt);
+  void OnPartEvents(std::vector<core::StorePage> aPages);
   /// @brief Drops the parts of superseded scopes from the directory.
   void DropParts(core::SupersededScopes aScopes);
   /// @brief Applies load reports of other instances and passes on those that
--- a/standin/hub_exchange_test.cpp
+++ b/standin/hub_exchange_test.cpp
@@ -55,10 +55,10 @@
   node::StoreWatchHooks Hooks()
   {
     node::StoreWatchHooks hooks;
-    hooks.on_page = [this](const core::StoreId& aStore,
-                           const core::PartEventPage& aPage,
-                           core::Instant aHeard) {
-      parts.OnPage(aStore, aPage, aHeard);
+    hooks.on_pages = [this](const std::vector<core::StorePage>& aPages) {
+      for (const core::StorePage& one : aPages) {
+        parts.OnPage(one.store, one.page, one.as_of);
+      }
     };
     hooks.on_failure = [this](const core::StoreId& aStore) {
       parts.OnNoResponse(aStore);
