Hubs: a few rows at a start of all are no small fleet

Cause: instances that start together find the rows of those that wrote first. With two to twelve of them the plan was that of a small fleet, in which all are readers and which does not wait: most of 984 instances read all rows of the operators' store and watched 101 stores each, until they knew more.

An instance without a row of its own at its first read waits 2.3 s, unless what it knows is a tree. One that has a row restarts: it knows the others and watches at once, as before. Shared rows are read again after 2.5 s while no hub sends them.

Tests fail on the code before: nine rows 1.6 s after a start of all.

--- a/include/jujubehead/core/membership/hubs.hpp
+++ b/include/jujubehead/core/membership/hubs.hpp
@@ -106,16 +106,24 @@
   /// @brief Marks the start of this instance; if never called, IsSettling() is
   /// false.
   void OnStart(Instant aNow) { m_started = aNow; }
+  /// @brief All rows were read. A row of its own means that this instance has
+  /// restarted, and that the rows of the others were written long before.
+  void OnAllRows(bool aHasOwnRow)
+  {
+    m_is_restart |= aHasOwnRow && !m_has_read;
+    m_has_read = true;
+  }
   /// @brief An upstream answered a poll with current rows.
   void OnUpstreamAnswer(Instant aNow) { m_upstream_answered = aNow; }
 
   [[nodiscard]] HubLevel Level() const { return m_plan.level; }
   /// @return whether the other instances' rows may still be missing. All
-  /// instances may have started at once, and until they know of each other each
-  /// one would act as a reader (thundering herd).
+  /// instances may have started at once, and while they know too few for a tree
+  /// each one would act as a reader (thundering herd).
   [[nodiscard]] bool IsSettling(Instant aNow) const
   {
-    return m_known <= 1 && aNow - m_started < kHubSettleTime;
+    return !m_plan.is_tree && !m_is_restart &&
+           aNow - m_started < kHubSettleTime;
   }
   /// @return whether this instance watches the stores.
   [[nodiscard]] bool Watches(Instant aNow) const;
@@ -146,6 +154,8 @@
   std::string m_self;
   HubPlan m_plan;
   std::size_t m_known = 1;
+  bool m_has_read = false;   ///< All rows, once.
+  bool m_is_restart = false; ///< Its own row was among them.
   Instant m_started{};
   Instant m_upstream_answered{};
 };
--- a/src/jujubehead/core/membership/hubs_test.cpp
+++ b/src/jujubehead/core/membership/hubs_test.cpp
@@ -286,13 +286,35 @@
 
 // If all instances start at once, each one would watch all stores until they
 // know of each other (thundering herd).
-TEST(Hubs, AStartingInstanceWatchesOnceItKnowsOthersOrHasSettled)
+TEST(Hubs, AStartingInstanceWatchesOnceItHasSettled)
 {
   const Instant start = Instant(std::chrono::hours(1));
   HubRole role("entry-north-0");
   role.OnStart(start);
   CHECK_FALSE(role.Watches(start + milliseconds(2299)));
   CHECK(role.Watches(start + milliseconds(2300)));
+}
+
+// The first instances of a large fleet that find a few rows are not a small
+// fleet: a thousand of them read all rows and watched a hundred stores each.
+TEST(Hubs, AFewRowsAtAStartOfAllAreNoSmallFleet)
+{
+  const Instant start = Instant(std::chrono::hours(1));
+  HubRole role("entry-north-0");
+  role.OnStart(start);
+  role.OnAllRows(false);
+  role.Update(Instances(9));
+  CHECK_FALSE(role.Watches(start + milliseconds(1600)));
+  role.Update(Instances(300));
+  CHECK_FALSE(role.IsSettling(start + milliseconds(1700)));
+}
+
+TEST(Hubs, AnInstanceThatRestartsInASmallFleetWatchesAtOnce)
+{
+  const Instant start = Instant(std::chrono::hours(1));
+  HubRole role("entry-north-0");
+  role.OnStart(start);
+  role.OnAllRows(true);
   role.Update(Instances(9));
   CHECK(role.Watches(start));
 }
--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -22,7 +22,7 @@
 constexpr core::Duration kHubFeedDelay = std::chrono::milliseconds(3000);
 constexpr core::Duration kDirectReadSpread = std::chrono::milliseconds(10);
 /// Pause between reads of the shared rows while no hub sends them.
-constexpr core::Duration kUnsettledPause = std::chrono::milliseconds(1000);
+constexpr core::Duration kUnsettledPause = std::chrono::milliseconds(2500);
 /// Lets a hub, an instance of large capacity, take the lease for orders first.
 constexpr core::Duration kFollowerLeaseDelay = std::chrono::milliseconds(500);
 /// Interval of the check for lapsed registrations, whose limits are seconds.
@@ -392,6 +392,7 @@
   }
   if (aIsAll) {
     m_instances.EndAll();
+    m_role.OnAllRows(m_instances.HasOwnRow());
   }
   // Rows of a roll-out change far more often than those of instances.
   if (has_instance_rows) {
