Hubs: a moment without fresh rows is no failure of a hub

Cause: targets may report all at once, and the reader's long poll of the registry then waits up to 1.2 s for the next report.

The registry is polled for 0.5 s, so that rows stay below that age, and a hub is left only after three polls in a row without rows.

--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -30,6 +30,9 @@
 /// Batches the reports of many targets into one page; a third of the time in
 /// which a leaving target may still receive requests.
 constexpr core::Duration kRegistryPause = std::chrono::milliseconds(650);
+/// With the pause, below the age at which hubs no longer pass rows on: targets
+/// may report all at once, and not at all for the rest of their interval.
+constexpr core::Duration kRegistryWait = std::chrono::milliseconds(500);
 /// Shared rows change with roll-outs only; a connection that hangs meanwhile
 /// costs requests that targets refuse.
 constexpr core::Duration kSharedWait = std::chrono::milliseconds(4000);
@@ -223,6 +226,7 @@
   FollowOptions registry_options;
   registry_options.name = "registry";
   registry_options.may_read_all = [this] { return MayReadAll(); };
+  registry_options.wait = kRegistryWait;
   registry_options.pause = kRegistryPause;
   registry_options.settle = core::kHubSettleTime;
   registry_options.is_settled = [this] { return IsSettled(); };
--- a/src/jujubehead/node/control/hub_exchange.cpp
+++ b/src/jujubehead/node/control/hub_exchange.cpp
@@ -41,6 +41,10 @@
 constexpr core::Duration kMaxRowAge = std::chrono::milliseconds(1400);
 /// The same at a relay: two polls of its upstream later.
 constexpr core::Duration kMaxRelayedRowAge = std::chrono::milliseconds(1700);
+/// Polls in a row without rows after which another hub is polled. A hub may
+/// wait for the operators' store for a moment longer than its rows are fresh,
+/// and what else it sends is current.
+constexpr int kMaxStalePolls = 3;
 /// Pause between two pages of parts. When many instances start at once, all
 /// their relays' time would go into pages, and polls would time out.
 constexpr core::Duration kPartPagePause = std::chrono::milliseconds(60);
@@ -107,12 +111,14 @@
     std::string why;
     try {
       const PollResult result = co_await PollHub(hub, m_cursors[hub.id]);
-      if (result == PollResult::kStale) {
+      pause = PauseAfter(result);
+      m_stale_polls = result == PollResult::kStale ? m_stale_polls + 1 : 0;
+      if (m_stale_polls > kMaxStalePolls) {
+        m_stale_polls = 0;
         why = "its rows are stale";
         failure = core::HubFailure::kNotServing;
       } else {
         choice.OnAnswer();
-        pause = PauseAfter(result);
       }
     } catch (const net::HttpCallError& error) {
       why = error.what();
--- a/src/jujubehead/node/control/hub_exchange.hpp
+++ b/src/jujubehead/node/control/hub_exchange.hpp
@@ -144,6 +144,7 @@
   std::unique_ptr<net::HttpClient> m_client;
   std::optional<core::HubLevel> m_level; ///< As last logged.
   std::string m_upstream;                ///< Id of the hub polled last.
+  int m_stale_polls = 0;                 ///< In a row.
   HubCounters m_counters;
 };
 
