--- a/src/jujubehead/core/membership/hubs.cpp
+++ b/src/jujubehead/core/membership/hubs.cpp
@@ -211,10 +211,11 @@
   constexpr Duration kDelayUnit = std::chrono::microseconds(30);
   constexpr Duration kSpreadUnit = std::chrono::milliseconds(10);
   const auto known = static_cast<Duration::rep>(m_known);
-  const Duration delay = std::min(kMaxDelay, kDelayUnit * (known * known));
-  const double spread =
-    aRandom * static_cast<double>((kSpreadUnit * known).count());
-  return delay + Duration(static_cast<Duration::rep>(spread));
+  const Duration by_square = kDelayUnit * (known * known);
+  const Duration delay = std::min(kMaxDelay, by_square);
+  const Duration spread = std::min(kSpreadUnit * known, by_square);
+  return delay + Duration(static_cast<Duration::rep>(
+                   aRandom * static_cast<double>(spread.count())));
 }
 
 Duration
--- a/src/jujubehead/core/membership/hubs_test.cpp
+++ b/src/jujubehead/core/membership/hubs_test.cpp
@@ -269,7 +269,7 @@
   HubRole role("entry-north-0");
   role.Update(Instances(24));
   CHECK(role.DirectReadDelay(0) < milliseconds(20));
-  CHECK(role.DirectReadDelay(1) < milliseconds(300));
+  CHECK(role.DirectReadDelay(1) < milliseconds(40));
   role.Update(Instances(984));
   CHECK(role.DirectReadDelay(0) == std::chrono::seconds(3));
   CHECK(role.DirectReadDelay(1) > std::chrono::seconds(12));
