--- a/include/jujubehead/core/membership/hubs.hpp
+++ b/include/jujubehead/core/membership/hubs.hpp
@@ -65,10 +65,9 @@
 ///
 /// An instance's neighbours, and so what it sends and receives, do not grow
 /// with the fleet, and updates cross to a data centre once, and once to each
-/// standby. Instances with a large capacity are
-/// preferred as readers and relays, which answer dozens of others (hot spot).
-/// All instances that know the same rows plan the same tree, without
-/// coordination.
+/// standby. Instances with a large capacity are preferred as readers and
+/// relays, which answer dozens of others (hot spot). All instances that know
+/// the same rows plan the same tree, without coordination.
 HubPlan
 PlanHubs(std::vector<KnownInstance> aInstances,
          std::string_view aSelf,
--- a/include/jujubehead/core/routing/load_reports.hpp
+++ b/include/jujubehead/core/routing/load_reports.hpp
@@ -67,7 +67,7 @@
   {
   }
 
-  /// Reports that a reader has not had, and its position after them.
+  /// Reports that an instance has not had, and its position after them.
   struct Page
   {
     std::vector<TargetLoadReport> reports;
@@ -76,9 +76,9 @@
 
   /// @brief Keeps a report if it is the newest of its target.
   void Put(const TargetLoadReport& aLoad);
-  /// @brief Returns each report once to each reader: repeated in each message
-  /// while it is valid, a report would be sent seven times.
-  /// @param aAfter the reader's position; 0 at first.
+  /// @brief Returns each report once to each instance that polls: repeated in
+  /// each message while it is valid, a report would be sent seven times.
+  /// @param aAfter the instance's position; 0 at first.
   /// @return the busiest targets of the reports put since.
   [[nodiscard]] Page BusiestAfter(std::uint64_t aAfter, Instant aNow);
   /// @return the busiest targets, by requests per slot. Drops reports older
