Follow: the pause between reads holds while not settled, too

Cause, mine: while no hub feeds an instance, the pause was replaced by the one for shared rows, which is zero for the registry. An instance without a feed then read the registry again at once for each report of any target, where it paused 650 ms before. The longer of the two pauses holds now.

--- a/src/jujubehead/node/control/follow.hpp
+++ b/src/jujubehead/node/control/follow.hpp
@@ -1,6 +1,7 @@
 #ifndef JUJUBEHEAD_NODE_CONTROL_FOLLOW_HPP
 #define JUJUBEHEAD_NODE_CONTROL_FOLLOW_HPP
 
+#include <algorithm>  // for max
 #include <cstdint>    // for uint64_t
 #include <functional> // for function
 #include <optional>   // for optional
@@ -33,8 +34,8 @@
   core::Duration settle{};
   /// Ends that pause early.
   std::function<bool()> is_settled = [] { return true; };
-  /// Pause after an update while not settled: rows of other instances that
-  /// start appear one by one for seconds.
+  /// Least pause after an update while not settled: rows of other instances
+  /// that start appear one by one for seconds.
   core::Duration unsettled_pause{};
   /// Holds back a read of everything until others had time to send it.
   std::function<bool()> may_read_all = [] { return true; };
@@ -147,7 +148,9 @@
         co_await WaitUntilSettled(aOptions);
       } else if (!aFeed.IsFree()) {
         const core::Duration pause =
-          aOptions.is_settled() ? aOptions.pause : aOptions.unsettled_pause;
+          aOptions.is_settled()
+            ? aOptions.pause
+            : std::max(aOptions.pause, aOptions.unsettled_pause);
         if (pause > core::Duration(0)) {
           co_await net::Sleep(pause);
         }
