Reading the change again: state held twice, copies, a wrapper

No behaviour changes; the tests keep their assertions.

- HubRole knows when it started and whether all rows were read; EntryControl held both again.
HubRole::MayReadDirectly() serves in their place.
- WaitUntilSettled() is WaitUntil() with a deadline; FirstRowDelay() takes its random part from RandomShare().
- A relay copied each page of parts to clear one flag for its log.
- PlanHubs() looked for itself among the relays of every data centre; RelaysOf() plans these, and only the own data centre's matter.
- The gauges of hubs come from HubExchange::Gauges(), as those of weights do from WeightsDeadlines; two accessors of EntryControl go.
- The count of stale polls is a local of the loop that uses it.

Looked at and left: TargetFleet::Update() has callers in tests and the bench only; the coordinator's map of targets repeats the directory's.

Sanitizers were not run on it.

--- a/include/jujubehead/core/membership/hubs.hpp
+++ b/include/jujubehead/core/membership/hubs.hpp
@@ -149,10 +149,13 @@
   /// herd).
   [[nodiscard]] Duration RowsLifetime() const;
 
-  /// @return how long after its start this instance leaves it to a hub to send
-  /// it all rows of the operators' store. All may have started at once, and the
-  /// bytes of reading the store directly grow with the square of the fleet,
-  /// while a small one serves again soonest by reading it.
+  /// @return whether this instance has left it to a hub for long enough to send
+  /// it all rows of the operators' store, and now reads the store itself.
+  /// @param aRandom as in DirectReadDelay().
+  [[nodiscard]] bool MayReadDirectly(Instant aNow, double aRandom) const;
+  /// @return how long that is, from the start. All may have started at once,
+  /// and the bytes of reading the store directly grow with the square of the
+  /// fleet, while a small one serves again soonest by reading it.
   /// @param aRandom uniform in 0 to 1; spreads the reads of instances that
   /// start together.
   [[nodiscard]] Duration DirectReadDelay(double aRandom) const;
--- a/src/jujubehead/core/membership/hubs.cpp
+++ b/src/jujubehead/core/membership/hubs.cpp
@@ -87,6 +87,21 @@
   return std::max(needed, least);
 }
 
+/// @return the relays of each data centre, the first of which polls a reader.
+std::map<DataCentreId, Instances>
+RelaysOf(Instances aInstances, const HubOptions& aOptions)
+{
+  std::map<DataCentreId, Instances> relays;
+  for (KnownInstance& one : aInstances) {
+    relays[one.data_centre].push_back(std::move(one));
+  }
+  for (auto& [data_centre, instances] : relays) {
+    PutLargestFirst(instances);
+    instances.resize(RelaysFor(instances.size(), aOptions));
+  }
+  return relays;
+}
+
 /// Appends the instances in an order of this instance's own, so that each hub
 /// gets its share of pollers.
 void
@@ -139,22 +154,11 @@
   PutLargestFirst(aInstances);
   const Instances readers = TakeFirst(aInstances, aOptions.readers);
   const Instances standbys = TakeFirst(aInstances, aOptions.standbys);
-  std::map<DataCentreId, Instances> by_data_centre;
-  for (KnownInstance& one : aInstances) {
-    by_data_centre[one.data_centre].push_back(std::move(one));
-  }
-  Instances own_relays;
+  auto relays = RelaysOf(std::move(aInstances), aOptions);
   plan.readers = readers.size();
   plan.relays = standbys.size();
-  bool is_relay = false;
-  for (auto& [data_centre, others] : by_data_centre) {
-    PutLargestFirst(others);
-    Instances relays = TakeFirst(others, RelaysFor(others.size(), aOptions));
-    plan.relays += relays.size();
-    is_relay |= Contains(relays, aSelf);
-    if (data_centre == own_data_centre) {
-      own_relays = std::move(relays);
-    }
+  for (const auto& [data_centre, of_it] : relays) {
+    plan.relays += of_it.size();
   }
   if (Contains(readers, aSelf)) {
     AppendShuffled(plan.other_readers, readers, aSelf);
@@ -165,8 +169,10 @@
     AppendShuffled(plan.upstreams, readers, aSelf);
     return plan;
   }
-  plan.level = is_relay ? HubLevel::kRelay : HubLevel::kFollower;
-  if (is_relay) {
+  Instances own_relays = std::move(relays[own_data_centre]);
+  plan.level = HubLevel::kFollower;
+  if (Contains(own_relays, aSelf)) {
+    plan.level = HubLevel::kRelay;
     own_relays.resize(own_relays.front().id == aSelf ? 0 : 1);
   }
   AppendShuffled(plan.upstreams, std::move(own_relays), aSelf);
@@ -204,6 +210,13 @@
   return m_plan.level == HubLevel::kReader && !IsSettling(aNow);
 }
 
+bool
+HubRole::MayReadDirectly(Instant aNow, double aRandom) const
+{
+  return m_has_read && !IsSettling(aNow) &&
+         aNow - m_started >= DirectReadDelay(aRandom);
+}
+
 Duration
 HubRole::DirectReadDelay(double aRandom) const
 {
--- a/src/jujubehead/core/membership/hubs_test.cpp
+++ b/src/jujubehead/core/membership/hubs_test.cpp
@@ -44,6 +44,20 @@
   return plans;
 }
 
+const Instant kStart = Instant(std::chrono::hours(1));
+
+/// @return the role of an instance that started with a row of its own, or
+/// without one, and found those of eight others.
+HubRole
+RoleAfterStart(bool aHasOwnRow)
+{
+  HubRole role("entry-north-0");
+  role.OnStart(kStart);
+  role.OnAllRows(aHasOwnRow);
+  role.Update(Instances(9));
+  return role;
+}
+
 std::size_t
 CountLevel(const std::map<std::string, HubPlan>& aPlans, HubLevel aLevel)
 {
@@ -310,22 +324,13 @@
 // fleet: a thousand of them read all rows and watched a hundred stores each.
 TEST(Hubs, AFewRowsAtAStartOfAllAreNoSmallFleet)
 {
-  const Instant start = Instant(std::chrono::hours(1));
-  HubRole role("entry-north-0");
-  role.OnStart(start);
-  role.OnAllRows(false);
-  role.Update(Instances(9));
-  CHECK_FALSE(role.Watches(start + milliseconds(1600)));
+  HubRole role = RoleAfterStart(false);
+  CHECK_FALSE(role.Watches(kStart + milliseconds(1600)));
   role.Update(Instances(300));
-  CHECK_FALSE(role.IsSettling(start + milliseconds(1700)));
+  CHECK_FALSE(role.IsSettling(kStart + milliseconds(1700)));
 }
 
 TEST(Hubs, AnInstanceThatRestartsInASmallFleetWatchesAtOnce)
 {
-  const Instant start = Instant(std::chrono::hours(1));
-  HubRole role("entry-north-0");
-  role.OnStart(start);
-  role.OnAllRows(true);
-  role.Update(Instances(9));
-  CHECK(role.Watches(start));
+  CHECK(RoleAfterStart(true).Watches(kStart));
 }
--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -1,7 +1,7 @@
 #include "entry_control.hpp"
 
 #include <algorithm> // for count_if
-#include <random>    // for minstd_rand, uniform_int_distribution
+#include <random>    // for minstd_rand, uniform_real_distribution
 #include <utility>   // for move
 
 #include <boost/asio/co_spawn.hpp> // for co_spawn
@@ -40,8 +40,8 @@
 constexpr core::Duration kInstanceRowsInterval = std::chrono::seconds(2);
 /// Instances that start together spread the writes of their rows over this
 /// time, as one partition of the store takes some 200 writes a second.
-constexpr std::chrono::milliseconds kMinFirstRowDelay{ 100 };
-constexpr std::chrono::milliseconds kMaxFirstRowDelay{ 1100 };
+constexpr core::Duration kMinFirstRowDelay = std::chrono::milliseconds(100);
+constexpr core::Duration kMaxFirstRowDelay = std::chrono::milliseconds(1100);
 /// Time after a start until all instances that started with it have written
 /// their rows.
 constexpr core::Duration kRowsSettle = std::chrono::milliseconds(1600);
@@ -58,10 +58,10 @@
 core::Duration
 FirstRowDelay()
 {
-  std::minstd_rand random{ std::random_device{}() };
-  std::uniform_int_distribution<std::chrono::milliseconds::rep> spread(
-    kMinFirstRowDelay.count(), kMaxFirstRowDelay.count());
-  return std::chrono::milliseconds(spread(random));
+  const core::Duration spread = kMaxFirstRowDelay - kMinFirstRowDelay;
+  return kMinFirstRowDelay +
+         core::Duration(static_cast<core::Duration::rep>(
+           RandomShare() * static_cast<double>(spread.count())));
 }
 
 void
@@ -189,8 +189,7 @@
 void
 EntryControl::Start()
 {
-  m_started = core::RuntimeClock::now();
-  m_role.OnStart(m_started);
+  m_role.OnStart(core::RuntimeClock::now());
   FollowHooks<OperatorUpdate> operators;
   operators.on_update = [this](const OperatorUpdate& aUpdate, bool aIsAll) {
     OnOperatorUpdate(aUpdate, aIsAll);
@@ -264,12 +263,9 @@
 bool
 EntryControl::MayReadAll() const
 {
-  const core::Instant now = core::RuntimeClock::now();
   const bool is_alone = m_has_shared_failed && m_role.Known() <= 1;
-  const core::Duration delay = m_role.DirectReadDelay(m_direct_read_share);
-  const bool is_due =
-    !m_role.IsSettling(now) && now - m_started >= delay && m_has_shared_read;
-  return m_options.relay_address.empty() || is_alone || IsSettled() || is_due;
+  return m_options.relay_address.empty() || is_alone || IsSettled() ||
+         m_role.MayReadDirectly(core::RuntimeClock::now(), m_direct_read_share);
 }
 
 bool
@@ -391,7 +387,6 @@
   if (aIsAll) {
     m_instances.EndAll();
     m_role.OnAllRows(m_instances.HasOwnRow());
-    m_has_shared_read = true;
   }
   // Rows of a roll-out change far more often than those of instances.
   if (has_instance_rows) {
--- a/src/jujubehead/node/control/entry_control.hpp
+++ b/src/jujubehead/node/control/entry_control.hpp
@@ -51,8 +51,6 @@
   [[nodiscard]] RowCache& CachedRows() const { return *m_platform.row_cache; }
   /// @return the exchange that answers polls of other instances.
   [[nodiscard]] HubExchange& Hubs() { return m_hubs; }
-  [[nodiscard]] const HubExchange& Hubs() const { return m_hubs; }
-  [[nodiscard]] const core::HubRole& Role() const { return m_role; }
   [[nodiscard]] std::size_t Targets() const { return m_book.Size(); }
   /// @return the planned stops of data centres.
   [[nodiscard]] const core::DataCentreStops& Stops() const { return m_stops; }
@@ -105,8 +103,6 @@
   bool m_registry_read = false;
   std::uint64_t m_operator_cursor = 0;
   std::uint64_t m_registry_cursor = 0;
-  core::Instant m_started{};
-  bool m_has_shared_read = false;
   bool m_has_shared_failed = false; ///< A read of the shared rows failed.
   /// Uniform in 0 to 1; spreads direct reads of instances that start together.
   double m_direct_read_share;
--- a/src/jujubehead/node/control/follow.hpp
+++ b/src/jujubehead/node/control/follow.hpp
@@ -87,11 +87,11 @@
 inline boost::asio::awaitable<void>
 WaitUntilSettled(FollowOptions aOptions)
 {
-  constexpr core::Duration kSettleCheckInterval = std::chrono::milliseconds(50);
   const core::Instant until = core::RuntimeClock::now() + aOptions.settle;
-  while (core::RuntimeClock::now() < until && !aOptions.is_settled()) {
-    co_await net::Sleep(kSettleCheckInterval);
-  }
+  const std::function<bool()> is_over = [&aOptions, until] {
+    return core::RuntimeClock::now() >= until || aOptions.is_settled();
+  };
+  co_await WaitUntil(is_over);
 }
 
 /// @brief Follows a feed for ever, across outages and lost history. Updates
--- a/src/jujubehead/node/control/hub_exchange.cpp
+++ b/src/jujubehead/node/control/hub_exchange.cpp
@@ -98,6 +98,7 @@
 HubExchange::FollowHubs()
 {
   core::HubSelector choice;
+  int stale_polls = 0; // In a row.
   for (;;) {
     UpdateLevel();
     if (m_role.Upstreams().empty()) {
@@ -112,9 +113,9 @@
     try {
       const PollResult result = co_await PollHub(hub, m_cursors[hub.id]);
       pause = PauseAfter(result);
-      m_stale_polls = result == PollResult::kStale ? m_stale_polls + 1 : 0;
-      if (m_stale_polls > kMaxStalePolls) {
-        m_stale_polls = 0;
+      stale_polls = result == PollResult::kStale ? stale_polls + 1 : 0;
+      if (stale_polls > kMaxStalePolls) {
+        stale_polls = 0;
         why = "its rows are stale";
         failure = core::HubFailure::kNotServing;
       } else {
@@ -333,6 +334,37 @@
                                   : PollResult::kComplete;
 }
 
+std::vector<Gauge>
+HubExchange::Gauges() const
+{
+  std::vector<Gauge> gauges;
+  const auto add = [&](const char* aName, const char* aHelp, auto aValue) {
+    gauges.push_back({ aName, aHelp, "", "", static_cast<double>(aValue) });
+  };
+  add("jujubehead_hub_level",
+      "Place in the tree of updates: 0 reader, 1 standby, 2 relay, 3 follower.",
+      m_role.Level());
+  add("jujubehead_hub_known_instances",
+      "Instances that this one knows, itself included.",
+      m_role.Known());
+  add("jujubehead_hub_polls_answered",
+      "Polls of other instances answered since the start.",
+      m_counters.polls_answered);
+  add("jujubehead_hub_sent_bytes",
+      "Bytes of the replies to them.",
+      m_counters.sent);
+  add("jujubehead_hub_rows_sent_bytes",
+      "Of these, rows of the operators' store.",
+      m_counters.rows_sent);
+  add("jujubehead_hub_loads_sent_bytes",
+      "Bytes of targets' loads sent to hubs since the start.",
+      m_counters.loads_sent);
+  add("jujubehead_hub_received_bytes",
+      "Bytes of the replies to this instance's polls since the start.",
+      m_counters.received);
+  return gauges;
+}
+
 HubUpdate
 HubExchange::UpdateFor(const net::HttpRequest& aRequest)
 {
--- a/src/jujubehead/node/control/hub_exchange.hpp
+++ b/src/jujubehead/node/control/hub_exchange.hpp
@@ -21,6 +21,7 @@
 #include "jujubehead/net/http_client.hpp"             // for HttpClient
 #include "jujubehead/net/http_server.hpp"             // for HttpExchange
 #include "jujubehead/node/control/row_cache.hpp"      // for RowCache
+#include "jujubehead/node/metrics.hpp"                // for Gauge
 
 #include "hub_update_codec.hpp" // for HubUpdate
 #include "store_watch.hpp"      // for StoreWatch
@@ -84,6 +85,8 @@
   /// @brief Answers a kHubLoadsPath request of another reader.
   boost::asio::awaitable<void> HandleLoads(net::HttpExchange& aExchange);
   [[nodiscard]] const HubCounters& Counters() const { return m_counters; }
+  /// @return metrics of this instance's place in the tree, and its counters.
+  [[nodiscard]] std::vector<Gauge> Gauges() const;
 
 private:
   /// Position in a hub's updates.
@@ -144,7 +147,6 @@
   std::unique_ptr<net::HttpClient> m_client;
   std::optional<core::HubLevel> m_level; ///< As last logged.
   std::string m_upstream;                ///< Id of the hub polled last.
-  int m_stale_polls = 0;                 ///< In a row.
   HubCounters m_counters;
 };
 
--- a/src/jujubehead/node/control/store_watch.cpp
+++ b/src/jujubehead/node/control/store_watch.cpp
@@ -150,7 +150,6 @@
   for (const core::StoreStatus& store : aUpdate.stores) {
     core::PartEventPage& page = pages[store.store];
     page.epoch = store.epoch;
-    page.is_snapshot = aUpdate.is_snapshot;
     page.clock_ms = aClockMs;
   }
   for (const core::PartChange& change : aUpdate.changes) {
@@ -168,11 +167,10 @@
     core::PartEventPage& page = pages[store.store];
     const core::Instant as_of = aSentAt - store.age;
     if (is_logged) {
-      // The log compares a snapshot as a whole, which spans several pages.
-      core::PartEventPage logged = page;
-      logged.is_snapshot = false;
-      m_log.OnPage(store.store, logged, as_of);
+      m_log.OnPage(store.store, page, as_of);
     }
+    // Not for the log: it compares a snapshot as a whole, which spans pages.
+    page.is_snapshot = aUpdate.is_snapshot;
     all.push_back({ store.store, std::move(page), as_of });
   }
   m_hooks.on_pages(std::move(all));
--- a/src/jujubehead/node/entry.cpp
+++ b/src/jujubehead/node/entry.cpp
@@ -140,29 +140,9 @@
     gauge("jujubehead_requests_in_stopped_data_centres",
           "Requests under way in data centres with a planned stop.",
           static_cast<double>(m_forwarder.RequestsInStopped()));
-    const HubCounters& hub = m_control.Hubs().Counters();
-    gauge("jujubehead_hub_level",
-          "Place in the tree of updates: 0 reader, 1 standby, 2 relay, "
-          "3 follower.",
-          static_cast<double>(m_control.Role().Level()));
-    gauge("jujubehead_hub_known_instances",
-          "Instances that this one knows, itself included.",
-          static_cast<double>(m_control.Role().Known()));
-    gauge("jujubehead_hub_polls_answered",
-          "Polls of other instances answered since the start.",
-          static_cast<double>(hub.polls_answered));
-    gauge("jujubehead_hub_sent_bytes",
-          "Bytes of the replies to them.",
-          static_cast<double>(hub.sent));
-    gauge("jujubehead_hub_rows_sent_bytes",
-          "Of these, rows of the operators' store.",
-          static_cast<double>(hub.rows_sent));
-    gauge("jujubehead_hub_loads_sent_bytes",
-          "Bytes of targets' loads sent to hubs since the start.",
-          static_cast<double>(hub.loads_sent));
-    gauge("jujubehead_hub_received_bytes",
-          "Bytes of the replies to this instance's polls since the start.",
-          static_cast<double>(hub.received));
+    for (Gauge& one : m_control.Hubs().Gauges()) {
+      gauges.push_back(std::move(one));
+    }
     for (Gauge& one : m_control.WeightsGauges()) {
       gauges.push_back(std::move(one));
     }
