Lines and metrics relate a broken reply to its request and to its target's end

After such a reply the instance now opens a connection to the target's address: 'refused' means that the process has ended. attempt_ended carries the request's fingerprint, which is the same at all instances and under all request ids, and target_crashed; an event and two counters show the rest. A connection that the check opened is kept for reuse. Where requests go is as before.

--- a/include/jujubehead/node/metrics.hpp
+++ b/include/jujubehead/node/metrics.hpp
@@ -46,6 +46,8 @@
   kServiceFailures,  ///< Calls to the table service that failed.
   kPassedOverTokens, ///< Of the recomputed: a store's link was too busy.
   kTargetRefusals,   ///< Requests that targets refused as not run.
+  kBrokenReplies,    ///< Replies of targets that broke off or were invalid.
+  kTargetCrashes,    ///< Targets that this instance found crashed.
   kTakeovers,        ///< Targets and stores that came to this instance.
 };
 
--- a/src/jujubehead/node/forward/forward_attempt.cpp
+++ b/src/jujubehead/node/forward/forward_attempt.cpp
@@ -36,6 +36,9 @@
 /// would fail again: services usually fail one request in seven.
 constexpr double kSuspectFailureShare = 0.3;
 
+/// A host whose process has ended refuses a connection within a round trip.
+constexpr Duration kCrashCheckTimeout = std::chrono::milliseconds(100);
+
 bool
 ImpliesNotRun(unsigned aStatus)
 {
@@ -108,6 +111,7 @@
   m_exchange = &exchange;
   m_awaited_target = aTarget;
   m_stall_timed_out = false;
+  m_target_crashed = false;
   m_load_at_send = aTarget->load.Requests(core::RuntimeClock::now());
   m_sent_at = core::RuntimeClock::now();
   aTarget->load.OnBegin();
@@ -157,7 +161,7 @@
   StartStallTimer(aTarget);
   const ReadResult result = co_await aExchange.ReadHead();
   if (result == ReadResult::kBroken) {
-    co_return OnBrokenReply(aTarget, aExchange);
+    co_return co_await OnBrokenReply(aTarget, aExchange);
   }
   RecordReply(aTarget, aExchange.Metadata());
   const ReplyMetadata& metadata = aExchange.Metadata();
@@ -204,19 +208,44 @@
   }
 }
 
-ForwardRun::AttemptFailure
+asio::awaitable<ForwardRun::AttemptFailure>
 ForwardRun::OnBrokenReply(FleetTarget& aTarget, const TargetExchange& aExchange)
 {
   if (m_session->IsDisconnected()) {
-    return std::nullopt;
+    co_return std::nullopt;
   }
   m_last_error = m_timed_out         ? "request timed out"
                  : m_stall_timed_out ? "target stopped responding"
                                      : aExchange.Error();
   if (!m_timed_out && !m_stall_timed_out) {
     aTarget.health.OnFailure(core::RuntimeClock::now());
+    m_state.metrics.Add(Counter::kBrokenReplies);
+    m_target_crashed = co_await HasCrashed(aTarget);
   }
-  return AttemptOutcome::kBroken;
+  co_return AttemptOutcome::kBroken;
+}
+
+asio::awaitable<bool>
+ForwardRun::HasCrashed(FleetTarget& aTarget)
+{
+  if (aTarget.has_crashed || aTarget.is_gone) {
+    co_return aTarget.has_crashed;
+  }
+  net::OutboundOptions options;
+  options.connect_timeout = kCrashCheckTimeout;
+  const auto connection =
+    net::OutboundConnection::Create(m_session->Executor(), options);
+  const auto error = co_await connection->Connect(aTarget.endpoint);
+  if (!error) {
+    aTarget.PutIdleConnection(connection);
+  }
+  if (error == asio::error::connection_refused && !aTarget.has_crashed) {
+    aTarget.has_crashed = true;
+    m_state.metrics.Add(Counter::kTargetCrashes);
+    DecisionLog::WriteUnthrottled(
+      LogLine("target_crashed").Add("target", aTarget.target.id.View()));
+  }
+  co_return aTarget.has_crashed;
 }
 
 ForwardRun::AttemptFailure
@@ -248,7 +277,7 @@
     aResult = co_await aExchange.ReadBody();
   }
   if (aResult == ReadResult::kBroken) {
-    co_return OnBrokenReply(aTarget, aExchange);
+    co_return co_await OnBrokenReply(aTarget, aExchange);
   }
   m_stall_timer.Clear();
   FullResponse response;
@@ -311,7 +340,7 @@
     aResult = co_await aExchange.ReadBody();
   }
   if (aResult == ReadResult::kBroken) {
-    co_return OnBrokenReply(aTarget, aExchange);
+    co_return co_await OnBrokenReply(aTarget, aExchange);
   }
   if (!aExchange.Body().empty()) {
     m_last_error = "stream ended in the middle of an event";
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -73,6 +73,22 @@
   return m_expires_at - core::RuntimeClock::now();
 }
 
+core::RequestFingerprint
+ForwardRun::Fingerprint()
+{
+  if (!m_fingerprint) {
+    const CallerRequest& request = m_session->Request();
+    core::FingerprintInput input;
+    input.account = m_account != nullptr ? m_account->id : core::AccountId();
+    input.method = request.head.method;
+    input.host = request.head.headers.Find("Host").value_or("");
+    input.target = request.head.target;
+    input.body = request.body;
+    m_fingerprint = core::FingerprintOf(input);
+  }
+  return *m_fingerprint;
+}
+
 void
 ForwardRun::CancelExchange()
 {
@@ -217,6 +233,10 @@
       .Add("end", NameOf(last))
       .Add("why", m_last_error)
       .Add("again", step == NextStep::kRetry ? "yes" : "no");
+    if (last == AttemptOutcome::kBroken) {
+      line.Add("fingerprint", core::ToText(Fingerprint()))
+        .Add("target_crashed", m_target_crashed ? "yes" : "no");
+    }
     AddWeights(line);
     m_state.log.Write(line);
     if (step != NextStep::kRetry) {
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -11,10 +11,11 @@
 
 #include <boost/asio/awaitable.hpp> // for awaitable
 
-#include "jujubehead/core/routing/attempt_plan.hpp" // for AttemptHistory
-#include "jujubehead/core/routing/homes.hpp"        // for Homes
-#include "jujubehead/net/deadline.hpp"              // for Deadline
-#include "jujubehead/net/http1/event_cutter.hpp"    // for EventCutter
+#include "jujubehead/core/routing/attempt_plan.hpp"        // for AttemptHistory
+#include "jujubehead/core/routing/homes.hpp"               // for Homes
+#include "jujubehead/core/routing/request_fingerprint.hpp" // for RequestFingerprint
+#include "jujubehead/net/deadline.hpp"                     // for Deadline
+#include "jujubehead/net/http1/event_cutter.hpp"           // for EventCutter
 
 #include "caller_session.hpp"  // for CallerSession
 #include "forward_state.hpp"   // for ForwardState
@@ -84,8 +85,13 @@
   boost::asio::awaitable<AttemptFailure> RelayStream(FleetTarget& aTarget,
                                                      TargetExchange& aExchange,
                                                      ReadResult aResult);
-  AttemptFailure OnBrokenReply(FleetTarget& aTarget,
-                               const TargetExchange& aExchange);
+  boost::asio::awaitable<AttemptFailure> OnBrokenReply(
+    FleetTarget& aTarget,
+    const TargetExchange& aExchange);
+  /// @brief Finds out whether the target's process has ended, or only a
+  /// connection, after a reply broke off.
+  boost::asio::awaitable<bool> HasCrashed(FleetTarget& aTarget);
+  [[nodiscard]] core::RequestFingerprint Fingerprint();
   AttemptFailure OnRefusal(FleetTarget& aTarget,
                            unsigned aStatus,
                            const ReplyMetadata& aMetadata);
@@ -131,6 +137,8 @@
   PlannedTokens m_planned;   ///< Current attempt.
   double m_load_at_send = 0; ///< Requests at the target at m_sent_at.
   std::string m_last_error;
+  std::optional<core::RequestFingerprint> m_fingerprint; ///< Once computed.
+  bool m_target_crashed = false; ///< In the current attempt.
   /// Time until targets that are all cold take requests again; 0: none is.
   core::Duration m_available_in{};
   std::string m_last_target;
--- a/src/jujubehead/node/forward/target_fleet.hpp
+++ b/src/jujubehead/node/forward/target_fleet.hpp
@@ -35,7 +35,9 @@
   bool is_loading = false;          ///< Is loading new weights.
   core::Instant last_response_at{}; ///< Last response to this instance.
   core::Instant
-    last_gone_report_at{};          ///< Last such report of another instance.
+    last_gone_report_at{}; ///< Last such report of another instance.
+  /// Its process has ended; a restarted one has another id.
+  bool has_crashed = false;
   std::uint32_t active_streams = 0; ///< Streams of this instance.
   std::size_t service_index = 0;    ///< Its index in its service's targets.
 
--- a/src/jujubehead/node/metrics.cpp
+++ b/src/jujubehead/node/metrics.cpp
@@ -207,6 +207,9 @@
   { "passed_over_tokens_total",
     "Prompt tokens read anew as their store's link was too busy." },
   { "target_refusals_total", "Requests that targets refused as not run." },
+  { "broken_replies_total", "Replies of targets that broke off." },
+  { "target_crashes_total",
+    "Targets whose process had ended when a reply broke off." },
   { "takeovers_total", "Targets and stores that came to this instance." },
 } };
 
