--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -274,6 +274,20 @@
   return m_configuration != nullptr && m_registry_read;
 }
 
+asio::awaitable<bool>
+EntryControl::HandleInstance(net::HttpExchange& aExchange)
+{
+  const std::string_view path = aExchange.Request().Path();
+  if (path == kHubUpdatesPath) {
+    co_await m_hubs.Handle(aExchange);
+  } else if (path == kHubLoadsPath) {
+    co_await m_hubs.HandleLoads(aExchange);
+  } else {
+    co_return false;
+  }
+  co_return true;
+}
+
 std::uint64_t
 EntryControl::ConfigurationVersion() const
 {
--- a/src/jujubehead/node/control/entry_control.hpp
+++ b/src/jujubehead/node/control/entry_control.hpp
@@ -49,9 +49,13 @@
   [[nodiscard]] std::uint64_t ConfigurationVersion() const;
   /// @return the rows read from the operators' store.
   [[nodiscard]] RowCache& CachedRows() const { return *m_platform.row_cache; }
-  /// @return the exchange that answers polls of other instances.
-  [[nodiscard]] HubExchange& Hubs() { return m_hubs; }
+  /// @brief Answers a request of another instance.
+  /// @return false if it is for the relay of the operators' store.
+  boost::asio::awaitable<bool> HandleInstance(net::HttpExchange& aExchange);
+  [[nodiscard]] const HubExchange& Hubs() const { return m_hubs; }
   [[nodiscard]] std::size_t Targets() const { return m_book.Size(); }
+  /// @return the instances that this one knows, itself included.
+  [[nodiscard]] std::size_t Instances() const { return m_role.Known(); }
   /// @return the planned stops of data centres.
   [[nodiscard]] const core::DataCentreStops& Stops() const { return m_stops; }
   /// @return metrics of the wanted weights.
--- a/src/jujubehead/node/entry.cpp
+++ b/src/jujubehead/node/entry.cpp
@@ -94,11 +94,8 @@
   /// A question of another instance.
   asio::awaitable<void> HandleInstance(net::HttpExchange& aExchange)
   {
-    if (aExchange.Request().Path() == kHubUpdatesPath) {
-      co_await m_control.Hubs().Handle(aExchange);
-    } else if (aExchange.Request().Path() == kHubLoadsPath) {
-      co_await m_control.Hubs().HandleLoads(aExchange);
-    } else {
+    const bool is_handled = co_await m_control.HandleInstance(aExchange);
+    if (!is_handled) {
       co_await m_relay.Handle(aExchange);
     }
   }
--- a/standin/entry_deployment.cpp
+++ b/standin/entry_deployment.cpp
@@ -1,5 +1,6 @@
 #include "standin/entry_deployment.hpp"
 
+#include <algorithm> // for all_of
 #include <future>    // for promise
 #include <map>       // for map
 #include <stdexcept> // for runtime_error
@@ -11,6 +12,7 @@
 #include <boost/asio/post.hpp>                // for post
 
 #include "jujubehead/net/http_client.hpp"            // for HttpClient
+#include "jujubehead/net/http_server.hpp"            // for HttpServer
 #include "jujubehead/net/raw_caller.hpp"             // for RawCaller
 #include "jujubehead/net/run_awaitable.hpp"          // for RunAwaitable
 #include "jujubehead/node/control/entry_control.hpp" // for EntryControl
@@ -20,6 +22,7 @@
 #include "platform/base64.hpp"                       // for EncodeBase64
 #include "platform/connect.hpp"                      // for Connect
 #include "platform/platform_header_codec.hpp"        // for PlatformHeaderCodec
+#include "standin/face.hpp"                          // for Wait
 
 namespace jujubehead::standin {
 namespace {
@@ -30,6 +33,8 @@
 constexpr const char* kModel = "m1";
 constexpr std::chrono::milliseconds kLookTime{ 5 };
 constexpr std::chrono::minutes kMostTime{ 1 };
+/// From a target's crash to its next start.
+constexpr std::chrono::milliseconds kDownTime{ 300 };
 
 /// Runs a context on a thread of its own.
 class ContextThread
@@ -76,16 +81,25 @@
 class RunningInstance
 {
 public:
-  explicit RunningInstance(const node::EntryOptions& aOptions)
-    : m_metrics(node::Metrics::Create())
-    , m_paths(aOptions.table_service, aOptions.instance_id.Text())
-    , m_forwarder(aOptions, m_header_codec, *m_metrics)
+  /// @param aIsAlone others cannot reach it.
+  RunningInstance(node::EntryOptions aOptions, bool aIsAlone)
+    : m_options(std::move(aOptions))
+    , m_metrics(node::Metrics::Create())
+    , m_paths(m_options.table_service, m_options.instance_id.Text())
+    , m_forwarder(m_options, m_header_codec, *m_metrics)
   {
     m_forwarder.Start();
     m_own.Do([&] {
+      if (!aIsAlone) {
+        m_door = net::HttpServer::Create(
+          m_own.context, {}, [this](net::HttpExchange& aExchange) {
+            return Handle(aExchange);
+          });
+        m_options.relay_address = "127.0.0.1:" + std::to_string(m_door->Port());
+      }
       m_control = std::make_unique<node::EntryControl>(
         m_own.context,
-        aOptions,
+        m_options,
         platform::Connect(m_own.context, m_paths),
         m_paths,
         m_forwarder);
@@ -94,6 +108,7 @@
   }
   ~RunningInstance()
   {
+    m_own.Do([&] { m_door.reset(); });
     m_own.Join();
     m_forwarder.Stop();
   }
@@ -111,12 +126,23 @@
   }
 
 private:
+  asio::awaitable<void> Handle(net::HttpExchange& aExchange)
+  {
+    const bool is_handled =
+      m_control != nullptr && co_await m_control->HandleInstance(aExchange);
+    if (!is_handled) {
+      aExchange.Close();
+    }
+  }
+
   ContextThread m_own; ///< Of the control.
+  node::EntryOptions m_options;
   platform::PlatformHeaderCodec m_header_codec;
   std::unique_ptr<node::Metrics> m_metrics;
   core::StorePaths m_paths;
   node::Forwarder m_forwarder;
   std::unique_ptr<node::EntryControl> m_control;
+  std::unique_ptr<net::HttpServer> m_door; ///< For other instances.
 };
 
 class Deployed final : public EntryDeployment
@@ -124,11 +150,12 @@
 public:
   explicit Deployed(const EntryDeploymentOptions& aOptions)
     : m_targets(aOptions.targets)
+    , m_instance_count(aOptions.instances)
+    , m_client(net::HttpClient::Create(m_world.context))
   {
     node::ConfigureLog({}, node::LogStream::kErr);
     m_world.Do([&] { StartStandIns(m_targets); });
     WriteRows(m_targets);
-    m_options.instance_id = core::InstanceId("i1");
     m_options.data_centre = core::DataCentreId("dc-1");
     m_options.caller_address = "127.0.0.1:0";
     m_options.table_service = m_stand_ins.at("rows")->Authority();
@@ -139,17 +166,25 @@
 
   ~Deployed() override
   {
-    m_instance.reset();
-    m_world.Do([&] { m_stand_ins.clear(); });
+    m_instances.clear();
+    m_world.Do([&] {
+      m_is_ending = true;
+      m_stand_ins.clear();
+      m_client.reset();
+    });
     m_world.Join();
   }
 
   void Restart() override
   {
-    m_instance.reset();
-    m_instance = std::make_unique<RunningInstance>(m_options);
+    m_instances.clear();
+    for (std::size_t i = 0; i < m_instance_count; ++i) {
+      m_options.instance_id = core::InstanceId("i" + std::to_string(i + 1));
+      m_instances.push_back(
+        std::make_unique<RunningInstance>(m_options, m_instance_count == 1));
+    }
     if (!Await([&] { return Serves(); })) {
-      throw std::runtime_error("the instance does not serve");
+      throw std::runtime_error("the instances do not serve");
     }
   }
 
@@ -157,11 +192,21 @@
                          const std::string& aPath,
                          const net::HttpHeaders& aHeaders,
                          std::string aBody) override
+  {
+    return CallAt(0, aMethod, aPath, aHeaders, std::move(aBody));
+  }
+
+  net::HttpResponse CallAt(std::size_t aInstance,
+                           const std::string& aMethod,
+                           const std::string& aPath,
+                           const net::HttpHeaders& aHeaders,
+                           std::string aBody) override
   {
     asio::io_context context(1);
     const auto client = net::HttpClient::Create(context);
     net::HttpCall call;
-    call.authority = "127.0.0.1:" + std::to_string(m_instance->Port());
+    call.authority =
+      "127.0.0.1:" + std::to_string(m_instances.at(aInstance)->Port());
     call.method = aMethod;
     call.target = aPath;
     call.headers.Add("Host", "a.example");
@@ -175,7 +220,7 @@
   std::string CallRaw(const std::string& aBytes) override
   {
     asio::io_context context(1);
-    net::test::RawCaller caller(context, m_instance->Port());
+    net::test::RawCaller caller(context, m_instances.front()->Port());
     return net::RunAwaitable(context, Exchange(caller, aBytes));
   }
 
@@ -183,7 +228,7 @@
                     std::chrono::milliseconds aAfter) override
   {
     asio::io_context context(1);
-    net::test::RawCaller caller(context, m_instance->Port());
+    net::test::RawCaller caller(context, m_instances.front()->Port());
     net::RunAwaitable(context, WriteOnly(caller, aBytes));
     std::this_thread::sleep_for(aAfter);
   }
@@ -193,11 +238,21 @@
     return m_world.Do([&] { return m_stand_ins.at(aName)->Stats(); });
   }
 
+  std::size_t Crashes() override
+  {
+    return m_world.Do([&] { return m_crashes; });
+  }
+
   void SetFault(const std::string& aName,
                 const std::string& aFault,
                 const json& aBody) override
   {
-    m_world.Do([&] { m_stand_ins.at(aName)->SetFault(aFault, aBody); });
+    m_world.Do([&] {
+      if (aFault == "crash_on") {
+        m_poison[aName] = aBody;
+      }
+      m_stand_ins.at(aName)->SetFault(aFault, aBody);
+    });
   }
 
   void PutRow(const std::string& aTable,
@@ -220,11 +275,16 @@
   }
 
   json EntryOf(const std::string& aName) override
+  {
+    return EntryAt(aName, m_stand_ins.at(aName)->Authority());
+  }
+
+  static json EntryAt(const std::string& aName, const std::string& aAddress)
   {
     const bool is_model = aName.starts_with("model");
     const json model = { { "name", kModel }, { "version", 1 } };
     return { { "service", is_model ? "models" : "plain" },
-             { "address", m_stand_ins.at(aName)->Authority() },
+             { "address", aAddress },
              { "zone", "dc-1" },
              { "slots", 8 },
              { "state", "ready" },
@@ -259,9 +319,12 @@
   {
     const auto version = Stats("rows").at("version").get<std::uint64_t>();
     return Await([&] {
-      return m_instance->Ask([](node::EntryControl& aControl) {
-        return aControl.ReadUpTo();
-      }) >= version;
+      return std::all_of(
+        m_instances.begin(), m_instances.end(), [&](const auto& aInstance) {
+          return aInstance->Ask([](node::EntryControl& aControl) {
+            return aControl.ReadUpTo();
+          }) >= version;
+        });
     });
   }
 
@@ -298,17 +361,69 @@
     add("rows", StandIn::Rows(m_world.context));
     add("parts", StandIn::Parts(m_world.context));
     for (std::size_t i = 0; i < aTargets; ++i) {
-      RegisteredOptions options;
-      options.id = "model" + std::to_string(i);
-      options.model = kModel;
-      options.work_ms = 2;
-      add(options.id, StandIn::Registered(m_world.context, options));
-      options.id = "service" + std::to_string(i);
-      options.model.clear();
-      add(options.id, StandIn::Registered(m_world.context, options));
+      for (const char* kind : { "model", "service" }) {
+        const std::string name = kind + std::to_string(i);
+        StartTarget(name, name, 0);
+      }
+    }
+  }
+
+  /// Starts a target under an id; several runs of one target differ in it.
+  void StartTarget(const std::string& aName,
+                   const std::string& aId,
+                   std::uint16_t aPort)
+  {
+    RegisteredOptions options;
+    options.id = aId;
+    options.model = aName.starts_with("model") ? kModel : "";
+    options.work_ms = 2;
+    ListenOptions listen;
+    listen.port = aPort;
+    m_stand_ins[aName] = std::make_unique<StandIn>(
+      StandIn::Registered(m_world.context, options, listen));
+    StandIn& started = *m_stand_ins.at(aName);
+    started.SetOnCrash([this, aName, aId] {
+      // It must not be destroyed within its own call.
+      asio::post(m_world.context, [this, aName, aId] {
+        asio::co_spawn(m_world.context, Replace(aName, aId), asio::detached);
+      });
+    });
+    if (const auto poison = m_poison.find(aName); poison != m_poison.end()) {
+      started.SetFault("crash_on", poison->second);
     }
   }
 
+  /// Ends a target that crashed, and starts it anew after a while.
+  asio::awaitable<void> Replace(std::string aName, std::string aId)
+  {
+    const std::string address = m_stand_ins.at(aName)->Authority();
+    const std::uint16_t port = m_stand_ins.at(aName)->Port();
+    m_stand_ins.at(aName).reset();
+    const std::string next = aName + "-" + std::to_string(++m_crashes);
+    co_await Wait(kDownTime);
+    if (m_is_ending) {
+      co_return;
+    }
+    StartTarget(aName, next, port);
+    json row = EntryAt(aName, address);
+    row["sequence"] = 1;
+    const json removed = { { "table", "servers" },
+                           { "part", "" },
+                           { "key", aId } };
+    json put = removed;
+    put["key"] = next;
+    put["value"] = platform::EncodeBase64(row.dump());
+    json body = json::object();
+    body["remove"] = json::array({ removed });
+    body["put"] = json::array({ put });
+    net::HttpCall call;
+    call.authority = m_stand_ins.at("rows")->Authority();
+    call.method = "POST";
+    call.target = "/rows-tx";
+    call.body = body.dump();
+    co_await m_client->Fetch(std::move(call));
+  }
+
   void WriteRows(std::size_t aTargets)
   {
     PutRow("op", "config", Configuration());
@@ -334,9 +449,13 @@
 
   bool Serves()
   {
-    return m_instance->Ask([this](node::EntryControl& aControl) {
-      return aControl.IsReady() && aControl.Targets() == 2 * m_targets;
-    });
+    return std::all_of(
+      m_instances.begin(), m_instances.end(), [&](const auto& aInstance) {
+        return aInstance->Ask([&](node::EntryControl& aControl) {
+          return aControl.IsReady() && aControl.Targets() == 2 * m_targets &&
+                 aControl.Instances() == m_instance_count;
+        });
+      });
   }
 
   static asio::awaitable<net::HttpResponse> ReadAll(net::HttpClient& aClient,
@@ -377,10 +496,15 @@
   }
 
   std::size_t m_targets;
-  ContextThread m_world; ///< Of the stand-ins.
+  std::size_t m_instance_count;
+  ContextThread m_world;                     ///< Of the stand-ins.
+  std::unique_ptr<net::HttpClient> m_client; ///< On that thread.
   std::map<std::string, std::unique_ptr<StandIn>> m_stand_ins;
+  std::map<std::string, json> m_poison; ///< Bodies that crash a target.
+  std::size_t m_crashes = 0;
+  bool m_is_ending = false;
   node::EntryOptions m_options;
-  std::unique_ptr<RunningInstance> m_instance;
+  std::vector<std::unique_ptr<RunningInstance>> m_instances;
 };
 
 } // namespace
--- a/standin/entry_deployment.hpp
+++ b/standin/entry_deployment.hpp
@@ -21,11 +21,15 @@
   std::size_t targets = 2; ///< Of each kind.
   /// As in node::EntryOptions.
   std::chrono::milliseconds weights_time = std::chrono::seconds(10);
+  std::size_t instances = 1; ///< They know each other.
 };
 
-/// @brief An entry instance and the stand-ins of the platform that it needs, in
+/// @brief Entry instances and the stand-ins of the platform that they need, in
 /// one process: real sockets on loopback, real threads. For tests.
 ///
+/// A target that crashes refuses connections, loses its entry in the registry,
+/// and is back at its address, under a new id, after a moment.
+///
 /// Host `a.example`: `/chat/` streams from the models and may be resumed,
 /// `/once/` is a plain call that may run once, `/calls/` one that may repeat.
 class EntryDeployment
@@ -43,18 +47,28 @@
                                  const std::string& aPath,
                                  const net::HttpHeaders& aHeaders,
                                  std::string aBody) = 0;
+  /// @brief The same, at the instance of that index.
+  virtual net::HttpResponse CallAt(std::size_t aInstance,
+                                   const std::string& aMethod,
+                                   const std::string& aPath,
+                                   const net::HttpHeaders& aHeaders,
+                                   std::string aBody) = 0;
   /// @brief Sends any bytes and returns what comes until the end.
   virtual std::string CallRaw(const std::string& aBytes) = 0;
   /// @brief Sends a request, and leaves after a time without reading.
   virtual void CallAndLeave(const std::string& aBytes,
                             std::chrono::milliseconds aAfter) = 0;
 
-  /// @brief Ends the instance as a kill would, and starts it anew; waits until
-  /// it serves. @throws std::runtime_error when that does not come about.
+  /// @brief Ends all instances as a kill would, and starts them anew; waits
+  /// until they serve. @throws std::runtime_error when that does not come
+  /// about.
   virtual void Restart() = 0;
 
   /// @param aName `model0`, `model1`, ..., `service0`, ..., `rows`, `parts`.
+  /// @return of a target that crashed: of its present run.
   virtual nlohmann::json Stats(const std::string& aName) = 0;
+  /// @return the crashes of all targets until now.
+  virtual std::size_t Crashes() = 0;
   virtual void SetFault(const std::string& aName,
                         const std::string& aFault,
                         const nlohmann::json& aBody) = 0;
--- a/standin/registered_face.cpp
+++ b/standin/registered_face.cpp
@@ -122,6 +122,12 @@
       co_return;
     }
     m_runs.push_back(Seen(request));
+    const json* const poison = Fault("crash_on");
+    if (poison != nullptr && poison->value("body", "") == request.body) {
+      Crash();
+      aExchange.Close();
+      co_return;
+    }
     ++m_active;
     bool gone = false;
     aExchange.OnCallerGone([&] {
