--- /dev/null
+++ b/include/jujubehead/core/routing/poison_requests.hpp
@@ -0,0 +1,144 @@
+#ifndef JUJUBEHEAD_CORE_ROUTING_POISON_REQUESTS_HPP
+#define JUJUBEHEAD_CORE_ROUTING_POISON_REQUESTS_HPP
+
+#include <cstddef>       // for size_t
+#include <cstdint>       // for uint32_t
+#include <optional>      // for optional
+#include <unordered_map> // for unordered_map
+#include <variant>       // for variant
+#include <vector>        // for vector
+
+#include "jujubehead/core/routing/load_reports.hpp"        // for TargetKey
+#include "jujubehead/core/routing/request_fingerprint.hpp" // for RequestFingerprint
+#include "jujubehead/core/runtime_clock.hpp" // for Instant, Duration
+
+namespace jujubehead::core {
+
+/// @brief A request was at a target whose process ended.
+struct CrashReport
+{
+  RequestFingerprint fingerprint{};
+  TargetKey target{};
+  Instant sent{};    ///< When the request was sent to the target.
+  Instant crashed{}; ///< When its reply broke off.
+};
+
+/// @brief A suspect was answered completely: it does not crash targets.
+struct CompletionReport
+{
+  RequestFingerprint fingerprint{};
+  Instant completed{};
+};
+
+/// @brief What instances report to each other about suspects.
+using PoisonReport = std::variant<CrashReport, CompletionReport>;
+
+/// @brief A request that is not sent to targets for a time.
+struct Quarantine
+{
+  RequestFingerprint fingerprint{};
+  Instant until{}; ///< In the past: it is over, the request is no poison.
+  std::uint32_t count = 1; ///< Of the request's quarantines.
+};
+
+/// @brief Limits of the detection of poison requests.
+struct PoisonRequestsOptions
+{
+  /// Targets that end one after the other under a request before it is
+  /// quarantined. Two may end by chance while a request is retried.
+  std::uint32_t max_crashes = 3;
+  /// After a quarantine, one more crash begins the next one, which is longer by
+  /// `growth`. The first one is short, as many requests have the same content
+  /// where calls have no body.
+  Duration first_quarantine = std::chrono::minutes(1);
+  Duration max_quarantine = std::chrono::hours(1);
+  std::uint32_t growth = 5;
+  /// A suspect is forgotten after this time without a crash.
+  Duration suspect_ttl = std::chrono::minutes(10);
+  /// Interval of the reports of complete answers of a request, by all instances
+  /// together. Times in reports are exact to a second.
+  Duration completion_interval = std::chrono::seconds(5);
+  /// A crash makes suspects of the requests at one target, some dozens.
+  std::size_t max_suspects = 4096;
+};
+
+/// @brief Detects poison requests: requests that crash each target that runs
+/// them and that callers send again, under new ids and to other instances.
+///
+/// A crashed target had other requests, too. Every request that was there is a
+/// suspect until it is answered completely once. Its `crash_count` is the
+/// number of targets that ended under it one after the other: each run began
+/// after the previous target had ended. Targets that end together, with copies
+/// of one request at several of them, count once, so that the loss of a rack
+/// quarantines nothing. Its retries have to go to another data centre for that.
+///
+/// The reports of all instances may arrive in any order, and repeatedly.
+class PoisonRequests
+{
+public:
+  explicit PoisonRequests(PoisonRequestsOptions aOptions = {})
+    : m_options(aOptions)
+  {
+  }
+
+  /// What a report changed.
+  struct Outcome
+  {
+    bool is_new = false;
+    std::optional<Quarantine> quarantine; ///< That began, or is over.
+  };
+
+  /// @brief Applies a report of this or of another instance.
+  Outcome OnReport(const PoisonReport& aReport, Instant aNow);
+  /// @brief A quarantine was read from its record.
+  void OnRecorded(const Quarantine& aQuarantine, Instant aNow);
+
+  /// @return whether there is no suspect, so that no request needs its
+  /// fingerprint.
+  [[nodiscard]] bool IsEmpty() const { return m_suspects.empty(); }
+  /// @return whether a complete answer to a request is worth a report: it is a
+  /// suspect, or was one, and the last report may have been taken for older
+  /// than the crash.
+  [[nodiscard]] bool NeedsCompletion(RequestFingerprint aFingerprint,
+                                     Instant aNow) const;
+  /// @return the targets that ended under a request one after the other since
+  /// it was last answered.
+  [[nodiscard]] std::uint32_t CrashCount(RequestFingerprint aFingerprint) const;
+  /// @return until when the request is not sent to targets; nothing when it may
+  /// be sent.
+  [[nodiscard]] std::optional<Instant> QuarantinedUntil(
+    RequestFingerprint aFingerprint,
+    Instant aNow) const;
+  /// @return the number of requests in quarantine.
+  [[nodiscard]] std::size_t Quarantined(Instant aNow) const;
+  [[nodiscard]] std::size_t Suspects() const { return m_suspects.size(); }
+  /// @brief Forgets suspects whose time is over.
+  void Tick(Instant aNow);
+
+private:
+  struct Suspect
+  {
+    std::vector<CrashReport> crashes; ///< Of different targets.
+    Instant completed{};
+    Instant quarantined_until{};
+    std::uint32_t quarantines = 0;
+    Instant expires{};
+    std::uint32_t crash_count = 0;
+  };
+
+  Outcome OnCrash(const CrashReport& aReport, Instant aNow);
+  Outcome OnCompletion(const CompletionReport& aReport, Instant aNow);
+  static void Count(Suspect& aSuspect);
+  /// @return whether a crash begins a quarantine.
+  [[nodiscard]] bool BeginsQuarantine(const Suspect& aSuspect,
+                                      const CrashReport& aCrash) const;
+  [[nodiscard]] Duration LengthOf(std::uint32_t aQuarantine) const;
+  void MakeRoom(Instant aNow);
+
+  PoisonRequestsOptions m_options;
+  std::unordered_map<RequestFingerprint, Suspect> m_suspects;
+};
+
+} // namespace jujubehead::core
+
+#endif // JUJUBEHEAD_CORE_ROUTING_POISON_REQUESTS_HPP
--- a/src/jujubehead/core/membership/hubs.cpp
+++ b/src/jujubehead/core/membership/hubs.cpp
@@ -141,6 +141,7 @@
   HubPlan plan;
   plan.readers = aInstances.size();
   if (aInstances.size() <= aOptions.max_without_hubs) {
+    AppendShuffled(plan.other_readers, std::move(aInstances), aSelf);
     return plan;
   }
   plan.is_tree = true;
--- /dev/null
+++ b/src/jujubehead/core/routing/poison_requests.cpp
@@ -0,0 +1,212 @@
+#include "jujubehead/core/routing/poison_requests.hpp"
+
+#include <algorithm> // for any_of, count_if, max, min, min_element, sort
+
+namespace jujubehead::core {
+namespace {
+
+/// Crashes kept of a suspect; the newest count.
+constexpr std::size_t kMaxCrashes = 16;
+/// Error of times that another instance reported.
+constexpr Duration kTimeError = std::chrono::seconds(1);
+
+} // namespace
+
+PoisonRequests::Outcome
+PoisonRequests::OnReport(const PoisonReport& aReport, Instant aNow)
+{
+  struct Apply
+  {
+    PoisonRequests& poison;
+    Instant now;
+    Outcome operator()(const CrashReport& aCrash) const
+    {
+      return poison.OnCrash(aCrash, now);
+    }
+    Outcome operator()(const CompletionReport& aCompletion) const
+    {
+      return poison.OnCompletion(aCompletion, now);
+    }
+  };
+  return std::visit(Apply{ *this, aNow }, aReport);
+}
+
+PoisonRequests::Outcome
+PoisonRequests::OnCrash(const CrashReport& aReport, Instant aNow)
+{
+  if (aNow - aReport.crashed > m_options.suspect_ttl) {
+    return {};
+  }
+  if (!m_suspects.contains(aReport.fingerprint)) {
+    MakeRoom(aNow);
+  }
+  Suspect& suspect = m_suspects[aReport.fingerprint];
+  const bool is_known = std::any_of(
+    suspect.crashes.begin(), suspect.crashes.end(), [&](const auto& aCrash) {
+      return aCrash.target == aReport.target;
+    });
+  if (is_known || aReport.crashed <= suspect.completed) {
+    return {};
+  }
+  suspect.crashes.push_back(aReport);
+  Count(suspect);
+  suspect.expires =
+    std::max(suspect.expires, aReport.crashed + m_options.suspect_ttl);
+  Outcome outcome{ true, std::nullopt };
+  if (BeginsQuarantine(suspect, aReport)) {
+    const Instant until = aReport.crashed + LengthOf(++suspect.quarantines);
+    suspect.quarantined_until = until;
+    suspect.expires = until + m_options.suspect_ttl;
+    outcome.quarantine =
+      Quarantine{ aReport.fingerprint, until, suspect.quarantines };
+  }
+  return outcome;
+}
+
+PoisonRequests::Outcome
+PoisonRequests::OnCompletion(const CompletionReport& aReport, Instant aNow)
+{
+  const auto found = m_suspects.find(aReport.fingerprint);
+  if (found == m_suspects.end() ||
+      aReport.completed <= found->second.completed) {
+    return {};
+  }
+  Suspect& suspect = found->second;
+  suspect.completed = aReport.completed;
+  std::erase_if(suspect.crashes, [&](const CrashReport& aCrash) {
+    return aCrash.crashed <= aReport.completed;
+  });
+  Count(suspect);
+  Outcome outcome{ true, std::nullopt };
+  if (suspect.quarantined_until > aNow) {
+    outcome.quarantine = Quarantine{ aReport.fingerprint, Instant{} };
+  }
+  suspect.quarantined_until = {};
+  suspect.quarantines = 0;
+  return outcome;
+}
+
+void
+PoisonRequests::OnRecorded(const Quarantine& aQuarantine, Instant aNow)
+{
+  if (aQuarantine.until <= aNow) {
+    return;
+  }
+  if (!m_suspects.contains(aQuarantine.fingerprint)) {
+    MakeRoom(aNow);
+  }
+  Suspect& suspect = m_suspects[aQuarantine.fingerprint];
+  suspect.quarantined_until =
+    std::max(suspect.quarantined_until, aQuarantine.until);
+  suspect.quarantines = std::max(suspect.quarantines, aQuarantine.count);
+  suspect.expires =
+    std::max(suspect.expires, aQuarantine.until + m_options.suspect_ttl);
+}
+
+/// Counts the longest chain of runs of which each began after the target of the
+/// one before had ended: the run that ends first is always part of one.
+void
+PoisonRequests::Count(Suspect& aSuspect)
+{
+  std::sort(aSuspect.crashes.begin(),
+            aSuspect.crashes.end(),
+            [](const CrashReport& aOne, const CrashReport& aOther) {
+              return aOne.crashed < aOther.crashed;
+            });
+  if (aSuspect.crashes.size() > kMaxCrashes) {
+    aSuspect.crashes.erase(aSuspect.crashes.begin());
+  }
+  aSuspect.crash_count = 0;
+  std::optional<Instant> last;
+  for (const CrashReport& crash : aSuspect.crashes) {
+    if (!last || crash.sent >= *last) {
+      ++aSuspect.crash_count;
+      last = crash.crashed;
+    }
+  }
+}
+
+bool
+PoisonRequests::BeginsQuarantine(const Suspect& aSuspect,
+                                 const CrashReport& aCrash) const
+{
+  if (aSuspect.quarantines == 0) {
+    return aSuspect.crash_count >= m_options.max_crashes;
+  }
+  // Runs that were sent before all instances knew of the quarantine.
+  return aCrash.sent + kTimeError >= aSuspect.quarantined_until;
+}
+
+Duration
+PoisonRequests::LengthOf(std::uint32_t aQuarantine) const
+{
+  Duration length = m_options.first_quarantine;
+  for (; aQuarantine > 1 && length < m_options.max_quarantine; --aQuarantine) {
+    length *= m_options.growth;
+  }
+  return std::min(length, m_options.max_quarantine);
+}
+
+bool
+PoisonRequests::NeedsCompletion(RequestFingerprint aFingerprint,
+                                Instant aNow) const
+{
+  const auto found = m_suspects.find(aFingerprint);
+  return found != m_suspects.end() &&
+         (found->second.crash_count > 0 ||
+          aNow - found->second.completed >= m_options.completion_interval);
+}
+
+std::uint32_t
+PoisonRequests::CrashCount(RequestFingerprint aFingerprint) const
+{
+  const auto found = m_suspects.find(aFingerprint);
+  return found == m_suspects.end() ? 0 : found->second.crash_count;
+}
+
+std::optional<Instant>
+PoisonRequests::QuarantinedUntil(RequestFingerprint aFingerprint,
+                                 Instant aNow) const
+{
+  const auto found = m_suspects.find(aFingerprint);
+  if (found == m_suspects.end() || found->second.quarantined_until <= aNow) {
+    return std::nullopt;
+  }
+  return found->second.quarantined_until;
+}
+
+std::size_t
+PoisonRequests::Quarantined(Instant aNow) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(m_suspects.begin(), m_suspects.end(), [&](const auto& aOne) {
+      return aOne.second.quarantined_until > aNow;
+    }));
+}
+
+void
+PoisonRequests::Tick(Instant aNow)
+{
+  std::erase_if(m_suspects,
+                [&](const auto& aOne) { return aOne.second.expires <= aNow; });
+}
+
+void
+PoisonRequests::MakeRoom(Instant aNow)
+{
+  if (m_suspects.size() < m_options.max_suspects) {
+    return;
+  }
+  Tick(aNow);
+  if (m_suspects.size() < m_options.max_suspects) {
+    return;
+  }
+  m_suspects.erase(std::min_element(m_suspects.begin(),
+                                    m_suspects.end(),
+                                    [](const auto& aOne, const auto& aOther) {
+                                      return aOne.second.expires <
+                                             aOther.second.expires;
+                                    }));
+}
+
+} // namespace jujubehead::core
--- /dev/null
+++ b/src/jujubehead/core/routing/poison_requests_test.cpp
@@ -0,0 +1,178 @@
+#include "jujubehead/core/routing/poison_requests.hpp"
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+using namespace jujubehead;
+using core::CompletionReport;
+using core::CrashReport;
+using core::RequestFingerprint;
+using core::TargetKey;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr RequestFingerprint kRequest{ 7 };
+constexpr RequestFingerprint kOther{ 8 };
+
+} // namespace
+
+TEST_GROUP(PoisonRequests)
+{
+  core::PoisonRequests poison;
+  core::Instant start{ minutes(60) };
+  unsigned targets = 0;
+
+  /// A run of a request that crashed a target of its own.
+  CrashReport Crash(core::Duration aSent,
+                    core::Duration aCrashed,
+                    RequestFingerprint aRequest = kRequest)
+  {
+    return {
+      aRequest, TargetKey{ ++targets }, start + aSent, start + aCrashed
+    };
+  }
+  bool IsQuarantined(core::Instant aNow, RequestFingerprint aRequest = kRequest)
+  {
+    return poison.QuarantinedUntil(aRequest, aNow).has_value();
+  }
+};
+
+TEST(PoisonRequests, ThreeCrashesOneAfterTheOtherBeginAQuarantine)
+{
+  CHECK(poison.IsEmpty());
+  for (int i = 0; i < 3; ++i) {
+    CHECK_FALSE(IsQuarantined(start + seconds(i)));
+    const auto outcome =
+      poison.OnReport(Crash(seconds(i), seconds(i) + milliseconds(80)),
+                      start + seconds(i) + milliseconds(90));
+    CHECK(outcome.is_new);
+    CHECK_EQUAL(i == 2, outcome.quarantine.has_value());
+  }
+  CHECK(IsQuarantined(start + seconds(3)));
+  CHECK_FALSE(IsQuarantined(start + seconds(3), kOther));
+  LONGS_EQUAL(1, poison.Quarantined(start + seconds(3)));
+}
+
+// A rack is lost with copies of one request at three of its targets.
+TEST(PoisonRequests, TargetsThatEndTogetherCountOnce)
+{
+  for (int i = 0; i < 3; ++i) {
+    poison.OnReport(Crash(milliseconds(10 * i), milliseconds(900 + i)), start);
+  }
+  LONGS_EQUAL(1, poison.CrashCount(kRequest));
+}
+
+// Reports come from several instances, late, repeatedly and in any order.
+TEST(PoisonRequests, TheOrderOfReportsDoesNotMatter)
+{
+  const CrashReport first = Crash(seconds(0), milliseconds(80));
+  const CrashReport second = Crash(seconds(1), milliseconds(1080));
+  const CrashReport third = Crash(seconds(2), milliseconds(2080));
+  const core::Instant now = start + seconds(3);
+  CHECK(poison.OnReport(third, now).is_new);
+  CHECK(poison.OnReport(first, now).is_new);
+  CHECK_FALSE(poison.OnReport(third, now).is_new);
+  LONGS_EQUAL(2, poison.CrashCount(kRequest));
+  CHECK(poison.OnReport(second, now).quarantine.has_value());
+}
+
+// An innocent request that is sent often is at one of the targets that end,
+// again and again, and is answered by all others.
+TEST(PoisonRequests, ACompleteAnswerClearsASuspect)
+{
+  for (int i = 0; i < 10; ++i) {
+    const core::Instant crashed = start + seconds(i) + milliseconds(80);
+    poison.OnReport(Crash(seconds(i), seconds(i) + milliseconds(80)), crashed);
+    poison.OnReport(CompletionReport{ kRequest, crashed + milliseconds(50) },
+                    crashed + milliseconds(50));
+    CHECK_FALSE(IsQuarantined(crashed + milliseconds(60)));
+  }
+  LONGS_EQUAL(0, poison.CrashCount(kRequest));
+}
+
+// The report of a crash may arrive after that of a later complete answer.
+TEST(PoisonRequests, ACrashBeforeACompleteAnswerDoesNotCount)
+{
+  poison.OnReport(Crash(seconds(0), milliseconds(80)), start + seconds(1));
+  poison.OnReport(CompletionReport{ kRequest, start + seconds(2) },
+                  start + seconds(2));
+  CHECK_FALSE(
+    poison.OnReport(Crash(seconds(1), milliseconds(1080)), start + seconds(3))
+      .is_new);
+  LONGS_EQUAL(0, poison.CrashCount(kRequest));
+}
+
+// A run that began before the quarantine may yet be answered.
+TEST(PoisonRequests, ACompleteAnswerEndsAQuarantine)
+{
+  for (int i = 0; i < 3; ++i) {
+    poison.OnReport(Crash(seconds(i), seconds(i) + milliseconds(80)),
+                    start + seconds(i) + milliseconds(80));
+  }
+  const core::Instant now = start + seconds(4);
+  CHECK(IsQuarantined(now));
+  const auto outcome = poison.OnReport(CompletionReport{ kRequest, now }, now);
+  CHECK(outcome.quarantine && outcome.quarantine->until <= now);
+  CHECK_FALSE(IsQuarantined(now));
+}
+
+// Its targets are repaired, or its caller gives up: nothing is refused for
+// ever. What still crashes targets costs one for each quarantine.
+TEST(PoisonRequests, OneCrashAfterAQuarantineBeginsALongerOne)
+{
+  for (int i = 0; i < 3; ++i) {
+    poison.OnReport(Crash(seconds(i), seconds(i) + milliseconds(80)),
+                    start + seconds(i) + milliseconds(80));
+  }
+  const core::Duration later = seconds(63);
+  CHECK_FALSE(IsQuarantined(start + later));
+  const auto outcome = poison.OnReport(Crash(later, later + milliseconds(80)),
+                                       start + later + milliseconds(80));
+  CHECK(outcome.quarantine.has_value());
+  LONGS_EQUAL(2, outcome.quarantine->count);
+  CHECK(IsQuarantined(start + later + minutes(4)));
+  CHECK_FALSE(IsQuarantined(start + later + minutes(6)));
+}
+
+// Copies that were at targets already crash them, too.
+TEST(PoisonRequests, RunsFromBeforeAQuarantineDoNotMakeItLonger)
+{
+  for (int i = 0; i < 5; ++i) {
+    poison.OnReport(Crash(seconds(i), seconds(i) + milliseconds(80)),
+                    start + seconds(i) + milliseconds(80));
+  }
+  CHECK_FALSE(IsQuarantined(start + seconds(63)));
+}
+
+TEST(PoisonRequests, ASuspectIsForgottenAfterAWhile)
+{
+  poison.OnReport(Crash(seconds(0), milliseconds(80)), start);
+  poison.Tick(start + minutes(11));
+  CHECK(poison.IsEmpty());
+}
+
+// A crash of a target with many requests must not push a quarantine out.
+TEST(PoisonRequests, ManySuspectsDoNotPushAQuarantineOut)
+{
+  for (int i = 0; i < 3; ++i) {
+    poison.OnReport(Crash(seconds(i), seconds(i) + milliseconds(80)),
+                    start + seconds(i) + milliseconds(80));
+  }
+  const core::PoisonRequestsOptions options;
+  for (std::size_t i = 0; i < options.max_suspects + 10; ++i) {
+    poison.OnReport(
+      Crash(seconds(4), seconds(5), RequestFingerprint{ 100 + i }),
+      start + seconds(5));
+  }
+  LONGS_EQUAL(options.max_suspects, poison.Suspects());
+  CHECK(IsQuarantined(start + seconds(6)));
+}
+
+TEST(PoisonRequests, ARecordedQuarantineCountsWithoutItsCrashes)
+{
+  poison.OnRecorded({ kRequest, start + minutes(5), 2 }, start);
+  CHECK(IsQuarantined(start + minutes(4)));
+  CHECK_FALSE(IsQuarantined(start + minutes(6)));
+}
--- /dev/null
+++ b/src/jujubehead/core/routing/quarantine_records.cpp
@@ -0,0 +1,157 @@
+#include "jujubehead/core/routing/quarantine_records.hpp"
+
+#include <algorithm> // for min
+#include <charconv>  // for from_chars
+#include <utility>   // for pair
+
+namespace jujubehead::core {
+namespace {
+
+constexpr std::string_view kKeyPrefix = "quarantine/"; // then the fingerprint
+constexpr int kHexBase = 16;
+constexpr int kDecimalBase = 10;
+/// Between the end, on the store's clock, and the count.
+constexpr char kSeparator = ' ';
+/// Delay per rank. A written row reaches the others within it.
+constexpr Duration kRankDelay = std::chrono::milliseconds(500);
+/// Cap on the ranks waited for: more instances than this do not fail together
+/// unless all do.
+constexpr std::size_t kMaxRanks = 8;
+/// Ends of a quarantine that differ by less are the same: each instance
+/// computes it from when it learned of the crash.
+constexpr Duration kSameEnd = std::chrono::seconds(5);
+/// A row is removed only when its time is surely over for every instance.
+constexpr Duration kRemovalDelay = std::chrono::minutes(1);
+
+std::string
+KeyOf(RequestFingerprint aFingerprint)
+{
+  return std::string(kKeyPrefix) + ToText(aFingerprint);
+}
+
+template<typename Number>
+std::optional<Number>
+ParseNumber(std::string_view aText, int aBase)
+{
+  Number number = 0;
+  const char* const end = aText.data() + aText.size();
+  const auto [stop, error] = std::from_chars(aText.data(), end, number, aBase);
+  const bool is_number = error == std::errc() && stop == end;
+  return is_number ? std::optional(number) : std::nullopt;
+}
+
+} // namespace
+
+bool
+QuarantineRecords::IsKey(std::string_view aKey)
+{
+  return aKey.starts_with(kKeyPrefix);
+}
+
+void
+QuarantineRecords::OnQuarantine(const Quarantine& aQuarantine, Instant aNow)
+{
+  Record& record = m_records[aQuarantine.fingerprint];
+  record.until = aQuarantine.until;
+  record.count = aQuarantine.count;
+  record.changed = aNow;
+}
+
+void
+QuarantineRecords::BeginAll(Instant aNow)
+{
+  std::erase_if(m_records, [&](const auto& aEntry) {
+    return aEntry.second.until.value_or(Instant{}) <= aNow;
+  });
+  for (auto& [fingerprint, record] : m_records) {
+    record.recorded.reset();
+    record.version = 0;
+  }
+}
+
+std::optional<Quarantine>
+QuarantineRecords::OnRow(std::string_view aKey,
+                         const std::optional<std::string>& aValue,
+                         std::uint64_t aVersion,
+                         Instant aNow)
+{
+  aKey.remove_prefix(std::min(aKey.size(), kKeyPrefix.size()));
+  const auto number = ParseNumber<std::uint64_t>(aKey, kHexBase);
+  if (!number) {
+    return std::nullopt;
+  }
+  const auto fingerprint = static_cast<RequestFingerprint>(*number);
+  if (!aValue) {
+    m_records.erase(fingerprint);
+    return std::nullopt;
+  }
+  Record& record = m_records[fingerprint];
+  const std::string_view text = *aValue;
+  const std::size_t end = std::min(text.find(kSeparator), text.size());
+  const auto count = ParseNumber<std::uint32_t>(
+    text.substr(std::min(end + 1, text.size())), kDecimalBase);
+  record.recorded = ParseNumber<RemoteMs>(text.substr(0, end), kDecimalBase);
+  record.version = aVersion;
+  if (!record.recorded || !count) {
+    record.recorded.reset();
+    return std::nullopt;
+  }
+  const auto until = m_store_clock.LatestTimeOf(*record.recorded, aNow);
+  if (!until) {
+    return std::nullopt;
+  }
+  return Quarantine{ fingerprint, *until, *count };
+}
+
+std::optional<Instant>
+QuarantineRecords::DueSince(const Record& aRecord, Instant aNow) const
+{
+  Instant recorded_end{}; // As if nothing were recorded.
+  if (aRecord.recorded) {
+    recorded_end = m_store_clock.LatestTimeOf(*aRecord.recorded, aNow)
+                     .value_or(Instant::max() - kRemovalDelay);
+  }
+  if (aRecord.until && *aRecord.until > aNow) {
+    const bool is_recorded = recorded_end >= *aRecord.until - kSameEnd;
+    return is_recorded ? std::nullopt : std::optional(aRecord.changed);
+  }
+  if (!aRecord.recorded) { // There is no row, or none that is understood.
+    return std::nullopt;
+  }
+  const bool was_released = aRecord.until && *aRecord.until == Instant{};
+  return was_released ? aRecord.changed : recorded_end + kRemovalDelay;
+}
+
+std::optional<QuarantineRowWrite>
+QuarantineRecords::NextWrite(
+  const std::function<std::size_t(std::string_view)>& aRankOf,
+  Instant aNow) const
+{
+  for (const auto& [fingerprint, record] : m_records) {
+    const auto due = DueSince(record, aNow);
+    if (!due) {
+      continue;
+    }
+    std::string key = KeyOf(fingerprint);
+    const std::size_t rank = std::min(aRankOf(key), kMaxRanks);
+    if (aNow < *due + kRankDelay * rank) {
+      continue;
+    }
+    QuarantineRowWrite write;
+    write.fingerprint = fingerprint;
+    write.key = std::move(key);
+    write.expected_version = record.version;
+    if (record.until && *record.until > aNow) {
+      const auto until = m_store_clock.UpperBoundAt(*record.until);
+      if (!until) {
+        continue;
+      }
+      write.value =
+        std::to_string(*until) + kSeparator + std::to_string(record.count);
+    }
+    return write;
+  }
+  return std::nullopt;
+}
+
+} // namespace jujubehead::core
--- /dev/null
+++ b/src/jujubehead/core/routing/quarantine_records_test.cpp
@@ -0,0 +1,114 @@
+#include "jujubehead/core/routing/quarantine_records.hpp"
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+using namespace jujubehead;
+using core::Quarantine;
+using core::QuarantineRecords;
+using core::RequestFingerprint;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr RequestFingerprint kRequest{ 0xabc };
+constexpr const char* kKey = "quarantine/0000000000000abc";
+
+std::size_t
+First(std::string_view /*aKey*/)
+{
+  return 0;
+}
+
+std::size_t
+Third(std::string_view /*aKey*/)
+{
+  return 2;
+}
+
+} // namespace
+
+TEST_GROUP(QuarantineRecords)
+{
+  core::Instant now{ minutes(60) };
+  core::RemoteClock clock;
+  QuarantineRecords records{ clock };
+
+  void setup() override
+  {
+    clock.OnReading(5000, now, now);
+  }
+};
+
+TEST(QuarantineRecords, TheFirstInstanceWritesAndTheNextOneWhenItFails)
+{
+  records.OnQuarantine({ kRequest, now + minutes(10), 1 }, now);
+  const auto write = records.NextWrite(First, now);
+  CHECK(write.has_value());
+  STRCMP_EQUAL(kKey, write->key.c_str());
+  LONGS_EQUAL(0, write->expected_version);
+  CHECK_FALSE(records.NextWrite(Third, now).has_value());
+  CHECK(records.NextWrite(Third, now + seconds(2)).has_value());
+  records.OnRow(kKey, write->value, 9, now);
+  CHECK_FALSE(records.NextWrite(Third, now + seconds(2)).has_value());
+}
+
+// An instance that starts has a clock of its own and no other source.
+TEST(QuarantineRecords, AnInstanceThatStartsReadsTheEndOnItsOwnClock)
+{
+  records.OnQuarantine({ kRequest, now + minutes(10), 3 }, now);
+  const auto write = records.NextWrite(First, now);
+  core::RemoteClock other_clock;
+  const core::Instant other_now{ minutes(3) };
+  other_clock.OnReading(65000, other_now, other_now); // A minute later.
+  QuarantineRecords other(other_clock);
+  const auto read = other.OnRow(kKey, write->value, 9, other_now);
+  CHECK(read.has_value());
+  CHECK(read->fingerprint == kRequest);
+  LONGS_EQUAL(3, read->count);
+  CHECK(read->until >= other_now + minutes(9));
+  CHECK(read->until < other_now + minutes(9) + seconds(5));
+}
+
+TEST(QuarantineRecords, ALaterEndReplacesTheRow)
+{
+  records.OnQuarantine({ kRequest, now + minutes(10), 1 }, now);
+  records.OnRow(kKey, records.NextWrite(First, now)->value, 9, now);
+  records.OnQuarantine({ kRequest, now + minutes(21), 1 }, now + minutes(11));
+  const auto write = records.NextWrite(First, now + minutes(11));
+  CHECK(write.has_value());
+  LONGS_EQUAL(9, write->expected_version);
+}
+
+TEST(QuarantineRecords, ARowIsRemovedWhenItsQuarantineIsOver)
+{
+  records.OnQuarantine({ kRequest, now + minutes(10), 1 }, now);
+  records.OnRow(kKey, records.NextWrite(First, now)->value, 9, now);
+  CHECK_FALSE(records.NextWrite(First, now + minutes(10)).has_value());
+  const auto removal = records.NextWrite(First, now + minutes(12));
+  CHECK(removal.has_value());
+  CHECK_FALSE(removal->value.has_value());
+  LONGS_EQUAL(9, removal->expected_version);
+  records.OnRow(kKey, std::nullopt, 10, now + minutes(12));
+  CHECK_FALSE(records.NextWrite(First, now + minutes(13)).has_value());
+}
+
+// Its request was answered after all: who starts must not read it.
+TEST(QuarantineRecords, ARowIsRemovedAtOnceWhenItsRequestIsNoPoison)
+{
+  records.OnQuarantine({ kRequest, now + minutes(10), 1 }, now);
+  records.OnRow(kKey, records.NextWrite(First, now)->value, 9, now);
+  records.OnQuarantine({ kRequest, core::Instant{}, 1 }, now + seconds(1));
+  const auto removal = records.NextWrite(First, now + seconds(1));
+  CHECK(removal && !removal->value);
+}
+
+TEST(QuarantineRecords, RowsThatAreNoRecordsAreLeftAlone)
+{
+  CHECK_FALSE(QuarantineRecords::IsKey("instances/i1"));
+  CHECK(QuarantineRecords::IsKey(kKey));
+  CHECK_FALSE(records.OnRow("quarantine/x", "17", 3, now).has_value());
+  CHECK_FALSE(records.OnRow(kKey, "soon", 3, now).has_value());
+  CHECK_FALSE(records.NextWrite(First, now + milliseconds(1)).has_value());
+}
--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -107,15 +107,36 @@
               aForwarder)
   , m_reclaimer(aContext, *m_platform.stores, MakeReclaimerHooks())
   , m_stores(aContext, *m_platform.stores, m_role, MakeStoreHooks())
+  , m_quarantines(m_platform.row_cache->StoreClock())
+  , m_poison(aContext,
+             m_role,
+             [this](std::vector<core::PoisonReport> aReports) {
+               m_forwarder.OnPoisonReports(std::move(aReports));
+             })
   , m_hubs(aContext,
            m_role,
            m_stores,
            *m_platform.row_cache,
            aPaths,
+           m_poison,
            MakeHubHooks())
 {
 }
 
+void
+EntryControl::SetPoisonHooks()
+{
+  m_forwarder.SetPoisonHooks(
+    [this](const core::PoisonReport& aReport) {
+      asio::post(m_context, [this, aReport] { m_poison.Report(aReport); });
+    },
+    [this](const core::Quarantine& aQuarantine) {
+      asio::post(m_context, [this, aQuarantine] {
+        m_quarantines.OnQuarantine(aQuarantine, core::RuntimeClock::now());
+      });
+    });
+}
+
 StoreWatchHooks
 EntryControl::MakeStoreHooks()
 {
@@ -190,6 +211,7 @@
 EntryControl::Start()
 {
   m_role.OnStart(core::RuntimeClock::now());
+  SetPoisonHooks();
   FollowHooks<OperatorUpdate> operators;
   operators.on_update = [this](const OperatorUpdate& aUpdate, bool aIsAll) {
     OnOperatorUpdate(aUpdate, aIsAll);
@@ -282,6 +304,8 @@
     co_await m_hubs.Handle(aExchange);
   } else if (path == kHubLoadsPath) {
     co_await m_hubs.HandleLoads(aExchange);
+  } else if (path == kPoisonReportsPath) {
+    co_await m_poison.Handle(aExchange);
   } else {
     co_return false;
   }
@@ -388,8 +412,12 @@
   bool has_instance_rows = aIsAll;
   if (aIsAll) {
     m_instances.BeginAll();
+    m_quarantines.BeginAll(core::RuntimeClock::now());
   }
   for (const SharedRow& row : aUpdate.rows) {
+    if (core::QuarantineRecords::IsKey(row.key)) {
+      OnQuarantineRow(row);
+    }
     if (row.key.starts_with(kInstancePrefix)) {
       has_instance_rows = true;
       m_instances.OnRow(row.key.substr(kInstancePrefix.size()),
@@ -468,6 +496,43 @@
   }
 }
 
+void
+EntryControl::OnQuarantineRow(const SharedRow& aRow)
+{
+  const auto quarantine = m_quarantines.OnRow(
+    aRow.key, aRow.value, aRow.version, core::RuntimeClock::now());
+  if (quarantine) {
+    m_forwarder.OnRecordedQuarantine(*quarantine);
+  }
+}
+
+asio::awaitable<void>
+EntryControl::WriteQuarantine()
+{
+  const core::Instant now = core::RuntimeClock::now();
+  const auto rank_of = [this](std::string_view aKey) {
+    return core::RankOf(m_instances.All(), m_options.instance_id.View(), aKey);
+  };
+  const auto write = m_quarantines.NextWrite(rank_of, now);
+  if (!write) {
+    co_return;
+  }
+  try {
+    const auto version = co_await m_platform.shared->Put(
+      write->key, write->value, write->expected_version);
+    if (version) {
+      m_quarantines.OnRow(
+        write->key, write->value, *version, core::RuntimeClock::now());
+    }
+    // Otherwise the row was changed, and the change comes with the next update.
+  } catch (const PlatformError& error) {
+    DecisionLog::WriteUnthrottled(
+      LogLine("quarantine_unwritten")
+        .Add("fingerprint", core::ToText(write->fingerprint))
+        .Add("why", error.what()));
+  }
+}
+
 void
 EntryControl::PublishTargets()
 {
@@ -493,6 +558,7 @@
     m_book.Tick(core::RuntimeClock::now());
     PublishTargets();
     UpdateShare();
+    co_await WriteQuarantine();
   }
 }
 
--- a/src/jujubehead/node/control/entry_control.hpp
+++ b/src/jujubehead/node/control/entry_control.hpp
@@ -14,13 +14,15 @@
 #include "jujubehead/core/membership/instance_directory.hpp" // for InstanceDirectory
 #include "jujubehead/core/membership/store_paths.hpp"        // for StorePaths
 #include "jujubehead/core/routing/data_centre_stops.hpp" // for DataCentreStops
-#include "jujubehead/core/routing/target_directory.hpp"  // for TargetDirectory
-#include "jujubehead/node/control/platform.hpp"          // for Platform
-#include "jujubehead/node/forward/entry_options.hpp"     // for EntryOptions
+#include "jujubehead/core/routing/quarantine_records.hpp" // for QuarantineRecords
+#include "jujubehead/core/routing/target_directory.hpp"   // for TargetDirectory
+#include "jujubehead/node/control/platform.hpp"           // for Platform
+#include "jujubehead/node/forward/entry_options.hpp"      // for EntryOptions
 
 #include "../forward/forwarder.hpp" // for Forwarder
 #include "block_reclaimer.hpp"      // for BlockReclaimer
 #include "hub_exchange.hpp"         // for HubExchange
+#include "poison_exchange.hpp"      // for PoisonExchange
 #include "rollout_coordinator.hpp"  // for RolloutCoordinator
 #include "store_watch.hpp"          // for StoreWatch
 #include "weights_deadlines.hpp"    // for WeightsDeadlines
@@ -53,6 +55,7 @@
   /// @return false if it is for the relay of the operators' store.
   boost::asio::awaitable<bool> HandleInstance(net::HttpExchange& aExchange);
   [[nodiscard]] const HubExchange& Hubs() const { return m_hubs; }
+  [[nodiscard]] const PoisonExchange& Poison() const { return m_poison; }
   [[nodiscard]] std::size_t Targets() const { return m_book.Size(); }
   /// @return the instances that this one knows, itself included.
   [[nodiscard]] std::size_t Instances() const { return m_role.Known(); }
@@ -83,6 +86,11 @@
   /// instance that starts waits for a hub to send them.
   [[nodiscard]] bool MayReadAll() const;
   boost::asio::awaitable<void> MaintainInstanceRows();
+  /// @brief Reads a row that records a quarantine.
+  void OnQuarantineRow(const SharedRow& aRow);
+  /// @brief Writes the next quarantine's row that is due, if any.
+  boost::asio::awaitable<void> WriteQuarantine();
+  void SetPoisonHooks();
   void PublishTargets();
   StoreWatchHooks MakeStoreHooks();
   BlockReclaimerHooks MakeReclaimerHooks();
@@ -114,6 +122,8 @@
   RolloutCoordinator m_rollout;
   BlockReclaimer m_reclaimer;
   StoreWatch m_stores;
+  core::QuarantineRecords m_quarantines;
+  PoisonExchange m_poison;
   HubExchange m_hubs;
 };
 
--- a/src/jujubehead/node/control/hub_exchange.cpp
+++ b/src/jujubehead/node/control/hub_exchange.cpp
@@ -70,12 +70,14 @@
                          StoreWatch& aStores,
                          RowCache& aRows,
                          core::StorePaths& aPaths,
+                         PoisonExchange& aPoison,
                          HubHooks aHooks)
   : m_context(aContext)
   , m_role(aRole)
   , m_stores(aStores)
   , m_rows(aRows)
   , m_paths(aPaths)
+  , m_poison(aPoison)
   , m_hooks(std::move(aHooks))
   , m_start(net::RandomText(kStartBytes))
   , m_client(net::HttpClient::Create(aContext))
@@ -293,6 +295,7 @@
                 "&after=" + std::to_string(aCursor.parts.next) +
                 "&since=" + std::to_string(aCursor.parts.since) +
                 "&loads=" + std::to_string(aCursor.loads) +
+                "&poison=" + std::to_string(aCursor.poison_reports) +
                 "&paged=1&rows=" + m_rows.Cursors();
   call.connect_timeout = kHubTimeout;
   call.idle_timeout = kHubTimeout;
@@ -309,6 +312,8 @@
   aCursor.parts = update.parts.cursor;
   aCursor.loads = update.next_loads;
   aCursor.supports_loads = update.has_loads;
+  aCursor.poison_reports = update.next_poison_report;
+  m_poison.OnPage(std::move(update.poison_reports));
   if (m_role.HasFollowers()) {
     for (const core::TargetLoadReport& load : update.loads) {
       m_loads.Put(load);
@@ -390,6 +395,10 @@
   core::LoadReports::Page loads = m_loads.BusiestAfter(loads_after, now);
   update.loads = std::move(loads.reports);
   update.next_loads = loads.next;
+  core::PoisonReportLog::Page poison =
+    m_poison.PageAfter(knows_start ? ParseNumber(aRequest.Query("poison")) : 0);
+  update.poison_reports = std::move(poison.reports);
+  update.next_poison_report = poison.next;
   update.parts = m_stores.Log().ReadAfter(cursor, now);
   update.clock_ms = m_stores.ClockMs(now);
   const bool is_paged = aRequest.Query("paged").has_value();
--- a/src/jujubehead/node/control/hub_exchange.hpp
+++ b/src/jujubehead/node/control/hub_exchange.hpp
@@ -24,6 +24,7 @@
 #include "jujubehead/node/metrics.hpp"                // for Gauge
 
 #include "hub_update_codec.hpp" // for HubUpdate
+#include "poison_exchange.hpp"  // for PoisonExchange
 #include "store_watch.hpp"      // for StoreWatch
 
 namespace jujubehead::node {
@@ -72,11 +73,13 @@
 {
 public:
   /// @param aStores watched by a hub; a polling instance applies updates to it.
+  /// @param aPoison whose reports go down the tree with the polls.
   HubExchange(boost::asio::io_context& aContext,
               core::HubRole& aRole,
               StoreWatch& aStores,
               RowCache& aRows,
               core::StorePaths& aPaths,
+              PoisonExchange& aPoison,
               HubHooks aHooks);
 
   void Start();
@@ -95,6 +98,7 @@
     std::string start;
     core::PartCursor parts;
     std::uint64_t loads = 0;
+    std::uint64_t poison_reports = 0;
     bool supports_loads = false; ///< Whether the hub supports kLoadsEncoding.
   };
 
@@ -132,6 +136,7 @@
   StoreWatch& m_stores;
   RowCache& m_rows;
   core::StorePaths& m_paths;
+  PoisonExchange& m_poison;
   HubHooks m_hooks;
   std::vector<core::TargetLoadReport>
     m_pending_loads; ///< Own, for the next poll.
--- a/src/jujubehead/node/control/hub_update_codec.cpp
+++ b/src/jujubehead/node/control/hub_update_codec.cpp
@@ -9,6 +9,8 @@
 
 #include <nlohmann/json.hpp> // for json
 
+#include "poison_report_codec.hpp" // for PoisonReportsToBytes
+
 namespace jujubehead::node {
 namespace {
 
@@ -161,6 +163,10 @@
   } else {
     message["loads"] = json::array();
   }
+  if (!aUpdate.poison_reports.empty()) {
+    message["poison"] = PoisonReportsToBytes(aUpdate.poison_reports, aNow);
+  }
+  message["next_poison"] = aUpdate.next_poison_report;
   if (aUpdate.rows) {
     message["rows"] = aUpdate.rows->bytes;
     message["rows_age"] = Milliseconds(aUpdate.rows->age) + 1;
@@ -193,6 +199,12 @@
                              std::chrono::milliseconds(age),
                              message.value("rows_more", false) };
   }
+  if (const auto poison = message.find("poison"); poison != message.end()) {
+    result.poison_reports =
+      PoisonReportsFromBytes(poison->get<std::string>(), aSentAt);
+  }
+  // An older version sends none.
+  result.next_poison_report = message.value("next_poison", std::uint64_t(0));
   // An older version sends another encoding.
   const json& loads = message.at("loads");
   result.has_loads = loads.is_string();
--- a/src/jujubehead/node/control/hub_update_codec.hpp
+++ b/src/jujubehead/node/control/hub_update_codec.hpp
@@ -7,9 +7,10 @@
 #include <string_view> // for string_view
 #include <vector>      // for vector
 
-#include "jujubehead/core/context/part_log.hpp"     // for PartLogPage
-#include "jujubehead/core/routing/load_reports.hpp" // for TargetLoadReport
-#include "jujubehead/node/control/row_cache.hpp"    // for RowUpdate
+#include "jujubehead/core/context/part_log.hpp"        // for PartLogPage
+#include "jujubehead/core/routing/load_reports.hpp"    // for TargetLoadReport
+#include "jujubehead/core/routing/poison_requests.hpp" // for PoisonReport
+#include "jujubehead/node/control/row_cache.hpp"       // for RowUpdate
 
 namespace jujubehead::node {
 
@@ -25,6 +26,8 @@
   std::uint64_t next_loads = 0; ///< Position in the hub's loads after these.
   /// Whether both sides support the current loads encoding.
   bool has_loads = false;
+  std::vector<core::PoisonReport> poison_reports; ///< About suspects.
+  std::uint64_t next_poison_report = 0; ///< Position in the hub's after these.
   /// Of the operators' store; empty while the hub cannot reach it.
   std::optional<RowUpdate> rows;
 };
--- a/src/jujubehead/node/entry.cpp
+++ b/src/jujubehead/node/entry.cpp
@@ -137,9 +137,15 @@
     gauge("jujubehead_requests_in_stopped_data_centres",
           "Requests under way in data centres with a planned stop.",
           static_cast<double>(m_forwarder.RequestsInStopped()));
+    gauge("jujubehead_quarantined_requests",
+          "Requests in quarantine, as they crash their targets.",
+          static_cast<double>(m_forwarder.Quarantined()));
     for (Gauge& one : m_control.Hubs().Gauges()) {
       gauges.push_back(std::move(one));
     }
+    for (Gauge& one : m_control.Poison().Gauges()) {
+      gauges.push_back(std::move(one));
+    }
     for (Gauge& one : m_control.WeightsGauges()) {
       gauges.push_back(std::move(one));
     }
--- a/src/jujubehead/node/forward/forward_attempt.cpp
+++ b/src/jujubehead/node/forward/forward_attempt.cpp
@@ -4,6 +4,7 @@
 #include <utility>   // for move
 
 #include "jujubehead/core/routing/stall_timeout.hpp" // for StreamStallTimeout
+#include "jujubehead/net/timer.hpp"                  // for Sleep
 
 #include "target_message.hpp" // for FormatTargetRequest
 #include "transfer_plan.hpp"  // for PlanTransfers
@@ -38,6 +39,8 @@
 
 /// A host whose process has ended refuses a connection within a round trip.
 constexpr Duration kCrashCheckTimeout = std::chrono::milliseconds(100);
+/// Time in which the kernel closes all sockets of a process that ends.
+constexpr Duration kCrashSettleTime = std::chrono::milliseconds(5);
 
 bool
 ImpliesNotRun(unsigned aStatus)
@@ -149,11 +152,14 @@
   if (IsCancelled()) {
     co_return AttemptOutcome::kNotSent;
   }
-  // Its state may have changed while the connection was opened.
+  // What is known may have changed while the connection was opened.
   if (!aTarget.Accepts(core::RuntimeClock::now())) {
     m_last_error = "target no longer takes requests";
     co_return AttemptOutcome::kNotSent;
   }
+  if (IsQuarantined()) {
+    co_return AttemptOutcome::kNotSent;
+  }
   const TargetCall call = BuildCall(aTarget);
   m_last_weights = call.weight_version;
   aExchange.Send(
@@ -187,6 +193,7 @@
 {
   const core::Instant now = core::RuntimeClock::now();
   aTarget.last_response_at = now;
+  aTarget.has_crashed = false;
   if (aMetadata.load) {
     aTarget.load.OnReport(*aMetadata.load, now);
     if (m_state.shares_loads) {
@@ -220,7 +227,15 @@
   if (!m_timed_out && !m_stall_timed_out) {
     aTarget.health.OnFailure(core::RuntimeClock::now());
     m_state.metrics.Add(Counter::kBrokenReplies);
+    const core::Instant broke_at = core::RuntimeClock::now();
     m_target_crashed = co_await HasCrashed(aTarget);
+    if (m_target_crashed) {
+      m_crashed_in.insert(aTarget.target.data_centre);
+      const core::CrashReport report{
+        Fingerprint(), core::KeyOf(aTarget.target.id), m_sent_at, broke_at
+      };
+      m_state.OnPoisonReport(report, true);
+    }
   }
   co_return AttemptOutcome::kBroken;
 }
@@ -233,11 +248,22 @@
   }
   net::OutboundOptions options;
   options.connect_timeout = kCrashCheckTimeout;
-  const auto connection =
+  auto connection =
     net::OutboundConnection::Create(m_session->Executor(), options);
-  const auto error = co_await connection->Connect(aTarget.endpoint);
+  boost::system::error_code error =
+    co_await connection->Connect(aTarget.endpoint);
   if (!error) {
-    aTarget.PutIdleConnection(connection);
+    // A process that is ending may still accept a connection.
+    co_await net::Sleep(kCrashSettleTime);
+    if (connection->IsAtRest()) {
+      aTarget.PutIdleConnection(connection);
+      co_return false;
+    }
+    connection->Close();
+    connection =
+      net::OutboundConnection::Create(m_session->Executor(), options);
+    error = co_await connection->Connect(aTarget.endpoint);
+    connection->Close();
   }
   if (error == asio::error::connection_refused && !aTarget.has_crashed) {
     aTarget.has_crashed = true;
@@ -301,6 +327,9 @@
     co_return AttemptOutcome::kBroken;
   }
   const unsigned status = response.status;
+  if (IsSuccess(status)) {
+    OnCompleted();
+  }
   const bool written = co_await m_session->SendResponse(std::move(response));
   if (written) {
     m_state.metrics.Add(Counter::kAnswers);
@@ -348,6 +377,7 @@
     co_return AttemptOutcome::kBroken;
   }
   aTarget.health.OnAnswer();
+  OnCompleted();
   if (!m_session->HasStreamBegun()) {
     m_session->BeginStream(aExchange.Head().status,
                            aExchange.Head().reason,
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -89,6 +89,36 @@
   return *m_fingerprint;
 }
 
+bool
+ForwardRun::IsQuarantined()
+{
+  if (m_state.poison.IsEmpty()) {
+    return false;
+  }
+  const core::Instant now = core::RuntimeClock::now();
+  const auto until = m_state.poison.QuarantinedUntil(Fingerprint(), now);
+  m_is_quarantined = until.has_value();
+  m_available_in = until ? *until - now : Duration(0);
+  return m_is_quarantined;
+}
+
+std::uint32_t
+ForwardRun::CrashCount()
+{
+  return m_state.poison.IsEmpty() ? 0
+                                  : m_state.poison.CrashCount(Fingerprint());
+}
+
+void
+ForwardRun::OnCompleted()
+{
+  const core::Instant now = core::RuntimeClock::now();
+  if (!m_state.poison.IsEmpty() &&
+      m_state.poison.NeedsCompletion(Fingerprint(), now)) {
+    m_state.OnPoisonReport(core::CompletionReport{ Fingerprint(), now }, true);
+  }
+}
+
 void
 ForwardRun::CancelExchange()
 {
@@ -195,6 +225,11 @@
 {
   AttemptOutcome last = AttemptOutcome::kNotSent;
   for (;;) {
+    if (IsQuarantined()) {
+      m_last_error = "request crashes its targets, in quarantine";
+      co_await Finish(core::StepWithoutRetry(last, m_history));
+      co_return;
+    }
     m_history.has_time = TimeLeft() > kMinTimeLeft;
     const auto target = m_history.has_time ? ChooseTarget() : nullptr;
     if (!target) {
@@ -309,8 +344,12 @@
       std::max<std::int64_t>(left.count() / kRetryAfterDivisor, 1);
     const auto available_in =
       std::chrono::duration_cast<std::chrono::milliseconds>(m_available_in);
+    // A quarantine outlasts what callers usually wait; to come back before its
+    // end is in vain.
     const auto wait =
-      std::min(available_in.count() + spread(m_state.random), most);
+      m_is_quarantined
+        ? available_in.count()
+        : std::min(available_in.count() + spread(m_state.random), most);
     std::string seconds = std::to_string(wait / 1000) + ".";
     const std::string digits = std::to_string(wait % 1000);
     seconds.append(3 - digits.size(), '0').append(digits);
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -11,8 +11,9 @@
 
 #include <boost/asio/awaitable.hpp> // for awaitable
 
-#include "jujubehead/core/routing/attempt_plan.hpp"        // for AttemptHistory
-#include "jujubehead/core/routing/homes.hpp"               // for Homes
+#include "jujubehead/core/routing/attempt_plan.hpp" // for AttemptHistory
+#include "jujubehead/core/routing/homes.hpp"        // for Homes
+#include "jujubehead/core/routing/placement.hpp"    // for PlacementCandidate
 #include "jujubehead/core/routing/request_fingerprint.hpp" // for RequestFingerprint
 #include "jujubehead/net/deadline.hpp"                     // for Deadline
 #include "jujubehead/net/http1/event_cutter.hpp"           // for EventCutter
@@ -57,6 +58,14 @@
   [[nodiscard]] bool IsWorthSending(const FleetTarget& aTarget);
   [[nodiscard]] std::uint32_t Urgency() const;
   [[nodiscard]] std::shared_ptr<FleetTarget> ChooseTarget();
+  /// @brief Places a suspect, apart from the other requests of a crashed target
+  /// and, the more targets it has crashed, from any.
+  [[nodiscard]] std::optional<std::size_t> PlaceSuspect(
+    std::span<const core::PlacementCandidate> aCandidates);
+  /// @brief Leaves the targets outside data centres in which one crashed under
+  /// the request, if there are any: more of them may be about to be lost.
+  void AvoidCrashedDataCentres(
+    std::vector<std::shared_ptr<FleetTarget>>& aTargets) const;
   /// @return the targets that the request may run on now.
   [[nodiscard]] std::vector<std::shared_ptr<FleetTarget>> Candidates() const;
   /// @return whether the account's and the route's regions allow a target.
@@ -92,6 +101,12 @@
   /// connection, after a reply broke off.
   boost::asio::awaitable<bool> HasCrashed(FleetTarget& aTarget);
   [[nodiscard]] core::RequestFingerprint Fingerprint();
+  /// @return whether the request crashes its targets and is not sent to more.
+  [[nodiscard]] bool IsQuarantined();
+  /// @return the targets that ended under the request one after the other.
+  [[nodiscard]] std::uint32_t CrashCount();
+  /// @brief The target answered completely.
+  void OnCompleted();
   AttemptFailure OnRefusal(FleetTarget& aTarget,
                            unsigned aStatus,
                            const ReplyMetadata& aMetadata);
@@ -129,6 +144,8 @@
   core::Instant m_expires_at{};
   core::AttemptHistory m_history;
   std::set<core::TargetId> m_tried_targets;
+  /// Data centres in which a target crashed under the request.
+  std::set<core::DataCentreId> m_crashed_in;
   net::EventCutter m_cutter;
   std::optional<FullResponse>
     m_target_failure; ///< Sent if no attempt succeeds.
@@ -139,8 +156,10 @@
   std::string m_last_error;
   std::optional<core::RequestFingerprint> m_fingerprint; ///< Once computed.
   bool m_target_crashed = false; ///< In the current attempt.
-  /// Time until targets that are all cold take requests again; 0: none is.
+  /// Time until the request may be sent: targets that are all cold take
+  /// requests again, or its quarantine ends; 0: unknown.
   core::Duration m_available_in{};
+  bool m_is_quarantined = false; ///< As IsQuarantined() found last.
   std::string m_last_target;
   /// Expected weight version of the last target.
   std::optional<std::uint64_t> m_last_weights;
--- a/src/jujubehead/node/forward/forward_state.hpp
+++ b/src/jujubehead/node/forward/forward_state.hpp
@@ -3,6 +3,7 @@
 
 #include <atomic>        // for atomic
 #include <cstdint>       // for uint64_t
+#include <functional>    // for function
 #include <map>           // for map
 #include <memory>        // for shared_ptr
 #include <random>        // for mt19937_64
@@ -15,6 +16,7 @@
 #include "jujubehead/core/routing/admission.hpp"         // for WaitPredictor
 #include "jujubehead/core/routing/configuration.hpp"     // for Configuration
 #include "jujubehead/core/routing/load_reports.hpp"      // for LoadReports
+#include "jujubehead/core/routing/poison_requests.hpp"   // for PoisonRequests
 #include "jujubehead/core/routing/windowed_retry_budget.hpp" // for WindowedRetryBudget
 #include "jujubehead/core/weights/rollout.hpp"       // for DesiredWeights
 #include "jujubehead/node/forward/entry_options.hpp" // for EntryOptions
@@ -63,6 +65,35 @@
     }
   }
 
+  /// @brief Applies a report about a suspect, from a request of this instance
+  /// or from another instance.
+  void OnPoisonReport(const core::PoisonReport& aReport, bool aIsOwn)
+  {
+    const core::Instant now = core::RuntimeClock::now();
+    const auto outcome = poison.OnReport(aReport, now);
+    if (outcome.quarantine) {
+      quarantined = poison.Quarantined(now);
+      LogQuarantine(*outcome.quarantine);
+      on_quarantine(*outcome.quarantine);
+    }
+    if (outcome.is_new && aIsOwn) {
+      on_poison_report(aReport);
+    }
+  }
+
+  void LogQuarantine(const core::Quarantine& aQuarantine) const
+  {
+    const core::Instant now = core::RuntimeClock::now();
+    const bool is_over = aQuarantine.until <= now;
+    LogLine line(is_over ? "quarantine_ended" : "quarantine_begun");
+    line.Add("fingerprint", core::ToText(aQuarantine.fingerprint));
+    if (!is_over) {
+      line.Add("crashes", poison.CrashCount(aQuarantine.fingerprint))
+        .Add("lasts", aQuarantine.until - now);
+    }
+    DecisionLog::WriteUnthrottled(line);
+  }
+
   const EntryOptions& options;
   const HeaderCodec& header_codec;
   ThreadMetrics& metrics;
@@ -72,6 +103,13 @@
   TargetFleet fleet;
   bool shares_loads = false; ///< Whether other instances ask for loads.
   core::LoadReports pending_load_reports; ///< Not sent to them yet.
+  core::PoisonRequests poison;
+  /// Passes this instance's reports on to the others.
+  std::function<void(const core::PoisonReport&)> on_poison_report =
+    [](const core::PoisonReport&) {};
+  /// Records that a quarantine began or is over.
+  std::function<void(const core::Quarantine&)> on_quarantine =
+    [](const core::Quarantine&) {};
   core::PartDirectory parts;
   std::unordered_map<core::ServiceId, core::WindowedRetryBudget> budgets;
   double retry_share = 0; ///< This instance's share of the fixed retries.
@@ -90,6 +128,8 @@
   /// Requests of this instance in data centres with a planned stop; read by
   /// the control thread.
   std::atomic<std::uint64_t> requests_in_stopped{ 0 };
+  /// Requests in quarantine; read by the control thread.
+  std::atomic<std::size_t> quarantined{ 0 };
   bool is_stopping = false;
   /// Exit time of a stopping instance.
   core::Instant exits_at = core::Instant::max();
--- a/src/jujubehead/node/forward/forwarder.cpp
+++ b/src/jujubehead/node/forward/forwarder.cpp
@@ -284,6 +284,40 @@
   });
 }
 
+void
+Forwarder::SetPoisonHooks(
+  std::function<void(const core::PoisonReport&)> aOnReport,
+  std::function<void(const core::Quarantine&)> aOnQuarantine)
+{
+  asio::post(m_context,
+             [this,
+              on_report = std::move(aOnReport),
+              on_quarantine = std::move(aOnQuarantine)] {
+               m_state.on_poison_report = on_report;
+               m_state.on_quarantine = on_quarantine;
+             });
+}
+
+void
+Forwarder::OnPoisonReports(std::vector<core::PoisonReport> aReports)
+{
+  asio::post(m_context, [this, reports = std::move(aReports)] {
+    for (const core::PoisonReport& report : reports) {
+      m_state.OnPoisonReport(report, false);
+    }
+  });
+}
+
+void
+Forwarder::OnRecordedQuarantine(core::Quarantine aQuarantine)
+{
+  asio::post(m_context, [this, aQuarantine] {
+    const core::Instant now = core::RuntimeClock::now();
+    m_state.poison.OnRecorded(aQuarantine, now);
+    m_state.quarantined = m_state.poison.Quarantined(now);
+  });
+}
+
 void
 Forwarder::OnOperatorContact(core::Instant aWhen)
 {
--- a/src/jujubehead/node/forward/forwarder.hpp
+++ b/src/jujubehead/node/forward/forwarder.hpp
@@ -14,6 +14,7 @@
 
 #include "jujubehead/core/context/part_directory.hpp"   // for PartEventPage
 #include "jujubehead/core/routing/configuration.hpp"    // for Configuration
+#include "jujubehead/core/routing/poison_requests.hpp"  // for PoisonReport
 #include "jujubehead/core/routing/target_directory.hpp" // for RegisteredTarget
 #include "jujubehead/core/weights/superseded_versions.hpp" // for Superseded...
 #include "jujubehead/node/forward/entry_options.hpp"       // for EntryOptions
@@ -54,6 +55,8 @@
   {
     return m_state.requests_in_stopped;
   }
+  /// @return the requests in quarantine.
+  [[nodiscard]] std::size_t Quarantined() const { return m_state.quarantined; }
   [[nodiscard]] std::uint16_t Port() const;
 
   void SetConfiguration(std::shared_ptr<const core::Configuration> aValue);
@@ -77,6 +80,15 @@
     std::function<void(std::vector<core::TargetLoadReport>)> aOnPending);
   /// @brief Sets this instance's share of the fleet's fixed retries.
   void SetRetryShare(double aShare, core::Instant aUntil);
+  /// @brief Sets who passes this instance's reports about suspects on to the
+  /// other instances, and who records quarantines.
+  /// @param aOnReport, aOnQuarantine called on the traffic thread.
+  void SetPoisonHooks(
+    std::function<void(const core::PoisonReport&)> aOnReport,
+    std::function<void(const core::Quarantine&)> aOnQuarantine);
+  /// @brief Applies other instances' reports about suspects.
+  void OnPoisonReports(std::vector<core::PoisonReport> aReports);
+  void OnRecordedQuarantine(core::Quarantine aQuarantine);
   void OnStoreUnreachable(core::StoreId aStore);
   void OnOperatorContact(core::Instant aWhen);
 
--- a/src/jujubehead/node/forward/target_choice.cpp
+++ b/src/jujubehead/node/forward/target_choice.cpp
@@ -1,8 +1,9 @@
 #include "forward_run.hpp"
 
-#include <algorithm> // for max, min
-#include <cmath>     // for lround
-#include <utility>   // for move
+#include <algorithm>  // for any_of, max, min
+#include <cmath>      // for lround
+#include <functional> // for not_fn
+#include <utility>    // for move
 
 #include "jujubehead/core/routing/placement.hpp" // for PlacePrompt
 
@@ -151,11 +152,36 @@
   return scope;
 }
 
+std::optional<std::size_t>
+ForwardRun::PlaceSuspect(std::span<const core::PlacementCandidate> aCandidates)
+{
+  // With the placement of their prompts, requests of one prefix would go
+  // together from one crashed target to the next, the innocent with the guilty.
+  const auto hash = static_cast<std::uint64_t>(Fingerprint());
+  return CrashCount() > 1 ? core::PlaceByLoad(hash, aCandidates)
+                          : core::PlacePrompt(hash, aCandidates);
+}
+
+void
+ForwardRun::AvoidCrashedDataCentres(
+  std::vector<std::shared_ptr<FleetTarget>>& aTargets) const
+{
+  const auto is_outside = [&](const auto& aTarget) {
+    return !m_crashed_in.contains(aTarget->target.data_centre);
+  };
+  if (std::any_of(aTargets.begin(), aTargets.end(), is_outside)) {
+    std::erase_if(aTargets, std::not_fn(is_outside));
+  }
+}
+
 std::shared_ptr<FleetTarget>
 ForwardRun::ChooseTarget()
 {
   const core::Instant now = core::RuntimeClock::now();
-  const auto targets = Candidates();
+  auto targets = Candidates();
+  if (!m_crashed_in.empty()) {
+    AvoidCrashedDataCentres(targets);
+  }
   std::vector<core::PlacementCandidate> candidates;
   candidates.reserve(targets.size());
   const auto preferred = PreferredDataCentre(targets);
@@ -173,6 +199,10 @@
     candidates.push_back(candidate);
   }
   m_state.shares[m_service].AddSample(own, all);
+  if (CrashCount() > 0) {
+    const auto index = PlaceSuspect(candidates);
+    return index ? targets[*index] : nullptr;
+  }
   const bool has_home = m_metadata.prompt && !m_metadata.prompt->parts.empty();
   const auto index =
     has_home
--- a/standin/hub_exchange_test.cpp
+++ b/standin/hub_exchange_test.cpp
@@ -40,18 +40,29 @@
     , calls(*client)
     , role(aId)
     , stores(aContext, calls, role, Hooks())
-    , hubs(aContext, role, stores, rows, paths, HooksOfHubs())
-    , door(net::HttpServer::Create(aContext,
-                                   {},
-                                   [this](net::HttpExchange& aExchange) {
-                                     return aExchange.Request().Path() ==
-                                                node::kHubLoadsPath
-                                              ? hubs.HandleLoads(aExchange)
-                                              : hubs.Handle(aExchange);
-                                   }))
+    , poison(aContext,
+             role,
+             [this](std::vector<core::PoisonReport> aReports) {
+               poison_reports.insert(
+                 poison_reports.end(), aReports.begin(), aReports.end());
+             })
+    , hubs(aContext, role, stores, rows, paths, poison, HooksOfHubs())
+    , door(net::HttpServer::Create(
+        aContext,
+        {},
+        [this](net::HttpExchange& aExchange) { return Handle(aExchange); }))
   {
   }
 
+  asio::awaitable<void> Handle(net::HttpExchange& aExchange)
+  {
+    const std::string_view path = aExchange.Request().Path();
+    if (path == node::kHubLoadsPath) {
+      return hubs.HandleLoads(aExchange);
+    }
+    return path == node::kPoisonReportsPath ? poison.Handle(aExchange)
+                                            : hubs.Handle(aExchange);
+  }
   node::StoreWatchHooks Hooks()
   {
     node::StoreWatchHooks hooks;
@@ -98,7 +109,9 @@
   core::Instant heard{};
   std::vector<core::TargetLoadReport> own_loads;
   std::vector<core::TargetLoadReport> told_loads;
+  std::vector<core::PoisonReport> poison_reports; ///< Of others.
   node::StoreWatch stores;
+  node::PoisonExchange poison;
   node::HubExchange hubs;
   std::unique_ptr<net::HttpServer> door;
 };
