--- a/src/jujubehead/node/control/poison_exchange.hpp
+++ b/src/jujubehead/node/control/poison_exchange.hpp
@@ -70,8 +70,9 @@
   [[nodiscard]] std::vector<core::KnownInstance> Receivers() const;
   /// @return another upstream after failures; reports reach all instances from
   /// any of them.
-  [[nodiscard]] core::KnownInstance Alternative(core::KnownInstance aReceiver,
-                                                std::size_t aFailures) const;
+  [[nodiscard]] core::KnownInstance Alternative(
+    const core::KnownInstance& aReceiver,
+    std::size_t aFailures) const;
   boost::asio::awaitable<void> SendTo(core::KnownInstance aReceiver);
   boost::asio::awaitable<bool> Post(core::KnownInstance aReceiver,
                                     std::string aBytes);
