Crash reports reach a receiver that was away, without a further report

Cause: SendTo() kept the address that the receiver had when sending began, and gave up after twenty failures; what it had not sent waited for the next crash.

Now each attempt looks the receiver up in the present plan, with pauses that grow to 3 s, and ends when it is no receiver any more.

--- a/src/jujubehead/node/control/poison_exchange.cpp
+++ b/src/jujubehead/node/control/poison_exchange.cpp
@@ -1,6 +1,7 @@
 #include "poison_exchange.hpp"
 
-#include <utility> // for move
+#include <algorithm> // for min
+#include <utility>   // for move
 
 #include <boost/asio/co_spawn.hpp> // for co_spawn
 #include <boost/asio/detached.hpp> // for detached
@@ -19,10 +20,12 @@
 constexpr unsigned kBadRequest = 400;
 /// Other instances answer from memory.
 constexpr core::Duration kSendTimeout = std::chrono::milliseconds(300);
-/// Pause before reports are sent again after a failure.
+/// Pause before reports are sent again, times the failures in a row.
 constexpr core::Duration kRetryPause = std::chrono::milliseconds(300);
-/// Then the receiver is gone or cut off; it gets them with the next report.
-constexpr std::size_t kMaxFailures = 20;
+/// A receiver that is gone stays known for half an hour.
+constexpr core::Duration kMaxRetryPause = std::chrono::seconds(3);
+/// Stands for the instances that this one polls, any of which will do.
+constexpr std::string_view kUpstream = "upstream";
 /// Assumed transit of a message between instances, at least its real one. Times
 /// in a report must not seem later than they are, or a run that followed a
 /// crash would seem to have begun before it.
@@ -31,6 +34,13 @@
 /// them to all readers.
 constexpr std::string_view kFromReader = "reader";
 
+core::Duration
+RetryPause(std::size_t aFailures)
+{
+  const auto factor = static_cast<core::Duration::rep>(aFailures);
+  return std::min(kRetryPause * factor, kMaxRetryPause);
+}
+
 } // namespace
 
 PoisonExchange::PoisonExchange(asio::io_context& aContext,
@@ -71,29 +81,43 @@
   Send();
 }
 
-std::vector<core::KnownInstance>
+std::vector<std::string>
 PoisonExchange::Receivers() const
 {
-  if (m_role.Upstreams().empty()) {
-    return m_role.OtherReaders();
+  if (!m_role.Upstreams().empty()) {
+    return { std::string(kUpstream) };
+  }
+  std::vector<std::string> ids;
+  for (const core::KnownInstance& reader : m_role.OtherReaders()) {
+    ids.push_back(reader.id);
   }
-  return { m_role.Upstreams().front() };
+  return ids;
 }
 
-core::KnownInstance
-PoisonExchange::Alternative(const core::KnownInstance& aReceiver,
-                            std::size_t aFailures) const
+std::optional<core::KnownInstance>
+PoisonExchange::Find(std::string_view aReceiver, std::size_t aFailures) const
 {
   const std::vector<core::KnownInstance>& upstreams = m_role.Upstreams();
-  return upstreams.empty() ? aReceiver
-                           : upstreams[aFailures % upstreams.size()];
+  if (aReceiver == kUpstream) {
+    // Another one after a failure: reports reach all instances from any of
+    // them.
+    return upstreams.empty()
+             ? std::nullopt
+             : std::optional(upstreams[aFailures % upstreams.size()]);
+  }
+  for (const core::KnownInstance& reader : m_role.OtherReaders()) {
+    if (reader.id == aReceiver) {
+      return reader;
+    }
+  }
+  return std::nullopt;
 }
 
 void
 PoisonExchange::Send()
 {
-  for (const core::KnownInstance& receiver : Receivers()) {
-    bool& is_sending = m_receivers[receiver.id].is_sending;
+  for (const std::string& receiver : Receivers()) {
+    bool& is_sending = m_receivers[receiver].is_sending;
     if (!is_sending) {
       is_sending = true;
       asio::co_spawn(m_context, SendTo(receiver), asio::detached);
@@ -102,26 +126,30 @@
 }
 
 asio::awaitable<void>
-PoisonExchange::SendTo(core::KnownInstance aReceiver)
+PoisonExchange::SendTo(std::string aReceiver)
 {
-  Receiver& receiver = m_receivers[aReceiver.id];
+  Receiver& receiver = m_receivers[aReceiver];
   std::size_t failures = 0;
-  while (failures < kMaxFailures) {
+  for (;;) {
     const core::PoisonReportLog::Page page =
       m_log.After(receiver.position, true);
+    // Its place in the tree, or its address, may have changed meanwhile.
+    const auto instance = Find(aReceiver, failures);
     if (page.reports.empty() && !page.has_more) {
       receiver.position = page.next;
       break;
     }
+    if (!instance) {
+      break;
+    }
     const bool is_sent = co_await Post(
-      Alternative(aReceiver, failures),
-      PoisonReportsToBytes(page.reports, core::RuntimeClock::now()));
+      *instance, PoisonReportsToBytes(page.reports, core::RuntimeClock::now()));
     if (is_sent) {
       receiver.position = page.next;
       failures = 0;
     } else {
       ++failures;
-      co_await net::Sleep(kRetryPause);
+      co_await net::Sleep(RetryPause(failures));
     }
   }
   receiver.is_sending = false;
--- a/src/jujubehead/node/control/poison_exchange.hpp
+++ b/src/jujubehead/node/control/poison_exchange.hpp
@@ -6,6 +6,7 @@
 #include <functional>  // for function
 #include <map>         // for map
 #include <memory>      // for unique_ptr
+#include <optional>    // for optional
 #include <string>      // for string
 #include <string_view> // for string_view
 #include <vector>      // for vector
@@ -57,7 +58,7 @@
   [[nodiscard]] std::vector<Gauge> Gauges() const;
 
 private:
-  /// What an instance that this one reports to has acknowledged.
+  /// What a receiver has acknowledged.
   struct Receiver
   {
     std::uint64_t position = 0;
@@ -67,13 +68,14 @@
   void Put(std::vector<core::PoisonReport> aReports,
            core::ReportOrigin aOrigin);
   void Send();
-  [[nodiscard]] std::vector<core::KnownInstance> Receivers() const;
-  /// @return another upstream after failures; reports reach all instances from
-  /// any of them.
-  [[nodiscard]] core::KnownInstance Alternative(
-    const core::KnownInstance& aReceiver,
+  /// @return the receivers of this instance's reports: ids of other readers, or
+  /// the name that stands for its upstreams.
+  [[nodiscard]] std::vector<std::string> Receivers() const;
+  /// @return the instance to send to; nothing if it is no receiver any more.
+  [[nodiscard]] std::optional<core::KnownInstance> Find(
+    std::string_view aReceiver,
     std::size_t aFailures) const;
-  boost::asio::awaitable<void> SendTo(core::KnownInstance aReceiver);
+  boost::asio::awaitable<void> SendTo(std::string aReceiver);
   boost::asio::awaitable<bool> Post(core::KnownInstance aReceiver,
                                     std::string aBytes);
 
@@ -81,7 +83,7 @@
   const core::HubRole& m_role;
   ReportsHook m_on_reports;
   core::PoisonReportLog m_log;
-  std::map<std::string, Receiver> m_receivers; ///< By instance id.
+  std::map<std::string, Receiver> m_receivers; ///< See Receivers().
   std::unique_ptr<net::HttpClient> m_client;
   std::uint64_t m_sent_bytes = 0;
 };
--- a/standin/hub_exchange_test.cpp
+++ b/standin/hub_exchange_test.cpp
@@ -163,9 +163,10 @@
     net::RunAwaitable(context,
                       hub->rows.ReadChanges("servers", aAfter, kShortWait));
   }
-  bool Await(const std::function<bool()>& aCondition)
+  bool Await(const std::function<bool()>& aCondition,
+             std::chrono::milliseconds aMostTime = kMostTime)
   {
-    const auto until = std::chrono::steady_clock::now() + kMostTime;
+    const auto until = std::chrono::steady_clock::now() + aMostTime;
     context.restart();
     while (!aCondition() && std::chrono::steady_clock::now() < until) {
       context.run_one_for(std::chrono::milliseconds(20));
@@ -387,3 +388,85 @@
   CHECK(relay.hubs.Counters().polls_answered > 0);
   CHECK(relay.hubs.Counters().received > 0);
 }
+
+namespace {
+
+core::CrashReport
+CrashOf(std::uint64_t aRequest)
+{
+  const core::Instant now = core::RuntimeClock::now();
+  return { core::RequestFingerprint{ aRequest },
+           core::TargetKey{ 1 },
+           now - std::chrono::milliseconds(100),
+           now };
+}
+
+bool
+HasReport(const Instance& aInstance, std::uint64_t aRequest)
+{
+  return std::any_of(
+    aInstance.poison_reports.begin(),
+    aInstance.poison_reports.end(),
+    [&](const core::PoisonReport& aReport) {
+      return std::get<core::CrashReport>(aReport).fingerprint ==
+             core::RequestFingerprint{ aRequest };
+    });
+}
+
+} // namespace
+
+// A crash that one instance alone saw would cost a target at each other one.
+TEST(HubExchange, CrashReportsGoUpAndDownTheTree)
+{
+  Instance third{ context, store.Authority(), "third" };
+  const std::vector<core::KnownInstance> all = { { "one", one.Address() },
+                                                 { "other", other.Address() },
+                                                 { "third", third.Address() } };
+  core::HubOptions options;
+  options.max_without_hubs = 1;
+  options.readers = 1;
+  options.standbys = 0;
+  std::map<core::HubLevel, Instance*> by_level;
+  for (Instance* instance : { &one, &other, &third }) {
+    instance->role.Update(all, options);
+    by_level[instance->role.Level()] = instance;
+    instance->hubs.Start();
+  }
+  by_level[core::HubLevel::kFollower]->poison.Report(CrashOf(1));
+  by_level[core::HubLevel::kReader]->poison.Report(CrashOf(2));
+  CHECK(Await([&] {
+    return HasReport(*by_level[core::HubLevel::kReader], 1) &&
+           HasReport(*by_level[core::HubLevel::kRelay], 1) &&
+           HasReport(*by_level[core::HubLevel::kFollower], 2);
+  }));
+  // Each gets what others reported, and gets it once.
+  LONGS_EQUAL(1, by_level[core::HubLevel::kReader]->poison_reports.size());
+  LONGS_EQUAL(2, by_level[core::HubLevel::kRelay]->poison_reports.size());
+}
+
+// Few instances have no tree. One that was away gets what it missed.
+TEST(HubExchange, WithoutATreeCrashReportsGoToAllOthers)
+{
+  const auto update = [&](const std::string& aAddress) {
+    one.role.Update({ { "one", one.Address() }, { "other", aAddress } });
+  };
+  update("127.0.0.1:1");
+  one.poison.Report(CrashOf(1));
+  CHECK_FALSE(
+    Await([&] { return HasReport(other, 1); }, std::chrono::milliseconds(200)));
+  update(other.Address());
+  one.poison.Report(CrashOf(2));
+  CHECK(Await([&] { return HasReport(other, 1) && HasReport(other, 2); }));
+}
+
+TEST(HubExchange, MalformedCrashReportsAreRefused)
+{
+  net::HttpCall call;
+  call.authority = hub->Address();
+  call.method = "POST";
+  call.target = std::string(node::kPoisonReportsPath);
+  call.body = "\x81\x01";
+  const auto response =
+    net::RunAwaitable(context, follower->client->Fetch(std::move(call)));
+  LONGS_EQUAL(400, response.status);
+}
