Crashes at the same time count in several data centres; reports are dated by receipt

Copies of a poison request that are sent together crash their targets together and counted once, as targets of a lost rack do. No rack is in two data centres, so crashes in different ones count each. 2. Now by its receipt: off by one transit only.

Answers stay dated early, or they would circulate.

--- a/include/jujubehead/core/routing/poison_requests.hpp
+++ b/include/jujubehead/core/routing/poison_requests.hpp
@@ -8,19 +8,30 @@
 #include <variant>       // for variant
 #include <vector>        // for vector
 
+#include "jujubehead/core/ids.hpp"                         // for DataCentreId
 #include "jujubehead/core/routing/load_reports.hpp"        // for TargetKey
 #include "jujubehead/core/routing/request_fingerprint.hpp" // for RequestFingerprint
 #include "jujubehead/core/runtime_clock.hpp" // for Instant, Duration
 
 namespace jujubehead::core {
 
+/// @brief Identifies a data centre in reports between instances by a hash of
+/// its name.
+enum class DataCentreKey : std::uint32_t
+{
+};
+
+DataCentreKey
+KeyOf(const DataCentreId& aDataCentre);
+
 /// @brief A request was at a target whose process ended.
 struct CrashReport
 {
   RequestFingerprint fingerprint{};
   TargetKey target{};
-  Instant sent{};    ///< When the request was sent to the target.
-  Instant crashed{}; ///< When its reply broke off.
+  DataCentreKey data_centre{}; ///< Of the target.
+  Instant sent{};              ///< When the request was sent to the target.
+  Instant crashed{};           ///< When the reply broke off.
 };
 
 /// @brief A suspect was answered completely: it does not crash targets.
@@ -44,8 +55,8 @@
 /// @brief Limits of the detection of poison requests.
 struct PoisonRequestsOptions
 {
-  /// Targets that end one after the other under a request before it is
-  /// quarantined. Two may end by chance while a request is retried.
+  /// Targets that a request crashes one after the other before it is
+  /// quarantined. Two may crash by chance while a request is retried.
   std::uint32_t max_crashes = 3;
   /// After a quarantine, one more crash begins the next one, which is longer by
   /// `growth`. The first one is short, as many requests have the same content
@@ -67,10 +78,11 @@
 ///
 /// A crashed target had other requests, too. Every request that was there is a
 /// suspect until it is answered completely once. Its `crash_count` is the
-/// number of targets that ended under it one after the other: each run began
-/// after the previous target had ended. Targets that end together, with copies
-/// of one request at several of them, count once, so that the loss of a rack
-/// quarantines nothing. Its retries have to go to another data centre for that.
+/// number of targets that crashed while they had it, one after the other: each
+/// run began after the previous target had crashed, or was in another data
+/// centre. Targets of one data centre that crash together, with copies of one
+/// request at several of them, count once, so that the loss of a rack
+/// quarantines nothing. Retries have to go to another data centre for that.
 ///
 /// The reports of all instances may arrive in any order, and repeatedly.
 class PoisonRequests
@@ -101,8 +113,8 @@
   /// than the crash.
   [[nodiscard]] bool NeedsCompletion(RequestFingerprint aFingerprint,
                                      Instant aNow) const;
-  /// @return the targets that ended under a request one after the other since
-  /// it was last answered.
+  /// @return the targets that a request crashed one after the other since it
+  /// was last answered.
   [[nodiscard]] std::uint32_t CrashCount(RequestFingerprint aFingerprint) const;
   /// @return until when the request is not sent to targets; nothing when it may
   /// be sent.
--- a/src/jujubehead/core/routing/poison_requests.cpp
+++ b/src/jujubehead/core/routing/poison_requests.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm> // for any_of, count_if, max, min, min_element, sort
 
+#include "jujubehead/core/routing/placement.hpp" // for PlacementHash
+
 namespace jujubehead::core {
 namespace {
 
@@ -12,6 +14,12 @@
 
 } // namespace
 
+DataCentreKey
+KeyOf(const DataCentreId& aDataCentre)
+{
+  return static_cast<DataCentreKey>(PlacementHash(aDataCentre.View()));
+}
+
 PoisonRequests::Outcome
 PoisonRequests::OnReport(const PoisonReport& aReport, Instant aNow)
 {
@@ -103,8 +111,8 @@
     std::max(suspect.expires, aQuarantine.until + m_options.suspect_ttl);
 }
 
-/// Counts the longest chain of runs of which each began after the target of the
-/// one before had ended: the run that ends first is always part of one.
+/// Counts runs of which each began after the target of the one before had
+/// crashed, beginning with the one that ended first.
 void
 PoisonRequests::Count(Suspect& aSuspect)
 {
@@ -117,11 +125,12 @@
     aSuspect.crashes.erase(aSuspect.crashes.begin());
   }
   aSuspect.crash_count = 0;
-  std::optional<Instant> last;
+  const CrashReport* last = nullptr;
   for (const CrashReport& crash : aSuspect.crashes) {
-    if (!last || crash.sent >= *last) {
+    if (last == nullptr || crash.sent >= last->crashed ||
+        crash.data_centre != last->data_centre) {
       ++aSuspect.crash_count;
-      last = crash.crashed;
+      last = &crash;
     }
   }
 }
--- a/src/jujubehead/node/control/hub_update_codec.cpp
+++ b/src/jujubehead/node/control/hub_update_codec.cpp
@@ -200,8 +200,8 @@
                              message.value("rows_more", false) };
   }
   if (const auto poison = message.find("poison"); poison != message.end()) {
-    result.poison_reports =
-      PoisonReportsFromBytes(poison->get<std::string>(), aSentAt);
+    result.poison_reports = PoisonReportsFromBytes(
+      poison->get<std::string>(), aSentAt, core::RuntimeClock::now());
   }
   // An older version sends none.
   result.next_poison_report = message.value("next_poison", std::uint64_t(0));
--- a/src/jujubehead/node/control/poison_exchange.cpp
+++ b/src/jujubehead/node/control/poison_exchange.cpp
@@ -26,9 +26,7 @@
 constexpr core::Duration kMaxRetryPause = std::chrono::seconds(3);
 /// Stands for the instances that this one polls, any of which will do.
 constexpr std::string_view kUpstream = "upstream";
-/// Assumed transit of a message between instances, at least its real one. Times
-/// in a report must not seem later than they are, or a run that followed a
-/// crash would seem to have begun before it.
+/// Assumed longest transit of a message between instances.
 constexpr core::Duration kMaxTransit = std::chrono::milliseconds(50);
 /// Tells a reader that the reports come from another reader, which has sent
 /// them to all readers.
@@ -195,9 +193,8 @@
                         : core::ReportOrigin::kBelow;
   net::HttpResponse response;
   try {
-    Put(PoisonReportsFromBytes(request.body,
-                               core::RuntimeClock::now() - kMaxTransit),
-        origin);
+    const core::Instant now = core::RuntimeClock::now();
+    Put(PoisonReportsFromBytes(request.body, now - kMaxTransit, now), origin);
   } catch (const std::exception& error) {
     response.status = kBadRequest;
     response.body = std::string(error.what()) + '\n';
--- a/src/jujubehead/node/control/poison_report_codec.cpp
+++ b/src/jujubehead/node/control/poison_report_codec.cpp
@@ -16,7 +16,8 @@
   kFingerprint,
   kEndAge, ///< Of the crash or the completion, in ms.
   kTarget,
-  kSentAge,
+  kSentAge, ///< In ms.
+  kDataCentre,
 };
 
 std::int64_t
@@ -33,7 +34,8 @@
     return json::array({ static_cast<std::uint64_t>(crash->fingerprint),
                          AgeMs(crash->crashed, aNow),
                          static_cast<std::uint32_t>(crash->target),
-                         AgeMs(crash->sent, aNow) });
+                         AgeMs(crash->sent, aNow),
+                         static_cast<std::uint32_t>(crash->data_centre) });
   }
   const auto& completion = std::get<core::CompletionReport>(aReport);
   return json::array({ static_cast<std::uint64_t>(completion.fingerprint),
@@ -41,22 +43,25 @@
 }
 
 core::PoisonReport
-FromJson(const json& aReport, core::Instant aSentAt)
+FromJson(const json& aReport, core::Instant aEarliest, core::Instant aLatest)
 {
-  const auto time_at = [&](std::size_t aField) {
-    return aSentAt -
-           std::chrono::milliseconds(aReport.at(aField).get<std::int64_t>());
+  const auto age_at = [&](std::size_t aField) {
+    return std::chrono::milliseconds(aReport.at(aField).get<std::int64_t>());
   };
   const auto fingerprint = static_cast<core::RequestFingerprint>(
     aReport.at(kFingerprint).get<std::uint64_t>());
   if (aReport.size() <= kTarget) {
-    return core::CompletionReport{ fingerprint, time_at(kEndAge) };
+    return core::CompletionReport{ fingerprint, aEarliest - age_at(kEndAge) };
   }
-  const auto target =
+  core::CrashReport crash;
+  crash.fingerprint = fingerprint;
+  crash.target =
     static_cast<core::TargetKey>(aReport.at(kTarget).get<std::uint32_t>());
-  return core::CrashReport{
-    fingerprint, target, time_at(kSentAge), time_at(kEndAge)
-  };
+  crash.data_centre = static_cast<core::DataCentreKey>(
+    aReport.at(kDataCentre).get<std::uint32_t>());
+  crash.sent = aLatest - age_at(kSentAge);
+  crash.crashed = aLatest - age_at(kEndAge);
+  return crash;
 }
 
 } // namespace
@@ -75,11 +80,13 @@
 }
 
 std::vector<core::PoisonReport>
-PoisonReportsFromBytes(std::string_view aBytes, core::Instant aSentAt)
+PoisonReportsFromBytes(std::string_view aBytes,
+                       core::Instant aEarliest,
+                       core::Instant aLatest)
 {
   std::vector<core::PoisonReport> reports;
   for (const json& report : json::from_cbor(aBytes.begin(), aBytes.end())) {
-    reports.push_back(FromJson(report, aSentAt));
+    reports.push_back(FromJson(report, aEarliest, aLatest));
   }
   return reports;
 }
--- a/src/jujubehead/node/control/poison_report_codec.hpp
+++ b/src/jujubehead/node/control/poison_report_codec.hpp
@@ -15,10 +15,14 @@
 std::string
 PoisonReportsToBytes(const std::vector<core::PoisonReport>& aReports,
                      core::Instant aNow);
-/// @param aSentAt assumed time of sending, by the reader's clock.
+/// @param aEarliest, aLatest when they were sent, by the reader's clock.
+/// Crashes are dated by the latter, which is off by one transit only; answers
+/// by the former, as an answer that comes back must not seem a newer one.
 /// @throws std::exception on malformed bytes.
 std::vector<core::PoisonReport>
-PoisonReportsFromBytes(std::string_view aBytes, core::Instant aSentAt);
+PoisonReportsFromBytes(std::string_view aBytes,
+                       core::Instant aEarliest,
+                       core::Instant aLatest);
 
 } // namespace jujubehead::node
 
--- a/src/jujubehead/node/forward/forward_attempt.cpp
+++ b/src/jujubehead/node/forward/forward_attempt.cpp
@@ -231,9 +231,12 @@
     m_target_crashed = co_await HasCrashed(aTarget);
     if (m_target_crashed) {
       m_crashed_in.insert(aTarget.target.data_centre);
-      const core::CrashReport report{
-        Fingerprint(), core::KeyOf(aTarget.target.id), m_sent_at, broke_at
-      };
+      core::CrashReport report;
+      report.fingerprint = Fingerprint();
+      report.target = core::KeyOf(aTarget.target.id);
+      report.data_centre = core::KeyOf(aTarget.target.data_centre);
+      report.sent = m_sent_at;
+      report.crashed = broke_at;
       m_state.OnPoisonReport(report, true);
     }
   }
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -103,7 +103,7 @@
   [[nodiscard]] core::RequestFingerprint Fingerprint();
   /// @return whether the request crashes its targets and is not sent to more.
   [[nodiscard]] bool IsQuarantined();
-  /// @return the targets that ended under the request one after the other.
+  /// @return the targets that the request crashed one after the other.
   [[nodiscard]] std::uint32_t CrashCount();
   /// @brief The target answered completely.
   void OnCompleted();
--- a/src/jujubehead/node/forward/target_choice.cpp
+++ b/src/jujubehead/node/forward/target_choice.cpp
@@ -156,7 +156,8 @@
 ForwardRun::PlaceSuspect(std::span<const core::PlacementCandidate> aCandidates)
 {
   // With the placement of their prompts, requests of one prefix would go
-  // together from one crashed target to the next, the innocent with the guilty.
+  // together from one crashed target to the next, those that are no poison with
+  // the one that is.
   const auto hash = static_cast<std::uint64_t>(Fingerprint());
   return CrashCount() > 1 ? core::PlaceByLoad(hash, aCandidates)
                           : core::PlacePrompt(hash, aCandidates);
--- a/standin/hub_exchange_test.cpp
+++ b/standin/hub_exchange_test.cpp
@@ -397,6 +397,7 @@
   const core::Instant now = core::RuntimeClock::now();
   return { core::RequestFingerprint{ aRequest },
            core::TargetKey{ 1 },
+           core::DataCentreKey{ 1 },
            now - std::chrono::milliseconds(100),
            now };
 }
--- a/standin/poison_request_test.cpp
+++ b/standin/poison_request_test.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::size_t kInstances = 3;
 constexpr std::size_t kTargets = 6;
-/// Targets that may end under a request before it counts as poison.
+/// Targets that a request may crash before it counts as poison.
 constexpr std::size_t kCrashesToDetect = 3;
 /// In this time the third crash has to be known everywhere.
 constexpr std::chrono::seconds kTimeToDetect{ 3 };
@@ -96,7 +96,7 @@
   CHECK(CrashesBy("/once/x", 9) <= kAllowedAfter);
 }
 
-// An innocent request at a crashed target looks like the guilty one.
+// Each request at a crashed target may be the cause.
 TEST(PoisonRequest, OtherRequestsOfTheAccountAreServedThroughout)
 {
   for (int i = 0; i < 9; ++i) {
