--- a/src/jujubehead/core/routing/poison_requests_model_test.cpp
+++ b/src/jujubehead/core/routing/poison_requests_model_test.cpp
@@ -165,7 +165,7 @@
     for (const Instance& one : m_instances) {
       m_result.most_sent = std::max(m_result.most_sent, one.sent);
       m_result.most_received = std::max(m_result.most_received, one.received);
-      const std::size_t guilty =
+      const std::size_t poison =
         one.poison.QuarantinedUntil(kPoison, m_now) ? 1 : 0;
       m_result.quarantined_innocents = std::max(
         m_result.quarantined_innocents, one.poison.Quarantined(m_now) - poison);
