Suspects and quarantines expire; few instances write their records

The control thread's tick now asks for it every five seconds while there are suspects, and a crash of a suspect that has expired begins anew.

A removed row ends its quarantine at running instances, too, so operators can end one that is a mistake. New tests: crashes far apart, a removed record, writers at 100, 200 and 400 instances. core_test -g Poison, -g Quarantine and whole_path_entry_test -g PoisonRequest pass.

--- a/include/jujubehead/core/routing/poison_requests.hpp
+++ b/include/jujubehead/core/routing/poison_requests.hpp
@@ -102,7 +102,8 @@
 
   /// @brief Applies a report of this or of another instance.
   Outcome OnReport(const PoisonReport& aReport, Instant aNow);
-  /// @brief A quarantine was read from its record.
+  /// @brief A quarantine was read from its record, or, with an end in the past,
+  /// its record was removed.
   void OnRecorded(const Quarantine& aQuarantine, Instant aNow);
 
   /// @return whether there is no suspect, so that no request needs its
--- a/include/jujubehead/core/routing/quarantine_records.hpp
+++ b/include/jujubehead/core/routing/quarantine_records.hpp
@@ -42,7 +42,8 @@
   void OnQuarantine(const Quarantine& aQuarantine, Instant aNow);
   /// @brief A row was read or written.
   /// @param aValue nothing: it was removed.
-  /// @return the quarantine that it records, if it is a valid row.
+  /// @return the quarantine that it records, if it is a valid row; one with an
+  /// end in the past if it was removed.
   std::optional<Quarantine> OnRow(std::string_view aKey,
                                   const std::optional<std::string>& aValue,
                                   std::uint64_t aVersion,
--- a/src/jujubehead/core/routing/poison_requests.cpp
+++ b/src/jujubehead/core/routing/poison_requests.cpp
@@ -49,6 +49,9 @@
     MakeRoom(aNow);
   }
   Suspect& suspect = m_suspects[aReport.fingerprint];
+  if (suspect.expires <= aNow) {
+    suspect = {};
+  }
   const bool is_known = std::any_of(
     suspect.crashes.begin(), suspect.crashes.end(), [&](const auto& aCrash) {
       return aCrash.target == aReport.target;
@@ -98,6 +101,7 @@
 PoisonRequests::OnRecorded(const Quarantine& aQuarantine, Instant aNow)
 {
   if (aQuarantine.until <= aNow) {
+    m_suspects.erase(aQuarantine.fingerprint);
     return;
   }
   if (!m_suspects.contains(aQuarantine.fingerprint)) {
--- a/src/jujubehead/core/routing/poison_requests_test.cpp
+++ b/src/jujubehead/core/routing/poison_requests_test.cpp
@@ -166,6 +166,26 @@
   CHECK(poison.IsEmpty());
 }
 
+// A request that is never answered with success is at targets that are lost
+// now and then, over days.
+TEST(PoisonRequests, CrashesFarApartDoNotAddUp)
+{
+  for (int i = 0; i < 5; ++i) {
+    const core::Duration at = minutes(20 * i);
+    poison.OnReport(Crash(at, at + milliseconds(80)), start + at + seconds(1));
+    LONGS_EQUAL(1, poison.CrashCount(kRequest));
+  }
+}
+
+// Operators remove the record of a quarantine that was a mistake.
+TEST(PoisonRequests, ARemovedRecordEndsItsQuarantine)
+{
+  poison.OnRecorded({ kRequest, start + minutes(5), 2 }, start);
+  poison.OnRecorded({ kRequest, core::Instant{}, 0 }, start + seconds(1));
+  CHECK_FALSE(IsQuarantined(start + seconds(2)));
+  CHECK(poison.IsEmpty());
+}
+
 // A crash of a target with many requests must not push a quarantine out.
 TEST(PoisonRequests, ManySuspectsDoNotPushAQuarantineOut)
 {
--- a/src/jujubehead/core/routing/quarantine_records.cpp
+++ b/src/jujubehead/core/routing/quarantine_records.cpp
@@ -14,8 +14,8 @@
 constexpr char kSeparator = ' ';
 /// Delay per rank. A written row reaches the others within it.
 constexpr Duration kRankDelay = std::chrono::milliseconds(500);
-/// Cap on the ranks waited for: more instances than this do not fail together
-/// unless all do.
+/// Instances that may write a row. More than these do not fail together unless
+/// all do, and with all as writers an outage would end in a storm of writes.
 constexpr std::size_t kMaxRanks = 8;
 /// Ends of a quarantine that differ by less are the same: each instance
 /// computes it from when it learned of the crash.
@@ -83,7 +83,7 @@
   const auto fingerprint = static_cast<RequestFingerprint>(*number);
   if (!aValue) {
     m_records.erase(fingerprint);
-    return std::nullopt;
+    return Quarantine{ fingerprint, Instant{}, 0 };
   }
   Record& record = m_records[fingerprint];
   const std::string_view text = *aValue;
@@ -133,8 +133,8 @@
       continue;
     }
     std::string key = KeyOf(fingerprint);
-    const std::size_t rank = std::min(aRankOf(key), kMaxRanks);
-    if (aNow < *due + kRankDelay * rank) {
+    const std::size_t rank = aRankOf(key);
+    if (rank >= kMaxRanks || aNow < *due + kRankDelay * rank) {
       continue;
     }
     QuarantineRowWrite write;
--- a/src/jujubehead/core/routing/quarantine_records_test.cpp
+++ b/src/jujubehead/core/routing/quarantine_records_test.cpp
@@ -54,6 +54,24 @@
   CHECK_FALSE(records.NextWrite(Third, now + seconds(2)).has_value());
 }
 
+// An outage of the store ends, and all instances know of the quarantine.
+TEST(QuarantineRecords, FewInstancesWriteHoweverManyThereAre)
+{
+  records.OnQuarantine({ kRequest, now + minutes(10), 1 }, now);
+  const auto writers_of = [&](std::size_t aInstances) {
+    int writers = 0;
+    for (std::size_t rank = 0; rank < aInstances; ++rank) {
+      const auto rank_of = [&](std::string_view) { return rank; };
+      writers += records.NextWrite(rank_of, now + minutes(1)) ? 1 : 0;
+    }
+    return writers;
+  };
+  const int writers = writers_of(100);
+  CHECK(writers > 1);
+  CHECK_EQUAL(writers, writers_of(200));
+  CHECK_EQUAL(writers, writers_of(400));
+}
+
 // An instance that starts has a clock of its own and no other source.
 TEST(QuarantineRecords, AnInstanceThatStartsReadsTheEndOnItsOwnClock)
 {
@@ -90,7 +108,8 @@
   CHECK(removal.has_value());
   CHECK_FALSE(removal->value.has_value());
   LONGS_EQUAL(9, removal->expected_version);
-  records.OnRow(kKey, std::nullopt, 10, now + minutes(12));
+  const auto removed = records.OnRow(kKey, std::nullopt, 10, now + minutes(12));
+  CHECK(removed && removed->until < now);
   CHECK_FALSE(records.NextWrite(First, now + minutes(13)).has_value());
 }
 
--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -46,6 +46,10 @@
 /// their rows.
 constexpr core::Duration kRowsSettle = std::chrono::milliseconds(1600);
 
+constexpr core::Duration kPoisonTickInterval = std::chrono::seconds(5);
+/// Pause after a write of a quarantine's row that had no effect.
+constexpr core::Duration kQuarantineRetry = std::chrono::seconds(2);
+
 /// @return a random number from 0 to 1.
 double
 RandomShare()
@@ -506,31 +510,49 @@
   }
 }
 
-asio::awaitable<void>
-EntryControl::WriteQuarantine()
+void
+EntryControl::UpdateQuarantines()
 {
   const core::Instant now = core::RuntimeClock::now();
+  if (now >= m_next_poison_tick) {
+    m_next_poison_tick = now + kPoisonTickInterval;
+    m_forwarder.TickPoison();
+  }
+  if (m_is_writing_quarantine) {
+    return;
+  }
   const auto rank_of = [this](std::string_view aKey) {
     return core::RankOf(m_instances.All(), m_options.instance_id.View(), aKey);
   };
-  const auto write = m_quarantines.NextWrite(rank_of, now);
-  if (!write) {
-    co_return;
+  if (auto write = m_quarantines.NextWrite(rank_of, now)) {
+    m_is_writing_quarantine = true;
+    asio::co_spawn(
+      m_context, WriteQuarantine(std::move(*write)), asio::detached);
   }
+}
+
+asio::awaitable<void>
+EntryControl::WriteQuarantine(core::QuarantineRowWrite aWrite)
+{
+  core::Duration pause{};
   try {
     const auto version = co_await m_platform.shared->Put(
-      write->key, write->value, write->expected_version);
+      aWrite.key, aWrite.value, aWrite.expected_version);
     if (version) {
       m_quarantines.OnRow(
-        write->key, write->value, *version, core::RuntimeClock::now());
+        aWrite.key, aWrite.value, *version, core::RuntimeClock::now());
+    } else {
+      pause = kQuarantineRetry; // The changed row comes with the next update.
     }
-    // Otherwise the row was changed, and the change comes with the next update.
   } catch (const PlatformError& error) {
     DecisionLog::WriteUnthrottled(
       LogLine("quarantine_unwritten")
-        .Add("fingerprint", core::ToText(write->fingerprint))
+        .Add("fingerprint", core::ToText(aWrite.fingerprint))
         .Add("why", error.what()));
+    pause = kQuarantineRetry;
   }
+  co_await net::Sleep(pause);
+  m_is_writing_quarantine = false;
 }
 
 void
@@ -558,7 +580,7 @@
     m_book.Tick(core::RuntimeClock::now());
     PublishTargets();
     UpdateShare();
-    co_await WriteQuarantine();
+    UpdateQuarantines();
   }
 }
 
--- a/src/jujubehead/node/control/entry_control.hpp
+++ b/src/jujubehead/node/control/entry_control.hpp
@@ -88,8 +88,9 @@
   boost::asio::awaitable<void> MaintainInstanceRows();
   /// @brief Reads a row that records a quarantine.
   void OnQuarantineRow(const SharedRow& aRow);
-  /// @brief Writes the next quarantine's row that is due, if any.
-  boost::asio::awaitable<void> WriteQuarantine();
+  /// @brief Starts writing the next quarantine's row that is due, if any.
+  void UpdateQuarantines();
+  boost::asio::awaitable<void> WriteQuarantine(core::QuarantineRowWrite aWrite);
   void SetPoisonHooks();
   void PublishTargets();
   StoreWatchHooks MakeStoreHooks();
@@ -123,6 +124,8 @@
   BlockReclaimer m_reclaimer;
   StoreWatch m_stores;
   core::QuarantineRecords m_quarantines;
+  bool m_is_writing_quarantine = false;
+  core::Instant m_next_poison_tick{};
   PoisonExchange m_poison;
   HubExchange m_hubs;
 };
--- a/src/jujubehead/node/forward/forward_state.hpp
+++ b/src/jujubehead/node/forward/forward_state.hpp
@@ -71,6 +71,7 @@
   {
     const core::Instant now = core::RuntimeClock::now();
     const auto outcome = poison.OnReport(aReport, now);
+    suspects = poison.Suspects();
     if (outcome.quarantine) {
       quarantined = poison.Quarantined(now);
       LogQuarantine(*outcome.quarantine);
@@ -81,6 +82,15 @@
     }
   }
 
+  /// @brief Forgets suspects and ends quarantines whose time is over.
+  void TickPoison()
+  {
+    const core::Instant now = core::RuntimeClock::now();
+    poison.Tick(now);
+    suspects = poison.Suspects();
+    quarantined = poison.Quarantined(now);
+  }
+
   void LogQuarantine(const core::Quarantine& aQuarantine) const
   {
     const core::Instant now = core::RuntimeClock::now();
@@ -128,7 +138,8 @@
   /// Requests of this instance in data centres with a planned stop; read by
   /// the control thread.
   std::atomic<std::uint64_t> requests_in_stopped{ 0 };
-  /// Requests in quarantine; read by the control thread.
+  /// Suspects, and requests in quarantine; read by the control thread.
+  std::atomic<std::size_t> suspects{ 0 };
   std::atomic<std::size_t> quarantined{ 0 };
   bool is_stopping = false;
   /// Exit time of a stopping instance.
--- a/src/jujubehead/node/forward/forwarder.cpp
+++ b/src/jujubehead/node/forward/forwarder.cpp
@@ -312,12 +312,19 @@
 Forwarder::OnRecordedQuarantine(core::Quarantine aQuarantine)
 {
   asio::post(m_context, [this, aQuarantine] {
-    const core::Instant now = core::RuntimeClock::now();
-    m_state.poison.OnRecorded(aQuarantine, now);
-    m_state.quarantined = m_state.poison.Quarantined(now);
+    m_state.poison.OnRecorded(aQuarantine, core::RuntimeClock::now());
+    m_state.TickPoison();
   });
 }
 
+void
+Forwarder::TickPoison()
+{
+  if (m_state.suspects > 0) {
+    asio::post(m_context, [this] { m_state.TickPoison(); });
+  }
+}
+
 void
 Forwarder::OnOperatorContact(core::Instant aWhen)
 {
--- a/src/jujubehead/node/forward/forwarder.hpp
+++ b/src/jujubehead/node/forward/forwarder.hpp
@@ -89,6 +89,8 @@
   /// @brief Applies other instances' reports about suspects.
   void OnPoisonReports(std::vector<core::PoisonReport> aReports);
   void OnRecordedQuarantine(core::Quarantine aQuarantine);
+  /// @brief Forgets suspects and ends quarantines whose time is over.
+  void TickPoison();
   void OnStoreUnreachable(core::StoreId aStore);
   void OnOperatorContact(core::Instant aWhen);
 
