Crash reports are sent again to an instance that restarted under the same name

Each answer names the run of the process; another run gets all reports again. A receiver of an older version answers neither 200 nor 503 and is not sent the same reports again, as its calls may go on to the operators' store.

--- a/src/jujubehead/node/control/poison_exchange.cpp
+++ b/src/jujubehead/node/control/poison_exchange.cpp
@@ -6,7 +6,8 @@
 #include <boost/asio/co_spawn.hpp> // for co_spawn
 #include <boost/asio/detached.hpp> // for detached
 
-#include "jujubehead/net/timer.hpp" // for Sleep
+#include "jujubehead/net/random_text.hpp" // for RandomText
+#include "jujubehead/net/timer.hpp"       // for Sleep
 
 #include "../forward/decision_log.hpp" // for DecisionLog
 #include "poison_report_codec.hpp"     // for PoisonReportsToBytes
@@ -18,6 +19,8 @@
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kBadRequest = 400;
+constexpr unsigned kUnavailable = 503;
+constexpr std::size_t kStartBytes = 6;
 /// Other instances answer from memory.
 constexpr core::Duration kSendTimeout = std::chrono::milliseconds(300);
 /// Pause before reports are sent again, times the failures in a row.
@@ -47,6 +50,7 @@
   : m_context(aContext)
   , m_role(aRole)
   , m_on_reports(std::move(aOnReports))
+  , m_start(net::RandomText(kStartBytes))
   , m_client(net::HttpClient::Create(aContext))
 {
 }
@@ -140,10 +144,13 @@
     if (!instance) {
       break;
     }
-    const bool is_sent = co_await Post(
+    const auto start = co_await Post(
       *instance, PoisonReportsToBytes(page.reports, core::RuntimeClock::now()));
-    if (is_sent) {
-      receiver.position = page.next;
+    if (start) {
+      const bool has_restarted =
+        !receiver.start.empty() && receiver.start != *start;
+      receiver.position = has_restarted ? 0 : page.next;
+      receiver.start = *start;
       failures = 0;
     } else {
       ++failures;
@@ -153,7 +160,7 @@
   receiver.is_sending = false;
 }
 
-asio::awaitable<bool>
+asio::awaitable<std::optional<std::string>>
 PoisonExchange::Post(core::KnownInstance aReceiver, std::string aBytes)
 {
   net::HttpCall call;
@@ -169,10 +176,12 @@
   m_sent_bytes += call.body.size();
   std::string why;
   try {
-    const net::HttpResponse response =
-      co_await m_client->Fetch(std::move(call));
+    net::HttpResponse response = co_await m_client->Fetch(std::move(call));
     if (response.status == kOk) {
-      co_return true;
+      co_return std::move(response.body);
+    }
+    if (response.status != kUnavailable) {
+      co_return std::string(); // An older version, which does not support it.
     }
     why = "status " + std::to_string(response.status);
   } catch (const std::exception& error) {
@@ -181,7 +190,7 @@
   DecisionLog::WriteUnthrottled(LogLine("poison_reports_unsent")
                                   .Add("instance", aReceiver.id)
                                   .Add("why", why));
-  co_return false;
+  co_return std::nullopt;
 }
 
 asio::awaitable<void>
@@ -195,6 +204,7 @@
   try {
     const core::Instant now = core::RuntimeClock::now();
     Put(PoisonReportsFromBytes(request.body, now - kMaxTransit, now), origin);
+    response.body = m_start;
   } catch (const std::exception& error) {
     response.status = kBadRequest;
     response.body = std::string(error.what()) + '\n';
--- a/src/jujubehead/node/control/poison_exchange.hpp
+++ b/src/jujubehead/node/control/poison_exchange.hpp
@@ -62,6 +62,7 @@
   struct Receiver
   {
     std::uint64_t position = 0;
+    std::string start; ///< Identifies its run; another one has no reports.
     bool is_sending = false;
   };
 
@@ -76,14 +77,17 @@
     std::string_view aReceiver,
     std::size_t aFailures) const;
   boost::asio::awaitable<void> SendTo(std::string aReceiver);
-  boost::asio::awaitable<bool> Post(core::KnownInstance aReceiver,
-                                    std::string aBytes);
+  /// @return the run of the process that took them; nothing if none did.
+  boost::asio::awaitable<std::optional<std::string>> Post(
+    core::KnownInstance aReceiver,
+    std::string aBytes);
 
   boost::asio::io_context& m_context;
   const core::HubRole& m_role;
   ReportsHook m_on_reports;
   core::PoisonReportLog m_log;
   std::map<std::string, Receiver> m_receivers; ///< See Receivers().
+  std::string m_start; ///< Identifies this run of the process.
   std::unique_ptr<net::HttpClient> m_client;
   std::uint64_t m_sent_bytes = 0;
 };
--- a/standin/hub_exchange_test.cpp
+++ b/standin/hub_exchange_test.cpp
@@ -460,6 +460,20 @@
   CHECK(Await([&] { return HasReport(other, 1) && HasReport(other, 2); }));
 }
 
+// An instance keeps nothing over a restart under the same name.
+TEST(HubExchange, OneThatRestartsGetsAllCrashReportsAgain)
+{
+  one.role.Update({ { "one", one.Address() }, { "other", other.Address() } });
+  one.poison.Report(CrashOf(1));
+  CHECK(Await([&] { return HasReport(other, 1); }));
+  Instance restarted{ context, store.Authority(), "other" };
+  one.role.Update(
+    { { "one", one.Address() }, { "other", restarted.Address() } });
+  one.poison.Report(CrashOf(2));
+  CHECK(Await([&] { return HasReport(restarted, 1); }));
+  CHECK(HasReport(restarted, 2));
+}
+
 TEST(HubExchange, MalformedCrashReportsAreRefused)
 {
   net::HttpCall call;
