--- a/include/jujubehead/node/forward/header_codec.hpp
+++ b/include/jujubehead/node/forward/header_codec.hpp
@@ -60,6 +60,8 @@
   std::optional<core::ReportedLoad> load;
   std::optional<std::uint64_t> weight_version;
   std::optional<core::Duration> keep_alive;
+  /// The target is about to leave; it says so in all its replies from then on.
+  bool is_draining = false;
 };
 
 /// @brief Parses and formats the header lines between callers, instances and
--- a/src/jujubehead/node/forward/forward_attempt.cpp
+++ b/src/jujubehead/node/forward/forward_attempt.cpp
@@ -204,6 +204,24 @@
   if (aMetadata.weight_version && m_metadata.prompt) {
     aTarget.OnVersion(m_metadata.prompt->model, *aMetadata.weight_version);
   }
+  if (aMetadata.is_draining) {
+    OnDraining(aTarget);
+  }
+}
+
+void
+ForwardRun::OnDraining(FleetTarget& aTarget)
+{
+  m_state.metrics.Add(Counter::kDrainingReplies);
+  if (aTarget.draining_since) {
+    return;
+  }
+  aTarget.draining_since = core::RuntimeClock::now();
+  DecisionLog::WriteUnthrottled(
+    LogLine("target_draining")
+      .Add("request", m_metadata.request_id)
+      .Add("target", aTarget.target.id.View())
+      .Add("registered", aTarget.is_gone ? "leaving" : "ready"));
 }
 
 void
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -113,6 +113,8 @@
   /// @brief Reports to other instances that the target has left its address.
   void PublishGone(const FleetTarget& aTarget);
   void RecordReply(FleetTarget& aTarget, const ReplyMetadata& aMetadata);
+  /// @brief A reply of the target says that it is about to leave.
+  void OnDraining(FleetTarget& aTarget);
   void RecordAttempt(core::AttemptOutcome aEnd);
   void StartStallTimer(const FleetTarget& aTarget);
   void OnSilenceTimeout();
--- a/src/jujubehead/node/forward/target_fleet.hpp
+++ b/src/jujubehead/node/forward/target_fleet.hpp
@@ -38,6 +38,8 @@
     last_gone_report_at{}; ///< Last such report of another instance.
   /// Its process has ended; a restarted one has another id.
   bool has_crashed = false;
+  /// Since when its replies say that it is about to leave.
+  std::optional<core::Instant> draining_since;
   std::uint32_t active_streams = 0; ///< Streams of this instance.
   std::size_t service_index = 0;    ///< Its index in its service's targets.
 
