--- a/standin/registered_face.cpp
+++ b/standin/registered_face.cpp
@@ -41,6 +41,7 @@
   {
     return { { "runs", m_runs },
              { "cut", m_cut },
+             { "arrived", m_arrived },
              { "version", m_options.version },
              { "orders", m_orders } };
   }
@@ -97,6 +98,9 @@
     if (!m_options.model.empty()) {
       headers.Add("X-Weight-Versions", std::to_string(m_options.version));
     }
+    if (Fault("leaving") != nullptr) {
+      headers.Add("Server-Leaving", "1");
+    }
     return headers;
   }
 
@@ -114,6 +118,7 @@
   asio::awaitable<void> TakeRequest(net::HttpExchange& aExchange)
   {
     const net::HttpRequest& request = aExchange.Request();
+    ++m_arrived;
     net::HttpHeaders headers = HeadersOf(request);
     if (const unsigned status = Refusal(request)) {
       headers.Add("X-Not-Executed", "1");
@@ -229,6 +234,7 @@
   std::unique_ptr<net::HttpClient> m_client;
   json m_runs = json::array();
   json m_orders = json::array();
+  std::uint64_t m_arrived = 0; ///< Requests, with the refused.
   std::uint64_t m_active = 0;
   std::uint64_t m_cut = 0;
 };
