A target that says in its replies that it leaves gets no more requests

Cause: instances learned of a leaving target from the registry only. Class: a state that replies tell was taken from a source that can be late by any time.

The fix: the first reply that says so marks the process as draining, as soon as its head was read and whatever its status, before any of it is passed on; FleetTarget::Accepts() and TargetFleet::Of() leave it out, so first tries, retries, resumes, the check after connecting and reads of kept parts hold alike; idle connections are closed. It works as no request is sent without these checks, and no registry update resets the mark: an entry that lapses and returns for the same process finds its state again, and with it load, health and weight versions. The header is not passed on to callers.

Ruled out: that the registry overrules what was read, that requests had waited. Left out: telling other instances (each learns with its first answer, a wrong report would be final).

--- a/include/jujubehead/node/forward/header_codec.hpp
+++ b/include/jujubehead/node/forward/header_codec.hpp
@@ -85,6 +85,9 @@
 
   /// @return whether only the system may set a line; callers' are dropped.
   [[nodiscard]] virtual bool IsReserved(std::string_view aName) const = 0;
+  /// @return whether a line of a target's reply concerns instances only: a
+  /// caller would take it for a statement about the instance.
+  [[nodiscard]] virtual bool IsForInstance(std::string_view aName) const = 0;
   /// @return whether a line is end-to-end, so that a caller cannot have it
   /// dropped by naming it in `Connection`.
   [[nodiscard]] virtual bool IsEndToEnd(std::string_view aName) const = 0;
--- a/src/jujubehead/node/forward/forward_attempt.cpp
+++ b/src/jujubehead/node/forward/forward_attempt.cpp
@@ -213,10 +213,9 @@
 ForwardRun::OnDraining(FleetTarget& aTarget)
 {
   m_state.metrics.Add(Counter::kDrainingReplies);
-  if (aTarget.draining_since) {
+  if (!aTarget.OnDraining(core::RuntimeClock::now())) {
     return;
   }
-  aTarget.draining_since = core::RuntimeClock::now();
   DecisionLog::WriteUnthrottled(
     LogLine("target_draining")
       .Add("request", m_metadata.request_id)
@@ -327,7 +326,8 @@
   FullResponse response;
   response.status = aExchange.Head().status;
   response.reason = aExchange.Head().reason;
-  response.headers = HeadersForCaller(aExchange.Head().headers);
+  response.headers =
+    HeadersForCaller(m_state.header_codec, aExchange.Head().headers);
   response.body = std::move(aExchange.Body());
   if (response.status >= kServerError) {
     aTarget.health.OnFailure(core::RuntimeClock::now());
@@ -372,9 +372,10 @@
         m_first_event_at = aTarget.last_response_at;
         m_state.waits[m_route->name].OnFirstResponse(
           m_load_at_send, m_first_event_at - m_sent_at);
-        m_session->BeginStream(aExchange.Head().status,
-                               aExchange.Head().reason,
-                               HeadersForCaller(aExchange.Head().headers));
+        m_session->BeginStream(
+          aExchange.Head().status,
+          aExchange.Head().reason,
+          HeadersForCaller(m_state.header_codec, aExchange.Head().headers));
       }
       const bool written = co_await m_session->WriteChunk(events);
       if (!written) {
@@ -397,9 +398,10 @@
   aTarget.health.OnAnswer();
   OnCompleted();
   if (!m_session->HasStreamBegun()) {
-    m_session->BeginStream(aExchange.Head().status,
-                           aExchange.Head().reason,
-                           HeadersForCaller(aExchange.Head().headers));
+    m_session->BeginStream(
+      aExchange.Head().status,
+      aExchange.Head().reason,
+      HeadersForCaller(m_state.header_codec, aExchange.Head().headers));
   }
   const bool written = co_await m_session->EndStream();
   if (written) {
--- a/src/jujubehead/node/forward/target_fleet.cpp
+++ b/src/jujubehead/node/forward/target_fleet.cpp
@@ -18,6 +18,20 @@
 constexpr core::Duration kDefaultKeepAlive = std::chrono::milliseconds(3000);
 /// Subtracted from a stated keep-alive time, for network time and late timers.
 constexpr core::Duration kKeepAliveMargin = std::chrono::milliseconds(700);
+/// Entries of running targets lapse when these cannot reach the registry, and
+/// return when they can.
+constexpr core::Duration kDepartedTtl = std::chrono::minutes(10);
+
+/// @return whether an entry is of the process that a target's state is of.
+bool
+IsSameProcess(const FleetTarget& aKnown,
+              const core::RegisteredTarget& aTarget,
+              const boost::asio::ip::tcp::endpoint& aEndpoint)
+{
+  return aKnown.endpoint == aEndpoint &&
+         aKnown.target.started_ms == aTarget.started_ms &&
+         aKnown.target.service == aTarget.service;
+}
 
 } // namespace
 
@@ -91,7 +105,7 @@
     }
     return is_old;
   });
-  if (is_gone || m_idle_connections.size() >= kMaxIdleConnections) {
+  if (IsLeaving() || m_idle_connections.size() >= kMaxIdleConnections) {
     aConnection->Close();
     return;
   }
@@ -100,6 +114,17 @@
   m_idle_connections.push_back(std::move(aConnection));
 }
 
+bool
+FleetTarget::OnDraining(core::Instant aNow)
+{
+  if (draining_since) {
+    return false;
+  }
+  draining_since = aNow;
+  CloseIdleConnections();
+  return true;
+}
+
 void
 FleetTarget::OnKeepAlive(core::Duration aTime)
 {
@@ -118,6 +143,7 @@
 void
 TargetFleet::Update(const std::vector<core::RegisteredTarget>& aTargets)
 {
+  ForgetDeparted();
   std::set<core::TargetId> present;
   for (const core::RegisteredTarget& target : aTargets) {
     present.insert(target.id);
@@ -137,6 +163,7 @@
 void
 TargetFleet::Apply(const std::vector<core::RegistrationChange>& aChanges)
 {
+  ForgetDeparted();
   for (const core::RegistrationChange& change : aChanges) {
     if (change.target) {
       Put(*change.target);
@@ -158,10 +185,7 @@
     return;
   }
   std::shared_ptr<FleetTarget> known = Find(aTarget.id);
-  const bool is_same = known && known->endpoint == *endpoint &&
-                       known->target.started_ms == aTarget.started_ms &&
-                       known->target.service == aTarget.service;
-  if (!is_same) {
+  if (!known || !IsSameProcess(*known, aTarget, *endpoint)) {
     Remove(aTarget.id);
     known = Insert(aTarget, *endpoint);
   }
@@ -180,6 +204,25 @@
 std::shared_ptr<FleetTarget>
 TargetFleet::Insert(const core::RegisteredTarget& aTarget,
                     const boost::asio::ip::tcp::endpoint& aEndpoint)
+{
+  const auto departed = m_departed.find(aTarget.id);
+  const bool is_back =
+    departed != m_departed.end() &&
+    IsSameProcess(*departed->second.target, aTarget, aEndpoint);
+  std::shared_ptr<FleetTarget> target =
+    is_back ? departed->second.target : Create(aTarget, aEndpoint);
+  m_departed.erase(aTarget.id);
+  auto& service = m_by_service[aTarget.service];
+  target->service_index = service.size();
+  service.push_back(target);
+  m_targets.emplace(aTarget.id, target);
+  m_by_key[core::KeyOf(aTarget.id)] = target;
+  return target;
+}
+
+std::shared_ptr<FleetTarget>
+TargetFleet::Create(const core::RegisteredTarget& aTarget,
+                    const boost::asio::ip::tcp::endpoint& aEndpoint)
 {
   auto target = std::make_shared<FleetTarget>();
   target->target = aTarget;
@@ -190,11 +233,6 @@
     usual = std::make_shared<core::ServiceLoadAverage>();
   }
   target->load = core::LoadEstimate(usual);
-  auto& service = m_by_service[aTarget.service];
-  target->service_index = service.size();
-  service.push_back(target);
-  m_targets.emplace(aTarget.id, target);
-  m_by_key[core::KeyOf(aTarget.id)] = target;
   return target;
 }
 
@@ -217,6 +255,16 @@
   }
   removed->is_gone = true;
   removed->CloseIdleConnections();
+  m_departed[aId] = { removed, core::RuntimeClock::now() };
+}
+
+void
+TargetFleet::ForgetDeparted()
+{
+  const core::Instant oldest = core::RuntimeClock::now() - kDepartedTtl;
+  std::erase_if(m_departed, [&](const auto& aDeparted) {
+    return aDeparted.second.since < oldest;
+  });
 }
 
 void
@@ -304,7 +352,7 @@
     return targets;
   }
   for (const auto& target : found->second) {
-    if (!target->is_gone && !target->is_stopped) {
+    if (!target->IsLeaving() && !target->is_stopped) {
       targets.push_back(target);
     }
   }
--- a/src/jujubehead/node/forward/target_fleet.hpp
+++ b/src/jujubehead/node/forward/target_fleet.hpp
@@ -38,7 +38,8 @@
     last_gone_report_at{}; ///< Last such report of another instance.
   /// Its process has ended; a restarted one has another id.
   bool has_crashed = false;
-  /// Since when its replies say that it is about to leave.
+  /// Since when its replies say that it is about to leave. Never reset: what a
+  /// process said of itself is newer than its entry in the registry.
   std::optional<core::Instant> draining_since;
   std::uint32_t active_streams = 0; ///< Streams of this instance.
   std::size_t service_index = 0;    ///< Its index in its service's targets.
@@ -46,8 +47,18 @@
   /// @return whether requests may be sent to it, however loaded it is.
   [[nodiscard]] bool Accepts(core::Instant aNow) const
   {
-    return !is_gone && !is_stopped && !is_loading && !cold_start.IsCold(aNow);
+    return !IsLeaving() && !is_stopped && !is_loading &&
+           !cold_start.IsCold(aNow);
   }
+  /// @return whether it has left or is about to, by the registry or by its
+  /// replies.
+  [[nodiscard]] bool IsLeaving() const
+  {
+    return is_gone || draining_since.has_value();
+  }
+  /// @brief A reply says that it is about to leave. Closes idle connections.
+  /// @return whether that is news.
+  bool OnDraining(core::Instant aNow);
   /// @return the newest known version of a model's weights.
   [[nodiscard]] std::optional<std::uint64_t> VersionOf(
     const core::ModelId& aModel) const;
@@ -71,7 +82,8 @@
   std::optional<core::Duration> m_keep_alive;
 };
 
-/// @brief All registered targets. Their state survives registry updates.
+/// @brief All registered targets. Their state survives registry updates, and
+/// the loss of an entry that returns for the same process.
 class TargetFleet
 {
 public:
@@ -111,11 +123,23 @@
   [[nodiscard]] bool IsEmpty() const { return m_targets.empty(); }
 
 private:
+  /// A target without an entry in the registry.
+  struct Departed
+  {
+    std::shared_ptr<FleetTarget> target;
+    core::Instant since{};
+  };
+
   void Put(const core::RegisteredTarget& aTarget);
   void Remove(const core::TargetId& aId);
+  /// @brief Adds a target, with its state if it is one that departed.
   std::shared_ptr<FleetTarget> Insert(
     const core::RegisteredTarget& aTarget,
     const boost::asio::ip::tcp::endpoint& aEndpoint);
+  std::shared_ptr<FleetTarget> Create(
+    const core::RegisteredTarget& aTarget,
+    const boost::asio::ip::tcp::endpoint& aEndpoint);
+  void ForgetDeparted();
   void UpdateColdStart(FleetTarget& aTarget, core::Instant aNow) const;
   /// @brief Treats a target as cold if a stop of its data centre ended within
   /// its service's cold time.
@@ -125,6 +149,7 @@
   std::unordered_map<core::ServiceId, std::vector<std::shared_ptr<FleetTarget>>>
     m_by_service;
   std::unordered_map<core::TargetKey, std::shared_ptr<FleetTarget>> m_by_key;
+  std::map<core::TargetId, Departed> m_departed;
   std::set<core::TargetId> m_loading;
   std::set<core::DataCentreId> m_stopped;
   std::map<core::DataCentreId, core::Instant> m_stop_ended_at;
--- a/src/jujubehead/node/forward/target_message.cpp
+++ b/src/jujubehead/node/forward/target_message.cpp
@@ -99,12 +99,14 @@
 }
 
 net::HttpHeaders
-HeadersForCaller(const net::HttpHeaders& aReply)
+HeadersForCaller(const HeaderCodec& aHeaderCodec,
+                 const net::HttpHeaders& aReply)
 {
   const std::vector<std::string> named = ConnectionOptions(aReply);
   net::HttpHeaders lines;
   for (const net::HttpHeader& line : aReply.Lines()) {
-    if (!IsHopByHop(line.name) && !ContainsName(line.name, named)) {
+    if (!IsHopByHop(line.name) && !ContainsName(line.name, named) &&
+        !aHeaderCodec.IsForInstance(line.name)) {
       lines.Add(line.name, line.value);
     }
   }
--- a/src/jujubehead/node/forward/target_message.hpp
+++ b/src/jujubehead/node/forward/target_message.hpp
@@ -17,9 +17,11 @@
                     const CallerRequest& aRequest,
                     const TargetCall& aCall);
 
-/// @return the header lines of a target's reply that are passed to the caller.
+/// @return the header lines of a target's reply that are passed to the caller:
+/// neither hop-by-hop ones nor those that only concern instances.
 net::HttpHeaders
-HeadersForCaller(const net::HttpHeaders& aReply);
+HeadersForCaller(const HeaderCodec& aHeaderCodec,
+                 const net::HttpHeaders& aReply);
 
 } // namespace jujubehead::node
 
--- a/src/jujubehead/node/forward/transfer_plan_test.cpp
+++ b/src/jujubehead/node/forward/transfer_plan_test.cpp
@@ -38,6 +38,10 @@
   {
     return false;
   }
+  [[nodiscard]] bool IsForInstance(std::string_view /*aName*/) const override
+  {
+    return false;
+  }
   [[nodiscard]] bool IsEndToEnd(std::string_view /*aName*/) const override
   {
     return false;
--- a/standin/target_signals_test.cpp
+++ b/standin/target_signals_test.cpp
@@ -70,7 +70,7 @@
     SendUntilArrival(aTarget, aPath);
     std::this_thread::sleep_for(kDrainTime);
   }
-  void PutEntry(const std::string& aTarget, json aEntry)
+  void PutEntry(const std::string& aTarget, const json& aEntry)
   {
     deployment->PutRow("servers", aTarget, aEntry);
     CHECK(deployment->AwaitRead());
