The time that a refusing target asks for is decoded, logged and counted

The incident's hypotheses could not be told apart: no line said whether a refusal asked for no more requests, or for how long. Where requests go is as before.

--- a/include/jujubehead/node/forward/header_codec.hpp
+++ b/include/jujubehead/node/forward/header_codec.hpp
@@ -60,6 +60,8 @@
   std::optional<core::ReportedLoad> load;
   std::optional<std::uint64_t> weight_version;
   std::optional<core::Duration> keep_alive;
+  /// For how long the target asks not to be sent requests again.
+  std::optional<core::Duration> retry_after;
   /// The target is about to leave; it says so in all its replies from then on.
   bool is_draining = false;
 };
--- a/include/jujubehead/node/metrics.hpp
+++ b/include/jujubehead/node/metrics.hpp
@@ -48,6 +48,7 @@
   kTargetRefusals,   ///< Requests that targets refused as not run.
   kBrokenReplies,    ///< Replies of targets that broke off or were invalid.
   kTargetCrashes,    ///< Targets that this instance found crashed.
+  kPushbacks,        ///< Refusals by targets that requested backoff.
   kDrainingReplies,  ///< Replies of targets that say that they are leaving.
   kTakeovers,        ///< Targets and stores that came to this instance.
 };
--- a/src/jujubehead/node/forward/forward_attempt.cpp
+++ b/src/jujubehead/node/forward/forward_attempt.cpp
@@ -49,6 +49,13 @@
          aStatus == kTooMany || aStatus == kUnavailable;
 }
 
+/// @return whether a target refused a request and requested backoff.
+bool
+IsPushback(unsigned aStatus, const ReplyMetadata& aMetadata)
+{
+  return aStatus == kUnavailable && aMetadata.retry_after.has_value();
+}
+
 bool
 IsEventStream(const net::MessageHead& aHead)
 {
@@ -115,6 +122,7 @@
   m_awaited_target = aTarget;
   m_stall_timed_out = false;
   m_target_crashed = false;
+  m_requested_backoff.reset();
   m_load_at_send = aTarget->load.Requests(core::RuntimeClock::now());
   m_sent_at = core::RuntimeClock::now();
   aTarget->load.OnBegin();
@@ -169,9 +177,9 @@
   if (result == ReadResult::kBroken) {
     co_return co_await OnBrokenReply(aTarget, aExchange);
   }
-  RecordReply(aTarget, aExchange.Metadata());
   const ReplyMetadata& metadata = aExchange.Metadata();
   const unsigned status = aExchange.Head().status;
+  RecordReply(aTarget, status, metadata);
   if (metadata.not_run) {
     co_return OnRefusal(aTarget, status, metadata);
   }
@@ -189,7 +197,9 @@
 }
 
 void
-ForwardRun::RecordReply(FleetTarget& aTarget, const ReplyMetadata& aMetadata)
+ForwardRun::RecordReply(FleetTarget& aTarget,
+                        unsigned aStatus,
+                        const ReplyMetadata& aMetadata)
 {
   const core::Instant now = core::RuntimeClock::now();
   aTarget.last_response_at = now;
@@ -207,6 +217,10 @@
   if (aMetadata.is_draining) {
     OnDraining(aTarget);
   }
+  if (IsPushback(aStatus, aMetadata)) {
+    m_requested_backoff = aMetadata.retry_after;
+    m_state.metrics.Add(Counter::kPushbacks);
+  }
 }
 
 void
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -272,6 +272,9 @@
       line.Add("fingerprint", core::ToText(Fingerprint()))
         .Add("target_crashed", m_target_crashed ? "yes" : "no");
     }
+    if (m_requested_backoff) {
+      line.Add("backoff", *m_requested_backoff);
+    }
     AddWeights(line);
     m_state.log.Write(line);
     if (step != NextStep::kRetry) {
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -112,7 +112,12 @@
                            const ReplyMetadata& aMetadata);
   /// @brief Reports to other instances that the target has left its address.
   void PublishGone(const FleetTarget& aTarget);
-  void RecordReply(FleetTarget& aTarget, const ReplyMetadata& aMetadata);
+  /// @brief Applies what a reply's head says of its target. The head may be of
+  /// any status: a target that answers for another, or with other weights than
+  /// expected, says no less of its own state.
+  void RecordReply(FleetTarget& aTarget,
+                   unsigned aStatus,
+                   const ReplyMetadata& aMetadata);
   /// @brief A reply of the target says that it is about to leave.
   void OnDraining(FleetTarget& aTarget);
   void RecordAttempt(core::AttemptOutcome aEnd);
@@ -158,6 +163,7 @@
   std::string m_last_error;
   std::optional<core::RequestFingerprint> m_fingerprint; ///< Once computed.
   bool m_target_crashed = false; ///< In the current attempt.
+  std::optional<core::Duration> m_requested_backoff; ///< Current attempt.
   /// Time until the request may be sent: targets that are all cold take
   /// requests again, or its quarantine ends; 0: unknown.
   core::Duration m_available_in{};
--- a/src/jujubehead/node/metrics.cpp
+++ b/src/jujubehead/node/metrics.cpp
@@ -210,6 +210,8 @@
   { "broken_replies_total", "Replies of targets that broke off." },
   { "target_crashes_total",
     "Targets whose process had ended when a reply broke off." },
+  { "target_pushbacks_total",
+    "Requests that targets refused, asking for no more for a time." },
   { "draining_replies_total",
     "Replies of targets that say that they are leaving." },
   { "takeovers_total", "Targets and stores that came to this instance." },
