--- a/standin/registered_face.cpp
+++ b/standin/registered_face.cpp
@@ -120,6 +120,12 @@
     const net::HttpRequest& request = aExchange.Request();
     ++m_arrived;
     net::HttpHeaders headers = HeadersOf(request);
+    const json* const fault = Fault("push_back");
+    const json push_back = fault != nullptr ? *fault : json();
+    if (TakeFault("push_back")) {
+      co_await PushBack(aExchange, push_back);
+      co_return;
+    }
     if (const unsigned status = Refusal(request)) {
       headers.Add("X-Not-Executed", "1");
       net::HttpResponse refusal{ status, headers, "" };
@@ -144,6 +150,24 @@
     --m_active;
   }
 
+  /// Refuses a request and asks for no more for some seconds; `bare`: without
+  /// a word about its load.
+  asio::awaitable<void> PushBack(net::HttpExchange& aExchange,
+                                 const json& aFault)
+  {
+    net::HttpHeaders headers;
+    if (aFault.value("bare", false)) {
+      headers.Add("X-Attempt-Id",
+                  HeaderOf(aExchange.Request(), "X-Attempt-Id"));
+    } else {
+      headers = HeadersOf(aExchange.Request());
+    }
+    headers.Add("X-Not-Executed", "1");
+    headers.Add("Retry-After", aFault.at("seconds").get<std::string>());
+    net::HttpResponse refusal{ kUnavailable, headers, "" };
+    co_await aExchange.Send(std::move(refusal));
+  }
+
   static json Seen(const net::HttpRequest& aRequest)
   {
     json seen = { { "method", aRequest.method },
--- a/standin/target_signals_test.cpp
+++ b/standin/target_signals_test.cpp
@@ -15,6 +15,10 @@
 /// After an answer that says so, a draining target gets no request that a
 /// caller sends later than this.
 constexpr milliseconds kDrainTime{ 2000 };
+/// Requests under way may arrive for so long after a target asked for none.
+constexpr milliseconds kUnderWayTime{ 500 };
+/// Requests that may arrive between this and the end of the backoff.
+constexpr std::uint64_t kAllowedArrivals = 2;
 constexpr unsigned kUnavailable = 503;
 
 } // namespace
@@ -70,6 +74,32 @@
     SendUntilArrival(aTarget, aPath);
     std::this_thread::sleep_for(kDrainTime);
   }
+  void PushBack(const std::string& aTarget,
+                const std::string& aSeconds,
+                int aCount,
+                bool aBare = false)
+  {
+    deployment->SetFault(
+      aTarget,
+      "push_back",
+      { { "seconds", aSeconds }, { "count", aCount }, { "bare", aBare } });
+  }
+  /// @return a target's arrivals, of requests that are all served, in the part
+  /// of a backoff of 1.5 s in which none are under way.
+  std::uint64_t ArrivalsInBackoff(const std::string& aTarget,
+                                  const std::string& aPath)
+  {
+    PushBack(aTarget, "1.5", 1000);
+    SendUntilArrival(aTarget, aPath);
+    const auto asked_at = std::chrono::steady_clock::now();
+    std::this_thread::sleep_for(kUnderWayTime);
+    const std::uint64_t before = ArrivedAt(aTarget);
+    while (std::chrono::steady_clock::now() < asked_at + milliseconds(1400)) {
+      SendServed(aPath, 1);
+      std::this_thread::sleep_for(milliseconds(5));
+    }
+    return ArrivedAt(aTarget) - before;
+  }
   void PutEntry(const std::string& aTarget, const json& aEntry)
   {
     deployment->PutRow("servers", aTarget, aEntry);
@@ -122,3 +152,38 @@
   LONGS_EQUAL(200, answer.status);
   CHECK_FALSE(answer.headers.Find("Server-Leaving").has_value());
 }
+
+// Requests go on at a target that turns all away, and are refused to callers
+// once they have no tries left.
+TEST(TargetSignals, ATargetIsLeftAloneForTheTimeThatItAsksFor)
+{
+  CHECK(ArrivalsInBackoff("service0", "/once/x") <= kAllowedArrivals);
+  CHECK(ArrivalsInBackoff("model0", "/chat/x") <= kAllowedArrivals);
+}
+
+// A target that asks for a moment is left out for seconds.
+TEST(TargetSignals, ATargetIsUsedAgainOnceItsBackoffIsOver)
+{
+  constexpr int kPushbacks = 4;
+  PushBack("service0", "0.1", kPushbacks, true);
+  const auto began_at = std::chrono::steady_clock::now();
+  for (int i = 0; i <= kPushbacks; ++i) {
+    SendUntilArrival("service0", "/once/x");
+  }
+  CHECK(std::chrono::steady_clock::now() < began_at + std::chrono::seconds(2));
+}
+
+// A caller that comes back at once finds the targets still in backoff.
+TEST(TargetSignals, CallersAreToldWhenTheFirstTargetTakesRequestsAgain)
+{
+  PushBack("service0", "1.2", 1000);
+  PushBack("service1", "30", 1000);
+  LONGS_EQUAL(kUnavailable, Send("/once/x").status);
+  const std::uint64_t before = ArrivedAt("service0") + ArrivedAt("service1");
+  const auto refused = Send("/once/x");
+  LONGS_EQUAL(kUnavailable, refused.status);
+  const double wait =
+    std::stod(std::string(refused.headers.Find("Retry-After").value_or("0")));
+  CHECK(wait > 0.5 && wait < 2);
+  LONGS_EQUAL(before, ArrivedAt("service0") + ArrivedAt("service1"));
+}
