A target that asks for no requests for a time gets none until it is over

Cause: of a target's refusal only what concerns the request was read. Class: what a reply tells of its target's state was ignored. A refusal without load counted as an unreachable target besides, and excluded it for longer than it asked.

The fix: core::TargetBackoff keeps the latest end that a target asked this instance for; FleetTarget::Accepts() covers it, so first tries, retries, resumes, the check after connecting and reads of kept parts hold alike. It works as the state is kept with the process and its end only moves on. Such a refusal does not eject the target. When all targets are in backoff or cold, callers are refused at once with the earliest end, also after attempts of their own. Orders to load weights go on.

Ruled out: a shorter time that replaces a longer one, requests under way. Left out: sharing the backoff (the target asks one instance), 429 (refuses one request).

--- a/src/jujubehead/node/forward/forward_attempt.cpp
+++ b/src/jujubehead/node/forward/forward_attempt.cpp
@@ -186,7 +186,9 @@
   if (!metadata.is_signed || metadata.is_encoded || ImpliesNotRun(status)) {
     m_last_error =
       "reply is not from the target, status " + std::to_string(status);
-    aTarget.health.OnFailure(core::RuntimeClock::now());
+    if (!IsPushback(status, metadata)) {
+      aTarget.health.OnFailure(core::RuntimeClock::now());
+    }
     co_return AttemptOutcome::kBroken;
   }
   if (IsSuccess(status) && m_route->streams &&
@@ -218,8 +220,7 @@
     OnDraining(aTarget);
   }
   if (IsPushback(aStatus, aMetadata)) {
-    m_requested_backoff = aMetadata.retry_after;
-    m_state.metrics.Add(Counter::kPushbacks);
+    OnPushback(aTarget, *aMetadata.retry_after);
   }
 }
 
@@ -237,6 +238,23 @@
       .Add("registered", aTarget.is_gone ? "leaving" : "ready"));
 }
 
+void
+ForwardRun::OnPushback(FleetTarget& aTarget, Duration aTime)
+{
+  const core::Instant now = core::RuntimeClock::now();
+  m_requested_backoff = aTime;
+  m_state.metrics.Add(Counter::kPushbacks);
+  const bool was_active = aTarget.backoff.IsActive(now);
+  aTarget.backoff.OnRequested(now, aTime);
+  if (!was_active) {
+    DecisionLog::WriteUnthrottled(
+      LogLine("target_backoff")
+        .Add("request", m_metadata.request_id)
+        .Add("target", aTarget.target.id.View())
+        .Add("lasts", aTarget.backoff.Until() - now));
+  }
+}
+
 void
 ForwardRun::PublishGone(const FleetTarget& aTarget)
 {
@@ -312,9 +330,12 @@
 {
   m_last_error = "target refused the request";
   m_state.metrics.Add(Counter::kTargetRefusals);
-  // A full target is healthy. One that is a different target or has different
-  // weights is not used until its state is known again.
-  if (!aMetadata.load && !aMetadata.weight_version) {
+  // A target that is full or requested backoff is healthy: its backoff lasts as
+  // long as it asked, and no ejection makes it longer. One that is a different
+  // target or has different weights is not used until its state is known again.
+  const bool is_known = aMetadata.load || aMetadata.weight_version ||
+                        IsPushback(aStatus, aMetadata);
+  if (!is_known) {
     aTarget.health.OnUnreachable(core::RuntimeClock::now());
     if (aStatus == kMisdirected) {
       PublishGone(aTarget);
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -233,9 +233,7 @@
     m_history.has_time = TimeLeft() > kMinTimeLeft;
     const auto target = m_history.has_time ? ChooseTarget() : nullptr;
     if (!target) {
-      if (m_last_error.empty()) {
-        ExplainNoTarget();
-      }
+      ExplainNoTarget();
       co_await Finish(core::StepWithoutRetry(last, m_history));
       co_return;
     }
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -73,8 +73,8 @@
   {
     return m_homes.Allow(aTarget.target.data_centre);
   }
-  /// @brief Finds out why there is no candidate: sets m_last_error and the
-  /// time after which a retry is useful.
+  /// @brief Finds out why there is no candidate: sets the time after which a
+  /// retry is useful, and m_last_error unless an attempt has set it.
   void ExplainNoTarget();
   [[nodiscard]] TargetCall BuildCall(const FleetTarget& aTarget);
   /// @return the scope that shares the prompt's parts at a weight version.
@@ -120,6 +120,8 @@
                    const ReplyMetadata& aMetadata);
   /// @brief A reply of the target says that it is about to leave.
   void OnDraining(FleetTarget& aTarget);
+  /// @brief A target refused the request and requested backoff.
+  void OnPushback(FleetTarget& aTarget, core::Duration aTime);
   void RecordAttempt(core::AttemptOutcome aEnd);
   void StartStallTimer(const FleetTarget& aTarget);
   void OnSilenceTimeout();
@@ -164,8 +166,8 @@
   std::optional<core::RequestFingerprint> m_fingerprint; ///< Once computed.
   bool m_target_crashed = false; ///< In the current attempt.
   std::optional<core::Duration> m_requested_backoff; ///< Current attempt.
-  /// Time until the request may be sent: targets that are all cold take
-  /// requests again, or its quarantine ends; 0: unknown.
+  /// Time until the request may be sent: targets that are all cold or in
+  /// backoff take requests again, or its quarantine ends; 0: unknown.
   core::Duration m_available_in{};
   bool m_is_quarantined = false; ///< As IsQuarantined() found last.
   std::string m_last_target;
--- a/src/jujubehead/node/forward/target_choice.cpp
+++ b/src/jujubehead/node/forward/target_choice.cpp
@@ -27,25 +27,37 @@
 void
 ForwardRun::ExplainNoTarget()
 {
+  const bool is_unexplained = m_last_error.empty();
   if (!m_history.has_time) {
-    m_last_error = "no time left";
+    m_last_error = is_unexplained ? "no time left" : m_last_error;
     return;
   }
-  m_last_error = "no target available";
+  if (is_unexplained) {
+    m_last_error = "no target available";
+  }
   const core::Instant now = core::RuntimeClock::now();
   core::Instant first = core::Instant::max();
+  bool is_any_in_backoff = false;
   for (const auto& target : m_state.fleet.Of(m_service)) {
     if (!IsAllowed(*target)) {
       continue;
     }
-    if (!target->cold_start.IsCold(now)) {
+    const core::Instant until =
+      std::max(target->cold_start.ColdUntil(), target->backoff.Until());
+    if (until <= now) {
       return;
     }
-    first = std::min(first, target->cold_start.ColdUntil());
+    is_any_in_backoff |= target->backoff.IsActive(now);
+    first = std::min(first, until);
+  }
+  if (first == core::Instant::max()) {
+    return;
   }
-  if (first != core::Instant::max()) {
-    m_last_error = "all targets are cold";
-    m_available_in = first - now;
+  m_available_in = first - now;
+  if (is_unexplained) {
+    m_last_error = is_any_in_backoff
+                     ? "all targets are cold or requested backoff"
+                     : "all targets are cold";
   }
 }
 
--- a/src/jujubehead/node/forward/target_fleet.hpp
+++ b/src/jujubehead/node/forward/target_fleet.hpp
@@ -15,6 +15,7 @@
 #include "jujubehead/core/routing/cold_start.hpp"       // for ColdStart
 #include "jujubehead/core/routing/load_estimate.hpp"    // for LoadEstimate
 #include "jujubehead/core/routing/load_reports.hpp"     // for TargetLoadReport
+#include "jujubehead/core/routing/target_backoff.hpp"   // for TargetBackoff
 #include "jujubehead/core/routing/target_directory.hpp" // for RegisteredTarget
 #include "jujubehead/core/routing/target_health.hpp"    // for TargetHealth
 #include "jujubehead/net/http1/outbound_connection.hpp" // for OutboundConnection
@@ -30,6 +31,7 @@
   core::TargetHealth health;
   core::LoadEstimate load;
   core::ColdStart cold_start;
+  core::TargetBackoff backoff;
   bool is_gone = false;             ///< Has left the registry or is leaving.
   bool is_stopped = false;          ///< Its data centre has a planned stop.
   bool is_loading = false;          ///< Is loading new weights.
@@ -48,7 +50,7 @@
   [[nodiscard]] bool Accepts(core::Instant aNow) const
   {
     return !IsLeaving() && !is_stopped && !is_loading &&
-           !cold_start.IsCold(aNow);
+           !cold_start.IsCold(aNow) && !backoff.IsActive(aNow);
   }
   /// @return whether it has left or is about to, by the registry or by its
   /// replies.
@@ -104,7 +106,8 @@
     std::unordered_map<core::ServiceId, core::Duration> aColdTimes);
 
   /// @return the targets of a service that accept requests, except those that
-  /// are loading weights or cold for the moment; see FleetTarget::Accepts().
+  /// are loading weights, cold or in backoff for the moment; see
+  /// FleetTarget::Accepts().
   [[nodiscard]] std::vector<std::shared_ptr<FleetTarget>> Of(
     const core::ServiceId& aService) const;
   [[nodiscard]] bool IsStopped(const core::DataCentreId& aDataCentre) const
