--- a/include/jujubehead/node/forward/header_codec.hpp
+++ b/include/jujubehead/node/forward/header_codec.hpp
@@ -60,6 +60,10 @@
   std::optional<core::ReportedLoad> load;
   std::optional<std::uint64_t> weight_version;
   std::optional<core::Duration> keep_alive;
+  /// For how long the target asks not to be sent requests again.
+  std::optional<core::Duration> retry_after;
+  /// The target is about to leave; it says so in all its replies from then on.
+  bool is_draining = false;
 };
 
 /// @brief Parses and formats the header lines between callers, instances and
@@ -83,6 +87,9 @@
 
   /// @return whether only the system may set a line; callers' are dropped.
   [[nodiscard]] virtual bool IsReserved(std::string_view aName) const = 0;
+  /// @return whether a line of a target's reply concerns instances only: a
+  /// caller would take it for a statement about the instance.
+  [[nodiscard]] virtual bool IsForInstance(std::string_view aName) const = 0;
   /// @return whether a line is end-to-end, so that a caller cannot have it
   /// dropped by naming it in `Connection`.
   [[nodiscard]] virtual bool IsEndToEnd(std::string_view aName) const = 0;
--- a/src/jujubehead/node/forward/forward_attempt.cpp
+++ b/src/jujubehead/node/forward/forward_attempt.cpp
@@ -49,6 +49,13 @@
          aStatus == kTooMany || aStatus == kUnavailable;
 }
 
+/// @return whether a target refused a request and requested backoff.
+bool
+IsPushback(unsigned aStatus, const ReplyMetadata& aMetadata)
+{
+  return aStatus == kUnavailable && aMetadata.retry_after.has_value();
+}
+
 bool
 IsEventStream(const net::MessageHead& aHead)
 {
@@ -115,6 +122,7 @@
   m_awaited_target = aTarget;
   m_stall_timed_out = false;
   m_target_crashed = false;
+  m_requested_backoff.reset();
   m_load_at_send = aTarget->load.Requests(core::RuntimeClock::now());
   m_sent_at = core::RuntimeClock::now();
   aTarget->load.OnBegin();
@@ -169,16 +177,18 @@
   if (result == ReadResult::kBroken) {
     co_return co_await OnBrokenReply(aTarget, aExchange);
   }
-  RecordReply(aTarget, aExchange.Metadata());
   const ReplyMetadata& metadata = aExchange.Metadata();
   const unsigned status = aExchange.Head().status;
+  RecordReply(aTarget, status, metadata);
   if (metadata.not_run) {
     co_return OnRefusal(aTarget, status, metadata);
   }
   if (!metadata.is_signed || metadata.is_encoded || ImpliesNotRun(status)) {
     m_last_error =
       "reply is not from the target, status " + std::to_string(status);
-    aTarget.health.OnFailure(core::RuntimeClock::now());
+    if (!IsPushback(status, metadata)) {
+      aTarget.health.OnFailure(core::RuntimeClock::now());
+    }
     co_return AttemptOutcome::kBroken;
   }
   if (IsSuccess(status) && m_route->streams &&
@@ -189,7 +199,9 @@
 }
 
 void
-ForwardRun::RecordReply(FleetTarget& aTarget, const ReplyMetadata& aMetadata)
+ForwardRun::RecordReply(FleetTarget& aTarget,
+                        unsigned aStatus,
+                        const ReplyMetadata& aMetadata)
 {
   const core::Instant now = core::RuntimeClock::now();
   aTarget.last_response_at = now;
@@ -204,6 +216,43 @@
   if (aMetadata.weight_version && m_metadata.prompt) {
     aTarget.OnVersion(m_metadata.prompt->model, *aMetadata.weight_version);
   }
+  if (aMetadata.is_draining) {
+    OnDraining(aTarget);
+  }
+  if (IsPushback(aStatus, aMetadata)) {
+    OnPushback(aTarget, *aMetadata.retry_after);
+  }
+}
+
+void
+ForwardRun::OnDraining(FleetTarget& aTarget)
+{
+  m_state.metrics.Add(Counter::kDrainingReplies);
+  if (!aTarget.OnDraining(core::RuntimeClock::now())) {
+    return;
+  }
+  DecisionLog::WriteUnthrottled(
+    LogLine("target_draining")
+      .Add("request", m_metadata.request_id)
+      .Add("target", aTarget.target.id.View())
+      .Add("registered", aTarget.is_gone ? "leaving" : "ready"));
+}
+
+void
+ForwardRun::OnPushback(FleetTarget& aTarget, Duration aTime)
+{
+  const core::Instant now = core::RuntimeClock::now();
+  m_requested_backoff = aTime;
+  m_state.metrics.Add(Counter::kPushbacks);
+  const bool was_active = aTarget.backoff.IsActive(now);
+  aTarget.backoff.OnRequested(now, aTime);
+  if (!was_active) {
+    DecisionLog::WriteUnthrottled(
+      LogLine("target_backoff")
+        .Add("request", m_metadata.request_id)
+        .Add("target", aTarget.target.id.View())
+        .Add("lasts", aTarget.backoff.Until() - now));
+  }
 }
 
 void
@@ -284,9 +333,12 @@
 {
   m_last_error = "target refused the request";
   m_state.metrics.Add(Counter::kTargetRefusals);
-  // A full target is healthy. One that is a different target or has different
-  // weights is not used until its state is known again.
-  if (!aMetadata.load && !aMetadata.weight_version) {
+  // A target that is full or requested backoff is healthy: its backoff lasts as
+  // long as it asked, and no ejection makes it longer. One that is a different
+  // target or has different weights is not used until its state is known again.
+  const bool is_known = aMetadata.load || aMetadata.weight_version ||
+                        IsPushback(aStatus, aMetadata);
+  if (!is_known) {
     aTarget.health.OnUnreachable(core::RuntimeClock::now());
     if (aStatus == kMisdirected) {
       PublishGone(aTarget);
@@ -312,7 +364,8 @@
   FullResponse response;
   response.status = aExchange.Head().status;
   response.reason = aExchange.Head().reason;
-  response.headers = HeadersForCaller(aExchange.Head().headers);
+  response.headers =
+    HeadersForCaller(m_state.header_codec, aExchange.Head().headers);
   response.body = std::move(aExchange.Body());
   if (response.status >= kServerError) {
     aTarget.health.OnFailure(core::RuntimeClock::now());
@@ -357,9 +410,10 @@
         m_first_event_at = aTarget.last_response_at;
         m_state.waits[m_route->name].OnFirstResponse(
           m_load_at_send, m_first_event_at - m_sent_at);
-        m_session->BeginStream(aExchange.Head().status,
-                               aExchange.Head().reason,
-                               HeadersForCaller(aExchange.Head().headers));
+        m_session->BeginStream(
+          aExchange.Head().status,
+          aExchange.Head().reason,
+          HeadersForCaller(m_state.header_codec, aExchange.Head().headers));
       }
       const bool written = co_await m_session->WriteChunk(events);
       if (!written) {
@@ -382,9 +436,10 @@
   aTarget.health.OnAnswer();
   OnCompleted();
   if (!m_session->HasStreamBegun()) {
-    m_session->BeginStream(aExchange.Head().status,
-                           aExchange.Head().reason,
-                           HeadersForCaller(aExchange.Head().headers));
+    m_session->BeginStream(
+      aExchange.Head().status,
+      aExchange.Head().reason,
+      HeadersForCaller(m_state.header_codec, aExchange.Head().headers));
   }
   const bool written = co_await m_session->EndStream();
   if (written) {
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -233,9 +233,7 @@
     m_history.has_time = TimeLeft() > kMinTimeLeft;
     const auto target = m_history.has_time ? ChooseTarget() : nullptr;
     if (!target) {
-      if (m_last_error.empty()) {
-        ExplainNoTarget();
-      }
+      ExplainNoTarget();
       co_await Finish(core::StepWithoutRetry(last, m_history));
       co_return;
     }
@@ -272,6 +270,9 @@
       line.Add("fingerprint", core::ToText(Fingerprint()))
         .Add("target_crashed", m_target_crashed ? "yes" : "no");
     }
+    if (m_requested_backoff) {
+      line.Add("backoff", *m_requested_backoff);
+    }
     AddWeights(line);
     m_state.log.Write(line);
     if (step != NextStep::kRetry) {
--- a/src/jujubehead/node/forward/target_fleet.hpp
+++ b/src/jujubehead/node/forward/target_fleet.hpp
@@ -15,6 +15,7 @@
 #include "jujubehead/core/routing/cold_start.hpp"       // for ColdStart
 #include "jujubehead/core/routing/load_estimate.hpp"    // for LoadEstimate
 #include "jujubehead/core/routing/load_reports.hpp"     // for TargetLoadReport
+#include "jujubehead/core/routing/target_backoff.hpp"   // for TargetBackoff
 #include "jujubehead/core/routing/target_directory.hpp" // for RegisteredTarget
 #include "jujubehead/core/routing/target_health.hpp"    // for TargetHealth
 #include "jujubehead/net/http1/outbound_connection.hpp" // for OutboundConnection
@@ -30,6 +31,7 @@
   core::TargetHealth health;
   core::LoadEstimate load;
   core::ColdStart cold_start;
+  core::TargetBackoff backoff;
   bool is_gone = false;             ///< Has left the registry or is leaving.
   bool is_stopped = false;          ///< Its data centre has a planned stop.
   bool is_loading = false;          ///< Is loading new weights.
@@ -38,14 +40,27 @@
     last_gone_report_at{}; ///< Last such report of another instance.
   /// Its process has ended; a restarted one has another id.
   bool has_crashed = false;
+  /// Since when its replies say that it is about to leave. Never reset: what a
+  /// process said of itself is newer than its entry in the registry.
+  std::optional<core::Instant> draining_since;
   std::uint32_t active_streams = 0; ///< Streams of this instance.
   std::size_t service_index = 0;    ///< Its index in its service's targets.
 
   /// @return whether requests may be sent to it, however loaded it is.
   [[nodiscard]] bool Accepts(core::Instant aNow) const
   {
-    return !is_gone && !is_stopped && !is_loading && !cold_start.IsCold(aNow);
+    return !IsLeaving() && !is_stopped && !is_loading &&
+           !cold_start.IsCold(aNow) && !backoff.IsActive(aNow);
   }
+  /// @return whether it has left or is about to, by the registry or by its
+  /// replies.
+  [[nodiscard]] bool IsLeaving() const
+  {
+    return is_gone || draining_since.has_value();
+  }
+  /// @brief A reply says that it is about to leave. Closes idle connections.
+  /// @return whether that is news.
+  bool OnDraining(core::Instant aNow);
   /// @return the newest known version of a model's weights.
   [[nodiscard]] std::optional<std::uint64_t> VersionOf(
     const core::ModelId& aModel) const;
@@ -69,7 +84,8 @@
   std::optional<core::Duration> m_keep_alive;
 };
 
-/// @brief All registered targets. Their state survives registry updates.
+/// @brief All registered targets. Their state survives registry updates, and
+/// the loss of an entry that returns for the same process.
 class TargetFleet
 {
 public:
@@ -90,7 +106,8 @@
     std::unordered_map<core::ServiceId, core::Duration> aColdTimes);
 
   /// @return the targets of a service that accept requests, except those that
-  /// are loading weights or cold for the moment; see FleetTarget::Accepts().
+  /// are loading weights, cold or in backoff for the moment; see
+  /// FleetTarget::Accepts().
   [[nodiscard]] std::vector<std::shared_ptr<FleetTarget>> Of(
     const core::ServiceId& aService) const;
   [[nodiscard]] bool IsStopped(const core::DataCentreId& aDataCentre) const
@@ -109,11 +126,23 @@
   [[nodiscard]] bool IsEmpty() const { return m_targets.empty(); }
 
 private:
+  /// A target without an entry in the registry.
+  struct Departed
+  {
+    std::shared_ptr<FleetTarget> target;
+    core::Instant since{};
+  };
+
   void Put(const core::RegisteredTarget& aTarget);
   void Remove(const core::TargetId& aId);
+  /// @brief Adds a target, with its state if it is one that departed.
   std::shared_ptr<FleetTarget> Insert(
     const core::RegisteredTarget& aTarget,
     const boost::asio::ip::tcp::endpoint& aEndpoint);
+  std::shared_ptr<FleetTarget> Create(
+    const core::RegisteredTarget& aTarget,
+    const boost::asio::ip::tcp::endpoint& aEndpoint);
+  void ForgetDeparted();
   void UpdateColdStart(FleetTarget& aTarget, core::Instant aNow) const;
   /// @brief Treats a target as cold if a stop of its data centre ended within
   /// its service's cold time.
@@ -123,6 +152,7 @@
   std::unordered_map<core::ServiceId, std::vector<std::shared_ptr<FleetTarget>>>
     m_by_service;
   std::unordered_map<core::TargetKey, std::shared_ptr<FleetTarget>> m_by_key;
+  std::map<core::TargetId, Departed> m_departed;
   std::set<core::TargetId> m_loading;
   std::set<core::DataCentreId> m_stopped;
   std::map<core::DataCentreId, core::Instant> m_stop_ended_at;
--- a/standin/registered_face.cpp
+++ b/standin/registered_face.cpp
@@ -41,6 +41,7 @@
   {
     return { { "runs", m_runs },
              { "cut", m_cut },
+             { "arrived", m_arrived },
              { "version", m_options.version },
              { "orders", m_orders } };
   }
@@ -97,6 +98,9 @@
     if (!m_options.model.empty()) {
       headers.Add("X-Weight-Versions", std::to_string(m_options.version));
     }
+    if (Fault("leaving") != nullptr) {
+      headers.Add("Server-Leaving", "1");
+    }
     return headers;
   }
 
@@ -114,7 +118,14 @@
   asio::awaitable<void> TakeRequest(net::HttpExchange& aExchange)
   {
     const net::HttpRequest& request = aExchange.Request();
+    ++m_arrived;
     net::HttpHeaders headers = HeadersOf(request);
+    const json* const fault = Fault("push_back");
+    const json push_back = fault != nullptr ? *fault : json();
+    if (TakeFault("push_back")) {
+      co_await PushBack(aExchange, push_back);
+      co_return;
+    }
     if (const unsigned status = Refusal(request)) {
       headers.Add("X-Not-Executed", "1");
       net::HttpResponse refusal{ status, headers, "" };
@@ -139,6 +150,24 @@
     --m_active;
   }
 
+  /// Refuses a request and asks for no more for some seconds; `bare`: without
+  /// a word about its load.
+  asio::awaitable<void> PushBack(net::HttpExchange& aExchange,
+                                 const json& aFault)
+  {
+    net::HttpHeaders headers;
+    if (aFault.value("bare", false)) {
+      headers.Add("X-Attempt-Id",
+                  HeaderOf(aExchange.Request(), "X-Attempt-Id"));
+    } else {
+      headers = HeadersOf(aExchange.Request());
+    }
+    headers.Add("X-Not-Executed", "1");
+    headers.Add("Retry-After", aFault.at("seconds").get<std::string>());
+    net::HttpResponse refusal{ kUnavailable, headers, "" };
+    co_await aExchange.Send(std::move(refusal));
+  }
+
   static json Seen(const net::HttpRequest& aRequest)
   {
     json seen = { { "method", aRequest.method },
@@ -229,6 +258,7 @@
   std::unique_ptr<net::HttpClient> m_client;
   json m_runs = json::array();
   json m_orders = json::array();
+  std::uint64_t m_arrived = 0; ///< Requests, with the refused.
   std::uint64_t m_active = 0;
   std::uint64_t m_cut = 0;
 };
