Stand-in: a target's process that ends under a request, set by a flag

Cause: a script that starts targets as processes had to set crash_on by an admin call after each start, so a restarted target served before the fault was set; and it matched whole bodies only, so a poison request whose body changes could not be played.

--crash_on TEXT sets it before the process listens to its first request; the fault takes text (part of a body, as the engine's) beside body (the whole). Ruled out: text in place of body, which would change what the tests in one process match.

--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -41,6 +41,10 @@
 DEFINE_string(id, "service-1", "service, registered: its id");
 DEFINE_string(registered_model, "", "registered: its model; empty: none");
 DEFINE_int64(work_ms, 0, "service: time that a call takes");
+DEFINE_string(crash_on,
+              "",
+              "registered: ends when it runs a request whose body has this "
+              "text; empty: never");
 
 namespace {
 
@@ -152,7 +156,11 @@
     options.id = FLAGS_id;
     options.model = FLAGS_registered_model;
     options.work_ms = FLAGS_work_ms;
-    return StandIn::Registered(aContext, options, listen);
+    StandIn target = StandIn::Registered(aContext, options, listen);
+    if (!FLAGS_crash_on.empty()) {
+      target.SetFault("crash_on", { { "text", FLAGS_crash_on } });
+    }
+    return target;
   }
   throw std::runtime_error(std::string("usage: ") + kUsage);
 }
--- a/standin/registered_face.cpp
+++ b/standin/registered_face.cpp
@@ -122,8 +122,7 @@
       co_return;
     }
     m_runs.push_back(Seen(request));
-    const json* const poison = Fault("crash_on");
-    if (poison != nullptr && poison->value("body", "") == request.body) {
+    if (IsPoison(request.body)) {
       Crash();
       aExchange.Close();
       co_return;
@@ -139,6 +138,20 @@
     --m_active;
   }
 
+  /// @return whether `crash_on` names this body, as a whole (`body`) or by a
+  /// text in it (`text`).
+  [[nodiscard]] bool IsPoison(const std::string& aBody) const
+  {
+    const json* const fault = Fault("crash_on");
+    if (fault == nullptr) {
+      return false;
+    }
+    const auto text = fault->find("text");
+    return text != fault->end()
+             ? aBody.find(text->get<std::string>()) != std::string::npos
+             : aBody == fault->value("body", "");
+  }
+
   static json Seen(const net::HttpRequest& aRequest)
   {
     json seen = { { "method", aRequest.method },
