Roll-out: a new run of the coordinator takes the lease of its previous run at once

Callers saw prompts refused for seconds, and a third of the targets still had older weights when the traffic ended, 14 s after newer ones were acknowledged; 11 s are allowed. The coordinator had been killed twice. It was back within 0.6 s each time, and then waited 5 s (term, gap and margin) for the lease of its own previous run, as another instance has to.

Cause: the row names a run, and every run but the holder waited. The wait keeps commands of two instances apart. A previous run of the same instance has ended when the next one starts, and operators count both as one holder; the token still grows, and orders carry it. The name now has the address at which the instance listens, so an instance that was moved and may still run at its old address waits as before. Orders name the instance, no longer the run.

--- a/include/jujubehead/core/weights/coordinator_lease.hpp
+++ b/include/jujubehead/core/weights/coordinator_lease.hpp
@@ -52,6 +52,9 @@
 /// half of the time allowed for a roll-out). The fencing token is the row's
 /// version at acquisition, so it grows from holder to holder.
 ///
+/// A new run of the instance that held the lease acquires it at once: it starts
+/// only after the previous run has ended, and to targets both are one holder.
+///
 /// Instants have to come from a clock that advances during system suspend.
 ///
 /// @code
@@ -67,7 +70,9 @@
 class CoordinatorLease
 {
 public:
-  /// @param aSelf unique name of this run of this instance.
+  /// @param aSelf unique name of this run, `instance/run`. At most one run of
+  /// an instance exists at a time; an instance that may be started at another
+  /// address while it still runs has to have the address in its name.
   CoordinatorLease(std::string aSelf, CoordinatorLeaseOptions aOptions);
 
   /// @brief The row was read, or is known to be missing.
@@ -100,6 +105,8 @@
   /// @return the expected version for the next write.
   [[nodiscard]] std::uint64_t RowVersion() const { return m_row_version; }
   [[nodiscard]] const std::string& Self() const { return m_self; }
+  /// @return the name of the instance, the same for all of its runs.
+  [[nodiscard]] std::string_view Instance() const;
   [[nodiscard]] bool WasLastHolder() const { return m_was_last_holder; }
 
 private:
@@ -109,6 +116,8 @@
   std::optional<Instant> m_unchanged_since;
   std::uint64_t m_row_version = 0;
   bool m_was_last_holder = false;
+  /// The last holder is this run or a previous one of this instance.
+  bool m_is_own = false;
   bool m_is_retired = false;
   /// Start of the last successful write.
   std::optional<Instant> m_last_write_start;
--- a/src/jujubehead/core/weights/coordinator_lease.cpp
+++ b/src/jujubehead/core/weights/coordinator_lease.cpp
@@ -13,6 +13,13 @@
 constexpr const char* kHolder = "holder";
 constexpr const char* kBegun = "begun_ms";
 
+/// @return the instance of which a holder is one run.
+std::string_view
+InstanceOf(std::string_view aHolder)
+{
+  return aHolder.substr(0, aHolder.rfind('/'));
+}
+
 } // namespace
 
 std::string
@@ -61,18 +68,25 @@
   m_row_version = aVersion;
   m_unchanged_since = std::min(aNow, aBegun.value_or(aNow));
   m_was_last_holder = aHolder == m_self;
+  m_is_own = InstanceOf(aHolder) == Instance();
   if (!m_was_last_holder) {
     m_last_write_start.reset();
   }
 }
 
+std::string_view
+CoordinatorLease::Instance() const
+{
+  return InstanceOf(m_self);
+}
+
 bool
 CoordinatorLease::MayAcquire(Instant aNow) const
 {
   if (!m_unchanged_since || (m_is_retired && !Holds(aNow))) {
     return false;
   }
-  if (m_row_version == 0 || m_was_last_holder) {
+  if (m_row_version == 0 || m_is_own) {
     return true;
   }
   return aNow - *m_unchanged_since >=
@@ -92,6 +106,7 @@
   m_row_version = aVersion;
   m_unchanged_since = aBegun;
   m_was_last_holder = true;
+  m_is_own = true;
   m_last_write_start = aBegun;
   if (!was_held) {
     m_token = aVersion;
--- a/src/jujubehead/node/control/rollout_coordinator.cpp
+++ b/src/jujubehead/node/control/rollout_coordinator.cpp
@@ -57,6 +57,16 @@
   return options;
 }
 
+/// @return a unique name of this run. It has the address at which the instance
+/// listens: only one run at a time can, while an instance that was moved may
+/// still run at its old address.
+std::string
+HolderName(const EntryOptions& aOptions)
+{
+  return aOptions.instance_id.Text() + "@" + aOptions.caller_address + "/" +
+         net::RandomText(kStartBytes);
+}
+
 std::uint64_t
 VersionIn(const WeightsReport& aReport, const core::ModelId& aModel)
 {
@@ -81,8 +91,7 @@
   , m_orders(aOrders)
   , m_store_clock(aStoreClock)
   , m_forwarder(aForwarder)
-  , m_lease(aOptions.instance_id.Text() + "/" + net::RandomText(kStartBytes),
-            LeaseOptions(aOptions))
+  , m_lease(HolderName(aOptions), LeaseOptions(aOptions))
   , m_wake(aContext)
 {
 }
@@ -491,7 +500,8 @@
   order.target = aTarget.id;
   order.wanted = { aModel, m_wanted[aModel].Newest() };
   order.orders_taken = aReport.orders_taken;
-  order.holder = m_lease.Self();
+  // The same for all runs of this instance; the token tells them apart.
+  order.holder = m_lease.Instance();
   order.fencing_token = m_lease.FencingToken();
   order.runs = aReport.requests == 0 ? RunsMode::kFinish : RunsMode::kContinue;
   aLoading.last_order = core::RuntimeClock::now();
