Roll-out: targets that may not serve any more are loaded beyond the width

Callers saw prompts refused, and a third of the targets still had older weights 14 s after newer ones were acknowledged, when two coordinators were lost one after the other (power, or standing still for 5 s). The third coordinator had 3 s left and spent them on rounds of a third of the targets.

Cause: the width keeps two thirds in service, also after the time of the old weights, when no request may start on them and there is no service to keep. Now a target whose weights' time is over is ordered at once, oldest first as before among the others; loading targets still count against the limit of those that serve. The coordinator gets changed deadlines for that, as the forwarder does.

--- a/include/jujubehead/core/weights/rollout.hpp
+++ b/include/jujubehead/core/weights/rollout.hpp
@@ -45,6 +45,8 @@
   /// never.
   bool is_unanswered = false;
   Instant not_before{}; ///< No retry earlier, after a failure.
+  /// Until when requests may start on its weights.
+  Instant serves_until = Instant::max();
 };
 
 /// @return how many targets may load at once, so that the roll-out completes in
@@ -61,7 +63,9 @@
 /// with the oldest weights go first, because their deadline is the earliest;
 /// then those in the data centres with the fewest loading targets. A target
 /// with an unanswered command still serves and does not count against the
-/// limit; otherwise each round would wait for commands that take seconds.
+/// limit; otherwise each round would wait for commands that take seconds. Those
+/// on which no request may start any more are returned beyond the limit: they
+/// carry no traffic.
 std::vector<TargetId>
 NextToLoad(std::span<const RolloutTarget> aTargets,
            std::uint64_t aWanted,
--- a/src/jujubehead/core/weights/rollout.cpp
+++ b/src/jujubehead/core/weights/rollout.cpp
@@ -109,6 +109,7 @@
 {
   std::map<DataCentreId, std::size_t> loading;
   std::size_t all_loading = 0;
+  std::vector<TargetId> next;
   // By version, then by data centre, in the order of the targets.
   std::map<std::uint64_t, std::map<DataCentreId, Queue>> outdated;
   for (const RolloutTarget& target : aTargets) {
@@ -117,10 +118,13 @@
       ++all_loading;
     } else if (target.version < aWanted && !target.is_unanswered &&
                aNow >= target.not_before) {
-      outdated[target.version][target.data_centre].push_back(&target);
+      if (aNow >= target.serves_until) {
+        next.push_back(target.id);
+      } else {
+        outdated[target.version][target.data_centre].push_back(&target);
+      }
     }
   }
-  std::vector<TargetId> next;
   const std::size_t width = RolloutWidth(aTargets.size());
   while (!outdated.empty() && all_loading + next.size() < width) {
     auto& by_data_centre = outdated.begin()->second;
--- a/src/jujubehead/core/weights/rollout_test.cpp
+++ b/src/jujubehead/core/weights/rollout_test.cpp
@@ -71,6 +71,27 @@
   LONGS_EQUAL(1, NextToLoad(targets, 2, now + seconds(1)).size());
 }
 
+// After the loss of a coordinator, targets on which no request could start any
+// more were loaded a third at a time, which kept them without service longer.
+TEST(Rollout, TargetsThatMayNotServeAreNotLimited)
+{
+  auto targets = Targets(6);
+  for (std::size_t i = 0; i < 4; ++i) {
+    targets[i].serves_until = now;
+  }
+  targets[0].is_loading = true;
+  targets[1].is_unanswered = true;
+  targets[2].not_before = now + seconds(1);
+  targets[4].serves_until = now + seconds(1);
+  // Those that load count against the limit of those that serve.
+  const auto next = NextToLoad(targets, 2, now);
+  LONGS_EQUAL(1, next.size());
+  STRCMP_EQUAL("t3", next.front().Text().c_str());
+  targets[0].is_loading = false;
+  LONGS_EQUAL(2, NextToLoad(targets, 2, now).size());
+  LONGS_EQUAL(4, NextToLoad(targets, 2, now + seconds(1)).size());
+}
+
 TEST(Rollout, EachVersionHasItsOwnDeadline)
 {
   DesiredWeights wanted;
--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -178,9 +178,9 @@
     m_rollout.SetWanted(aWanted);
     m_reclaimer.SetWanted(aWanted);
   };
-  // Only the forwarder uses deadlines.
   hooks.on_deadlines_changed = [this](const WantedByModel& aWanted) {
     m_forwarder.SetWantedWeights(aWanted);
+    m_rollout.SetDeadlines(aWanted);
   };
   return hooks;
 }
--- a/src/jujubehead/node/control/rollout_coordinator.cpp
+++ b/src/jujubehead/node/control/rollout_coordinator.cpp
@@ -121,6 +121,13 @@
   Wake();
 }
 
+void
+RolloutCoordinator::SetDeadlines(
+  std::map<core::ModelId, core::DesiredWeights> aWanted)
+{
+  m_wanted = std::move(aWanted);
+}
+
 void
 RolloutCoordinator::ApplyTargets(
   const std::vector<core::RegistrationChange>& aChanges)
@@ -273,6 +280,9 @@
     one.id = id;
     one.data_centre = target.data_centre;
     one.version = *version;
+    if (const auto wanted = m_wanted.find(aModel); wanted != m_wanted.end()) {
+      one.serves_until = wanted->second.StartDeadline(*version);
+    }
     if (found != m_rollouts.end()) {
       const Rollout& rollout = found->second;
       one.is_loading = rollout.loading.contains(target.id);
--- a/src/jujubehead/node/control/rollout_coordinator.hpp
+++ b/src/jujubehead/node/control/rollout_coordinator.hpp
@@ -39,6 +39,8 @@
   /// @brief This instance is shutting down.
   void BeginStop() { m_lease.Retire(); }
   void SetWanted(std::map<core::ModelId, core::DesiredWeights> aWanted);
+  /// @brief The deadlines changed, but no version.
+  void SetDeadlines(std::map<core::ModelId, core::DesiredWeights> aWanted);
   /// @brief Applies changes of the registered targets.
   void ApplyTargets(const std::vector<core::RegistrationChange>& aChanges);
   void OnSharedUpdate(const SharedUpdate& aUpdate, bool aIsAll);
