A target found crashed is set aside at once and reported as gone

Cause: the check after a broken reply found out that the target had ended and told nobody; only the next request that was refused a connection set it aside. Class: what one attempt learned ends with that attempt. Now FleetTarget::OnCrashed() sets it aside as an unreachable one, and other instances get a report.

--- a/src/jujubehead/node/forward/forward_attempt.cpp
+++ b/src/jujubehead/node/forward/forward_attempt.cpp
@@ -166,6 +166,7 @@
     co_return AttemptOutcome::kNotSent;
   }
   if (IsQuarantined()) {
+    m_last_error = "request was quarantined meanwhile";
     co_return AttemptOutcome::kNotSent;
   }
   const TargetCall call = BuildCall(aTarget);
@@ -295,7 +296,7 @@
 asio::awaitable<bool>
 ForwardRun::HasCrashed(FleetTarget& aTarget)
 {
-  if (aTarget.has_crashed || aTarget.is_gone) {
+  if (aTarget.has_crashed || aTarget.IsLeaving()) {
     co_return aTarget.has_crashed;
   }
   net::OutboundOptions options;
@@ -317,8 +318,9 @@
     error = co_await connection->Connect(aTarget.endpoint);
     connection->Close();
   }
-  if (error == asio::error::connection_refused && !aTarget.has_crashed) {
-    aTarget.has_crashed = true;
+  if (error == asio::error::connection_refused &&
+      aTarget.OnCrashed(core::RuntimeClock::now())) {
+    PublishGone(aTarget);
     m_state.metrics.Add(Counter::kTargetCrashes);
     DecisionLog::WriteUnthrottled(
       LogLine("target_crashed").Add("target", aTarget.target.id.View()));
@@ -383,7 +385,7 @@
     co_return AttemptOutcome::kBroken;
   }
   const unsigned status = response.status;
-  if (IsSuccess(status)) {
+  if (IsSuccess(status) && !aExchange.EndsWithConnection()) {
     OnCompleted();
   }
   const bool written = co_await m_session->SendResponse(std::move(response));
@@ -434,7 +436,9 @@
     co_return AttemptOutcome::kBroken;
   }
   aTarget.health.OnAnswer();
-  OnCompleted();
+  if (!aExchange.EndsWithConnection()) {
+    OnCompleted();
+  }
   if (!m_session->HasStreamBegun()) {
     m_session->BeginStream(
       aExchange.Head().status,
--- a/src/jujubehead/node/forward/target_exchange.hpp
+++ b/src/jujubehead/node/forward/target_exchange.hpp
@@ -71,6 +71,12 @@
   /// @return received bytes of the body that were not consumed yet.
   [[nodiscard]] std::string& Body() { return m_body; }
   [[nodiscard]] bool IsOnNewConnection() const { return m_is_new; }
+  /// @return whether the body has no length, so that it looks complete even if
+  /// the target crashed.
+  [[nodiscard]] bool EndsWithConnection() const
+  {
+    return m_parser->EndsWithConnection();
+  }
   /// @return whether nothing listens at the target's address.
   [[nodiscard]] bool WasConnectionRefused() const
   {
--- a/src/jujubehead/node/forward/target_fleet.cpp
+++ b/src/jujubehead/node/forward/target_fleet.cpp
@@ -125,6 +125,18 @@
   return true;
 }
 
+bool
+FleetTarget::OnCrashed(core::Instant aNow)
+{
+  if (has_crashed) {
+    return false;
+  }
+  has_crashed = true;
+  health.OnUnreachable(aNow);
+  CloseIdleConnections();
+  return true;
+}
+
 void
 FleetTarget::OnKeepAlive(core::Duration aTime)
 {
--- a/src/jujubehead/node/forward/target_fleet.hpp
+++ b/src/jujubehead/node/forward/target_fleet.hpp
@@ -61,6 +61,9 @@
   /// @brief A reply says that it is about to leave. Closes idle connections.
   /// @return whether that is news.
   bool OnDraining(core::Instant aNow);
+  /// @brief Its process has ended: it is set aside as an unreachable one.
+  /// @return whether that is news.
+  bool OnCrashed(core::Instant aNow);
   /// @return the newest known version of a model's weights.
   [[nodiscard]] std::optional<std::uint64_t> VersionOf(
     const core::ModelId& aModel) const;
--- a/src/jujubehead/node/forward/target_fleet_test.cpp
+++ b/src/jujubehead/node/forward/target_fleet_test.cpp
@@ -226,3 +226,15 @@
   LONGS_EQUAL(1, fleet.Of(kModels).size());
   POINTERS_EQUAL(after.get(), fleet.Of(kModels).front().get());
 }
+
+// The requests at a crashed target learned that it had ended, and the next ones
+// were sent there and refused a connection.
+TEST(TargetFleet, ATargetFoundCrashedIsSetAsideAtOnce)
+{
+  FleetTarget target;
+  CHECK(target.OnCrashed(kNow));
+  CHECK_FALSE(target.health.IsUsable(kNow));
+  CHECK_FALSE(target.OnCrashed(kNow + milliseconds(1)));
+  // A probe follows, in case that the path was broken and not the target.
+  CHECK(target.health.IsUsable(kNow + std::chrono::seconds(4)));
+}
