Test: orders of which a later copy is carried out first (known red)

The stand-in carries the first four copies out after 12 s and later ones after 1.5 s: 13 s until all targets have the new weights, 10 s are allowed.

--- a/standin/registered_face.cpp
+++ b/standin/registered_face.cpp
@@ -80,7 +80,8 @@
     }
     const json order = json::parse(aExchange.Request().body, nullptr, false);
     // Carried out late; whoever gave it has stopped waiting for the answer.
-    co_await Wait(FaultMs("late_orders"));
+    const std::chrono::milliseconds delay = OrderDelay();
+    co_await Wait(delay);
     const bool is_fresh =
       order.value("expected_rev", std::uint64_t(0)) == m_orders.size();
     if (is_fresh) {
@@ -90,6 +91,20 @@
     co_await Reply(aExchange, is_fresh ? 202 : 409, json::object());
   }
 
+  /// @return how late the next order is carried out: `ms`, or, after as many as
+  /// `slow` says, `later_ms`.
+  std::chrono::milliseconds OrderDelay()
+  {
+    const json* const fault = Fault("late_orders");
+    if (fault == nullptr) {
+      return {};
+    }
+    const bool is_slow =
+      !fault->contains("slow") || m_late_orders++ < fault->value("slow", 0);
+    const auto ms = fault->value(is_slow ? "ms" : "later_ms", std::int64_t(0));
+    return std::chrono::milliseconds(ms);
+  }
+
   net::HttpHeaders HeadersOf(const net::HttpRequest& aRequest) const
   {
     net::HttpHeaders headers;
@@ -274,6 +289,7 @@
   std::uint64_t m_arrived = 0; ///< Requests, with the refused.
   std::uint64_t m_active = 0;
   std::uint64_t m_cut = 0;
+  int m_late_orders = 0;
 };
 
 } // namespace
--- a/standin/stale_weights_deadlines_test.cpp
+++ b/standin/stale_weights_deadlines_test.cpp
@@ -159,3 +159,30 @@
     LONGS_EQUAL(1, deployment->Stats(aTarget).at("orders").size());
   });
 }
+
+// Each copy of an order is carried out after a time of its own, 2 to 12 s. With
+// few copies some targets kept older weights beyond all bounds.
+
+TEST(StaleWeightsDeadlines, ALaterCopyOfAnOrderMayBeCarriedOutFirst)
+{
+  constexpr std::size_t kTargets = 3;
+  deployment = EntryDeployment::Start({ kTargets, 10000ms });
+  for (std::size_t i = 0; i < kTargets; ++i) {
+    deployment->SetFault(
+      "model" + std::to_string(i),
+      "late_orders",
+      { { "ms", 12000 }, { "slow", 4 }, { "later_ms", 1500 } });
+  }
+  named = Clock::now();
+  deployment->PutRow("op", "version/m1", Named(2));
+  CHECK(deployment->Await([&] {
+    for (std::size_t i = 0; i < kTargets; ++i) {
+      const std::string target = "model" + std::to_string(i);
+      if (deployment->Stats(target).at("version") != 2) {
+        return false;
+      }
+    }
+    return true;
+  }));
+  CHECK(Clock::now() - named < 10s);
+}
