Unanswered orders are sent again once they have timed out

Cause: an order that stays unanswered may be carried out 2 to 12 s later, each copy after a time of its own; the target accepts the first. A copy each 2 s was too few. Ruled out: longer time-outs (nothing is known of an order before), more targets at once (an unanswered one frees its place already).

--- a/src/jujubehead/node/control/rollout_coordinator.cpp
+++ b/src/jujubehead/node/control/rollout_coordinator.cpp
@@ -39,9 +39,10 @@
 constexpr core::Duration kFirstPollDelay = std::chrono::milliseconds(700);
 /// Least time between two writes of a roll-out's state; less than kNoticeTime.
 constexpr core::Duration kStateInterval = std::chrono::milliseconds(200);
-/// Resend interval of an unanswered order, in case it was lost; a target
-/// accepts only the first one that arrives.
-constexpr core::Duration kResendInterval = std::chrono::seconds(2);
+/// Resend interval of an unanswered order, in case it was lost or is carried
+/// out seconds later: each copy has a delay of its own, and a target accepts
+/// only the first one.
+constexpr core::Duration kResendInterval = kOrderTimeout;
 /// A target that has not loaded by then is retried later.
 constexpr core::Duration kLoadTimeout = std::chrono::seconds(8);
 constexpr core::Duration kTargetRetryDelay = std::chrono::seconds(1);
@@ -392,7 +393,9 @@
 {
   const auto rollout = m_rollouts.find(aModel);
   const std::size_t loading =
-    rollout == m_rollouts.end() ? 0 : rollout->second.loading.size();
+    rollout == m_rollouts.end()
+      ? 0
+      : rollout->second.loading.size() + rollout->second.unanswered.size();
   return core::RolloutPollInterval(loading);
 }
 
