--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -30,6 +30,9 @@
 /// Nearly all requests finish within this time, even at loaded targets. A
 /// stopping instance with less time left refuses new ones.
 constexpr Duration kUsualMaxDuration = std::chrono::milliseconds(4700);
+/// Sends of suspects with fewer crashes are not logged. One crash makes
+/// suspects of all requests at the target.
+constexpr std::uint32_t kLoggedCrashCount = 2;
 /// `Retry-After` is at most the caller's time left divided by this.
 constexpr int kRetryAfterDivisor = 3;
 
@@ -109,6 +112,21 @@
                                   : m_state.poison.CrashCount(Fingerprint());
 }
 
+void
+ForwardRun::LogSuspect(const FleetTarget& aTarget)
+{
+  const std::uint32_t crash_count = CrashCount();
+  if (crash_count < kLoggedCrashCount) {
+    return;
+  }
+  DecisionLog::WriteUnthrottled(
+    LogLine("suspect_sent")
+      .Add("request", m_metadata.request_id)
+      .Add("fingerprint", core::ToText(Fingerprint()))
+      .Add("target", aTarget.target.id.View())
+      .Add("crashes", std::uint64_t(crash_count)));
+}
+
 void
 ForwardRun::OnCompleted()
 {
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -105,6 +105,8 @@
   [[nodiscard]] bool IsQuarantined();
   /// @return the targets that the request crashed one after the other.
   [[nodiscard]] std::uint32_t CrashCount();
+  /// @brief Logs that a request is sent that crashed targets before.
+  void LogSuspect(const FleetTarget& aTarget);
   /// @brief The target answered completely.
   void OnCompleted();
   AttemptFailure OnRefusal(FleetTarget& aTarget,
