--- a/src/jujubehead/core/routing/poison_requests_model_test.cpp
+++ b/src/jujubehead/core/routing/poison_requests_model_test.cpp
@@ -66,6 +66,7 @@
   bool has_disturbance = true; ///< Of single instances.
   bool loses_racks = false;
   bool restarts_all = false;
+  Duration day = kDay;
 };
 
 struct Result
@@ -151,7 +152,7 @@
 
   Result Run()
   {
-    const Instant end = m_now + kDay;
+    const Instant end = m_now + m_options.day;
     while (m_now < end) {
       m_now += kStep;
       Disturb();
@@ -599,6 +600,21 @@
   }));
 }
 
+// Each instance sends the next copy of a poison request when its quarantine
+// ends, so that a fleet crashes as many targets as it has instances.
+TEST(PoisonRequestsModel, AQuarantineThatEndsCostsFewTargetsInAnyFleet)
+{
+  Options options;
+  options.day = std::chrono::minutes(8); // Beyond the second quarantine.
+  options.shortest_pause = 20;
+  options.longest_pause = 60;
+  options.has_disturbance = false;
+  for (const int instances : { 9, 18, 36 }) {
+    options.instances = instances;
+    CHECK(RunDay(options).late <= kAllowedLate);
+  }
+}
+
 // Targets that are lost by other causes must not make their requests suspects
 // for long, whatever their content.
 TEST(PoisonRequestsModel, WithoutAPoisonRequestNothingIsRefused)
