One probe over all instances when a quarantine ends

Cause: a quarantine ended by time, at all instances at once, and each then sent the copies that it got until the next crash was known to it. Class: what ends after a time, at all instances at once. Its record was removed a minute after the end and an end that had passed dropped the suspect, so that who started later allowed three crashes once more.

Now a quarantine ends only by a complete answer. The instance that receives a copy after the end writes the next quarantine's row on condition that it is unchanged and sends that copy only when the store has acknowledged: whatever is lost, cut, paused or restarted, a probe costs one record, and the next quarantine is in force before the probe is under way. Two probes in all; then the row is renewed without one for as long as copies come.

--- a/include/jujubehead/core/routing/poison_requests.hpp
+++ b/include/jujubehead/core/routing/poison_requests.hpp
@@ -44,12 +44,15 @@
 /// @brief What instances report to each other about suspects.
 using PoisonReport = std::variant<CrashReport, CompletionReport>;
 
-/// @brief A request that is not sent to targets for a time.
+/// @brief A request that is not sent to targets. After `until`, one instance
+/// sends one copy, a probe, once it has recorded the next quarantine.
 struct Quarantine
 {
   RequestFingerprint fingerprint{};
-  Instant until{}; ///< In the past: it is over, the request is no poison.
+  Instant until{};         ///< Instant{}: released, the request is no poison.
   std::uint32_t count = 1; ///< Of the request's quarantines.
+
+  [[nodiscard]] bool IsReleased() const { return until == Instant{}; }
 };
 
 /// @brief Limits of the detection of poison requests.
@@ -58,12 +61,18 @@
   /// Targets that a request crashes one after the other before it is
   /// quarantined. Two may crash by chance while a request is retried.
   std::uint32_t max_crashes = 3;
-  /// After a quarantine, one more crash begins the next one, which is longer by
-  /// `growth`. The first one is short, as many requests have the same content
-  /// where calls have no body.
+  /// Each further quarantine is longer by `growth`. The first one is short, as
+  /// many requests have the same content where calls have no body.
   Duration first_quarantine = std::chrono::minutes(1);
   Duration max_quarantine = std::chrono::hours(1);
   std::uint32_t growth = 5;
+  /// Probes of a request by all instances together. After them it is refused
+  /// for as long as it is sent, or until an operator removes its record.
+  std::uint32_t max_probes = 2;
+  /// A quarantine is forgotten when nobody has sent the request for this time
+  /// after its end. With less, a request that is sent now and then would crash
+  /// `max_crashes` targets again each time.
+  Duration quarantine_retention = std::chrono::hours(24);
   /// A suspect is forgotten after this time without a crash.
   Duration suspect_ttl = std::chrono::minutes(10);
   /// Interval of the reports of complete answers of a request, by all instances
@@ -102,8 +111,8 @@
 
   /// @brief Applies a report of this or of another instance.
   Outcome OnReport(const PoisonReport& aReport, Instant aNow);
-  /// @brief A quarantine was read from its record, or, with an end in the past,
-  /// its record was removed.
+  /// @brief A quarantine was read from its record or, if it is released, its
+  /// record was removed.
   void OnRecorded(const Quarantine& aQuarantine, Instant aNow);
 
   /// @return whether there is no suspect, so that no request needs its
@@ -117,13 +126,19 @@
   /// @return the targets that a request crashed one after the other since it
   /// was last answered.
   [[nodiscard]] std::uint32_t CrashCount(RequestFingerprint aFingerprint) const;
-  /// @return until when the request is not sent to targets; nothing when it may
-  /// be sent.
+  /// @return until when no probe of the request is sent, which may be in the
+  /// past; nothing when it is not in quarantine.
   [[nodiscard]] std::optional<Instant> QuarantinedUntil(
+    RequestFingerprint aFingerprint) const;
+  /// @return the quarantine to record before a probe is sent; nothing before
+  /// the end of the current one.
+  [[nodiscard]] std::optional<Quarantine> NextQuarantine(
     RequestFingerprint aFingerprint,
     Instant aNow) const;
+  /// @return whether a probe may be sent at the begin of a quarantine.
+  [[nodiscard]] bool AllowsProbe(const Quarantine& aBegun) const;
   /// @return the number of requests in quarantine.
-  [[nodiscard]] std::size_t Quarantined(Instant aNow) const;
+  [[nodiscard]] std::size_t Quarantined() const;
   [[nodiscard]] std::size_t Suspects() const { return m_suspects.size(); }
   /// @brief Forgets suspects whose time is over.
   void Tick(Instant aNow);
--- a/include/jujubehead/core/routing/quarantine_records.hpp
+++ b/include/jujubehead/core/routing/quarantine_records.hpp
@@ -11,7 +11,7 @@
 
 #include "jujubehead/core/remote_clock.hpp"            // for RemoteClock
 #include "jujubehead/core/routing/poison_requests.hpp" // for Quarantine
-#include "jujubehead/core/runtime_clock.hpp"           // for Instant
+#include "jujubehead/core/runtime_clock.hpp"           // for Instant, Duration
 
 namespace jujubehead::core {
 
@@ -29,12 +29,17 @@
 ///
 /// All instances learn of a quarantine at about the same time; the first one in
 /// an order that depends on the row writes it, the next one when that fails.
+/// Further quarantines begin with a write of the instance that sends the probe.
 class QuarantineRecords
 {
 public:
   /// @param aStoreClock the clock of the operators' store.
-  explicit QuarantineRecords(const RemoteClock& aStoreClock)
+  /// @param aRetention a row is removed this long after its quarantine's end.
+  explicit QuarantineRecords(
+    const RemoteClock& aStoreClock,
+    Duration aRetention = PoisonRequestsOptions().quarantine_retention)
     : m_store_clock(aStoreClock)
+    , m_retention(aRetention)
   {
   }
 
@@ -42,8 +47,8 @@
   void OnQuarantine(const Quarantine& aQuarantine, Instant aNow);
   /// @brief A row was read or written.
   /// @param aValue nothing: it was removed.
-  /// @return the quarantine that it records, if it is a valid row; one with an
-  /// end in the past if it was removed.
+  /// @return the quarantine that it records, if it is a valid row; a released
+  /// one if it was removed.
   std::optional<Quarantine> OnRow(std::string_view aKey,
                                   const std::optional<std::string>& aValue,
                                   std::uint64_t aVersion,
@@ -52,6 +57,12 @@
   void BeginAll(Instant aNow);
   /// @return whether a key is of a row of this kind.
   [[nodiscard]] static bool IsKey(std::string_view aKey);
+  /// @param aNext the quarantine to begin.
+  /// @return the write that begins it; nothing if another instance has begun
+  /// it, or the store's clock is not known.
+  [[nodiscard]] std::optional<QuarantineRowWrite> NextQuarantineWrite(
+    const Quarantine& aNext,
+    Instant aNow) const;
   /// @param aRankOf this instance's rank, from 0, in an order of all instances
   /// by a row's key.
   /// @return the next write that is due, if any.
@@ -66,14 +77,19 @@
     std::uint32_t count = 1;
     Instant changed{}; ///< When `until` was set.
     std::optional<RemoteMs> recorded;
+    std::uint32_t recorded_count = 0;
     std::uint64_t version = 0; ///< Of the row; 0: there is none.
   };
 
   /// @return since when a write is due; nothing if the row is right.
   [[nodiscard]] std::optional<Instant> DueSince(const Record& aRecord,
                                                 Instant aNow) const;
+  /// @return the value of a row; nothing if the store's clock is not known.
+  [[nodiscard]] std::optional<std::string> ValueOf(Instant aUntil,
+                                                   std::uint32_t aCount) const;
 
   const RemoteClock& m_store_clock;
+  Duration m_retention;
   std::map<RequestFingerprint, Record> m_records;
 };
 
--- a/include/jujubehead/node/forward/entry_options.hpp
+++ b/include/jujubehead/node/forward/entry_options.hpp
@@ -5,8 +5,9 @@
 #include <string>  // for string
 #include <vector>  // for vector
 
-#include "jujubehead/core/ids.hpp"                      // for InstanceId
-#include "jujubehead/core/routing/homes.hpp"            // for DataCentreRegions
+#include "jujubehead/core/ids.hpp"                     // for InstanceId
+#include "jujubehead/core/routing/homes.hpp"           // for DataCentreRegions
+#include "jujubehead/core/routing/poison_requests.hpp" // for PoisonRequestsOptions
 #include "jujubehead/core/routing/target_directory.hpp" // for TargetDirectoryOptions
 #include "jujubehead/core/routing/windowed_retry_budget.hpp" // for WindowedRetryBudgetOptions
 #include "jujubehead/core/runtime_clock.hpp"                 // for Duration
@@ -33,6 +34,7 @@
   double capacity = 0;
   core::WindowedRetryBudgetOptions repeats;
   core::TargetDirectoryOptions registry;
+  core::PoisonRequestsOptions poison;
   /// Longest time between SIGTERM and exit.
   core::Duration stop_grace = std::chrono::seconds(8);
   /// Least time between orders of different instances to targets.
--- a/src/jujubehead/app/command_specs.cpp
+++ b/src/jujubehead/app/command_specs.cpp
@@ -46,6 +46,7 @@
         "retry_share",
         "retry_fixed",
         "retry_window",
+        "first_quarantine",
         "stop_grace",
         "lease_time",
         "weights_time",
--- a/src/jujubehead/app/flags.cpp
+++ b/src/jujubehead/app/flags.cpp
@@ -94,6 +94,10 @@
               "requests sent once more that are allowed besides, in "
               "--retry_window, of all instances together");
 DEFINE_uint32(retry_window, 10, "seconds over which the retries are counted");
+DEFINE_uint32(first_quarantine,
+              60,
+              "seconds for which a request that crashed three targets is not "
+              "sent to any; later ones are longer");
 DEFINE_uint32(stop_grace, 8, "seconds from SIGTERM to the end at the latest");
 DEFINE_uint32(lease_time,
               3000,
@@ -191,6 +195,7 @@
   values.retry_share = FLAGS_retry_share;
   values.retry_fixed = FLAGS_retry_fixed;
   values.retry_window = FLAGS_retry_window;
+  values.first_quarantine = FLAGS_first_quarantine;
   values.stop_grace = FLAGS_stop_grace;
   values.lease_time = FLAGS_lease_time;
   values.weights_time = FLAGS_weights_time;
--- a/src/jujubehead/app/flags.hpp
+++ b/src/jujubehead/app/flags.hpp
@@ -53,6 +53,7 @@
   double retry_share = 0;
   double retry_fixed = 0;
   std::uint32_t retry_window = 0;
+  std::uint32_t first_quarantine = 0;
   std::uint32_t stop_grace = 0;
   std::uint32_t lease_time = 0;
   std::uint32_t weights_time = 0;
--- a/src/jujubehead/core/routing/poison_requests.cpp
+++ b/src/jujubehead/core/routing/poison_requests.cpp
@@ -67,7 +67,7 @@
   if (BeginsQuarantine(suspect, aReport)) {
     const Instant until = aReport.crashed + LengthOf(++suspect.quarantines);
     suspect.quarantined_until = until;
-    suspect.expires = until + m_options.suspect_ttl;
+    suspect.expires = until + m_options.quarantine_retention;
     outcome.quarantine =
       Quarantine{ aReport.fingerprint, until, suspect.quarantines };
   }
@@ -89,8 +89,9 @@
   });
   Count(suspect);
   Outcome outcome{ true, std::nullopt };
-  if (suspect.quarantined_until > aNow) {
+  if (suspect.quarantines > 0) {
     outcome.quarantine = Quarantine{ aReport.fingerprint, Instant{} };
+    suspect.expires = aNow + m_options.suspect_ttl;
   }
   suspect.quarantined_until = {};
   suspect.quarantines = 0;
@@ -100,19 +101,25 @@
 void
 PoisonRequests::OnRecorded(const Quarantine& aQuarantine, Instant aNow)
 {
-  if (aQuarantine.until <= aNow) {
+  if (aQuarantine.IsReleased()) {
     m_suspects.erase(aQuarantine.fingerprint);
     return;
   }
+  const Instant expires = aQuarantine.until + m_options.quarantine_retention;
+  if (expires <= aNow) {
+    return;
+  }
   if (!m_suspects.contains(aQuarantine.fingerprint)) {
     MakeRoom(aNow);
   }
   Suspect& suspect = m_suspects[aQuarantine.fingerprint];
+  if (suspect.completed >= aQuarantine.until - LengthOf(aQuarantine.count)) {
+    return; // Answered since it began; its record is about to be removed.
+  }
   suspect.quarantined_until =
     std::max(suspect.quarantined_until, aQuarantine.until);
   suspect.quarantines = std::max(suspect.quarantines, aQuarantine.count);
-  suspect.expires =
-    std::max(suspect.expires, aQuarantine.until + m_options.suspect_ttl);
+  suspect.expires = std::max(suspect.expires, expires);
 }
 
 /// Counts runs of which each began after the target of the one before had
@@ -178,22 +185,39 @@
 }
 
 std::optional<Instant>
-PoisonRequests::QuarantinedUntil(RequestFingerprint aFingerprint,
-                                 Instant aNow) const
+PoisonRequests::QuarantinedUntil(RequestFingerprint aFingerprint) const
 {
   const auto found = m_suspects.find(aFingerprint);
-  if (found == m_suspects.end() || found->second.quarantined_until <= aNow) {
+  if (found == m_suspects.end() || found->second.quarantines == 0) {
     return std::nullopt;
   }
   return found->second.quarantined_until;
 }
 
+std::optional<Quarantine>
+PoisonRequests::NextQuarantine(RequestFingerprint aFingerprint,
+                               Instant aNow) const
+{
+  const auto until = QuarantinedUntil(aFingerprint);
+  if (!until || *until > aNow) {
+    return std::nullopt;
+  }
+  const std::uint32_t count = m_suspects.at(aFingerprint).quarantines + 1;
+  return Quarantine{ aFingerprint, aNow + LengthOf(count), count };
+}
+
+bool
+PoisonRequests::AllowsProbe(const Quarantine& aBegun) const
+{
+  return aBegun.count <= 1 + m_options.max_probes; // The first has no probe.
+}
+
 std::size_t
-PoisonRequests::Quarantined(Instant aNow) const
+PoisonRequests::Quarantined() const
 {
   return static_cast<std::size_t>(
-    std::count_if(m_suspects.begin(), m_suspects.end(), [&](const auto& aOne) {
-      return aOne.second.quarantined_until > aNow;
+    std::count_if(m_suspects.begin(), m_suspects.end(), [](const auto& aOne) {
+      return aOne.second.quarantines > 0;
     }));
 }
 
--- a/src/jujubehead/core/routing/quarantine_records.cpp
+++ b/src/jujubehead/core/routing/quarantine_records.cpp
@@ -1,6 +1,6 @@
 #include "jujubehead/core/routing/quarantine_records.hpp"
 
-#include <algorithm> // for min
+#include <algorithm> // for max, min
 #include <charconv>  // for from_chars
 #include <utility>   // for pair
 
@@ -20,8 +20,6 @@
 /// Ends of a quarantine that differ by less are the same: each instance
 /// computes it from when it learned of the crash.
 constexpr Duration kSameEnd = std::chrono::seconds(5);
-/// A row is removed only when its time is surely over for every instance.
-constexpr Duration kRemovalDelay = std::chrono::minutes(1);
 
 std::string
 KeyOf(RequestFingerprint aFingerprint)
@@ -96,6 +94,7 @@
     record.recorded.reset();
     return std::nullopt;
   }
+  record.recorded_count = *count;
   const auto until = m_store_clock.LatestTimeOf(*record.recorded, aNow);
   if (!until) {
     return std::nullopt;
@@ -109,7 +108,7 @@
   Instant recorded_end{}; // As if nothing were recorded.
   if (aRecord.recorded) {
     recorded_end = m_store_clock.LatestTimeOf(*aRecord.recorded, aNow)
-                     .value_or(Instant::max() - kRemovalDelay);
+                     .value_or(Instant::max() - m_retention);
   }
   if (aRecord.until && *aRecord.until > aNow) {
     const bool is_recorded = recorded_end >= *aRecord.until - kSameEnd;
@@ -119,7 +118,7 @@
     return std::nullopt;
   }
   const bool was_released = aRecord.until && *aRecord.until == Instant{};
-  return was_released ? aRecord.changed : recorded_end + kRemovalDelay;
+  return was_released ? aRecord.changed : recorded_end + m_retention;
 }
 
 std::optional<QuarantineRowWrite>
@@ -142,16 +141,48 @@
     write.key = std::move(key);
     write.expected_version = record.version;
     if (record.until && *record.until > aNow) {
-      const auto until = m_store_clock.UpperBoundAt(*record.until);
-      if (!until) {
+      write.value = ValueOf(*record.until, record.count);
+      if (!write.value) {
         continue;
       }
-      write.value =
-        std::to_string(*until) + kSeparator + std::to_string(record.count);
     }
     return write;
   }
   return std::nullopt;
 }
 
+std::optional<QuarantineRowWrite>
+QuarantineRecords::NextQuarantineWrite(const Quarantine& aNext,
+                                       Instant aNow) const
+{
+  QuarantineRowWrite write;
+  write.fingerprint = aNext.fingerprint;
+  write.key = KeyOf(aNext.fingerprint);
+  std::uint32_t count = aNext.count;
+  const auto found = m_records.find(aNext.fingerprint);
+  if (found != m_records.end()) {
+    const Record& record = found->second;
+    write.expected_version = record.version;
+    if (record.recorded) {
+      const auto end = m_store_clock.LatestTimeOf(*record.recorded, aNow);
+      if (!end || *end > aNow) {
+        return std::nullopt;
+      }
+      count = std::max(count, record.recorded_count + 1);
+    }
+  }
+  write.value = ValueOf(aNext.until, count);
+  return write.value ? std::optional(write) : std::nullopt;
+}
+
+std::optional<std::string>
+QuarantineRecords::ValueOf(Instant aUntil, std::uint32_t aCount) const
+{
+  const auto until = m_store_clock.UpperBoundAt(aUntil);
+  if (!until) {
+    return std::nullopt;
+  }
+  return std::to_string(*until) + kSeparator + std::to_string(aCount);
+}
+
 } // namespace jujubehead::core
--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -111,7 +111,8 @@
               aForwarder)
   , m_reclaimer(aContext, *m_platform.stores, MakeReclaimerHooks())
   , m_stores(aContext, *m_platform.stores, m_role, MakeStoreHooks())
-  , m_quarantines(m_platform.row_cache->StoreClock())
+  , m_quarantines(m_platform.row_cache->StoreClock(),
+                  aOptions.poison.quarantine_retention)
   , m_poison(aContext,
              m_role,
              [this](std::vector<core::PoisonReport> aReports) {
@@ -130,15 +131,20 @@
 void
 EntryControl::SetPoisonHooks()
 {
-  m_forwarder.SetPoisonHooks(
-    [this](const core::PoisonReport& aReport) {
-      asio::post(m_context, [this, aReport] { m_poison.Report(aReport); });
-    },
-    [this](const core::Quarantine& aQuarantine) {
-      asio::post(m_context, [this, aQuarantine] {
-        m_quarantines.OnQuarantine(aQuarantine, core::RuntimeClock::now());
-      });
+  Forwarder::PoisonHooks hooks;
+  hooks.on_report = [this](const core::PoisonReport& aReport) {
+    asio::post(m_context, [this, aReport] { m_poison.Report(aReport); });
+  };
+  hooks.on_quarantine = [this](const core::Quarantine& aQuarantine) {
+    asio::post(m_context, [this, aQuarantine] {
+      m_quarantines.OnQuarantine(aQuarantine, core::RuntimeClock::now());
     });
+  };
+  hooks.claim_probe = [this](const core::Quarantine& aNext, ProbeReply aReply) {
+    asio::co_spawn(
+      m_context, ClaimProbe(aNext, std::move(aReply)), asio::detached);
+  };
+  m_forwarder.SetPoisonHooks(std::move(hooks));
 }
 
 StoreWatchHooks
@@ -555,6 +561,38 @@
   m_is_writing_quarantine = false;
 }
 
+asio::awaitable<void>
+EntryControl::ClaimProbe(core::Quarantine aNext, ProbeReply aReply)
+{
+  std::optional<core::Quarantine> begun;
+  try {
+    begun = co_await RecordNext(aNext);
+  } catch (const PlatformError& error) {
+    DecisionLog::WriteUnthrottled(
+      LogLine("quarantine_unwritten")
+        .Add("fingerprint", core::ToText(aNext.fingerprint))
+        .Add("why", error.what()));
+  }
+  aReply(begun);
+}
+
+asio::awaitable<std::optional<core::Quarantine>>
+EntryControl::RecordNext(core::Quarantine aNext)
+{
+  const auto write =
+    m_quarantines.NextQuarantineWrite(aNext, core::RuntimeClock::now());
+  if (!write) {
+    co_return std::nullopt;
+  }
+  const auto version = co_await m_platform.shared->Put(
+    write->key, write->value, write->expected_version);
+  if (!version) {
+    co_return std::nullopt; // The changed row comes with the next update.
+  }
+  co_return m_quarantines.OnRow(
+    write->key, write->value, *version, core::RuntimeClock::now());
+}
+
 void
 EntryControl::PublishTargets()
 {
--- a/src/jujubehead/node/control/entry_control.hpp
+++ b/src/jujubehead/node/control/entry_control.hpp
@@ -91,6 +91,13 @@
   /// @brief Starts writing the next quarantine's row that is due, if any.
   void UpdateQuarantines();
   boost::asio::awaitable<void> WriteQuarantine(core::QuarantineRowWrite aWrite);
+  /// @brief Records a request's next quarantine, so that a probe may be sent.
+  boost::asio::awaitable<void> ClaimProbe(core::Quarantine aNext,
+                                          ProbeReply aReply);
+  /// @return the quarantine as recorded; nothing if another instance has.
+  /// @throws PlatformError
+  boost::asio::awaitable<std::optional<core::Quarantine>> RecordNext(
+    core::Quarantine aNext);
   void SetPoisonHooks();
   void PublishTargets();
   StoreWatchHooks MakeStoreHooks();
--- a/src/jujubehead/node/forward/forward_attempt.cpp
+++ b/src/jujubehead/node/forward/forward_attempt.cpp
@@ -172,6 +172,7 @@
   const TargetCall call = BuildCall(aTarget);
   m_last_weights = call.weight_version;
   LogSuspect(aTarget);
+  m_probe.reset(); // From here on it may crash the target.
   aExchange.Send(
     FormatTargetRequest(m_state.header_codec, m_session->Request(), call));
   StartStallTimer(aTarget);
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -4,6 +4,11 @@
 #include <cmath>     // for lround
 #include <utility>   // for move
 
+#include <boost/asio/as_tuple.hpp>      // for as_tuple
+#include <boost/asio/use_awaitable.hpp> // for use_awaitable
+
+#include "jujubehead/net/timer.hpp" // for Timer
+
 namespace jujubehead::node {
 namespace {
 
@@ -30,6 +35,9 @@
 /// Nearly all requests finish within this time, even at loaded targets. A
 /// stopping instance with less time left refuses new ones.
 constexpr Duration kUsualMaxDuration = std::chrono::milliseconds(4700);
+/// The operators' store usually answers a claim of a probe within some
+/// milliseconds. One that is granted later is left to the next copy.
+constexpr Duration kClaimTimeout = std::chrono::seconds(1);
 /// Sends of suspects with fewer crashes are not logged. One crash makes
 /// suspects of all requests at the target.
 constexpr std::uint32_t kLoggedCrashCount = 2;
@@ -98,13 +106,44 @@
   if (m_state.poison.IsEmpty()) {
     return false;
   }
-  const core::Instant now = core::RuntimeClock::now();
-  const auto until = m_state.poison.QuarantinedUntil(Fingerprint(), now);
-  m_is_quarantined = until.has_value();
-  m_available_in = until ? *until - now : Duration(0);
+  const auto until = m_state.poison.QuarantinedUntil(Fingerprint());
+  m_is_quarantined = until && !m_probe;
+  m_available_in = Duration(0);
+  if (m_is_quarantined) {
+    // After its end, it takes a claim and an answer until others are sent.
+    m_available_in = std::max(*until - core::RuntimeClock::now(),
+                              core::ProbeGrants::kClaimInterval);
+  }
   return m_is_quarantined;
 }
 
+asio::awaitable<bool>
+ForwardRun::BecomeProbe()
+{
+  const core::Instant now = core::RuntimeClock::now();
+  m_probe = m_state.probes.Take(Fingerprint(), now);
+  if (m_probe) {
+    co_return true;
+  }
+  const auto next = m_state.poison.NextQuarantine(Fingerprint(), now);
+  if (!next || Candidates().empty() ||
+      !m_state.probes.TryToClaim(Fingerprint(), now)) {
+    co_return false;
+  }
+  auto timeout =
+    std::make_shared<net::Timer>(m_session->Executor(), kClaimTimeout);
+  m_state.claim_probe(
+    *next, [&state = m_state, timeout](std::optional<core::Quarantine> aBegun) {
+      if (aBegun) {
+        state.OnQuarantineRecorded(*aBegun);
+      }
+      timeout->cancel();
+    });
+  co_await timeout->async_wait(asio::as_tuple(asio::use_awaitable));
+  m_probe = m_state.probes.Take(Fingerprint(), core::RuntimeClock::now());
+  co_return m_probe.has_value();
+}
+
 std::uint32_t
 ForwardRun::CrashCount()
 {
@@ -116,7 +155,7 @@
 ForwardRun::LogSuspect(const FleetTarget& aTarget)
 {
   const std::uint32_t crash_count = CrashCount();
-  if (crash_count < kLoggedCrashCount) {
+  if (crash_count < kLoggedCrashCount && !m_probe) {
     return;
   }
   DecisionLog::WriteUnthrottled(
@@ -124,7 +163,8 @@
       .Add("request", m_metadata.request_id)
       .Add("fingerprint", core::ToText(Fingerprint()))
       .Add("target", aTarget.target.id.View())
-      .Add("crashes", std::uint64_t(crash_count)));
+      .Add("crashes", std::uint64_t(crash_count))
+      .Add("probe", m_probe ? "yes" : "no"));
 }
 
 void
@@ -230,6 +270,9 @@
   }
   m_state.BudgetOf(m_service).OnRequest(core::RuntimeClock::now());
   co_await Forward();
+  if (m_probe) { // It was not sent.
+    m_state.probes.Put(*m_probe);
+  }
   m_deadline_timer.Clear();
   m_session->OnDisconnect(nullptr);
   if (m_session->IsDisconnected()) {
@@ -244,9 +287,12 @@
   AttemptOutcome last = AttemptOutcome::kNotSent;
   for (;;) {
     if (IsQuarantined()) {
-      m_last_error = "request crashes its targets, in quarantine";
-      co_await Finish(core::StepWithoutRetry(last, m_history));
-      co_return;
+      const bool is_probe = m_history.sends == 0 && co_await BecomeProbe();
+      if (!is_probe) {
+        m_last_error = "request crashes its targets, in quarantine";
+        co_await Finish(core::StepWithoutRetry(last, m_history));
+        co_return;
+      }
     }
     m_history.has_time = TimeLeft() > kMinTimeLeft;
     const auto target = m_history.has_time ? ChooseTarget() : nullptr;
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -11,9 +11,10 @@
 
 #include <boost/asio/awaitable.hpp> // for awaitable
 
-#include "jujubehead/core/routing/attempt_plan.hpp" // for AttemptHistory
-#include "jujubehead/core/routing/homes.hpp"        // for Homes
-#include "jujubehead/core/routing/placement.hpp"    // for PlacementCandidate
+#include "jujubehead/core/routing/attempt_plan.hpp"    // for AttemptHistory
+#include "jujubehead/core/routing/homes.hpp"           // for Homes
+#include "jujubehead/core/routing/placement.hpp"       // for PlacementCandidate
+#include "jujubehead/core/routing/poison_requests.hpp" // for Quarantine
 #include "jujubehead/core/routing/request_fingerprint.hpp" // for RequestFingerprint
 #include "jujubehead/net/deadline.hpp"                     // for Deadline
 #include "jujubehead/net/http1/event_cutter.hpp"           // for EventCutter
@@ -103,6 +104,10 @@
   [[nodiscard]] core::RequestFingerprint Fingerprint();
   /// @return whether the request crashes its targets and is not sent to more.
   [[nodiscard]] bool IsQuarantined();
+  /// @brief Makes the request the probe of its quarantine, if that is over and
+  /// no other copy is.
+  /// @return whether it may be sent.
+  boost::asio::awaitable<bool> BecomeProbe();
   /// @return the targets that the request crashed one after the other.
   [[nodiscard]] std::uint32_t CrashCount();
   /// @brief Logs that a request is sent that crashed targets before.
@@ -172,6 +177,8 @@
   /// backoff take requests again, or its quarantine ends; 0: unknown.
   core::Duration m_available_in{};
   bool m_is_quarantined = false; ///< As IsQuarantined() found last.
+  /// Set while the request may be sent although it is in quarantine.
+  std::optional<core::Quarantine> m_probe;
   std::string m_last_target;
   /// Expected weight version of the last target.
   std::optional<std::uint64_t> m_last_weights;
--- a/src/jujubehead/node/forward/forward_state.hpp
+++ b/src/jujubehead/node/forward/forward_state.hpp
@@ -6,6 +6,7 @@
 #include <functional>    // for function
 #include <map>           // for map
 #include <memory>        // for shared_ptr
+#include <optional>      // for optional
 #include <random>        // for mt19937_64
 #include <string>        // for string
 #include <unordered_map> // for unordered_map
@@ -17,6 +18,7 @@
 #include "jujubehead/core/routing/configuration.hpp"     // for Configuration
 #include "jujubehead/core/routing/load_reports.hpp"      // for LoadReports
 #include "jujubehead/core/routing/poison_requests.hpp"   // for PoisonRequests
+#include "jujubehead/core/routing/probe_grants.hpp"      // for ProbeGrants
 #include "jujubehead/core/routing/windowed_retry_budget.hpp" // for WindowedRetryBudget
 #include "jujubehead/core/weights/rollout.hpp"       // for DesiredWeights
 #include "jujubehead/node/forward/entry_options.hpp" // for EntryOptions
@@ -29,6 +31,9 @@
 
 namespace jujubehead::node {
 
+/// @brief Takes the quarantine that was recorded for a probe, if any.
+using ProbeReply = std::function<void(std::optional<core::Quarantine>)>;
+
 /// @brief State shared by the requests of the traffic thread. Accessed by that
 /// thread only.
 struct ForwardState
@@ -41,6 +46,7 @@
     , header_codec(aHeaderCodec)
     , metrics(aMetrics)
     , log(aLog)
+    , poison(aOptions.poison)
     , random(std::random_device{}())
   {
   }
@@ -73,7 +79,7 @@
     const auto outcome = poison.OnReport(aReport, now);
     suspects = poison.Suspects();
     if (outcome.quarantine) {
-      quarantined = poison.Quarantined(now);
+      quarantined = poison.Quarantined();
       LogQuarantine(*outcome.quarantine);
       on_quarantine(*outcome.quarantine);
     }
@@ -82,24 +88,35 @@
     }
   }
 
-  /// @brief Forgets suspects and ends quarantines whose time is over.
+  /// @brief Forgets suspects and quarantines whose time is over.
   void TickPoison()
   {
     const core::Instant now = core::RuntimeClock::now();
     poison.Tick(now);
+    probes.Tick(now);
     suspects = poison.Suspects();
-    quarantined = poison.Quarantined(now);
+    quarantined = poison.Quarantined();
+  }
+
+  /// @brief This instance has recorded the next quarantine of a request.
+  void OnQuarantineRecorded(const core::Quarantine& aBegun)
+  {
+    poison.OnRecorded(aBegun, core::RuntimeClock::now());
+    if (poison.AllowsProbe(aBegun)) {
+      probes.Put(aBegun);
+    }
+    LogQuarantine(aBegun);
   }
 
   void LogQuarantine(const core::Quarantine& aQuarantine) const
   {
-    const core::Instant now = core::RuntimeClock::now();
-    const bool is_over = aQuarantine.until <= now;
+    const bool is_over = aQuarantine.IsReleased();
     LogLine line(is_over ? "quarantine_ended" : "quarantine_begun");
     line.Add("fingerprint", core::ToText(aQuarantine.fingerprint));
     if (!is_over) {
       line.Add("crashes", poison.CrashCount(aQuarantine.fingerprint))
-        .Add("lasts", aQuarantine.until - now);
+        .Add("count", std::uint64_t(aQuarantine.count))
+        .Add("lasts", aQuarantine.until - core::RuntimeClock::now());
     }
     DecisionLog::WriteUnthrottled(line);
   }
@@ -114,9 +131,16 @@
   bool shares_loads = false; ///< Whether other instances ask for loads.
   core::LoadReports pending_load_reports; ///< Not sent to them yet.
   core::PoisonRequests poison;
+  core::ProbeGrants probes;
   /// Passes this instance's reports on to the others.
   std::function<void(const core::PoisonReport&)> on_poison_report =
     [](const core::PoisonReport&) {};
+  /// Records a request's next quarantine, in order to send a probe, and calls
+  /// the function on the traffic thread; nothing if that had no effect.
+  std::function<void(const core::Quarantine&, ProbeReply)> claim_probe =
+    [](const core::Quarantine&, const ProbeReply& aReply) {
+      aReply(std::nullopt);
+    };
   /// Records that a quarantine began or is over.
   std::function<void(const core::Quarantine&)> on_quarantine =
     [](const core::Quarantine&) {};
--- a/src/jujubehead/node/forward/forwarder.cpp
+++ b/src/jujubehead/node/forward/forwarder.cpp
@@ -285,17 +285,20 @@
 }
 
 void
-Forwarder::SetPoisonHooks(
-  std::function<void(const core::PoisonReport&)> aOnReport,
-  std::function<void(const core::Quarantine&)> aOnQuarantine)
+Forwarder::SetPoisonHooks(PoisonHooks aHooks)
 {
-  asio::post(m_context,
-             [this,
-              on_report = std::move(aOnReport),
-              on_quarantine = std::move(aOnQuarantine)] {
-               m_state.on_poison_report = on_report;
-               m_state.on_quarantine = on_quarantine;
-             });
+  asio::post(m_context, [this, hooks = std::move(aHooks)] {
+    m_state.on_poison_report = hooks.on_report;
+    m_state.on_quarantine = hooks.on_quarantine;
+    m_state.claim_probe = [this, claim = hooks.claim_probe](
+                            const core::Quarantine& aNext, ProbeReply aReply) {
+      claim(aNext,
+            [this, reply = std::move(aReply)](
+              std::optional<core::Quarantine> aBegun) {
+              asio::post(m_context, [reply, aBegun] { reply(aBegun); });
+            });
+    };
+  });
 }
 
 void
--- a/src/jujubehead/node/forward/forwarder.hpp
+++ b/src/jujubehead/node/forward/forwarder.hpp
@@ -80,12 +80,17 @@
     std::function<void(std::vector<core::TargetLoadReport>)> aOnPending);
   /// @brief Sets this instance's share of the fleet's fixed retries.
   void SetRetryShare(double aShare, core::Instant aUntil);
-  /// @brief Sets who passes this instance's reports about suspects on to the
-  /// other instances, and who records quarantines.
-  /// @param aOnReport, aOnQuarantine called on the traffic thread.
-  void SetPoisonHooks(
-    std::function<void(const core::PoisonReport&)> aOnReport,
-    std::function<void(const core::Quarantine&)> aOnQuarantine);
+  /// Called on the traffic thread.
+  struct PoisonHooks
+  {
+    /// Passes this instance's reports about suspects on to the other instances.
+    std::function<void(const core::PoisonReport&)> on_report;
+    /// Records that a quarantine began or is over.
+    std::function<void(const core::Quarantine&)> on_quarantine;
+    /// Records a request's next quarantine; the reply may come on any thread.
+    std::function<void(const core::Quarantine&, ProbeReply)> claim_probe;
+  };
+  void SetPoisonHooks(PoisonHooks aHooks);
   /// @brief Applies other instances' reports about suspects.
   void OnPoisonReports(std::vector<core::PoisonReport> aReports);
   void OnRecordedQuarantine(core::Quarantine aQuarantine);
--- a/src/jujubehead/node/forward/target_choice.cpp
+++ b/src/jujubehead/node/forward/target_choice.cpp
@@ -171,8 +171,8 @@
   // together from one crashed target to the next, those that are no poison with
   // the one that is.
   const auto hash = static_cast<std::uint64_t>(Fingerprint());
-  return CrashCount() > 1 ? core::PlaceByLoad(hash, aCandidates)
-                          : core::PlacePrompt(hash, aCandidates);
+  return m_probe || CrashCount() > 1 ? core::PlaceByLoad(hash, aCandidates)
+                                     : core::PlacePrompt(hash, aCandidates);
 }
 
 void
@@ -212,7 +212,7 @@
     candidates.push_back(candidate);
   }
   m_state.shares[m_service].AddSample(own, all);
-  if (CrashCount() > 0) {
+  if (m_probe || CrashCount() > 0) {
     const auto index = PlaceSuspect(candidates);
     return index ? targets[*index] : nullptr;
   }
--- a/standin/entry_deployment.cpp
+++ b/standin/entry_deployment.cpp
@@ -161,6 +161,7 @@
     m_options.table_service = m_stand_ins.at("rows")->Authority();
     m_options.repeats.per_request = 100;
     m_options.weights_time = aOptions.weights_time;
+    m_options.poison.first_quarantine = aOptions.first_quarantine;
     Restart();
   }
 
--- a/standin/entry_deployment.hpp
+++ b/standin/entry_deployment.hpp
@@ -22,6 +22,7 @@
   /// As in node::EntryOptions.
   std::chrono::milliseconds weights_time = std::chrono::seconds(10);
   std::size_t instances = 1; ///< They know each other.
+  std::chrono::seconds first_quarantine{ 60 };
 };
 
 /// @brief Entry instances and the stand-ins of the platform that they need, in
