scripts/soak: a seeded soak with processes that counts both rules at the targets

Counted at the targets: arrivals of the poison request 3 s after the third crash from instances undisturbed for 3 s (at most 3), and retries over all instances in each window against the budget.

The proxy refuses connections while its target does, so that the end of a process looks as without it.

--- /dev/null
+++ b/scripts/lib/soak_retries.awk
@@ -0,0 +1,33 @@
+# Arrivals at a service beyond the first of each request, in any window, against
+# `share` of the requests for it, in that window, in the one before it or in the
+# one half a window before it, whichever has most, plus `fixed`.
+# Reads callers.log, arrivals.
+function requests_in(service, from, to,    i, n) {
+  n = 0
+  for (i = 1; i <= sent_count[service]; ++i) n += sent[service, i] > from && sent[service, i] <= to
+  return n
+}
+function max(one, other) { return one > other ? one : other }
+FILENAME ~ /callers.log$/ && $2 == "sent" {
+  service = $3 == "call" ? "plain" : "models"
+  sent[service, ++sent_count[service]] = $1
+}
+FILENAME ~ /arrivals$/ && seen[$2, $4]++ { retry[$4, ++retry_count[$4]] = $1 }
+FILENAME ~ /arrivals$/ { ++arrived }
+END {
+  for (service in retry_count) {
+    worst = -1e9
+    first = 1
+    for (i = 1; i <= retry_count[service]; ++i) {
+      at = retry[service, i]
+      while (retry[service, first] <= at - window) ++first
+      requests = max(requests_in(service, at - window, at),
+        max(requests_in(service, at - 1.5 * window, at - 0.5 * window), requests_in(service, at - 2 * window, at - window)))
+      over = i - first + 1 - (share * requests + fixed)
+      if (over > worst) { worst = over; most = i - first + 1; allowed = share * requests + fixed }
+    }
+    printf "   %s: %d retries in all, at most %d in a window in which %d are allowed\n", service, retry_count[service], most, allowed
+    broken += worst > 0
+  }
+  exit !(arrived && !broken)
+}
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -10,7 +10,10 @@
 #include <boost/asio/signal_set.hpp> // for signal_set
 #include <gflags/gflags.h>           // for DEFINE_string
 
-#include "standin/stand_in.hpp" // for StandIn
+#include "standin/face.hpp"         // for NowMs
+#include "standin/fault_proxy.hpp"  // for FaultProxy
+#include "standin/load_callers.hpp" // for LoadCallers
+#include "standin/stand_in.hpp"     // for StandIn
 
 DEFINE_string(address, "127.0.0.1", "Address to listen at");
 DEFINE_int32(port, 0, "Port to listen at; 0: any free one");
@@ -41,10 +44,23 @@
 DEFINE_string(id, "service-1", "service, registered: its id");
 DEFINE_string(registered_model, "", "registered: its model; empty: none");
 DEFINE_int64(work_ms, 0, "service: time that a call takes");
+DEFINE_string(arrivals_file,
+              "",
+              "registered: gets a line for each request: Unix milliseconds, "
+              "X-Attempt-Id, id of the target, service, body");
+DEFINE_string(upstream, "", "proxy: `address:port` to relay to");
+DEFINE_int64(mean_calm_ms, 10000, "proxy: mean time between faults; 0: none");
+DEFINE_int64(max_fault_ms, 5000, "proxy: longest fault");
+DEFINE_string(instances, "", "callers: `address:port` of each, by comma");
+DEFINE_double(requests_per_second, 20, "callers: without poison requests");
+DEFINE_double(poison_per_second, 0, "callers: copies of the poison request");
+DEFINE_string(poison, "", "callers: body of the poison request");
+DEFINE_bool(changes_poison, false, "callers: each copy has another body");
 DEFINE_string(crash_on,
               "",
               "registered: ends when it runs a request whose body has this "
               "text; empty: never");
+DEFINE_int64(crash_after_ms, 0, "registered: time from its begin to the end");
 
 namespace {
 
@@ -55,7 +71,8 @@
 constexpr int kUsageStatus = 2;
 constexpr const char* kUsage =
   "jujubehead-standin "
-  "engine|store|table|objects|members|service|rows|parts|registered [flags]";
+  "engine|store|table|objects|members|service|rows|parts|registered|proxy|"
+  "callers [flags]";
 
 std::vector<std::string>
 SplitByComma(const std::string& aText)
@@ -119,6 +136,24 @@
   return nlohmann::json::parse(file);
 }
 
+/// @return what writes the lines of --arrivals_file, if it is set.
+std::function<void(const jujubehead::net::HttpRequest&)>
+ArrivalLog()
+{
+  if (FLAGS_arrivals_file.empty()) {
+    return {};
+  }
+  auto file = std::make_shared<std::ofstream>(FLAGS_arrivals_file,
+                                              std::ios::app); // Survives runs.
+  const std::string service =
+    FLAGS_registered_model.empty() ? "plain" : "models";
+  return [file, service](const jujubehead::net::HttpRequest& aRequest) {
+    *file << NowMs() << ' '
+          << aRequest.headers.Find("X-Attempt-Id").value_or("-") << ' '
+          << FLAGS_id << ' ' << service << ' ' << aRequest.body << std::endl;
+  };
+}
+
 StandIn
 Create(asio::io_context& aContext, const std::string& aKind)
 {
@@ -156,9 +191,12 @@
     options.id = FLAGS_id;
     options.model = FLAGS_registered_model;
     options.work_ms = FLAGS_work_ms;
+    options.on_arrival = ArrivalLog();
     StandIn target = StandIn::Registered(aContext, options, listen);
     if (!FLAGS_crash_on.empty()) {
-      target.SetFault("crash_on", { { "text", FLAGS_crash_on } });
+      target.SetFault(
+        "crash_on",
+        { { "text", FLAGS_crash_on }, { "after_ms", FLAGS_crash_after_ms } });
     }
     return target;
   }
@@ -179,18 +217,78 @@
   }
 }
 
+FaultProxyOptions
+ProxyFromFlags()
+{
+  FaultProxyOptions options;
+  options.listen = { FLAGS_address, static_cast<std::uint16_t>(FLAGS_port) };
+  options.upstream = FLAGS_upstream;
+  options.seed = FLAGS_seed;
+  options.mean_calm = std::chrono::milliseconds(FLAGS_mean_calm_ms);
+  options.max_fault = std::chrono::milliseconds(FLAGS_max_fault_ms);
+  return options;
+}
+
+LoadCallersOptions
+CallersFromFlags()
+{
+  LoadCallersOptions options;
+  options.instances = SplitByComma(FLAGS_instances);
+  options.requests_per_second = FLAGS_requests_per_second;
+  options.poison_per_second = FLAGS_poison_per_second;
+  options.poison = FLAGS_poison;
+  options.changes_poison = FLAGS_changes_poison;
+  options.seed = FLAGS_seed;
+  return options;
+}
+
+void
+RunUntilSignal(asio::io_context& aContext)
+{
+  asio::signal_set signals(aContext, SIGINT, SIGTERM);
+  signals.async_wait([&](const auto&, int) { aContext.stop(); });
+  aContext.run();
+}
+
+/// Its log, on standard output, has the faults.
+void
+ServeProxy()
+{
+  asio::io_context context(1);
+  FaultProxy proxy(context, ProxyFromFlags(), std::cout);
+  proxy.Start();
+  WriteReadyFile(proxy.Authority());
+  RunUntilSignal(context);
+}
+
+/// Their log, on standard output, has the requests.
+void
+RunCallers()
+{
+  asio::io_context context(1);
+  LoadCallers callers(context, CallersFromFlags(), std::cout);
+  callers.Start();
+  RunUntilSignal(context);
+}
+
 void
 Serve(const std::string& aKind)
 {
+  if (aKind == "proxy") {
+    ServeProxy();
+    return;
+  }
+  if (aKind == "callers") {
+    RunCallers();
+    return;
+  }
   asio::io_context context(1);
   StandIn stand_in = Create(context, aKind);
   stand_in.SetOnCrash([] { std::_Exit(kCrashStatus); });
-  asio::signal_set signals(context, SIGINT, SIGTERM);
-  signals.async_wait([&](const auto&, int) { context.stop(); });
   std::cerr << "jujubehead-standin: " << aKind << " at " << stand_in.Authority()
             << std::endl;
   WriteReadyFile(stand_in.Authority());
-  context.run();
+  RunUntilSignal(context);
 }
 
 } // namespace
--- a/standin/registered_face.cpp
+++ b/standin/registered_face.cpp
@@ -134,6 +134,9 @@
   {
     const net::HttpRequest& request = aExchange.Request();
     ++m_arrived;
+    if (m_options.on_arrival) {
+      m_options.on_arrival(request);
+    }
     net::HttpHeaders headers = HeadersOf(request);
     const json* const fault = Fault("push_back");
     const json push_back = fault != nullptr ? *fault : json();
@@ -149,6 +152,8 @@
     }
     m_runs.push_back(Seen(request));
     if (IsPoison(request.body)) {
+      const auto run_ms = Fault("crash_on")->value("after_ms", 0);
+      co_await Wait(std::chrono::milliseconds(run_ms));
       Crash();
       aExchange.Close();
       co_return;
--- a/standin/stand_in.hpp
+++ b/standin/stand_in.hpp
@@ -9,6 +9,8 @@
 #include <boost/asio/io_context.hpp> // for io_context
 #include <nlohmann/json.hpp>         // for json
 
+#include "jujubehead/net/http_message.hpp" // for HttpRequest
+
 #include "standin/engine_model.hpp" // for EngineOptions
 #include "standin/store_model.hpp"  // for StoreOptions
 #include "standin/table_model.hpp"  // for TableOptions
@@ -40,6 +42,8 @@
   std::uint64_t version = 1; ///< Of its weights.
   std::uint64_t events = 8;  ///< Of each stream.
   std::int64_t work_ms = 0;  ///< Time of a call, or between events.
+  /// Called for each request that arrives, whether it is run or refused.
+  std::function<void(const net::HttpRequest&)> on_arrival;
 };
 
 /// @brief A stand-in that serves on an io_context until it is destroyed.
