What happened before a machine booted counts

Callers would see a poison request crash targets again at an instance on a machine that has booted recently. Class: what starts anew at a restart.

The time is optional now. Evidence: the new test fails before (crash reports and a record from before the boot are ignored) and passes after.

--- a/include/jujubehead/core/routing/poison_requests.hpp
+++ b/include/jujubehead/core/routing/poison_requests.hpp
@@ -147,7 +147,7 @@
   struct Suspect
   {
     std::vector<CrashReport> crashes; ///< Of different targets.
-    Instant completed{};
+    std::optional<Instant> completed;
     Instant quarantined_until{};
     std::uint32_t quarantines = 0;
     Instant expires{};
@@ -156,6 +156,8 @@
 
   Outcome OnCrash(const CrashReport& aReport, Instant aNow);
   Outcome OnCompletion(const CompletionReport& aReport, Instant aNow);
+  [[nodiscard]] static bool HasCompletedSince(const Suspect& aSuspect,
+                                              Instant aTime);
   static void Count(Suspect& aSuspect);
   /// @return whether a crash begins a quarantine.
   [[nodiscard]] bool BeginsQuarantine(const Suspect& aSuspect,
--- a/src/jujubehead/core/routing/poison_requests.cpp
+++ b/src/jujubehead/core/routing/poison_requests.cpp
@@ -56,7 +56,7 @@
     suspect.crashes.begin(), suspect.crashes.end(), [&](const auto& aCrash) {
       return aCrash.target == aReport.target;
     });
-  if (is_known || aReport.crashed <= suspect.completed) {
+  if (is_known || HasCompletedSince(suspect, aReport.crashed)) {
     return {};
   }
   suspect.crashes.push_back(aReport);
@@ -79,7 +79,7 @@
 {
   const auto found = m_suspects.find(aReport.fingerprint);
   if (found == m_suspects.end() ||
-      aReport.completed <= found->second.completed) {
+      HasCompletedSince(found->second, aReport.completed)) {
     return {};
   }
   Suspect& suspect = found->second;
@@ -113,8 +113,9 @@
     MakeRoom(aNow);
   }
   Suspect& suspect = m_suspects[aQuarantine.fingerprint];
-  if (suspect.completed >= aQuarantine.until - LengthOf(aQuarantine.count)) {
-    return; // Answered since it began; its record is about to be removed.
+  const Instant begun = aQuarantine.until - LengthOf(aQuarantine.count);
+  if (HasCompletedSince(suspect, begun)) {
+    return; // Its record is about to be removed.
   }
   suspect.quarantined_until =
     std::max(suspect.quarantined_until, aQuarantine.until);
@@ -122,6 +123,12 @@
   suspect.expires = std::max(suspect.expires, expires);
 }
 
+bool
+PoisonRequests::HasCompletedSince(const Suspect& aSuspect, Instant aTime)
+{
+  return aSuspect.completed && *aSuspect.completed >= aTime;
+}
+
 /// Counts runs of which each began after the target of the one before had
 /// crashed, beginning with the one that ended first.
 void
@@ -173,8 +180,8 @@
 {
   const auto found = m_suspects.find(aFingerprint);
   return found != m_suspects.end() &&
-         (found->second.crash_count > 0 ||
-          aNow - found->second.completed >= m_options.completion_interval);
+         (found->second.crash_count > 0 || !found->second.completed ||
+          aNow - *found->second.completed >= m_options.completion_interval);
 }
 
 std::uint32_t
--- a/src/jujubehead/core/routing/poison_requests_test.cpp
+++ b/src/jujubehead/core/routing/poison_requests_test.cpp
@@ -205,6 +205,17 @@
   CHECK_FALSE(IsQuarantined());
 }
 
+// The clock counts from the machine's boot: what others report, or recorded,
+// from before it has negative times.
+TEST(PoisonRequests, WhatHappenedBeforeAMachineBootedCounts)
+{
+  start = core::Instant{ seconds(5) } - minutes(3);
+  CrashThree();
+  CHECK(IsQuarantined());
+  poison.OnRecorded({ kOther, start + minutes(4), 3 }, start + minutes(3));
+  CHECK(IsQuarantined(kOther));
+}
+
 // An instance of a version that sends without a record, or that could not read
 // the record, crashes a target after the end.
 TEST(PoisonRequests, OneCrashAfterAQuarantineBeginsALongerOne)
