scripts/soak: retries are counted in the order of time, and by binary search

Arrivals are written by several processes, so their lines are not quite in order, and the window's pointer and the first arrival of a request rely on it. A run of 16 instances and 40 targets took over two minutes to count.

--- a/scripts/lib/soak_retries.awk
+++ b/scripts/lib/soak_retries.awk
@@ -1,12 +1,17 @@
 # Arrivals at a service beyond the first of each request, in any window, against
 # `share` of the requests for it, in that window, in the one before it or in the
 # one half a window before it, whichever has most, plus `fixed`.
-# Reads callers.log, arrivals.
-function requests_in(service, from, to,    i, n) {
-  n = 0
-  for (i = 1; i <= sent_count[service]; ++i) n += sent[service, i] > from && sent[service, i] <= to
-  return n
+# Reads callers.log, arrivals, both in the order of time.
+function sent_until(service, time,    low, high, middle) { # by binary search
+  low = 0
+  high = sent_count[service]
+  while (low < high) {
+    middle = int((low + high + 1) / 2)
+    if (sent[service, middle] <= time) low = middle; else high = middle - 1
+  }
+  return low
 }
+function requests_in(service, from, to) { return sent_until(service, to) - sent_until(service, from) }
 function max(one, other) { return one > other ? one : other }
 FILENAME ~ /callers.log$/ && $2 == "sent" {
   service = $3 == "call" ? "plain" : "models"
