Sends that a stopped target reads late count against the retry budget

Cause: a retry was counted when it was sent. What is sent to a process that is stopped, or to a host that does not answer, lies in its socket's buffer and is read when it goes on, also after its connection was closed: then the given-up copies of requests that were answered elsewhere arrive together, beside the retries of that window. Class: a limit over time that counts when something is caused, not when it has effect.

Now a send of a retried request that got no response before it was given up on counts until the target responds to a later request, which shows that it has read its sockets, and for a window from then on; no longer when its process has ended, or after two minutes. A request that is in doubt counts twice meanwhile, so fewer are retried while targets are silent.

--- a/include/jujubehead/core/routing/windowed_retry_budget.hpp
+++ b/include/jujubehead/core/routing/windowed_retry_budget.hpp
@@ -4,7 +4,9 @@
 #include <array>   // for array
 #include <cstddef> // for size_t
 #include <cstdint> // for uint64_t
+#include <map>     // for map
 
+#include "jujubehead/core/ids.hpp"           // for TargetId
 #include "jujubehead/core/runtime_clock.hpp" // for Instant, Duration
 
 namespace jujubehead::core {
@@ -18,6 +20,9 @@
   double per_request = 0.2;
   /// Additional retries allowed in a window, over all instances together.
   double fixed = 1;
+  /// Time after which a target that has not responded since is taken to have
+  /// lost what it was sent.
+  Duration max_delay = std::chrono::minutes(2);
 };
 
 /// @brief Limits the retries in any sliding window to a share of the requests
@@ -28,6 +33,10 @@
 /// share that it was given last, see FleetShare. RetryBudget, in contrast,
 /// limits a long-term share and has no window.
 ///
+/// What is sent to a target that does not respond may be read much later, when
+/// its process goes on, whether its connection was closed or not. Such sends of
+/// retried requests count until the target responds, and for a window after it.
+///
 /// The limit holds over any sliding window because, of the slots counted,
 /// retries include one slot more than a window and requests one fewer.
 class WindowedRetryBudget
@@ -43,6 +52,15 @@
   /// @return whether one more retry may be sent now; counts it if so.
   [[nodiscard]] bool TryToRetry(Instant aNow);
 
+  /// @brief A send of a request that is, or was, retried got no response and
+  /// was given up on.
+  void OnUnanswered(const TargetId& aTarget, Instant aNow);
+  /// @brief A target responded.
+  /// @param aSent when the request of that response was sent.
+  void OnResponse(const TargetId& aTarget, Instant aSent, Instant aNow);
+  /// @brief A target's process ended, and with it what it had not read.
+  void OnGone(const TargetId& aTarget) { m_unanswered.erase(aTarget); }
+
   [[nodiscard]] std::uint64_t Denied() const { return m_denied; }
 
 private:
@@ -55,12 +73,23 @@
     std::uint64_t retries = 0;
   };
 
+  /// Sends to one target that it may still read.
+  struct Unanswered
+  {
+    std::uint64_t sends = 0;
+    Instant last{}; ///< When the last one was given up on.
+  };
+
   void Advance(Instant aNow);
+  /// @return the retries that count now: of the window, and those that targets
+  /// may read from now on.
+  [[nodiscard]] std::uint64_t Retries(Instant aNow);
 
   WindowedRetryBudgetOptions m_options;
   std::array<Slot, kSlots> m_slots{};
   std::int64_t m_number = 0; ///< Of the current slot, since the clock's epoch.
   std::uint64_t m_denied = 0;
+  std::map<TargetId, Unanswered> m_unanswered;
   double m_fixed_share = 0;
   Instant m_share_until{};
 };
--- a/src/jujubehead/core/routing/windowed_retry_budget.cpp
+++ b/src/jujubehead/core/routing/windowed_retry_budget.cpp
@@ -35,6 +35,45 @@
   ++m_slots[static_cast<std::size_t>(m_number) % kSlots].requests;
 }
 
+void
+WindowedRetryBudget::OnUnanswered(const TargetId& aTarget, Instant aNow)
+{
+  Unanswered& unanswered = m_unanswered[aTarget];
+  ++unanswered.sends;
+  unanswered.last = aNow;
+}
+
+void
+WindowedRetryBudget::OnResponse(const TargetId& aTarget,
+                                Instant aSent,
+                                Instant aNow)
+{
+  const auto found = m_unanswered.find(aTarget);
+  if (found == m_unanswered.end() || aSent < found->second.last) {
+    return;
+  }
+  Advance(aNow);
+  m_slots[static_cast<std::size_t>(m_number) % kSlots].retries +=
+    found->second.sends;
+  m_unanswered.erase(found);
+}
+
+std::uint64_t
+WindowedRetryBudget::Retries(Instant aNow)
+{
+  std::erase_if(m_unanswered, [&](const auto& aEntry) {
+    return aNow - aEntry.second.last > m_options.max_delay;
+  });
+  std::uint64_t retries = 0;
+  for (const Slot& slot : m_slots) {
+    retries += slot.retries;
+  }
+  for (const auto& entry : m_unanswered) {
+    retries += entry.second.sends;
+  }
+  return retries;
+}
+
 bool
 WindowedRetryBudget::TryToRetry(Instant aNow)
 {
@@ -42,15 +81,13 @@
   const auto current = static_cast<std::size_t>(m_number) % kSlots;
   const std::size_t oldest = (current + 1) % kSlots;
   std::uint64_t requests = 0;
-  std::uint64_t retries = 0;
   for (std::size_t i = 0; i < kSlots; ++i) {
-    retries += m_slots[i].retries;
     requests += i == oldest ? 0 : m_slots[i].requests;
   }
   const double share = aNow < m_share_until ? m_fixed_share : 0;
   const double allowed = m_options.per_request * static_cast<double>(requests) +
                          m_options.fixed * share;
-  if (static_cast<double>(retries + 1) > allowed) {
+  if (static_cast<double>(Retries(aNow) + 1) > allowed) {
     ++m_denied;
     return false;
   }
--- a/src/jujubehead/core/routing/windowed_retry_budget_test.cpp
+++ b/src/jujubehead/core/routing/windowed_retry_budget_test.cpp
@@ -119,3 +119,61 @@
   LONGS_EQUAL(5, sent);
   CHECK_FALSE(budget.TryToRetry(now + std::chrono::seconds(20)));
 }
+
+// Targets are stopped for longer than a window. Their sockets take requests
+// that they read, all at once, when they go on, also those given up on.
+TEST(WindowedRetryBudget, SendsThatAStoppedTargetReadsLateStayWithinTheBudget)
+{
+  const TargetId stopped("t1");
+  constexpr int kBudget = 8;
+  WindowedRetryBudget budget({ kWindow, 0, kBudget });
+  Instant now{ std::chrono::minutes(1) };
+  budget.SetFixedShare(1, Instant::max());
+  int pending = 0; // Retried requests of which the target has a copy.
+  for (int i = 0; i < 300; ++i, now += milliseconds(100)) {
+    if (budget.TryToRetry(now)) {
+      budget.OnUnanswered(stopped, now);
+      ++pending;
+    }
+  }
+  CHECK(pending > 0);
+  CHECK(pending <= kBudget);
+  budget.OnResponse(stopped, now, now); // It reads them now.
+  int retries = pending;
+  for (int i = 0; i < 90; ++i, now += milliseconds(100)) {
+    retries += budget.TryToRetry(now) ? 1 : 0;
+  }
+  CHECK(retries <= kBudget);
+  now += kWindow + kWindow;
+  CHECK(budget.TryToRetry(now));
+}
+
+TEST(WindowedRetryBudget, AResponseToAnEarlierRequestDoesNotShowThatItGoesOn)
+{
+  const TargetId stopped("t1");
+  WindowedRetryBudget budget({ kWindow, 0, 2 });
+  const Instant now{ std::chrono::minutes(1) };
+  budget.SetFixedShare(1, Instant::max());
+  CHECK(budget.TryToRetry(now));
+  budget.OnUnanswered(stopped, now);
+  budget.OnResponse(stopped, now - milliseconds(1), now);
+  CHECK(budget.TryToRetry(now + kWindow + kWindow));
+  CHECK_FALSE(budget.TryToRetry(now + kWindow + kWindow));
+}
+
+// A target that was replaced, or that never comes back, must not take from the
+// budget for good.
+TEST(WindowedRetryBudget, SendsToTargetsThatAreGoneCountNoMore)
+{
+  WindowedRetryBudget budget({ kWindow, 0, 1 });
+  Instant now{ std::chrono::minutes(1) };
+  budget.SetFixedShare(1, Instant::max());
+  CHECK(budget.TryToRetry(now));
+  budget.OnUnanswered(TargetId("t1"), now);
+  now += kWindow + kWindow;
+  CHECK_FALSE(budget.TryToRetry(now));
+  budget.OnGone(TargetId("t1"));
+  CHECK(budget.TryToRetry(now));
+  budget.OnUnanswered(TargetId("t2"), now);
+  CHECK(budget.TryToRetry(now + std::chrono::minutes(3)));
+}
--- a/src/jujubehead/node/forward/forward_attempt.cpp
+++ b/src/jujubehead/node/forward/forward_attempt.cpp
@@ -153,6 +153,7 @@
       aTarget.health.OnUnreachable(core::RuntimeClock::now());
     }
     if (aExchange.WasConnectionRefused()) {
+      m_state.BudgetOf(m_service).OnGone(aTarget.target.id);
       PublishGone(aTarget);
     }
     co_return AttemptOutcome::kNotSent;
@@ -175,9 +176,14 @@
   m_probe.reset(); // From here on it may crash the target.
   aExchange.Send(
     FormatTargetRequest(m_state.header_codec, m_session->Request(), call));
+  ++m_sent_count;
+  CountUnanswered();
   StartStallTimer(aTarget);
   const ReadResult result = co_await aExchange.ReadHead();
   if (result == ReadResult::kBroken) {
+    if (m_stall_timed_out || IsCancelled()) {
+      m_unanswered.push_back(aTarget.target.id);
+    }
     co_return co_await OnBrokenReply(aTarget, aExchange);
   }
   const ReplyMetadata& metadata = aExchange.Metadata();
@@ -209,6 +215,7 @@
   const core::Instant now = core::RuntimeClock::now();
   aTarget.last_response_at = now;
   aTarget.has_crashed = false;
+  m_state.BudgetOf(m_service).OnResponse(aTarget.target.id, m_sent_at, now);
   if (aMetadata.load) {
     aTarget.load.OnReport(*aMetadata.load, now);
     if (m_state.shares_loads) {
@@ -322,6 +329,7 @@
   }
   if (error == asio::error::connection_refused &&
       aTarget.OnCrashed(core::RuntimeClock::now())) {
+    m_state.BudgetOf(m_service).OnGone(aTarget.target.id);
     PublishGone(aTarget);
     m_state.metrics.Add(Counter::kTargetCrashes);
     DecisionLog::WriteUnthrottled(
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -270,6 +270,7 @@
   }
   m_state.BudgetOf(m_service).OnRequest(core::RuntimeClock::now());
   co_await Forward();
+  CountUnanswered();
   if (m_probe) { // It was not sent.
     m_state.probes.Put(*m_probe);
   }
@@ -346,6 +347,19 @@
   }
 }
 
+void
+ForwardRun::CountUnanswered()
+{
+  if (m_sent_count < 2) {
+    return;
+  }
+  const core::Instant now = core::RuntimeClock::now();
+  for (const core::TargetId& target : m_unanswered) {
+    m_state.BudgetOf(m_service).OnUnanswered(target, now);
+  }
+  m_unanswered.clear();
+}
+
 void
 ForwardRun::RecordAttempt(AttemptOutcome aEnd)
 {
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -130,6 +130,9 @@
   /// @brief A target refused the request and requested backoff.
   void OnPushback(FleetTarget& aTarget, core::Duration aTime);
   void RecordAttempt(core::AttemptOutcome aEnd);
+  /// @brief Counts the sends that targets may read later against the budget of
+  /// the retries, once the request has been sent twice.
+  void CountUnanswered();
   void StartStallTimer(const FleetTarget& aTarget);
   void OnSilenceTimeout();
   /// @return the time until no request may start on a target's weights. The
@@ -160,6 +163,9 @@
   core::Instant m_expires_at{};
   core::AttemptHistory m_history;
   std::set<core::TargetId> m_tried_targets;
+  std::uint32_t m_sent_count = 0;
+  /// Targets that did not respond and are not counted yet.
+  std::vector<core::TargetId> m_unanswered;
   /// Data centres in which a target crashed under the request.
   std::set<core::DataCentreId> m_crashed_in;
   net::EventCutter m_cutter;
