The first quarantine is at least two seconds

One run of PoisonRequest.QuarantinesThatEndCostTwoTargetsInAll failed under the thread sanitizer (one crash after the first three where two are expected; log traced). Cause: the test's first quarantine of 1 s is as long as the error that times in reports may have: a run sent 1 ms before its sender knew of the quarantine (sent at 07.554, end at 08.553) counted as one after the end and began the second quarantine without a probe. Nothing was sent too often. With the default of 60 s it cannot come about.

--- a/src/jujubehead/app/command_line.cpp
+++ b/src/jujubehead/app/command_line.cpp
@@ -13,7 +13,9 @@
 constexpr std::uint32_t kMaxTrafficThreads = 64;
 constexpr std::uint32_t kMaxDeadline = 7 * 24 * 3600;
 constexpr std::uint32_t kMaxRetryWindow = 3600;
-/// Longest first quarantine, in seconds; later ones last an hour at most.
+/// Range of the first quarantine, in seconds. Times that instances report are
+/// exact to a second, and later quarantines last an hour at most.
+constexpr std::uint32_t kMinQuarantine = 2;
 constexpr std::uint32_t kMaxQuarantine = 3600;
 constexpr std::uint32_t kMaxMilliseconds = 3600 * 1000;
 
@@ -134,8 +136,11 @@
       m_check.NotNegative("retry_fixed", values.retry_fixed);
     options.repeats.window = std::chrono::seconds(
       m_check.Range("retry_window", values.retry_window, 1, kMaxRetryWindow));
-    options.poison.first_quarantine = std::chrono::seconds(m_check.Range(
-      "first_quarantine", values.first_quarantine, 1, kMaxQuarantine));
+    options.poison.first_quarantine =
+      std::chrono::seconds(m_check.Range("first_quarantine",
+                                         values.first_quarantine,
+                                         kMinQuarantine,
+                                         kMaxQuarantine));
     options.stop_grace = std::chrono::seconds(
       m_check.Range("stop_grace", values.stop_grace, 1, kMaxDeadline));
     options.lease_time = std::chrono::milliseconds(
