--- a/scripts/lib/entry_processes.sh
+++ b/scripts/lib/entry_processes.sh
@@ -1,7 +1,15 @@
 # Starts entry instances and their targets as processes. Sourced after
 # processes.sh; the caller sets build_dir, jujubehead (the program),
-# target_flags and instance_flags, and starts the stand-in `rows`.
+# target_flags, instance_flags and failed=0, and starts the stand-in `rows`.
 
+check() { # check NAME COMMAND...
+  local name=$1
+  shift
+  if "$@"; then echo "held: $name"; else
+    echo "FAILED: $name"
+    failed=$((failed + 1))
+  fi
+}
 now_ms() {
   local us=${EPOCHREALTIME//[.,]/}
   echo $((us / 1000))
