Test: instances that lost their paths to all targets (known red)

Seen by callers: nearly nothing is answered at an instance that has lost its paths to the targets, while the others, the store and the callers reach it.

--- a/standin/entry_deployment.cpp
+++ b/standin/entry_deployment.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm> // for all_of
 #include <future>    // for promise
+#include <iostream>  // for cerr
 #include <map>       // for map
 #include <stdexcept> // for runtime_error
 #include <thread>    // for thread
@@ -23,6 +24,7 @@
 #include "platform/connect.hpp"                      // for Connect
 #include "platform/platform_header_codec.hpp"        // for PlatformHeaderCodec
 #include "standin/face.hpp"                          // for Wait
+#include "standin/path_view.hpp"                     // for PathView
 
 namespace jujubehead::standin {
 namespace {
@@ -154,7 +156,12 @@
     , m_client(net::HttpClient::Create(m_world.context))
   {
     node::ConfigureLog({}, node::LogStream::kErr);
-    m_world.Do([&] { StartStandIns(m_targets); });
+    m_world.Do([&] {
+      StartStandIns(m_targets);
+      if (aOptions.has_path_views) {
+        StartPathViews();
+      }
+    });
     WriteRows(m_targets);
     m_options.data_centre = core::DataCentreId("dc-1");
     m_options.caller_address = "127.0.0.1:0";
@@ -170,6 +177,7 @@
     m_instances.clear();
     m_world.Do([&] {
       m_is_ending = true;
+      m_path_views.clear();
       m_stand_ins.clear();
       m_client.reset();
     });
@@ -181,6 +189,9 @@
     m_instances.clear();
     for (std::size_t i = 0; i < m_instance_count; ++i) {
       m_options.instance_id = core::InstanceId("i" + std::to_string(i + 1));
+      if (!m_path_views.empty()) {
+        m_options.table_service = m_path_views.at(i)->Authority();
+      }
       m_instances.push_back(
         std::make_unique<RunningInstance>(m_options, m_instance_count == 1));
     }
@@ -256,6 +267,11 @@
     });
   }
 
+  void SetCut(std::size_t aInstance, const std::string& aHow) override
+  {
+    m_world.Do([&] { m_path_views.at(aInstance)->SetCut(aHow); });
+  }
+
   void PutRow(const std::string& aTable,
               const std::string& aKey,
               const json& aValue) override
@@ -369,6 +385,17 @@
     }
   }
 
+  void StartPathViews()
+  {
+    for (std::size_t i = 0; i < m_instance_count; ++i) {
+      m_path_views.push_back(
+        std::make_unique<PathView>(m_world.context,
+                                   ListenOptions(),
+                                   m_stand_ins.at("rows")->Authority(),
+                                   std::cerr));
+    }
+  }
+
   /// Starts a target under an id; several runs of one target differ in it.
   void StartTarget(const std::string& aName,
                    const std::string& aId,
@@ -501,6 +528,7 @@
   ContextThread m_world;                     ///< Of the stand-ins.
   std::unique_ptr<net::HttpClient> m_client; ///< On that thread.
   std::map<std::string, std::unique_ptr<StandIn>> m_stand_ins;
+  std::vector<std::unique_ptr<PathView>> m_path_views; ///< By instance.
   std::map<std::string, json> m_poison; ///< Bodies that crash a target.
   std::size_t m_crashes = 0;
   bool m_is_ending = false;
--- a/standin/entry_deployment.hpp
+++ b/standin/entry_deployment.hpp
@@ -23,6 +23,8 @@
   std::chrono::milliseconds weights_time = std::chrono::seconds(10);
   std::size_t instances = 1; ///< They know each other.
   std::chrono::seconds first_quarantine{ 60 };
+  /// Each instance reaches the targets over paths of its own; see SetCut().
+  bool has_path_views = false;
 };
 
 /// @brief Entry instances and the stand-ins of the platform that they need, in
@@ -73,6 +75,9 @@
   virtual void SetFault(const std::string& aName,
                         const std::string& aFault,
                         const nlohmann::json& aBody) = 0;
+  /// @brief Cuts an instance's paths to all targets, see PathView. Only with
+  /// `has_path_views`.
+  virtual void SetCut(std::size_t aInstance, const std::string& aHow) = 0;
   /// @brief Writes a row of the store, as whoever may; null: removes it.
   virtual void PutRow(const std::string& aTable,
                       const std::string& aKey,
--- a/standin/fault_proxy.cpp
+++ b/standin/fault_proxy.cpp
@@ -93,6 +93,40 @@
   }
 }
 
+void
+FaultProxy::SetCut(PathCut aCut)
+{
+  m_cut = aCut;
+  m_fault = aCut == PathCut::kSilent     ? Fault::kSilence
+            : aCut == PathCut::kToTarget ? Fault::kDropToUpstream
+                                         : Fault::kNone;
+  m_filler.reset();
+  if (aCut == PathCut::kSilent || aCut == PathCut::kToTarget) {
+    FillListenQueue();
+  } else if (aCut != PathCut::kNone) {
+    m_acceptor.reset();
+  } else if (m_acceptor) {
+    m_acceptor->listen();
+    m_acceptor->cancel(); // Accept() goes on.
+  }
+  if (aCut == PathCut::kReset) {
+    ResetAll();
+  }
+}
+
+void
+FaultProxy::FillListenQueue()
+{
+  if (!m_acceptor) {
+    return;
+  }
+  m_acceptor->cancel();
+  m_acceptor->listen(0);
+  m_filler.emplace(m_context);
+  boost::system::error_code ignored;
+  m_filler->connect(m_endpoint, ignored);
+}
+
 std::string
 FaultProxy::Authority() const
 {
@@ -147,11 +181,15 @@
   for (;;) {
     if (!m_acceptor) {
       co_await Wait(kPoll);
-      if (!IsUpstreamGone()) {
+      if (m_cut == PathCut::kNone && !IsUpstreamGone()) {
         m_acceptor.emplace(m_context, m_endpoint);
       }
       continue;
     }
+    if (m_filler) {
+      co_await Wait(kPoll);
+      continue;
+    }
     auto [error, caller] = co_await m_acceptor->async_accept(kTuple);
     if (!error) {
       auto connection = std::make_shared<Connection>(
--- a/standin/fault_proxy.hpp
+++ b/standin/fault_proxy.hpp
@@ -29,6 +29,16 @@
   std::chrono::milliseconds max_fault{ 5000 };
 };
 
+/// @brief How a path is cut on demand.
+enum class PathCut : std::uint8_t
+{
+  kNone,
+  kSilent,   ///< Nothing passes, and new connections get no response.
+  kToTarget, ///< The same, but replies pass on open connections.
+  kReset,    ///< Open connections are reset, new ones refused.
+  kClosed,   ///< New connections are refused, open ones go on.
+};
+
 /// @brief Relays TCP connections to one upstream and, from time to time, delays
 /// or resets them, drops one direction, or keeps them silent.
 ///
@@ -50,6 +60,8 @@
 
   /// @throws boost::system::system_error when the address is not free.
   void Start();
+  /// @brief Cuts the path until the next call. Not beside random faults.
+  void SetCut(PathCut aCut);
   [[nodiscard]] std::string Authority() const; ///< `address:port`.
 
 private:
@@ -77,6 +89,8 @@
   void CloseIfUpstreamIsGone();
   [[nodiscard]] bool IsUpstreamGone();
   void ResetAll();
+  /// @brief Lets the kernel drop the opening packets of new connections.
+  void FillListenQueue();
 
   boost::asio::io_context& m_context;
   FaultProxyOptions m_options;
@@ -84,9 +98,12 @@
   boost::asio::ip::tcp::endpoint m_endpoint;
   boost::asio::ip::tcp::endpoint m_upstream;
   std::optional<boost::asio::ip::tcp::acceptor> m_acceptor;
+  /// Fills the acceptor's queue while new connections get no response.
+  std::optional<boost::asio::ip::tcp::socket> m_filler;
   std::set<std::shared_ptr<Connection>> m_connections;
   std::mt19937_64 m_random;
   Fault m_fault = Fault::kNone;
+  PathCut m_cut = PathCut::kNone;
 };
 
 } // namespace jujubehead::standin
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -13,6 +13,7 @@
 #include "standin/face.hpp"         // for NowMs
 #include "standin/fault_proxy.hpp"  // for FaultProxy
 #include "standin/load_callers.hpp" // for LoadCallers
+#include "standin/path_view.hpp"    // for PathView
 #include "standin/stand_in.hpp"     // for StandIn
 
 DEFINE_string(address, "127.0.0.1", "Address to listen at");
@@ -48,7 +49,7 @@
               "",
               "registered: gets a line for each request: Unix milliseconds, "
               "X-Attempt-Id, id of the target, service, body");
-DEFINE_string(upstream, "", "proxy: `address:port` to relay to");
+DEFINE_string(upstream, "", "proxy, paths: `address:port` to relay to");
 DEFINE_int64(mean_calm_ms, 10000, "proxy: mean time between faults; 0: none");
 DEFINE_int64(max_fault_ms, 5000, "proxy: longest fault");
 DEFINE_string(instances, "", "callers: `address:port` of each, by comma");
@@ -72,7 +73,7 @@
 constexpr const char* kUsage =
   "jujubehead-standin "
   "engine|store|table|objects|members|service|rows|parts|registered|proxy|"
-  "callers [flags]";
+  "paths|callers [flags]";
 
 std::vector<std::string>
 SplitByComma(const std::string& aText)
@@ -261,6 +262,18 @@
   RunUntilSignal(context);
 }
 
+/// Its log, on standard output, has the cuts.
+void
+ServePaths()
+{
+  asio::io_context context(1);
+  const ListenOptions listen{ FLAGS_address,
+                              static_cast<std::uint16_t>(FLAGS_port) };
+  const PathView paths(context, listen, FLAGS_upstream, std::cout);
+  WriteReadyFile(paths.Authority());
+  RunUntilSignal(context);
+}
+
 /// Their log, on standard output, has the requests.
 void
 RunCallers()
@@ -278,6 +291,10 @@
     ServeProxy();
     return;
   }
+  if (aKind == "paths") {
+    ServePaths();
+    return;
+  }
   if (aKind == "callers") {
     RunCallers();
     return;
