Connections to targets go through other instances while the own path is lost

Cause: an instance had one path to a target, its own, and judged each target alone by it. Each request found out anew, at two or three targets, that a connection gets no response or is refused, and no other target could help.

Now a connection is opened directly and, when that fails or takes more than 100 ms, through another instance (HTTP CONNECT), which relays bytes and connects directly only. All that is decided of a request stays with its instance: attempts, retry budget, deadline, poison count, resumed streams; nothing of a request is sent before there is a connection, so it is no second send. A path counts as lost once another instance has reached a target that this one did not; two in a row without a direct connection mean a partition, and all paths are taken for lost. Lost paths are checked by connections without a request. A request that gets no response within 200 ms has its path checked, if no target responds or the objective is over.

Ruled out: slow detection alone (in the first cut all attempts fail at connecting until the cut ends) and unreadiness (connections stay with their instance, and a data centre whose instances are all not ready gets traffic at all of them).

--- a/include/jujubehead/core/membership/instance_directory.hpp
+++ b/include/jujubehead/core/membership/instance_directory.hpp
@@ -21,14 +21,18 @@
   std::string address;        ///< `ip:port`.
   double capacity = 0;        ///< Relative to other instances; 0: unknown.
   DataCentreId data_centre{}; ///< Empty: unknown.
+  /// `ip:port` where it opens connections to targets for other instances;
+  /// empty: nowhere.
+  std::string tunnel_address{};
 };
 
-/// @return the value of an instance's row: its address, capacity and data
-/// centre, the latter two left out when both are unknown.
+/// @return the value of an instance's row: its address, capacity, data centre
+/// and tunnel address. What follows the address is left out when capacity and
+/// data centre are unknown, the tunnel address when the data centre is.
 std::string
 EncodeInstanceRow(const KnownInstance& aInstance);
 /// @return the instance that a row describes. Rows of instances of older
-/// versions have no data centre, or no capacity either.
+/// versions have no tunnel address, no data centre, or no capacity either.
 KnownInstance
 DecodeInstanceRow(std::string aId, std::string_view aRow);
 
--- a/include/jujubehead/core/routing/target_health.hpp
+++ b/include/jujubehead/core/routing/target_health.hpp
@@ -37,6 +37,10 @@
   /// @brief The target could not be reached at all.
   void OnUnreachable(Instant aNow);
 
+  /// @brief Another instance reached the target: only this instance's path to
+  /// it had failed.
+  void OnReachable();
+
   /// @return the moving average of the failure rate, 0 to 1.
   [[nodiscard]] double FailureRate() const { return m_failure_rate; }
   /// @return whether requests may be sent to the target.
--- a/include/jujubehead/net/http1/outbound_connection.hpp
+++ b/include/jujubehead/net/http1/outbound_connection.hpp
@@ -23,6 +23,13 @@
   core::Duration unacknowledged_timeout = std::chrono::milliseconds(1500);
 };
 
+/// @brief Sets the options of a connected socket by which the other side's
+/// silence ends the connection.
+/// @param aUnacknowledged as in OutboundOptions.
+void
+DetectSilence(boost::asio::ip::tcp::socket& aSocket,
+              core::Duration aUnacknowledged);
+
 /// @brief A connection to a target for one exchange after the other, on one
 /// thread.
 class OutboundConnection
@@ -33,7 +40,8 @@
     const boost::asio::any_io_executor& aExecutor,
     const OutboundOptions& aOptions);
 
-  /// @return the error; none when it is connected.
+  /// @return the error, `timed_out` after the time limit; none when it is
+  /// connected.
   boost::asio::awaitable<boost::system::error_code> Connect(
     boost::asio::ip::tcp::endpoint aEndpoint);
   /// @brief Begins to send a message; does not wait. Its failure shows when
@@ -42,6 +50,8 @@
   /// @brief Waits for bytes and appends them to Input().
   /// @return the error; `eof` when the other side ended in order.
   boost::asio::awaitable<boost::system::error_code> Read();
+  /// @brief Gives the socket up, to relay its bytes as they are.
+  [[nodiscard]] boost::asio::ip::tcp::socket Release();
   /// @brief Closes it; a pending Connect() or Read() ends with an error.
   void Close();
 
@@ -57,8 +67,6 @@
 private:
   OutboundConnection(const boost::asio::any_io_executor& aExecutor,
                      const OutboundOptions& aOptions);
-  void SetOptions();
-
   OutboundOptions m_options;
   boost::asio::ip::tcp::socket m_socket;
   std::string m_input;
--- a/include/jujubehead/node/forward/entry_options.hpp
+++ b/include/jujubehead/node/forward/entry_options.hpp
@@ -30,6 +30,9 @@
   /// `ip:port` of other instances' relays, used until their rows have been
   /// read.
   std::vector<std::string> relay_seeds;
+  /// `ip:port` where this instance opens connections to targets for other
+  /// instances that have no path to them; empty: it does not.
+  std::string tunnel_address;
   /// Capacity of this machine relative to other instances'; 0: not specified.
   double capacity = 0;
   core::WindowedRetryBudgetOptions repeats;
--- a/include/jujubehead/node/metrics.hpp
+++ b/include/jujubehead/node/metrics.hpp
@@ -50,6 +50,9 @@
   kTargetCrashes,    ///< Targets that this instance found crashed.
   kPushbacks,        ///< Refusals by targets that requested backoff.
   kDrainingReplies,  ///< Replies of targets that say that they are leaving.
+  kTunnels,          ///< Connections to targets through other instances.
+  kTunnelsServed,    ///< The same, opened for other instances.
+  kPathChecks,       ///< Checks of paths to targets that did not respond.
   kTakeovers,        ///< Targets and stores that came to this instance.
 };
 
--- a/scripts/lib/entry_processes.sh
+++ b/scripts/lib/entry_processes.sh
@@ -66,7 +66,7 @@
 }
 
 # Instances. The senders have to know the addresses of all before they start.
-declare -A caller_of ready_of metrics_of relay_of data_centre_of
+declare -A caller_of ready_of metrics_of relay_of tunnel_of data_centre_of
 seeds=""
 reserve_instance() { # reserve_instance NAME DATA_CENTRE
   local name=$1
@@ -75,12 +75,14 @@
   next_port; ready_of[$name]=127.0.0.1:$port
   next_port; metrics_of[$name]=127.0.0.1:$port
   next_port; relay_of[$name]=127.0.0.1:$port
+  next_port; tunnel_of[$name]=127.0.0.1:$port
   seeds=${seeds:+$seeds,}${relay_of[$name]}
 }
 set_command() { # set_command NAME STORE: sets `command`
   command=("$jujubehead" entry --instance_id "$1" --data_centre "${data_centre_of[$1]}"
     --callers "${caller_of[$1]}" --ready "${ready_of[$1]}" --metrics "${metrics_of[$1]}"
     --relay "${relay_of[$1]}" --relay_seeds "$seeds" --capacity 1
+    --tunnel "${tunnel_of[$1]}"
     --table_service "$2" "${instance_flags[@]}")
 }
 start_instance() { # start_instance NAME RUN
--- a/src/jujubehead/app/command_line.cpp
+++ b/src/jujubehead/app/command_line.cpp
@@ -128,6 +128,7 @@
     options.relay_address = m_check.Authority("relay", values.relay, false);
     options.relay_seeds =
       m_check.Authorities("relay_seeds", values.relay_seeds);
+    options.tunnel_address = m_check.Authority("tunnel", values.tunnel, false);
     options.regions = m_check.Regions("regions", values.regions);
     options.capacity = m_check.NotNegative("capacity", values.capacity);
     options.repeats.per_request =
--- a/src/jujubehead/app/command_specs.cpp
+++ b/src/jujubehead/app/command_specs.cpp
@@ -41,6 +41,7 @@
         "table_service",
         "relay",
         "relay_seeds",
+        "tunnel",
         "regions",
         "capacity",
         "retry_share",
--- a/src/jujubehead/app/flags.cpp
+++ b/src/jujubehead/app/flags.cpp
@@ -72,6 +72,10 @@
               "",
               "where other instances reach the store through this one, as "
               "ip:port; empty: nowhere");
+DEFINE_string(tunnel,
+              "",
+              "where other instances reach targets through this one, as "
+              "ip:port; empty: nowhere");
 DEFINE_string(relay_seeds,
               "",
               "instances to ask while the store is away, as ip:port,ip:port");
@@ -190,6 +194,7 @@
   values.metrics = FLAGS_metrics;
   values.relay = FLAGS_relay;
   values.relay_seeds = FLAGS_relay_seeds;
+  values.tunnel = FLAGS_tunnel;
   values.regions = FLAGS_regions;
   values.capacity = FLAGS_capacity;
   values.retry_share = FLAGS_retry_share;
--- a/src/jujubehead/app/flags.hpp
+++ b/src/jujubehead/app/flags.hpp
@@ -48,6 +48,7 @@
   std::string metrics;
   std::string relay;
   std::string relay_seeds;
+  std::string tunnel;
   std::string regions;
   double capacity = 0;
   double retry_share = 0;
--- a/src/jujubehead/core/membership/instance_directory.cpp
+++ b/src/jujubehead/core/membership/instance_directory.cpp
@@ -23,6 +23,9 @@
   row << aInstance.address << kSeparator << std::max(aInstance.capacity, 0.0);
   if (has_data_centre) {
     row << kSeparator << aInstance.data_centre.View();
+    if (!aInstance.tunnel_address.empty()) {
+      row << kSeparator << aInstance.tunnel_address;
+    }
   }
   return row.str();
 }
@@ -40,6 +43,7 @@
     std::string data_centre;
     if (rest >> instance.capacity >> data_centre) {
       instance.data_centre = DataCentreId(std::move(data_centre));
+      rest >> instance.tunnel_address;
     }
   }
   return instance;
--- a/src/jujubehead/core/routing/target_health.cpp
+++ b/src/jujubehead/core/routing/target_health.cpp
@@ -38,6 +38,14 @@
   Eject(aNow);
 }
 
+void
+TargetHealth::OnReachable()
+{
+  m_is_probing = false;
+  m_ejections = 0;
+  m_ejected_until = {};
+}
+
 void
 TargetHealth::Eject(Instant aNow)
 {
--- a/src/jujubehead/net/http1/outbound_connection.cpp
+++ b/src/jujubehead/net/http1/outbound_connection.cpp
@@ -3,6 +3,8 @@
 #include <netinet/tcp.h> // for TCP_USER_TIMEOUT
 #include <sys/socket.h>  // for setsockopt
 
+#include <utility> // for move
+
 #include <boost/asio/as_tuple.hpp>      // for as_tuple
 #include <boost/asio/buffer.hpp>        // for buffer
 #include <boost/asio/use_awaitable.hpp> // for use_awaitable
@@ -35,6 +37,20 @@
 
 } // namespace
 
+void
+DetectSilence(tcp::socket& aSocket, core::Duration aUnacknowledged)
+{
+  error_code ignored;
+  aSocket.set_option(asio::socket_base::keep_alive(true), ignored);
+  const int handle = aSocket.native_handle();
+  SetTcpOption(handle, TCP_KEEPIDLE, kProbeAfterSeconds);
+  SetTcpOption(handle, TCP_KEEPINTVL, kProbeEverySeconds);
+  SetTcpOption(handle, TCP_KEEPCNT, kProbesInVain);
+  const auto timeout =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aUnacknowledged);
+  SetTcpOption(handle, TCP_USER_TIMEOUT, static_cast<int>(timeout.count()));
+}
+
 OutboundConnection::OutboundConnection(const asio::any_io_executor& aExecutor,
                                        const OutboundOptions& aOptions)
   : m_options(aOptions)
@@ -50,34 +66,25 @@
     new OutboundConnection(aExecutor, aOptions));
 }
 
-void
-OutboundConnection::SetOptions()
-{
-  error_code ignored;
-  m_socket.set_option(tcp::no_delay(true), ignored);
-  m_socket.set_option(asio::socket_base::keep_alive(true), ignored);
-  m_socket.non_blocking(true, ignored);
-  const int handle = m_socket.native_handle();
-  SetTcpOption(handle, TCP_KEEPIDLE, kProbeAfterSeconds);
-  SetTcpOption(handle, TCP_KEEPINTVL, kProbeEverySeconds);
-  SetTcpOption(handle, TCP_KEEPCNT, kProbesInVain);
-  const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(
-    m_options.unacknowledged_timeout);
-  SetTcpOption(handle, TCP_USER_TIMEOUT, static_cast<int>(timeout.count()));
-}
-
 asio::awaitable<error_code>
 OutboundConnection::Connect(tcp::endpoint aEndpoint)
 {
   const auto self = shared_from_this();
-  Deadline deadline(m_socket.get_executor(), [self] { self->Close(); });
+  bool is_late = false;
+  Deadline deadline(m_socket.get_executor(), [self, &is_late] {
+    is_late = true;
+    self->Close();
+  });
   deadline.Set(m_options.connect_timeout);
   const auto [error] = co_await m_socket.async_connect(aEndpoint, kTuple);
   deadline.Clear();
   if (!error) {
-    SetOptions();
+    error_code ignored;
+    m_socket.set_option(tcp::no_delay(true), ignored);
+    m_socket.non_blocking(true, ignored);
+    DetectSilence(m_socket, m_options.unacknowledged_timeout);
   }
-  co_return error;
+  co_return is_late ? error_code(asio::error::timed_out) : error;
 }
 
 void
@@ -111,6 +118,12 @@
   }
 }
 
+tcp::socket
+OutboundConnection::Release()
+{
+  return std::move(m_socket);
+}
+
 void
 OutboundConnection::Close()
 {
--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -92,7 +92,8 @@
   , m_instances(core::KnownInstance{ aOptions.instance_id.Text(),
                                      aOptions.relay_address,
                                      aOptions.capacity,
-                                     aOptions.data_centre })
+                                     aOptions.data_centre,
+                                     aOptions.tunnel_address })
   , m_role(aOptions.instance_id.Text())
   , m_share(core::FleetShareOptions{ aOptions.repeats.window })
   , m_book(aOptions.registry)
@@ -462,6 +463,7 @@
     }
   }
   m_paths.SetInstances(std::move(addresses));
+  m_forwarder.SetInstances(m_instances.Others());
   m_role.Update(m_instances.All());
   m_rollout.SetLeaseDelay(m_role.Level() == core::HubLevel::kFollower
                             ? kFollowerLeaseDelay
--- a/src/jujubehead/node/entry.cpp
+++ b/src/jujubehead/node/entry.cpp
@@ -137,6 +137,15 @@
     gauge("jujubehead_requests_in_stopped_data_centres",
           "Requests under way in data centres with a planned stop.",
           static_cast<double>(m_forwarder.RequestsInStopped()));
+    gauge("jujubehead_lost_paths",
+          "Targets that other instances reach and this one does not.",
+          static_cast<double>(m_forwarder.LostPaths()));
+    gauge("jujubehead_partitioned",
+          "Whether this instance has lost its paths to the targets.",
+          m_forwarder.IsPartitioned() ? 1 : 0);
+    gauge("jujubehead_open_tunnels",
+          "Connections to targets that are relayed for other instances.",
+          static_cast<double>(m_forwarder.Tunnels()));
     gauge("jujubehead_quarantined_requests",
           "Requests in quarantine, as they crash their targets.",
           static_cast<double>(m_forwarder.Quarantined()));
--- a/src/jujubehead/node/forward/forward_attempt.cpp
+++ b/src/jujubehead/node/forward/forward_attempt.cpp
@@ -37,6 +37,10 @@
 /// would fail again: services usually fail one request in seven.
 constexpr double kSuspectFailureShare = 0.3;
 
+/// A request without a response for this long has its path checked: most plain
+/// calls take a fraction of it, and other streams have events meanwhile.
+constexpr Duration kPathCheckTime = std::chrono::milliseconds(200);
+
 /// A host whose process has ended refuses a connection within a round trip.
 constexpr Duration kCrashCheckTimeout = std::chrono::milliseconds(100);
 /// Time in which the kernel closes all sockets of a process that ends.
@@ -116,8 +120,14 @@
   options.is_head_request = m_session->Request().head.method == "HEAD";
   options.max_idle =
     m_route->repeatable ? kMaxIdleRepeatable : kMaxIdleNonRepeatable;
-  TargetExchange exchange(
-    m_session->Executor(), m_state.header_codec, aTarget, std::move(options));
+  options.is_repeatable = m_route->repeatable;
+  m_last_peer.clear();
+  TargetExchange exchange(m_session->Executor(),
+                          m_state.header_codec,
+                          m_state.connector,
+                          aTarget,
+                          m_homes,
+                          std::move(options));
   m_exchange = &exchange;
   m_awaited_target = aTarget;
   m_stall_timed_out = false;
@@ -137,6 +147,7 @@
   m_exchange = nullptr;
   m_awaited_target = nullptr;
   m_stall_timer.Clear();
+  m_path_timer.Clear();
   if (failure && m_timed_out && *failure == AttemptOutcome::kBroken) {
     co_return AttemptOutcome::kTimedOut;
   }
@@ -170,6 +181,7 @@
     m_last_error = "request was quarantined meanwhile";
     co_return AttemptOutcome::kNotSent;
   }
+  m_last_peer = aExchange.Peer();
   const TargetCall call = BuildCall(aTarget);
   m_last_weights = call.weight_version;
   LogSuspect(aTarget);
@@ -179,7 +191,11 @@
   ++m_sent_count;
   CountUnanswered();
   StartStallTimer(aTarget);
+  if (m_last_peer.empty()) {
+    m_path_timer.Set(kPathCheckTime);
+  }
   const ReadResult result = co_await aExchange.ReadHead();
+  m_path_timer.Clear();
   if (result == ReadResult::kBroken) {
     if (m_stall_timed_out || IsCancelled()) {
       m_unanswered.push_back(aTarget.target.id);
@@ -215,6 +231,9 @@
   const core::Instant now = core::RuntimeClock::now();
   aTarget.last_response_at = now;
   aTarget.has_crashed = false;
+  if (m_last_peer.empty()) {
+    m_state.connector.OnDirectResponse(now);
+  }
   m_state.BudgetOf(m_service).OnResponse(aTarget.target.id, m_sent_at, now);
   if (aMetadata.load) {
     aTarget.load.OnReport(*aMetadata.load, now);
@@ -284,7 +303,9 @@
                  : m_stall_timed_out ? "target stopped responding"
                                      : aExchange.Error();
   if (!m_timed_out && !m_stall_timed_out) {
-    aTarget.health.OnFailure(core::RuntimeClock::now());
+    if (m_last_peer.empty()) {
+      aTarget.health.OnFailure(core::RuntimeClock::now());
+    }
     m_state.metrics.Add(Counter::kBrokenReplies);
     const core::Instant broke_at = core::RuntimeClock::now();
     m_target_crashed = co_await HasCrashed(aTarget);
@@ -415,6 +436,9 @@
     const std::string events = m_cutter.Take(aExchange.Body());
     if (!events.empty()) {
       aTarget.last_response_at = core::RuntimeClock::now();
+      if (m_last_peer.empty()) {
+        m_state.connector.OnDirectResponse(aTarget.last_response_at);
+      }
       aTarget.active_streams += m_is_streaming ? 0 : 1;
       m_is_streaming = true;
       StartStallTimer(aTarget);
@@ -482,11 +506,17 @@
                                        : until - core::RuntimeClock::now();
 }
 
+bool
+ForwardRun::MayGoOnElsewhere() const
+{
+  return m_route->repeatable &&
+         m_history.may_have_run + 1 < m_route->max_targets;
+}
+
 void
 ForwardRun::StartStallTimer(const FleetTarget& aTarget)
 {
-  if (!m_route->repeatable ||
-      m_history.may_have_run + 1 >= m_route->max_targets) {
+  if (!MayGoOnElsewhere()) {
     return;
   }
   m_awaiting_since = core::RuntimeClock::now();
@@ -516,9 +546,41 @@
     StartStallTimer(*m_awaited_target);
     return;
   }
-  m_stall_timed_out = true;
   m_awaited_target->health.OnUnreachable(core::RuntimeClock::now());
+  m_state.connector.Check(m_session->Executor(), m_awaited_target);
+  OnStalled();
+}
+
+void
+ForwardRun::OnStalled()
+{
+  m_stall_timed_out = true;
   m_exchange->Close();
 }
 
+void
+ForwardRun::OnNoResponse()
+{
+  if (m_exchange == nullptr || !m_awaited_target) {
+    return;
+  }
+  const core::Instant now = core::RuntimeClock::now();
+  const FleetTarget& target = *m_awaited_target;
+  if (m_state.connector.Paths().IsSilent(target.target.id)) {
+    if (MayGoOnElsewhere()) {
+      OnStalled();
+    }
+    return;
+  }
+  if (target.last_response_at < m_sent_at) {
+    // Busy targets are silent for as long as the objective; all of them at once
+    // only if it is the instance's own paths.
+    const bool is_late = now - m_sent_at >= m_route->objective;
+    if (is_late || m_state.connector.IsSilent(now)) {
+      m_state.connector.Check(m_session->Executor(), m_awaited_target);
+    }
+  }
+  m_path_timer.Set(kPathCheckTime);
+}
+
 } // namespace jujubehead::node
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -75,6 +75,7 @@
                        CancelExchange();
                      })
   , m_stall_timer(m_session->Executor(), [this] { OnSilenceTimeout(); })
+  , m_path_timer(m_session->Executor(), [this] { OnNoResponse(); })
 {
 }
 
@@ -454,6 +455,9 @@
     .Add("took", took)
     .Add("configuration",
          m_configuration ? m_configuration->Version() : std::uint64_t(0));
+  if (!m_last_peer.empty()) {
+    line.Add("through", m_last_peer);
+  }
   AddWeights(line);
   AddPlacement(line);
   if (!aDetail.empty()) {
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -133,7 +133,15 @@
   /// @brief Counts the sends that targets may read later against the budget of
   /// the retries, once the request has been sent twice.
   void CountUnanswered();
+  /// @return whether the request may go on at another target if this one does
+  /// not respond.
+  [[nodiscard]] bool MayGoOnElsewhere() const;
   void StartStallTimer(const FleetTarget& aTarget);
+  /// @brief The target has not responded at all: finds out whether the path to
+  /// it is lost, and gives the attempt up if so.
+  void OnNoResponse();
+  /// @brief Gives the current attempt up, as the target does not respond.
+  void OnStalled();
   void OnSilenceTimeout();
   /// @return the time until no request may start on a target's weights. The
   /// target enforces it, as this instance may have exited by then.
@@ -186,11 +194,13 @@
   /// Set while the request may be sent although it is in quarantine.
   std::optional<core::Quarantine> m_probe;
   std::string m_last_target;
+  std::string m_last_peer; ///< Through which it was reached; empty: directly.
   /// Expected weight version of the last target.
   std::optional<std::uint64_t> m_last_weights;
 
   net::Deadline m_deadline_timer;
   net::Deadline m_stall_timer;
+  net::Deadline m_path_timer;
 
   TargetExchange* m_exchange = nullptr; ///< In progress.
   std::shared_ptr<FleetTarget> m_awaited_target;
--- a/src/jujubehead/node/forward/forward_state.hpp
+++ b/src/jujubehead/node/forward/forward_state.hpp
@@ -25,9 +25,10 @@
 #include "jujubehead/node/forward/header_codec.hpp"  // for HeaderCodec
 #include "jujubehead/node/metrics.hpp"               // for ThreadMetrics
 
-#include "decision_log.hpp" // for DecisionLog
-#include "target_clock.hpp" // for TargetClock
-#include "target_fleet.hpp" // for TargetFleet
+#include "decision_log.hpp"     // for DecisionLog
+#include "target_clock.hpp"     // for TargetClock
+#include "target_connector.hpp" // for TargetConnector
+#include "target_fleet.hpp"     // for TargetFleet
 
 namespace jujubehead::node {
 
@@ -46,6 +47,7 @@
     , header_codec(aHeaderCodec)
     , metrics(aMetrics)
     , log(aLog)
+    , connector(aOptions, fleet, aMetrics)
     , poison(aOptions.poison)
     , random(std::random_device{}())
   {
@@ -128,6 +130,7 @@
   std::shared_ptr<const core::Configuration> configuration;
   std::map<core::ModelId, core::DesiredWeights> wanted_weights;
   TargetFleet fleet;
+  TargetConnector connector;
   bool shares_loads = false; ///< Whether other instances ask for loads.
   core::LoadReports pending_load_reports; ///< Not sent to them yet.
   core::PoisonRequests poison;
--- a/src/jujubehead/node/forward/forwarder.cpp
+++ b/src/jujubehead/node/forward/forwarder.cpp
@@ -28,6 +28,7 @@
                      const HeaderCodec& aHeaderCodec,
                      Metrics& aMetrics)
   : m_state(aOptions, aHeaderCodec, aMetrics.ForThread(), m_log)
+  , m_tunnels(m_context, aOptions.tunnel_address, m_state)
   , m_acceptor(m_context, ReadEndpoint(aOptions.caller_address))
   , m_work_guard(asio::make_work_guard(m_context))
 {
@@ -45,6 +46,7 @@
     m_context,
     [this]() -> asio::awaitable<void> { co_await Accept(); },
     asio::detached);
+  m_tunnels.Start();
   m_thread = std::thread([this] { m_context.run(); });
 }
 
@@ -64,6 +66,7 @@
 {
   boost::system::error_code ignored;
   m_acceptor.close(ignored);
+  m_tunnels.Stop();
   const std::set<CallerSession*> open = m_sessions;
   for (CallerSession* session : open) {
     session->Cancel();
@@ -84,6 +87,7 @@
   asio::post(m_context, [this, aExitsAt] {
     m_state.is_stopping = true;
     m_state.exits_at = aExitsAt;
+    m_tunnels.Stop();
   });
 }
 
@@ -167,6 +171,14 @@
                 .Add("why", aDetail));
 }
 
+void
+Forwarder::SetInstances(std::vector<core::KnownInstance> aOthers)
+{
+  asio::post(m_context, [this, others = std::move(aOthers)] {
+    m_state.connector.SetInstances(others);
+  });
+}
+
 void
 Forwarder::SetConfiguration(std::shared_ptr<const core::Configuration> aValue)
 {
--- a/src/jujubehead/node/forward/forwarder.hpp
+++ b/src/jujubehead/node/forward/forwarder.hpp
@@ -22,6 +22,7 @@
 
 #include "caller_session.hpp" // for RequestHandler
 #include "forward_state.hpp"  // for ForwardState
+#include "tunnel_server.hpp"  // for TunnelServer
 
 namespace jujubehead::node {
 
@@ -48,7 +49,11 @@
   void BeginStop(core::Instant aExitsAt);
   /// @brief Closes the connections without a request in progress.
   void CloseIdle();
-  [[nodiscard]] std::size_t Sessions() const { return m_session_count; }
+  /// @return connections of callers, and tunnels of other instances.
+  [[nodiscard]] std::size_t Sessions() const
+  {
+    return m_session_count + m_tunnels.Tunnels();
+  }
   [[nodiscard]] std::size_t OpenRequests() const { return m_open_requests; }
   /// @return this instance's requests in data centres with a planned stop.
   [[nodiscard]] std::uint64_t RequestsInStopped() const
@@ -58,6 +63,22 @@
   /// @return the requests in quarantine.
   [[nodiscard]] std::size_t Quarantined() const { return m_state.quarantined; }
   [[nodiscard]] std::uint16_t Port() const;
+  /// @return the port for tunnels of other instances; 0: none.
+  [[nodiscard]] std::uint16_t TunnelPort() const { return m_tunnels.Port(); }
+  /// @return whether this instance has lost its paths to the targets.
+  [[nodiscard]] bool IsPartitioned() const
+  {
+    return m_state.connector.IsPartitioned();
+  }
+  /// @return the targets to which this instance has lost its path.
+  [[nodiscard]] std::size_t LostPaths() const
+  {
+    return m_state.connector.LostPaths();
+  }
+  /// @return open tunnels of other instances.
+  [[nodiscard]] std::size_t Tunnels() const { return m_tunnels.Tunnels(); }
+  /// @brief Sets the other instances, through which targets may be reached.
+  void SetInstances(std::vector<core::KnownInstance> aOthers);
 
   void SetConfiguration(std::shared_ptr<const core::Configuration> aValue);
   void ApplyTargets(std::vector<core::RegistrationChange> aChanges);
@@ -115,6 +136,7 @@
   boost::asio::io_context m_context{ 1 };
   DecisionLog m_log;
   ForwardState m_state;
+  TunnelServer m_tunnels;
   boost::asio::ip::tcp::acceptor m_acceptor;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
     m_work_guard;
--- a/src/jujubehead/node/forward/target_exchange.cpp
+++ b/src/jujubehead/node/forward/target_exchange.cpp
@@ -18,11 +18,15 @@
 
 TargetExchange::TargetExchange(const asio::any_io_executor& aExecutor,
                                const HeaderCodec& aHeaderCodec,
+                               TargetConnector& aConnector,
                                std::shared_ptr<FleetTarget> aTarget,
+                               core::Homes aHomes,
                                ExchangeOptions aOptions)
   : m_executor(aExecutor)
   , m_header_codec(aHeaderCodec)
+  , m_connector(aConnector)
   , m_target(std::move(aTarget))
+  , m_homes(std::move(aHomes))
   , m_options(std::move(aOptions))
 {
 }
@@ -35,21 +39,29 @@
 asio::awaitable<bool>
 TargetExchange::Open()
 {
-  m_connection = m_target->TakeIdleConnection(m_options.max_idle);
+  if (m_connector.MayReuse(m_target->target.id, m_options.is_repeatable)) {
+    m_connection = m_target->TakeIdleConnection(m_options.max_idle);
+  }
   if (m_connection) {
     co_return true;
   }
   m_is_new = true;
-  m_connection = net::OutboundConnection::Create(m_executor, {});
-  const auto connection = m_connection;
-  const error_code error = co_await connection->Connect(m_target->endpoint);
-  if (error) {
-    m_error = "connect: " + error.message();
-    m_connection_refused = error == asio::error::connection_refused;
-    Close();
+  m_attempt = m_connector.Begin(m_executor, m_target, m_homes);
+  const auto attempt = m_attempt;
+  TargetConnection opened = co_await attempt->Wait();
+  const bool is_closed = std::exchange(m_attempt, nullptr) == nullptr;
+  m_error = std::move(opened.error);
+  m_connection_refused = opened.is_refused;
+  if (is_closed && opened.connection) {
+    opened.connection->Close();
+  }
+  if (is_closed || !opened.connection) {
     co_return false;
   }
-  co_return m_connection != nullptr;
+  m_connection = std::move(opened.connection);
+  m_peer = std::move(opened.peer);
+  m_tunnel_use = std::move(opened.tunnel_use);
+  co_return true;
 }
 
 void
@@ -199,21 +211,29 @@
   if (m_metadata.keep_alive) {
     m_target->OnKeepAlive(*m_metadata.keep_alive);
   }
-  const bool reusable = m_is_clean && m_parser->KeepsAlive() &&
-                        connection->Input().empty() && connection->IsSent();
+  // A tunnel carries one exchange, so that a peer can stop when the exchanges
+  // that it relays have ended.
+  const bool reusable = m_peer.empty() && m_is_clean &&
+                        m_parser->KeepsAlive() && connection->Input().empty() &&
+                        connection->IsSent();
   if (reusable) {
     m_target->PutIdleConnection(connection);
   } else {
     connection->Close();
   }
+  m_tunnel_use.reset();
 }
 
 void
 TargetExchange::Close()
 {
+  if (const auto attempt = std::exchange(m_attempt, nullptr)) {
+    attempt->Cancel();
+  }
   if (const auto connection = std::exchange(m_connection, nullptr)) {
     connection->Close();
   }
+  m_tunnel_use.reset();
 }
 
 } // namespace jujubehead::node
--- a/src/jujubehead/node/forward/target_exchange.hpp
+++ b/src/jujubehead/node/forward/target_exchange.hpp
@@ -11,7 +11,8 @@
 #include "jujubehead/net/http1/outbound_connection.hpp" // for OutboundConnection
 #include "jujubehead/node/forward/header_codec.hpp"     // for HeaderCodec
 
-#include "target_fleet.hpp" // for FleetTarget
+#include "target_connector.hpp" // for TargetConnector
+#include "target_fleet.hpp"     // for FleetTarget
 
 namespace jujubehead::node {
 
@@ -23,6 +24,7 @@
   /// request is sent, the request may or may not have run; use a short time for
   /// requests that must not run twice.
   core::Duration max_idle{};
+  bool is_repeatable = false;
   std::uint64_t body_limit = 16UL * 1024 * 1024; ///< Reply body, in bytes.
 };
 
@@ -42,9 +44,12 @@
 class TargetExchange
 {
 public:
+  /// @param aHomes where the request's data may pass.
   TargetExchange(const boost::asio::any_io_executor& aExecutor,
                  const HeaderCodec& aHeaderCodec,
+                 TargetConnector& aConnector,
                  std::shared_ptr<FleetTarget> aTarget,
+                 core::Homes aHomes,
                  ExchangeOptions aOptions);
   ~TargetExchange();
   TargetExchange(const TargetExchange&) = delete;
@@ -77,11 +82,14 @@
   {
     return m_parser->EndsWithConnection();
   }
-  /// @return whether nothing listens at the target's address.
+  /// @return whether nothing listens at the target's address, and not only for
+  /// this instance.
   [[nodiscard]] bool WasConnectionRefused() const
   {
     return m_connection_refused;
   }
+  /// @return the instance through which the target is reached; empty: none.
+  [[nodiscard]] const std::string& Peer() const { return m_peer; }
   /// @return the reason of the last failure.
   [[nodiscard]] const std::string& Error() const { return m_error; }
 
@@ -103,9 +111,14 @@
 
   boost::asio::any_io_executor m_executor;
   const HeaderCodec& m_header_codec;
+  TargetConnector& m_connector;
   std::shared_ptr<FleetTarget> m_target;
+  core::Homes m_homes;
   ExchangeOptions m_options;
+  std::shared_ptr<ConnectionAttempt> m_attempt; ///< While it is opened.
   std::shared_ptr<net::OutboundConnection> m_connection;
+  std::string m_peer;
+  std::shared_ptr<void> m_tunnel_use;
   std::unique_ptr<net::MessageParser> m_parser;
   ReplyMetadata m_metadata;
   std::string m_body;
--- a/src/jujubehead/node/forward/target_fleet.hpp
+++ b/src/jujubehead/node/forward/target_fleet.hpp
@@ -43,6 +43,7 @@
   /// Since when its replies say that it is about to leave. Never reset: what a
   /// process said of itself is newer than its entry in the registry.
   std::optional<core::Instant> draining_since;
+  core::Instant path_checked_at{};  ///< By this instance, see TargetConnector.
   std::uint32_t active_streams = 0; ///< Streams of this instance.
   std::size_t service_index = 0;    ///< Its index in its service's targets.
 
--- a/src/jujubehead/node/metrics.cpp
+++ b/src/jujubehead/node/metrics.cpp
@@ -214,6 +214,10 @@
     "Requests that targets refused, asking for no more for a time." },
   { "draining_replies_total",
     "Replies of targets that say that they are leaving." },
+  { "tunnels_total", "Connections to targets through other instances." },
+  { "tunnels_served_total",
+    "Connections to targets opened for other instances." },
+  { "path_checks_total", "Checks of paths to targets that did not respond." },
   { "takeovers_total", "Targets and stores that came to this instance." },
 } };
 
--- a/standin/entry_deployment.cpp
+++ b/standin/entry_deployment.cpp
@@ -90,6 +90,8 @@
     , m_paths(m_options.table_service, m_options.instance_id.Text())
     , m_forwarder(m_options, m_header_codec, *m_metrics)
   {
+    m_options.tunnel_address =
+      "127.0.0.1:" + std::to_string(m_forwarder.TunnelPort());
     m_forwarder.Start();
     m_own.Do([&] {
       if (!aIsAlone) {
@@ -165,6 +167,7 @@
     WriteRows(m_targets);
     m_options.data_centre = core::DataCentreId("dc-1");
     m_options.caller_address = "127.0.0.1:0";
+    m_options.tunnel_address = "127.0.0.1:0";
     m_options.table_service = m_stand_ins.at("rows")->Authority();
     m_options.repeats.per_request = 100;
     m_options.weights_time = aOptions.weights_time;
