A crash counts once another instance finds the target gone, too

Cause: connections that are reset, and then refused, look like a target whose process has ended. At an instance whose own paths were reset, each request under way counted as one that crashed its target: reported to all instances, a suspect of poison, and after three such targets refused everywhere.

The check connects as a request does: refused directly, the target is asked for through another instance. Without any instance to ask, the own view decides as before. Class: what one instance alone sees, taken for the state of the target.

--- a/src/jujubehead/node/forward/forward_attempt.cpp
+++ b/src/jujubehead/node/forward/forward_attempt.cpp
@@ -41,8 +41,6 @@
 /// calls take a fraction of it, and other streams have events meanwhile.
 constexpr Duration kPathCheckTime = std::chrono::milliseconds(200);
 
-/// A host whose process has ended refuses a connection within a round trip.
-constexpr Duration kCrashCheckTimeout = std::chrono::milliseconds(100);
 /// Time in which the kernel closes all sockets of a process that ends.
 constexpr Duration kCrashSettleTime = std::chrono::milliseconds(5);
 
@@ -329,27 +327,28 @@
   if (aTarget.has_crashed || aTarget.IsLeaving()) {
     co_return aTarget.has_crashed;
   }
-  net::OutboundOptions options;
-  options.connect_timeout = kCrashCheckTimeout;
-  auto connection =
-    net::OutboundConnection::Create(m_session->Executor(), options);
-  boost::system::error_code error =
-    co_await connection->Connect(aTarget.endpoint);
-  if (!error) {
-    // A process that is ending may still accept a connection.
+  bool is_refused = false;
+  // A process that is ending may still accept a connection, once.
+  for (int i = 0; i < 2 && !is_refused; ++i) {
+    const auto attempt =
+      m_state.connector.Begin(m_session->Executor(), m_awaited_target, m_homes);
+    const TargetConnection opened = co_await attempt->Wait();
+    is_refused = opened.is_refused;
+    if (!opened.connection) {
+      break;
+    }
     co_await net::Sleep(kCrashSettleTime);
-    if (connection->IsAtRest()) {
-      aTarget.PutIdleConnection(connection);
+    const bool is_open = opened.connection->IsAtRest();
+    if (is_open && opened.peer.empty()) {
+      aTarget.PutIdleConnection(opened.connection);
+    } else {
+      opened.connection->Close();
+    }
+    if (is_open) {
       co_return false;
     }
-    connection->Close();
-    connection =
-      net::OutboundConnection::Create(m_session->Executor(), options);
-    error = co_await connection->Connect(aTarget.endpoint);
-    connection->Close();
-  }
-  if (error == asio::error::connection_refused &&
-      aTarget.OnCrashed(core::RuntimeClock::now())) {
+  }
+  if (is_refused && aTarget.OnCrashed(core::RuntimeClock::now())) {
     m_state.BudgetOf(m_service).OnGone(aTarget.target.id);
     PublishGone(aTarget);
     m_state.metrics.Add(Counter::kTargetCrashes);
--- a/standin/entry_deployment.cpp
+++ b/standin/entry_deployment.cpp
@@ -122,6 +122,10 @@
   RunningInstance& operator=(RunningInstance&&) = delete;
 
   [[nodiscard]] std::uint16_t Port() const { return m_forwarder.Port(); }
+  [[nodiscard]] std::uint64_t Total(node::Counter aCounter) const
+  {
+    return m_metrics->Total(aCounter);
+  }
   /// Asks the control thread.
   template<typename Question>
   auto Ask(Question aQuestion)
@@ -270,6 +274,11 @@
     });
   }
 
+  std::uint64_t Total(std::size_t aInstance, node::Counter aCounter) override
+  {
+    return m_instances.at(aInstance)->Total(aCounter);
+  }
+
   void SetCut(std::size_t aInstance, const std::string& aHow) override
   {
     m_world.Do([&] { m_path_views.at(aInstance)->SetCut(aHow); });
--- a/standin/entry_deployment.hpp
+++ b/standin/entry_deployment.hpp
@@ -3,6 +3,7 @@
 
 #include <chrono>     // for milliseconds
 #include <cstddef>    // for size_t
+#include <cstdint>    // for uint64_t
 #include <functional> // for function
 #include <memory>     // for unique_ptr
 #include <string>     // for string
@@ -11,6 +12,7 @@
 #include <nlohmann/json.hpp> // for json
 
 #include "jujubehead/net/http_message.hpp" // for HttpResponse
+#include "jujubehead/node/metrics.hpp"     // for Counter
 #include "standin/stand_in.hpp"            // for RegisteredOptions
 
 namespace jujubehead::standin {
@@ -75,6 +77,9 @@
   virtual void SetFault(const std::string& aName,
                         const std::string& aFault,
                         const nlohmann::json& aBody) = 0;
+  /// @return a counter of the instance of that index.
+  virtual std::uint64_t Total(std::size_t aInstance,
+                              node::Counter aCounter) = 0;
   /// @brief Cuts an instance's paths to all targets, see PathView. Only with
   /// `has_path_views`.
   virtual void SetCut(std::size_t aInstance, const std::string& aHow) = 0;
--- a/standin/partitioned_instance_test.cpp
+++ b/standin/partitioned_instance_test.cpp
@@ -1,3 +1,5 @@
+#include <atomic> // for atomic
+#include <future> // for async
 #include <thread> // for sleep_for
 
 #include <CppUTest/TestHarness.h> // for TEST
@@ -32,20 +34,20 @@
 {
   std::unique_ptr<EntryDeployment> deployment =
     EntryDeployment::Start(OptionsWithPathViews());
-  int requests = 0;
+  std::atomic<int> requests = 0;
 
   /// Sends a call that may run once, or a prompt.
   net::HttpResponse Send(const std::string& aPath, const std::string& aBody)
   {
+    const std::string number = std::to_string(++requests);
     net::HttpHeaders lines;
-    lines.Add("X-Attempt-Id", "r" + std::to_string(++requests));
+    lines.Add("X-Attempt-Id", "r" + number);
     lines.Add("Authorization", "Token key-1");
     lines.Add("X-Deadline-Ms", "3000");
     if (aPath.starts_with("/chat/")) {
       lines.Add("X-Model", "m1");
       lines.Add("X-Token-Usage", "1460,80");
-      lines.Add("X-Prompt-Prefix",
-                "aa:800,b" + std::to_string(requests) + ":9");
+      lines.Add("X-Prompt-Prefix", "aa:800,b" + number + ":9");
     }
     return deployment->CallAt(0, "POST", aPath, lines, aBody);
   }
@@ -106,3 +108,31 @@
 {
   CheckAnswersDuring("closed");
 }
+
+// Connections that are reset and refused looked like targets that had crashed:
+// requests under way at a partitioned instance counted as poison, and all
+// instances refused their copies.
+TEST(PartitionedInstance, ItsBrokenRequestsAreNoPoison)
+{
+  const std::string body = "sent again and again";
+  std::atomic<bool> is_ending = false;
+  const auto call = [&] {
+    while (!is_ending) {
+      Send("/chat/x", body);
+    }
+  };
+  auto one = std::async(std::launch::async, call);
+  auto other = std::async(std::launch::async, call);
+  constexpr int kCuts = 25;
+  for (int i = 0; i < kCuts; ++i) {
+    deployment->SetCut(0, "reset");
+    std::this_thread::sleep_for(std::chrono::milliseconds(60));
+    deployment->SetCut(0, "none");
+    std::this_thread::sleep_for(std::chrono::milliseconds(60));
+  }
+  is_ending = true;
+  one.wait();
+  other.wait();
+  LONGS_EQUAL(0, deployment->Total(0, node::Counter::kTargetCrashes));
+  LONGS_EQUAL(200, Send("/chat/x", body).status);
+}
