A coordinator that reaches no target leaves its lease to another instance

Cause: the lease for orders is a row of the shared table, which a partitioned instance still reaches. It took the lease, renewed it, and judged each target alone by its own unanswered questions. Orders cannot go through another instance, as they have to come from the holder.

An instance that knows itself partitioned neither takes nor renews the lease; neither does one to which two or more targets, and no other, have not responded for a second: for the least time between two holders and 5 s more. Ruled out: giving up after one target (it may be down), and at once (targets that crash together). Class: what one instance alone sees, taken for the state of the targets.

The path views of a test's deployment are destroyed after its thread has ended; their coroutines went on after them.

--- a/src/jujubehead/node/control/rollout_coordinator.cpp
+++ b/src/jujubehead/node/control/rollout_coordinator.cpp
@@ -50,6 +50,10 @@
 /// whenever a target starts or finishes.
 constexpr core::Duration kRemoteStateLifetime = std::chrono::seconds(3);
 
+/// Added to the least time between two holders, so that another instance has
+/// the lease before this one asks for it again.
+constexpr core::Duration kYieldMargin = std::chrono::seconds(5);
+
 core::CoordinatorLeaseOptions
 LeaseOptions(const EntryOptions& aOptions)
 {
@@ -93,6 +97,7 @@
   , m_store_clock(aStoreClock)
   , m_forwarder(aForwarder)
   , m_lease(HolderName(aOptions), LeaseOptions(aOptions))
+  , m_reach(aOptions.lease_time + kYieldMargin)
   , m_wake(aContext)
 {
 }
@@ -353,7 +358,8 @@
 RolloutCoordinator::RunStep()
 {
   const core::Instant now = core::RuntimeClock::now();
-  if (!m_lease.MayAcquire(now)) {
+  if (!m_lease.MayAcquire(now) || m_reach.IsYielding(now) ||
+      m_forwarder.IsPartitioned()) {
     co_return;
   }
   if (m_lease.IsRenewalDue(now)) {
@@ -457,6 +463,9 @@
     try {
       is_loaded = co_await TryLoad(aModel, aTarget, loading);
     } catch (const PlatformError& error) {
+      if (error.Fault() == PlatformFault::kUnreachable) {
+        OnNoResponse(aTarget.id);
+      }
       DecisionLog::WriteUnthrottled(LogLine("target_unanswered")
                                       .Add("target", aTarget.id.View())
                                       .Add("why", error.what()));
@@ -485,6 +494,18 @@
   Wake();
 }
 
+void
+RolloutCoordinator::OnNoResponse(const core::TargetId& aTarget)
+{
+  const core::Instant now = core::RuntimeClock::now();
+  const bool was_yielding = m_reach.IsYielding(now);
+  m_reach.OnNoResponse(aTarget, now);
+  if (m_reach.IsYielding(now) && !was_yielding) {
+    DecisionLog::WriteUnthrottled(
+      LogLine("orders_lease_yielded").Add("holder", m_lease.Self()));
+  }
+}
+
 bool
 RolloutCoordinator::SetUnanswered(const core::ModelId& aModel,
                                   const core::TargetId& aTarget,
@@ -537,6 +558,7 @@
                             Loading& aLoading)
 {
   const WeightsReport report = co_await m_orders.Report(aTarget.address);
+  m_reach.OnResponse();
   const std::uint64_t wanted = m_wanted[aModel].Newest();
   const std::uint64_t version = VersionIn(report, aModel);
   if (version >= wanted) {
--- a/src/jujubehead/node/control/rollout_coordinator.hpp
+++ b/src/jujubehead/node/control/rollout_coordinator.hpp
@@ -13,6 +13,7 @@
 
 #include "jujubehead/core/routing/target_directory.hpp"  // for RegisteredTarget
 #include "jujubehead/core/weights/coordinator_lease.hpp" // for CoordinatorLease
+#include "jujubehead/core/weights/order_reach.hpp"       // for OrderReach
 #include "jujubehead/core/weights/rollout.hpp"           // for DesiredWeights
 #include "jujubehead/net/timer.hpp"                      // for Timer
 #include "jujubehead/node/control/platform.hpp"          // for SharedRows
@@ -93,6 +94,7 @@
     const core::RegisteredTarget& aTarget,
     const WeightsReport& aReport,
     Loading& aLoading);
+  void OnNoResponse(const core::TargetId& aTarget);
   /// @return whether the state changed.
   bool SetUnanswered(const core::ModelId& aModel,
                      const core::TargetId& aTarget,
@@ -122,6 +124,7 @@
   const core::RemoteClock& m_store_clock;
   Forwarder& m_forwarder;
   core::CoordinatorLease m_lease;
+  core::OrderReach m_reach;
   net::Timer m_wake;
   core::Duration m_lease_delay{};
   std::map<core::ModelId, core::DesiredWeights> m_wanted;
--- a/standin/entry_deployment.cpp
+++ b/standin/entry_deployment.cpp
@@ -184,7 +184,6 @@
     m_instances.clear();
     m_world.Do([&] {
       m_is_ending = true;
-      m_path_views.clear();
       m_stand_ins.clear();
       m_client.reset();
     });
@@ -540,7 +539,9 @@
   ContextThread m_world;                     ///< Of the stand-ins.
   std::unique_ptr<net::HttpClient> m_client; ///< On that thread.
   std::map<std::string, std::unique_ptr<StandIn>> m_stand_ins;
-  std::vector<std::unique_ptr<PathView>> m_path_views; ///< By instance.
+  /// By instance. Their coroutines must not go on after them, so they are
+  /// destroyed when the thread has ended.
+  std::vector<std::unique_ptr<PathView>> m_path_views;
   std::map<std::string, json> m_poison; ///< Bodies that crash a target.
   std::size_t m_crashes = 0;
   bool m_is_ending = false;
--- a/standin/rollout_takeover_test.cpp
+++ b/standin/rollout_takeover_test.cpp
@@ -68,3 +68,29 @@
   // A round takes 1 s at least: 0.3 s of notice, 0.7 s until the first poll.
   CHECK(Clock::now() - second_round < 700ms);
 }
+
+// An instance that had lost its paths to the targets still reached the shared
+// table: it took and kept the lease, and no target loaded newer weights.
+TEST(RolloutTakeover, APartitionedInstanceDoesNotCoordinate)
+{
+  constexpr std::size_t kInstances = 5;
+  standin::EntryDeploymentOptions options;
+  options.targets = kTargets;
+  options.instances = kInstances;
+  options.has_path_views = true;
+  deployment = EntryDeployment::Start(options);
+  for (std::size_t i = 0; i + 1 < kInstances; ++i) {
+    deployment->SetCut(i, "reset");
+    for (int request = 0; request < 10; ++request) {
+      net::HttpHeaders lines;
+      lines.Add("X-Attempt-Id", "r" + std::to_string(request));
+      lines.Add("Authorization", "Token key-1");
+      deployment->CallAt(i, "POST", "/once/x", lines, "a");
+    }
+  }
+  const Clock::time_point named = Clock::now();
+  deployment->PutRow(
+    "op", "version/m1", json{ { "model", "m1" }, { "version", 2 } });
+  CHECK(deployment->Await([&] { return Loaded() == kTargets; }));
+  CHECK(Clock::now() - named < 10000ms);
+}
