A peer says that a target refused connections only if it reaches others

In one process: APartitionedPeerDoesNotProveThatATargetIsGone, three of four instances in one data centre reset and refused at one moment, failed before.

Cause: a peer of the same data centre is partitioned, too, and until it knows, it is refused by each target. It said so, and was believed: the target counted as gone, no peer of another data centre was asked, and so no path was ever found lost. Class: what one instance alone sees, taken for the state of the target.

A peer that is refused connects to one or two other targets first, unless it has done so within 100 ms; if they refuse it as well it takes no tunnel. The second peer asked is of another data centre.

--- a/include/jujubehead/core/membership/tunnel_peers.hpp
+++ b/include/jujubehead/core/membership/tunnel_peers.hpp
@@ -44,7 +44,8 @@
 
   /// @return the peer for the next tunnel, null if there is none: near ones
   /// first, of two random ones the one with fewer tunnels of this instance. One
-  /// that failed lately is chosen only when no other is left.
+  /// that failed lately is chosen only when no other is left, and so is one in
+  /// a data centre where another was tried: it may be partitioned as a whole.
   /// @param aHomes where the request's data may pass.
   /// @param aTried ids of peers not to choose.
   [[nodiscard]] const TunnelPeer* Choose(const Homes& aHomes,
@@ -82,7 +83,7 @@
     const Homes& aHomes,
     const std::set<std::string>& aTried,
     Instant aNow,
-    bool aWithFailed) const;
+    bool aWithAll) const;
 
   std::string m_self;
   DataCentreId m_data_centre;
--- a/src/jujubehead/core/membership/tunnel_peers.cpp
+++ b/src/jujubehead/core/membership/tunnel_peers.cpp
@@ -95,12 +95,19 @@
 TunnelPeers::Nearest(const Homes& aHomes,
                      const std::set<std::string>& aTried,
                      Instant aNow,
-                     bool aWithFailed) const
+                     bool aWithAll) const
 {
+  std::set<DataCentreId> tried_in;
+  for (const std::string& id : aTried) {
+    if (const auto found = m_peers.find(id); found != m_peers.end()) {
+      tried_in.insert(found->second.peer.data_centre);
+    }
+  }
   std::vector<const State*> nearest;
   for (const auto& [id, state] : m_peers) {
-    const bool is_usable = aWithFailed || state.failed_until <= aNow;
-    if (!is_usable || aTried.contains(id) ||
+    const bool is_preferred =
+      state.failed_until <= aNow && !tried_in.contains(state.peer.data_centre);
+    if ((!aWithAll && !is_preferred) || aTried.contains(id) ||
         !aHomes.Allow(state.peer.data_centre)) {
       continue;
     }
--- a/src/jujubehead/core/membership/tunnel_peers_test.cpp
+++ b/src/jujubehead/core/membership/tunnel_peers_test.cpp
@@ -76,6 +76,19 @@
   STRCMP_EQUAL("near", Chosen(anywhere).c_str());
 }
 
+// A whole data centre may be partitioned: a second peer of it would fail, too.
+TEST(TunnelPeers, TheSecondPeerIsOfAnotherDataCentre)
+{
+  peers.Update({ Instance("one", "dc-1"),
+                 Instance("two", "dc-1"),
+                 Instance("region", "dc-2") });
+  const TunnelPeer* second = peers.Choose(anywhere, { "one" }, random(), now);
+  STRCMP_EQUAL("region", second->id.c_str());
+  const TunnelPeer* third =
+    peers.Choose(anywhere, { "one", "region" }, random(), now);
+  STRCMP_EQUAL("two", third->id.c_str());
+}
+
 // The data of an account that is bound to a region must not pass through
 // another one.
 TEST(TunnelPeers, OtherRegionsAreLeftOutWhereHomesForbidThem)
--- a/src/jujubehead/node/forward/target_connector.cpp
+++ b/src/jujubehead/node/forward/target_connector.cpp
@@ -22,6 +22,12 @@
 constexpr core::Duration kCheckTimeout = std::chrono::milliseconds(300);
 /// Least time between checks of one target.
 constexpr core::Duration kCheckInterval = std::chrono::seconds(1);
+/// A connection to a target opened within this time shows that this instance
+/// reaches targets.
+constexpr core::Duration kRecentContact = std::chrono::milliseconds(100);
+/// Other targets to which a connection is tried in order to know the same.
+constexpr std::size_t kOthersAsked = 2;
+constexpr core::Duration kOtherTimeout = std::chrono::milliseconds(40);
 /// Time without any response after which a loaded instance suspects its own
 /// paths: streams have an event in a tenth of it.
 constexpr core::Duration kSilence = std::chrono::milliseconds(200);
@@ -92,6 +98,7 @@
 void
 TargetConnector::OnConnected(const core::TargetId& aTarget)
 {
+  m_last_connected = core::RuntimeClock::now();
   if (m_paths.OnConnected(aTarget)) {
     DecisionLog::WriteUnthrottled(
       LogLine("path_regained").Add("target", aTarget.View()));
@@ -133,6 +140,28 @@
   }
 }
 
+asio::awaitable<bool>
+TargetConnector::ReachesOthers(asio::any_io_executor aExecutor,
+                               core::TargetId aTarget)
+{
+  if (core::RuntimeClock::now() - m_last_connected < kRecentContact) {
+    co_return true;
+  }
+  const auto others = m_fleet.Sample(aTarget, kOthersAsked, m_random());
+  for (const auto& other : others) {
+    net::OutboundOptions options;
+    options.connect_timeout = kOtherTimeout;
+    const auto connection = net::OutboundConnection::Create(aExecutor, options);
+    const auto error = co_await connection->Connect(other->endpoint);
+    if (!error) {
+      OnConnected(other->target.id);
+      other->PutIdleConnection(connection);
+      co_return true;
+    }
+  }
+  co_return others.empty();
+}
+
 void
 TargetConnector::UpdateState()
 {
--- a/src/jujubehead/node/forward/target_connector.hpp
+++ b/src/jujubehead/node/forward/target_connector.hpp
@@ -130,6 +130,11 @@
   [[nodiscard]] const core::DirectPaths& Paths() const { return m_paths; }
   /// @brief A response came over a direct connection.
   void OnDirectResponse(core::Instant aNow) { m_last_direct_response = aNow; }
+  /// @brief Finds out whether this instance reaches any target but one: whether
+  /// what it found of that one says something about it.
+  boost::asio::awaitable<bool> ReachesOthers(
+    boost::asio::any_io_executor aExecutor,
+    core::TargetId aTarget);
   /// @return whether no target has responded directly for a while.
   [[nodiscard]] bool IsSilent(core::Instant aNow) const;
 
@@ -162,6 +167,7 @@
   std::shared_ptr<core::TunnelPeers> m_peers;
   std::mt19937_64 m_random;
   core::Instant m_last_direct_response{};
+  core::Instant m_last_connected{};
   core::Instant m_partitioned_since{};
   bool m_is_checking = false; ///< CheckLostPaths() runs.
   std::atomic<std::size_t> m_lost_count{ 0 };
--- a/src/jujubehead/node/forward/target_fleet.cpp
+++ b/src/jujubehead/node/forward/target_fleet.cpp
@@ -371,6 +371,23 @@
   return targets;
 }
 
+std::vector<std::shared_ptr<FleetTarget>>
+TargetFleet::Sample(const core::TargetId& aBut,
+                    std::size_t aCount,
+                    std::uint64_t aRandom) const
+{
+  std::vector<std::shared_ptr<FleetTarget>> sample;
+  for (const auto& [service, targets] : m_by_service) {
+    for (std::size_t i = 0; i < std::min(aCount, targets.size()); ++i) {
+      const auto& target = targets[(aRandom + i) % targets.size()];
+      if (target->target.id != aBut && sample.size() < aCount) {
+        sample.push_back(target);
+      }
+    }
+  }
+  return sample;
+}
+
 std::shared_ptr<FleetTarget>
 TargetFleet::Find(const core::TargetId& aId) const
 {
--- a/src/jujubehead/node/forward/target_fleet.hpp
+++ b/src/jujubehead/node/forward/target_fleet.hpp
@@ -123,6 +123,11 @@
     const core::DataCentreId& aDataCentre) const;
   /// @return this instance's requests in all data centres with a planned stop.
   [[nodiscard]] std::uint64_t RequestsInStopped() const;
+  /// @return at most `aCount` targets but one, spread over the fleet.
+  [[nodiscard]] std::vector<std::shared_ptr<FleetTarget>> Sample(
+    const core::TargetId& aBut,
+    std::size_t aCount,
+    std::uint64_t aRandom) const;
   [[nodiscard]] std::shared_ptr<FleetTarget> Find(
     const core::TargetId& aId) const;
   [[nodiscard]] std::shared_ptr<FleetTarget> FindByKey(
--- a/src/jujubehead/node/forward/tunnel.hpp
+++ b/src/jujubehead/node/forward/tunnel.hpp
@@ -32,7 +32,8 @@
 {
   kOpen = 200,
   kUnknownTarget = 404, ///< Not registered, as far as the peer knows.
-  kTargetRefused = 502, ///< Nothing listens at the target's address.
+  /// Nothing listens at the target's address, and the peer reaches others.
+  kTargetRefused = 502,
   /// The peer takes no tunnel: it is stopping, has too many, or does not reach
   /// the target itself.
   kRejected = 503,
--- a/src/jujubehead/node/forward/tunnel_server.cpp
+++ b/src/jujubehead/node/forward/tunnel_server.cpp
@@ -210,9 +210,12 @@
   }
   // It may be this instance that has lost its path.
   m_state.connector.Check(m_acceptor.get_executor(), target);
-  co_return error == asio::error::connection_refused
-    ? TunnelStatus::kTargetRefused
-    : TunnelStatus::kTargetSilent;
+  if (error != asio::error::connection_refused) {
+    co_return TunnelStatus::kTargetSilent;
+  }
+  const bool is_known = co_await m_state.connector.ReachesOthers(
+    m_acceptor.get_executor(), target->target.id);
+  co_return is_known ? TunnelStatus::kTargetRefused : TunnelStatus::kRejected;
 }
 
 asio::awaitable<void>
--- a/standin/entry_deployment.cpp
+++ b/standin/entry_deployment.cpp
@@ -159,6 +159,7 @@
   explicit Deployed(const EntryDeploymentOptions& aOptions)
     : m_targets(aOptions.targets)
     , m_instance_count(aOptions.instances)
+    , m_data_centres(aOptions.data_centres)
     , m_client(net::HttpClient::Create(m_world.context))
   {
     node::ConfigureLog({}, node::LogStream::kErr);
@@ -169,7 +170,6 @@
       }
     });
     WriteRows(m_targets);
-    m_options.data_centre = core::DataCentreId("dc-1");
     m_options.caller_address = "127.0.0.1:0";
     m_options.tunnel_address = "127.0.0.1:0";
     m_options.table_service = m_stand_ins.at("rows")->Authority();
@@ -195,6 +195,8 @@
     m_instances.clear();
     for (std::size_t i = 0; i < m_instance_count; ++i) {
       m_options.instance_id = core::InstanceId("i" + std::to_string(i + 1));
+      m_options.data_centre = core::DataCentreId(
+        i < m_data_centres.size() ? m_data_centres[i] : "dc-1");
       if (!m_path_views.empty()) {
         m_options.table_service = m_path_views.at(i)->Authority();
       }
@@ -536,6 +538,7 @@
 
   std::size_t m_targets;
   std::size_t m_instance_count;
+  std::vector<std::string> m_data_centres;
   ContextThread m_world;                     ///< Of the stand-ins.
   std::unique_ptr<net::HttpClient> m_client; ///< On that thread.
   std::map<std::string, std::unique_ptr<StandIn>> m_stand_ins;
--- a/standin/entry_deployment.hpp
+++ b/standin/entry_deployment.hpp
@@ -25,6 +25,8 @@
   std::chrono::milliseconds weights_time = std::chrono::seconds(10);
   std::size_t instances = 1; ///< They know each other.
   std::chrono::seconds first_quarantine{ 60 };
+  /// Of the first instances; all others are in `dc-1`.
+  std::vector<std::string> data_centres{};
   /// Each instance reaches the targets over paths of its own; see SetCut().
   bool has_path_views = false;
 };
--- a/standin/partitioned_instance_test.cpp
+++ b/standin/partitioned_instance_test.cpp
@@ -286,3 +286,20 @@
   SendWhileNoticing();
   CHECK(CountAnswered(15) >= 27);
 }
+
+// All connections of a partitioned data centre may be refused: what its other
+// instances say of a target was taken for a proof that the target is gone.
+TEST(PartitionedInstance, APartitionedPeerDoesNotProveThatATargetIsGone)
+{
+  deployment.reset();
+  EntryDeploymentOptions options = OptionsWithPathViews();
+  options.instances = 4;
+  options.data_centres = { "dc-2", "dc-2", "dc-2" };
+  deployment = EntryDeployment::Start(options);
+  for (std::size_t i = 0; i < options.data_centres.size(); ++i) {
+    deployment->SetCut(i, "reset");
+  }
+  SendWhileNoticing();
+  CHECK(CountAnswered(15) >= 27);
+  LONGS_EQUAL(0, deployment->Total(0, node::Counter::kTargetCrashes));
+}
