--- a/src/jujubehead/core/membership/tunnel_peers_test.cpp
+++ b/src/jujubehead/core/membership/tunnel_peers_test.cpp
@@ -31,6 +31,7 @@
 Fleet(int aCount)
 {
   std::vector<KnownInstance> fleet;
+  fleet.reserve(static_cast<std::size_t>(aCount));
   for (int i = 0; i < aCount; ++i) {
     fleet.push_back(
       Instance("i" + std::to_string(i), "dc-" + std::to_string(i % 3 + 1)));
