--- a/src/jujubehead/node/forward/connection_attempt.cpp
+++ b/src/jujubehead/node/forward/connection_attempt.cpp
@@ -23,8 +23,8 @@
 constexpr core::Duration kNextWayDelay = std::chrono::milliseconds(100);
 /// Longest time of all ways together.
 constexpr core::Duration kConnectTimeout = std::chrono::milliseconds(500);
-/// Peers that are asked for one connection: another one when the first has no
-/// path either, and one more in another data centre.
+/// Peers that are asked for one connection. The second is of another data
+/// centre, as the first one's may be partitioned as a whole.
 constexpr std::size_t kMaxPeers = 3;
 
 } // namespace
