--- a/src/jujubehead/node/control/follow.hpp
+++ b/src/jujubehead/node/control/follow.hpp
@@ -58,7 +58,7 @@
 {
   constexpr int kFromMs = 80;
   constexpr int kToMs = 250;
-  static std::minstd_rand random{ std::random_device{}() };
+  thread_local std::minstd_rand random{ std::random_device{}() };
   std::uniform_int_distribution<int> spread(kFromMs, kToMs);
   return std::chrono::milliseconds(spread(random));
 }
