Retries of instances that pause stay within the budget of one window

What callers' operators saw: more repeats at a service, over all instances, than its budget allows (BUDGET). Cause: each instance limits its retries by the requests that it counted in the ten seconds before its own last retry. Instances that stop retrying at different times have so counted different windows, and the sum of these exceeds the requests of any one window by some percent, as arrivals fluctuate. Class: a limit of a sum kept by parts that are measured at different times.

An instance now uses nine tenths of what its requests allow. A larger slot for requests would only move the windows.

--- a/src/jujubehead/core/routing/windowed_retry_budget.cpp
+++ b/src/jujubehead/core/routing/windowed_retry_budget.cpp
@@ -3,6 +3,14 @@
 #include <algorithm> // for min
 
 namespace jujubehead::core {
+namespace {
+
+/// Part of the allowance per request that an instance uses. Instances that stop
+/// retrying at different times have counted requests of different windows,
+/// whose sum exceeds the requests of any one window.
+constexpr double kUsedShare = 0.9;
+
+} // namespace
 
 WindowedRetryBudget::WindowedRetryBudget(WindowedRetryBudgetOptions aOptions)
   : m_options(aOptions)
@@ -85,8 +93,9 @@
     requests += i == oldest ? 0 : m_slots[i].requests;
   }
   const double share = aNow < m_share_until ? m_fixed_share : 0;
-  const double allowed = m_options.per_request * static_cast<double>(requests) +
-                         m_options.fixed * share;
+  const double allowed =
+    kUsedShare * m_options.per_request * static_cast<double>(requests) +
+    m_options.fixed * share;
   if (static_cast<double>(Retries(aNow) + 1) > allowed) {
     ++m_denied;
     return false;
