A process retries nothing until a window after its start

Cause: the count of a window's retries lives in the process. Instances that are killed take it along, and their next processes spend what their own new requests allow, within the same window. Class: a limit over time whose state starts anew with the process.

Why this holds: retries of the old process leave the window before the new one sends its first. What was weighed: handing the count over to other instances (a kill loses the last of it), and a part of the budget reserved for new processes (less for all others at all times). A new process answers at once instead of retrying; callers may come back to any instance.

--- a/include/jujubehead/core/routing/windowed_retry_budget.hpp
+++ b/include/jujubehead/core/routing/windowed_retry_budget.hpp
@@ -23,6 +23,8 @@
   /// Time after which a target that has not responded since is taken to have
   /// lost what it was sent.
   Duration max_delay = std::chrono::minutes(2);
+  /// Time after the start of the process until the first retry.
+  Duration start_delay = std::chrono::seconds(10);
 };
 
 /// @brief Limits the retries in any sliding window to a share of the requests
@@ -38,11 +40,14 @@
 /// retried requests count until the target responds, and for a window after it.
 ///
 /// The limit holds over any sliding window because, of the slots counted,
-/// retries include one slot more than a window and requests one fewer.
+/// retries include one slot more than a window and requests one fewer. The
+/// retries of an earlier process of the instance are not known, so
+/// `start_delay` is at least a window.
 class WindowedRetryBudget
 {
 public:
-  explicit WindowedRetryBudget(WindowedRetryBudgetOptions aOptions);
+  /// @param aStarted when this process started.
+  WindowedRetryBudget(WindowedRetryBudgetOptions aOptions, Instant aStarted);
 
   /// @brief Sets this instance's share of the fixed retries, 0 to 1; 0 before
   /// the first call.
@@ -86,6 +91,7 @@
   [[nodiscard]] std::uint64_t Retries(Instant aNow);
 
   WindowedRetryBudgetOptions m_options;
+  Instant m_started;
   std::array<Slot, kSlots> m_slots{};
   std::int64_t m_number = 0; ///< Of the current slot, since the clock's epoch.
   std::uint64_t m_denied = 0;
--- a/src/jujubehead/app/command_line.cpp
+++ b/src/jujubehead/app/command_line.cpp
@@ -137,6 +137,7 @@
       m_check.NotNegative("retry_fixed", values.retry_fixed);
     options.repeats.window = std::chrono::seconds(
       m_check.Range("retry_window", values.retry_window, 1, kMaxRetryWindow));
+    options.repeats.start_delay = options.repeats.window;
     options.poison.first_quarantine =
       std::chrono::seconds(m_check.Range("first_quarantine",
                                          values.first_quarantine,
--- a/src/jujubehead/core/membership/fleet_share_test.cpp
+++ b/src/jujubehead/core/membership/fleet_share_test.cpp
@@ -50,7 +50,7 @@
   Instance(std::size_t aId, double aWhole, Rule aRule)
     : id(aId)
     , share(OptionsOf(aRule))
-    , budget(WindowedRetryBudgetOptions{ seconds(10), 0, aWhole })
+    , budget(WindowedRetryBudgetOptions{ seconds(10), 0, aWhole }, Instant{})
   {
   }
 
--- a/src/jujubehead/core/routing/retry_budget_model_test.cpp
+++ b/src/jujubehead/core/routing/retry_budget_model_test.cpp
@@ -7,8 +7,8 @@
 
 #include "jujubehead/core/routing/windowed_retry_budget.hpp"
 
-// All instances of a service in simulated time, while the targets refuse much
-// of what they are sent.
+// All instances of a service in simulated time: some end and start again while
+// the targets refuse much of what they are sent.
 
 using namespace jujubehead::core;
 using std::chrono::milliseconds;
@@ -27,6 +27,14 @@
 constexpr int kMaxAttempts = 4;          ///< Of one request, all refused.
 const Instant kStart{ std::chrono::hours(1) };
 
+/// What happens to an instance at the times of the plan.
+enum class Event
+{
+  kRestarts,          ///< As built.
+  kRestartsUncounted, ///< The new process counts as one that has always run.
+  kPauses,            ///< It has nothing to retry for a window.
+};
+
 /// Sums over all instances, by step.
 struct Counts
 {
@@ -64,7 +72,7 @@
 };
 
 Counts
-Run(unsigned aSeed)
+Run(unsigned aSeed, Event aEvent)
 {
   const Plan plan(aSeed);
   std::mt19937 random(aSeed);
@@ -72,7 +80,7 @@
   const WindowedRetryBudgetOptions options{ kWindow, kShare, kFixed };
   std::vector<WindowedRetryBudget> budgets;
   for (int i = 0; i < kInstances; ++i) {
-    budgets.emplace_back(options);
+    budgets.emplace_back(options, kStart - 2 * kWindow);
     budgets.back().SetFixedShare(1.0 / kInstances, Instant::max());
   }
   std::vector<Instant> pauses_until(kInstances);
@@ -83,7 +91,13 @@
       if (one.at != step) {
         continue;
       }
-      pauses_until[one.instance] = now + kWindow;
+      if (aEvent == Event::kPauses) {
+        pauses_until[one.instance] = now + kWindow;
+      } else {
+        const Instant started =
+          aEvent == Event::kRestarts ? now : kStart - 2 * kWindow;
+        budgets[one.instance] = WindowedRetryBudget(options, started);
+      }
     }
     for (std::size_t instance = 0; instance < budgets.size(); ++instance) {
       WindowedRetryBudget& budget = budgets[instance];
@@ -137,11 +151,11 @@
 
 /// @return the number of seeds with which the budget is exceeded.
 unsigned
-SeedsOver()
+SeedsOver(Event aEvent)
 {
   unsigned over = 0;
   for (unsigned seed = 1; seed <= kSeeds; ++seed) {
-    over += MostOver(Run(seed)) > 0 ? 1 : 0;
+    over += MostOver(Run(seed, aEvent)) > 0 ? 1 : 0;
   }
   return over;
 }
@@ -154,5 +168,17 @@
 // different windows, whose sum must not exceed what any one window allows.
 TEST(RetryBudgetModel, InstancesThatPauseKeepTheBudgetTogether)
 {
-  LONGS_EQUAL(0, SeedsOver());
+  LONGS_EQUAL(0, SeedsOver(Event::kPauses));
+}
+
+// Processes that are killed take their count of the window along; those that
+// follow must not spend a second budget within it.
+TEST(RetryBudgetModel, InstancesThatRestartKeepTheBudgetOfTheWindow)
+{
+  LONGS_EQUAL(0, SeedsOver(Event::kRestarts));
+}
+
+TEST(RetryBudgetModel, RestartsThatAreNotCountedExceedTheBudget)
+{
+  CHECK(SeedsOver(Event::kRestartsUncounted) > kSeeds / 2);
 }
--- a/src/jujubehead/core/routing/windowed_retry_budget.cpp
+++ b/src/jujubehead/core/routing/windowed_retry_budget.cpp
@@ -12,8 +12,10 @@
 
 } // namespace
 
-WindowedRetryBudget::WindowedRetryBudget(WindowedRetryBudgetOptions aOptions)
+WindowedRetryBudget::WindowedRetryBudget(WindowedRetryBudgetOptions aOptions,
+                                         Instant aStarted)
   : m_options(aOptions)
+  , m_started(aStarted)
 {
 }
 
@@ -96,7 +98,8 @@
   const double allowed =
     kUsedShare * m_options.per_request * static_cast<double>(requests) +
     m_options.fixed * share;
-  if (static_cast<double>(Retries(aNow) + 1) > allowed) {
+  const bool is_new = aNow - m_started < m_options.start_delay;
+  if (is_new || static_cast<double>(Retries(aNow) + 1) > allowed) {
     ++m_denied;
     return false;
   }
--- a/src/jujubehead/core/routing/windowed_retry_budget_test.cpp
+++ b/src/jujubehead/core/routing/windowed_retry_budget_test.cpp
@@ -15,6 +15,8 @@
 constexpr double kShare = 0.2;
 constexpr double kFixed = 8;
 constexpr std::size_t kMaxInstances = 4;
+/// Start of a process that has run for more than a window.
+constexpr Instant kLongAgo{ Duration(-kWindow.count() * 2) };
 
 /// A request or an attempted retry at one of the instances.
 struct Step
@@ -68,8 +70,8 @@
     options.window = kWindow;
     options.per_request = kShare;
     options.fixed = kFixed;
-    std::vector<WindowedRetryBudget> budgets(kMaxInstances,
-                                             WindowedRetryBudget(options));
+    std::vector<WindowedRetryBudget> budgets(
+      kMaxInstances, WindowedRetryBudget(options, kLongAgo));
     for (WindowedRetryBudget& budget : budgets) {
       budget.SetFixedShare(1.0 / kMaxInstances, Instant::max());
     }
@@ -93,7 +95,7 @@
 {
   WindowedRetryBudgetOptions options;
   options.fixed = 1;
-  WindowedRetryBudget budget(options);
+  WindowedRetryBudget budget(options, kLongAgo);
   budget.SetFixedShare(1, Instant::max());
   Instant now{ std::chrono::seconds(50) };
   CHECK(budget.TryToRetry(now));
@@ -108,7 +110,7 @@
 {
   WindowedRetryBudgetOptions options;
   options.fixed = 10;
-  WindowedRetryBudget budget(options);
+  WindowedRetryBudget budget(options, kLongAgo);
   const Instant now{ std::chrono::seconds(50) };
   CHECK_FALSE(budget.TryToRetry(now));
   budget.SetFixedShare(0.5, now + std::chrono::seconds(6));
@@ -126,7 +128,7 @@
 {
   const TargetId stopped("t1");
   constexpr int kBudget = 8;
-  WindowedRetryBudget budget({ kWindow, 0, kBudget });
+  WindowedRetryBudget budget({ kWindow, 0, kBudget }, kLongAgo);
   Instant now{ std::chrono::minutes(1) };
   budget.SetFixedShare(1, Instant::max());
   int pending = 0; // Retried requests of which the target has a copy.
@@ -151,7 +153,7 @@
 TEST(WindowedRetryBudget, AResponseToAnEarlierRequestDoesNotShowThatItGoesOn)
 {
   const TargetId stopped("t1");
-  WindowedRetryBudget budget({ kWindow, 0, 2 });
+  WindowedRetryBudget budget({ kWindow, 0, 2 }, kLongAgo);
   const Instant now{ std::chrono::minutes(1) };
   budget.SetFixedShare(1, Instant::max());
   CHECK(budget.TryToRetry(now));
@@ -165,7 +167,7 @@
 // budget for good.
 TEST(WindowedRetryBudget, SendsToTargetsThatAreGoneCountNoMore)
 {
-  WindowedRetryBudget budget({ kWindow, 0, 1 });
+  WindowedRetryBudget budget({ kWindow, 0, 1 }, kLongAgo);
   Instant now{ std::chrono::minutes(1) };
   budget.SetFixedShare(1, Instant::max());
   CHECK(budget.TryToRetry(now));
--- a/src/jujubehead/node/forward/forward_state.hpp
+++ b/src/jujubehead/node/forward/forward_state.hpp
@@ -57,7 +57,7 @@
   core::WindowedRetryBudget& BudgetOf(const core::ServiceId& aService)
   {
     core::WindowedRetryBudget& budget =
-      budgets.try_emplace(aService, options.repeats).first->second;
+      budgets.try_emplace(aService, options.repeats, started_at).first->second;
     budget.SetFixedShare(retry_share, retry_share_until);
     return budget;
   }
@@ -124,6 +124,8 @@
   }
 
   const EntryOptions& options;
+  const core::Instant started_at =
+    core::RuntimeClock::now(); ///< Of the process.
   const HeaderCodec& header_codec;
   ThreadMetrics& metrics;
   DecisionLog& log;
--- a/standin/entry_deployment.cpp
+++ b/standin/entry_deployment.cpp
@@ -174,6 +174,7 @@
     m_options.tunnel_address = "127.0.0.1:0";
     m_options.table_service = m_stand_ins.at("rows")->Authority();
     m_options.repeats.per_request = 100;
+    m_options.repeats.start_delay = core::Duration(0);
     m_options.weights_time = aOptions.weights_time;
     m_options.poison.first_quarantine = aOptions.first_quarantine;
     Restart();
