--- a/standin/registered_face.cpp
+++ b/standin/registered_face.cpp
@@ -116,6 +116,9 @@
     if (Fault("leaving") != nullptr) {
       headers.Add("Server-Leaving", "1");
     }
+    if (const json* const limit = Fault("limit")) {
+      headers.Add("Server-Limit", limit->at("per_second").get<std::string>());
+    }
     return headers;
   }
 
