All instances together keep the limit that a target names

Cause: the reply header was not read; nothing bounded the requests of all instances at one target. Class: a signal of the target that no instance knew; what each instance would have made of it alone would not have held either.

Each limited target has a few holders, at most the limit in requests a second and one more, found by consistent hashing of target and instance (HolderRing). Each has its part of the limit in a token bucket, all buckets together hold one second's requests and one more; others send elsewhere. So 4 s never get more than five times the limit and one request, in a fleet of any size. Limits, and their ends, are reported between instances, beside the loads; a limit that no reply confirms passes to the next instances in the order, as its holders may be gone. When all targets of a service are limited, the sum of the tokens decides: less urgent requests leave some of it to more urgent ones, and what is refused learns when to come back.

Fleets of up to twelve exchanged no loads; they now send each other limits only.

--- a/include/jujubehead/core/routing/load_reports.hpp
+++ b/include/jujubehead/core/routing/load_reports.hpp
@@ -1,11 +1,12 @@
 #ifndef JUJUBEHEAD_CORE_ROUTING_LOAD_REPORTS_HPP
 #define JUJUBEHEAD_CORE_ROUTING_LOAD_REPORTS_HPP
 
-#include <cstddef>       // for size_t
-#include <cstdint>       // for uint32_t, uint64_t
-#include <map>           // for map
-#include <unordered_map> // for unordered_map
-#include <vector>        // for vector
+#include <cstddef>  // for size_t
+#include <cstdint>  // for uint32_t, uint64_t
+#include <map>      // for map
+#include <optional> // for optional
+#include <utility>  // for pair
+#include <vector>   // for vector
 
 #include "jujubehead/core/ids.hpp"                   // for TargetId
 #include "jujubehead/core/routing/load_estimate.hpp" // for ReportedLoad
@@ -23,8 +24,8 @@
 TargetKey
 KeyOf(const TargetId& aTarget);
 
-/// @brief A report on a target that some instance received: its load, or that
-/// it is gone.
+/// @brief A report on a target that some instance received: its load, its limit
+/// on requests, or that it is gone.
 struct TargetLoadReport
 {
   TargetKey target{};
@@ -35,12 +36,22 @@
   /// that does not respond is not gone: the network path may be broken for the
   /// reporting instance only.
   bool is_gone = false;
+  /// Of its limit; there is no load in it then.
+  bool is_limit = false;
+  /// Requests a second; nothing: none any more.
+  std::optional<double> limit = std::nullopt;
 };
 
 /// @return a report that a target is gone. It ranks above all loads.
 TargetLoadReport
 GoneTargetReport(const TargetId& aTarget, Instant aNow);
 
+/// @return a report of a target's limit. It ranks above all loads.
+TargetLoadReport
+LimitReport(const TargetId& aTarget,
+            std::optional<double> aPerSecond,
+            Instant aNow);
+
 /// @brief Limits of the load reports that instances exchange.
 struct LoadReportsOptions
 {
@@ -93,13 +104,15 @@
     TargetLoadReport report;
     std::uint64_t position = 0;
   };
+  /// Whose report, and whether it is of the limit.
+  using Key = std::pair<TargetKey, bool>;
 
   void DropOld(Instant aNow);
   void KeepBusiest(std::vector<TargetLoadReport>& aReports) const;
 
   LoadReportsOptions m_options;
-  std::unordered_map<TargetKey, Entry> m_loads;
-  std::map<std::uint64_t, TargetKey> m_by_position; ///< The oldest put first.
+  std::map<Key, Entry> m_loads;
+  std::map<std::uint64_t, Key> m_by_position; ///< The oldest put first.
   std::uint64_t m_last = 0;
 };
 
--- a/include/jujubehead/node/forward/header_codec.hpp
+++ b/include/jujubehead/node/forward/header_codec.hpp
@@ -62,6 +62,8 @@
   std::optional<core::Duration> keep_alive;
   /// For how long the target asks not to be sent requests again.
   std::optional<core::Duration> retry_after;
+  /// Requests a second that the target takes from all instances together.
+  std::optional<double> limit;
   /// The target is about to leave; it says so in all its replies from then on.
   bool is_draining = false;
 };
--- a/include/jujubehead/node/metrics.hpp
+++ b/include/jujubehead/node/metrics.hpp
@@ -49,6 +49,7 @@
   kBrokenReplies,    ///< Replies of targets that broke off or were invalid.
   kTargetCrashes,    ///< Targets that this instance found crashed.
   kPushbacks,        ///< Refusals by targets that requested backoff.
+  kLimitedRefusals,  ///< Requests refused as all their targets are limited.
   kDrainingReplies,  ///< Replies of targets that say that they are leaving.
   kTunnels,          ///< Connections to targets through other instances.
   kTunnelsServed,    ///< The same, opened for other instances.
--- a/src/jujubehead/core/routing/load_reports.cpp
+++ b/src/jujubehead/core/routing/load_reports.cpp
@@ -15,8 +15,8 @@
   return requests / std::max(aLoad.slots, 1U);
 }
 
-/// More requests per slot than any target has.
-constexpr ReportedLoad kLoadOfGone{ 64, 64, 1 };
+/// More requests per slot than any target has: ranks a report above all loads.
+constexpr ReportedLoad kAboveAllLoads{ 64, 64, 1 };
 
 } // namespace
 
@@ -29,13 +29,22 @@
 TargetLoadReport
 GoneTargetReport(const TargetId& aTarget, Instant aNow)
 {
-  return { KeyOf(aTarget), kLoadOfGone, aNow, true };
+  return { KeyOf(aTarget), kAboveAllLoads, aNow, true, false, std::nullopt };
+}
+
+TargetLoadReport
+LimitReport(const TargetId& aTarget,
+            std::optional<double> aPerSecond,
+            Instant aNow)
+{
+  return { KeyOf(aTarget), kAboveAllLoads, aNow, false, true, aPerSecond };
 }
 
 void
 LoadReports::Put(const TargetLoadReport& aLoad)
 {
-  const auto [known, is_new] = m_loads.try_emplace(aLoad.target);
+  const Key key{ aLoad.target, aLoad.is_limit };
+  const auto [known, is_new] = m_loads.try_emplace(key);
   Entry& entry = known->second;
   if (!is_new) {
     if (aLoad.reported_at <= entry.report.reported_at) {
@@ -44,14 +53,14 @@
     m_by_position.erase(entry.position);
   }
   entry = { aLoad, ++m_last };
-  m_by_position.emplace(m_last, aLoad.target);
+  m_by_position.emplace(m_last, key);
 }
 
 void
 LoadReports::DropOld(Instant aNow)
 {
-  const auto is_old = [&](TargetKey aTarget) {
-    return aNow - m_loads.at(aTarget).report.reported_at > m_options.max_age;
+  const auto is_old = [&](const Key& aKey) {
+    return aNow - m_loads.at(aKey).report.reported_at > m_options.max_age;
   };
   // Reports are put in about the order of their age.
   while (!m_by_position.empty() && is_old(m_by_position.begin()->second)) {
--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -46,6 +46,11 @@
 /// their rows.
 constexpr core::Duration kRowsSettle = std::chrono::milliseconds(1600);
 
+/// Time from the first sight of this instance's own row until it shares the
+/// limits of targets: by then all others have read the row, and what they sent
+/// without it has left the seconds over which a limit counts.
+constexpr core::Duration kHolderDelay = std::chrono::seconds(10);
+
 constexpr core::Duration kPoisonTickInterval = std::chrono::seconds(5);
 /// Pause after a write of a quarantine's row that had no effect.
 constexpr core::Duration kQuarantineRetry = std::chrono::seconds(2);
@@ -215,6 +220,9 @@
           });
         });
     };
+  hooks.apply_reports = [this](std::vector<core::TargetLoadReport> aReports) {
+    m_forwarder.ApplyReports(std::move(aReports));
+  };
   return hooks;
 }
 
@@ -223,6 +231,9 @@
 {
   m_role.OnStart(core::RuntimeClock::now());
   SetPoisonHooks();
+  m_forwarder.SetLimitHook([this](const core::TargetLoadReport& aReport) {
+    asio::post(m_context, [this, aReport] { m_hubs.ReportLimit(aReport); });
+  });
   FollowHooks<OperatorUpdate> operators;
   operators.on_update = [this](const OperatorUpdate& aUpdate, bool aIsAll) {
     OnOperatorUpdate(aUpdate, aIsAll);
@@ -445,6 +456,7 @@
   if (has_instance_rows) {
     SetInstances();
   }
+  m_has_shared_rows |= aIsAll;
 }
 
 void
@@ -464,12 +476,36 @@
   }
   m_paths.SetInstances(std::move(addresses));
   m_forwarder.SetInstances(m_instances.Others());
+  UpdateHolders();
   m_role.Update(m_instances.All());
   m_rollout.SetLeaseDelay(m_role.Level() == core::HubLevel::kFollower
                             ? kFollowerLeaseDelay
                             : core::Duration(0));
 }
 
+void
+EntryControl::UpdateHolders()
+{
+  const bool may_begin =
+    m_holds_from == core::Instant::max() && m_instances.HasOwnRow();
+  if (may_begin) {
+    // A row that was there at the first read is of an earlier process.
+    const core::Duration delay =
+      m_has_shared_rows ? kHolderDelay : core::Duration(0);
+    m_holds_from = core::RuntimeClock::now() + delay;
+  }
+  std::vector<std::string> ids;
+  for (const core::KnownInstance& instance : m_instances.All()) {
+    ids.push_back(instance.id);
+  }
+  if (ids == m_holders && !may_begin) {
+    return;
+  }
+  m_holders = std::move(ids);
+  m_forwarder.SetHolders(
+    core::HolderRing(m_holders, m_options.instance_id.View()), m_holds_from);
+}
+
 void
 EntryControl::UpdateShare()
 {
--- a/src/jujubehead/node/control/entry_control.hpp
+++ b/src/jujubehead/node/control/entry_control.hpp
@@ -77,6 +77,8 @@
   void OnRegistryUpdate(const RegistryUpdate& aUpdate, bool aIsAll);
   void OnSharedUpdate(const SharedUpdate& aUpdate, bool aIsAll);
   void SetInstances();
+  /// @brief Updates which instances share the limits of targets.
+  void UpdateHolders();
   /// @brief Updates this instance's share of the fleet's fixed retries.
   void UpdateShare();
   /// @return true once this instance either watches the operators' store itself
@@ -117,6 +119,10 @@
   core::InstanceDirectory m_instances;
   core::HubRole m_role;
   core::FleetShare m_share;
+  std::vector<std::string> m_holders; ///< Ids, as last passed on.
+  /// When this instance may use its shares of the targets' limits.
+  core::Instant m_holds_from = core::Instant::max();
+  bool m_has_shared_rows = false; ///< All shared rows were read once.
   std::shared_ptr<const core::Configuration> m_configuration;
   core::TargetDirectory m_book;
   core::DataCentreStops m_stops;
--- a/src/jujubehead/node/control/hub_exchange.cpp
+++ b/src/jujubehead/node/control/hub_exchange.cpp
@@ -223,6 +223,29 @@
   m_unsent_loads.Put(aLoad);
 }
 
+void
+HubExchange::ReportLimit(const core::TargetLoadReport& aReport)
+{
+  if (!m_role.Upstreams().empty()) {
+    m_pending_loads.push_back(aReport);
+    return;
+  }
+  OnReported(aReport);
+  // Without followers, loads are not exchanged.
+  if (!m_role.HasFollowers() && !m_is_forwarding_soon) {
+    m_is_forwarding_soon = true;
+    asio::co_spawn(m_context, ForwardLoadsSoon(), asio::detached);
+  }
+}
+
+asio::awaitable<void>
+HubExchange::ForwardLoadsSoon()
+{
+  co_await net::Sleep(kRelayPollInterval);
+  m_is_forwarding_soon = false;
+  ForwardLoads();
+}
+
 void
 HubExchange::ForwardLoads()
 {
@@ -319,7 +342,10 @@
       m_loads.Put(load);
     }
   }
-  m_pending_loads = co_await ExchangeLoads(std::move(update.loads));
+  const std::vector<core::TargetLoadReport> own =
+    co_await ExchangeLoads(std::move(update.loads));
+  // Limits may have been reported meanwhile.
+  m_pending_loads.insert(m_pending_loads.end(), own.begin(), own.end());
   m_stores.ApplyUpdate(update.parts, update.clock_ms, requested_at);
   if (!update.rows) {
     co_return PollResult::kStale;
@@ -440,10 +466,14 @@
   if (!IsHub()) {
     response.status = kUnavailable;
   } else {
-    for (const core::TargetLoadReport& load :
-         LoadsFromBytes(aExchange.Request().body, now)) {
+    std::vector<core::TargetLoadReport> loads =
+      LoadsFromBytes(aExchange.Request().body, now);
+    for (const core::TargetLoadReport& load : loads) {
       m_loads.Put(load);
     }
+    if (!m_role.HasFollowers()) {
+      m_hooks.apply_reports(std::move(loads));
+    }
   }
   co_await aExchange.Send(std::move(response));
 }
--- a/src/jujubehead/node/control/hub_exchange.hpp
+++ b/src/jujubehead/node/control/hub_exchange.hpp
@@ -45,6 +45,8 @@
     std::vector<core::TargetLoadReport> aReported,
     std::function<void(std::vector<core::TargetLoadReport>)> aReply)>
     exchange_loads;
+  /// Takes reports about targets received from others.
+  std::function<void(std::vector<core::TargetLoadReport>)> apply_reports;
 };
 
 /// @brief Bytes that an instance exchanged with other instances since its
@@ -83,6 +85,8 @@
               HubHooks aHooks);
 
   void Start();
+  /// @brief Passes a report of a target's limit on to all other instances.
+  void ReportLimit(const core::TargetLoadReport& aReport);
   /// @brief Answers a kHubUpdatesPath request of another instance.
   boost::asio::awaitable<void> Handle(net::HttpExchange& aExchange);
   /// @brief Answers a kHubLoadsPath request of another reader.
@@ -123,6 +127,8 @@
   /// @brief Starts sending the loads reported here since the last call to the
   /// other readers, except those with a request still outstanding.
   void ForwardLoads();
+  /// @brief The same in a while, so that one message has several reports.
+  boost::asio::awaitable<void> ForwardLoadsSoon();
   boost::asio::awaitable<void> SendLoads(core::KnownInstance aHub,
                                          std::string aLoads);
   /// @brief A load was reported by this instance or by one that polls it.
@@ -144,9 +150,10 @@
   std::map<std::string, Cursor> m_cursors;
   std::minstd_rand m_random{ std::random_device{}() };
   std::uniform_real_distribution<> m_jitter{ 0, 1 };
-  core::LoadReports m_loads;            ///< Reported to this instance as a hub.
-  std::uint64_t m_own_next_load = 0;    ///< Of these, not yet applied here.
-  core::LoadReports m_unsent_loads;     ///< Of these, not yet sent upwards.
+  core::LoadReports m_loads;         ///< Reported to this instance as a hub.
+  std::uint64_t m_own_next_load = 0; ///< Of these, not yet applied here.
+  core::LoadReports m_unsent_loads;  ///< Of these, not yet sent upwards.
+  bool m_is_forwarding_soon = false;
   std::set<std::string> m_pending_hubs; ///< Ids of hubs with a pending request.
   std::string m_start;                  ///< Identifies this run of the process.
   std::unique_ptr<net::HttpClient> m_client;
--- a/src/jujubehead/node/control/hub_update_codec.cpp
+++ b/src/jujubehead/node/control/hub_update_codec.cpp
@@ -37,6 +37,13 @@
 constexpr std::int64_t kMaxByte = 255;
 /// Value of the running byte that marks a removed target.
 constexpr std::uint32_t kGoneMark = 255;
+/// Value of the running byte that marks a limit. The next two bytes hold it,
+/// the lower one first. An instance that does not know the mark takes it for a
+/// load, and sends less to the target.
+constexpr std::uint32_t kLimitMark = 254;
+constexpr double kLimitUnitsPerRequest = 100;
+constexpr std::int64_t kNoLimit = 0xFFFF;
+constexpr double kMaxLimitUnits = kNoLimit - 1;
 constexpr core::Duration kAgeUnit = std::chrono::milliseconds(10);
 
 enum ChangeField : std::size_t
@@ -65,12 +72,32 @@
   return static_cast<unsigned char>(aByte);
 }
 
-/// Running requests, capped so that no count equals kGoneMark.
+/// Running requests, capped so that no count equals a mark.
 std::uint32_t
 RunningByte(const core::TargetLoadReport& aLoad)
 {
+  if (aLoad.is_limit) {
+    return kLimitMark;
+  }
   return aLoad.is_gone ? kGoneMark
-                       : std::min(aLoad.load.running, kGoneMark - 1);
+                       : std::min(aLoad.load.running, kLimitMark - 1);
+}
+
+/// @return the limit, rounded down.
+std::int64_t
+LimitUnits(std::optional<double> aPerSecond)
+{
+  return aPerSecond ? static_cast<std::int64_t>(std::min(
+                        *aPerSecond * kLimitUnitsPerRequest, kMaxLimitUnits))
+                    : kNoLimit;
+}
+
+std::optional<double>
+LimitOf(std::int64_t aUnits)
+{
+  return aUnits == kNoLimit
+           ? std::nullopt
+           : std::optional(static_cast<double>(aUnits) / kLimitUnitsPerRequest);
 }
 
 core::TargetLoadReport
@@ -87,6 +114,11 @@
   result.load.slots = FromByte(aBytes[kSlots]);
   result.reported_at = aSentAt - FromByte(aBytes[kLoadAge]) * kAgeUnit;
   result.is_gone = result.load.running == kGoneMark;
+  result.is_limit = result.load.running == kLimitMark;
+  if (result.is_limit) {
+    result.limit =
+      LimitOf(result.load.waiting | (result.load.slots << kByteBits));
+  }
   return result;
 }
 
@@ -104,8 +136,14 @@
       bytes += ToByte((key >> (i * kByteBits)) & kMaxByte);
     }
     bytes += ToByte(RunningByte(one));
-    bytes += ToByte(one.load.waiting);
-    bytes += ToByte(one.load.slots);
+    if (one.is_limit) {
+      const std::int64_t units = LimitUnits(one.limit);
+      bytes += ToByte(units & kMaxByte);
+      bytes += ToByte(units >> kByteBits);
+    } else {
+      bytes += ToByte(one.load.waiting);
+      bytes += ToByte(one.load.slots);
+    }
     bytes += ToByte((aNow - one.reported_at) / kAgeUnit + 1);
   }
   return bytes;
--- a/src/jujubehead/node/forward/forward_attempt.cpp
+++ b/src/jujubehead/node/forward/forward_attempt.cpp
@@ -41,6 +41,10 @@
 /// calls take a fraction of it, and other streams have events meanwhile.
 constexpr Duration kPathCheckTime = std::chrono::milliseconds(200);
 
+/// Interval of the reports of a target's limit, unless it changes: a fraction
+/// of the time after which a limit counts as unconfirmed.
+constexpr Duration kLimitReportInterval = std::chrono::seconds(1);
+
 /// Time in which the kernel closes all sockets of a process that ends.
 constexpr Duration kCrashSettleTime = std::chrono::milliseconds(5);
 
@@ -243,6 +247,9 @@
   if (aMetadata.weight_version && m_metadata.prompt) {
     aTarget.OnVersion(m_metadata.prompt->model, *aMetadata.weight_version);
   }
+  if (aStatus != kMisdirected) {
+    RecordLimit(aTarget, aMetadata);
+  }
   if (aMetadata.is_draining) {
     OnDraining(aTarget);
   }
@@ -251,6 +258,33 @@
   }
 }
 
+void
+ForwardRun::RecordLimit(FleetTarget& aTarget, const ReplyMetadata& aMetadata)
+{
+  const core::Instant now = core::RuntimeClock::now();
+  const bool has_changed =
+    aTarget.limit.OnReply(aMetadata.limit, m_sent_at, now);
+  const bool is_due = now - aTarget.limit_reported_at >= kLimitReportInterval;
+  if (has_changed || (is_due && aTarget.limit.IsWorthReporting(now))) {
+    aTarget.limit_reported_at = now;
+    m_state.on_limit_report(
+      core::LimitReport(aTarget.target.id, aTarget.limit.PerSecond(), now));
+  }
+  if (!has_changed) {
+    return;
+  }
+  LogLine line(aMetadata.limit ? "target_limited" : "target_limit_ended");
+  line.Add("request", m_metadata.request_id)
+    .Add("target", aTarget.target.id.View());
+  if (aMetadata.limit) {
+    const std::size_t rank = m_state.LimitRankOf(aTarget, now);
+    line.Add("per_second", std::to_string(*aMetadata.limit))
+      .Add("holders", std::uint64_t(aTarget.limit.Holders()))
+      .Add("holds", aTarget.limit.IsHeld(rank, now) ? "yes" : "no");
+  }
+  DecisionLog::WriteUnthrottled(line);
+}
+
 void
 ForwardRun::OnDraining(FleetTarget& aTarget)
 {
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -310,8 +310,7 @@
     }
     const bool is_repeat = m_history.sends > 0;
     if (is_repeat) {
-      const auto now = core::RuntimeClock::now();
-      if (!m_state.BudgetOf(m_service).TryToRetry(now)) {
+      if (!m_state.BudgetOf(m_service).TryToRetry(core::RuntimeClock::now())) {
         m_last_error += ", retry budget exhausted";
         co_await Finish(core::StepWithoutRetry(last, m_history));
         co_return;
@@ -319,6 +318,12 @@
       m_state.metrics.Add(m_session->HasStreamBegun() ? Counter::kResumes
                                                       : Counter::kRetries);
     }
+    const auto now = core::RuntimeClock::now();
+    if (!target->limit.TryToSend(m_state.LimitRankOf(*target, now), now)) {
+      m_last_error = "limit of the target is used up";
+      co_await Finish(core::StepWithoutRetry(last, m_history));
+      co_return;
+    }
     const AttemptFailure ended = co_await Attempt(target);
     if (!ended || m_session->IsDisconnected()) {
       co_return;
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -69,6 +69,16 @@
     std::vector<std::shared_ptr<FleetTarget>>& aTargets) const;
   /// @return the targets that the request may run on now.
   [[nodiscard]] std::vector<std::shared_ptr<FleetTarget>> Candidates() const;
+  /// @return the targets that take requests, but for limits: where possible
+  /// usable ones with the newest weights.
+  [[nodiscard]] std::vector<std::shared_ptr<FleetTarget>> Acceptable() const;
+  /// @return this instance's share of the limits of some targets.
+  [[nodiscard]] core::ServiceLimit LimitOf(
+    std::span<const std::shared_ptr<FleetTarget>> aTargets) const;
+  /// @brief Sets the time after which a retry is useful, if the request is
+  /// refused for limits.
+  /// @return whether it is.
+  bool ExplainLimits();
   /// @return whether the account's and the route's regions allow a target.
   [[nodiscard]] bool IsAllowed(const FleetTarget& aTarget) const
   {
@@ -112,6 +122,8 @@
   [[nodiscard]] std::uint32_t CrashCount();
   /// @brief Logs that a request is sent that crashed targets before.
   void LogSuspect(const FleetTarget& aTarget);
+  /// @brief A reply of the target names a limit of its requests, or none.
+  void RecordLimit(FleetTarget& aTarget, const ReplyMetadata& aMetadata);
   /// @brief The target answered completely.
   void OnCompleted();
   AttemptFailure OnRefusal(FleetTarget& aTarget,
--- a/src/jujubehead/node/forward/forward_state.hpp
+++ b/src/jujubehead/node/forward/forward_state.hpp
@@ -14,6 +14,7 @@
 #include "jujubehead/core/context/part_directory.hpp"    // for PartDirectory
 #include "jujubehead/core/context/prefix_popularity.hpp" // for PrefixPopularity
 #include "jujubehead/core/context/store_link.hpp"        // for StoreLink
+#include "jujubehead/core/membership/holder_ring.hpp"    // for HolderRing
 #include "jujubehead/core/routing/admission.hpp"         // for WaitPredictor
 #include "jujubehead/core/routing/configuration.hpp"     // for Configuration
 #include "jujubehead/core/routing/load_reports.hpp"      // for LoadReports
@@ -62,6 +63,20 @@
     return budget;
   }
 
+  /// @return this instance's rank for a target's limit.
+  [[nodiscard]] std::size_t LimitRankOf(FleetTarget& aTarget,
+                                        core::Instant aNow) const
+  {
+    if (aNow < holds_from) {
+      return core::HolderRing::kMaxRank;
+    }
+    if (aTarget.limit_rank_from != holders_number) {
+      aTarget.limit_rank_from = holders_number;
+      aTarget.limit_rank = holders.RankOf(aTarget.name_hash);
+    }
+    return aTarget.limit_rank;
+  }
+
   /// @brief Counts the requests left in data centres with a planned stop.
   /// Called when one of them ended in `aDataCentre`.
   void OnStoppedDataCentreProgress(const core::DataCentreId& aDataCentre)
@@ -140,6 +155,9 @@
   /// Passes this instance's reports on to the others.
   std::function<void(const core::PoisonReport&)> on_poison_report =
     [](const core::PoisonReport&) {};
+  /// Passes a report of a target's limit on to the other instances.
+  std::function<void(const core::TargetLoadReport&)> on_limit_report =
+    [](const core::TargetLoadReport&) {};
   /// Records a request's next quarantine, in order to send a probe, and calls
   /// the function on the traffic thread; nothing if that had no effect.
   std::function<void(const core::Quarantine&, ProbeReply)> claim_probe =
@@ -151,6 +169,11 @@
     [](const core::Quarantine&) {};
   core::PartDirectory parts;
   std::unordered_map<core::ServiceId, core::WindowedRetryBudget> budgets;
+  /// Orders the instances for the limits of targets.
+  core::HolderRing holders;
+  std::uint64_t holders_number = 1; ///< Changes with `holders`.
+  /// When this instance may begin to use its shares of the limits.
+  core::Instant holds_from{};
   double retry_share = 0; ///< This instance's share of the fixed retries.
   core::Instant retry_share_until{};
   /// By route name.
--- a/src/jujubehead/node/forward/forwarder.cpp
+++ b/src/jujubehead/node/forward/forwarder.cpp
@@ -276,17 +276,30 @@
   asio::post(
     m_context,
     [this, reports = std::move(aReports), on_pending = std::move(aOnPending)] {
-      const core::Instant now = core::RuntimeClock::now();
-      for (const core::TargetLoadReport& report : reports) {
-        if (const auto target = m_state.fleet.FindByKey(report.target)) {
-          target->OnReport(report, now);
-        }
-      }
+      m_state.fleet.ApplyReports(reports);
       m_state.shares_loads = true;
-      on_pending(m_state.pending_load_reports.TakeBusiest(now));
+      on_pending(
+        m_state.pending_load_reports.TakeBusiest(core::RuntimeClock::now()));
     });
 }
 
+void
+Forwarder::ApplyReports(std::vector<core::TargetLoadReport> aReports)
+{
+  asio::post(m_context, [this, reports = std::move(aReports)] {
+    m_state.fleet.ApplyReports(reports);
+  });
+}
+
+void
+Forwarder::SetLimitHook(
+  std::function<void(const core::TargetLoadReport&)> aHook)
+{
+  asio::post(m_context, [this, hook = std::move(aHook)] {
+    m_state.on_limit_report = hook;
+  });
+}
+
 void
 Forwarder::SetRetryShare(double aShare, core::Instant aUntil)
 {
@@ -296,6 +309,16 @@
   });
 }
 
+void
+Forwarder::SetHolders(core::HolderRing aHolders, core::Instant aFrom)
+{
+  asio::post(m_context, [this, holders = std::move(aHolders), aFrom]() mutable {
+    m_state.holders = std::move(holders);
+    ++m_state.holders_number;
+    m_state.holds_from = aFrom;
+  });
+}
+
 void
 Forwarder::SetPoisonHooks(PoisonHooks aHooks)
 {
--- a/src/jujubehead/node/forward/target_choice.cpp
+++ b/src/jujubehead/node/forward/target_choice.cpp
@@ -32,6 +32,9 @@
     m_last_error = is_unexplained ? "no time left" : m_last_error;
     return;
   }
+  if (ExplainLimits()) {
+    return;
+  }
   if (is_unexplained) {
     m_last_error = "no target available";
   }
@@ -61,8 +64,66 @@
   }
 }
 
+bool
+ForwardRun::ExplainLimits()
+{
+  const core::ServiceLimit limit = LimitOf(Acceptable());
+  if (!limit.is_limited) {
+    return false;
+  }
+  m_state.metrics.Add(Counter::kLimitedRefusals);
+  m_available_in =
+    core::TimeUntilAdmitted(limit, Urgency()).value_or(core::Duration(0));
+  if (m_last_error.empty()) {
+    m_last_error = "all targets have named a limit on their requests";
+  }
+  return true;
+}
+
+core::ServiceLimit
+ForwardRun::LimitOf(
+  std::span<const std::shared_ptr<FleetTarget>> aTargets) const
+{
+  const core::Instant now = core::RuntimeClock::now();
+  core::ServiceLimit all;
+  all.is_limited = !aTargets.empty();
+  for (const auto& target : aTargets) {
+    const core::TargetLimit& limit = target->limit;
+    if (!limit.PerSecond()) {
+      all.is_limited = false;
+      continue;
+    }
+    const std::size_t rank = m_state.LimitRankOf(*target, now);
+    if (!limit.IsHeld(rank, now)) {
+      continue;
+    }
+    const double tokens = limit.Tokens(rank, now);
+    all.tokens += tokens;
+    all.capacity += limit.Capacity();
+    all.tokens_per_second +=
+      tokens < limit.Capacity() ? limit.TokensPerSecond() : 0;
+  }
+  return all;
+}
+
 std::vector<std::shared_ptr<FleetTarget>>
 ForwardRun::Candidates() const
+{
+  const core::Instant now = core::RuntimeClock::now();
+  std::vector<std::shared_ptr<FleetTarget>> targets = Acceptable();
+  const core::ServiceLimit limit = LimitOf(targets);
+  if (limit.is_limited &&
+      core::TimeUntilAdmitted(limit, Urgency()) != core::Duration(0)) {
+    return {};
+  }
+  std::erase_if(targets, [&](const auto& aTarget) {
+    return !aTarget->limit.MaySend(m_state.LimitRankOf(*aTarget, now), now);
+  });
+  return targets;
+}
+
+std::vector<std::shared_ptr<FleetTarget>>
+ForwardRun::Acceptable() const
 {
   const core::Instant now = core::RuntimeClock::now();
   std::vector<std::shared_ptr<FleetTarget>> all;
--- a/src/jujubehead/node/forward/target_fleet.cpp
+++ b/src/jujubehead/node/forward/target_fleet.cpp
@@ -49,6 +49,10 @@
 void
 FleetTarget::OnReport(const core::TargetLoadReport& aReport, core::Instant aNow)
 {
+  if (aReport.is_limit) {
+    limit.OnReport(aReport.limit, aReport.reported_at);
+    return;
+  }
   if (!aReport.is_gone) {
     load.OnRelayedReport(aReport.load, aReport.reported_at);
     return;
@@ -279,6 +283,17 @@
   });
 }
 
+void
+TargetFleet::ApplyReports(const std::vector<core::TargetLoadReport>& aReports)
+{
+  const core::Instant now = core::RuntimeClock::now();
+  for (const core::TargetLoadReport& report : aReports) {
+    if (const auto target = FindByKey(report.target)) {
+      target->OnReport(report, now);
+    }
+  }
+}
+
 void
 TargetFleet::SetLoading(const std::set<core::TargetId>& aTargets)
 {
--- a/src/jujubehead/node/forward/target_fleet.hpp
+++ b/src/jujubehead/node/forward/target_fleet.hpp
@@ -18,6 +18,7 @@
 #include "jujubehead/core/routing/target_backoff.hpp"   // for TargetBackoff
 #include "jujubehead/core/routing/target_directory.hpp" // for RegisteredTarget
 #include "jujubehead/core/routing/target_health.hpp"    // for TargetHealth
+#include "jujubehead/core/routing/target_limit.hpp"     // for TargetLimit
 #include "jujubehead/net/http1/outbound_connection.hpp" // for OutboundConnection
 
 namespace jujubehead::node {
@@ -32,10 +33,14 @@
   core::LoadEstimate load;
   core::ColdStart cold_start;
   core::TargetBackoff backoff;
-  bool is_gone = false;             ///< Has left the registry or is leaving.
-  bool is_stopped = false;          ///< Its data centre has a planned stop.
-  bool is_loading = false;          ///< Is loading new weights.
-  core::Instant last_response_at{}; ///< Last response to this instance.
+  core::TargetLimit limit;
+  core::Instant limit_reported_at{}; ///< To other instances.
+  std::size_t limit_rank = 0;        ///< By ForwardState::LimitRankOf().
+  std::uint64_t limit_rank_from = 0; ///< Number of the ring that it is of.
+  bool is_gone = false;              ///< Has left the registry or is leaving.
+  bool is_stopped = false;           ///< Its data centre has a planned stop.
+  bool is_loading = false;           ///< Is loading new weights.
+  core::Instant last_response_at{};  ///< Last response to this instance.
   core::Instant
     last_gone_report_at{}; ///< Last such report of another instance.
   /// Its process has ended; a restarted one has another id.
@@ -98,6 +103,8 @@
   /// @brief Applies changes of the registry. Costs as much as there are
   /// changes, however many targets.
   void Apply(const std::vector<core::RegistrationChange>& aChanges);
+  /// @brief Applies reports of other instances.
+  void ApplyReports(const std::vector<core::TargetLoadReport>& aReports);
   /// @brief Sets which targets are loading new weights.
   void SetLoading(const std::set<core::TargetId>& aTargets);
   /// @brief Sets which data centres have a planned stop.
--- a/src/jujubehead/node/metrics.cpp
+++ b/src/jujubehead/node/metrics.cpp
@@ -212,6 +212,8 @@
     "Targets whose process had ended when a reply broke off." },
   { "target_pushbacks_total",
     "Requests that targets refused, asking for no more for a time." },
+  { "limited_refusals_total",
+    "Requests refused as all their targets have named a limit." },
   { "draining_replies_total",
     "Replies of targets that say that they are leaving." },
   { "tunnels_total", "Connections to targets through other instances." },
--- a/standin/limited_target_test.cpp
+++ b/standin/limited_target_test.cpp
@@ -24,6 +24,10 @@
 constexpr double kAllowedMore = 5;
 /// From a target's first reply that names its limit.
 constexpr seconds kSettleTime{ 3 };
+/// From an instance's first start until it shares limits with the others.
+constexpr seconds kJoinTime{ 12 };
+/// After a limit is over, its target has its usual share again.
+constexpr seconds kRecoveryTime{ 2 };
 
 constexpr double
 Allowed(double aPerSecond)
@@ -39,6 +43,11 @@
     EntryDeployment::Start({ .targets = kTargets, .instances = kInstances });
   int sent = 0;
 
+  void setup() override
+  {
+    std::this_thread::sleep_for(kJoinTime);
+  }
+
   unsigned SendAt(std::size_t aInstance)
   {
     net::HttpHeaders lines;
@@ -88,3 +97,41 @@
   CHECK(counts[0] > 0);
   LONGS_EQUAL(0, counts[1]);
 }
+
+// When no target can take a request, it is refused at once, with a time after
+// which to come back, and not held or sent all the same.
+TEST(LimitedTarget, WhatNoTargetCanTakeIsRefusedAtOnce)
+{
+  SetLimit("model0", "1.2");
+  SetLimit("model1", "0.8");
+  SendFor(kSettleTime);
+  const std::uint64_t before = ArrivedAt("model0") + ArrivedAt("model1");
+  const auto counts = SendFor(kWindow);
+  const std::uint64_t arrived =
+    ArrivedAt("model0") + ArrivedAt("model1") - before;
+  CHECK(static_cast<double>(arrived) <= Allowed(1.2) + Allowed(0.8));
+  CHECK(counts[0] > 0);
+  CHECK(counts[1] > 0);
+  const auto began = Clock::now();
+  unsigned status = kOk;
+  while (status == kOk) {
+    status = SendAt(0);
+  }
+  LONGS_EQUAL(kUnavailable, status);
+  CHECK(Clock::now() - began < seconds(1));
+}
+
+// A target whose replies name no limit any more must not stay limited at the
+// instances that had stopped sending to it.
+TEST(LimitedTarget, ATargetHasItsUsualShareAgainAfterItsLimit)
+{
+  SetLimit("model0", "1.2");
+  SendFor(kSettleTime);
+  deployment->SetFault("model0", "limit", json::object());
+  SendFor(kRecoveryTime);
+  const std::uint64_t before = ArrivedAt("model0");
+  const std::uint64_t other = ArrivedAt("model1");
+  SendFor(kWindow);
+  const auto arrived = ArrivedAt("model0") - before;
+  CHECK(arrived * 4 > ArrivedAt("model1") - other);
+}
