--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -72,7 +72,8 @@
   /// @return the targets that take requests, but for limits: where possible
   /// usable ones with the newest weights.
   [[nodiscard]] std::vector<std::shared_ptr<FleetTarget>> Acceptable() const;
-  /// @return this instance's share of the limits of some targets.
+  /// @return this instance's share of the limits of some targets, if all of
+  /// them are limited.
   [[nodiscard]] core::ServiceLimit LimitOf(
     std::span<const std::shared_ptr<FleetTarget>> aTargets) const;
   /// @brief Sets the time after which a retry is useful, if the request is
--- a/src/jujubehead/node/forward/target_choice.cpp
+++ b/src/jujubehead/node/forward/target_choice.cpp
@@ -90,8 +90,7 @@
   for (const auto& target : aTargets) {
     const core::TargetLimit& limit = target->limit;
     if (!limit.PerSecond()) {
-      all.is_limited = false;
-      continue;
+      return {};
     }
     const std::size_t rank = m_state.LimitRankOf(*target, now);
     if (!limit.IsHeld(rank, now)) {
