Limits: late replies and rounded reports change nothing

A reply under way when a limit ended brought it back, for all instances, until the next reply. A report holds hundredths: a limit of 1.239 from a reply and 1.23 from a report counted as a change with each reply, each one logged and reported at once. Instances now use the limit in hundredths, rounded down, at most 655.34; late replies neither end nor begin one.

--- a/include/jujubehead/core/routing/target_limit.hpp
+++ b/include/jujubehead/core/routing/target_limit.hpp
@@ -31,11 +31,16 @@
 class TargetLimit
 {
 public:
+  /// Limits are in whole units, rounded down, and at most this: what a report
+  /// between instances can hold. All instances so use the same value.
+  static constexpr double kUnitsPerRequest = 100;
+  static constexpr double kMaxPerSecond = 655.34;
+
   /// @brief A reply of the target named its limit in requests a second, or
   /// none.
   /// @param aSent when the request of that reply was sent. Replies overtake
   /// each other; only one to a request that was sent after the limit was known
-  /// shows that it is over.
+  /// shows that it is over, and after its end, that there is one again.
   /// @return whether the limit has changed.
   bool OnReply(std::optional<double> aPerSecond, Instant aSent, Instant aNow);
   /// @brief Another instance received such a reply.
@@ -68,8 +73,9 @@
   [[nodiscard]] Duration ConfirmationTime() const;
 
   std::optional<double> m_per_second;
-  Instant m_confirmed_at{}; ///< Receipt of the last reply that named it.
-  Instant m_filled_at{};    ///< When m_tokens was current.
+  /// Receipt of the last reply that named it, or that showed its end.
+  Instant m_confirmed_at{};
+  Instant m_filled_at{}; ///< When m_tokens was current.
   double m_tokens = 0;
 };
 
--- a/src/jujubehead/core/routing/target_limit.cpp
+++ b/src/jujubehead/core/routing/target_limit.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm> // for clamp, max, min
 #include <chrono>    // for duration, duration_cast
+#include <cmath>     // for floor
 
 namespace jujubehead::core {
 namespace {
@@ -27,11 +28,26 @@
 /// Rounding of times to microseconds must not make a full token less than one.
 constexpr double kWholeToken = 1 - 1e-6;
 
+/// @return the limit in whole units, rounded down.
+double
+Normalized(double aPerSecond)
+{
+  constexpr double kRounding = 1e-6;
+  const double units =
+    std::floor(aPerSecond * TargetLimit::kUnitsPerRequest + kRounding);
+  return std::clamp(units / TargetLimit::kUnitsPerRequest,
+                    kMinPerSecond,
+                    TargetLimit::kMaxPerSecond);
+}
+
 } // namespace
 
 void
 TargetLimit::Set(std::optional<double> aPerSecond, Instant aNow)
 {
+  if (aPerSecond) {
+    aPerSecond = Normalized(*aPerSecond);
+  }
   if (!m_per_second) {
     m_tokens = 0;
     m_filled_at = aNow;
@@ -40,10 +56,7 @@
     m_filled_at = std::max(m_filled_at, aNow);
   }
   m_per_second = aPerSecond;
-  if (m_per_second) {
-    m_per_second = std::max(*m_per_second, kMinPerSecond);
-    m_tokens = std::min(m_tokens, Capacity());
-  }
+  m_tokens = std::min(m_tokens, Capacity());
 }
 
 bool
@@ -51,7 +64,9 @@
                      Instant aSent,
                      Instant aNow)
 {
-  if (!aPerSecond && (!m_per_second || aSent <= m_confirmed_at)) {
+  const bool was_sent_before = aSent <= m_confirmed_at;
+  const bool is_new = aPerSecond.has_value() != m_per_second.has_value();
+  if ((is_new && was_sent_before) || (!aPerSecond && !m_per_second)) {
     return false;
   }
   const std::optional<double> before = m_per_second;
--- a/src/jujubehead/core/routing/target_limit_test.cpp
+++ b/src/jujubehead/core/routing/target_limit_test.cpp
@@ -59,6 +59,28 @@
   CHECK_FALSE(limit.PerSecond().has_value());
 }
 
+// One that was under way when the limit ended must not bring it back for all.
+TEST(TargetLimit, ALateReplyDoesNotBringAnEndedLimitBack)
+{
+  limit.OnReply(1.0, kStart, kStart + seconds(1));
+  limit.OnReply(std::nullopt, kStart + seconds(2), kStart + seconds(3));
+  CHECK_FALSE(
+    limit.OnReply(1.0, kStart + milliseconds(2500), kStart + seconds(4)));
+  CHECK_FALSE(limit.PerSecond().has_value());
+  CHECK(limit.OnReply(1.0, kStart + seconds(4), kStart + seconds(5)));
+}
+
+// A report has less precision than a reply; each reply would be a change.
+TEST(TargetLimit, AReportOfTheSameLimitIsNoChange)
+{
+  limit.OnReply(1.239, kStart, kStart + seconds(1));
+  limit.OnReport(1.23, kStart + seconds(2));
+  CHECK_FALSE(limit.OnReply(1.239, kStart + seconds(2), kStart + seconds(3)));
+  limit.OnReply(1.15, kStart + seconds(3), kStart + seconds(4));
+  limit.OnReport(1.15, kStart + seconds(5));
+  CHECK_FALSE(limit.OnReply(1.15, kStart + seconds(5), kStart + seconds(6)));
+}
+
 TEST(TargetLimit, AReportOfAnotherInstanceCountsIfItIsNewer)
 {
   limit.OnReply(1.0, kStart, kStart + seconds(1));
--- a/src/jujubehead/node/control/hub_update_codec.cpp
+++ b/src/jujubehead/node/control/hub_update_codec.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>   // for clamp, min
 #include <chrono>      // for duration_cast
+#include <cmath>       // for llround
 #include <cstddef>     // for size_t
 #include <map>         // for map
 #include <stdexcept>   // for invalid_argument
@@ -9,6 +10,8 @@
 
 #include <nlohmann/json.hpp> // for json
 
+#include "jujubehead/core/routing/target_limit.hpp" // for TargetLimit
+
 #include "poison_report_codec.hpp" // for PoisonReportsToBytes
 
 namespace jujubehead::node {
@@ -41,9 +44,7 @@
 /// the lower one first. An instance that does not know the mark takes it for a
 /// load, and sends less to the target.
 constexpr std::uint32_t kLimitMark = 254;
-constexpr double kLimitUnitsPerRequest = 100;
 constexpr std::int64_t kNoLimit = 0xFFFF;
-constexpr double kMaxLimitUnits = kNoLimit - 1;
 constexpr core::Duration kAgeUnit = std::chrono::milliseconds(10);
 
 enum ChangeField : std::size_t
@@ -83,13 +84,12 @@
                        : std::min(aLoad.load.running, kLimitMark - 1);
 }
 
-/// @return the limit, rounded down.
 std::int64_t
 LimitUnits(std::optional<double> aPerSecond)
 {
-  return aPerSecond ? static_cast<std::int64_t>(std::min(
-                        *aPerSecond * kLimitUnitsPerRequest, kMaxLimitUnits))
-                    : kNoLimit;
+  return aPerSecond
+           ? std::llround(*aPerSecond * core::TargetLimit::kUnitsPerRequest)
+           : kNoLimit;
 }
 
 std::optional<double>
@@ -97,7 +97,8 @@
 {
   return aUnits == kNoLimit
            ? std::nullopt
-           : std::optional(static_cast<double>(aUnits) / kLimitUnitsPerRequest);
+           : std::optional(static_cast<double>(aUnits) /
+                           core::TargetLimit::kUnitsPerRequest);
 }
 
 core::TargetLoadReport
