--- a/src/jujubehead/core/membership/holder_ring_test.cpp
+++ b/src/jujubehead/core/membership/holder_ring_test.cpp
@@ -14,6 +14,7 @@
 Ids(std::size_t aCount)
 {
   std::vector<std::string> ids;
+  ids.reserve(aCount);
   for (std::size_t i = 0; i < aCount; ++i) {
     ids.push_back("instance-" + std::to_string(i));
   }
@@ -34,6 +35,7 @@
 {
   const auto ids = Ids(9);
   std::vector<std::size_t> ranks;
+  ranks.reserve(ids.size());
   for (const std::string& id : ids) {
     ranks.push_back(HolderRing(ids, id).RankOf(Target(1)));
   }
