Brittle targets: all instances together stay within what a target runs

Such targets say in all replies how many rejections in a second they bear; nothing read that header.

Cause: a signal that no instance knew, and below it a bound that would not have held: when a target is full and each of n instances sends one request too many, that is n rejections before any instance has seen the first. So the sum in flight is bounded beforehand: a target's declared slots and memory, and nothing of its queue, are divided among its holders (HolderRing); requests given up on keep their place while the target may still run them; a process that starts knows neither what its predecessor had sent nor whether the service is brittle, and waits.

Evidence, before: whole_path_brittle_test, 21 falls in 4 s of a burst at three targets (and 21 after a restart). After: none; one target ended on purpose takes none with it; throughput is back within 2 s of the end.

Open: instances without a share of a service refuse its requests meanwhile.

--- a/include/jujubehead/core/membership/holder_ring.hpp
+++ b/include/jujubehead/core/membership/holder_ring.hpp
@@ -34,6 +34,7 @@
   /// @return this instance's rank for a target, at most kMaxRank.
   /// @param aTarget hash of the target's id.
   [[nodiscard]] std::size_t RankOf(std::uint64_t aTarget) const;
+  [[nodiscard]] std::size_t Size() const { return m_size; }
 
 private:
   struct Point
@@ -44,6 +45,7 @@
 
   std::vector<Point> m_points; ///< By hash.
   std::uint32_t m_self = 0;
+  std::size_t m_size = 0; ///< Instances.
 };
 
 } // namespace jujubehead::core
--- a/include/jujubehead/core/routing/load_estimate.hpp
+++ b/include/jujubehead/core/routing/load_estimate.hpp
@@ -35,6 +35,8 @@
   /// follows the duration of requests, because a target's load does not change
   /// until they end. One second before the first has ended.
   [[nodiscard]] Duration HalfLife() const;
+  /// @return the mean duration of a request; 0 before the first has ended.
+  [[nodiscard]] Duration MeanDuration() const;
   /// @return the mean number of other instances' requests at a target.
   [[nodiscard]] double Others(Instant aNow) const
   {
@@ -82,6 +84,8 @@
   void OnRelayedReport(const ReportedLoad& aLoad, Instant aReceivedAt);
 
   [[nodiscard]] std::uint32_t Own() const { return m_own; }
+  /// @return the mean duration of the service's requests; 0: unknown.
+  [[nodiscard]] Duration MeanDuration() const;
   /// @return the requests queued at the target.
   [[nodiscard]] double Waiting(Instant aNow) const;
   /// @return requests at the target, of all instances.
--- a/include/jujubehead/node/forward/header_codec.hpp
+++ b/include/jujubehead/node/forward/header_codec.hpp
@@ -64,6 +64,8 @@
   std::optional<core::Duration> retry_after;
   /// Requests a second that the target takes from all instances together.
   std::optional<double> limit;
+  /// The target is brittle: rejections in a second after which it falls over.
+  std::optional<std::uint32_t> max_rejections;
   /// The target is about to leave; it says so in all its replies from then on.
   bool is_draining = false;
 };
--- a/include/jujubehead/node/metrics.hpp
+++ b/include/jujubehead/node/metrics.hpp
@@ -50,6 +50,8 @@
   kTargetCrashes,    ///< Targets that this instance found crashed.
   kPushbacks,        ///< Refusals by targets that requested backoff.
   kLimitedRefusals,  ///< Requests refused as all their targets are limited.
+  kBrittleRefusals,  ///< Requests refused as no share of brittle targets is
+                     ///< left.
   kDrainingReplies,  ///< Replies of targets that say that they are leaving.
   kTunnels,          ///< Connections to targets through other instances.
   kTunnelsServed,    ///< The same, opened for other instances.
--- a/src/jujubehead/core/membership/holder_ring.cpp
+++ b/src/jujubehead/core/membership/holder_ring.cpp
@@ -14,6 +14,7 @@
 
 HolderRing::HolderRing(std::span<const std::string> aIds,
                        std::string_view aSelf)
+  : m_size(aIds.size())
 {
   m_points.reserve(aIds.size() * kPoints);
   for (std::size_t i = 0; i < aIds.size(); ++i) {
--- a/src/jujubehead/core/routing/load_estimate.cpp
+++ b/src/jujubehead/core/routing/load_estimate.cpp
@@ -65,6 +65,12 @@
   return std::clamp(half, kMinHalfLife, kMaxHalfLife);
 }
 
+Duration
+ServiceLoadAverage::MeanDuration() const
+{
+  return std::chrono::duration_cast<Duration>(Seconds(m_lasted));
+}
+
 double
 ServiceLoadAverage::Weight(Instant aNow) const
 {
@@ -122,6 +128,12 @@
   return aAverage + (aReported - aAverage) * std::exp2(-(age / half));
 }
 
+Duration
+LoadEstimate::MeanDuration() const
+{
+  return m_average ? m_average->MeanDuration() : Duration(0);
+}
+
 double
 LoadEstimate::Requests(Instant aNow) const
 {
--- a/src/jujubehead/node/forward/forward_attempt.cpp
+++ b/src/jujubehead/node/forward/forward_attempt.cpp
@@ -138,9 +138,11 @@
   m_load_at_send = aTarget->load.Requests(core::RuntimeClock::now());
   m_sent_at = core::RuntimeClock::now();
   aTarget->load.OnBegin();
+  aTarget->concurrency.OnBegin(Tokens());
   aTarget->health.OnSend(core::RuntimeClock::now());
   const AttemptFailure failure = co_await Exchange(*aTarget, exchange);
   aTarget->load.OnEnd(core::RuntimeClock::now() - m_sent_at);
+  ReleaseShare(*aTarget, exchange);
   if (aTarget->is_stopped) {
     m_state.OnStoppedDataCentreProgress(aTarget->target.data_centre);
   }
@@ -156,6 +158,20 @@
   co_return failure;
 }
 
+void
+ForwardRun::ReleaseShare(FleetTarget& aTarget, const TargetExchange& aExchange)
+{
+  if (aExchange.IsOver() || m_target_crashed) {
+    aTarget.concurrency.OnEnd(Tokens());
+    return;
+  }
+  // A target that did not respond may get to the request later.
+  const core::Instant now = core::RuntimeClock::now();
+  const core::Instant begun = m_stall_timed_out ? m_expires_at : now;
+  aTarget.concurrency.OnAbandoned(
+    Tokens(), begun + core::BrittleSignal::kMaxLinger, now);
+}
+
 asio::awaitable<ForwardRun::AttemptFailure>
 ForwardRun::Exchange(FleetTarget& aTarget, TargetExchange& aExchange)
 {
@@ -238,6 +254,7 @@
   }
   m_state.BudgetOf(m_service).OnResponse(aTarget.target.id, m_sent_at, now);
   if (aMetadata.load) {
+    aTarget.reported_slots = aMetadata.load->slots;
     aTarget.load.OnReport(*aMetadata.load, now);
     if (m_state.shares_loads) {
       m_state.pending_load_reports.Put(
@@ -249,6 +266,7 @@
   }
   if (aStatus != kMisdirected) {
     RecordLimit(aTarget, aMetadata);
+    RecordBrittleness(aTarget, aMetadata);
   }
   if (aMetadata.is_draining) {
     OnDraining(aTarget);
@@ -277,7 +295,7 @@
   line.Add("request", m_metadata.request_id)
     .Add("target", aTarget.target.id.View());
   if (aMetadata.limit) {
-    const std::size_t rank = m_state.LimitRankOf(aTarget, now);
+    const std::size_t rank = m_state.RankOf(aTarget, now);
     line.Add("per_second", std::to_string(*aMetadata.limit))
       .Add("holders", std::uint64_t(aTarget.limit.Holders()))
       .Add("holds", aTarget.limit.IsHeld(rank, now) ? "yes" : "no");
@@ -285,6 +303,35 @@
   DecisionLog::WriteUnthrottled(line);
 }
 
+void
+ForwardRun::RecordBrittleness(FleetTarget& aTarget,
+                              const ReplyMetadata& aMetadata)
+{
+  // A bare rejection says nothing of the target's state.
+  if (!aMetadata.max_rejections && !aMetadata.is_signed && !aMetadata.load) {
+    return;
+  }
+  const core::Instant now = core::RuntimeClock::now();
+  const bool has_changed = m_state.BrittleOf(m_service).OnReply(
+    aMetadata.max_rejections, m_sent_at, now);
+  if (!has_changed) {
+    return;
+  }
+  LogLine line(aMetadata.max_rejections ? "service_brittle"
+                                        : "service_brittle_ended");
+  line.Add("request", m_metadata.request_id).Add("service", m_service.View());
+  if (aMetadata.max_rejections) {
+    const core::TargetCapacity capacity = m_state.CapacityOf(aTarget);
+    const core::ServiceConcurrency own = ConcurrencyAt(Acceptable());
+    line.Add("max_rejections", std::uint64_t(*aMetadata.max_rejections))
+      .Add("holders",
+           std::uint64_t(
+             core::ConcurrencyShare::Holders(capacity, m_state.holders.Size())))
+      .Add("own_slots", std::uint64_t(own.slots));
+  }
+  DecisionLog::WriteUnthrottled(line);
+}
+
 void
 ForwardRun::OnDraining(FleetTarget& aTarget)
 {
@@ -412,6 +459,9 @@
   } else {
     aTarget.health.OnAnswer();
   }
+  if (aStatus == kUnavailable && !IsPushback(aStatus, aMetadata)) {
+    aTarget.concurrency.OnRejected(core::RuntimeClock::now());
+  }
   return AttemptOutcome::kRefused;
 }
 
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -319,7 +319,7 @@
                                                       : Counter::kRetries);
     }
     const auto now = core::RuntimeClock::now();
-    if (!target->limit.TryToSend(m_state.LimitRankOf(*target, now), now)) {
+    if (!target->limit.TryToSend(m_state.RankOf(*target, now), now)) {
       m_last_error = "limit of the target is used up";
       co_await Finish(core::StepWithoutRetry(last, m_history));
       co_return;
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -76,6 +76,18 @@
   /// them are limited.
   [[nodiscard]] core::ServiceLimit LimitOf(
     std::span<const std::shared_ptr<FleetTarget>> aTargets) const;
+  /// @brief Removes the targets at which the request would exceed this
+  /// instance's share, if they are brittle.
+  void KeepShares(std::vector<std::shared_ptr<FleetTarget>>& aTargets) const;
+  /// @return this instance's shares of some targets.
+  [[nodiscard]] core::ServiceConcurrency ConcurrencyAt(
+    std::span<const std::shared_ptr<FleetTarget>> aTargets) const;
+  /// @brief Sets the time after which a retry is useful, if the request is
+  /// refused as its targets are brittle.
+  /// @return whether it is.
+  bool ExplainShares();
+  /// @return the tokens that the request takes of a target's memory.
+  [[nodiscard]] std::uint64_t Tokens() const;
   /// @brief Sets the time after which a retry is useful, if the request is
   /// refused for limits.
   /// @return whether it is.
@@ -125,6 +137,10 @@
   void LogSuspect(const FleetTarget& aTarget);
   /// @brief A reply of the target names a limit of its requests, or none.
   void RecordLimit(FleetTarget& aTarget, const ReplyMetadata& aMetadata);
+  /// @brief A reply says whether the service's targets are brittle.
+  void RecordBrittleness(FleetTarget& aTarget, const ReplyMetadata& aMetadata);
+  /// @brief An attempt is over; the target may still run its request.
+  void ReleaseShare(FleetTarget& aTarget, const TargetExchange& aExchange);
   /// @brief The target answered completely.
   void OnCompleted();
   AttemptFailure OnRefusal(FleetTarget& aTarget,
--- a/src/jujubehead/node/forward/forward_state.hpp
+++ b/src/jujubehead/node/forward/forward_state.hpp
@@ -63,18 +63,42 @@
     return budget;
   }
 
-  /// @return this instance's rank for a target's limit.
-  [[nodiscard]] std::size_t LimitRankOf(FleetTarget& aTarget,
-                                        core::Instant aNow) const
+  /// @return whether the targets of a service are brittle.
+  core::BrittleSignal& BrittleOf(const core::ServiceId& aService)
+  {
+    return brittle.try_emplace(aService, started_at).first->second;
+  }
+
+  /// @return what a target can run concurrently.
+  [[nodiscard]] core::TargetCapacity CapacityOf(
+    const FleetTarget& aTarget) const
+  {
+    const core::DeclaredService* const service =
+      configuration ? configuration->ServiceOf(aTarget.target.service)
+                    : nullptr;
+    return { aTarget.Slots(),
+             service != nullptr ? service->kv_capacity_tokens : 0 };
+  }
+  /// @return this instance's rank for a target's slots.
+  [[nodiscard]] core::HolderRank HolderRankOf(FleetTarget& aTarget,
+                                              core::Instant aNow) const
+  {
+    return { RankOf(aTarget, aNow), holders.Size() };
+  }
+
+  /// @return this instance's rank among those that send to a target, when only
+  /// a few do.
+  [[nodiscard]] std::size_t RankOf(FleetTarget& aTarget,
+                                   core::Instant aNow) const
   {
     if (aNow < holds_from) {
       return core::HolderRing::kMaxRank;
     }
-    if (aTarget.limit_rank_from != holders_number) {
-      aTarget.limit_rank_from = holders_number;
-      aTarget.limit_rank = holders.RankOf(aTarget.name_hash);
+    if (aTarget.holder_rank_from != holders_number) {
+      aTarget.holder_rank_from = holders_number;
+      aTarget.holder_rank = holders.RankOf(aTarget.name_hash);
     }
-    return aTarget.limit_rank;
+    return aTarget.holder_rank;
   }
 
   /// @brief Counts the requests left in data centres with a planned stop.
@@ -169,7 +193,8 @@
     [](const core::Quarantine&) {};
   core::PartDirectory parts;
   std::unordered_map<core::ServiceId, core::WindowedRetryBudget> budgets;
-  /// Orders the instances for the limits of targets.
+  std::unordered_map<core::ServiceId, core::BrittleSignal> brittle;
+  /// Orders the instances for the limits and the slots of targets.
   core::HolderRing holders;
   std::uint64_t holders_number = 1; ///< Changes with `holders`.
   /// When this instance may begin to use its shares of the limits.
--- a/src/jujubehead/node/forward/target_choice.cpp
+++ b/src/jujubehead/node/forward/target_choice.cpp
@@ -21,6 +21,8 @@
 /// Share of a service's targets that must hold the newest weights before
 /// requests go to those only; fewer could not handle the load.
 constexpr double kMinNewestShare = 0.5;
+/// Requests waiting at a brittle target from which it gets no more.
+constexpr double kMaxBrittleWaiting = 1;
 
 } // namespace
 
@@ -32,7 +34,7 @@
     m_last_error = is_unexplained ? "no time left" : m_last_error;
     return;
   }
-  if (ExplainLimits()) {
+  if (ExplainLimits() || ExplainShares()) {
     return;
   }
   if (is_unexplained) {
@@ -80,6 +82,90 @@
   return true;
 }
 
+std::uint64_t
+ForwardRun::Tokens() const
+{
+  return m_metadata.prompt
+           ? m_metadata.prompt->tokens + m_metadata.prompt->max_output_tokens
+           : 0;
+}
+
+core::ServiceConcurrency
+ForwardRun::ConcurrencyAt(
+  std::span<const std::shared_ptr<FleetTarget>> aTargets) const
+{
+  const core::Instant now = core::RuntimeClock::now();
+  core::ServiceConcurrency all;
+  for (const auto& target : aTargets) {
+    const core::TargetCapacity capacity = m_state.CapacityOf(*target);
+    const core::HolderRank rank = m_state.HolderRankOf(*target, now);
+    all.slots += core::ConcurrencyShare::Slots(capacity, rank);
+    all.free += target->concurrency.Free(capacity, rank, now);
+  }
+  return all;
+}
+
+void
+ForwardRun::KeepShares(
+  std::vector<std::shared_ptr<FleetTarget>>& aTargets) const
+{
+  const core::Instant now = core::RuntimeClock::now();
+  const core::SharingMode mode = m_state.BrittleOf(m_service).ModeAt(now);
+  if (mode == core::SharingMode::kUnlimited) {
+    return;
+  }
+  const core::ServiceConcurrency all = ConcurrencyAt(aTargets);
+  const bool is_known = mode != core::SharingMode::kCautious;
+  // A stream that has begun takes any place that is left.
+  const std::uint32_t urgency = m_session->HasStreamBegun() ? 0 : Urgency();
+  if (is_known &&
+      (mode == core::SharingMode::kNone || !core::IsAdmitted(all, urgency))) {
+    aTargets.clear();
+    return;
+  }
+  if (!is_known && all.slots == 0) {
+    const bool is_busy =
+      std::any_of(aTargets.begin(), aTargets.end(), [](const auto& aTarget) {
+        return aTarget->load.Own() > 0;
+      });
+    aTargets.resize(is_busy ? 0 : aTargets.size());
+    return;
+  }
+  const std::uint64_t tokens = is_known ? Tokens() : 0;
+  std::erase_if(aTargets, [&](const auto& aTarget) {
+    const bool has_queue =
+      is_known && aTarget->load.Waiting(now) >= kMaxBrittleWaiting;
+    return has_queue ||
+           !aTarget->concurrency.MaySend(m_state.CapacityOf(*aTarget),
+                                         m_state.HolderRankOf(*aTarget, now),
+                                         tokens,
+                                         now);
+  });
+}
+
+bool
+ForwardRun::ExplainShares()
+{
+  const core::Instant now = core::RuntimeClock::now();
+  const core::BrittleSignal& brittle = m_state.BrittleOf(m_service);
+  const auto targets = Acceptable();
+  if (!brittle.IsBrittle() || targets.empty()) {
+    return false;
+  }
+  m_state.metrics.Add(Counter::kBrittleRefusals);
+  std::uint32_t in_flight = 0;
+  for (const auto& target : targets) {
+    in_flight += target->concurrency.InFlight(now);
+  }
+  const core::Duration until_free =
+    targets.front()->load.MeanDuration() / std::max(in_flight, 1U);
+  m_available_in = std::max(until_free, brittle.SharesFrom() - now);
+  if (m_last_error.empty()) {
+    m_last_error = "this instance's share of the brittle targets is used up";
+  }
+  return true;
+}
+
 core::ServiceLimit
 ForwardRun::LimitOf(
   std::span<const std::shared_ptr<FleetTarget>> aTargets) const
@@ -92,7 +178,7 @@
     if (!limit.PerSecond()) {
       return {};
     }
-    const std::size_t rank = m_state.LimitRankOf(*target, now);
+    const std::size_t rank = m_state.RankOf(*target, now);
     if (!limit.IsHeld(rank, now)) {
       continue;
     }
@@ -116,8 +202,9 @@
     return {};
   }
   std::erase_if(targets, [&](const auto& aTarget) {
-    return !aTarget->limit.MaySend(m_state.LimitRankOf(*aTarget, now), now);
+    return !aTarget->limit.MaySend(m_state.RankOf(*aTarget, now), now);
   });
+  KeepShares(targets);
   return targets;
 }
 
--- a/src/jujubehead/node/forward/target_exchange.hpp
+++ b/src/jujubehead/node/forward/target_exchange.hpp
@@ -88,6 +88,12 @@
   {
     return m_connection_refused;
   }
+  /// @return whether the target has finished the request, refused it, or never
+  /// got it.
+  [[nodiscard]] bool IsOver() const
+  {
+    return !m_parser || m_parser->IsWhole() || m_metadata.not_run;
+  }
   /// @return the instance through which the target is reached; empty: none.
   [[nodiscard]] const std::string& Peer() const { return m_peer; }
   /// @return the reason of the last failure.
--- a/src/jujubehead/node/forward/target_fleet.cpp
+++ b/src/jujubehead/node/forward/target_fleet.cpp
@@ -46,6 +46,13 @@
   return std::max(registered.value_or(0), reported->second);
 }
 
+std::uint32_t
+FleetTarget::Slots() const
+{
+  const std::uint32_t slots = target.slots > 0 ? target.slots : reported_slots;
+  return std::max(slots, 1U);
+}
+
 void
 FleetTarget::OnReport(const core::TargetLoadReport& aReport, core::Instant aNow)
 {
--- a/src/jujubehead/node/forward/target_fleet.hpp
+++ b/src/jujubehead/node/forward/target_fleet.hpp
@@ -12,13 +12,14 @@
 
 #include <boost/asio/ip/tcp.hpp> // for tcp
 
-#include "jujubehead/core/routing/cold_start.hpp"       // for ColdStart
-#include "jujubehead/core/routing/load_estimate.hpp"    // for LoadEstimate
-#include "jujubehead/core/routing/load_reports.hpp"     // for TargetLoadReport
-#include "jujubehead/core/routing/target_backoff.hpp"   // for TargetBackoff
-#include "jujubehead/core/routing/target_directory.hpp" // for RegisteredTarget
-#include "jujubehead/core/routing/target_health.hpp"    // for TargetHealth
-#include "jujubehead/core/routing/target_limit.hpp"     // for TargetLimit
+#include "jujubehead/core/routing/cold_start.hpp"        // for ColdStart
+#include "jujubehead/core/routing/concurrency_share.hpp" // for ConcurrencyShare
+#include "jujubehead/core/routing/load_estimate.hpp"     // for LoadEstimate
+#include "jujubehead/core/routing/load_reports.hpp"      // for TargetLoadReport
+#include "jujubehead/core/routing/target_backoff.hpp"    // for TargetBackoff
+#include "jujubehead/core/routing/target_directory.hpp"  // for RegisteredTarget
+#include "jujubehead/core/routing/target_health.hpp"     // for TargetHealth
+#include "jujubehead/core/routing/target_limit.hpp"      // for TargetLimit
 #include "jujubehead/net/http1/outbound_connection.hpp" // for OutboundConnection
 
 namespace jujubehead::node {
@@ -34,13 +35,15 @@
   core::ColdStart cold_start;
   core::TargetBackoff backoff;
   core::TargetLimit limit;
-  core::Instant limit_reported_at{}; ///< To other instances.
-  std::size_t limit_rank = 0;        ///< By ForwardState::LimitRankOf().
-  std::uint64_t limit_rank_from = 0; ///< Number of the ring that it is of.
-  bool is_gone = false;              ///< Has left the registry or is leaving.
-  bool is_stopped = false;           ///< Its data centre has a planned stop.
-  bool is_loading = false;           ///< Is loading new weights.
-  core::Instant last_response_at{};  ///< Last response to this instance.
+  core::ConcurrencyShare concurrency;
+  std::uint32_t reported_slots = 0;   ///< By its last reply; 0: unknown.
+  core::Instant limit_reported_at{};  ///< To other instances.
+  std::size_t holder_rank = 0;        ///< By ForwardState::RankOf().
+  std::uint64_t holder_rank_from = 0; ///< Number of the ring that it is of.
+  bool is_gone = false;               ///< Has left the registry or is leaving.
+  bool is_stopped = false;            ///< Its data centre has a planned stop.
+  bool is_loading = false;            ///< Is loading new weights.
+  core::Instant last_response_at{};   ///< Last response to this instance.
   core::Instant
     last_gone_report_at{}; ///< Last such report of another instance.
   /// Its process has ended; a restarted one has another id.
@@ -64,6 +67,8 @@
   {
     return is_gone || draining_since.has_value();
   }
+  /// @return the requests that it runs concurrently.
+  [[nodiscard]] std::uint32_t Slots() const;
   /// @brief A reply says that it is about to leave. Closes idle connections.
   /// @return whether that is news.
   bool OnDraining(core::Instant aNow);
--- a/src/jujubehead/node/metrics.cpp
+++ b/src/jujubehead/node/metrics.cpp
@@ -214,6 +214,8 @@
     "Requests that targets refused, asking for no more for a time." },
   { "limited_refusals_total",
     "Requests refused as all their targets have named a limit." },
+  { "brittle_refusals_total",
+    "Requests refused as no share of brittle targets is left." },
   { "draining_replies_total",
     "Replies of targets that say that they are leaving." },
   { "tunnels_total", "Connections to targets through other instances." },
--- a/standin/entry_deployment.cpp
+++ b/standin/entry_deployment.cpp
@@ -269,10 +269,13 @@
                 const json& aBody) override
   {
     m_world.Do([&] {
-      if (aFault == "crash_on") {
-        m_poison[aName] = aBody;
+      if (aFault == "crash_on" || aFault == "brittle" || aFault == "mute") {
+        m_lasting_faults[aName][aFault] = aBody;
+      }
+      // One that crashed is back in a moment.
+      if (const auto& stand_in = m_stand_ins.at(aName)) {
+        stand_in->SetFault(aFault, aBody);
       }
-      m_stand_ins.at(aName)->SetFault(aFault, aBody);
     });
   }
 
@@ -430,8 +433,8 @@
         asio::co_spawn(m_world.context, Replace(aName, aId), asio::detached);
       });
     });
-    if (const auto poison = m_poison.find(aName); poison != m_poison.end()) {
-      started.SetFault("crash_on", poison->second);
+    for (const auto& [fault, body] : m_lasting_faults[aName]) {
+      started.SetFault(fault, body);
     }
   }
 
@@ -546,7 +549,8 @@
   /// By instance. Their coroutines must not go on after them, so they are
   /// destroyed when the thread has ended.
   std::vector<std::unique_ptr<PathView>> m_path_views;
-  std::map<std::string, json> m_poison; ///< Bodies that crash a target.
+  /// By target and name: those that its next runs have as well.
+  std::map<std::string, std::map<std::string, json>> m_lasting_faults;
   std::size_t m_crashes = 0;
   bool m_is_ending = false;
   node::EntryOptions m_options;
--- a/standin/registered_face.cpp
+++ b/standin/registered_face.cpp
@@ -1,5 +1,7 @@
 #include "standin/faces.hpp" // for MakeRegisteredFace
 
+#include <chrono>  // for steady_clock
+#include <deque>   // for deque
 #include <utility> // for move
 
 #include "jujubehead/net/http_client.hpp" // for HttpClient
@@ -121,6 +123,10 @@
         limit != nullptr && limit->contains("per_second")) {
       headers.Add("Server-Limit", limit->at("per_second").get<std::string>());
     }
+    if (const json* const brittle = Brittle()) {
+      headers.Add("Server-Brittle",
+                  std::to_string(brittle->at("rejections").get<int>()));
+    }
     return headers;
   }
 
@@ -135,6 +141,35 @@
     return TakeFault("refuse") ? kUnavailable : 0;
   }
 
+  /// Set by `brittle`: runs `slots` requests, and falls over when it rejects
+  /// more than `rejections` in a second. Without a number: not any more.
+  [[nodiscard]] const json* Brittle() const
+  {
+    const json* const brittle = Fault("brittle");
+    const bool is_set = brittle != nullptr && brittle->contains("rejections");
+    return is_set ? brittle : nullptr;
+  }
+
+  /// @return whether a brittle target has no room for a request; one too many
+  /// of these in a second ends it.
+  bool RejectsForWantOfRoom()
+  {
+    const json* const brittle = Brittle();
+    if (brittle == nullptr || m_active < brittle->at("slots").get<int>()) {
+      return false;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    while (!m_rejections.empty() &&
+           now - m_rejections.front() >= std::chrono::seconds(1)) {
+      m_rejections.pop_front();
+    }
+    m_rejections.push_back(now);
+    if (m_rejections.size() > brittle->at("rejections").get<std::size_t>()) {
+      Crash();
+    }
+    return true;
+  }
+
   asio::awaitable<void> TakeRequest(net::HttpExchange& aExchange)
   {
     const net::HttpRequest& request = aExchange.Request();
@@ -149,7 +184,9 @@
       co_await PushBack(aExchange, push_back);
       co_return;
     }
-    if (const unsigned status = Refusal(request)) {
+    const unsigned refused = Refusal(request);
+    const bool is_full = refused == 0 && RejectsForWantOfRoom();
+    if (const unsigned status = is_full ? kUnavailable : refused) {
       headers.Add("X-Not-Executed", "1");
       net::HttpResponse refusal{ status, headers, "" };
       co_await aExchange.Send(std::move(refusal));
@@ -297,9 +334,11 @@
   json m_runs = json::array();
   json m_orders = json::array();
   std::uint64_t m_arrived = 0; ///< Requests, with the refused.
-  std::uint64_t m_active = 0;
+  std::int64_t m_active = 0;
   std::uint64_t m_cut = 0;
   int m_late_orders = 0;
+  std::deque<std::chrono::steady_clock::time_point>
+    m_rejections; ///< Of a second.
 };
 
 } // namespace
