Streams go on only at the software version that began them

Cause: the version in a target's entry was not read, and neither was the name of the first attempt that a caller gives. A broken stream, and a caller's next try, went to any target. Class: state of a stream that lived in nothing but its bytes.

Now a stream is bound to the version of the process that was asked, as it was when the request was sent; within a response, over tunnels (the same decisions) and over a caller's tries. The origin of a stream outlives its instance: it is kept at two instances found by hashing, in different data centres where possible. Where one version alone has served for as long as a stream can last, and the view is fresh, nothing is sent; instances that have just started ask those. Not known: refused at once. New streams begin at a version 3 s after it was first seen, so that nobody still believes another to be the only one.

Weighed: (b) asking all, n messages at the worst moment; (c) each for itself, one in n goes on; (d) a row in the store for each stream; (e) sending the try to the instance that began, which may be gone; the version from a hash of the attempt's id (no messages, but views of the versions differ and prove nothing).

--- a/include/jujubehead/core/membership/holder_ring.hpp
+++ b/include/jujubehead/core/membership/holder_ring.hpp
@@ -34,6 +34,10 @@
   /// @return this instance's rank for a target, at most kMaxRank.
   /// @param aTarget hash of the target's id.
   [[nodiscard]] std::size_t RankOf(std::uint64_t aTarget) const;
+  /// @return the indexes of the first instances for a key among the ids given
+  /// at construction; fewer if there are not as many.
+  [[nodiscard]] std::vector<std::size_t> First(std::uint64_t aKey,
+                                               std::size_t aCount) const;
   [[nodiscard]] std::size_t Size() const { return m_size; }
 
 private:
--- a/include/jujubehead/core/routing/target_directory.hpp
+++ b/include/jujubehead/core/routing/target_directory.hpp
@@ -33,6 +33,8 @@
   DataCentreId data_centre;
   std::uint32_t slots = 0; ///< Requests that it runs concurrently.
   bool leaving = false;    ///< Draining: takes no new requests.
+  /// Of the target itself, not of its weights; empty: unknown.
+  std::string software_version;
   std::vector<LoadedModel> models;
   std::uint64_t started_ms = 0; ///< Start time since the epoch, by its clock.
   std::uint64_t heartbeat = 0;  ///< Sequence number of its report since start.
--- a/include/jujubehead/node/forward/header_codec.hpp
+++ b/include/jujubehead/node/forward/header_codec.hpp
@@ -24,6 +24,9 @@
   std::optional<core::Duration> time_left; ///< Until the caller's time-out.
   std::optional<core::Prompt> prompt;
   std::string resume_after; ///< Last event received; empty: none.
+  /// Id of the request that brought the first event of the stream to go on
+  /// with; empty: unknown.
+  std::string resumed_request;
 };
 
 /// @brief Where a part of a prompt may be read from or is to be stored.
--- a/include/jujubehead/node/metrics.hpp
+++ b/include/jujubehead/node/metrics.hpp
@@ -52,6 +52,8 @@
   kLimitedRefusals,  ///< Requests refused as all their targets are limited.
   kBrittleRefusals,  ///< Requests refused as no share of brittle targets is
                      ///< left.
+  kStreamsFound,     ///< Streams whose version another instance knew.
+  kStreamsUnknown,   ///< Streams refused as nobody knew their version.
   kDrainingReplies,  ///< Replies of targets that say that they are leaving.
   kTunnels,          ///< Connections to targets through other instances.
   kTunnelsServed,    ///< The same, opened for other instances.
--- a/src/jujubehead/core/membership/holder_ring.cpp
+++ b/src/jujubehead/core/membership/holder_ring.cpp
@@ -34,29 +34,34 @@
             });
 }
 
-std::size_t
-HolderRing::RankOf(std::uint64_t aTarget) const
+std::vector<std::size_t>
+HolderRing::First(std::uint64_t aKey, std::size_t aCount) const
 {
-  const auto first =
+  const auto point =
     std::lower_bound(m_points.begin(),
                      m_points.end(),
-                     aTarget,
+                     aKey,
                      [](const Point& aPoint, std::uint64_t aHash) {
                        return aPoint.hash < aHash;
                      });
-  const auto start = static_cast<std::size_t>(first - m_points.begin());
-  std::vector<std::uint32_t> before;
-  for (std::size_t i = 0; i < m_points.size(); ++i) {
-    const std::uint32_t instance =
+  const auto start = static_cast<std::size_t>(point - m_points.begin());
+  std::vector<std::size_t> first;
+  for (std::size_t i = 0; i < m_points.size() && first.size() < aCount; ++i) {
+    const std::size_t instance =
       m_points[(start + i) % m_points.size()].instance;
-    if (instance == m_self || before.size() == kMaxRank) {
-      break;
-    }
-    if (std::find(before.begin(), before.end(), instance) == before.end()) {
-      before.push_back(instance);
+    if (std::find(first.begin(), first.end(), instance) == first.end()) {
+      first.push_back(instance);
     }
   }
-  return before.size();
+  return first;
+}
+
+std::size_t
+HolderRing::RankOf(std::uint64_t aTarget) const
+{
+  const std::vector<std::size_t> first = First(aTarget, kMaxRank);
+  const auto own = std::find(first.begin(), first.end(), m_self);
+  return static_cast<std::size_t>(own - first.begin());
 }
 
 } // namespace jujubehead::core
--- a/src/jujubehead/core/routing/target_directory.cpp
+++ b/src/jujubehead/core/routing/target_directory.cpp
@@ -17,6 +17,7 @@
                     aTarget.data_centre,
                     aTarget.slots,
                     aTarget.leaving,
+                    aTarget.software_version,
                     aTarget.models,
                     aTarget.started_ms);
   };
--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -1,6 +1,6 @@
 #include "entry_control.hpp"
 
-#include <algorithm> // for count_if
+#include <algorithm> // for count_if, max
 #include <random>    // for minstd_rand, uniform_real_distribution
 #include <utility>   // for move
 
@@ -51,6 +51,11 @@
 /// without it has left the seconds over which a limit counts.
 constexpr core::Duration kHolderDelay = std::chrono::seconds(10);
 
+/// Time beyond the longest route's, within which a caller comes back.
+constexpr core::Duration kCallerReturnTime = std::chrono::seconds(5);
+/// A view of the registry that is older may lack a version that others use.
+constexpr core::Duration kRegistryTtl = std::chrono::seconds(3);
+
 constexpr core::Duration kPoisonTickInterval = std::chrono::seconds(5);
 /// Pause after a write of a quarantine's row that had no effect.
 constexpr core::Duration kQuarantineRetry = std::chrono::seconds(2);
@@ -124,6 +129,7 @@
              [this](std::vector<core::PoisonReport> aReports) {
                m_forwarder.OnPoisonReports(std::move(aReports));
              })
+  , m_streams(aContext, aOptions.instance_id.Text())
   , m_hubs(aContext,
            m_role,
            m_stores,
@@ -153,6 +159,56 @@
   m_forwarder.SetPoisonHooks(std::move(hooks));
 }
 
+void
+EntryControl::SetStreamHooks()
+{
+  Forwarder::StreamHooks hooks;
+  hooks.on_streams = [this](std::vector<core::StreamOrigin> aOrigins) {
+    asio::post(m_context, [this, origins = std::move(aOrigins)] {
+      m_streams.Report(origins);
+    });
+  };
+  hooks.find_stream = [this](core::StreamKey aStream,
+                             const core::ServiceId& aService,
+                             VersionReply aReply) {
+    asio::co_spawn(m_context,
+                   FindStream(aStream, aService, std::move(aReply)),
+                   asio::detached);
+  };
+  m_forwarder.SetStreamHooks(std::move(hooks));
+}
+
+asio::awaitable<void>
+EntryControl::FindStream(core::StreamKey aStream,
+                         core::ServiceId aService,
+                         VersionReply aReply)
+{
+  const auto version = co_await m_streams.Find(aStream, std::move(aService));
+  aReply(version);
+}
+
+void
+EntryControl::UpdateSoleVersions()
+{
+  const core::Instant now = core::RuntimeClock::now();
+  core::Duration longest{};
+  core::SoleVersions sole;
+  if (m_configuration) {
+    for (const core::Route& route : m_configuration->All().routes) {
+      longest = std::max(longest, route.timeout + kCallerReturnTime);
+    }
+  }
+  if (m_configuration && now - m_operator_contact <= kRegistryTtl) {
+    sole = m_software.Sole(longest, now);
+  }
+  if (sole == m_sole) {
+    return;
+  }
+  m_sole = sole;
+  m_streams.SetSole(sole);
+  m_forwarder.SetSoleVersions(std::move(sole), longest);
+}
+
 StoreWatchHooks
 EntryControl::MakeStoreHooks()
 {
@@ -206,6 +262,7 @@
 {
   HubHooks hooks;
   hooks.on_synced = [this](core::Instant aAsOf) {
+    m_operator_contact = std::max(m_operator_contact, aAsOf);
     m_forwarder.OnOperatorContact(aAsOf);
   };
   hooks.exchange_loads =
@@ -231,6 +288,7 @@
 {
   m_role.OnStart(core::RuntimeClock::now());
   SetPoisonHooks();
+  SetStreamHooks();
   m_forwarder.SetLimitHook([this](const core::TargetLoadReport& aReport) {
     asio::post(m_context, [this, aReport] { m_hubs.ReportLimit(aReport); });
   });
@@ -328,6 +386,10 @@
     co_await m_hubs.HandleLoads(aExchange);
   } else if (path == kPoisonReportsPath) {
     co_await m_poison.Handle(aExchange);
+  } else if (path == kStreamOriginsPath) {
+    co_await m_streams.HandleReport(aExchange);
+  } else if (path == kStreamOriginPath) {
+    co_await m_streams.HandleFind(aExchange);
   } else {
     co_return false;
   }
@@ -346,6 +408,7 @@
   m_operator_cursor = aUpdate.cursor;
   LogSkippedRows("operator", aUpdate.skipped_rows);
   if (!aUpdate.is_from_cache) {
+    m_operator_contact = std::max(m_operator_contact, aUpdate.answered_at);
     m_forwarder.OnOperatorContact(aUpdate.answered_at);
   }
   if (aUpdate.declarations &&
@@ -476,6 +539,7 @@
   }
   m_paths.SetInstances(std::move(addresses));
   m_forwarder.SetInstances(m_instances.Others());
+  m_streams.SetInstances(m_instances.All());
   UpdateHolders();
   m_role.Update(m_instances.All());
   m_rollout.SetLeaseDelay(m_role.Level() == core::HubLevel::kFollower
@@ -644,6 +708,8 @@
       .Add("changed", std::uint64_t(changes.size()))
       .Add("leaving", std::uint64_t(m_book.LeavingCount()))
       .Add("lapsed", std::uint64_t(m_book.ExpiredCount())));
+  m_software.Apply(changes, core::RuntimeClock::now());
+  UpdateSoleVersions();
   m_rollout.ApplyTargets(changes);
   m_forwarder.ApplyTargets(std::move(changes));
 }
@@ -655,6 +721,7 @@
     co_await net::Sleep(kTickInterval);
     m_book.Tick(core::RuntimeClock::now());
     PublishTargets();
+    UpdateSoleVersions();
     UpdateShare();
     UpdateQuarantines();
   }
--- a/src/jujubehead/node/control/entry_control.hpp
+++ b/src/jujubehead/node/control/entry_control.hpp
@@ -15,17 +15,19 @@
 #include "jujubehead/core/membership/store_paths.hpp"        // for StorePaths
 #include "jujubehead/core/routing/data_centre_stops.hpp" // for DataCentreStops
 #include "jujubehead/core/routing/quarantine_records.hpp" // for QuarantineRecords
-#include "jujubehead/core/routing/target_directory.hpp"   // for TargetDirectory
-#include "jujubehead/node/control/platform.hpp"           // for Platform
-#include "jujubehead/node/forward/entry_options.hpp"      // for EntryOptions
+#include "jujubehead/core/routing/software_versions.hpp" // for SoftwareVersions
+#include "jujubehead/core/routing/target_directory.hpp"  // for TargetDirectory
+#include "jujubehead/node/control/platform.hpp"          // for Platform
+#include "jujubehead/node/forward/entry_options.hpp"     // for EntryOptions
 
-#include "../forward/forwarder.hpp" // for Forwarder
-#include "block_reclaimer.hpp"      // for BlockReclaimer
-#include "hub_exchange.hpp"         // for HubExchange
-#include "poison_exchange.hpp"      // for PoisonExchange
-#include "rollout_coordinator.hpp"  // for RolloutCoordinator
-#include "store_watch.hpp"          // for StoreWatch
-#include "weights_deadlines.hpp"    // for WeightsDeadlines
+#include "../forward/forwarder.hpp"   // for Forwarder
+#include "block_reclaimer.hpp"        // for BlockReclaimer
+#include "hub_exchange.hpp"           // for HubExchange
+#include "poison_exchange.hpp"        // for PoisonExchange
+#include "rollout_coordinator.hpp"    // for RolloutCoordinator
+#include "store_watch.hpp"            // for StoreWatch
+#include "stream_origin_exchange.hpp" // for StreamOriginExchange
+#include "weights_deadlines.hpp"      // for WeightsDeadlines
 
 namespace jujubehead::node {
 
@@ -56,6 +58,10 @@
   boost::asio::awaitable<bool> HandleInstance(net::HttpExchange& aExchange);
   [[nodiscard]] const HubExchange& Hubs() const { return m_hubs; }
   [[nodiscard]] const PoisonExchange& Poison() const { return m_poison; }
+  [[nodiscard]] const StreamOriginExchange& Streams() const
+  {
+    return m_streams;
+  }
   [[nodiscard]] std::size_t Targets() const { return m_book.Size(); }
   /// @return the instances that this one knows, itself included.
   [[nodiscard]] std::size_t Instances() const { return m_role.Known(); }
@@ -101,6 +107,13 @@
   boost::asio::awaitable<std::optional<core::Quarantine>> RecordNext(
     core::Quarantine aNext);
   void SetPoisonHooks();
+  void SetStreamHooks();
+  boost::asio::awaitable<void> FindStream(core::StreamKey aStream,
+                                          core::ServiceId aService,
+                                          VersionReply aReply);
+  /// @brief Updates the services at which one software version alone has
+  /// served, as far as is known now.
+  void UpdateSoleVersions();
   void PublishTargets();
   StoreWatchHooks MakeStoreHooks();
   BlockReclaimerHooks MakeReclaimerHooks();
@@ -140,6 +153,10 @@
   bool m_is_writing_quarantine = false;
   core::Instant m_next_poison_tick{};
   PoisonExchange m_poison;
+  StreamOriginExchange m_streams;
+  core::SoftwareVersions m_software;
+  core::SoleVersions m_sole; ///< As last passed on.
+  core::Instant m_operator_contact{};
   HubExchange m_hubs;
 };
 
--- a/src/jujubehead/node/entry.cpp
+++ b/src/jujubehead/node/entry.cpp
@@ -155,6 +155,9 @@
     for (Gauge& one : m_control.Poison().Gauges()) {
       gauges.push_back(std::move(one));
     }
+    for (Gauge& one : m_control.Streams().Gauges()) {
+      gauges.push_back(std::move(one));
+    }
     for (Gauge& one : m_control.WeightsGauges()) {
       gauges.push_back(std::move(one));
     }
--- a/src/jujubehead/node/forward/forward_attempt.cpp
+++ b/src/jujubehead/node/forward/forward_attempt.cpp
@@ -191,7 +191,7 @@
     co_return AttemptOutcome::kNotSent;
   }
   // What is known may have changed while the connection was opened.
-  if (!aTarget.Accepts(core::RuntimeClock::now())) {
+  if (!aTarget.Accepts(core::RuntimeClock::now()) || !IsOfStream(aTarget)) {
     m_last_error = "target no longer takes requests";
     co_return AttemptOutcome::kNotSent;
   }
@@ -202,6 +202,7 @@
   m_last_peer = aExchange.Peer();
   const TargetCall call = BuildCall(aTarget);
   m_last_weights = call.weight_version;
+  m_sent_version = aTarget.target.software_version;
   LogSuspect(aTarget);
   m_probe.reset(); // From here on it may crash the target.
   aExchange.Send(
@@ -510,6 +511,19 @@
   co_return std::nullopt;
 }
 
+void
+ForwardRun::OnStreamBegun()
+{
+  m_stream_version = m_sent_version;
+  const bool is_resumed = !m_metadata.resume_after.empty();
+  const std::string& first =
+    is_resumed ? m_metadata.resumed_request : m_metadata.request_id;
+  if (m_route->repeatable && !first.empty()) {
+    m_state.OnStreamBegun(
+      { core::StreamKeyOf(first), m_service, m_sent_version });
+  }
+}
+
 asio::awaitable<ForwardRun::AttemptFailure>
 ForwardRun::RelayStream(FleetTarget& aTarget,
                         TargetExchange& aExchange,
@@ -526,6 +540,7 @@
       m_is_streaming = true;
       StartStallTimer(aTarget);
       if (!m_session->HasStreamBegun()) {
+        OnStreamBegun();
         m_first_event_at = aTarget.last_response_at;
         m_state.waits[m_route->name].OnFirstResponse(
           m_load_at_send, m_first_event_at - m_sent_at);
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -38,6 +38,8 @@
 /// The operators' store usually answers a claim of a probe within some
 /// milliseconds. One that is granted later is left to the next copy.
 constexpr Duration kClaimTimeout = std::chrono::seconds(1);
+/// Longest wait for other instances' records of a stream.
+constexpr Duration kFindStreamTimeout = std::chrono::milliseconds(400);
 /// Sends of suspects with fewer crashes are not logged. One crash makes
 /// suspects of all requests at the target.
 constexpr std::uint32_t kLoggedCrashCount = 2;
@@ -145,6 +147,41 @@
   co_return m_probe.has_value();
 }
 
+asio::awaitable<bool>
+ForwardRun::FindStream()
+{
+  if (!m_route->streams || m_metadata.resume_after.empty()) {
+    co_return true;
+  }
+  const core::StreamKey stream = core::StreamKeyOf(m_metadata.resumed_request);
+  const auto sole = m_state.sole_versions.find(m_service);
+  if (sole != m_state.sole_versions.end()) {
+    m_stream_version = sole->second;
+    co_return true;
+  }
+  if (m_metadata.resumed_request.empty()) {
+    co_return false;
+  }
+  m_stream_version =
+    m_state.origins.VersionOf(stream, core::RuntimeClock::now());
+  if (m_stream_version) {
+    co_return true;
+  }
+  const auto timeout =
+    std::make_shared<net::Timer>(m_session->Executor(), kFindStreamTimeout);
+  const auto found = std::make_shared<std::optional<std::string>>();
+  m_state.find_stream(
+    stream, m_service, [timeout, found](std::optional<std::string> aVersion) {
+      *found = std::move(aVersion);
+      timeout->cancel();
+    });
+  co_await timeout->async_wait(asio::as_tuple(asio::use_awaitable));
+  m_stream_version = *found;
+  m_state.metrics.Add(m_stream_version ? Counter::kStreamsFound
+                                       : Counter::kStreamsUnknown);
+  co_return m_stream_version.has_value();
+}
+
 std::uint32_t
 ForwardRun::CrashCount()
 {
@@ -270,7 +307,13 @@
     co_return;
   }
   m_state.BudgetOf(m_service).OnRequest(core::RuntimeClock::now());
-  co_await Forward();
+  const bool is_known = co_await FindStream();
+  if (is_known) {
+    co_await Forward();
+  } else if (!m_session->IsDisconnected()) {
+    m_last_error = "the software version that began the stream is not known";
+    co_await Finish(NextStep::kRefuse);
+  }
   CountUnanswered();
   if (m_probe) { // It was not sent.
     m_state.probes.Put(*m_probe);
@@ -463,6 +506,9 @@
   if (!m_last_peer.empty()) {
     line.Add("through", m_last_peer);
   }
+  if (m_stream_version) {
+    line.Add("version", *m_stream_version);
+  }
   AddWeights(line);
   AddPlacement(line);
   if (!aDetail.empty()) {
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -127,6 +127,22 @@
   [[nodiscard]] core::RequestFingerprint Fingerprint();
   /// @return whether the request crashes its targets and is not sent to more.
   [[nodiscard]] bool IsQuarantined();
+  /// @brief Finds out at which software version the stream that the caller
+  /// goes on with has begun.
+  /// @return whether it is known.
+  boost::asio::awaitable<bool> FindStream();
+  /// @return whether the stream may go on at a target, if it has begun.
+  [[nodiscard]] bool IsOfStream(const FleetTarget& aTarget) const
+  {
+    return !m_stream_version ||
+           *m_stream_version == aTarget.target.software_version;
+  }
+  /// @brief Leaves new streams to the versions that all instances know, if
+  /// there are any.
+  void AvoidUnsettledVersions(
+    std::vector<std::shared_ptr<FleetTarget>>& aTargets) const;
+  /// @brief Events of the target reach the caller.
+  void OnStreamBegun();
   /// @brief Makes the request the probe of its quarantine, if that is over and
   /// no other copy is.
   /// @return whether it may be sent.
@@ -222,6 +238,9 @@
   bool m_is_quarantined = false; ///< As IsQuarantined() found last.
   /// Set while the request may be sent although it is in quarantine.
   std::optional<core::Quarantine> m_probe;
+  /// Software version at which the stream has begun, once it has.
+  std::optional<std::string> m_stream_version;
+  std::string m_sent_version; ///< Of the current attempt's target.
   std::string m_last_target;
   std::string m_last_peer; ///< Through which it was reached; empty: directly.
   /// Expected weight version of the last target.
--- a/src/jujubehead/node/forward/forward_state.hpp
+++ b/src/jujubehead/node/forward/forward_state.hpp
@@ -10,16 +10,20 @@
 #include <random>        // for mt19937_64
 #include <string>        // for string
 #include <unordered_map> // for unordered_map
+#include <utility>       // for exchange
+#include <vector>        // for vector
 
 #include "jujubehead/core/context/part_directory.hpp"    // for PartDirectory
 #include "jujubehead/core/context/prefix_popularity.hpp" // for PrefixPopularity
 #include "jujubehead/core/context/store_link.hpp"        // for StoreLink
 #include "jujubehead/core/membership/holder_ring.hpp"    // for HolderRing
+#include "jujubehead/core/membership/stream_origins.hpp" // for StreamOrigins
 #include "jujubehead/core/routing/admission.hpp"         // for WaitPredictor
 #include "jujubehead/core/routing/configuration.hpp"     // for Configuration
 #include "jujubehead/core/routing/load_reports.hpp"      // for LoadReports
 #include "jujubehead/core/routing/poison_requests.hpp"   // for PoisonRequests
 #include "jujubehead/core/routing/probe_grants.hpp"      // for ProbeGrants
+#include "jujubehead/core/routing/software_versions.hpp" // for SoleVersions
 #include "jujubehead/core/routing/windowed_retry_budget.hpp" // for WindowedRetryBudget
 #include "jujubehead/core/weights/rollout.hpp"       // for DesiredWeights
 #include "jujubehead/node/forward/entry_options.hpp" // for EntryOptions
@@ -36,6 +40,9 @@
 /// @brief Takes the quarantine that was recorded for a probe, if any.
 using ProbeReply = std::function<void(std::optional<core::Quarantine>)>;
 
+/// @brief Takes a software version, if it is known.
+using VersionReply = std::function<void(std::optional<std::string>)>;
+
 /// @brief State shared by the requests of the traffic thread. Accessed by that
 /// thread only.
 struct ForwardState
@@ -129,6 +136,29 @@
     }
   }
 
+  /// @brief An event of a stream has come. Where one software version alone has
+  /// served, its origin is known without a record.
+  void OnStreamBegun(const core::StreamOrigin& aOrigin)
+  {
+    origins.Put(aOrigin, core::RuntimeClock::now());
+    if (!sole_versions.contains(aOrigin.service)) {
+      on_streams({ aOrigin });
+    }
+  }
+
+  /// @brief Sets the services at which one software version alone has served.
+  /// Streams of one that is no longer among them are recorded now.
+  void SetSoleVersions(const core::SoleVersions& aSole, core::Duration aLongest)
+  {
+    const core::SoleVersions before = std::exchange(sole_versions, aSole);
+    for (const auto& [service, version] : before) {
+      if (!sole_versions.contains(service)) {
+        on_streams(
+          origins.Recent(service, aLongest, core::RuntimeClock::now()));
+      }
+    }
+  }
+
   /// @brief Forgets suspects and quarantines whose time is over.
   void TickPoison()
   {
@@ -182,6 +212,15 @@
   /// Passes a report of a target's limit on to the other instances.
   std::function<void(const core::TargetLoadReport&)> on_limit_report =
     [](const core::TargetLoadReport&) {};
+  /// Keeps the origins of this instance's streams at other instances.
+  std::function<void(std::vector<core::StreamOrigin>)> on_streams =
+    [](const std::vector<core::StreamOrigin>&) {};
+  /// Asks the other instances at which version a stream of a service began, and
+  /// calls the function on the traffic thread; nothing if none knows.
+  std::function<void(core::StreamKey, const core::ServiceId&, VersionReply)>
+    find_stream = [](core::StreamKey,
+                     const core::ServiceId&,
+                     const VersionReply& aReply) { aReply(std::nullopt); };
   /// Records a request's next quarantine, in order to send a probe, and calls
   /// the function on the traffic thread; nothing if that had no effect.
   std::function<void(const core::Quarantine&, ProbeReply)> claim_probe =
@@ -191,6 +230,8 @@
   /// Records that a quarantine began or is over.
   std::function<void(const core::Quarantine&)> on_quarantine =
     [](const core::Quarantine&) {};
+  core::StreamOrigins origins; ///< Of this instance's streams.
+  core::SoleVersions sole_versions;
   core::PartDirectory parts;
   std::unordered_map<core::ServiceId, core::WindowedRetryBudget> budgets;
   std::unordered_map<core::ServiceId, core::BrittleSignal> brittle;
--- a/src/jujubehead/node/forward/forwarder.cpp
+++ b/src/jujubehead/node/forward/forwarder.cpp
@@ -319,6 +319,33 @@
   });
 }
 
+void
+Forwarder::SetStreamHooks(StreamHooks aHooks)
+{
+  asio::post(m_context, [this, hooks = std::move(aHooks)] {
+    m_state.on_streams = hooks.on_streams;
+    m_state.find_stream =
+      [this, find = hooks.find_stream](core::StreamKey aStream,
+                                       const core::ServiceId& aService,
+                                       VersionReply aReply) {
+        find(aStream,
+             aService,
+             [this, reply = std::move(aReply)](
+               const std::optional<std::string>& aVersion) {
+               asio::post(m_context, [reply, aVersion] { reply(aVersion); });
+             });
+      };
+  });
+}
+
+void
+Forwarder::SetSoleVersions(core::SoleVersions aSole, core::Duration aLongest)
+{
+  asio::post(m_context, [this, sole = std::move(aSole), aLongest] {
+    m_state.SetSoleVersions(sole, aLongest);
+  });
+}
+
 void
 Forwarder::SetPoisonHooks(PoisonHooks aHooks)
 {
--- a/src/jujubehead/node/forward/forwarder.hpp
+++ b/src/jujubehead/node/forward/forwarder.hpp
@@ -110,6 +110,19 @@
   /// @param aFrom this instance uses no share before.
   void SetHolders(core::HolderRing aHolders, core::Instant aFrom);
   /// Called on the traffic thread.
+  struct StreamHooks
+  {
+    /// Keeps the origins of this instance's streams at other instances.
+    std::function<void(std::vector<core::StreamOrigin>)> on_streams;
+    /// Asks them for one; the reply may come on any thread.
+    std::function<void(core::StreamKey, const core::ServiceId&, VersionReply)>
+      find_stream;
+  };
+  void SetStreamHooks(StreamHooks aHooks);
+  /// @brief Sets the services at which one software version alone has served.
+  /// @param aLongest time within which a stream that has begun may go on.
+  void SetSoleVersions(core::SoleVersions aSole, core::Duration aLongest);
+  /// Called on the traffic thread.
   struct PoisonHooks
   {
     /// Passes this instance's reports about suspects on to the other instances.
--- a/src/jujubehead/node/forward/target_choice.cpp
+++ b/src/jujubehead/node/forward/target_choice.cpp
@@ -216,7 +216,7 @@
   std::vector<std::shared_ptr<FleetTarget>> usable;
   for (auto& target : m_state.fleet.Of(m_service)) {
     if (m_tried_targets.contains(target->target.id) || !target->Accepts(now) ||
-        !IsAllowed(*target)) {
+        !IsAllowed(*target) || !IsOfStream(*target)) {
       continue;
     }
     if (target->health.IsUsable(now)) {
@@ -225,6 +225,7 @@
     all.push_back(std::move(target));
   }
   auto& chosen = usable.empty() ? all : usable;
+  AvoidUnsettledVersions(chosen);
   if (!m_metadata.prompt) {
     return std::move(chosen);
   }
@@ -253,6 +254,22 @@
   return std::move(chosen);
 }
 
+void
+ForwardRun::AvoidUnsettledVersions(
+  std::vector<std::shared_ptr<FleetTarget>>& aTargets) const
+{
+  if (!m_route->streams || m_stream_version) {
+    return;
+  }
+  const core::Instant now = core::RuntimeClock::now();
+  const auto is_settled = [&](const auto& aTarget) {
+    return aTarget->streams_from <= now;
+  };
+  if (std::any_of(aTargets.begin(), aTargets.end(), is_settled)) {
+    std::erase_if(aTargets, std::not_fn(is_settled));
+  }
+}
+
 bool
 ForwardRun::IsWorthSending(const FleetTarget& aTarget)
 {
--- a/src/jujubehead/node/forward/target_fleet.cpp
+++ b/src/jujubehead/node/forward/target_fleet.cpp
@@ -22,6 +22,9 @@
 /// return when they can.
 constexpr core::Duration kDepartedTtl = std::chrono::minutes(10);
 
+/// Time in which all instances have read the entry of a target that others use.
+constexpr core::Duration kVersionSettleTime = std::chrono::seconds(3);
+
 /// @return whether an entry is of the process that a target's state is of.
 bool
 IsSameProcess(const FleetTarget& aKnown,
@@ -187,6 +190,7 @@
 TargetFleet::Apply(const std::vector<core::RegistrationChange>& aChanges)
 {
   ForgetDeparted();
+  m_is_first_read = m_targets.empty();
   for (const core::RegistrationChange& change : aChanges) {
     if (change.target) {
       Put(*change.target);
@@ -213,6 +217,11 @@
     known = Insert(aTarget, *endpoint);
   }
   const core::Instant now = core::RuntimeClock::now();
+  if (known->target.software_version != aTarget.software_version) {
+    UncountSoftware(*known);
+    known->target = aTarget;
+    CountSoftware(*known);
+  }
   known->target = aTarget;
   known->is_gone = aTarget.leaving;
   known->is_stopped = m_stopped.contains(aTarget.data_centre);
@@ -240,6 +249,7 @@
   service.push_back(target);
   m_targets.emplace(aTarget.id, target);
   m_by_key[core::KeyOf(aTarget.id)] = target;
+  CountSoftware(*target);
   return target;
 }
 
@@ -276,11 +286,38 @@
   if (by_key != m_by_key.end() && by_key->second == removed) {
     m_by_key.erase(by_key);
   }
+  UncountSoftware(*removed);
   removed->is_gone = true;
   removed->CloseIdleConnections();
   m_departed[aId] = { removed, core::RuntimeClock::now() };
 }
 
+void
+TargetFleet::CountSoftware(FleetTarget& aTarget)
+{
+  const core::Instant now = core::RuntimeClock::now();
+  auto& versions = m_software[aTarget.target.service];
+  const auto [found, is_new] =
+    versions.try_emplace(aTarget.target.software_version);
+  SoftwareVersion& version = found->second;
+  const bool is_back =
+    version.targets == 0 && now - version.gone_at > kVersionSettleTime;
+  if (is_new || is_back) {
+    version.seen_at = m_is_first_read ? core::Instant{} : now;
+  }
+  ++version.targets;
+  aTarget.streams_from = version.seen_at + kVersionSettleTime;
+}
+
+void
+TargetFleet::UncountSoftware(const FleetTarget& aTarget)
+{
+  SoftwareVersion& version =
+    m_software[aTarget.target.service][aTarget.target.software_version];
+  --version.targets;
+  version.gone_at = core::RuntimeClock::now();
+}
+
 void
 TargetFleet::ForgetDeparted()
 {
--- a/src/jujubehead/node/forward/target_fleet.hpp
+++ b/src/jujubehead/node/forward/target_fleet.hpp
@@ -53,7 +53,9 @@
   std::optional<core::Instant> draining_since;
   core::Instant path_checked_at{};  ///< By this instance, see TargetConnector.
   std::uint32_t active_streams = 0; ///< Streams of this instance.
-  std::size_t service_index = 0;    ///< Its index in its service's targets.
+  /// New streams begin here from this time on, see TargetFleet.
+  core::Instant streams_from{};
+  std::size_t service_index = 0; ///< Its index in its service's targets.
 
   /// @return whether requests may be sent to it, however loaded it is.
   [[nodiscard]] bool Accepts(core::Instant aNow) const
@@ -154,7 +156,20 @@
     core::Instant since{};
   };
 
+  /// A software version of a service.
+  struct SoftwareVersion
+  {
+    std::size_t targets = 0;
+    core::Instant seen_at{}; ///< First, since it was gone.
+    core::Instant gone_at{};
+  };
+
   void Put(const core::RegisteredTarget& aTarget);
+  /// @brief Counts a target for its software version. Streams begin at a
+  /// version only when all instances have had time to see it: one that believes
+  /// another to be the only one would go on with them there.
+  void CountSoftware(FleetTarget& aTarget);
+  void UncountSoftware(const FleetTarget& aTarget);
   void Remove(const core::TargetId& aId);
   /// @brief Adds a target, with its state if it is one that departed.
   std::shared_ptr<FleetTarget> Insert(
@@ -173,7 +188,11 @@
   std::unordered_map<core::ServiceId, std::vector<std::shared_ptr<FleetTarget>>>
     m_by_service;
   std::unordered_map<core::TargetKey, std::shared_ptr<FleetTarget>> m_by_key;
+  /// Versions that are there at the start are known to all.
+  bool m_is_first_read = false;
   std::map<core::TargetId, Departed> m_departed;
+  std::unordered_map<core::ServiceId, std::map<std::string, SoftwareVersion>>
+    m_software;
   std::set<core::TargetId> m_loading;
   std::set<core::DataCentreId> m_stopped;
   std::map<core::DataCentreId, core::Instant> m_stop_ended_at;
--- a/src/jujubehead/node/metrics.cpp
+++ b/src/jujubehead/node/metrics.cpp
@@ -216,6 +216,11 @@
     "Requests refused as all their targets have named a limit." },
   { "brittle_refusals_total",
     "Requests refused as no share of brittle targets is left." },
+  { "streams_found_total",
+    "Streams that go on, whose software version another instance knew." },
+  { "streams_unknown_total",
+    "Streams refused as no instance knew the software version that began "
+    "them." },
   { "draining_replies_total",
     "Replies of targets that say that they are leaving." },
   { "tunnels_total", "Connections to targets through other instances." },
