Soak: brittle targets that fall over

Callers of a burst have ids of their own: those of two processes were the same at first, and 508 of their requests counted as retries of each other's.

--- a/scripts/lib/entry_processes.sh
+++ b/scripts/lib/entry_processes.sh
@@ -38,7 +38,8 @@
     "$service" "$3" "$2" "$models"
 }
 # run_target NAME KIND DATA_CENTRE PORT [REGISTERED_PORT]: and starts it again
-# when it ends. NAME.pid has the process that runs.
+# when it ends. NAME.pid has the process that runs; `brittle` has the flags of
+# brittle targets.
 run_target() {
   local run=0 id removal="" status
   local flags=(--port "$4" "${target_flags[@]}")
@@ -49,6 +50,7 @@
     run=$((run + 1))
     id=$1-$run
     "$build_dir/standin/jujubehead-standin" registered --id "$id" \
+      $(cat "$run_dir/brittle" 2>/dev/null) \
       --ready_file "$run_dir/$id.ready" "${flags[@]}" &
     echo $! >"$run_dir/$1.pid"
     await 10 test -s "$run_dir/$id.ready"
--- a/standin/load_callers.cpp
+++ b/standin/load_callers.cpp
@@ -57,7 +57,7 @@
     const Kind other = is_prompt(m_random) ? Kind::kPrompt : Kind::kCall;
     asio::co_spawn(m_context,
                    Send(aIsPoison ? Kind::kPoison : other,
-                        "r" + std::to_string(++m_last_id),
+                        m_options.id_prefix + std::to_string(++m_last_id),
                         m_options.instances[instance(m_random)]),
                    asio::detached);
   }
--- a/standin/load_callers.hpp
+++ b/standin/load_callers.hpp
@@ -23,6 +23,7 @@
   double poison_per_second = 0;       ///< Copies of the poison request.
   std::string poison;                 ///< Its body.
   bool changes_poison = false;        ///< Each copy has a body of its own.
+  std::string id_prefix = "r";        ///< Of the ids of requests.
   std::uint64_t seed = 1;
 };
 
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -57,6 +57,11 @@
 DEFINE_double(poison_per_second, 0, "callers: copies of the poison request");
 DEFINE_string(poison, "", "callers: body of the poison request");
 DEFINE_bool(changes_poison, false, "callers: each copy has another body");
+DEFINE_string(id_prefix, "r", "callers: of the ids of requests");
+DEFINE_string(brittle,
+              "",
+              "registered: REJECTIONS,SLOTS of a brittle target; empty: none");
+DEFINE_bool(brittle_silent, false, "registered: does not say so");
 DEFINE_string(crash_on,
               "",
               "registered: ends when it runs a request whose body has this "
@@ -194,6 +199,13 @@
     options.work_ms = FLAGS_work_ms;
     options.on_arrival = ArrivalLog();
     StandIn target = StandIn::Registered(aContext, options, listen);
+    if (!FLAGS_brittle.empty()) {
+      const std::vector<std::string> numbers = SplitByComma(FLAGS_brittle);
+      target.SetFault("brittle",
+                      { { "rejections", std::stoi(numbers.at(0)) },
+                        { "slots", std::stoi(numbers.at(1)) },
+                        { "silent", FLAGS_brittle_silent } });
+    }
     if (!FLAGS_crash_on.empty()) {
       target.SetFault(
         "crash_on",
@@ -239,6 +251,7 @@
   options.poison_per_second = FLAGS_poison_per_second;
   options.poison = FLAGS_poison;
   options.changes_poison = FLAGS_changes_poison;
+  options.id_prefix = FLAGS_id_prefix;
   options.seed = FLAGS_seed;
   return options;
 }
--- a/standin/registered_face.cpp
+++ b/standin/registered_face.cpp
@@ -125,7 +125,8 @@
         limit != nullptr && limit->contains("per_second")) {
       headers.Add("Server-Limit", limit->at("per_second").get<std::string>());
     }
-    if (const json* const brittle = Brittle()) {
+    if (const json* const brittle = Brittle();
+        brittle != nullptr && !brittle->value("silent", false)) {
       headers.Add("Server-Brittle",
                   std::to_string(brittle->at("rejections").get<int>()));
     }
