Soak: software versions side by side

Each start of a target runs another of two versions at the same address, beside the usual kills, stops, restarts, cut links and cut paths to the store; callers take broken streams up again at random instances, three times at most.

--- a/scripts/lib/entry_processes.sh
+++ b/scripts/lib/entry_processes.sh
@@ -29,19 +29,19 @@
 row() { # row TABLE KEY JSON
   printf '{"table":"%s","part":"","key":"%s","value":"%s"}' "$1" "$2" "$(base64 -w0 <<<"$3")"
 }
-target_row() { # target_row KIND DATA_CENTRE PORT
+target_row() { # target_row KIND DATA_CENTRE PORT [SOFTWARE_VERSION]
   local models="" service=plain
   if [ "$1" = model ]; then
     service=models models='{"name":"m1","version":1}'
   fi
-  printf '{"service":"%s","address":"127.0.0.1:%d","zone":"%s","slots":8,"state":"ready","models":[%s],"sequence":1}' \
-    "$service" "$3" "$2" "$models"
+  printf '{"service":"%s","address":"127.0.0.1:%d","zone":"%s","slots":8,"state":"ready","models":[%s],"version":"%s","sequence":1}' \
+    "$service" "$3" "$2" "$models" "${4:-}"
 }
 # run_target NAME KIND DATA_CENTRE PORT [REGISTERED_PORT]: and starts it again
-# when it ends. NAME.pid has the process that runs; `brittle` has the flags of
-# brittle targets.
+# when it ends, with another software version if the caller sets software_count.
+# NAME.pid has the process that runs; `brittle` are the flags of brittle targets.
 run_target() {
-  local run=0 id removal="" status
+  local run=0 id removal="" status version=""
   local flags=(--port "$4" "${target_flags[@]}")
   [ "$2" = plain ] || flags+=(--registered_model m1)
   trap 'kill -KILL $(jobs -p) 2>/dev/null' EXIT
@@ -49,12 +49,15 @@
   while :; do
     run=$((run + 1))
     id=$1-$run
+    if [ "${software_count:-0}" -gt 0 ]; then
+      version=v$(((run + ${#1} + ${1: -1}) % software_count + 1))
+    fi
     "$build_dir/standin/jujubehead-standin" registered --id "$id" \
-      $(cat "$run_dir/brittle" 2>/dev/null) \
+      --software_version "$version" $(cat "$run_dir/brittle" 2>/dev/null) \
       --ready_file "$run_dir/$id.ready" "${flags[@]}" &
     echo $! >"$run_dir/$1.pid"
     await 10 test -s "$run_dir/$id.ready"
-    write_rows "$(row servers "$id" "$(target_row "$2" "$3" "${5:-$4}")")" "$removal"
+    write_rows "$(row servers "$id" "$(target_row "$2" "$3" "${5:-$4}" "${named_version-$version}")")" "$removal"
     touch "$run_dir/$1.registered"
     status=0
     wait $! || status=$?
--- a/standin/load_callers.hpp
+++ b/standin/load_callers.hpp
@@ -1,10 +1,12 @@
 #ifndef JUJUBEHEAD_STANDIN_LOAD_CALLERS_HPP
 #define JUJUBEHEAD_STANDIN_LOAD_CALLERS_HPP
 
+#include <cstddef> // for size_t
 #include <cstdint> // for uint64_t
 #include <iosfwd>  // for ostream
 #include <memory>  // for unique_ptr
 #include <random>  // for mt19937_64
+#include <set>     // for set
 #include <string>  // for string
 #include <vector>  // for vector
 
@@ -24,6 +26,7 @@
   std::string poison;                 ///< Its body.
   bool changes_poison = false;        ///< Each copy has a body of its own.
   std::string id_prefix = "r";        ///< Of the ids of requests.
+  bool resumes = false; ///< Streams that broke off are taken up again.
   std::uint64_t seed = 1;
 };
 
@@ -38,6 +41,9 @@
 public:
   /// @param aLog gets two lines for each request: Unix milliseconds, `sent`,
   /// kind, id, instance; and the same with `answered` and the status (0: none).
+  /// A stream that broke off after an event gets one more, with `stream`: its
+  /// kind, id, instance, whether it `goes_on` or `ends` there, and the software
+  /// versions of its events.
   LoadCallers(boost::asio::io_context& aContext,
               LoadCallersOptions aOptions,
               std::ostream& aLog);
@@ -52,10 +58,29 @@
     kPoison,
   };
 
+  /// What has come of a stream.
+  struct Stream
+  {
+    std::string first_id; ///< Of the request that brought its first event.
+    std::string last_event;
+    std::set<std::string> versions; ///< Software that its events are of.
+    unsigned status = 0;            ///< 0: it broke off.
+  };
+
   boost::asio::awaitable<void> SendAll(bool aIsPoison, double aPerSecond);
+  /// @brief Sends a prompt, and again at other instances while its stream
+  /// breaks off.
+  boost::asio::awaitable<void> SendStream(std::string aId,
+                                          std::string aInstance);
+  boost::asio::awaitable<void> ReadStream(net::HttpCall aCall,
+                                          std::string aId,
+                                          Stream& aStream);
   boost::asio::awaitable<void> Send(Kind aKind,
                                     std::string aId,
                                     std::string aInstance);
+  net::HttpCall CallFor(Kind aKind,
+                        const std::string& aId,
+                        const std::string& aInstance);
 
   boost::asio::io_context& m_context;
   LoadCallersOptions m_options;
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -58,6 +58,8 @@
 DEFINE_string(poison, "", "callers: body of the poison request");
 DEFINE_bool(changes_poison, false, "callers: each copy has another body");
 DEFINE_string(id_prefix, "r", "callers: of the ids of requests");
+DEFINE_bool(resumes, false, "callers: take broken streams up again");
+DEFINE_string(software_version, "", "registered: part of each event");
 DEFINE_string(brittle,
               "",
               "registered: REJECTIONS,SLOTS of a brittle target; empty: none");
@@ -197,6 +199,7 @@
     options.id = FLAGS_id;
     options.model = FLAGS_registered_model;
     options.work_ms = FLAGS_work_ms;
+    options.software_version = FLAGS_software_version;
     options.on_arrival = ArrivalLog();
     StandIn target = StandIn::Registered(aContext, options, listen);
     if (!FLAGS_brittle.empty()) {
@@ -252,6 +255,7 @@
   options.poison = FLAGS_poison;
   options.changes_poison = FLAGS_changes_poison;
   options.id_prefix = FLAGS_id_prefix;
+  options.resumes = FLAGS_resumes;
   options.seed = FLAGS_seed;
   return options;
 }
