Limits: a stopped target does not get ever more holders; two gaps of the model

Read on: while a limited target answers nothing, one more set of holders may send after each confirmation time, without end. With one request a second and 9 s a set, a target stopped for minutes has all instances as holders, and gets as many requests at once when it goes on. Now a set follows each time that the time without a reply has doubled: 7 sets after 10 minutes instead of 67. TargetLimit.AStoppedTarget- DoesNotGetAllInstancesAsHolders fails on the code before.

The model's callers never paused, so that no bucket was ever full, and a whole burst for each holder passed it.

--- a/src/jujubehead/core/routing/target_limit.cpp
+++ b/src/jujubehead/core/routing/target_limit.cpp
@@ -1,8 +1,10 @@
 #include "jujubehead/core/routing/target_limit.hpp"
 
 #include <algorithm> // for clamp, max, min
+#include <bit>       // for bit_width
 #include <chrono>    // for duration, duration_cast
 #include <cmath>     // for floor
+#include <cstdint>   // for uint64_t
 
 namespace jujubehead::core {
 namespace {
@@ -124,8 +126,9 @@
 TargetLimit::IsHeld(std::size_t aRank, Instant aNow) const
 {
   const Duration unconfirmed = std::max(aNow - m_confirmed_at, Duration(0));
-  const auto sets =
-    static_cast<std::size_t>(1 + unconfirmed / ConfirmationTime());
+  const auto times =
+    static_cast<std::uint64_t>(1 + unconfirmed / ConfirmationTime());
+  const auto sets = static_cast<std::size_t>(std::bit_width(times));
   return aRank / Holders() < sets;
 }
 
--- a/src/jujubehead/core/routing/target_limit_model_test.cpp
+++ b/src/jujubehead/core/routing/target_limit_model_test.cpp
@@ -38,6 +38,10 @@
 constexpr std::size_t kTargets = 18;
 constexpr double kMinLimit = 0.5; ///< Requests a second.
 constexpr double kMaxLimit = 2.0;
+/// With one of these, a burst for each holder is more than is allowed.
+constexpr double kLargeLimit = 8.0;
+constexpr std::size_t kPauseSteps = seconds(4) / kStep;
+constexpr std::size_t kPausePeriod = seconds(7) / kStep;
 constexpr double kLeastUsed = 0.5;
 constexpr unsigned kSeeds = 60;
 const Instant kStart{ std::chrono::hours(1) };
@@ -47,6 +51,7 @@
   kHolders, ///< As built.
   kDivided, ///< Each instance has the limit divided by all, and one token.
   kWhole,   ///< Each instance has the whole limit.
+  kBursts,  ///< As built, but each holder's bucket holds the whole burst.
 };
 
 struct Scenario
@@ -54,6 +59,9 @@
   std::size_t instances = 9;
   std::size_t limited = kTargets; ///< Of the targets.
   Rule rule = Rule::kHolders;
+  double max_limit = kMaxLimit;
+  /// Callers all pause together, so that buckets are full when they are back.
+  bool has_pauses = false;
 };
 
 struct Outcome
@@ -78,12 +86,19 @@
     if (m_scenario->rule == Rule::kHolders || !limit.PerSecond()) {
       return limit.TryToSend(m_rank, aNow);
     }
+    const bool has_bursts = m_scenario->rule == Rule::kBursts;
+    if (has_bursts && !limit.IsHeld(m_rank, aNow)) {
+      return false;
+    }
     const double parts = m_scenario->rule == Rule::kDivided
                            ? static_cast<double>(m_scenario->instances)
                            : 1;
+    const double rate =
+      has_bursts ? limit.TokensPerSecond() : *limit.PerSecond() / parts;
+    const double capacity = has_bursts ? *limit.PerSecond() + 1 : 1;
     const double passed =
       std::chrono::duration<double>(aNow - m_filled_at).count();
-    m_tokens = std::min(1.0, m_tokens + *limit.PerSecond() / parts * passed);
+    m_tokens = std::min(capacity, m_tokens + rate * passed);
     m_filled_at = aNow;
     if (m_tokens < 1) {
       return false;
@@ -206,7 +221,7 @@
 
   void ChangeLimits()
   {
-    std::uniform_real_distribution<> rate(kMinLimit, kMaxLimit);
+    std::uniform_real_distribution<> rate(kMinLimit, m_scenario.max_limit);
     for (std::size_t target = 0; target < m_scenario.limited; ++target) {
       if (m_step == kLimitedFrom) {
         m_named[target] = rate(m_random);
@@ -267,6 +282,9 @@
   /// Each instance gets far more requests than the limits allow.
   void SendAll()
   {
+    if (m_scenario.has_pauses && m_step % kPausePeriod < kPauseSteps) {
+      return;
+    }
     std::uniform_int_distribution<std::size_t> any(0, kTargets - 1);
     for (std::size_t i = 0; i < m_scenario.instances; ++i) {
       for (std::size_t offset = any(m_random), n = 0; n < kTargets; ++n) {
@@ -354,6 +372,27 @@
   }
 }
 
+// After a pause all buckets are full, and empty at once.
+TEST(TargetLimitModel, CallersThatPauseDoNotExceedALimit)
+{
+  for (const std::size_t instances : { 9UL, 18UL, 36UL }) {
+    Scenario scenario;
+    scenario.instances = instances;
+    scenario.has_pauses = true;
+    scenario.max_limit = kLargeLimit;
+    CHECK(WorstOf(scenario, kSeeds / 3).most_over <= 0);
+  }
+}
+
+TEST(TargetLimitModel, AWholeBurstForEachHolderExceedsIt)
+{
+  Scenario scenario;
+  scenario.rule = Rule::kBursts;
+  scenario.has_pauses = true;
+  scenario.max_limit = kLargeLimit;
+  CHECK(WorstOf(scenario, 2).most_over > 0);
+}
+
 TEST(TargetLimitModel, HundredsOfInstancesKeepALimit)
 {
   Scenario scenario;
--- a/src/jujubehead/core/routing/target_limit_test.cpp
+++ b/src/jujubehead/core/routing/target_limit_test.cpp
@@ -103,6 +103,15 @@
   CHECK_FALSE(limit.IsHeld(2, kStart + seconds(10)));
 }
 
+// A target that is stopped gets the requests of all that hold a share at once
+// when it goes on.
+TEST(TargetLimit, AStoppedTargetDoesNotGetAllInstancesAsHolders)
+{
+  limit.OnReply(1.0, kStart, kStart);
+  CHECK_FALSE(limit.IsHeld(16, kStart + std::chrono::minutes(10)));
+  CHECK(limit.IsHeld(8, kStart + std::chrono::minutes(10)));
+}
+
 TEST(TargetLimit, ATargetThatNamesNoneAtAllIsStillAsked)
 {
   limit.OnReply(0.0, kStart, kStart);
