Own interface: a stream does not go on at another software version

Engines name their software in each event (system_fingerprint); a resumed stream whose first event names another one, or none, counts as failed before an event of it is passed on, and the next target is tried. StreamProgress.AStreamDoesNotGoOnAtAnotherSoftwareVersion failed before: the events were joined.

--- a/src/jujubehead/node/stream_progress.cpp
+++ b/src/jujubehead/node/stream_progress.cpp
@@ -10,6 +10,8 @@
 using Json = nlohmann::json;
 
 constexpr std::string_view kDone = "[DONE]";
+/// Names the software and configuration that an answer comes from.
+constexpr const char* kSoftwareVersion = "system_fingerprint";
 
 std::uint32_t
 CountIn(const Json& aJson, const char* aName)
@@ -113,6 +115,9 @@
   if (!json.is_object()) {
     throw std::invalid_argument("an event of the stream is no JSON object");
   }
+  CheckSoftwareVersion(HasText(json, kSoftwareVersion)
+                         ? json[kSoftwareVersion].get<std::string>()
+                         : std::string());
   const Event event{ ReadChoice(json) };
   if (m_resumed && Has(event)) {
     return std::nullopt;
@@ -134,6 +139,21 @@
   return m_rewritten;
 }
 
+void
+StreamProgress::CheckSoftwareVersion(const std::string& aVersion)
+{
+  if (m_is_version_checked) {
+    return;
+  }
+  if (m_resumed && aVersion != m_software_version) {
+    throw std::invalid_argument("the stream began at software version '" +
+                                m_software_version + "', and goes on at '" +
+                                aVersion + "'");
+  }
+  m_software_version = aVersion;
+  m_is_version_checked = true;
+}
+
 bool
 StreamProgress::Has(const Event& aEvent) const
 {
--- a/src/jujubehead/node/stream_progress.hpp
+++ b/src/jujubehead/node/stream_progress.hpp
@@ -29,11 +29,16 @@
 public:
   /// @param aData the data of one event, without its field name.
   /// @return what to pass on; nothing when the caller has it already.
-  /// @throws std::invalid_argument when it is no event of an answer.
+  /// @throws std::invalid_argument when it is no event of an answer, or when a
+  /// resumed stream comes from another software version than the first one.
   std::optional<std::string_view> Take(std::string_view aData);
 
   /// @brief The next events come from a stream resumed at Tokens().
-  void Resume() { m_resumed = true; }
+  void Resume()
+  {
+    m_resumed = true;
+    m_is_version_checked = false;
+  }
   /// @return whether a broken stream can go on at another target: every event
   /// so far carried at most one plain token.
   [[nodiscard]] bool CanResume() const { return m_plain; }
@@ -50,6 +55,9 @@
   struct Event;
 
   [[nodiscard]] bool Has(const Event& aEvent) const;
+  /// @brief What two software versions write does not fit together.
+  /// @throws std::invalid_argument
+  void CheckSoftwareVersion(const std::string& aVersion);
   void Count(const Event& aEvent);
 
   std::uint32_t m_tokens = 0;
@@ -58,6 +66,9 @@
   bool m_finished = false;
   bool m_role_sent = false;
   bool m_resumed = false;
+  bool m_is_version_checked = false; ///< Of the present stream.
+  /// `system_fingerprint` of the first stream; empty: it has none.
+  std::string m_software_version;
   std::string m_id;
   std::int64_t m_created = 0;
   std::optional<AnswerUsage> m_usage;
--- a/src/jujubehead/node/stream_progress_test.cpp
+++ b/src/jujubehead/node/stream_progress_test.cpp
@@ -52,6 +52,23 @@
   LONGS_EQUAL(2, progress.Tokens());
 }
 
+// What two software versions write does not fit together.
+TEST(StreamProgress, AStreamDoesNotGoOnAtAnotherSoftwareVersion)
+{
+  const auto event = [](const char* aVersion) {
+    return R"({"id":"a","system_fingerprint":")" + std::string(aVersion) +
+           R"(","choices":[{"index":0,"delta":{"content":"hello "}}]})";
+  };
+  progress.Take(event("fp_1"));
+  progress.Resume();
+  CHECK_THROWS(std::invalid_argument, progress.Take(event("fp_2")));
+  CHECK_THROWS(std::invalid_argument, progress.Take(Delta("b", kHello)));
+  LONGS_EQUAL(1, progress.Tokens());
+  progress.Resume();
+  CHECK(progress.Take(event("fp_1")).has_value());
+  LONGS_EQUAL(2, progress.Tokens());
+}
+
 TEST(StreamProgress, AStreamCutAfterItsLastTokenIsOnlyFinished)
 {
   progress.Take(Delta("a", kHello));
