--- a/include/jujubehead/core/routing/target_limit.hpp
+++ b/include/jujubehead/core/routing/target_limit.hpp
@@ -21,7 +21,9 @@
 /// An instance ranks all instances for the target, see HolderRing, and holds a
 /// share while its own rank is below Holders(). A target whose limit nobody has
 /// seen for a while may have lost its holders: the next ranks follow, as many
-/// again with each ConfirmationTime().
+/// again each time that the time without a reply has doubled. A target that is
+/// stopped for long so gets the requests of a few sets of holders, and not of
+/// all instances.
 ///
 /// @code
 /// TargetLimit limit;
--- a/standin/load_callers.cpp
+++ b/standin/load_callers.cpp
@@ -132,7 +132,8 @@
       call.headers.Add("Last-Event-Id", stream.last_event);
       call.headers.Add("Resumes", stream.first_id);
     }
-    const std::string request = "prompt " + aId + ' ' + aInstance;
+    std::string request = "prompt ";
+    request.append(aId).append(" ").append(aInstance);
     const std::string last_event = stream.last_event;
     m_log << NowMs() << " sent " << request << std::endl;
     co_await ReadStream(std::move(call), aId, stream);
