--- a/src/jujubehead/core/membership/holder_ring_test.cpp
+++ b/src/jujubehead/core/membership/holder_ring_test.cpp
@@ -1,6 +1,6 @@
 #include "jujubehead/core/membership/holder_ring.hpp"
 
-#include <algorithm> // for count, max
+#include <algorithm> // for count, max, max_element
 
 #include <CppUTest/TestHarness.h> // for TEST
 
@@ -72,6 +72,28 @@
 }
 
 // An instance that joins must not make others holders of targets anew.
+// What instances keep for each other, such as the origins of streams, grows with
+// the fleet; each one's part must not.
+TEST(HolderRing, KeysOfAnInstanceDoNotGrowWithTheFleet)
+{
+  constexpr std::size_t kHolders = 2;
+  constexpr std::size_t kKeysEach = 50;
+  for (const std::size_t instances : { 9UL, 18UL, 36UL, 246UL, 984UL }) {
+    const HolderRing ring(Ids(instances), "instance-0");
+    std::vector<std::size_t> keys(instances, 0);
+    for (std::size_t key = 0; key < instances * kKeysEach; ++key) {
+      const auto first =
+        ring.First(PlacementHash("r" + std::to_string(key)), kHolders);
+      UNSIGNED_LONGS_EQUAL(kHolders, first.size());
+      CHECK(first[0] != first[1]);
+      ++keys[first[0]];
+      ++keys[first[1]];
+    }
+    const std::size_t most = *std::max_element(keys.begin(), keys.end());
+    CHECK(most <= 4 * kHolders * kKeysEach);
+  }
+}
+
 TEST(HolderRing, AnInstanceThatJoinsChangesOnlyItsOwnTargets)
 {
   const auto before = Ids(9);
