Brittle targets: a prompt beyond the whole memory is not sent

The first holder of a target may send any prompt alone; one that is larger than the target's memory is rejected whenever it comes, which counts towards its fall. The test of long prompts failed on it before. ConcurrencyShare::CanFit() had no caller.

--- a/include/jujubehead/core/routing/concurrency_share.hpp
+++ b/include/jujubehead/core/routing/concurrency_share.hpp
@@ -54,11 +54,6 @@
   /// @return the requests that an instance may have at the target.
   [[nodiscard]] static std::uint32_t Slots(const TargetCapacity& aCapacity,
                                            const HolderRank& aRank);
-  /// @return whether a request of that many tokens can ever be sent by an
-  /// instance of that rank.
-  [[nodiscard]] static bool CanFit(const TargetCapacity& aCapacity,
-                                   const HolderRank& aRank,
-                                   std::uint64_t aTokens);
 
   /// @brief A request is sent.
   void OnBegin(std::uint64_t aTokens);
@@ -73,7 +68,8 @@
 
   /// @return the requests that may be at the target, with those given up on.
   [[nodiscard]] std::uint32_t InFlight(Instant aNow) const;
-  /// @return whether one more request keeps this instance's share.
+  /// @return whether one more request keeps this instance's share. The first
+  /// holder may send any prompt alone, or the longest ones would fit nowhere.
   [[nodiscard]] bool MaySend(const TargetCapacity& aCapacity,
                              const HolderRank& aRank,
                              std::uint64_t aTokens,
--- a/src/jujubehead/core/routing/concurrency_share.cpp
+++ b/src/jujubehead/core/routing/concurrency_share.cpp
@@ -42,20 +42,6 @@
                                     (aRank.rank < left ? 1 : 0));
 }
 
-bool
-ConcurrencyShare::CanFit(const TargetCapacity& aCapacity,
-                         const HolderRank& aRank,
-                         std::uint64_t aTokens)
-{
-  if (Slots(aCapacity, aRank) == 0) {
-    return false;
-  }
-  // The first one may send any request alone, or the longest prompts would fit
-  // nowhere.
-  return aCapacity.tokens == 0 || aRank.rank == 0 ||
-         aTokens <= aCapacity.tokens / Holders(aCapacity, aRank.instances);
-}
-
 void
 ConcurrencyShare::OnBegin(std::uint64_t aTokens)
 {
@@ -116,9 +102,13 @@
   if (Free(aCapacity, aRank, aNow) == 0) {
     return false;
   }
-  if (aCapacity.tokens == 0 || (aRank.rank == 0 && InFlight(aNow) == 0)) {
+  if (aCapacity.tokens == 0) {
     return true;
   }
+  // A prompt beyond the whole memory is rejected whenever it comes.
+  if (aRank.rank == 0 && InFlight(aNow) == 0) {
+    return aTokens <= aCapacity.tokens;
+  }
   std::uint64_t tokens = m_tokens + aTokens;
   for (const Abandoned& one : m_abandoned) {
     tokens += one.until > aNow ? one.tokens : 0;
--- a/src/jujubehead/core/routing/concurrency_share_test.cpp
+++ b/src/jujubehead/core/routing/concurrency_share_test.cpp
@@ -77,7 +77,6 @@
   const HolderRank second{ 1, 9 };
   CHECK(share.MaySend(kModel, second, 30000, kStart));
   CHECK_FALSE(share.MaySend(kModel, second, 30001, kStart));
-  CHECK_FALSE(ConcurrencyShare::CanFit(kModel, second, 30001));
   share.OnBegin(20000);
   CHECK(share.MaySend(kModel, second, 10000, kStart));
   CHECK_FALSE(share.MaySend(kModel, second, 10001, kStart));
@@ -87,8 +86,8 @@
 TEST(ConcurrencyShare, TheFirstHolderSendsALongPromptAlone)
 {
   const HolderRank first{ 0, 9 };
-  CHECK(ConcurrencyShare::CanFit(kModel, first, 80000));
   CHECK(share.MaySend(kModel, first, 80000, kStart));
+  CHECK_FALSE(share.MaySend(kModel, first, kModel.tokens + 1, kStart));
   share.OnBegin(10);
   CHECK_FALSE(share.MaySend(kModel, first, 80000, kStart));
 }
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -506,7 +506,7 @@
   if (!m_last_peer.empty()) {
     line.Add("through", m_last_peer);
   }
-  if (m_stream_version) {
+  if (m_stream_version && !m_stream_version->empty()) {
     line.Add("version", *m_stream_version);
   }
   AddWeights(line);
