--- a/src/jujubehead/node/control/stream_origin_exchange.hpp
+++ b/src/jujubehead/node/control/stream_origin_exchange.hpp
@@ -3,7 +3,6 @@
 
 #include <cstddef>     // for size_t
 #include <cstdint>     // for uint64_t
-#include <functional>  // for function
 #include <map>         // for map
 #include <memory>      // for unique_ptr, shared_ptr
 #include <optional>    // for optional
@@ -38,9 +37,6 @@
 class StreamOriginExchange
 {
 public:
-  /// Takes the version, on the control thread; nothing if nobody knows it.
-  using Reply = std::function<void(std::optional<std::string>)>;
-
   StreamOriginExchange(boost::asio::io_context& aContext, std::string aSelf);
 
   /// @brief Sets the instances, this one included.
@@ -50,7 +46,8 @@
 
   /// @brief Passes on origins of this instance's streams.
   void Report(const std::vector<core::StreamOrigin>& aOrigins);
-  /// @brief Finds out at which version a stream of a service began.
+  /// @return the version at which a stream of a service began; nothing if nobody
+  /// knows it.
   boost::asio::awaitable<std::optional<std::string>> Find(
     core::StreamKey aStream,
     core::ServiceId aService);
