--- a/src/jujubehead/node/control/stream_origin_exchange.hpp
+++ b/src/jujubehead/node/control/stream_origin_exchange.hpp
@@ -46,8 +46,8 @@
 
   /// @brief Passes on origins of this instance's streams.
   void Report(const std::vector<core::StreamOrigin>& aOrigins);
-  /// @return the version at which a stream of a service began; nothing if nobody
-  /// knows it.
+  /// @return the version at which a stream of a service began; nothing if
+  /// nobody knows it.
   boost::asio::awaitable<std::optional<std::string>> Find(
     core::StreamKey aStream,
     core::ServiceId aService);
