--- a/src/jujubehead/core/membership/holder_ring_test.cpp
+++ b/src/jujubehead/core/membership/holder_ring_test.cpp
@@ -72,8 +72,8 @@
 }
 
 // An instance that joins must not make others holders of targets anew.
-// What instances keep for each other, such as the origins of streams, grows with
-// the fleet; each one's part must not.
+// What instances keep for each other, such as the origins of streams, grows
+// with the fleet; each one's part must not.
 TEST(HolderRing, KeysOfAnInstanceDoNotGrowWithTheFleet)
 {
   constexpr std::size_t kHolders = 2;
