--- a/standin/software_versions_test.cpp
+++ b/standin/software_versions_test.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr std::size_t kInstances = 4;
-constexpr int kStreams = 12;
+constexpr std::size_t kStreams = 12;
 constexpr unsigned kOk = 200;
 constexpr unsigned kUnavailable = 503;
 /// Events until a stream breaks, and its last one.
@@ -103,7 +103,7 @@
   Start({ "v1", "v2", "v2" });
   SetBreaks("model0", true);
   bool has_broken = false;
-  for (int i = 0; i < 100; ++i) {
+  for (std::size_t i = 0; i < 100; ++i) {
     const net::HttpResponse response = SendAt(i % kInstances, {});
     CHECK_FALSE(IsMixed(response));
     has_broken = has_broken || response.status == 0;
@@ -116,8 +116,8 @@
 TEST(SoftwareVersions, ACallersNextTryGoesOnAtTheVersionThatBeganAtAnyInstance)
 {
   Start({ "v1", "v2" });
-  int gone_on = 0;
-  for (int i = 0; i < kStreams; ++i) {
+  std::size_t gone_on = 0;
+  for (std::size_t i = 0; i < kStreams; ++i) {
     const std::string id = BreakStreamAt(i % kInstances);
     gone_on += GoOnAt((i + 1 + i / 4) % kInstances, id) ? 1 : 0;
   }
@@ -128,9 +128,9 @@
 TEST(SoftwareVersions, StreamsOutliveTheInstanceThatBeganThem)
 {
   Start({ "v1", "v2" });
-  int gone_on = 0;
-  constexpr int kRounds = 4;
-  for (int i = 0; i < kRounds; ++i) {
+  std::size_t gone_on = 0;
+  constexpr std::size_t kRounds = 4;
+  for (std::size_t i = 0; i < kRounds; ++i) {
     const std::string id = BreakStreamAt(i);
     deployment->RestartAt(i);
     gone_on += GoOnAt(i, id) ? 1 : 0; // It knows less than any other.
@@ -142,7 +142,7 @@
 TEST(SoftwareVersions, AnUnknownStreamIsRefused)
 {
   Start({ "v1", "v2" });
-  for (int i = 0; i < kStreams; ++i) {
+  for (std::size_t i = 0; i < kStreams; ++i) {
     CHECK_FALSE(GoOnAt(i % kInstances, "unknown"));
   }
 }
@@ -159,8 +159,8 @@
 TEST(SoftwareVersions, StreamsGoOnWhereAllTargetsRunOneVersion)
 {
   Start({ "v1", "v1" });
-  int gone_on = 0;
-  for (int i = 0; i < kStreams; ++i) {
+  std::size_t gone_on = 0;
+  for (std::size_t i = 0; i < kStreams; ++i) {
     SetBreaks("model1", true);
     const std::string id = BreakStreamAt(i % kInstances);
     SetBreaks("model1", false);
