Control: the numbers of queries are read by one function

Cause: stream_origin_exchange.cpp had a copy of hub_exchange.cpp's ParseNumber(); both now call QueryNumber(). A comment says 'retries' where it said 'comes back'. No change in behaviour. Ruled out as the same logic: the exchanges' includes and timeouts, and the two models' faults, which differ in what a request takes.

--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -51,7 +51,7 @@
 /// without it has left the seconds over which a limit counts.
 constexpr core::Duration kHolderDelay = std::chrono::seconds(10);
 
-/// Time beyond the longest route's, within which a caller comes back.
+/// Time beyond the longest route's, within which a caller retries.
 constexpr core::Duration kCallerReturnTime = std::chrono::seconds(5);
 /// A view of the registry that is older may lack a version that others use.
 constexpr core::Duration kRegistryTtl = std::chrono::seconds(3);
--- a/src/jujubehead/node/control/hub_exchange.cpp
+++ b/src/jujubehead/node/control/hub_exchange.cpp
@@ -1,6 +1,5 @@
 #include "hub_exchange.hpp"
 
-#include <charconv> // for from_chars
 #include <optional> // for optional
 #include <utility>  // for move
 
@@ -16,6 +15,7 @@
 
 #include "../forward/decision_log.hpp" // for DecisionLog
 #include "follow.hpp"                  // for RoleCheckInterval
+#include "query_number.hpp"            // for QueryNumber
 
 namespace jujubehead::node {
 namespace {
@@ -53,16 +53,6 @@
 /// them to dozens at once.
 constexpr std::size_t kMaxRowsInReply = 800;
 
-std::uint64_t
-ParseNumber(const std::optional<std::string>& aText)
-{
-  std::uint64_t number = 0;
-  if (aText) {
-    std::from_chars(aText->data(), aText->data() + aText->size(), number);
-  }
-  return number;
-}
-
 } // namespace
 
 HubExchange::HubExchange(asio::io_context& aContext,
@@ -410,19 +400,19 @@
   const bool knows_start = aRequest.Query("start") == m_start;
   core::PartCursor cursor;
   if (knows_start) {
-    cursor.next = ParseNumber(aRequest.Query("after"));
-    cursor.since = ParseNumber(aRequest.Query("since"));
+    cursor.next = QueryNumber(aRequest.Query("after"));
+    cursor.since = QueryNumber(aRequest.Query("since"));
   }
   HubUpdate update;
   update.start = m_start;
   update.has_loads = has_loads;
   const std::uint64_t loads_after =
-    knows_start ? ParseNumber(aRequest.Query("loads")) : 0;
+    knows_start ? QueryNumber(aRequest.Query("loads")) : 0;
   core::LoadReports::Page loads = m_loads.BusiestAfter(loads_after, now);
   update.loads = std::move(loads.reports);
   update.next_loads = loads.next;
   core::PoisonReportLog::Page poison =
-    m_poison.PageAfter(knows_start ? ParseNumber(aRequest.Query("poison")) : 0);
+    m_poison.PageAfter(knows_start ? QueryNumber(aRequest.Query("poison")) : 0);
   update.poison_reports = std::move(poison.reports);
   update.next_poison_report = poison.next;
   update.parts = m_stores.Log().ReadAfter(cursor, now);
--- a/src/jujubehead/node/control/stream_origin_exchange.cpp
+++ b/src/jujubehead/node/control/stream_origin_exchange.cpp
@@ -1,7 +1,6 @@
 #include "stream_origin_exchange.hpp"
 
 #include <algorithm> // for find_if
-#include <charconv>  // for from_chars
 #include <utility>   // for move
 
 #include <boost/asio/as_tuple.hpp>      // for as_tuple
@@ -13,6 +12,7 @@
 #include "jujubehead/net/timer.hpp"              // for Timer, Sleep
 
 #include "../forward/decision_log.hpp" // for DecisionLog
+#include "query_number.hpp"            // for QueryNumber
 #include "stream_origin_codec.hpp"     // for StreamOriginsToBytes
 
 namespace jujubehead::node {
@@ -37,16 +37,6 @@
 /// the stream began at that one.
 constexpr const char* kSoleHeader = "Sole-Version";
 
-std::uint64_t
-ParseNumber(const std::optional<std::string>& aText)
-{
-  std::uint64_t number = 0;
-  if (aText) {
-    std::from_chars(aText->data(), aText->data() + aText->size(), number);
-  }
-  return number;
-}
-
 } // namespace
 
 struct StreamOriginExchange::Question
@@ -243,8 +233,8 @@
 {
   const net::HttpRequest& request = aExchange.Request();
   const auto stream =
-    static_cast<core::StreamKey>(ParseNumber(request.Query("stream")));
-  const std::uint64_t service = ParseNumber(request.Query("service"));
+    static_cast<core::StreamKey>(QueryNumber(request.Query("stream")));
+  const std::uint64_t service = QueryNumber(request.Query("service"));
   const auto recorded = m_origins.VersionOf(stream, core::RuntimeClock::now());
   const auto sole =
     std::find_if(m_sole.begin(), m_sole.end(), [&](const auto& aOne) {
