Brittle targets: instances tell each other that a service is brittle

Cause: an instance learned it from its own replies only. With 74 instances before four targets it gets one every second or two, and until then it uses the queue. Class: what one instance learns and all have to know in a bounded time.

A new variant without reports exceeds the bound.

Ruled out: the holders' arithmetic (no rejection by an instance in its share alone), memory (no fall at 9 or 74 instances with the users' prompts). Instances that start without a share send one request each; with the reports that does not add up to more than is allowed, so it stays.

Why it works: reports are dated by the sending of the request whose reply says so; eight bytes a service, each second while it is brittle, on messages that go already. One value of the running byte marks them, so loads saturate at 252 instead of 253 running requests; the test of the codec says so.

--- a/include/jujubehead/core/routing/concurrency_share.hpp
+++ b/include/jujubehead/core/routing/concurrency_share.hpp
@@ -116,7 +116,7 @@
   {
   }
 
-  /// @brief A reply of one of its targets.
+  /// @brief A reply of one of its targets, here or at another instance.
   /// @param aRejections how many requests a target may reject in a second
   /// before it falls over; nothing: it is not brittle.
   /// @param aSent when the request of that reply was sent. Replies overtake
@@ -126,6 +126,11 @@
                Instant aSent,
                Instant aNow);
   [[nodiscard]] bool IsBrittle() const { return m_rejections.has_value(); }
+  /// @return as `aRejections` of OnReply().
+  [[nodiscard]] std::optional<std::uint32_t> MaxRejections() const
+  {
+    return m_rejections;
+  }
   [[nodiscard]] SharingMode ModeAt(Instant aNow) const;
   /// @return when SharingMode::kNone is over.
   [[nodiscard]] Instant SharesFrom() const { return m_shares_from; }
--- a/include/jujubehead/core/routing/load_reports.hpp
+++ b/include/jujubehead/core/routing/load_reports.hpp
@@ -2,13 +2,14 @@
 #define JUJUBEHEAD_CORE_ROUTING_LOAD_REPORTS_HPP
 
 #include <cstddef>  // for size_t
-#include <cstdint>  // for uint32_t, uint64_t
+#include <cstdint>  // for uint8_t, uint32_t, uint64_t
 #include <map>      // for map
 #include <optional> // for optional
 #include <utility>  // for pair
 #include <vector>   // for vector
 
 #include "jujubehead/core/ids.hpp"                   // for TargetId
+#include "jujubehead/core/routing/configuration.hpp" // for ServiceId
 #include "jujubehead/core/routing/load_estimate.hpp" // for ReportedLoad
 #include "jujubehead/core/runtime_clock.hpp"         // for Instant, Duration
 
@@ -24,11 +25,20 @@
 TargetKey
 KeyOf(const TargetId& aTarget);
 
+/// @brief What a report says.
+enum class ReportKind : std::uint8_t
+{
+  kLoad,
+  kLimit,   ///< Of the requests that the target takes.
+  kBrittle, ///< Whether the targets of a service are brittle.
+};
+
 /// @brief A report on a target that some instance received: its load, its limit
-/// on requests, or that it is gone.
+/// on requests, that it is gone, or whether the targets of its service are
+/// brittle.
 struct TargetLoadReport
 {
-  TargetKey target{};
+  TargetKey target{}; ///< Of the service, if the report is on all its targets.
   ReportedLoad load;
   /// When it was received, or slightly before: encoding rounds the age up.
   Instant reported_at{};
@@ -36,10 +46,13 @@
   /// that does not respond is not gone: the network path may be broken for the
   /// reporting instance only.
   bool is_gone = false;
-  /// Of its limit; there is no load in it then.
-  bool is_limit = false;
+  /// Only kLoad has a load in it.
+  ReportKind kind = ReportKind::kLoad;
   /// Requests a second; nothing: none any more.
   std::optional<double> limit = std::nullopt;
+  /// Rejections in a second after which a target falls over; nothing: the
+  /// targets are not brittle.
+  std::optional<std::uint32_t> max_rejections = std::nullopt;
 };
 
 /// @return a report that a target is gone. It ranks above all loads.
@@ -52,6 +65,18 @@
             std::optional<double> aPerSecond,
             Instant aNow);
 
+/// @return the key of reports on all targets of a service.
+TargetKey
+KeyOf(const ServiceId& aService);
+
+/// @return a report whether the targets of a service are brittle. It ranks
+/// above all loads.
+/// @param aSent when the request was sent whose reply says so.
+TargetLoadReport
+BrittleReport(const ServiceId& aService,
+              std::optional<std::uint32_t> aMaxRejections,
+              Instant aSent);
+
 /// @brief Limits of the load reports that instances exchange.
 struct LoadReportsOptions
 {
@@ -104,8 +129,7 @@
     TargetLoadReport report;
     std::uint64_t position = 0;
   };
-  /// Whose report, and whether it is of the limit.
-  using Key = std::pair<TargetKey, bool>;
+  using Key = std::pair<TargetKey, ReportKind>;
 
   void DropOld(Instant aNow);
   void KeepBusiest(std::vector<TargetLoadReport>& aReports) const;
--- a/src/jujubehead/core/routing/concurrency_share_model_test.cpp
+++ b/src/jujubehead/core/routing/concurrency_share_model_test.cpp
@@ -1,6 +1,7 @@
 #include <algorithm> // for max, min
 #include <cstddef>   // for size_t
 #include <deque>     // for deque
+#include <map>       // for multimap
 #include <memory>    // for make_shared
 #include <optional>  // for optional
 #include <random>    // for mt19937
@@ -50,6 +51,8 @@
 constexpr std::uint64_t kMaxTokens = 30000;
 /// Of the users' prompts with their output.
 constexpr double kUsersMean = 4140;
+/// A report reaches all within this time.
+constexpr std::size_t kMaxReportSteps = kSecond;
 constexpr std::size_t kAddedAt = 15 * kSecond;
 constexpr std::size_t kMinPause = 2 * kSecond;
 constexpr std::size_t kMaxPause = 8 * kSecond;
@@ -68,6 +71,7 @@
   kDivided,   ///< Slots divided by all instances, and at least one each.
   kWhole,     ///< Each instance has all slots, until it is rejected.
   kForgetful, ///< As built, but requests given up on are forgotten.
+  kAlone,     ///< As built, but instances report nothing to each other.
 };
 
 struct Scenario
@@ -140,6 +144,7 @@
         m_falls = 0;
       }
       CauseFaults();
+      DeliverReports();
       for (Target& target : m_targets) {
         Progress(target);
       }
@@ -164,10 +169,17 @@
     std::size_t down_until = 0;
     std::size_t paused_until = 0;
     BrittleSignal signal{ kStart };
+    std::size_t next_report = 0;          ///< Step.
     std::vector<ConcurrencyShare> shares; ///< By target.
     std::vector<LoadEstimate> loads;
     std::vector<HolderRank> ranks;
   };
+  /// Whether the targets are brittle, from one instance to all others.
+  struct Report
+  {
+    std::optional<std::uint32_t> rejections;
+    Instant sent{};
+  };
   struct Target
   {
     std::vector<Request> running;
@@ -340,8 +352,15 @@
     Instance& instance = m_instances[aRequest.instance];
     if (instance.process == aRequest.process) {
       const std::optional<std::uint32_t> rejections(kMaxRejections);
-      instance.signal.OnReply(
+      const bool has_changed = instance.signal.OnReply(
         IsBrittle() ? rejections : std::nullopt, m_now, m_now);
+      const bool is_due =
+        instance.signal.IsBrittle() && m_step >= instance.next_report;
+      if ((has_changed || is_due) && m_scenario.rule != Rule::kAlone) {
+        instance.next_report = m_step + kSecond;
+        m_reports.emplace(m_step + Between(1, kMaxReportSteps),
+                          Report{ instance.signal.MaxRejections(), m_now });
+      }
       ReportedLoad load;
       load.running = static_cast<std::uint32_t>(aTarget.running.size());
       load.waiting = static_cast<std::uint32_t>(aTarget.waiting.size());
@@ -350,6 +369,18 @@
                                                                         m_now);
     }
   }
+  void DeliverReports()
+  {
+    for (; !m_reports.empty() && m_reports.begin()->first <= m_step;
+         m_reports.erase(m_reports.begin())) {
+      const Report& report = m_reports.begin()->second;
+      for (Instance& one : m_instances) {
+        if (std::max(one.down_until, one.paused_until) <= m_step) {
+          one.signal.OnReply(report.rejections, report.sent, m_now);
+        }
+      }
+    }
+  }
   void OnEnd(const Request& aRequest, const Target& aTarget)
   {
     auto* const share = ShareOf(aRequest, aTarget);
@@ -566,6 +597,7 @@
   std::vector<std::string> m_ids;
   std::vector<Instance> m_instances;
   std::vector<Target> m_targets;
+  std::multimap<std::size_t, Report> m_reports; ///< By the step of arrival.
   std::vector<ConcurrencyShare*> m_rejected; ///< Their replies are under way.
   std::size_t m_returning = 0; ///< Callers that come back in this step.
   std::size_t m_burst_until = 0;
@@ -710,3 +742,15 @@
   scenario.rule = Rule::kForgetful;
   CHECK(WorstOf(scenario, 40).falls > AllowedFalls(scenario));
 }
+
+// An instance that is told nothing uses the queue of targets from which it got
+// no reply since they are brittle.
+TEST(ConcurrencyShareModel, InstancesThatReportNothingPushTargetsOver)
+{
+  Scenario scenario;
+  scenario.rule = Rule::kAlone;
+  scenario.instances = 74;
+  scenario.targets = 4;
+  scenario.capacity = { 6, 0 };
+  CHECK(WorstOf(scenario, 40).falls > AllowedFalls(scenario));
+}
--- a/src/jujubehead/core/routing/load_reports.cpp
+++ b/src/jujubehead/core/routing/load_reports.cpp
@@ -29,7 +29,7 @@
 TargetLoadReport
 GoneTargetReport(const TargetId& aTarget, Instant aNow)
 {
-  return { KeyOf(aTarget), kAboveAllLoads, aNow, true, false, std::nullopt };
+  return { KeyOf(aTarget), kAboveAllLoads, aNow, true };
 }
 
 TargetLoadReport
@@ -37,13 +37,33 @@
             std::optional<double> aPerSecond,
             Instant aNow)
 {
-  return { KeyOf(aTarget), kAboveAllLoads, aNow, false, true, aPerSecond };
+  TargetLoadReport report{ KeyOf(aTarget), kAboveAllLoads, aNow };
+  report.kind = ReportKind::kLimit;
+  report.limit = aPerSecond;
+  return report;
+}
+
+TargetKey
+KeyOf(const ServiceId& aService)
+{
+  return static_cast<TargetKey>(PlacementHash(aService.View()));
+}
+
+TargetLoadReport
+BrittleReport(const ServiceId& aService,
+              std::optional<std::uint32_t> aMaxRejections,
+              Instant aSent)
+{
+  TargetLoadReport report{ KeyOf(aService), kAboveAllLoads, aSent };
+  report.kind = ReportKind::kBrittle;
+  report.max_rejections = aMaxRejections;
+  return report;
 }
 
 void
 LoadReports::Put(const TargetLoadReport& aLoad)
 {
-  const Key key{ aLoad.target, aLoad.is_limit };
+  const Key key{ aLoad.target, aLoad.kind };
   const auto [known, is_new] = m_loads.try_emplace(key);
   Entry& entry = known->second;
   if (!is_new) {
--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -289,8 +289,8 @@
   m_role.OnStart(core::RuntimeClock::now());
   SetPoisonHooks();
   SetStreamHooks();
-  m_forwarder.SetLimitHook([this](const core::TargetLoadReport& aReport) {
-    asio::post(m_context, [this, aReport] { m_hubs.ReportLimit(aReport); });
+  m_forwarder.SetSignalHook([this](const core::TargetLoadReport& aReport) {
+    asio::post(m_context, [this, aReport] { m_hubs.ReportSignal(aReport); });
   });
   FollowHooks<OperatorUpdate> operators;
   operators.on_update = [this](const OperatorUpdate& aUpdate, bool aIsAll) {
--- a/src/jujubehead/node/control/hub_exchange.cpp
+++ b/src/jujubehead/node/control/hub_exchange.cpp
@@ -214,7 +214,7 @@
 }
 
 void
-HubExchange::ReportLimit(const core::TargetLoadReport& aReport)
+HubExchange::ReportSignal(const core::TargetLoadReport& aReport)
 {
   if (!m_role.Upstreams().empty()) {
     m_pending_loads.push_back(aReport);
@@ -334,7 +334,7 @@
   }
   const std::vector<core::TargetLoadReport> own =
     co_await ExchangeLoads(std::move(update.loads));
-  // Limits may have been reported meanwhile.
+  // Limits and brittle services may have been reported meanwhile.
   m_pending_loads.insert(m_pending_loads.end(), own.begin(), own.end());
   m_stores.ApplyUpdate(update.parts, update.clock_ms, requested_at);
   if (!update.rows) {
--- a/src/jujubehead/node/control/hub_exchange.hpp
+++ b/src/jujubehead/node/control/hub_exchange.hpp
@@ -85,8 +85,9 @@
               HubHooks aHooks);
 
   void Start();
-  /// @brief Passes a report of a target's limit on to all other instances.
-  void ReportLimit(const core::TargetLoadReport& aReport);
+  /// @brief Passes a report of a target's limit, or of a brittle service, on to
+  /// all other instances.
+  void ReportSignal(const core::TargetLoadReport& aReport);
   /// @brief Answers a kHubUpdatesPath request of another instance.
   boost::asio::awaitable<void> Handle(net::HttpExchange& aExchange);
   /// @brief Answers a kHubLoadsPath request of another reader.
--- a/src/jujubehead/node/control/hub_update_codec.cpp
+++ b/src/jujubehead/node/control/hub_update_codec.cpp
@@ -7,6 +7,7 @@
 #include <map>         // for map
 #include <stdexcept>   // for invalid_argument
 #include <string_view> // for string_view
+#include <utility>     // for pair
 
 #include <nlohmann/json.hpp> // for json
 
@@ -45,6 +46,10 @@
 /// load, and sends less to the target.
 constexpr std::uint32_t kLimitMark = 254;
 constexpr std::int64_t kNoLimit = 0xFFFF;
+/// Value of the running byte that marks whether a service is brittle. The next
+/// byte holds the rejections.
+constexpr std::uint32_t kBrittleMark = 253;
+constexpr std::uint32_t kNotBrittle = 255;
 constexpr core::Duration kAgeUnit = std::chrono::milliseconds(10);
 
 enum ChangeField : std::size_t
@@ -77,11 +82,26 @@
 std::uint32_t
 RunningByte(const core::TargetLoadReport& aLoad)
 {
-  if (aLoad.is_limit) {
-    return kLimitMark;
+  switch (aLoad.kind) {
+    case core::ReportKind::kLimit:
+      return kLimitMark;
+    case core::ReportKind::kBrittle:
+      return kBrittleMark;
+    case core::ReportKind::kLoad:
+      break;
   }
   return aLoad.is_gone ? kGoneMark
-                       : std::min(aLoad.load.running, kLimitMark - 1);
+                       : std::min(aLoad.load.running, kBrittleMark - 1);
+}
+
+core::ReportKind
+KindOf(std::uint32_t aRunningByte)
+{
+  if (aRunningByte == kLimitMark) {
+    return core::ReportKind::kLimit;
+  }
+  return aRunningByte == kBrittleMark ? core::ReportKind::kBrittle
+                                      : core::ReportKind::kLoad;
 }
 
 std::int64_t
@@ -101,6 +121,22 @@
                            core::TargetLimit::kUnitsPerRequest);
 }
 
+/// The two bytes after the running byte.
+std::pair<std::int64_t, std::int64_t>
+ValueBytes(const core::TargetLoadReport& aLoad)
+{
+  if (aLoad.kind == core::ReportKind::kLimit) {
+    const std::int64_t units = LimitUnits(aLoad.limit);
+    return { units & kMaxByte, units >> kByteBits };
+  }
+  if (aLoad.kind == core::ReportKind::kBrittle) {
+    const std::uint32_t rejections =
+      std::min(aLoad.max_rejections.value_or(kNotBrittle), kNotBrittle - 1);
+    return { aLoad.max_rejections ? rejections : kNotBrittle, 0 };
+  }
+  return { aLoad.load.waiting, aLoad.load.slots };
+}
+
 core::TargetLoadReport
 LoadAt(std::string_view aBytes, core::Instant aSentAt)
 {
@@ -115,10 +151,13 @@
   result.load.slots = FromByte(aBytes[kSlots]);
   result.reported_at = aSentAt - FromByte(aBytes[kLoadAge]) * kAgeUnit;
   result.is_gone = result.load.running == kGoneMark;
-  result.is_limit = result.load.running == kLimitMark;
-  if (result.is_limit) {
+  result.kind = KindOf(result.load.running);
+  if (result.kind == core::ReportKind::kLimit) {
     result.limit =
       LimitOf(result.load.waiting | (result.load.slots << kByteBits));
+  } else if (result.kind == core::ReportKind::kBrittle &&
+             result.load.waiting != kNotBrittle) {
+    result.max_rejections = result.load.waiting;
   }
   return result;
 }
@@ -137,14 +176,9 @@
       bytes += ToByte((key >> (i * kByteBits)) & kMaxByte);
     }
     bytes += ToByte(RunningByte(one));
-    if (one.is_limit) {
-      const std::int64_t units = LimitUnits(one.limit);
-      bytes += ToByte(units & kMaxByte);
-      bytes += ToByte(units >> kByteBits);
-    } else {
-      bytes += ToByte(one.load.waiting);
-      bytes += ToByte(one.load.slots);
-    }
+    const auto [first, second] = ValueBytes(one);
+    bytes += ToByte(first);
+    bytes += ToByte(second);
     bytes += ToByte((aNow - one.reported_at) / kAgeUnit + 1);
   }
   return bytes;
--- a/src/jujubehead/node/control/hub_update_codec_test.cpp
+++ b/src/jujubehead/node/control/hub_update_codec_test.cpp
@@ -92,7 +92,7 @@
   LONGS_EQUAL(16, bytes.size());
   const auto back = node::LoadsFromBytes(bytes, kNow);
   CHECK(back.at(0).target == full.target);
-  LONGS_EQUAL(253, back.at(0).load.running);
+  LONGS_EQUAL(252, back.at(0).load.running);
   LONGS_EQUAL(255, back.at(0).load.waiting);
   CHECK(back.at(0).reported_at == kNow - std::chrono::milliseconds(2550));
   CHECK_FALSE(back.at(0).is_gone);
@@ -126,7 +126,7 @@
       node::LoadsToBytes(
         { core::LimitReport(core::TargetId("t1"), aLimit, kNow) }, kNow),
       kNow);
-    CHECK(loads.at(0).is_limit);
+    CHECK(loads.at(0).kind == core::ReportKind::kLimit);
     CHECK_FALSE(loads.at(0).is_gone);
     return loads.at(0).limit;
   };
@@ -135,3 +135,21 @@
   DOUBLES_EQUAL(655.34, *back_of(core::TargetLimit::kMaxPerSecond), 1e-9);
   CHECK_FALSE(back_of(std::nullopt).has_value());
 }
+
+TEST(HubUpdateCodec, BrittlenessRoundTrips)
+{
+  const auto back_of = [](std::optional<std::uint32_t> aMaxRejections) {
+    const auto loads = node::LoadsFromBytes(
+      node::LoadsToBytes(
+        { core::BrittleReport(core::ServiceId("s"), aMaxRejections, kNow) },
+        kNow),
+      kNow);
+    CHECK(loads.at(0).kind == core::ReportKind::kBrittle);
+    CHECK(loads.at(0).target == core::KeyOf(core::ServiceId("s")));
+    return loads.at(0).max_rejections;
+  };
+  UNSIGNED_LONGS_EQUAL(0, *back_of(0));
+  UNSIGNED_LONGS_EQUAL(4, *back_of(4));
+  UNSIGNED_LONGS_EQUAL(254, *back_of(1000));
+  CHECK_FALSE(back_of(std::nullopt).has_value());
+}
--- a/src/jujubehead/node/forward/forward_attempt.cpp
+++ b/src/jujubehead/node/forward/forward_attempt.cpp
@@ -44,6 +44,8 @@
 /// Interval of the reports of a target's limit, unless it changes: a fraction
 /// of the time after which a limit counts as unconfirmed.
 constexpr Duration kLimitReportInterval = std::chrono::seconds(1);
+/// Interval of the reports whether a service is brittle.
+constexpr Duration kBrittleReportInterval = std::chrono::seconds(1);
 
 /// Time in which the kernel closes all sockets of a process that ends.
 constexpr Duration kCrashSettleTime = std::chrono::milliseconds(5);
@@ -286,7 +288,7 @@
   const bool is_due = now - aTarget.limit_reported_at >= kLimitReportInterval;
   if (has_changed || (is_due && aTarget.limit.IsWorthReporting(now))) {
     aTarget.limit_reported_at = now;
-    m_state.on_limit_report(
+    m_state.on_signal_report(
       core::LimitReport(aTarget.target.id, aTarget.limit.PerSecond(), now));
   }
   if (!has_changed) {
@@ -315,6 +317,7 @@
   const core::Instant now = core::RuntimeClock::now();
   const bool has_changed = m_state.BrittleOf(m_service).OnReply(
     aMetadata.max_rejections, m_sent_at, now);
+  ReportBrittleness(has_changed);
   if (!has_changed) {
     return;
   }
@@ -333,6 +336,21 @@
   DecisionLog::WriteUnthrottled(line);
 }
 
+void
+ForwardRun::ReportBrittleness(bool aHasChanged)
+{
+  const core::BrittleSignal& signal = m_state.BrittleOf(m_service);
+  core::Instant& reported_at = m_state.brittle_reported_at[m_service];
+  const core::Instant now = core::RuntimeClock::now();
+  const bool is_due =
+    signal.IsBrittle() && now - reported_at >= kBrittleReportInterval;
+  if (aHasChanged || is_due) {
+    reported_at = now;
+    m_state.on_signal_report(
+      core::BrittleReport(m_service, signal.MaxRejections(), m_sent_at));
+  }
+}
+
 void
 ForwardRun::OnDraining(FleetTarget& aTarget)
 {
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -155,6 +155,9 @@
   void RecordLimit(FleetTarget& aTarget, const ReplyMetadata& aMetadata);
   /// @brief A reply says whether the service's targets are brittle.
   void RecordBrittleness(FleetTarget& aTarget, const ReplyMetadata& aMetadata);
+  /// @brief Reports it to the other instances, when it has changed and, while
+  /// the targets are brittle, each second.
+  void ReportBrittleness(bool aHasChanged);
   /// @brief An attempt is over; the target may still run its request.
   void ReleaseShare(FleetTarget& aTarget, const TargetExchange& aExchange);
   /// @brief The target answered completely.
--- a/src/jujubehead/node/forward/forward_state.hpp
+++ b/src/jujubehead/node/forward/forward_state.hpp
@@ -76,6 +76,17 @@
     return brittle.try_emplace(aService, started_at).first->second;
   }
 
+  /// @brief Applies what other instances received from targets.
+  void ApplyReports(const std::vector<core::TargetLoadReport>& aReports)
+  {
+    fleet.ApplyReports(aReports);
+    for (const core::TargetLoadReport& report : aReports) {
+      if (report.kind == core::ReportKind::kBrittle) {
+        ApplyBrittleReport(report);
+      }
+    }
+  }
+
   /// @return what a target can run concurrently.
   [[nodiscard]] core::TargetCapacity CapacityOf(
     const FleetTarget& aTarget) const
@@ -179,6 +190,29 @@
     LogQuarantine(aBegun);
   }
 
+  void ApplyBrittleReport(const core::TargetLoadReport& aReport)
+  {
+    if (!configuration) {
+      return;
+    }
+    const core::Instant now = core::RuntimeClock::now();
+    for (const core::DeclaredService& service : configuration->All().services) {
+      if (core::KeyOf(service.id) != aReport.target) {
+        continue;
+      }
+      const bool has_changed =
+        BrittleOf(service.id)
+          .OnReply(aReport.max_rejections, aReport.reported_at, now);
+      if (has_changed) {
+        const bool is_brittle = aReport.max_rejections.has_value();
+        DecisionLog::WriteUnthrottled(
+          LogLine(is_brittle ? "service_brittle" : "service_brittle_ended")
+            .Add("service", service.id.View())
+            .Add("by", "report"));
+      }
+    }
+  }
+
   void LogQuarantine(const core::Quarantine& aQuarantine) const
   {
     const bool is_over = aQuarantine.IsReleased();
@@ -209,8 +243,9 @@
   /// Passes this instance's reports on to the others.
   std::function<void(const core::PoisonReport&)> on_poison_report =
     [](const core::PoisonReport&) {};
-  /// Passes a report of a target's limit on to the other instances.
-  std::function<void(const core::TargetLoadReport&)> on_limit_report =
+  /// Passes a report of a target's limit, or of a service that is brittle, on
+  /// to the other instances.
+  std::function<void(const core::TargetLoadReport&)> on_signal_report =
     [](const core::TargetLoadReport&) {};
   /// Keeps the origins of this instance's streams at other instances.
   std::function<void(std::vector<core::StreamOrigin>)> on_streams =
@@ -235,6 +270,8 @@
   core::PartDirectory parts;
   std::unordered_map<core::ServiceId, core::WindowedRetryBudget> budgets;
   std::unordered_map<core::ServiceId, core::BrittleSignal> brittle;
+  /// When this instance last reported whether a service is brittle.
+  std::unordered_map<core::ServiceId, core::Instant> brittle_reported_at;
   /// Orders the instances for the limits and the slots of targets.
   core::HolderRing holders;
   std::uint64_t holders_number = 1; ///< Changes with `holders`.
--- a/src/jujubehead/node/forward/forwarder.cpp
+++ b/src/jujubehead/node/forward/forwarder.cpp
@@ -276,7 +276,7 @@
   asio::post(
     m_context,
     [this, reports = std::move(aReports), on_pending = std::move(aOnPending)] {
-      m_state.fleet.ApplyReports(reports);
+      m_state.ApplyReports(reports);
       m_state.shares_loads = true;
       on_pending(
         m_state.pending_load_reports.TakeBusiest(core::RuntimeClock::now()));
@@ -287,16 +287,16 @@
 Forwarder::ApplyReports(std::vector<core::TargetLoadReport> aReports)
 {
   asio::post(m_context, [this, reports = std::move(aReports)] {
-    m_state.fleet.ApplyReports(reports);
+    m_state.ApplyReports(reports);
   });
 }
 
 void
-Forwarder::SetLimitHook(
+Forwarder::SetSignalHook(
   std::function<void(const core::TargetLoadReport&)> aHook)
 {
   asio::post(m_context, [this, hook = std::move(aHook)] {
-    m_state.on_limit_report = hook;
+    m_state.on_signal_report = hook;
   });
 }
 
--- a/src/jujubehead/node/forward/forwarder.hpp
+++ b/src/jujubehead/node/forward/forwarder.hpp
@@ -101,9 +101,9 @@
     std::function<void(std::vector<core::TargetLoadReport>)> aOnPending);
   /// @brief Applies reports of other instances about targets.
   void ApplyReports(std::vector<core::TargetLoadReport> aReports);
-  /// @brief Sets what passes reports of limits on to the other instances. It is
-  /// called on the traffic thread.
-  void SetLimitHook(std::function<void(const core::TargetLoadReport&)> aHook);
+  /// @brief Sets what passes reports of limits and of brittle services on to
+  /// the other instances. It is called on the traffic thread.
+  void SetSignalHook(std::function<void(const core::TargetLoadReport&)> aHook);
   /// @brief Sets this instance's share of the fleet's fixed retries.
   void SetRetryShare(double aShare, core::Instant aUntil);
   /// @brief Sets which instances share the limits of targets.
--- a/src/jujubehead/node/forward/target_fleet.cpp
+++ b/src/jujubehead/node/forward/target_fleet.cpp
@@ -59,7 +59,7 @@
 void
 FleetTarget::OnReport(const core::TargetLoadReport& aReport, core::Instant aNow)
 {
-  if (aReport.is_limit) {
+  if (aReport.kind == core::ReportKind::kLimit) {
     limit.OnReport(aReport.limit, aReport.reported_at);
     return;
   }
@@ -332,6 +332,9 @@
 {
   const core::Instant now = core::RuntimeClock::now();
   for (const core::TargetLoadReport& report : aReports) {
+    if (report.kind == core::ReportKind::kBrittle) {
+      continue; // Of a service.
+    }
     if (const auto target = FindByKey(report.target)) {
       target->OnReport(report, now);
     }
