--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -383,6 +383,7 @@
     if (last == AttemptOutcome::kBroken) {
       line.Add("fingerprint", core::ToText(Fingerprint()))
         .Add("target_crashed", m_target_crashed ? "yes" : "no");
+      AddParts(line);
     }
     if (m_requested_backoff) {
       line.Add("backoff", *m_requested_backoff);
@@ -396,6 +397,19 @@
   }
 }
 
+void
+ForwardRun::AddParts(LogLine& aLine) const
+{
+  if (!m_metadata.prompt) {
+    return;
+  }
+  std::string ids;
+  for (const core::PromptPart& part : m_metadata.prompt->parts) {
+    ids += (ids.empty() ? "" : ",") + part.id;
+  }
+  aLine.Add("parts", ids);
+}
+
 void
 ForwardRun::CountUnanswered()
 {
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -201,6 +201,8 @@
               std::string_view aDetail);
   void AddWeights(LogLine& aLine) const;
   void AddPlacement(LogLine& aLine) const;
+  /// @brief Logs the ids of the prompt's parts.
+  void AddParts(LogLine& aLine) const;
 
   [[nodiscard]] core::Duration TimeLeft() const;
   [[nodiscard]] bool IsCancelled() const
