--- a/standin/registered_face.cpp
+++ b/standin/registered_face.cpp
@@ -196,7 +196,7 @@
       co_return;
     }
     m_runs.push_back(Seen(request));
-    if (IsPoison(request.body)) {
+    if (IsPoison(request)) {
       const auto run_ms = Fault("crash_on")->value("after_ms", 0);
       co_await Wait(std::chrono::milliseconds(run_ms));
       Crash();
@@ -232,18 +232,23 @@
     co_await aExchange.Send(std::move(refusal));
   }
 
-  /// @return whether `crash_on` names this body, as a whole (`body`) or by a
-  /// text in it (`text`).
-  [[nodiscard]] bool IsPoison(const std::string& aBody) const
+  /// @return whether `crash_on` names this request: by its whole body
+  /// (`body`), by a text in it (`text`), or by a part of its prompt (`part`).
+  [[nodiscard]] bool IsPoison(const net::HttpRequest& aRequest) const
   {
     const json* const fault = Fault("crash_on");
     if (fault == nullptr) {
       return false;
     }
+    if (const auto part = fault->find("part"); part != fault->end()) {
+      const std::string parts = ',' + HeaderOf(aRequest, "X-Prompt-Prefix");
+      return parts.find(',' + part->get<std::string>() + ':') !=
+             std::string::npos;
+    }
     const auto text = fault->find("text");
     return text != fault->end()
-             ? aBody.find(text->get<std::string>()) != std::string::npos
-             : aBody == fault->value("body", "");
+             ? aRequest.body.find(text->get<std::string>()) != std::string::npos
+             : aRequest.body == fault->value("body", "");
   }
 
   static json Seen(const net::HttpRequest& aRequest)
