Poison requests: a part of the prompts may crash the targets

Cause: the evidence was kept by whole requests, of which no two are alike. Class: evidence at a coarser grain than the cause.

Now parts are suspects, too, by account and id, with the reports, records and probes of whole requests. A complete answer clears a part; a verdict needs three crashes one after the other, all reports, and that no other part explains them better. Requests with such a part are not sent again after a crash.

An answer from before the crashes no longer releases a quarantine, for requests as well: reports of answers may be late.

--- a/include/jujubehead/core/routing/poison_requests.hpp
+++ b/include/jujubehead/core/routing/poison_requests.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>       // for uint32_t
 #include <optional>      // for optional
 #include <unordered_map> // for unordered_map
+#include <unordered_set> // for unordered_set
 #include <variant>       // for variant
 #include <vector>        // for vector
 
@@ -24,7 +25,15 @@
 DataCentreKey
 KeyOf(const DataCentreId& aDataCentre);
 
-/// @brief A request was at a target whose process ended.
+/// @brief What a fingerprint identifies.
+enum class SuspectKind : std::uint8_t
+{
+  kRequest, ///< A request by its whole content.
+  kPart,    ///< A part of the prompts of a client account.
+};
+
+/// @brief A request was at a target whose process ended, or one of its prompt's
+/// parts was.
 struct CrashReport
 {
   RequestFingerprint fingerprint{};
@@ -32,9 +41,12 @@
   DataCentreKey data_centre{}; ///< Of the target.
   Instant sent{};              ///< When the request was sent to the target.
   Instant crashed{};           ///< When the reply broke off.
+  /// Position of a part in its prompt, from 1; 0: the whole request.
+  std::uint32_t depth = 0;
 };
 
-/// @brief A suspect was answered completely: it does not crash targets.
+/// @brief A suspect, or a request that holds it, was answered completely: it
+/// does not crash targets.
 struct CompletionReport
 {
   RequestFingerprint fingerprint{};
@@ -44,13 +56,15 @@
 /// @brief What instances report to each other about suspects.
 using PoisonReport = std::variant<CrashReport, CompletionReport>;
 
-/// @brief A request that is not sent to targets. After `until`, one instance
-/// sends one copy, a probe, once it has recorded the next quarantine.
+/// @brief A request that is not sent to targets, or all requests that hold a
+/// part. After `until`, one instance sends one copy, a probe, once it has
+/// recorded the next quarantine.
 struct Quarantine
 {
   RequestFingerprint fingerprint{};
   Instant until{};         ///< Instant{}: released, the request is no poison.
   std::uint32_t count = 1; ///< Of the request's quarantines.
+  SuspectKind kind = SuspectKind::kRequest;
 
   [[nodiscard]] bool IsReleased() const { return until == Instant{}; }
 };
@@ -61,6 +75,15 @@
   /// Targets that a request crashes one after the other before it is
   /// quarantined. Two may crash by chance while a request is retried.
   std::uint32_t max_crashes = 3;
+  /// Crashes from which on one of several parts is quarantined that explain the
+  /// same number of crashes.
+  std::uint32_t max_tied_crashes = 5;
+  /// A crash counts for parts once the reports of all requests that were there
+  /// have come, so that none is blamed for want of a report.
+  Duration settle_time = std::chrono::milliseconds(800);
+  /// From a part's first crash since it was last answered to its quarantine. A
+  /// part in common use is answered, and that reported, within it.
+  Duration min_evidence_time = std::chrono::milliseconds(1500);
   /// Each further quarantine is longer by `growth`. The first one is short, as
   /// many requests have the same content where calls have no body.
   Duration first_quarantine = std::chrono::minutes(1);
@@ -93,6 +116,14 @@
 /// request at several of them, count once, so that the loss of a rack
 /// quarantines nothing. Retries have to go to another data centre for that.
 ///
+/// Where no two requests are alike, a part of their prompts may crash the
+/// targets. A part is at many targets at a time, so its runs count only if each
+/// began after the previous target had crashed, in any data centre. Crashes
+/// that a suspect in quarantine explains do not count for the parts that were
+/// there as well. Of several parts that were at a crashed target the one with
+/// the most crashes is quarantined, or the last one in the prompt if it has
+/// nearly as many; there is no verdict while two are equal.
+///
 /// The reports of all instances may arrive in any order, and repeatedly.
 class PoisonRequests
 {
@@ -109,6 +140,9 @@
     std::optional<Quarantine> quarantine; ///< That began, or is over.
   };
 
+  /// @brief Quarantines parts whose evidence is complete.
+  /// @return the quarantines that began.
+  std::vector<Quarantine> Decide(Instant aNow);
   /// @brief Applies a report of this or of another instance.
   Outcome OnReport(const PoisonReport& aReport, Instant aNow);
   /// @brief A quarantine was read from its record or, if it is released, its
@@ -126,6 +160,10 @@
   /// @return the targets that a request crashed one after the other since it
   /// was last answered.
   [[nodiscard]] std::uint32_t CrashCount(RequestFingerprint aFingerprint) const;
+  /// @return the targets that a part crashed one after the other since it was
+  /// last answered and that no suspect in quarantine explains.
+  [[nodiscard]] std::uint32_t UnexplainedCrashes(
+    RequestFingerprint aPart) const;
   /// @return until when no probe of the request is sent, which may be in the
   /// past; nothing when it is not in quarantine.
   [[nodiscard]] std::optional<Instant> QuarantinedUntil(
@@ -152,6 +190,22 @@
     std::uint32_t quarantines = 0;
     Instant expires{};
     std::uint32_t crash_count = 0;
+    std::uint32_t depth = 0; ///< As in CrashReport.
+
+    [[nodiscard]] SuspectKind Kind() const
+    {
+      return depth > 0 ? SuspectKind::kPart : SuspectKind::kRequest;
+    }
+  };
+  using TargetKeys = std::unordered_set<TargetKey>;
+
+  /// A part that may be quarantined, with the crashes that count for it.
+  struct Candidate
+  {
+    RequestFingerprint fingerprint{};
+    std::uint32_t depth = 0;
+    std::uint32_t crash_count = 0;
+    TargetKeys targets;
   };
 
   Outcome OnCrash(const CrashReport& aReport, Instant aNow);
@@ -159,6 +213,24 @@
   [[nodiscard]] static bool HasCompletedSince(const Suspect& aSuspect,
                                               Instant aTime);
   static void Count(Suspect& aSuspect);
+  /// @return the crashed targets of all parts in quarantine.
+  [[nodiscard]] TargetKeys Explained() const;
+  /// @return whether a request in quarantine explains crashes as well as a part
+  /// of it.
+  [[nodiscard]] bool IsExplainedByRequest(const TargetKeys& aTargets) const;
+  /// @return the parts with enough crashes that have settled and are not
+  /// explained.
+  [[nodiscard]] std::vector<Candidate> Candidates(const TargetKeys& aExplained,
+                                                  Instant aNow) const;
+  /// @return whether one of several candidates is the best explanation of its
+  /// crashes.
+  [[nodiscard]] bool IsBest(const Candidate& aCandidate,
+                            const std::vector<Candidate>& aAll) const;
+  /// @return whether a later part of prompts explains most of the crashes of an
+  /// earlier one.
+  [[nodiscard]] static bool ExplainsMost(const Candidate& aLater,
+                                         const Candidate& aEarlier);
+  Quarantine Begin(RequestFingerprint aFingerprint, Instant aFrom);
   /// @return whether a crash begins a quarantine.
   [[nodiscard]] bool BeginsQuarantine(const Suspect& aSuspect,
                                       const CrashReport& aCrash) const;
@@ -167,6 +239,7 @@
 
   PoisonRequestsOptions m_options;
   std::unordered_map<RequestFingerprint, Suspect> m_suspects;
+  Instant m_decide_at = Instant::max(); ///< When the next crash has settled.
 };
 
 } // namespace jujubehead::core
--- a/include/jujubehead/core/routing/quarantine_records.hpp
+++ b/include/jujubehead/core/routing/quarantine_records.hpp
@@ -73,6 +73,7 @@
 private:
   struct Record
   {
+    SuspectKind kind = SuspectKind::kRequest;
     std::optional<Instant> until; ///< As this instance sees it.
     std::uint32_t count = 1;
     Instant changed{}; ///< When `until` was set.
--- a/include/jujubehead/core/routing/request_fingerprint.hpp
+++ b/include/jujubehead/core/routing/request_fingerprint.hpp
@@ -9,8 +9,8 @@
 
 namespace jujubehead::core {
 
-/// @brief Identifies a request by its content, across request ids,
-/// connections and instances.
+/// @brief Identifies a request by its content, or a part of prompts, across
+/// request ids, connections and instances.
 enum class RequestFingerprint : std::uint64_t
 {
 };
@@ -25,6 +25,12 @@
   std::string_view body;
 };
 
+/// @return the fingerprint of a part in the prompts of a client account, which
+/// no request has and no part of another account.
+/// @throws std::runtime_error when SHA-256 is not available.
+RequestFingerprint
+PartFingerprintOf(const AccountId& aAccount, std::string_view aPart);
+
 /// @return the fingerprint: the first 64 bits of a SHA-256 hash. A client
 /// account cannot construct a request with the fingerprint of another's.
 /// @throws std::runtime_error when SHA-256 is not available.
--- a/src/jujubehead/core/routing/poison_requests.cpp
+++ b/src/jujubehead/core/routing/poison_requests.cpp
@@ -1,6 +1,8 @@
 #include "jujubehead/core/routing/poison_requests.hpp"
 
-#include <algorithm> // for any_of, count_if, max, min, min_element, sort
+#include <algorithm> // for any_of, count_if, find_if, max, min, sort
+#include <span>      // for span
+#include <utility>   // for move, pair
 
 #include "jujubehead/core/routing/placement.hpp" // for PlacementHash
 
@@ -12,6 +14,36 @@
 /// Error of times that another instance reported.
 constexpr Duration kTimeError = std::chrono::seconds(1);
 
+/// Share of the crashes of an earlier part in the prompt from which on a later
+/// part is the better explanation: all requests that hold it hold the earlier
+/// one, too.
+constexpr double kMostCrashes = 0.8;
+/// Between two looks at parts about which there is no verdict yet.
+constexpr Duration kDecisionInterval = std::chrono::milliseconds(100);
+/// Crashes of a part beyond those of each request in quarantine. With fewer,
+/// the request may be the cause, and its parts were there as well.
+constexpr std::size_t kMinBeyond = 2;
+
+/// Counts runs of which each began after the target of the one before had
+/// crashed, beginning with the one that ended first.
+/// @param aCrashes in the order of their ends.
+std::uint32_t
+CountRuns(std::span<const CrashReport> aCrashes, SuspectKind aKind)
+{
+  std::uint32_t count = 0;
+  const CrashReport* last = nullptr;
+  for (const CrashReport& crash : aCrashes) {
+    const bool is_elsewhere = aKind == SuspectKind::kRequest &&
+                              last != nullptr &&
+                              crash.data_centre != last->data_centre;
+    if (last == nullptr || crash.sent >= last->crashed || is_elsewhere) {
+      ++count;
+      last = &crash;
+    }
+  }
+  return count;
+}
+
 } // namespace
 
 DataCentreKey
@@ -59,21 +91,178 @@
   if (is_known || HasCompletedSince(suspect, aReport.crashed)) {
     return {};
   }
+  suspect.depth = std::max(suspect.depth, aReport.depth);
+  if (aReport.depth > 0) {
+    m_decide_at =
+      std::min(m_decide_at, aReport.crashed + m_options.settle_time);
+  }
   suspect.crashes.push_back(aReport);
   Count(suspect);
   suspect.expires =
     std::max(suspect.expires, aReport.crashed + m_options.suspect_ttl);
   Outcome outcome{ true, std::nullopt };
   if (BeginsQuarantine(suspect, aReport)) {
-    const Instant until = aReport.crashed + LengthOf(++suspect.quarantines);
-    suspect.quarantined_until = until;
-    suspect.expires = until + m_options.quarantine_retention;
-    outcome.quarantine =
-      Quarantine{ aReport.fingerprint, until, suspect.quarantines };
+    outcome.quarantine = Begin(aReport.fingerprint, aReport.crashed);
   }
   return outcome;
 }
 
+Quarantine
+PoisonRequests::Begin(RequestFingerprint aFingerprint, Instant aFrom)
+{
+  Suspect& suspect = m_suspects.at(aFingerprint);
+  const Instant until = aFrom + LengthOf(++suspect.quarantines);
+  suspect.quarantined_until = until;
+  suspect.expires = until + m_options.quarantine_retention;
+  return { aFingerprint, until, suspect.quarantines, suspect.Kind() };
+}
+
+std::vector<Quarantine>
+PoisonRequests::Decide(Instant aNow)
+{
+  std::vector<Quarantine> begun;
+  if (aNow < m_decide_at) {
+    return begun;
+  }
+  const Instant settled = aNow - m_options.settle_time;
+  for (bool has_verdict = true; has_verdict;) {
+    const std::vector<Candidate> all = Candidates(Explained(), aNow);
+    const auto best =
+      std::find_if(all.begin(), all.end(), [&](const auto& aOne) {
+        return IsBest(aOne, all);
+      });
+    has_verdict = best != all.end();
+    if (has_verdict) {
+      begun.push_back(Begin(best->fingerprint, aNow));
+    }
+  }
+  m_decide_at = Instant::max();
+  for (const auto& [fingerprint, suspect] : m_suspects) {
+    if (suspect.depth == 0 || suspect.quarantines > 0) {
+      continue;
+    }
+    if (suspect.crash_count >= m_options.max_crashes) {
+      m_decide_at = std::min(m_decide_at, aNow + kDecisionInterval);
+    }
+    for (const CrashReport& crash : suspect.crashes) {
+      if (crash.crashed > settled) {
+        m_decide_at =
+          std::min(m_decide_at, crash.crashed + m_options.settle_time);
+      }
+    }
+  }
+  return begun;
+}
+
+PoisonRequests::TargetKeys
+PoisonRequests::Explained() const
+{
+  TargetKeys targets;
+  for (const auto& [fingerprint, suspect] : m_suspects) {
+    if (suspect.quarantines == 0 || suspect.depth == 0) {
+      continue;
+    }
+    for (const CrashReport& crash : suspect.crashes) {
+      targets.insert(crash.target);
+    }
+  }
+  return targets;
+}
+
+bool
+PoisonRequests::IsExplainedByRequest(const TargetKeys& aTargets) const
+{
+  return std::any_of(
+    m_suspects.begin(), m_suspects.end(), [&](const auto& aEntry) {
+      const Suspect& suspect = aEntry.second;
+      if (suspect.quarantines == 0 || suspect.depth > 0) {
+        return false;
+      }
+      const auto shared = std::count_if(
+        suspect.crashes.begin(),
+        suspect.crashes.end(),
+        [&](const auto& aCrash) { return aTargets.contains(aCrash.target); });
+      return aTargets.size() < static_cast<std::size_t>(shared) + kMinBeyond;
+    });
+}
+
+std::vector<PoisonRequests::Candidate>
+PoisonRequests::Candidates(const TargetKeys& aExplained, Instant aNow) const
+{
+  const Instant settled = aNow - m_options.settle_time;
+  std::vector<Candidate> candidates;
+  for (const auto& [fingerprint, suspect] : m_suspects) {
+    if (suspect.depth == 0 || suspect.quarantines > 0 ||
+        suspect.crash_count < m_options.max_crashes) {
+      continue;
+    }
+    Candidate candidate{ fingerprint, suspect.depth, 0, {} };
+    std::vector<CrashReport> crashes;
+    for (const CrashReport& crash : suspect.crashes) {
+      if (crash.crashed <= settled && !aExplained.contains(crash.target)) {
+        crashes.push_back(crash);
+        candidate.targets.insert(crash.target);
+      }
+    }
+    candidate.crash_count = CountRuns(crashes, SuspectKind::kPart);
+    const bool had_time =
+      suspect.crashes.front().crashed + m_options.min_evidence_time <= aNow;
+    if (had_time && candidate.crash_count >= m_options.max_crashes &&
+        !IsExplainedByRequest(candidate.targets)) {
+      candidates.push_back(std::move(candidate));
+    }
+  }
+  return candidates;
+}
+
+bool
+PoisonRequests::IsBest(const Candidate& aCandidate,
+                       const std::vector<Candidate>& aAll) const
+{
+  return std::all_of(aAll.begin(), aAll.end(), [&](const Candidate& aOther) {
+    const bool shares_crashes = std::any_of(
+      aOther.targets.begin(), aOther.targets.end(), [&](TargetKey aTarget) {
+        return aCandidate.targets.contains(aTarget);
+      });
+    if (aOther.fingerprint == aCandidate.fingerprint || !shares_crashes) {
+      return true;
+    }
+    if (aOther.depth != aCandidate.depth) {
+      const bool is_later = aCandidate.depth > aOther.depth;
+      const Candidate& later = is_later ? aCandidate : aOther;
+      const Candidate& earlier = is_later ? aOther : aCandidate;
+      return is_later == ExplainsMost(later, earlier);
+    }
+    if (aOther.targets.size() != aCandidate.targets.size()) {
+      return aOther.targets.size() < aCandidate.targets.size();
+    }
+    return aCandidate.targets.size() >= m_options.max_tied_crashes &&
+           aCandidate.fingerprint > aOther.fingerprint;
+  });
+}
+
+bool
+PoisonRequests::ExplainsMost(const Candidate& aLater, const Candidate& aEarlier)
+{
+  return static_cast<double>(aLater.targets.size()) >=
+         kMostCrashes * static_cast<double>(aEarlier.targets.size());
+}
+
+std::uint32_t
+PoisonRequests::UnexplainedCrashes(RequestFingerprint aPart) const
+{
+  const auto found = m_suspects.find(aPart);
+  if (found == m_suspects.end() || found->second.crashes.empty()) {
+    return 0;
+  }
+  const TargetKeys explained = Explained();
+  std::vector<CrashReport> crashes = found->second.crashes;
+  std::erase_if(crashes, [&](const CrashReport& aCrash) {
+    return explained.contains(aCrash.target);
+  });
+  return CountRuns(crashes, SuspectKind::kPart);
+}
+
 PoisonRequests::Outcome
 PoisonRequests::OnCompletion(const CompletionReport& aReport, Instant aNow)
 {
@@ -84,17 +273,25 @@
   }
   Suspect& suspect = found->second;
   suspect.completed = aReport.completed;
+  const bool had_crashes = !suspect.crashes.empty();
   std::erase_if(suspect.crashes, [&](const CrashReport& aCrash) {
     return aCrash.crashed <= aReport.completed;
   });
   Count(suspect);
   Outcome outcome{ true, std::nullopt };
-  if (suspect.quarantines > 0) {
-    outcome.quarantine = Quarantine{ aReport.fingerprint, Instant{} };
+  if (suspect.quarantines == 0) {
+    return outcome;
+  }
+  const Instant begun =
+    suspect.quarantined_until - LengthOf(suspect.quarantines);
+  const bool is_refuted = had_crashes && suspect.crashes.empty();
+  if (is_refuted || aReport.completed + kTimeError >= begun) {
+    outcome.quarantine =
+      Quarantine{ aReport.fingerprint, Instant{}, 1, suspect.Kind() };
     suspect.expires = aNow + m_options.suspect_ttl;
+    suspect.quarantined_until = {};
+    suspect.quarantines = 0;
   }
-  suspect.quarantined_until = {};
-  suspect.quarantines = 0;
   return outcome;
 }
 
@@ -117,6 +314,9 @@
   if (HasCompletedSince(suspect, begun)) {
     return; // Its record is about to be removed.
   }
+  if (aQuarantine.kind == SuspectKind::kPart) {
+    suspect.depth = std::max(suspect.depth, 1U);
+  }
   suspect.quarantined_until =
     std::max(suspect.quarantined_until, aQuarantine.until);
   suspect.quarantines = std::max(suspect.quarantines, aQuarantine.count);
@@ -129,8 +329,6 @@
   return aSuspect.completed && *aSuspect.completed >= aTime;
 }
 
-/// Counts runs of which each began after the target of the one before had
-/// crashed, beginning with the one that ended first.
 void
 PoisonRequests::Count(Suspect& aSuspect)
 {
@@ -142,15 +340,7 @@
   if (aSuspect.crashes.size() > kMaxCrashes) {
     aSuspect.crashes.erase(aSuspect.crashes.begin());
   }
-  aSuspect.crash_count = 0;
-  const CrashReport* last = nullptr;
-  for (const CrashReport& crash : aSuspect.crashes) {
-    if (last == nullptr || crash.sent >= last->crashed ||
-        crash.data_centre != last->data_centre) {
-      ++aSuspect.crash_count;
-      last = &crash;
-    }
-  }
+  aSuspect.crash_count = CountRuns(aSuspect.crashes, aSuspect.Kind());
 }
 
 bool
@@ -158,7 +348,8 @@
                                  const CrashReport& aCrash) const
 {
   if (aSuspect.quarantines == 0) {
-    return aSuspect.crash_count >= m_options.max_crashes;
+    return aSuspect.Kind() == SuspectKind::kRequest &&
+           aSuspect.crash_count >= m_options.max_crashes;
   }
   // Runs that were sent before all instances knew of the quarantine.
   return aCrash.sent + kTimeError >= aSuspect.quarantined_until;
@@ -179,9 +370,18 @@
                                 Instant aNow) const
 {
   const auto found = m_suspects.find(aFingerprint);
-  return found != m_suspects.end() &&
-         (found->second.crash_count > 0 || !found->second.completed ||
-          aNow - *found->second.completed >= m_options.completion_interval);
+  if (found == m_suspects.end()) {
+    return false;
+  }
+  const Suspect& suspect = found->second;
+  if (suspect.crash_count > 0 || suspect.quarantines > 0 ||
+      !suspect.completed) {
+    return true;
+  }
+  // Parts are answered all the time; those of an instance that still counts
+  // crashes are reported by itself.
+  return suspect.depth == 0 &&
+         aNow - *suspect.completed >= m_options.completion_interval;
 }
 
 std::uint32_t
@@ -209,8 +409,11 @@
   if (!until || *until > aNow) {
     return std::nullopt;
   }
-  const std::uint32_t count = m_suspects.at(aFingerprint).quarantines + 1;
-  return Quarantine{ aFingerprint, aNow + LengthOf(count), count };
+  const Suspect& suspect = m_suspects.at(aFingerprint);
+  const std::uint32_t count = suspect.quarantines + 1;
+  return Quarantine{
+    aFingerprint, aNow + LengthOf(count), count, suspect.Kind()
+  };
 }
 
 bool
--- a/src/jujubehead/core/routing/poison_requests_test.cpp
+++ b/src/jujubehead/core/routing/poison_requests_test.cpp
@@ -288,3 +288,128 @@
   CHECK_FALSE(MayProbe(start + minutes(4)));
   CHECK(MayProbe(start + minutes(6)));
 }
+
+TEST_GROUP(PoisonParts)
+{
+  core::PoisonRequests poison;
+  core::Instant start{ minutes(60) };
+
+  /// A request with a part was at a target that crashed.
+  void Crash(RequestFingerprint aPart,
+             unsigned aTarget,
+             core::Duration aSent,
+             core::Duration aCrashed,
+             std::uint32_t aDepth = 2)
+  {
+    poison.OnReport(CrashReport{ aPart,
+                                 TargetKey{ aTarget },
+                                 core::DataCentreKey{ aTarget },
+                                 start + aSent,
+                                 start + aCrashed,
+                                 aDepth },
+                    start + aCrashed);
+  }
+  /// So were requests with it at several targets, one after the other.
+  void CrashEach(RequestFingerprint aPart,
+                 unsigned aFirst,
+                 unsigned aLast,
+                 std::uint32_t aDepth = 2)
+  {
+    for (unsigned target = aFirst; target <= aLast; ++target) {
+      const auto sent = seconds(target);
+      Crash(aPart, target, sent, sent + milliseconds(100), aDepth);
+    }
+  }
+  bool IsQuarantined(RequestFingerprint aPart, core::Duration aAfter)
+  {
+    poison.Decide(start + aAfter);
+    return poison.QuarantinedUntil(aPart).has_value();
+  }
+};
+
+TEST(PoisonParts, ThreeSettledCrashesBeginAQuarantine)
+{
+  CrashEach(kRequest, 1, 3);
+  CHECK_FALSE(IsQuarantined(kRequest, seconds(3) + milliseconds(200)));
+  const auto begun = poison.Decide(start + seconds(4));
+  LONGS_EQUAL(1, begun.size());
+  CHECK(begun.front().kind == core::SuspectKind::kPart);
+  CHECK(IsQuarantined(kRequest, seconds(4)));
+}
+
+// A part in common use is at many targets at a time, in all data centres.
+TEST(PoisonParts, TargetsThatCrashTogetherCountOnce)
+{
+  for (unsigned target = 1; target <= 6; ++target) {
+    Crash(kRequest, target, milliseconds(10), milliseconds(500 + target));
+  }
+  CHECK_FALSE(IsQuarantined(kRequest, seconds(10)));
+  LONGS_EQUAL(1, poison.CrashCount(kRequest));
+}
+
+TEST(PoisonParts, TheOneWithMoreCrashesIsBlamed)
+{
+  CrashEach(kOther, 1, 3);
+  CrashEach(kRequest, 1, 4);
+  CHECK(IsQuarantined(kRequest, seconds(6)));
+  CHECK_FALSE(IsQuarantined(kOther, seconds(60)));
+  LONGS_EQUAL(0, poison.UnexplainedCrashes(kOther));
+}
+
+TEST(PoisonParts, NoVerdictBetweenEqualsBeforeTheFifthCrash)
+{
+  CrashEach(kRequest, 1, 4);
+  CrashEach(kOther, 1, 4);
+  CHECK_FALSE(IsQuarantined(kRequest, seconds(6)));
+  CHECK_FALSE(IsQuarantined(kOther, seconds(6)));
+  CrashEach(kRequest, 5, 5);
+  CrashEach(kOther, 5, 5);
+  CHECK(IsQuarantined(kRequest, seconds(7)) !=
+        IsQuarantined(kOther, seconds(7)));
+}
+
+// All requests that hold the later part hold the earlier one.
+TEST(PoisonParts, TheLaterPartIsBlamedForWhatBothExplain)
+{
+  CrashEach(kRequest, 1, 4, 1);
+  CrashEach(kOther, 1, 4, 2);
+  CHECK(IsQuarantined(kOther, seconds(6)));
+  CHECK_FALSE(IsQuarantined(kRequest, seconds(60)));
+}
+
+TEST(PoisonParts, ACompleteAnswerClearsOrReleasesIt)
+{
+  CrashEach(kRequest, 1, 3);
+  poison.OnReport(
+    CompletionReport{ kRequest, start + seconds(3) + milliseconds(300) },
+    start + seconds(4));
+  CHECK_FALSE(IsQuarantined(kRequest, seconds(5)));
+  CrashEach(kRequest, 5, 7);
+  CHECK(IsQuarantined(kRequest, seconds(9)));
+  CHECK(poison.NeedsCompletion(kRequest, start + seconds(10)));
+  const auto outcome = poison.OnReport(
+    CompletionReport{ kRequest, start + seconds(10) }, start + seconds(10));
+  CHECK(outcome.quarantine && outcome.quarantine->IsReleased());
+  CHECK_FALSE(IsQuarantined(kRequest, seconds(11)));
+}
+
+// It says nothing of what came after it, however late it arrives.
+TEST(PoisonParts, AnAnswerFromBeforeTheCrashesReleasesNothing)
+{
+  CrashEach(kRequest, 1, 3);
+  CHECK(IsQuarantined(kRequest, seconds(5)));
+  poison.OnReport(CompletionReport{ kRequest, start + milliseconds(900) },
+                  start + seconds(6));
+  CHECK(IsQuarantined(kRequest, seconds(7)));
+}
+
+// One request that is sent again and again holds its parts each time.
+TEST(PoisonParts, ARequestInQuarantineExplainsTheCrashesOfItsParts)
+{
+  CrashEach(kOther, 1, 3, 0);
+  CrashEach(kRequest, 1, 3);
+  CHECK(IsQuarantined(kOther, seconds(6)));
+  CHECK_FALSE(IsQuarantined(kRequest, seconds(6)));
+  CrashEach(kRequest, 7, 8);
+  CHECK(IsQuarantined(kRequest, seconds(10)));
+}
--- a/src/jujubehead/core/routing/quarantine_records.cpp
+++ b/src/jujubehead/core/routing/quarantine_records.cpp
@@ -7,7 +7,9 @@
 namespace jujubehead::core {
 namespace {
 
-constexpr std::string_view kKeyPrefix = "quarantine/"; // then the fingerprint
+/// Prefixes of keys; then the fingerprint follows.
+constexpr std::string_view kRequestPrefix = "quarantine/";
+constexpr std::string_view kPartPrefix = "quarantined-part/";
 constexpr int kHexBase = 16;
 constexpr int kDecimalBase = 10;
 /// Between the end, on the store's clock, and the count.
@@ -21,10 +23,16 @@
 /// computes it from when it learned of the crash.
 constexpr Duration kSameEnd = std::chrono::seconds(5);
 
+std::string_view
+PrefixOf(SuspectKind aKind)
+{
+  return aKind == SuspectKind::kPart ? kPartPrefix : kRequestPrefix;
+}
+
 std::string
-KeyOf(RequestFingerprint aFingerprint)
+KeyOf(RequestFingerprint aFingerprint, SuspectKind aKind)
 {
-  return std::string(kKeyPrefix) + ToText(aFingerprint);
+  return std::string(PrefixOf(aKind)) + ToText(aFingerprint);
 }
 
 template<typename Number>
@@ -43,13 +51,14 @@
 bool
 QuarantineRecords::IsKey(std::string_view aKey)
 {
-  return aKey.starts_with(kKeyPrefix);
+  return aKey.starts_with(kRequestPrefix) || aKey.starts_with(kPartPrefix);
 }
 
 void
 QuarantineRecords::OnQuarantine(const Quarantine& aQuarantine, Instant aNow)
 {
   Record& record = m_records[aQuarantine.fingerprint];
+  record.kind = aQuarantine.kind;
   record.until = aQuarantine.until;
   record.count = aQuarantine.count;
   record.changed = aNow;
@@ -73,7 +82,10 @@
                          std::uint64_t aVersion,
                          Instant aNow)
 {
-  aKey.remove_prefix(std::min(aKey.size(), kKeyPrefix.size()));
+  const SuspectKind kind = aKey.starts_with(kPartPrefix)
+                             ? SuspectKind::kPart
+                             : SuspectKind::kRequest;
+  aKey.remove_prefix(std::min(aKey.size(), PrefixOf(kind).size()));
   const auto number = ParseNumber<std::uint64_t>(aKey, kHexBase);
   if (!number) {
     return std::nullopt;
@@ -81,9 +93,10 @@
   const auto fingerprint = static_cast<RequestFingerprint>(*number);
   if (!aValue) {
     m_records.erase(fingerprint);
-    return Quarantine{ fingerprint, Instant{}, 0 };
+    return Quarantine{ fingerprint, Instant{}, 0, kind };
   }
   Record& record = m_records[fingerprint];
+  record.kind = kind;
   const std::string_view text = *aValue;
   const std::size_t end = std::min(text.find(kSeparator), text.size());
   const auto count = ParseNumber<std::uint32_t>(
@@ -99,7 +112,7 @@
   if (!until) {
     return std::nullopt;
   }
-  return Quarantine{ fingerprint, *until, *count };
+  return Quarantine{ fingerprint, *until, *count, kind };
 }
 
 std::optional<Instant>
@@ -131,7 +144,7 @@
     if (!due) {
       continue;
     }
-    std::string key = KeyOf(fingerprint);
+    std::string key = KeyOf(fingerprint, record.kind);
     const std::size_t rank = aRankOf(key);
     if (rank >= kMaxRanks || aNow < *due + kRankDelay * rank) {
       continue;
@@ -157,7 +170,7 @@
 {
   QuarantineRowWrite write;
   write.fingerprint = aNext.fingerprint;
-  write.key = KeyOf(aNext.fingerprint);
+  write.key = KeyOf(aNext.fingerprint, aNext.kind);
   std::uint32_t count = aNext.count;
   const auto found = m_records.find(aNext.fingerprint);
   if (found != m_records.end()) {
--- a/src/jujubehead/core/routing/quarantine_records_test.cpp
+++ b/src/jujubehead/core/routing/quarantine_records_test.cpp
@@ -168,3 +168,21 @@
   CHECK_FALSE(records.OnRow(kKey, "soon", 3, now).has_value());
   CHECK_FALSE(records.NextWrite(First, now + milliseconds(1)).has_value());
 }
+
+// Requests and parts have rows of their own, as a former version knows requests
+// only.
+TEST(QuarantineRecords, PartsHaveTheirOwnRows)
+{
+  records.OnQuarantine(
+    { kRequest, now + minutes(10), 1, core::SuspectKind::kPart }, now);
+  const auto write = records.NextWrite(First, now);
+  CHECK(write.has_value());
+  STRCMP_EQUAL("quarantined-part/0000000000000abc", write->key.c_str());
+  CHECK(QuarantineRecords::IsKey(write->key));
+  QuarantineRecords other(clock);
+  const auto read = other.OnRow(write->key, write->value, 9, now);
+  CHECK(read && read->kind == core::SuspectKind::kPart);
+  CHECK(read->fingerprint == kRequest);
+  const auto removed = other.OnRow(write->key, std::nullopt, 10, now);
+  CHECK(removed && removed->kind == core::SuspectKind::kPart);
+}
--- a/src/jujubehead/core/routing/request_fingerprint.cpp
+++ b/src/jujubehead/core/routing/request_fingerprint.cpp
@@ -3,6 +3,7 @@
 #include <array>     // for array
 #include <memory>    // for unique_ptr
 #include <new>       // for bad_alloc
+#include <span>      // for span
 #include <stdexcept> // for runtime_error
 
 #include <openssl/evp.h> // for EVP_DigestInit_ex
@@ -35,21 +36,18 @@
   Require(EVP_DigestUpdate(&aDigest, aText.data(), aText.size()));
 }
 
-} // namespace
-
+/// @return the first 64 bits of the hash of all fields.
 RequestFingerprint
-FingerprintOf(const FingerprintInput& aInput)
+HashOf(std::span<const std::string_view> aFields)
 {
   const Digest digest(EVP_MD_CTX_new(), &EVP_MD_CTX_free);
   if (!digest) {
     throw std::bad_alloc();
   }
   Require(EVP_DigestInit_ex(digest.get(), EVP_sha256(), nullptr));
-  AddField(*digest, aInput.account.View());
-  AddField(*digest, aInput.method);
-  AddField(*digest, aInput.host);
-  AddField(*digest, aInput.target);
-  AddField(*digest, aInput.body);
+  for (const std::string_view field : aFields) {
+    AddField(*digest, field);
+  }
   std::array<std::uint8_t, EVP_MAX_MD_SIZE> hash{};
   Require(EVP_DigestFinal_ex(digest.get(), hash.data(), nullptr));
   std::uint64_t value = 0;
@@ -59,6 +57,24 @@
   return static_cast<RequestFingerprint>(value);
 }
 
+} // namespace
+
+RequestFingerprint
+FingerprintOf(const FingerprintInput& aInput)
+{
+  return HashOf(std::array<std::string_view, 5>{ aInput.account.View(),
+                                                 aInput.method,
+                                                 aInput.host,
+                                                 aInput.target,
+                                                 aInput.body });
+}
+
+RequestFingerprint
+PartFingerprintOf(const AccountId& aAccount, std::string_view aPart)
+{
+  return HashOf(std::array<std::string_view, 2>{ aAccount.View(), aPart });
+}
+
 std::string
 ToText(RequestFingerprint aFingerprint)
 {
--- a/src/jujubehead/core/routing/request_fingerprint_test.cpp
+++ b/src/jujubehead/core/routing/request_fingerprint_test.cpp
@@ -54,3 +54,13 @@
   const auto value = static_cast<core::RequestFingerprint>(0x0123456789abcdefU);
   STRCMP_EQUAL("0123456789abcdef", core::ToText(value).c_str());
 }
+
+// An account must not get requests of another one refused.
+TEST(RequestFingerprint, PartsOfTwoAccountsDiffer)
+{
+  const auto known = core::PartFingerprintOf(core::AccountId("acme"), "5c1e");
+  CHECK(core::PartFingerprintOf(core::AccountId("acme"), "5c1e") == known);
+  CHECK(core::PartFingerprintOf(core::AccountId("acme"), "5c1f") != known);
+  CHECK(core::PartFingerprintOf(core::AccountId("acme2"), "5c1e") != known);
+  CHECK(core::PartFingerprintOf(core::AccountId("acme5"), "c1e") != known);
+}
--- a/src/jujubehead/node/control/poison_report_codec.cpp
+++ b/src/jujubehead/node/control/poison_report_codec.cpp
@@ -18,6 +18,7 @@
   kTarget,
   kSentAge, ///< In ms.
   kDataCentre,
+  kDepth, ///< Of a part; missing for a whole request.
 };
 
 std::int64_t
@@ -31,11 +32,16 @@
 ToJson(const core::PoisonReport& aReport, core::Instant aNow)
 {
   if (const auto* const crash = std::get_if<core::CrashReport>(&aReport)) {
-    return json::array({ static_cast<std::uint64_t>(crash->fingerprint),
-                         AgeMs(crash->crashed, aNow),
-                         static_cast<std::uint32_t>(crash->target),
-                         AgeMs(crash->sent, aNow),
-                         static_cast<std::uint32_t>(crash->data_centre) });
+    json report =
+      json::array({ static_cast<std::uint64_t>(crash->fingerprint),
+                    AgeMs(crash->crashed, aNow),
+                    static_cast<std::uint32_t>(crash->target),
+                    AgeMs(crash->sent, aNow),
+                    static_cast<std::uint32_t>(crash->data_centre) });
+    if (crash->depth > 0) {
+      report.push_back(crash->depth);
+    }
+    return report;
   }
   const auto& completion = std::get<core::CompletionReport>(aReport);
   return json::array({ static_cast<std::uint64_t>(completion.fingerprint),
@@ -61,6 +67,9 @@
     aReport.at(kDataCentre).get<std::uint32_t>());
   crash.sent = aLatest - age_at(kSentAge);
   crash.crashed = aLatest - age_at(kEndAge);
+  if (aReport.size() > kDepth) {
+    crash.depth = aReport.at(kDepth).get<std::uint32_t>();
+  }
   return crash;
 }
 
--- a/src/jujubehead/node/control/poison_report_codec_test.cpp
+++ b/src/jujubehead/node/control/poison_report_codec_test.cpp
@@ -18,7 +18,8 @@
                        core::TargetKey{ 0xfedcba98U },
                        core::DataCentreKey{ 0x89abcdefU },
                        now - milliseconds(300),
-                       now - milliseconds(200) },
+                       now - milliseconds(200),
+                       2 },
     core::CompletionReport{ request, now - milliseconds(100) }
   };
   const core::Instant other{ minutes(2) };
@@ -29,6 +30,7 @@
   CHECK(crash.fingerprint == request);
   CHECK(crash.target == core::TargetKey{ 0xfedcba98U });
   CHECK(crash.data_centre == core::DataCentreKey{ 0x89abcdefU });
+  UNSIGNED_LONGS_EQUAL(2, crash.depth);
   CHECK(crash.sent == other - milliseconds(300));
   CHECK(crash.crashed == other - milliseconds(200));
   const auto& completion = std::get<core::CompletionReport>(read[1]);
--- a/src/jujubehead/node/forward/forward_attempt.cpp
+++ b/src/jujubehead/node/forward/forward_attempt.cpp
@@ -409,18 +409,27 @@
     m_target_crashed = co_await HasCrashed(aTarget);
     if (m_target_crashed) {
       m_crashed_in.insert(aTarget.target.data_centre);
-      core::CrashReport report;
-      report.fingerprint = Fingerprint();
-      report.target = core::KeyOf(aTarget.target.id);
-      report.data_centre = core::KeyOf(aTarget.target.data_centre);
-      report.sent = m_sent_at;
-      report.crashed = broke_at;
-      m_state.OnPoisonReport(report, true);
+      ReportCrash(aTarget, broke_at);
     }
   }
   co_return AttemptOutcome::kBroken;
 }
 
+void
+ForwardRun::ReportCrash(const FleetTarget& aTarget, core::Instant aBrokeAt)
+{
+  core::CrashReport report;
+  report.target = core::KeyOf(aTarget.target.id);
+  report.data_centre = core::KeyOf(aTarget.target.data_centre);
+  report.sent = m_sent_at;
+  report.crashed = aBrokeAt;
+  for (const PromptSuspect& suspect : Suspects()) {
+    report.fingerprint = suspect.fingerprint;
+    report.depth = suspect.depth;
+    m_state.OnPoisonReport(report, true);
+  }
+}
+
 asio::awaitable<bool>
 ForwardRun::HasCrashed(FleetTarget& aTarget)
 {
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -1,6 +1,6 @@
 #include "forward_run.hpp"
 
-#include <algorithm> // for min, max, clamp
+#include <algorithm> // for any_of, min, max, clamp
 #include <cmath>     // for lround
 #include <utility>   // for move
 
@@ -43,6 +43,9 @@
 /// Sends of suspects with fewer crashes are not logged. One crash makes
 /// suspects of all requests at the target.
 constexpr std::uint32_t kLoggedCrashCount = 2;
+/// Crashes of a part up to which a request that holds it is sent again after
+/// its target crashed; the next one would cost another target.
+constexpr std::uint32_t kMaxRetriedCrashes = 1;
 /// `Retry-After` is at most the caller's time left divided by this.
 constexpr int kRetryAfterDivisor = 3;
 
@@ -103,34 +106,77 @@
   return *m_fingerprint;
 }
 
+std::vector<ForwardRun::PromptSuspect>
+ForwardRun::PartSuspects()
+{
+  if (!m_metadata.prompt || m_part_fingerprints) {
+    return m_part_fingerprints.value_or(std::vector<PromptSuspect>());
+  }
+  const core::AccountId account =
+    m_account != nullptr ? m_account->id : core::AccountId();
+  std::vector<PromptSuspect> suspects;
+  const auto& parts = m_metadata.prompt->parts;
+  for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+    suspects.push_back({ core::PartFingerprintOf(account, parts[i].id),
+                         static_cast<std::uint32_t>(i + 1) });
+  }
+  m_part_fingerprints = suspects;
+  return suspects;
+}
+
+std::vector<ForwardRun::PromptSuspect>
+ForwardRun::Suspects()
+{
+  std::vector<PromptSuspect> suspects = PartSuspects();
+  suspects.insert(suspects.begin(), { Fingerprint(), 0 });
+  return suspects;
+}
+
 bool
 ForwardRun::IsQuarantined()
 {
+  m_quarantined.reset();
   if (m_state.poison.IsEmpty()) {
     return false;
   }
-  const auto until = m_state.poison.QuarantinedUntil(Fingerprint());
-  m_is_quarantined = until && !m_probe;
-  m_available_in = Duration(0);
-  if (m_is_quarantined) {
+  m_state.DecidePoison();
+  for (const PromptSuspect& suspect : Suspects()) {
+    const auto until = m_state.poison.QuarantinedUntil(suspect.fingerprint);
+    if (!until || (m_probe && m_probe->fingerprint == suspect.fingerprint)) {
+      continue;
+    }
+    m_quarantined = suspect;
     // After its end, it takes a claim and an answer until others are sent.
     m_available_in = std::max(*until - core::RuntimeClock::now(),
                               core::ProbeGrants::kClaimInterval);
+    return true;
+  }
+  m_available_in = Duration(0);
+  return false;
+}
+
+std::string
+ForwardRun::ExplainQuarantine() const
+{
+  if (m_quarantined->depth == 0) {
+    return "request crashes its targets, in quarantine";
   }
-  return m_is_quarantined;
+  return "part " + m_metadata.prompt->parts[m_quarantined->depth - 1].id +
+         " of the prompt crashes its targets, in quarantine; do not retry";
 }
 
 asio::awaitable<bool>
 ForwardRun::BecomeProbe()
 {
   const core::Instant now = core::RuntimeClock::now();
-  m_probe = m_state.probes.Take(Fingerprint(), now);
+  const core::RequestFingerprint suspect = m_quarantined->fingerprint;
+  m_probe = m_state.probes.Take(suspect, now);
   if (m_probe) {
     co_return true;
   }
-  const auto next = m_state.poison.NextQuarantine(Fingerprint(), now);
+  const auto next = m_state.poison.NextQuarantine(suspect, now);
   if (!next || Candidates().empty() ||
-      !m_state.probes.TryToClaim(Fingerprint(), now)) {
+      !m_state.probes.TryToClaim(suspect, now)) {
     co_return false;
   }
   auto timeout =
@@ -143,7 +189,7 @@
       timeout->cancel();
     });
   co_await timeout->async_wait(asio::as_tuple(asio::use_awaitable));
-  m_probe = m_state.probes.Take(Fingerprint(), core::RuntimeClock::now());
+  m_probe = m_state.probes.Take(suspect, core::RuntimeClock::now());
   co_return m_probe.has_value();
 }
 
@@ -208,13 +254,29 @@
 void
 ForwardRun::OnCompleted()
 {
+  if (m_state.poison.IsEmpty()) {
+    return;
+  }
   const core::Instant now = core::RuntimeClock::now();
-  if (!m_state.poison.IsEmpty() &&
-      m_state.poison.NeedsCompletion(Fingerprint(), now)) {
-    m_state.OnPoisonReport(core::CompletionReport{ Fingerprint(), now }, true);
+  for (const PromptSuspect& suspect : Suspects()) {
+    if (m_state.poison.NeedsCompletion(suspect.fingerprint, now)) {
+      m_state.OnPoisonReport(core::CompletionReport{ suspect.fingerprint, now },
+                             true);
+    }
   }
 }
 
+bool
+ForwardRun::HoldsCrashingPart()
+{
+  const auto suspects = PartSuspects();
+  return std::any_of(
+    suspects.begin(), suspects.end(), [&](const PromptSuspect& aPart) {
+      return m_state.poison.UnexplainedCrashes(aPart.fingerprint) >
+             kMaxRetriedCrashes;
+    });
+}
+
 void
 ForwardRun::CancelExchange()
 {
@@ -333,8 +395,8 @@
   for (;;) {
     if (IsQuarantined()) {
       const bool is_probe = m_history.sends == 0 && co_await BecomeProbe();
-      if (!is_probe) {
-        m_last_error = "request crashes its targets, in quarantine";
+      if (!is_probe || IsQuarantined()) {
+        m_last_error = ExplainQuarantine();
         co_await Finish(core::StepWithoutRetry(last, m_history));
         co_return;
       }
@@ -373,7 +435,10 @@
     }
     last = *ended;
     RecordAttempt(last);
-    const NextStep step = core::StepAfterAttempt(last, m_history);
+    const bool may_crash_more = m_target_crashed && HoldsCrashingPart();
+    const NextStep step = may_crash_more
+                            ? core::StepWithoutRetry(last, m_history)
+                            : core::StepAfterAttempt(last, m_history);
     LogLine line("attempt_ended");
     line.Add("request", m_metadata.request_id)
       .Add("target", m_last_target)
@@ -477,7 +542,10 @@
   response.headers =
     m_state.header_codec.LocalReplyHeaders(m_metadata.request_id);
   response.headers.Add("Content-Type", "text/plain");
-  if (aReply.is_retryable) {
+  // Requests with a part that crashes targets are refused for as long as they
+  // come.
+  const bool is_final = m_quarantined && m_quarantined->depth > 0;
+  if (aReply.is_retryable && !is_final) {
     std::uniform_int_distribution<std::int64_t> spread(kRetryAfterMinMs,
                                                        kRetryAfterMaxMs);
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -489,7 +557,7 @@
     // A quarantine outlasts what callers usually wait; to come back before its
     // end is in vain.
     const auto wait =
-      m_is_quarantined
+      m_quarantined
         ? available_in.count()
         : std::min(available_in.count() + spread(m_state.random), most);
     std::string seconds = std::to_string(wait / 1000) + ".";
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -59,6 +59,13 @@
   [[nodiscard]] bool IsWorthSending(const FleetTarget& aTarget);
   [[nodiscard]] std::uint32_t Urgency() const;
   [[nodiscard]] std::shared_ptr<FleetTarget> ChooseTarget();
+  /// What the request may be quarantined for.
+  struct PromptSuspect
+  {
+    core::RequestFingerprint fingerprint{};
+    std::uint32_t depth = 0; ///< As in core::CrashReport.
+  };
+
   /// @brief Places a suspect, apart from the other requests of a crashed target
   /// and, the more targets it has crashed, from any.
   [[nodiscard]] std::optional<std::size_t> PlaceSuspect(
@@ -125,8 +132,20 @@
   /// connection, after a reply broke off.
   boost::asio::awaitable<bool> HasCrashed(FleetTarget& aTarget);
   [[nodiscard]] core::RequestFingerprint Fingerprint();
-  /// @return whether the request crashes its targets and is not sent to more.
+  /// @return the parts of the prompt that other requests may hold, too: all but
+  /// the last one.
+  [[nodiscard]] std::vector<PromptSuspect> PartSuspects();
+  /// @return the request and these parts.
+  [[nodiscard]] std::vector<PromptSuspect> Suspects();
+  /// @return whether the request, or a part of its prompt, crashes its targets
+  /// and is not sent to more.
   [[nodiscard]] bool IsQuarantined();
+  /// @return why a request in quarantine is refused.
+  [[nodiscard]] std::string ExplainQuarantine() const;
+  /// @return whether a part of the prompt may have crashed several targets.
+  [[nodiscard]] bool HoldsCrashingPart();
+  /// @brief Reports that the request was at a target that crashed.
+  void ReportCrash(const FleetTarget& aTarget, core::Instant aBrokeAt);
   /// @brief Finds out at which software version the stream that the caller
   /// goes on with has begun.
   /// @return whether it is known.
@@ -235,12 +254,15 @@
   double m_load_at_send = 0; ///< Requests at the target at m_sent_at.
   std::string m_last_error;
   std::optional<core::RequestFingerprint> m_fingerprint; ///< Once computed.
+  /// Of the prompt's parts, once computed.
+  std::optional<std::vector<PromptSuspect>> m_part_fingerprints;
   bool m_target_crashed = false; ///< In the current attempt.
   std::optional<core::Duration> m_requested_backoff; ///< Current attempt.
   /// Time until the request may be sent: targets that are all cold or in
   /// backoff take requests again, or its quarantine ends; 0: unknown.
   core::Duration m_available_in{};
-  bool m_is_quarantined = false; ///< As IsQuarantined() found last.
+  /// What IsQuarantined() found last.
+  std::optional<PromptSuspect> m_quarantined;
   /// Set while the request may be sent although it is in quarantine.
   std::optional<core::Quarantine> m_probe;
   /// Software version at which the stream has begun, once it has.
--- a/src/jujubehead/node/forward/forward_state.hpp
+++ b/src/jujubehead/node/forward/forward_state.hpp
@@ -138,15 +138,29 @@
     const auto outcome = poison.OnReport(aReport, now);
     suspects = poison.Suspects();
     if (outcome.quarantine) {
-      quarantined = poison.Quarantined();
-      LogQuarantine(*outcome.quarantine);
-      on_quarantine(*outcome.quarantine);
+      OnQuarantine(*outcome.quarantine);
     }
     if (outcome.is_new && aIsOwn) {
       on_poison_report(aReport);
     }
   }
 
+  /// @brief Quarantines the parts of prompts whose evidence is complete.
+  void DecidePoison()
+  {
+    for (const auto& begun : poison.Decide(core::RuntimeClock::now())) {
+      OnQuarantine(begun);
+    }
+  }
+
+  /// @brief A quarantine began or is over.
+  void OnQuarantine(const core::Quarantine& aQuarantine)
+  {
+    quarantined = poison.Quarantined();
+    LogQuarantine(aQuarantine);
+    on_quarantine(aQuarantine);
+  }
+
   /// @brief An event of a stream has come. Where one software version alone has
   /// served, its origin is known without a record.
   void OnStreamBegun(const core::StreamOrigin& aOrigin)
@@ -174,6 +188,7 @@
   void TickPoison()
   {
     const core::Instant now = core::RuntimeClock::now();
+    DecidePoison();
     poison.Tick(now);
     probes.Tick(now);
     suspects = poison.Suspects();
@@ -217,7 +232,9 @@
   {
     const bool is_over = aQuarantine.IsReleased();
     LogLine line(is_over ? "quarantine_ended" : "quarantine_begun");
-    line.Add("fingerprint", core::ToText(aQuarantine.fingerprint));
+    line.Add("fingerprint", core::ToText(aQuarantine.fingerprint))
+      .Add("of",
+           aQuarantine.kind == core::SuspectKind::kPart ? "part" : "request");
     if (!is_over) {
       line.Add("crashes", poison.CrashCount(aQuarantine.fingerprint))
         .Add("count", std::uint64_t(aQuarantine.count))
