--- a/src/jujubehead/core/routing/poison_parts_model_test.cpp
+++ b/src/jujubehead/core/routing/poison_parts_model_test.cpp
@@ -335,7 +335,7 @@
         reports.emplace_back(CompletionReport{ KeyOf(part), m_now });
       }
     }
-    Report(aRun.instance, std::move(reports));
+    Report(aRun.instance, reports);
   }
   void Crash(std::size_t aTarget)
   {
@@ -362,8 +362,8 @@
           KeyOf(run.parts[i]), key, data_centre, run.sent, m_now, depth });
       }
     }
-    for (auto& [instance, own] : reports) {
-      Report(instance, std::move(own));
+    for (const auto& [instance, own] : reports) {
+      Report(instance, own);
     }
     for (Request& run : lost) {
       const Instance& instance = m_instances[run.instance];
@@ -392,7 +392,7 @@
 
   /// Applies the reports here and sends them to all others; a tenth of the
   /// messages are lost and sent again.
-  void Report(std::size_t aFrom, std::vector<PoisonReport> aReports)
+  void Report(std::size_t aFrom, const std::vector<PoisonReport>& aReports)
   {
     std::vector<PoisonReport> fresh;
     for (const PoisonReport& report : aReports) {
--- a/src/jujubehead/core/routing/poison_requests.cpp
+++ b/src/jujubehead/core/routing/poison_requests.cpp
@@ -18,7 +18,7 @@
 /// part is the better explanation: all requests that hold it hold the earlier
 /// one, too.
 constexpr double kMostCrashes = 0.8;
-/// Between two looks at parts about which there is no verdict yet.
+/// Pause between two decisions while a part has enough crashes and no verdict.
 constexpr Duration kDecisionInterval = std::chrono::milliseconds(100);
 /// Crashes of a part beyond those of each request in quarantine. With fewer,
 /// the request may be the cause, and its parts were there as well.
@@ -378,8 +378,8 @@
       !suspect.completed) {
     return true;
   }
-  // Parts are answered all the time; those of an instance that still counts
-  // crashes are reported by itself.
+  // Parts are answered all the time: an instance that still counts crashes
+  // reports its own answers.
   return suspect.depth == 0 &&
          aNow - *suspect.completed >= m_options.completion_interval;
 }
--- a/src/jujubehead/core/routing/quarantine_records.cpp
+++ b/src/jujubehead/core/routing/quarantine_records.cpp
@@ -82,9 +82,8 @@
                          std::uint64_t aVersion,
                          Instant aNow)
 {
-  const SuspectKind kind = aKey.starts_with(kPartPrefix)
-                             ? SuspectKind::kPart
-                             : SuspectKind::kRequest;
+  const SuspectKind kind =
+    aKey.starts_with(kPartPrefix) ? SuspectKind::kPart : SuspectKind::kRequest;
   aKey.remove_prefix(std::min(aKey.size(), PrefixOf(kind).size()));
   const auto number = ParseNumber<std::uint64_t>(aKey, kHexBase);
   if (!number) {
--- a/standin/load_callers.cpp
+++ b/standin/load_callers.cpp
@@ -173,13 +173,21 @@
   if (aKind != Kind::kCall) {
     call.headers.Add("X-Model", "m1");
     call.headers.Add("X-Token-Usage", "1460,80");
-    call.headers.Add("X-Prompt-Prefix", "aa:800,bb:410");
+    const bool has_part =
+      aKind == Kind::kPoison && !m_options.poison_part.empty();
+    // The last part is the request's own.
+    call.headers.Add("X-Prompt-Prefix",
+                     has_part ? "aa:800," + m_options.poison_part + ":410,e" +
+                                  std::to_string(m_last_id) + ":50"
+                              : "aa:800,bb:410");
   }
   std::uniform_int_distribution<int> body(1, kBodies);
   if (aKind != Kind::kPoison) {
     call.body = "another " + std::to_string(body(m_random));
   } else {
-    call.body = m_options.poison + (m_options.changes_poison ? ' ' + aId : "");
+    const bool is_new =
+      m_options.changes_poison || !m_options.poison_part.empty();
+    call.body = m_options.poison + (is_new ? ' ' + aId : "");
   }
   return call;
 }
--- a/standin/load_callers.hpp
+++ b/standin/load_callers.hpp
@@ -25,8 +25,10 @@
   double poison_per_second = 0;       ///< Copies of the poison request.
   std::string poison;                 ///< Its body.
   bool changes_poison = false;        ///< Each copy has a body of its own.
-  std::string id_prefix = "r";        ///< Of the ids of requests.
-  bool resumes = false; ///< Streams that broke off are taken up again.
+  /// Part of their prompts instead; then no two of them are alike.
+  std::string poison_part;
+  std::string id_prefix = "r"; ///< Of the ids of requests.
+  bool resumes = false;        ///< Streams that broke off are taken up again.
   std::uint64_t seed = 1;
 };
 
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -57,6 +57,10 @@
 DEFINE_double(poison_per_second, 0, "callers: copies of the poison request");
 DEFINE_string(poison, "", "callers: body of the poison request");
 DEFINE_bool(changes_poison, false, "callers: each copy has another body");
+DEFINE_string(poison_part,
+              "",
+              "callers: part of the prompts of the poison requests, each of "
+              "which is like no other; empty: none");
 DEFINE_string(id_prefix, "r", "callers: of the ids of requests");
 DEFINE_bool(resumes, false, "callers: take broken streams up again");
 DEFINE_string(software_version, "", "registered: part of each event");
@@ -68,6 +72,10 @@
               "",
               "registered: ends when it runs a request whose body has this "
               "text; empty: never");
+DEFINE_string(crash_on_part,
+              "",
+              "registered: ends when it runs a request with this part in its "
+              "prompt; empty: never");
 DEFINE_int64(crash_after_ms, 0, "registered: time from its begin to the end");
 
 namespace {
@@ -209,7 +217,11 @@
                         { "slots", std::stoi(numbers.at(1)) },
                         { "silent", FLAGS_brittle_silent } });
     }
-    if (!FLAGS_crash_on.empty()) {
+    if (!FLAGS_crash_on_part.empty()) {
+      target.SetFault("crash_on",
+                      { { "part", FLAGS_crash_on_part },
+                        { "after_ms", FLAGS_crash_after_ms } });
+    } else if (!FLAGS_crash_on.empty()) {
       target.SetFault(
         "crash_on",
         { { "text", FLAGS_crash_on }, { "after_ms", FLAGS_crash_after_ms } });
@@ -254,6 +266,7 @@
   options.poison_per_second = FLAGS_poison_per_second;
   options.poison = FLAGS_poison;
   options.changes_poison = FLAGS_changes_poison;
+  options.poison_part = FLAGS_poison_part;
   options.id_prefix = FLAGS_id_prefix;
   options.resumes = FLAGS_resumes;
   options.seed = FLAGS_seed;
