Poison requests: a part that nobody could answer is not blamed for want of a rival

Cause: a first part without any answer in 1.5 s, as most targets were down, was quarantined and explained the crashes; the bad part had as many, but its runs had not yet been one after the other, so it did not count as a better one.

Now such parts count as rivals, and 2 s have to pass in place of 1.5 s.

--- a/include/jujubehead/core/routing/poison_requests.hpp
+++ b/include/jujubehead/core/routing/poison_requests.hpp
@@ -83,7 +83,7 @@
   Duration settle_time = std::chrono::milliseconds(800);
   /// From a part's first crash since it was last answered to its quarantine. A
   /// part in common use is answered, and that reported, within it.
-  Duration min_evidence_time = std::chrono::milliseconds(1500);
+  Duration min_evidence_time = std::chrono::milliseconds(2000);
   /// Each further quarantine is longer by `growth`. The first one is short, as
   /// many requests have the same content where calls have no body.
   Duration first_quarantine = std::chrono::minutes(1);
@@ -199,12 +199,12 @@
   };
   using TargetKeys = std::unordered_set<TargetKey>;
 
-  /// A part that may be quarantined, with the crashes that count for it.
+  /// A part that may have crashed targets that nothing explains yet.
   struct Candidate
   {
     RequestFingerprint fingerprint{};
     std::uint32_t depth = 0;
-    std::uint32_t crash_count = 0;
+    bool is_ripe = false; ///< Crashed enough, one after the other.
     TargetKeys targets;
   };
 
@@ -219,7 +219,8 @@
   /// of it.
   [[nodiscard]] bool IsExplainedByRequest(const TargetKeys& aTargets) const;
   /// @return the parts with enough crashes that have settled and are not
-  /// explained.
+  /// explained, also those that are not ripe: one of them may explain the
+  /// crashes of others better.
   [[nodiscard]] std::vector<Candidate> Candidates(const TargetKeys& aExplained,
                                                   Instant aNow) const;
   /// @return whether one of several candidates is the best explanation of its
--- a/src/jujubehead/core/routing/poison_parts_model_test.cpp
+++ b/src/jujubehead/core/routing/poison_parts_model_test.cpp
@@ -55,7 +55,8 @@
   std::size_t instances = 9;
   Rule rule = Rule::kParts;
   std::uint64_t bad_parts = 1;
-  bool is_first_part = false; ///< The bad one.
+  double per_second = kPoisonPerSecond; ///< Requests with each of these.
+  bool is_first_part = false;           ///< The bad one.
   bool has_other_crashes = false;
   bool has_rolls = false;    ///< Of targets.
   bool restarts_all = false; ///< Instances, twice.
@@ -116,7 +117,7 @@
       }
       for (std::uint64_t bad = 0; bad < m_scenario.bad_parts; ++bad) {
         if (m_now >= kBegin + kPoisonFrom) {
-          for (std::size_t n = Arrivals(kPoisonPerSecond); n > 0; --n) {
+          for (std::size_t n = Arrivals(m_scenario.per_second); n > 0; --n) {
             Call(Bad(kBadPart + bad));
           }
         }
@@ -617,6 +618,9 @@
   scenario.instances = 18;
   scenario.bad_parts = 2;
   CheckHolds(scenario, kSeeds);
+  scenario.instances = 9;
+  scenario.per_second = kPoisonPerSecond / 2;
+  CheckHolds(scenario, kSeeds);
 }
 
 // Sound parts are on board of crashes that have nothing to do with them.
@@ -639,7 +643,7 @@
 {
   Scenario scenario;
   scenario.restarts_all = true;
-  CheckHolds(scenario, kSeeds);
+  CheckHolds(scenario, 4 * kSeeds);
 }
 
 // Probes at the end of a quarantine count as well.
--- a/src/jujubehead/core/routing/poison_requests.cpp
+++ b/src/jujubehead/core/routing/poison_requests.cpp
@@ -129,7 +129,7 @@
     const std::vector<Candidate> all = Candidates(Explained(), aNow);
     const auto best =
       std::find_if(all.begin(), all.end(), [&](const auto& aOne) {
-        return IsBest(aOne, all);
+        return aOne.is_ripe && IsBest(aOne, all);
       });
     has_verdict = best != all.end();
     if (has_verdict) {
@@ -193,10 +193,10 @@
   std::vector<Candidate> candidates;
   for (const auto& [fingerprint, suspect] : m_suspects) {
     if (suspect.depth == 0 || suspect.quarantines > 0 ||
-        suspect.crash_count < m_options.max_crashes) {
+        suspect.crashes.size() < m_options.max_crashes) {
       continue;
     }
-    Candidate candidate{ fingerprint, suspect.depth, 0, {} };
+    Candidate candidate{ fingerprint, suspect.depth, false, {} };
     std::vector<CrashReport> crashes;
     for (const CrashReport& crash : suspect.crashes) {
       if (crash.crashed <= settled && !aExplained.contains(crash.target)) {
@@ -204,13 +204,15 @@
         candidate.targets.insert(crash.target);
       }
     }
-    candidate.crash_count = CountRuns(crashes, SuspectKind::kPart);
+    if (crashes.size() < m_options.max_crashes ||
+        IsExplainedByRequest(candidate.targets)) {
+      continue;
+    }
     const bool had_time =
       suspect.crashes.front().crashed + m_options.min_evidence_time <= aNow;
-    if (had_time && candidate.crash_count >= m_options.max_crashes &&
-        !IsExplainedByRequest(candidate.targets)) {
-      candidates.push_back(std::move(candidate));
-    }
+    candidate.is_ripe = had_time && CountRuns(crashes, SuspectKind::kPart) >=
+                                      m_options.max_crashes;
+    candidates.push_back(std::move(candidate));
   }
   return candidates;
 }
--- a/src/jujubehead/core/routing/poison_requests_test.cpp
+++ b/src/jujubehead/core/routing/poison_requests_test.cpp
@@ -393,6 +393,17 @@
   CHECK_FALSE(IsQuarantined(kRequest, seconds(11)));
 }
 
+// The reports of the later part's crashes come one after the other, too.
+TEST(PoisonParts, APartThatMayExplainMoreIsWaitedFor)
+{
+  CrashEach(kOther, 1, 4, 1);
+  for (unsigned target = 1; target <= 4; ++target) {
+    Crash(kRequest, target, seconds(1), seconds(target) + milliseconds(100));
+  }
+  CHECK_FALSE(IsQuarantined(kOther, seconds(8)));
+  CHECK_FALSE(IsQuarantined(kRequest, seconds(8)));
+}
+
 // It says nothing of what came after it, however late it arrives.
 TEST(PoisonParts, AnAnswerFromBeforeTheCrashesReleasesNothing)
 {
