Admission: the most urgent requests are served first where routes compete for room

Cause: the account's urgency replaced the route's, and where all accounts declare the same one, all requests were alike. Targets ran them in the order of arrival, and the limits of IsAdmitted(), multiples of each route's own objective, refused the route with the shortest objective first, which was the most urgent one.

Change: in services whose limits refuse the most urgent route first, UrgencyScale orders by account, then by route, and RoomGate admits by the mean queue of all targets that take requests, as the reports of all instances show it: the least urgent are refused first, gradually, large ones sooner, callers that return later. Refused callers are told to return one after the other at the rate at which requests are admitted. Other services are served as before.

--- a/include/jujubehead/core/routing/admission.hpp
+++ b/include/jujubehead/core/routing/admission.hpp
@@ -33,6 +33,11 @@
   double waiting = 0;                ///< Requests queued at the target.
 };
 
+/// @return the predicted time above which requests of an urgency, 0 to 9, are
+/// refused.
+[[nodiscard]] Duration
+AdmissionLimit(Duration aObjective, std::uint32_t aUrgency);
+
 /// @brief Decides whether a request is admitted, or refused at once because it
 /// would be answered late and delay all others.
 ///
--- a/include/jujubehead/node/metrics.hpp
+++ b/include/jujubehead/node/metrics.hpp
@@ -58,6 +58,7 @@
   kTunnels,          ///< Connections to targets through other instances.
   kTunnelsServed,    ///< The same, opened for other instances.
   kPathChecks,       ///< Checks of paths to targets that did not respond.
+  kRoomRefusals,     ///< Requests refused as more urgent ones need the room.
   kTakeovers,        ///< Targets and stores that came to this instance.
 };
 
--- a/src/jujubehead/core/routing/admission.cpp
+++ b/src/jujubehead/core/routing/admission.cpp
@@ -38,16 +38,22 @@
   return Duration(static_cast<Duration::rep>(*m_per_request * (aLoad + 1)));
 }
 
+Duration
+AdmissionLimit(Duration aObjective, std::uint32_t aUrgency)
+{
+  const double multiple =
+    std::max(kMinMultiple, kMostUrgentMultiple - kMultiplePerStep * aUrgency);
+  return Duration(static_cast<Duration::rep>(
+    multiple * static_cast<double>(aObjective.count())));
+}
+
 bool
 IsAdmitted(const AdmissionInput& aInput)
 {
   if (!aInput.predicted || aInput.waiting < kOverloadQueue) {
     return true;
   }
-  const double multiple = std::max(
-    kMinMultiple, kMostUrgentMultiple - kMultiplePerStep * aInput.urgency);
-  return static_cast<double>(aInput.predicted->count()) <=
-         multiple * static_cast<double>(aInput.objective.count());
+  return *aInput.predicted <= AdmissionLimit(aInput.objective, aInput.urgency);
 }
 
 } // namespace jujubehead::core
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -46,8 +46,6 @@
 /// Crashes of a part up to which a request that holds it is sent again after
 /// its target crashed; the next one would cost another target.
 constexpr std::uint32_t kMaxRetriedCrashes = 1;
-/// `Retry-After` is at most the caller's time left divided by this.
-constexpr int kRetryAfterDivisor = 3;
 
 std::string_view
 NameOf(AttemptOutcome aEnd)
@@ -556,10 +554,10 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(m_available_in);
     // A quarantine outlasts what callers usually wait; to come back before its
     // end is in vain.
+    const bool is_exact = m_quarantined || m_is_return_scheduled;
     const auto wait =
-      m_quarantined
-        ? available_in.count()
-        : std::min(available_in.count() + spread(m_state.random), most);
+      is_exact ? available_in.count()
+               : std::min(available_in.count() + spread(m_state.random), most);
     std::string seconds = std::to_string(wait / 1000) + ".";
     const std::string digits = std::to_string(wait % 1000);
     seconds.append(3 - digits.size(), '0').append(digits);
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -57,6 +57,9 @@
 
   /// @return whether the request would probably meet its objective there.
   [[nodiscard]] bool IsWorthSending(const FleetTarget& aTarget);
+  /// @return whether a service whose routes compete has room for the request.
+  /// Else sets when its caller is to come back.
+  [[nodiscard]] bool HasRoom(RoomGate& aRoom);
   [[nodiscard]] std::uint32_t Urgency() const;
   [[nodiscard]] std::shared_ptr<FleetTarget> ChooseTarget();
   /// What the request may be quarantined for.
@@ -229,6 +232,9 @@
     return m_timed_out || m_session->IsDisconnected();
   }
 
+  /// `Retry-After` is at most the caller's time left divided by this.
+  static constexpr std::int64_t kRetryAfterDivisor = 3;
+
   ForwardState& m_state;
   std::shared_ptr<CallerSession> m_session;
   std::shared_ptr<const core::Configuration> m_configuration;
@@ -261,6 +267,8 @@
   /// Time until the request may be sent: targets that are all cold or in
   /// backoff take requests again, or its quarantine ends; 0: unknown.
   core::Duration m_available_in{};
+  /// Whether m_available_in is the caller's own place among those refused.
+  bool m_is_return_scheduled = false;
   /// What IsQuarantined() found last.
   std::optional<PromptSuspect> m_quarantined;
   /// Set while the request may be sent although it is in quarantine.
--- a/src/jujubehead/node/forward/forward_state.hpp
+++ b/src/jujubehead/node/forward/forward_state.hpp
@@ -31,6 +31,7 @@
 #include "jujubehead/node/metrics.hpp"               // for ThreadMetrics
 
 #include "decision_log.hpp"     // for DecisionLog
+#include "room_gate.hpp"        // for RoomGate
 #include "target_clock.hpp"     // for TargetClock
 #include "target_connector.hpp" // for TargetConnector
 #include "target_fleet.hpp"     // for TargetFleet
@@ -76,6 +77,13 @@
     return brittle.try_emplace(aService, started_at).first->second;
   }
 
+  /// @return the gate of a service whose routes compete; null for others.
+  RoomGate* RoomOf(const core::ServiceId& aService)
+  {
+    const auto found = rooms.find(aService);
+    return found == rooms.end() ? nullptr : &found->second;
+  }
+
   /// @brief Applies what other instances received from targets.
   void ApplyReports(const std::vector<core::TargetLoadReport>& aReports)
   {
@@ -298,6 +306,8 @@
   core::Instant retry_share_until{};
   /// By route name.
   std::unordered_map<std::string, core::WaitPredictor> waits;
+  /// Of the services whose routes compete for room.
+  std::unordered_map<core::ServiceId, RoomGate> rooms;
   core::PrefixPopularity part_uses;
   /// One for all stores with the same link rate: parts spread evenly over them,
   /// and one instance sees too little of a single store's traffic for an
--- a/src/jujubehead/node/forward/forwarder.cpp
+++ b/src/jujubehead/node/forward/forwarder.cpp
@@ -193,10 +193,34 @@
       cold_times.emplace(service.id, service.cold_time);
     }
     m_state.fleet.SetColdTimes(std::move(cold_times));
+    UpdateRooms(value->All());
     m_state.configuration = value;
   });
 }
 
+void
+Forwarder::UpdateRooms(const core::Declarations& aDeclarations)
+{
+  for (const core::DeclaredService& service : aDeclarations.services) {
+    core::UrgencyScale scale =
+      core::UrgencyScale::For(aDeclarations, service.id);
+    const bool is_in_use = scale.IsInUse();
+    const bool was_in_use = m_state.rooms.contains(service.id);
+    if (is_in_use) {
+      m_state.rooms[service.id].SetScale(std::move(scale));
+    } else {
+      m_state.rooms.erase(service.id);
+    }
+    if (is_in_use != was_in_use) {
+      DecisionLog::WriteUnthrottled(
+        LogLine("room_admission")
+          .Add("service", service.id.View())
+          .Add("in_use", is_in_use ? "yes" : "no")
+          .Add("configuration", aDeclarations.version));
+    }
+  }
+}
+
 void
 Forwarder::ApplyTargets(std::vector<core::RegistrationChange> aChanges)
 {
--- a/src/jujubehead/node/forward/forwarder.hpp
+++ b/src/jujubehead/node/forward/forwarder.hpp
@@ -150,6 +150,8 @@
   void OnRejected(const std::string& aDetail, unsigned aStatus) override;
 
 private:
+  /// @brief Finds out at which services the routes compete for room.
+  void UpdateRooms(const core::Declarations& aDeclarations);
   /// Ends all coroutines while the objects that they refer to still exist.
   void EndSessions();
   boost::asio::awaitable<void> Accept();
--- a/src/jujubehead/node/forward/target_choice.cpp
+++ b/src/jujubehead/node/forward/target_choice.cpp
@@ -277,6 +277,9 @@
       !m_metadata.resume_after.empty()) {
     return true;
   }
+  if (RoomGate* const room = m_state.RoomOf(m_service)) {
+    return HasRoom(*room);
+  }
   const core::Instant now = core::RuntimeClock::now();
   core::AdmissionInput input;
   input.predicted = m_state.waits[m_route->name].At(aTarget.load.Requests(now));
@@ -295,9 +298,37 @@
   return false;
 }
 
+bool
+ForwardRun::HasRoom(RoomGate& aRoom)
+{
+  const core::Instant now = core::RuntimeClock::now();
+  std::uniform_real_distribution<double> uniform(0, 1);
+  RoomGate::Request request;
+  request.route = m_route;
+  request.tokens = Tokens();
+  request.time_left = TimeLeft();
+  if (aRoom.Admit(
+        request, m_state.fleet.Of(m_service), uniform(m_state.random), now)) {
+    return true;
+  }
+  m_state.metrics.Add(Counter::kRoomRefusals);
+  m_available_in = aRoom.ReturnIn(now, TimeLeft() / kRetryAfterDivisor);
+  m_is_return_scheduled = true;
+  const core::ServiceLoad& load = aRoom.Load();
+  m_last_error = "no room: " + std::to_string(std::lround(load.waiting)) +
+                 " waiting at " + std::to_string(load.targets) +
+                 " targets, urgency " + std::to_string(Urgency());
+  return false;
+}
+
 std::uint32_t
 ForwardRun::Urgency() const
 {
+  if (const RoomGate* const room = m_state.RoomOf(m_service)) {
+    return room->Scale().UrgencyOf(m_account != nullptr ? m_account->urgency
+                                                        : std::nullopt,
+                                   m_route->urgency);
+  }
   return m_account != nullptr ? m_account->urgency.value_or(m_route->urgency)
                               : m_route->urgency;
 }
--- a/src/jujubehead/node/metrics.cpp
+++ b/src/jujubehead/node/metrics.cpp
@@ -227,6 +227,8 @@
   { "tunnels_served_total",
     "Connections to targets opened for other instances." },
   { "path_checks_total", "Checks of paths to targets that did not respond." },
+  { "room_refusals_total",
+    "Requests refused as more urgent ones need the room." },
   { "takeovers_total", "Targets and stores that came to this instance." },
 } };
 
