--- a/include/jujubehead/core/routing/configuration.hpp
+++ b/include/jujubehead/core/routing/configuration.hpp
@@ -63,6 +63,8 @@
   std::uint64_t kv_token_bytes = 0;     ///< KV cache per token; 0: unknown.
   double bytes_per_second = 0;          ///< Of a target's link; 0: unknown.
   Duration cold_time{}; ///< A target is cold this long after it starts.
+  /// Requests per second that a cold target takes, of all instances; 0: none.
+  double cold_per_second = 0;
 };
 
 /// @brief A client account with its keys.
--- a/include/jujubehead/core/routing/load_reports.hpp
+++ b/include/jujubehead/core/routing/load_reports.hpp
@@ -8,10 +8,11 @@
 #include <utility>  // for pair
 #include <vector>   // for vector
 
-#include "jujubehead/core/ids.hpp"                   // for TargetId
-#include "jujubehead/core/routing/configuration.hpp" // for ServiceId
-#include "jujubehead/core/routing/load_estimate.hpp" // for ReportedLoad
-#include "jujubehead/core/runtime_clock.hpp"         // for Instant, Duration
+#include "jujubehead/core/ids.hpp"                    // for TargetId
+#include "jujubehead/core/routing/account_shares.hpp" // for AccountDemand
+#include "jujubehead/core/routing/configuration.hpp"  // for ServiceId
+#include "jujubehead/core/routing/load_estimate.hpp"  // for ReportedLoad
+#include "jujubehead/core/runtime_clock.hpp"          // for Instant, Duration
 
 namespace jujubehead::core {
 
@@ -31,6 +32,7 @@
   kLoad,
   kLimit,   ///< Of the requests that the target takes.
   kBrittle, ///< Whether the targets of a service are brittle.
+  kAccount, ///< The demand of a client account at an instance.
 };
 
 /// @brief A report on a target that some instance received: its load, its limit
@@ -53,6 +55,7 @@
   /// Rejections in a second after which a target falls over; nothing: the
   /// targets are not brittle.
   std::optional<std::uint32_t> max_rejections = std::nullopt;
+  double tokens_per_second = 0; ///< Demand; only of kAccount.
 };
 
 /// @return a report that a target is gone. It ranks above all loads.
@@ -77,6 +80,14 @@
               std::optional<std::uint32_t> aMaxRejections,
               Instant aSent);
 
+/// @return a report of an account's demand. It ranks below all loads.
+TargetLoadReport
+AccountReport(const AccountDemand& aDemand, Instant aNow);
+
+/// @return what such a report says.
+AccountDemand
+DemandOf(const TargetLoadReport& aReport);
+
 /// @brief Limits of the load reports that instances exchange.
 struct LoadReportsOptions
 {
--- a/include/jujubehead/core/routing/room_admission.hpp
+++ b/include/jujubehead/core/routing/room_admission.hpp
@@ -32,8 +32,6 @@
   std::size_t levels_below = 0; ///< Less urgent levels of the service.
   /// Tokens relative to the mean of its route.
   double size = 1;
-  /// Use of its account relative to the account's fair share.
-  double excess = 1;
   /// Its caller was refused before and comes back.
   bool is_retry = false;
 };
--- a/include/jujubehead/node/forward/entry_options.hpp
+++ b/include/jujubehead/node/forward/entry_options.hpp
@@ -36,6 +36,9 @@
   /// Capacity of this machine relative to other instances'; 0: not specified.
   double capacity = 0;
   core::WindowedRetryBudgetOptions repeats;
+  /// Requests sent to a second target when the first is slow, as a share of
+  /// those of a service; 0: none.
+  double hedge_share = 0;
   core::TargetDirectoryOptions registry;
   core::PoisonRequestsOptions poison;
   /// Longest time between SIGTERM and exit.
--- a/src/jujubehead/app/command_line.cpp
+++ b/src/jujubehead/app/command_line.cpp
@@ -13,6 +13,8 @@
 constexpr std::uint32_t kMaxTrafficThreads = 64;
 constexpr std::uint32_t kMaxDeadline = 7 * 24 * 3600;
 constexpr std::uint32_t kMaxRetryWindow = 3600;
+/// Hedging more would double the load of a service whose responses are slow.
+constexpr double kMaxHedgeShare = 0.2;
 /// Range of the first quarantine, in seconds. Times that instances report are
 /// exact to a second, and later quarantines last an hour at most.
 constexpr std::uint32_t kMinQuarantine = 2;
@@ -133,6 +135,8 @@
     options.capacity = m_check.NotNegative("capacity", values.capacity);
     options.repeats.per_request =
       m_check.Share("retry_share", values.retry_share);
+    options.hedge_share =
+      m_check.Share("hedge_share", values.hedge_share, kMaxHedgeShare);
     options.repeats.fixed =
       m_check.NotNegative("retry_fixed", values.retry_fixed);
     options.repeats.window = std::chrono::seconds(
--- a/src/jujubehead/app/command_line_test.cpp
+++ b/src/jujubehead/app/command_line_test.cpp
@@ -77,10 +77,12 @@
                                           "--ready=127.0.0.1:2",
                                           "--table_service=127.0.0.1:3",
                                           "--retry_share=0.2",
+                                          "--hedge_share=0.05",
                                           "--retry_fixed=188" })
                          .options;
   DOUBLES_EQUAL(188, options.repeats.fixed, 1e-9);
   DOUBLES_EQUAL(0.2, options.repeats.per_request, 1e-9);
+  DOUBLES_EQUAL(0.05, options.hedge_share, 1e-9);
 }
 
 TEST(CommandLine, WrongSettingsOfAnEntryInstanceComeTogether)
@@ -90,6 +92,7 @@
                                             "--callers=here",
                                             "--retry_share=1.5",
                                             "--retry_fixed=-1",
+                                            "--hedge_share=0.3",
                                             "--retry_window=0",
                                             "--first_quarantine=1" });
   for (const char* flag : { "--data_centre",
@@ -98,6 +101,7 @@
                             "--table_service",
                             "--retry_share",
                             "--retry_fixed",
+                            "--hedge_share",
                             "--retry_window",
                             "--first_quarantine" }) {
     CHECK_TEXT(findings.find(flag) != std::string::npos, flag);
--- a/src/jujubehead/app/command_specs.cpp
+++ b/src/jujubehead/app/command_specs.cpp
@@ -45,6 +45,7 @@
         "regions",
         "capacity",
         "retry_share",
+        "hedge_share",
         "retry_fixed",
         "retry_window",
         "first_quarantine",
--- a/src/jujubehead/app/flags.cpp
+++ b/src/jujubehead/app/flags.cpp
@@ -97,6 +97,11 @@
               10,
               "requests sent once more that are allowed besides, in "
               "--retry_window, of all instances together");
+DEFINE_double(hedge_share,
+              0,
+              "requests that are sent to a second target when the first one is "
+              "slower than nearly all, as a share of all requests, at most "
+              "0.2; 0: none");
 DEFINE_uint32(retry_window, 10, "seconds over which the retries are counted");
 DEFINE_uint32(first_quarantine,
               60,
@@ -198,6 +203,7 @@
   values.regions = FLAGS_regions;
   values.capacity = FLAGS_capacity;
   values.retry_share = FLAGS_retry_share;
+  values.hedge_share = FLAGS_hedge_share;
   values.retry_fixed = FLAGS_retry_fixed;
   values.retry_window = FLAGS_retry_window;
   values.first_quarantine = FLAGS_first_quarantine;
--- a/src/jujubehead/app/flags.hpp
+++ b/src/jujubehead/app/flags.hpp
@@ -52,6 +52,7 @@
   std::string regions;
   double capacity = 0;
   double retry_share = 0;
+  double hedge_share = 0;
   double retry_fixed = 0;
   std::uint32_t retry_window = 0;
   std::uint32_t first_quarantine = 0;
--- a/src/jujubehead/app/settings_check.cpp
+++ b/src/jujubehead/app/settings_check.cpp
@@ -183,10 +183,12 @@
 }
 
 double
-SettingsCheck::Share(std::string_view aFlag, double aValue)
+SettingsCheck::Share(std::string_view aFlag, double aValue, double aMost)
 {
-  if (!(aValue >= 0 && aValue <= 1)) {
-    Add(aFlag, "'" + std::to_string(aValue) + "'", "a number from 0 to 1");
+  if (!(aValue >= 0 && aValue <= aMost)) {
+    std::ostringstream range;
+    range << "a number from 0 to " << aMost;
+    Add(aFlag, "'" + std::to_string(aValue) + "'", range.str());
   }
   return aValue;
 }
--- a/src/jujubehead/app/settings_check.hpp
+++ b/src/jujubehead/app/settings_check.hpp
@@ -56,7 +56,7 @@
                       std::uint32_t aMin,
                       std::uint32_t aMax);
   /// @return the value, which has to be from 0 to 1.
-  double Share(std::string_view aFlag, double aValue);
+  double Share(std::string_view aFlag, double aValue, double aMost = 1);
   /// @return the value, which has to be 0 or more.
   double NotNegative(std::string_view aFlag, double aValue);
   /// @return the secret, from its flag or from the file that another names.
--- a/src/jujubehead/core/routing/load_reports.cpp
+++ b/src/jujubehead/core/routing/load_reports.cpp
@@ -15,6 +15,9 @@
   return requests / std::max(aLoad.slots, 1U);
 }
 
+/// Of an account's and of an instance's hash in a report's key.
+constexpr unsigned kHashBits = 16;
+
 /// More requests per slot than any target has: ranks a report above all loads.
 constexpr ReportedLoad kAboveAllLoads{ 64, 64, 1 };
 
@@ -60,6 +63,27 @@
   return report;
 }
 
+TargetLoadReport
+AccountReport(const AccountDemand& aDemand, Instant aNow)
+{
+  const std::uint32_t key =
+    (static_cast<std::uint32_t>(aDemand.account) << kHashBits) |
+    aDemand.instance;
+  TargetLoadReport report{ static_cast<TargetKey>(key), {}, aNow };
+  report.kind = ReportKind::kAccount;
+  report.tokens_per_second = aDemand.tokens_per_second;
+  return report;
+}
+
+AccountDemand
+DemandOf(const TargetLoadReport& aReport)
+{
+  const auto key = static_cast<std::uint32_t>(aReport.target);
+  return { static_cast<AccountHash>(key >> kHashBits),
+           static_cast<std::uint16_t>(key),
+           aReport.tokens_per_second };
+}
+
 void
 LoadReports::Put(const TargetLoadReport& aLoad)
 {
--- a/src/jujubehead/core/routing/room_admission.cpp
+++ b/src/jujubehead/core/routing/room_admission.cpp
@@ -20,9 +20,6 @@
 /// often in need, but still served.
 constexpr double kMinSize = 0.5;
 constexpr double kMaxSize = 2;
-/// Bounds of the influence of an account's use.
-constexpr double kMinExcess = 0.5;
-constexpr double kMaxExcess = 4;
 
 } // namespace
 
@@ -43,9 +40,8 @@
   const double scale =
     std::pow(kQueuePerLevel, static_cast<double>(aRequest.levels_below));
   const double preference = aRequest.is_retry ? kRetryPreference : 0;
-  const double queue =
-    aLoad.MeanQueue() * std::clamp(aRequest.excess, kMinExcess, kMaxExcess);
-  const double over = queue / scale - kFirstRefusedQueue - preference;
+  const double over =
+    aLoad.MeanQueue() / scale - kFirstRefusedQueue - preference;
   const double share = std::clamp(1 - over / kQueueRange, 0.0, 1.0);
   return std::pow(share, std::clamp(aRequest.size, kMinSize, kMaxSize));
 }
--- a/src/jujubehead/node/control/hub_update_codec.cpp
+++ b/src/jujubehead/node/control/hub_update_codec.cpp
@@ -50,6 +50,11 @@
 /// byte holds the rejections.
 constexpr std::uint32_t kBrittleMark = 253;
 constexpr std::uint32_t kNotBrittle = 255;
+/// Value of the running byte that marks an account's demand. The next two bytes
+/// hold it in units of tokens per second, the lower one first.
+constexpr std::uint32_t kAccountMark = 252;
+constexpr double kTokensPerUnit = 16;
+constexpr std::int64_t kMaxUnits = 0xFFFF;
 constexpr core::Duration kAgeUnit = std::chrono::milliseconds(10);
 
 enum ChangeField : std::size_t
@@ -87,11 +92,13 @@
       return kLimitMark;
     case core::ReportKind::kBrittle:
       return kBrittleMark;
+    case core::ReportKind::kAccount:
+      return kAccountMark;
     case core::ReportKind::kLoad:
       break;
   }
   return aLoad.is_gone ? kGoneMark
-                       : std::min(aLoad.load.running, kBrittleMark - 1);
+                       : std::min(aLoad.load.running, kAccountMark - 1);
 }
 
 core::ReportKind
@@ -100,6 +107,9 @@
   if (aRunningByte == kLimitMark) {
     return core::ReportKind::kLimit;
   }
+  if (aRunningByte == kAccountMark) {
+    return core::ReportKind::kAccount;
+  }
   return aRunningByte == kBrittleMark ? core::ReportKind::kBrittle
                                       : core::ReportKind::kLoad;
 }
@@ -134,6 +144,11 @@
       std::min(aLoad.max_rejections.value_or(kNotBrittle), kNotBrittle - 1);
     return { aLoad.max_rejections ? rejections : kNotBrittle, 0 };
   }
+  if (aLoad.kind == core::ReportKind::kAccount) {
+    const std::int64_t units = std::min<std::int64_t>(
+      std::llround(aLoad.tokens_per_second / kTokensPerUnit), kMaxUnits);
+    return { units & kMaxByte, units >> kByteBits };
+  }
   return { aLoad.load.waiting, aLoad.load.slots };
 }
 
@@ -158,6 +173,10 @@
   } else if (result.kind == core::ReportKind::kBrittle &&
              result.load.waiting != kNotBrittle) {
     result.max_rejections = result.load.waiting;
+  } else if (result.kind == core::ReportKind::kAccount) {
+    result.tokens_per_second =
+      kTokensPerUnit * (result.load.waiting | (result.load.slots << kByteBits));
+    result.load = {};
   }
   return result;
 }
--- a/src/jujubehead/node/forward/forward_attempt.cpp
+++ b/src/jujubehead/node/forward/forward_attempt.cpp
@@ -119,23 +119,18 @@
   m_tried_targets.insert(aTarget->target.id);
   m_last_target = aTarget->target.id.Text();
   m_last_weights.reset();
-  ExchangeOptions options;
-  options.request_id = m_metadata.request_id;
-  options.is_head_request = m_session->Request().head.method == "HEAD";
-  options.max_idle =
-    m_route->repeatable ? kMaxIdleRepeatable : kMaxIdleNonRepeatable;
-  options.is_repeatable = m_route->repeatable;
   m_last_peer.clear();
   TargetExchange exchange(m_session->Executor(),
                           m_state.header_codec,
                           m_state.connector,
                           aTarget,
                           m_homes,
-                          std::move(options));
+                          OptionsOfExchange());
   m_exchange = &exchange;
   m_awaited_target = aTarget;
   m_stall_timed_out = false;
   m_target_crashed = false;
+  m_has_ended_first_send = false;
   m_requested_backoff.reset();
   m_load_at_send = aTarget->load.Requests(core::RuntimeClock::now());
   m_sent_at = core::RuntimeClock::now();
@@ -143,14 +138,13 @@
   aTarget->concurrency.OnBegin(Tokens());
   aTarget->health.OnSend(core::RuntimeClock::now());
   const AttemptFailure failure = co_await Exchange(*aTarget, exchange);
-  aTarget->load.OnEnd(core::RuntimeClock::now() - m_sent_at);
-  ReleaseShare(*aTarget, exchange);
-  if (aTarget->is_stopped) {
-    m_state.OnStoppedDataCentreProgress(aTarget->target.data_centre);
+  if (!m_has_ended_first_send) {
+    EndSend(*aTarget, exchange, m_sent_at);
   }
   aTarget->active_streams -= m_is_streaming ? 1 : 0;
   m_is_streaming = false;
   m_exchange = nullptr;
+  m_hedge.reset();
   m_awaited_target = nullptr;
   m_stall_timer.Clear();
   m_path_timer.Clear();
@@ -160,6 +154,30 @@
   co_return failure;
 }
 
+ExchangeOptions
+ForwardRun::OptionsOfExchange() const
+{
+  ExchangeOptions options;
+  options.request_id = m_metadata.request_id;
+  options.is_head_request = m_session->Request().head.method == "HEAD";
+  options.max_idle =
+    m_route->repeatable ? kMaxIdleRepeatable : kMaxIdleNonRepeatable;
+  options.is_repeatable = m_route->repeatable;
+  return options;
+}
+
+void
+ForwardRun::EndSend(FleetTarget& aTarget,
+                    const TargetExchange& aExchange,
+                    core::Instant aSentAt)
+{
+  aTarget.load.OnEnd(core::RuntimeClock::now() - aSentAt);
+  ReleaseShare(aTarget, aExchange);
+  if (aTarget.is_stopped) {
+    m_state.OnStoppedDataCentreProgress(aTarget.target.data_centre);
+  }
+}
+
 void
 ForwardRun::ReleaseShare(FleetTarget& aTarget, const TargetExchange& aExchange)
 {
@@ -193,7 +211,7 @@
     co_return AttemptOutcome::kNotSent;
   }
   // What is known may have changed while the connection was opened.
-  if (!aTarget.Accepts(core::RuntimeClock::now()) || !IsOfStream(aTarget)) {
+  if (!StillAccepts(aTarget) || !IsOfStream(aTarget)) {
     m_last_error = "target no longer takes requests";
     co_return AttemptOutcome::kNotSent;
   }
@@ -215,21 +233,52 @@
   if (m_last_peer.empty()) {
     m_path_timer.Set(kPathCheckTime);
   }
+  StartHedgeTimer();
   const ReadResult result = co_await aExchange.ReadHead();
   m_path_timer.Clear();
-  if (result == ReadResult::kBroken) {
+  m_hedge_timer.Clear();
+  const bool is_broken = result == ReadResult::kBroken;
+  AttemptFailure failure;
+  if (is_broken && !WasFirstSendCancelled()) {
     if (m_stall_timed_out || IsCancelled()) {
       m_unanswered.push_back(aTarget.target.id);
     }
-    co_return co_await OnBrokenReply(aTarget, aExchange);
+    failure = co_await OnBrokenReply(aTarget, aExchange);
+  }
+  const bool has_response = !is_broken && IsResponse(aExchange);
+  if (co_await HasHedgeWon(has_response)) {
+    if (!is_broken) {
+      RecordReply(aTarget, aExchange.Head().status, aExchange.Metadata());
+    }
+    co_return co_await RelayHedge(aTarget, aExchange);
+  }
+  if (is_broken) {
+    co_return failure;
   }
+  co_return co_await RelayReply(aTarget, aExchange, result);
+}
+
+bool
+ForwardRun::IsResponse(const TargetExchange& aExchange)
+{
+  const ReplyMetadata& metadata = aExchange.Metadata();
+  return !metadata.not_run && metadata.is_signed && !metadata.is_encoded &&
+         !ImpliesNotRun(aExchange.Head().status);
+}
+
+asio::awaitable<ForwardRun::AttemptFailure>
+ForwardRun::RelayReply(FleetTarget& aTarget,
+                       TargetExchange& aExchange,
+                       ReadResult aResult)
+{
   const ReplyMetadata& metadata = aExchange.Metadata();
   const unsigned status = aExchange.Head().status;
   RecordReply(aTarget, status, metadata);
   if (metadata.not_run) {
     co_return OnRefusal(aTarget, status, metadata);
   }
-  if (!metadata.is_signed || metadata.is_encoded || ImpliesNotRun(status)) {
+  RecordLatency();
+  if (!IsResponse(aExchange)) {
     m_last_error =
       "reply is not from the target, status " + std::to_string(status);
     if (!IsPushback(status, metadata)) {
@@ -239,9 +288,18 @@
   }
   if (IsSuccess(status) && m_route->streams &&
       IsEventStream(aExchange.Head())) {
-    co_return co_await RelayStream(aTarget, aExchange, result);
+    co_return co_await RelayStream(aTarget, aExchange, aResult);
+  }
+  co_return co_await RelayBuffered(aTarget, aExchange, aResult);
+}
+
+void
+ForwardRun::RecordLatency()
+{
+  if (m_state.options.hedge_share > 0) {
+    m_state.HedgesOf(m_service).OnFirstResponse(
+      m_route->name, core::RuntimeClock::now() - m_sent_at);
   }
-  co_return co_await RelayBuffered(aTarget, aExchange, result);
 }
 
 void
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -9,6 +9,8 @@
 
 #include "jujubehead/net/timer.hpp" // for Timer
 
+#include "hedged_send.hpp" // for HedgedSend
+
 namespace jujubehead::node {
 namespace {
 
@@ -79,6 +81,7 @@
                      })
   , m_stall_timer(m_session->Executor(), [this] { OnSilenceTimeout(); })
   , m_path_timer(m_session->Executor(), [this] { OnNoResponse(); })
+  , m_hedge_timer(m_session->Executor(), [this] { BeginHedge(); })
 {
 }
 
@@ -281,6 +284,9 @@
   if (m_exchange != nullptr) {
     m_exchange->Close();
   }
+  if (m_hedge) {
+    m_hedge->exchange.Close();
+  }
 }
 
 std::optional<ForwardRun::LocalReply>
@@ -367,6 +373,9 @@
     co_return;
   }
   m_state.BudgetOf(m_service).OnRequest(core::RuntimeClock::now());
+  if (m_state.options.hedge_share > 0) {
+    m_state.HedgesOf(m_service).OnRequest();
+  }
   const bool is_known = co_await FindStream();
   if (is_known) {
     co_await Forward();
@@ -543,6 +552,9 @@
   // Requests with a part that crashes targets are refused for as long as they
   // come.
   const bool is_final = m_quarantined && m_quarantined->depth > 0;
+  if (aReply.is_retryable && m_state.options.hedge_share > 0) {
+    m_state.HedgesOf(m_service).OnRefusal(core::RuntimeClock::now());
+  }
   if (aReply.is_retryable && !is_final) {
     std::uniform_int_distribution<std::int64_t> spread(kRetryAfterMinMs,
                                                        kRetryAfterMaxMs);
@@ -618,6 +630,9 @@
     .Add("passed_over", m_planned.skipped)
     .Add("kept", m_planned.to_store)
     .Add("link_wait", m_planned.link_wait);
+  if (m_is_cold_send) {
+    aLine.Add("cold", "yes");
+  }
   if (m_first_event_at > m_sent_at) {
     aLine.Add("first_token", m_first_event_at - m_sent_at);
   }
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -26,6 +26,8 @@
 
 namespace jujubehead::node {
 
+struct HedgedSend;
+
 /// @brief Forwards one caller's request: finds its route and account, sends it
 /// to a target, retries where that is allowed, and relays the response.
 class ForwardRun
@@ -62,6 +64,14 @@
   [[nodiscard]] bool HasRoom(RoomGate& aRoom);
   [[nodiscard]] std::uint32_t Urgency() const;
   [[nodiscard]] std::shared_ptr<FleetTarget> ChooseTarget();
+  /// @return a cold target that takes a request of this instance now, if the
+  /// other targets have no room.
+  [[nodiscard]] std::shared_ptr<FleetTarget> ChooseColdTarget();
+  /// @return whether a cold target may take the request, but for its share.
+  [[nodiscard]] bool IsColdCandidate(const FleetTarget& aTarget,
+                                     core::Instant aNow) const;
+  /// @return whether a target accepts the chosen request at this moment.
+  [[nodiscard]] bool StillAccepts(const FleetTarget& aTarget) const;
   /// What the request may be quarantined for.
   struct PromptSuspect
   {
@@ -121,6 +131,39 @@
     std::shared_ptr<FleetTarget> aTarget);
   boost::asio::awaitable<AttemptFailure> Exchange(FleetTarget& aTarget,
                                                   TargetExchange& aExchange);
+  /// @brief Relays the reply whose head was read, or finds out how it failed.
+  boost::asio::awaitable<AttemptFailure> RelayReply(FleetTarget& aTarget,
+                                                    TargetExchange& aExchange,
+                                                    ReadResult aResult);
+  void RecordLatency();
+  /// @return whether a reply's head is a target's response to the request.
+  [[nodiscard]] static bool IsResponse(const TargetExchange& aExchange);
+  [[nodiscard]] ExchangeOptions OptionsOfExchange() const;
+  /// @brief Takes a send that is over, or was cancelled, off the target's load.
+  void EndSend(FleetTarget& aTarget,
+               const TargetExchange& aExchange,
+               core::Instant aSentAt);
+
+  /// @brief Sets when the request is sent to a second target, if it may be.
+  void StartHedgeTimer();
+  void BeginHedge();
+  /// @return the target of a second send; null if there is to be none.
+  [[nodiscard]] std::shared_ptr<FleetTarget> ChooseHedgeTarget();
+  /// @brief The second send, until its reply's head.
+  boost::asio::awaitable<void> RunHedge(std::shared_ptr<HedgedSend> aHedge);
+  void SendHedge(HedgedSend& aHedge);
+  void OnHedgeHead(HedgedSend& aHedge);
+  void CancelFirstSend();
+  /// @return whether the second target has responded before the first.
+  [[nodiscard]] bool WasFirstSendCancelled() const;
+  /// @brief Waits for the second send, if there is one, unless the first target
+  /// has responded.
+  /// @return whether the second target's response is to be relayed.
+  boost::asio::awaitable<bool> HasHedgeWon(bool aHasResponse);
+  boost::asio::awaitable<AttemptFailure> RelayHedge(
+    FleetTarget& aFirst,
+    TargetExchange& aFirstExchange);
+
   boost::asio::awaitable<AttemptFailure> RelayBuffered(
     FleetTarget& aTarget,
     TargetExchange& aExchange,
@@ -255,9 +298,10 @@
   std::optional<FullResponse>
     m_target_failure; ///< Sent if no attempt succeeds.
   core::Instant m_first_event_at{};
-  core::Instant m_sent_at{}; ///< Current attempt.
-  PlannedTokens m_planned;   ///< Current attempt.
-  double m_load_at_send = 0; ///< Requests at the target at m_sent_at.
+  core::Instant m_sent_at{};   ///< Current attempt.
+  PlannedTokens m_planned;     ///< Current attempt.
+  double m_load_at_send = 0;   ///< Requests at the target at m_sent_at.
+  bool m_is_cold_send = false; ///< The chosen target is cold.
   std::string m_last_error;
   std::optional<core::RequestFingerprint> m_fingerprint; ///< Once computed.
   /// Of the prompt's parts, once computed.
@@ -284,6 +328,9 @@
   net::Deadline m_deadline_timer;
   net::Deadline m_stall_timer;
   net::Deadline m_path_timer;
+  net::Deadline m_hedge_timer;
+  std::shared_ptr<HedgedSend> m_hedge; ///< Of the current attempt.
+  bool m_has_ended_first_send = false; ///< Of the current attempt.
 
   TargetExchange* m_exchange = nullptr; ///< In progress.
   std::shared_ptr<FleetTarget> m_awaited_target;
--- a/src/jujubehead/node/forward/forward_state.hpp
+++ b/src/jujubehead/node/forward/forward_state.hpp
@@ -18,8 +18,10 @@
 #include "jujubehead/core/context/store_link.hpp"        // for StoreLink
 #include "jujubehead/core/membership/holder_ring.hpp"    // for HolderRing
 #include "jujubehead/core/membership/stream_origins.hpp" // for StreamOrigins
+#include "jujubehead/core/routing/account_shares.hpp"    // for AccountShares
 #include "jujubehead/core/routing/admission.hpp"         // for WaitPredictor
 #include "jujubehead/core/routing/configuration.hpp"     // for Configuration
+#include "jujubehead/core/routing/hedge_policy.hpp"      // for HedgePolicy
 #include "jujubehead/core/routing/load_reports.hpp"      // for LoadReports
 #include "jujubehead/core/routing/poison_requests.hpp"   // for PoisonRequests
 #include "jujubehead/core/routing/probe_grants.hpp"      // for ProbeGrants
@@ -71,12 +73,34 @@
     return budget;
   }
 
+  /// @return when requests of a service are hedged.
+  core::HedgePolicy& HedgesOf(const core::ServiceId& aService)
+  {
+    return hedges.try_emplace(aService, options.hedge_share).first->second;
+  }
+
   /// @return whether the targets of a service are brittle.
   core::BrittleSignal& BrittleOf(const core::ServiceId& aService)
   {
     return brittle.try_emplace(aService, started_at).first->second;
   }
 
+  /// @brief Reports the accounts' demands to the other instances, from time to
+  /// time.
+  void ReportAccounts(core::Instant aNow)
+  {
+    constexpr core::Duration kInterval = std::chrono::seconds(1);
+    if (aNow - accounts_reported_at < kInterval) {
+      return;
+    }
+    accounts_reported_at = aNow;
+    accounts.Tick(aNow);
+    for (const core::AccountDemand& demand :
+         accounts.Report(options.instance_id, aNow)) {
+      on_signal_report(core::AccountReport(demand, aNow));
+    }
+  }
+
   /// @return the gate of a service whose routes compete; null for others.
   RoomGate* RoomOf(const core::ServiceId& aService)
   {
@@ -91,6 +115,8 @@
     for (const core::TargetLoadReport& report : aReports) {
       if (report.kind == core::ReportKind::kBrittle) {
         ApplyBrittleReport(report);
+      } else if (report.kind == core::ReportKind::kAccount) {
+        accounts.OnReport(core::DemandOf(report), report.reported_at);
       }
     }
   }
@@ -127,6 +153,13 @@
     return aTarget.holder_rank;
   }
 
+  /// @return whether this instance may use its shares of cold targets: its view
+  /// of the instances is fresh, and the others' views have it.
+  [[nodiscard]] bool HoldsColdShares(core::Instant aNow) const
+  {
+    return retry_share > 0 && aNow < retry_share_until;
+  }
+
   /// @brief Counts the requests left in data centres with a planned stop.
   /// Called when one of them ended in `aDataCentre`.
   void OnStoppedDataCentreProgress(const core::DataCentreId& aDataCentre)
@@ -294,6 +327,7 @@
   core::SoleVersions sole_versions;
   core::PartDirectory parts;
   std::unordered_map<core::ServiceId, core::WindowedRetryBudget> budgets;
+  std::unordered_map<core::ServiceId, core::HedgePolicy> hedges;
   std::unordered_map<core::ServiceId, core::BrittleSignal> brittle;
   /// When this instance last reported whether a service is brittle.
   std::unordered_map<core::ServiceId, core::Instant> brittle_reported_at;
@@ -306,6 +340,9 @@
   core::Instant retry_share_until{};
   /// By route name.
   std::unordered_map<std::string, core::WaitPredictor> waits;
+  /// Demand of the accounts at services whose routes compete for room.
+  core::AccountShares accounts;
+  core::Instant accounts_reported_at{}; ///< To other instances.
   /// Of the services whose routes compete for room.
   std::unordered_map<core::ServiceId, RoomGate> rooms;
   core::PrefixPopularity part_uses;
--- a/src/jujubehead/node/forward/room_gate.cpp
+++ b/src/jujubehead/node/forward/room_gate.cpp
@@ -16,12 +16,12 @@
 
 } // namespace
 
-void
+const core::ServiceLoad&
 RoomGate::Measure(std::span<const std::shared_ptr<FleetTarget>> aTargets,
                   core::Instant aNow)
 {
   if (m_load.targets > 0 && aNow - m_measured_at < kMeasureInterval) {
-    return;
+    return m_load;
   }
   m_load = {};
   m_measured_at = aNow;
@@ -34,6 +34,7 @@
     m_load.requests += target->load.Requests(aNow);
     m_mean_duration = target->load.MeanDuration();
   }
+  return m_load;
 }
 
 core::RoomRequest
@@ -48,7 +49,6 @@
   request.is_most_urgent = m_scale.IsMostUrgent(aRequest.route->urgency);
   request.levels_below = m_scale.LevelsBelow(aRequest.route->urgency);
   request.size = history.mean_tokens > 0 ? tokens / history.mean_tokens : 1;
-  request.excess = aRequest.excess;
   request.is_retry = aRequest.time_left + kReturnMargin < history.longest_time;
   history.mean_tokens += kSizeWeight * (tokens - history.mean_tokens);
   history.longest_time = std::max(history.longest_time, aRequest.time_left);
@@ -58,13 +58,21 @@
 bool
 RoomGate::Admit(const Request& aRequest,
                 std::span<const std::shared_ptr<FleetTarget>> aTargets,
+                core::AccountShares& aAccounts,
                 double aUniform,
                 core::Instant aNow)
 {
   Measure(aTargets, aNow);
   const core::RoomRequest request = Describe(aRequest);
-  const bool is_admitted = aUniform < core::AdmittedShare(m_load, request);
-  if (is_admitted && !request.is_most_urgent) {
+  if (request.is_most_urgent) {
+    return true;
+  }
+  aAccounts.OnRequest(
+    aRequest.account, static_cast<double>(aRequest.tokens), aNow);
+  const double of_all = core::AdmittedShare(m_load, request);
+  const bool is_admitted =
+    aUniform < aAccounts.ShareFor(aRequest.account, of_all, aNow);
+  if (is_admitted) {
     m_returns.OnAdmitted(aNow);
   }
   return is_admitted;
--- a/src/jujubehead/node/forward/room_gate.hpp
+++ b/src/jujubehead/node/forward/room_gate.hpp
@@ -7,6 +7,7 @@
 #include <string>        // for string
 #include <unordered_map> // for unordered_map
 
+#include "jujubehead/core/routing/account_shares.hpp"  // for AccountShares
 #include "jujubehead/core/routing/return_schedule.hpp" // for ReturnSchedule
 #include "jujubehead/core/routing/room_admission.hpp"  // for ServiceLoad
 #include "jujubehead/core/routing/urgency_scale.hpp"   // for UrgencyScale
@@ -27,7 +28,7 @@
     const core::Route* route = nullptr;
     std::uint64_t tokens = 0;   ///< That it takes of a target's memory.
     core::Duration time_left{}; ///< Until its caller's deadline.
-    double excess = 1;          ///< See core::RoomRequest.
+    core::AccountId account;
   };
 
   void SetScale(core::UrgencyScale aScale) { m_scale = std::move(aScale); }
@@ -35,14 +36,20 @@
 
   /// @brief Decides on a request.
   /// @param aTargets of the service.
+  /// @param aAccounts counts the request, unless it is always admitted.
   /// @param aUniform drawn from 0 to 1.
   bool Admit(const Request& aRequest,
              std::span<const std::shared_ptr<FleetTarget>> aTargets,
+             core::AccountShares& aAccounts,
              double aUniform,
              core::Instant aNow);
   /// @return when the caller of a refused request is to come back.
   /// @param aLongest that it waits.
   core::Duration ReturnIn(core::Instant aNow, core::Duration aLongest);
+  /// @return the load of the targets that take requests.
+  const core::ServiceLoad& Measure(
+    std::span<const std::shared_ptr<FleetTarget>> aTargets,
+    core::Instant aNow);
   /// @return the load as last measured.
   [[nodiscard]] const core::ServiceLoad& Load() const { return m_load; }
 
@@ -54,8 +61,6 @@
     core::Duration longest_time{}; ///< Until a deadline, seen at an arrival.
   };
 
-  void Measure(std::span<const std::shared_ptr<FleetTarget>> aTargets,
-               core::Instant aNow);
   [[nodiscard]] core::RoomRequest Describe(const Request& aRequest);
 
   core::UrgencyScale m_scale;
--- a/src/jujubehead/node/forward/target_choice.cpp
+++ b/src/jujubehead/node/forward/target_choice.cpp
@@ -277,6 +277,9 @@
       !m_metadata.resume_after.empty()) {
     return true;
   }
+  if (m_is_cold_send) {
+    return true;
+  }
   if (RoomGate* const room = m_state.RoomOf(m_service)) {
     return HasRoom(*room);
   }
@@ -307,8 +310,13 @@
   request.route = m_route;
   request.tokens = Tokens();
   request.time_left = TimeLeft();
-  if (aRoom.Admit(
-        request, m_state.fleet.Of(m_service), uniform(m_state.random), now)) {
+  request.account = m_account != nullptr ? m_account->id : core::AccountId();
+  m_state.ReportAccounts(now);
+  if (aRoom.Admit(request,
+                  m_state.fleet.Of(m_service),
+                  m_state.accounts,
+                  uniform(m_state.random),
+                  now)) {
     return true;
   }
   m_state.metrics.Add(Counter::kRoomRefusals);
@@ -385,6 +393,9 @@
 std::shared_ptr<FleetTarget>
 ForwardRun::ChooseTarget()
 {
+  if (auto cold = ChooseColdTarget()) {
+    return cold;
+  }
   const core::Instant now = core::RuntimeClock::now();
   auto targets = Candidates();
   if (!m_crashed_in.empty()) {
--- a/src/jujubehead/node/forward/target_fleet.cpp
+++ b/src/jujubehead/node/forward/target_fleet.cpp
@@ -49,6 +49,19 @@
   return std::max(registered.value_or(0), reported->second);
 }
 
+void
+FleetTarget::OnCold(core::Instant aNow, core::Instant aUntil, bool aIsReported)
+{
+  if (!cold_start.IsCold(aNow)) {
+    cold_share.OnBegin(aNow);
+  }
+  if (aIsReported) {
+    cold_start.OnCold(aNow, aUntil);
+  } else {
+    cold_start.OnUnknown(aNow, aUntil);
+  }
+}
+
 std::uint32_t
 FleetTarget::Slots() const
 {
@@ -332,8 +345,9 @@
 {
   const core::Instant now = core::RuntimeClock::now();
   for (const core::TargetLoadReport& report : aReports) {
-    if (report.kind == core::ReportKind::kBrittle) {
-      continue; // Of a service.
+    if (report.kind == core::ReportKind::kBrittle ||
+        report.kind == core::ReportKind::kAccount) {
+      continue; // Not of a target.
     }
     if (const auto target = FindByKey(report.target)) {
       target->OnReport(report, now);
@@ -354,7 +368,7 @@
 TargetFleet::UpdateColdStart(FleetTarget& aTarget, core::Instant aNow) const
 {
   if (aTarget.target.cold_until > aNow) {
-    aTarget.cold_start.OnCold(aNow, aTarget.target.cold_until);
+    aTarget.OnCold(aNow, aTarget.target.cold_until, true);
   } else {
     aTarget.cold_start.OnWarmReport(aNow);
   }
@@ -385,7 +399,7 @@
   }
   const core::Instant until = ended->second + cold_time->second;
   if (until > aNow) {
-    aTarget.cold_start.OnUnknown(aNow, until);
+    aTarget.OnCold(aNow, until, false);
   }
 }
 
--- a/src/jujubehead/node/forward/target_fleet.hpp
+++ b/src/jujubehead/node/forward/target_fleet.hpp
@@ -12,6 +12,7 @@
 
 #include <boost/asio/ip/tcp.hpp> // for tcp
 
+#include "jujubehead/core/routing/cold_share.hpp"        // for ColdShare
 #include "jujubehead/core/routing/cold_start.hpp"        // for ColdStart
 #include "jujubehead/core/routing/concurrency_share.hpp" // for ConcurrencyShare
 #include "jujubehead/core/routing/load_estimate.hpp"     // for LoadEstimate
@@ -33,6 +34,7 @@
   core::TargetHealth health;
   core::LoadEstimate load;
   core::ColdStart cold_start;
+  core::ColdShare cold_share;
   core::TargetBackoff backoff;
   core::TargetLimit limit;
   core::ConcurrencyShare concurrency;
@@ -59,9 +61,14 @@
 
   /// @return whether requests may be sent to it, however loaded it is.
   [[nodiscard]] bool Accepts(core::Instant aNow) const
+  {
+    return AcceptsWhileCold(aNow) && !cold_start.IsCold(aNow);
+  }
+  /// @return the same, but for a request of the instance's cold_share.
+  [[nodiscard]] bool AcceptsWhileCold(core::Instant aNow) const
   {
     return !IsLeaving() && !is_stopped && !is_loading &&
-           !cold_start.IsCold(aNow) && !backoff.IsActive(aNow);
+           !backoff.IsActive(aNow);
   }
   /// @return whether it has left or is about to, by the registry or by its
   /// replies.
@@ -71,6 +78,8 @@
   }
   /// @return the requests that it runs concurrently.
   [[nodiscard]] std::uint32_t Slots() const;
+  /// @brief It is cold until `aUntil`, by its registration, or may be.
+  void OnCold(core::Instant aNow, core::Instant aUntil, bool aIsReported);
   /// @brief A reply says that it is about to leave. Closes idle connections.
   /// @return whether that is news.
   bool OnDraining(core::Instant aNow);
--- a/src/jujubehead/node/forward/target_fleet_test.cpp
+++ b/src/jujubehead/node/forward/target_fleet_test.cpp
@@ -238,3 +238,21 @@
   // A probe follows, in case that the path was broken and not the target.
   CHECK(target.health.IsUsable(kNow + std::chrono::seconds(4)));
 }
+
+// The bucket of a target that becomes cold a second time must not hold a token
+// of the first time.
+TEST(TargetFleet, ATargetThatBecomesColdAgainBeginsWithAnEmptyShare)
+{
+  FleetTarget target;
+  target.OnCold(kNow, kNow + milliseconds(500), true);
+  CHECK(target.AcceptsWhileCold(kNow));
+  CHECK_FALSE(target.Accepts(kNow));
+  CHECK_FALSE(target.cold_share.MaySend(0, 11, kNow));
+  const core::Instant later = kNow + std::chrono::seconds(5);
+  CHECK(target.Accepts(later));
+  target.OnCold(later, later + milliseconds(500), false);
+  CHECK_FALSE(target.cold_share.MaySend(0, 11, later));
+  CHECK(target.cold_share.MaySend(0, 11, later + milliseconds(400)));
+  target.is_stopped = true;
+  CHECK_FALSE(target.AcceptsWhileCold(later));
+}
--- a/src/jujubehead/node/metrics.cpp
+++ b/src/jujubehead/node/metrics.cpp
@@ -229,6 +229,12 @@
   { "path_checks_total", "Checks of paths to targets that did not respond." },
   { "room_refusals_total",
     "Requests refused as more urgent ones need the room." },
+  { "cold_sends_total", "Requests sent to cold targets." },
+  { "second_sends_total", "Slow requests sent to a second target." },
+  { "second_sends_won_total",
+    "Of these, those to which the second target responded first." },
+  { "second_sends_denied_total",
+    "Slow requests that were not sent to a second target." },
   { "takeovers_total", "Targets and stores that came to this instance." },
 } };
 
--- a/standin/entry_deployment.hpp
+++ b/standin/entry_deployment.hpp
@@ -29,6 +29,7 @@
   std::vector<std::string> data_centres{};
   /// Software of the models in turn; empty: none is registered.
   std::vector<std::string> software_versions{};
+  double hedge_share = 0; ///< As in node::EntryOptions.
   /// Each instance reaches the targets over paths of its own; see SetCut().
   bool has_path_views = false;
 };
