--- a/src/jujubehead/node/forward/forward_attempt.cpp
+++ b/src/jujubehead/node/forward/forward_attempt.cpp
@@ -236,7 +236,7 @@
   StartHedgeTimer();
   const ReadResult result = co_await aExchange.ReadHead();
   m_path_timer.Clear();
-  m_hedge_timer.Clear();
+  m_hedge_timer.reset();
   const bool is_broken = result == ReadResult::kBroken;
   AttemptFailure failure;
   if (is_broken && !WasFirstSendCancelled()) {
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -81,7 +81,6 @@
                      })
   , m_stall_timer(m_session->Executor(), [this] { OnSilenceTimeout(); })
   , m_path_timer(m_session->Executor(), [this] { OnNoResponse(); })
-  , m_hedge_timer(m_session->Executor(), [this] { BeginHedge(); })
 {
 }
 
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -328,9 +328,9 @@
   net::Deadline m_deadline_timer;
   net::Deadline m_stall_timer;
   net::Deadline m_path_timer;
-  net::Deadline m_hedge_timer;
-  std::shared_ptr<HedgedSend> m_hedge; ///< Of the current attempt.
-  bool m_has_ended_first_send = false; ///< Of the current attempt.
+  std::optional<net::Deadline> m_hedge_timer; ///< While one is awaited.
+  std::shared_ptr<HedgedSend> m_hedge;        ///< Of the current attempt.
+  bool m_has_ended_first_send = false;        ///< Of the current attempt.
 
   TargetExchange* m_exchange = nullptr; ///< In progress.
   std::shared_ptr<FleetTarget> m_awaited_target;
--- a/src/jujubehead/node/forward/hedging.cpp
+++ b/src/jujubehead/node/forward/hedging.cpp
@@ -32,7 +32,8 @@
   }
   const auto delay = m_state.HedgesOf(m_service).DelayOf(m_route->name);
   if (delay) {
-    m_hedge_timer.Set(*delay);
+    m_hedge_timer.emplace(m_session->Executor(), [this] { BeginHedge(); });
+    m_hedge_timer->Set(*delay);
   }
 }
 
