--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,12 +1,13 @@
 #!/usr/bin/env bash
 # A machine that lost its path to some servers reaches them through another one,
 # which is killed in the middle of answers without a length. See claim.txt.
-# TROUBLE=0: no path is cut, and no machine is killed.
+# TROUBLE=0: no path is cut, and no machine is killed. HOW=term: machine 2 gets
+# SIGTERM instead, and ends after its grace.
 set -uo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 source "$here/../lib.sh"
 
-trouble=${TROUBLE:-1}
+trouble=${TROUBLE:-1} how=${HOW:-kill}
 zones=(kochi-hall thrissur-hall aluva-hall kottayam-hall)
 zone_of=(- kochi-hall kochi-hall thrissur-hall aluva-hall kottayam-hall)
 machines=(1 2 3 4 5) servers=(0 1 2 3 4 5 6 7 8 9)
@@ -53,14 +54,21 @@
   readers+=($!)
 done
 say "sent stream-1 to stream-$clients to machine 1"
-sleep 3
-if [ "$trouble" != 0 ]; then
+if [ "$trouble" != 0 ] && [ "$how" = kill ]; then
+  sleep 3
   lose front-2
   say "SIGKILL to machine 2"
   sleep 1
   start_instance 2 "${zone_of[2]}"
   say "machine 2 started again"
   sleep 0.8
+elif [ "$trouble" != 0 ]; then
+  sleep 1
+  kill -TERM "${pid_of[front-2]}"
+  say "SIGTERM to machine 2"
+  sleep 3.8
+fi
+if [ "$trouble" != 0 ]; then
   rm "$run_dir"/cut-*
   say "machine 1 has its paths back"
 fi
--- a/review/standin/review_standin.cpp
+++ b/review/standin/review_standin.cpp
@@ -666,6 +666,72 @@
   std::exit(2);
 }
 
+/// Relays connections to a port of this host. When the file SILENT changes its
+/// size, nothing passes on the connections that are open any more, without a
+/// reset or an end; new ones work.
+[[noreturn]] void
+RunProxy(char** argv)
+{
+  // proxy ADDRESS PORT TO_PORT SILENT
+  auto port = static_cast<std::uint16_t>(std::stoi(argv[3]));
+  const auto to = static_cast<std::uint16_t>(std::stoi(argv[4]));
+  const std::string silent = argv[5];
+  const int listener = ListenAt(argv[2], port);
+  if (listener < 0) {
+    std::exit(2);
+  }
+  const auto size_of = [silent] {
+    std::ifstream file(silent, std::ios::ate);
+    return file.good() ? static_cast<long>(file.tellg()) : 0L;
+  };
+  std::atomic<long> now{ size_of() };
+  std::thread([&] {
+    for (;; SleepMs(5)) {
+      now = size_of();
+    }
+  }).detach();
+  for (;;) {
+    const int from = ::accept(listener, nullptr, nullptr);
+    if (from < 0) {
+      continue;
+    }
+    std::thread([&, from, mine = now.load()] {
+      sockaddr_in address{};
+      address.sin_family = AF_INET;
+      address.sin_port = htons(to);
+      address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+      const int other = ::socket(AF_INET, SOCK_STREAM, 0);
+      if (::connect(
+            other, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0) {
+        ::close(from);
+        ::close(other);
+        return;
+      }
+      pollfd ends[2] = { { from, POLLIN, 0 }, { other, POLLIN, 0 } };
+      for (;;) {
+        ::poll(ends, 2, 10);
+        if (now != mine) {
+          return; // Both stay open.
+        }
+        for (int i = 0; i < 2; ++i) {
+          if ((ends[i].revents & (POLLIN | POLLHUP | POLLERR)) == 0) {
+            continue;
+          }
+          char buffer[16384];
+          const ssize_t size = ::recv(ends[i].fd, buffer, sizeof buffer, 0);
+          if (size <= 0 ||
+              !SendAll(ends[1 - i].fd,
+                       std::string(buffer, static_cast<std::size_t>(size)))) {
+            ::close(from);
+            ::close(other);
+            return;
+          }
+        }
+      }
+    }).detach();
+  }
+}
+
 } // namespace
 
 int
@@ -700,7 +766,9 @@
       connections);
   } else if (kind == "server" && argc == 12) {
     RunServer(argv);
+  } else if (kind == "proxy" && argc == 6) {
+    RunProxy(argv);
   }
-  std::cerr << "usage: review_standin store READY LAPSE_MS VIEWS | server ...\n";
+  std::cerr << "usage: review_standin store READY LAPSE_MS VIEWS | server ... | proxy ...\n";
   return 2;
 }
