--- a/review/standin/review_standin.cpp
+++ b/review/standin/review_standin.cpp
@@ -61,6 +61,7 @@
 struct Request
 {
   std::string method, path;
+  std::string status; ///< Of an answer that is read in the same way.
   std::map<std::string, std::string> query, headers;
   std::string body;
 };
@@ -105,6 +106,7 @@
   std::string line, target;
   std::getline(head, line);
   std::istringstream(line) >> aRequest.method >> target;
+  aRequest.status = target;
   const std::size_t mark = target.find('?');
   aRequest.path = target.substr(0, mark);
   if (mark != std::string::npos) {
@@ -551,7 +553,8 @@
   // server STORE_PORT SERVICE ZONE ID WORK_MS BEAT_MS DIRECTORY POISON EVENTS
   // VIEWS. In DIRECTORY, `runs` is the log, and the file cut-ID-N cuts the
   // path of machine N for as long as it is there: its connections are ended and
-  // refused.
+  // refused. While the file spoil-ID is there, one answer in 20 to requests for
+  // streams is bytes without an end.
   const auto store = static_cast<std::uint16_t>(std::stoi(argv[2]));
   const std::string service = argv[3];
   const std::string zone = argv[4];
@@ -566,6 +569,11 @@
   constexpr std::int64_t kEventMs = 200;
   constexpr int kCrashStatus = 70;
   constexpr std::int64_t kCrashAfterMs = 20;
+  // One answer in 20, bytes as fast as a link of 1,000 Mbit/s carries.
+  constexpr int kSpoiltOf = 20;
+  constexpr std::size_t kBytesAMs = 125000;
+  constexpr std::int64_t kSpoilStepMs = 2;
+  std::atomic<int> spoilt{ kSpoiltOf / 2 };
   std::uint16_t port = 0;
   std::vector<int> listeners;
   while (listeners.empty()) { // Until a port is free at all addresses.
@@ -640,7 +648,28 @@
       write("crash " + attempt + " at " + id);
       std::_Exit(kCrashStatus);
     }
-    if (aRequest.path.find("/stream/") != std::string::npos) {
+    const bool is_stream = aRequest.path.find("/stream/") != std::string::npos;
+    if (is_stream && std::ifstream(directory + "/spoil-" + id).good() &&
+        ++spoilt % kSpoiltOf == 0) {
+      write("spoils its answer to " + attempt + " at " + id);
+      bool is_read = SendAll(aSocket,
+                             "HTTP/1.1 200 OK\r\n" + sealed +
+                               "Content-Type: text/event-stream\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n5;");
+      const std::string bytes(kBytesAMs * kSpoilStepMs, 'a');
+      const auto begun = Clock::now();
+      std::size_t sent = 0;
+      for (int step = 1; is_read; ++step) {
+        is_read = SendAll(aSocket, bytes);
+        sent += bytes.size();
+        std::this_thread::sleep_until(
+          begun + std::chrono::milliseconds(step * kSpoilStepMs));
+      }
+      write("its connection has ended after " + std::to_string(sent) +
+            " bytes to " + attempt + " at " + id);
+      return false;
+    }
+    if (is_stream) {
       bool is_read = SendAll(aSocket,
                              "HTTP/1.1 200 OK\r\n" + sealed +
                                "Content-Type: text/event-stream\r\n"
@@ -666,70 +695,60 @@
   std::exit(2);
 }
 
-/// Relays connections to a port of this host. When the file SILENT changes its
-/// size, nothing passes on the connections that are open any more, without a
-/// reset or an end; new ones work.
+/// A caller that keeps its connection: sends one request after the other until
+/// the file STOP is there, and logs how each ended.
 [[noreturn]] void
-RunProxy(char** argv)
+RunClient(char** argv)
 {
-  // proxy ADDRESS PORT TO_PORT SILENT
-  auto port = static_cast<std::uint16_t>(std::stoi(argv[3]));
-  const auto to = static_cast<std::uint16_t>(std::stoi(argv[4]));
-  const std::string silent = argv[5];
-  const int listener = ListenAt(argv[2], port);
-  if (listener < 0) {
-    std::exit(2);
-  }
-  const auto size_of = [silent] {
-    std::ifstream file(silent, std::ios::ate);
-    return file.good() ? static_cast<long>(file.tellg()) : 0L;
-  };
-  std::atomic<long> now{ size_of() };
-  std::thread([&] {
-    for (;; SleepMs(5)) {
-      now = size_of();
-    }
-  }).detach();
-  for (;;) {
-    const int from = ::accept(listener, nullptr, nullptr);
-    if (from < 0) {
+  // client ADDRESS PORT PATH KEY NAME LOG STOP
+  const auto port = static_cast<std::uint16_t>(std::stoi(argv[3]));
+  const std::string path = argv[4];
+  const std::string key = argv[5];
+  const std::string name = argv[6];
+  std::ofstream log(argv[7], std::ios::app);
+  const std::string stop = argv[8];
+  constexpr std::int64_t kAgainMs = 100;
+  int number = 0;
+  while (!std::ifstream(stop).good()) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    ::inet_pton(AF_INET, argv[2], &address.sin_addr);
+    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    if (::connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) !=
+        0) {
+      ::close(fd);
+      SleepMs(kAgainMs);
       continue;
     }
-    std::thread([&, from, mine = now.load()] {
-      sockaddr_in address{};
-      address.sin_family = AF_INET;
-      address.sin_port = htons(to);
-      address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-      const int other = ::socket(AF_INET, SOCK_STREAM, 0);
-      if (::connect(
-            other, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0) {
-        ::close(from);
-        ::close(other);
-        return;
+    for (int on_connection = 1; !std::ifstream(stop).good(); ++on_connection) {
+      const std::string id = name + "-" + std::to_string(++number);
+      const std::string text = "POST " + path +
+                               " HTTP/1.1\r\nHost: a.example\r\n"
+                               "X-Attempt-Id: " +
+                               id +
+                               "\r\nX-Deadline-Ms: 12000\r\n"
+                               "Authorization: Token " +
+                               key + "\r\nContent-Length: 4\r\n\r\ndata";
+      Request answer; // Its first line is `HTTP/1.1 STATUS ...`.
+      std::string input;
+      const bool is_answered =
+        SendAll(fd, text) && ReadRequest(fd, input, answer);
+      log << UnixMs() << ' ' << id << " request " << on_connection
+          << " of its connection: "
+          << (is_answered ? answer.status : "closed without an answer")
+          << std::endl;
+      if (!is_answered || answer.headers.count("transfer-encoding") != 0 ||
+          answer.headers["connection"] == "close") {
+        break;
       }
-      pollfd ends[2] = { { from, POLLIN, 0 }, { other, POLLIN, 0 } };
-      for (;;) {
-        ::poll(ends, 2, 10);
-        if (now != mine) {
-          return; // Both stay open.
-        }
-        for (int i = 0; i < 2; ++i) {
-          if ((ends[i].revents & (POLLIN | POLLHUP | POLLERR)) == 0) {
-            continue;
-          }
-          char buffer[16384];
-          const ssize_t size = ::recv(ends[i].fd, buffer, sizeof buffer, 0);
-          if (size <= 0 ||
-              !SendAll(ends[1 - i].fd,
-                       std::string(buffer, static_cast<std::size_t>(size)))) {
-            ::close(from);
-            ::close(other);
-            return;
-          }
-        }
+      if (answer.status != "200") {
+        SleepMs(kAgainMs);
       }
-    }).detach();
+    }
+    ::close(fd);
   }
+  std::exit(0);
 }
 
 } // namespace
@@ -766,9 +785,9 @@
       connections);
   } else if (kind == "server" && argc == 12) {
     RunServer(argv);
-  } else if (kind == "proxy" && argc == 6) {
-    RunProxy(argv);
+  } else if (kind == "client" && argc == 9) {
+    RunClient(argv);
   }
-  std::cerr << "usage: review_standin store READY LAPSE_MS VIEWS | server ... | proxy ...\n";
+  std::cerr << "usage: review_standin store READY LAPSE_MS VIEWS | server ... | client ...\n";
   return 2;
 }
