--- a/review/lib.sh
+++ b/review/lib.sh
@@ -9,6 +9,7 @@
 : >"$record"
 declare -A pid_of # NAME: process id
 finish() {
+  exec 2>/dev/null # Not the shell's lines about the processes that it ends.
   local name
   for name in "${!pid_of[@]}"; do
     case "$name" in
@@ -16,7 +17,7 @@
       *) kill -KILL "${pid_of[$name]}" 2>/dev/null ;;
     esac
   done
-  { wait; } 2>/dev/null
+  wait
   [ -n "${KEEP:-}" ] && echo "logs: $run_dir" || rm -rf "$run_dir"
 }
 trap finish EXIT
--- a/review/standin/review_standin.cpp
+++ b/review/standin/review_standin.cpp
@@ -16,8 +16,8 @@
 #include <iostream>
 #include <map>
 #include <mutex>
-#include <sstream>
 #include <set>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -408,18 +408,19 @@
       bytes += it->second.value.size();
       rows.push_back(ToJson(it->first, it->second, aView));
     }
-    return json{ { "rows", rows },
-                 { "truncated", truncated },
-                 { "ver", m_ver },
-                 { "now_ms", SteadyMs() } }
-      .dump();
+    return json{
+      { "rows", rows },
+      { "truncated", truncated },
+      { "ver", m_ver },
+      { "now_ms", SteadyMs() }
+    }.dump();
   }
 
   std::string Feed(const Request& aRequest, std::size_t aView)
   {
     const std::string table = Find(aRequest, "table");
-    const std::uint64_t after = std::strtoull(
-      Find(aRequest, "after").c_str(), nullptr, 10);
+    const std::uint64_t after =
+      std::strtoull(Find(aRequest, "after").c_str(), nullptr, 10);
     const std::int64_t wait = std::min<std::int64_t>(
       std::strtoll(Find(aRequest, "wait_ms").c_str(), nullptr, 10), kMaxWaitMs);
     const auto until = Clock::now() + std::chrono::milliseconds(wait);
@@ -436,8 +437,8 @@
       }
       return !changed.empty();
     };
-    while (!look() && m_changed.wait_until(lock, until) !=
-                        std::cv_status::timeout) {
+    while (!look() &&
+           m_changed.wait_until(lock, until) != std::cv_status::timeout) {
     }
     look();
     std::sort(changed.begin(), changed.end());
@@ -445,8 +446,9 @@
     for (const auto& [ver, name] : changed) {
       rows.push_back(ToJson(name, m_rows[name], aView));
     }
-    return json{ { "rows", rows }, { "ver", m_ver }, { "now_ms", SteadyMs() } }
-      .dump();
+    return json{
+      { "rows", rows }, { "ver", m_ver }, { "now_ms", SteadyMs() }
+    }.dump();
   }
 
   std::string Transact(const Request& aRequest, unsigned& aStatus)
@@ -468,10 +470,9 @@
       }
     }
     if (aStatus == 412) {
-      return json{ { "rows", current },
-                   { "ver", m_ver },
-                   { "now_ms", SteadyMs() } }
-        .dump();
+      return json{
+        { "rows", current }, { "ver", m_ver }, { "now_ms", SteadyMs() }
+      }.dump();
     }
     ++m_ver;
     for (const json& one : body.value("put", json::array())) {
@@ -628,7 +629,8 @@
       SleepMs(beat_ms);
     }
   }).detach();
-  const Handler handle = [&](std::size_t, int aSocket, const Request& aRequest) {
+  const Handler handle = [&](
+                           std::size_t, int aSocket, const Request& aRequest) {
     const auto header = [&](const char* aName) {
       const auto found = aRequest.headers.find(aName);
       return found == aRequest.headers.end() ? std::string() : found->second;
@@ -679,17 +681,17 @@
         SleepMs(kEventMs);
         ++made;
         const std::string number = std::to_string(made);
-        is_read =
-          SendAll(aSocket, "id: " + number + "\ndata: piece " + number + " of " +
-                             std::to_string(events) + "\n\n");
+        is_read = SendAll(aSocket,
+                          "id: " + number + "\ndata: piece " + number + " of " +
+                            std::to_string(events) + "\n\n");
       }
       write("sent " + std::to_string(made) + " of " + std::to_string(events) +
             " events to " + attempt + " at " + id);
       return false;
     }
     SleepMs(work_ms);
-    return SendAll(
-      aSocket, Answer(200, sealed + "X-Server-Load: 1,0,8\r\n", "done\n"));
+    return SendAll(aSocket,
+                   Answer(200, sealed + "X-Server-Load: 1,0,8\r\n", "done\n"));
   };
   Serve(listeners, handle, connections);
   std::exit(2);
@@ -788,6 +790,7 @@
   } else if (kind == "client" && argc == 9) {
     RunClient(argv);
   }
-  std::cerr << "usage: review_standin store READY LAPSE_MS VIEWS | server ... | client ...\n";
+  std::cerr << "usage: review_standin store READY LAPSE_MS VIEWS | server ... "
+               "| client ...\n";
   return 2;
 }
