--- a/review/lib.sh
+++ b/review/lib.sh
@@ -3,7 +3,7 @@
 
 root=$(cd "$here/../.." && pwd)
 program=$root/target/bin/jujubehead
-tool=$root/review/build/review_standin
+tool=$root/review/review_standin
 run_dir=$(mktemp -d "${TMPDIR:-/tmp}/jujubehead-review.XXXXXX")
 record=$here/record.txt
 : >"$record"
