Tunnels: the end of a relayed reply is explicit

Cause: a tunnel carried plain bytes. The kernel closes the connections of a killed process in order, and TargetExchange::ReadMore() took that end of file for the end of the target's reply.

Ruled out: an orderly end that the relay itself makes after a reset of the target (it resets); a completion after a read error (it cuts).

Change: bytes from the target come in frames, and an empty one is the target's end. OutboundConnection reports eof only after it. Both sides announce frames by a header, as versions meet during a roll: without frames the relay's connection is reset on close unless the target has ended, and the asking side takes no end of it for the reply's.

--- a/include/jujubehead/net/http1/outbound_connection.hpp
+++ b/include/jujubehead/net/http1/outbound_connection.hpp
@@ -1,14 +1,16 @@
 #ifndef JUJUBEHEAD_NET_HTTP1_OUTBOUND_CONNECTION_HPP
 #define JUJUBEHEAD_NET_HTTP1_OUTBOUND_CONNECTION_HPP
 
-#include <memory> // for shared_ptr
-#include <string> // for string
+#include <cstdint> // for uint8_t
+#include <memory>  // for shared_ptr
+#include <string>  // for string
 
 #include <boost/asio/awaitable.hpp>    // for awaitable
 #include <boost/asio/ip/tcp.hpp>       // for tcp
 #include <boost/system/error_code.hpp> // for error_code
 
-#include "jujubehead/core/runtime_clock.hpp" // for Duration, Instant
+#include "jujubehead/core/runtime_clock.hpp"     // for Duration, Instant
+#include "jujubehead/net/http1/relay_frames.hpp" // for RelayFrameReader
 
 namespace jujubehead::net {
 
@@ -30,6 +32,14 @@
 DetectSilence(boost::asio::ip::tcp::socket& aSocket,
               core::Duration aUnacknowledged);
 
+/// @brief Whether another process relays what a connection receives.
+enum class RelayMode : std::uint8_t
+{
+  kNone,
+  kFramed, ///< As relay frames, so that the end is explicit.
+  kRaw,    ///< As it is: no end of the connection proves an orderly one.
+};
+
 /// @brief A connection to a target for one exchange after the other, on one
 /// thread.
 class OutboundConnection
@@ -48,8 +58,11 @@
   /// reading.
   void Send(std::string aMessage);
   /// @brief Waits for bytes and appends them to Input().
-  /// @return the error; `eof` when the other side ended in order.
+  /// @return the error; `eof` when the target ended in order.
   boost::asio::awaitable<boost::system::error_code> Read();
+  /// @brief From now on the bytes are relayed, those that were received already
+  /// included.
+  void SetRelayMode(RelayMode aMode);
   /// @brief Gives the socket up, to relay its bytes as they are.
   [[nodiscard]] boost::asio::ip::tcp::socket Release();
   /// @brief Closes it; a pending Connect() or Read() ends with an error.
@@ -67,10 +80,15 @@
 private:
   OutboundConnection(const boost::asio::any_io_executor& aExecutor,
                      const OutboundOptions& aOptions);
+  /// @return `would_block` if nothing was added to Input().
+  boost::system::error_code ReadAvailable();
+
   OutboundOptions m_options;
   boost::asio::ip::tcp::socket m_socket;
   std::string m_input;
   std::string m_unsent;
+  RelayMode m_relay_mode = RelayMode::kNone;
+  RelayFrameReader m_frames; ///< Only with RelayMode::kFramed.
 };
 
 } // namespace jujubehead::net
--- a/src/jujubehead/net/http1/outbound_connection.cpp
+++ b/src/jujubehead/net/http1/outbound_connection.cpp
@@ -3,7 +3,7 @@
 #include <netinet/tcp.h> // for TCP_USER_TIMEOUT
 #include <sys/socket.h>  // for setsockopt
 
-#include <utility> // for move
+#include <utility> // for move, exchange
 
 #include <boost/asio/as_tuple.hpp>      // for as_tuple
 #include <boost/asio/buffer.hpp>        // for buffer
@@ -106,18 +106,51 @@
 {
   const auto self = shared_from_this();
   for (;;) {
+    if (m_frames.HasEnded()) {
+      co_return asio::error::eof;
+    }
     const auto [error] =
       co_await m_socket.async_wait(tcp::socket::wait_read, kTuple);
     if (error) {
       co_return error;
     }
-    const error_code result = ReadAvailable(m_socket, m_input);
+    const error_code result = ReadAvailable();
     if (result != asio::error::would_block) {
       co_return result;
     }
   }
 }
 
+error_code
+OutboundConnection::ReadAvailable()
+{
+  if (m_relay_mode != RelayMode::kFramed) {
+    const error_code result = net::ReadAvailable(m_socket, m_input);
+    const bool is_cut =
+      m_relay_mode == RelayMode::kRaw && result == asio::error::eof;
+    return is_cut ? asio::error::connection_reset : result;
+  }
+  std::string received;
+  const std::size_t size = m_input.size();
+  const error_code result = net::ReadAvailable(m_socket, received);
+  m_frames.Put(received, m_input);
+  if (result == asio::error::eof) {
+    return asio::error::connection_reset;
+  }
+  const bool has_bytes = m_input.size() > size;
+  return result || has_bytes ? result : asio::error::would_block;
+}
+
+void
+OutboundConnection::SetRelayMode(RelayMode aMode)
+{
+  m_relay_mode = aMode;
+  if (aMode == RelayMode::kFramed) {
+    const std::string received = std::exchange(m_input, std::string());
+    m_frames.Put(received, m_input);
+  }
+}
+
 tcp::socket
 OutboundConnection::Release()
 {
@@ -134,7 +167,8 @@
 bool
 OutboundConnection::IsAtRest()
 {
-  return m_input.empty() && IsSent() && IsSilent(m_socket);
+  return m_input.empty() && IsSent() && !m_frames.HasEnded() &&
+         IsSilent(m_socket);
 }
 
 } // namespace jujubehead::net
--- a/src/jujubehead/node/forward/tunnel.cpp
+++ b/src/jujubehead/node/forward/tunnel.cpp
@@ -23,7 +23,8 @@
   std::ostringstream text;
   text << "CONNECT " << aEndpoint << " HTTP/1.1\r\nHost: " << aEndpoint
        << "\r\n"
-       << kTunnelTargetHeader << ": " << aTarget.View() << "\r\n\r\n";
+       << kTunnelTargetHeader << ": " << aTarget.View() << "\r\n"
+       << kTunnelFramingHeader << ": " << kTunnelFraming << "\r\n\r\n";
   return text.str();
 }
 
@@ -86,7 +87,12 @@
       co_return failed(std::string("invalid reply: ") + invalid.what());
     }
   }
-  co_return ReplyOf(parser->Head().status);
+  const net::MessageHead& head = parser->Head();
+  const bool is_framed =
+    head.headers.Find(kTunnelFramingHeader) == kTunnelFraming;
+  aConnection->SetRelayMode(is_framed ? net::RelayMode::kFramed
+                                      : net::RelayMode::kRaw);
+  co_return ReplyOf(head.status);
 }
 
 } // namespace jujubehead::node
--- a/src/jujubehead/node/forward/tunnel.hpp
+++ b/src/jujubehead/node/forward/tunnel.hpp
@@ -16,13 +16,20 @@
 
 // An instance opens a connection to a target through another one by an HTTP
 // request CONNECT with the target's address, and its id in the header below.
-// After status 200 all bytes are relayed as they are; the other statuses are
-// those of TunnelStatus.
+// After status 200 all bytes are relayed; the other statuses are those of
+// TunnelStatus. Bytes to the target are relayed as they are. Bytes from it come
+// as net::RelayFrameReader reads them if both sides have sent the header
+// kTunnelFramingHeader, and as they are if not: instances of former versions do
+// not know it.
 
 /// Header with the id of the target to connect to: its address may have been
 /// taken over by another target.
 inline constexpr const char* kTunnelTargetHeader = "Tunnel-Target";
 
+/// Header of a request for frames, and of the reply that grants them.
+inline constexpr const char* kTunnelFramingHeader = "Tunnel-Framing";
+inline constexpr const char* kTunnelFraming = "size";
+
 /// Time in which a peer connects to the target or reports that it does not.
 inline constexpr core::Duration kTunnelConnectTimeout =
   std::chrono::milliseconds(200);
@@ -48,7 +55,8 @@
 };
 
 /// @brief Opens a tunnel over a connection that is not connected yet. When the
-/// tunnel is open, the connection is one to the target.
+/// tunnel is open, the connection is one to the target: it reads an end only
+/// where the target, and not the peer, has ended in order.
 boost::asio::awaitable<TunnelReply>
 OpenTunnel(std::shared_ptr<net::OutboundConnection> aConnection,
            boost::asio::ip::tcp::endpoint aPeer,
--- a/src/jujubehead/node/forward/tunnel_server.cpp
+++ b/src/jujubehead/node/forward/tunnel_server.cpp
@@ -12,7 +12,9 @@
 
 #include "jujubehead/net/deadline.hpp"             // for Deadline
 #include "jujubehead/net/http1/message_parser.hpp" // for MessageParser
+#include "jujubehead/net/http1/relay_frames.hpp"   // for RelayFrameHeader
 #include "jujubehead/net/http1/socket_reading.hpp" // for ReadAvailable
+#include "jujubehead/net/reset_on_close.hpp"       // for SetResetOnClose
 #include "jujubehead/net/timer.hpp"                // for Sleep
 #include "jujubehead/node/endpoint.hpp"            // for ReadEndpoint
 
@@ -44,17 +46,26 @@
 }
 
 /// Relays bytes between an instance and a target until either side ends.
+///
+/// Without frames, the instance takes the end of its connection for that of the
+/// target's reply, so that it has to be a reset unless the target ended in
+/// order, also where this process is killed.
 class Tunnel : public std::enable_shared_from_this<Tunnel>
 {
 public:
   Tunnel(tcp::socket aInstance,
          tcp::socket aTarget,
+         bool aIsFramed,
          std::shared_ptr<std::atomic<std::size_t>> aCount)
     : m_instance(std::move(aInstance))
     , m_target(std::move(aTarget))
+    , m_is_framed(aIsFramed)
     , m_count(std::move(aCount))
   {
     ++*m_count;
+    if (!m_is_framed) {
+      net::SetResetOnClose(m_instance, true);
+    }
   }
   ~Tunnel() { --*m_count; }
   Tunnel(const Tunnel&) = delete;
@@ -64,48 +75,111 @@
 
   void Start()
   {
-    for (const bool is_to_target : { true, false }) {
-      asio::co_spawn(
-        m_instance.get_executor(),
-        [self = shared_from_this(), is_to_target]() -> asio::awaitable<void> {
-          co_await self->Pump(is_to_target);
-        },
-        asio::detached);
-    }
+    const auto self = shared_from_this();
+    asio::co_spawn(
+      m_instance.get_executor(),
+      [self]() -> asio::awaitable<void> { co_await self->PumpToTarget(); },
+      asio::detached);
+    asio::co_spawn(
+      m_instance.get_executor(),
+      [self]() -> asio::awaitable<void> { co_await self->PumpToInstance(); },
+      asio::detached);
   }
 
 private:
-  asio::awaitable<void> Pump(bool aIsToTarget)
+  asio::awaitable<void> PumpToTarget()
   {
-    tcp::socket& from = aIsToTarget ? m_instance : m_target;
-    tcp::socket& to = aIsToTarget ? m_target : m_instance;
     std::array<char, kChunkBytes> chunk{};
     error_code error;
     while (!error) {
       std::size_t size = 0;
       std::tie(error, size) =
-        co_await from.async_read_some(asio::buffer(chunk), kTuple);
+        co_await m_instance.async_read_some(asio::buffer(chunk), kTuple);
       if (!error) {
         std::tie(error, size) = co_await asio::async_write(
-          to, asio::buffer(chunk.data(), size), kTuple);
+          m_target, asio::buffer(chunk.data(), size), kTuple);
       }
     }
-    if (error == asio::error::eof && !aIsToTarget) {
-      // The end of a reply without a length: only an orderly one completes it.
-      error_code ignored;
-      m_instance.shutdown(tcp::socket::shutdown_send, ignored);
-    } else {
-      // The instance has gone, so the request is cancelled; or the reply broke.
-      Reset(m_instance);
-      Reset(m_target);
+    Close(); // The instance has gone, so the request is cancelled.
+  }
+
+  asio::awaitable<void> PumpToInstance()
+  {
+    std::array<char, kChunkBytes> chunk{};
+    error_code error;
+    while (!error) {
+      std::size_t size = 0;
+      std::tie(error, size) =
+        co_await m_target.async_read_some(asio::buffer(chunk), kTuple);
+      if (!error) {
+        error = co_await WriteToInstance({ chunk.data(), size });
+      } else if (error == asio::error::eof) {
+        error = co_await WriteEnd();
+        if (!error) {
+          co_return;
+        }
+      }
     }
+    Close();
+  }
+
+  asio::awaitable<error_code> WriteToInstance(std::string_view aBytes)
+  {
+    net::RelayFrameHeader header{};
+    std::size_t header_size = 0;
+    if (m_is_framed) {
+      header =
+        net::FormatRelayFrameHeader(static_cast<std::uint32_t>(aBytes.size()));
+      header_size = header.size();
+    }
+    const std::array<asio::const_buffer, 2> buffers = {
+      asio::buffer(header.data(), header_size), asio::buffer(aBytes)
+    };
+    const auto [error, size] =
+      co_await asio::async_write(m_instance, buffers, kTuple);
+    co_return error;
+  }
+
+  /// The target's reply has ended in order, which completes one without a
+  /// length.
+  asio::awaitable<error_code> WriteEnd()
+  {
+    error_code error;
+    if (m_is_framed) {
+      error = co_await WriteToInstance({});
+    }
+    error_code ignored;
+    m_instance.shutdown(tcp::socket::shutdown_send, ignored);
+    co_return error;
+  }
+
+  void Close()
+  {
+    Reset(m_instance);
+    Reset(m_target);
   }
 
   tcp::socket m_instance;
   tcp::socket m_target;
+  bool m_is_framed;
   std::shared_ptr<std::atomic<std::size_t>> m_count;
 };
 
+std::string
+FormatReply(TunnelStatus aStatus, bool aIsFramed)
+{
+  std::string text = "HTTP/1.1 ";
+  text.append(std::to_string(static_cast<unsigned>(aStatus)))
+    .append(" Tunnel\r\n");
+  if (aIsFramed) {
+    text.append(kTunnelFramingHeader)
+      .append(": ")
+      .append(kTunnelFraming)
+      .append("\r\n");
+  }
+  return text.append("Content-Length: 0\r\n\r\n");
+}
+
 } // namespace
 
 TunnelServer::TunnelServer(asio::io_context& aContext,
@@ -158,7 +232,7 @@
   }
 }
 
-asio::awaitable<std::string>
+asio::awaitable<TunnelServer::TunnelRequest>
 TunnelServer::ReadRequest(tcp::socket& aInstance)
 {
   net::Deadline deadline(aInstance.get_executor(), [&aInstance] {
@@ -175,17 +249,22 @@
     const error_code failure =
       error ? error : net::ReadAvailable(aInstance, input);
     if (failure && failure != asio::error::would_block) {
-      co_return std::string();
+      co_return TunnelRequest();
     }
     try {
       input.erase(0, parser->Put(input, body));
     } catch (const net::MessageError&) {
-      co_return std::string();
+      co_return TunnelRequest();
     }
   }
-  const auto target = parser->Head().headers.Find(kTunnelTargetHeader);
-  const bool is_valid = parser->Head().method == "CONNECT" && input.empty();
-  co_return is_valid ? std::string(target.value_or("")) : std::string();
+  const net::MessageHead& head = parser->Head();
+  TunnelRequest request;
+  if (head.method == "CONNECT" && input.empty()) {
+    request.target = head.headers.Find(kTunnelTargetHeader).value_or("");
+    request.wants_frames =
+      head.headers.Find(kTunnelFramingHeader) == kTunnelFraming;
+  }
+  co_return request;
 }
 
 asio::awaitable<TunnelStatus>
@@ -225,23 +304,23 @@
   aInstance.set_option(tcp::no_delay(true), ignored);
   aInstance.non_blocking(true, ignored);
   net::DetectSilence(aInstance, kUnacknowledgedTimeout);
-  const std::string target = co_await ReadRequest(aInstance);
-  if (target.empty()) {
+  const TunnelRequest request = co_await ReadRequest(aInstance);
+  if (request.target.empty()) {
     co_return;
   }
   std::shared_ptr<net::OutboundConnection> connection;
-  const TunnelStatus status = co_await Connect(target, connection);
-  const auto code = static_cast<unsigned>(status);
-  const std::string reply =
-    "HTTP/1.1 " + std::to_string(code) + " Tunnel\r\nContent-Length: 0\r\n\r\n";
+  const TunnelStatus status = co_await Connect(request.target, connection);
+  const std::string reply = FormatReply(status, request.wants_frames);
   const auto [error, size] =
     co_await asio::async_write(aInstance, asio::buffer(reply), kTuple);
   if (error || status != TunnelStatus::kOpen) {
     co_return;
   }
   m_state.metrics.Add(Counter::kTunnelsServed);
-  std::make_shared<Tunnel>(
-    std::move(aInstance), connection->Release(), m_tunnels)
+  std::make_shared<Tunnel>(std::move(aInstance),
+                           connection->Release(),
+                           request.wants_frames,
+                           m_tunnels)
     ->Start();
 }
 
--- a/src/jujubehead/node/forward/tunnel_server.hpp
+++ b/src/jujubehead/node/forward/tunnel_server.hpp
@@ -36,10 +36,16 @@
   [[nodiscard]] std::uint16_t Port() const;
 
 private:
+  struct TunnelRequest
+  {
+    std::string target; ///< Its id.
+    bool wants_frames = false;
+  };
+
   boost::asio::awaitable<void> Accept();
   boost::asio::awaitable<void> Serve(boost::asio::ip::tcp::socket aInstance);
-  /// @return the target asked for; nothing if that was no valid request.
-  boost::asio::awaitable<std::string> ReadRequest(
+  /// @return the request; without a target if it was not a valid one.
+  boost::asio::awaitable<TunnelRequest> ReadRequest(
     boost::asio::ip::tcp::socket& aInstance);
   /// @brief Connects to a target, if this instance may.
   boost::asio::awaitable<TunnelStatus> Connect(
--- a/standin/entry_deployment.cpp
+++ b/standin/entry_deployment.cpp
@@ -126,6 +126,10 @@
   RunningInstance& operator=(RunningInstance&&) = delete;
 
   [[nodiscard]] std::uint16_t Port() const { return m_forwarder.Port(); }
+  [[nodiscard]] std::uint16_t TunnelPort() const
+  {
+    return m_forwarder.TunnelPort();
+  }
   [[nodiscard]] std::uint64_t Total(node::Counter aCounter) const
   {
     return m_metrics->Total(aCounter);
@@ -289,6 +293,11 @@
     return m_instances.at(aInstance)->Total(aCounter);
   }
 
+  std::uint16_t TunnelPort(std::size_t aInstance) override
+  {
+    return m_instances.at(aInstance)->TunnelPort();
+  }
+
   void SetCut(std::size_t aInstance, const std::string& aHow) override
   {
     m_world.Do([&] { m_path_views.at(aInstance)->SetCut(aHow); });
