HTTP/1.0: a stream that is cut off ends with a reset

What callers saw: HTTP/1.0 has no chunks, so a stream ends with its connection.

Change: while such a stream is sent, its connection is set to end with a reset (SO_LINGER), and its end takes that back. The option is set below Asio, whose destructors take back one that was set through it.

Evidence: HttpServer.AStreamToAnOldCallerIsCutByAReset fails before.

--- a/src/jujubehead/net/http_reply.cpp
+++ b/src/jujubehead/net/http_reply.cpp
@@ -10,6 +10,8 @@
 #include <boost/beast/http/status.hpp>   // for obsolete_reason
 #include <boost/system/system_error.hpp> // for system_error
 
+#include "jujubehead/net/reset_on_close.hpp" // for SetResetOnClose
+
 #include "http_fields.hpp" // for AppendLines
 
 // The half of a connection that writes replies.
@@ -113,7 +115,9 @@
   m_keep_alive = m_keep_alive && !m_shared->stopping && !m_http_1_0;
   BeginHead(aStatus, aHeaders);
   // HTTP/1.0 has no chunks: there the end of the connection ends the body.
-  if (!m_http_1_0) {
+  if (m_http_1_0) {
+    SetResetOnClose(m_stream.Socket(), true);
+  } else {
     AppendLine(m_out, "Transfer-Encoding", "chunked");
   }
   m_out.append("\r\n");
@@ -137,7 +141,9 @@
 asio::awaitable<void>
 HttpConnection::EndStream()
 {
-  if (!m_http_1_0) {
+  if (m_http_1_0) {
+    SetResetOnClose(m_stream.Socket(), false);
+  } else {
     m_out.append(kLastChunk);
     co_await WriteOut();
   }
--- a/src/jujubehead/net/http_server_test.cpp
+++ b/src/jujubehead/net/http_server_test.cpp
@@ -267,6 +267,43 @@
   CHECK(reply.ends_with("\r\n\r\nab"));
 }
 
+// An orderly end would make the part look whole: without chunks, the end of the
+// connection is that of the body.
+TEST(HttpServer, AStreamToAnOldCallerIsCutByAReset)
+{
+  const auto server =
+    Start([](net::HttpExchange& aExchange) -> awaitable<void> {
+      co_await aExchange.StartStream(200, {});
+      co_await aExchange.WriteChunk("a part");
+      throw std::runtime_error("failed");
+    });
+  RawCaller caller(context, server->Port());
+  std::string reply;
+  RunIn(context, [&]() -> awaitable<void> {
+    co_await caller.Write("GET / HTTP/1.0\r\n\r\n");
+    reply = co_await caller.ReadAll();
+  });
+  CHECK(caller.End() == boost::asio::error::connection_reset);
+}
+
+TEST(HttpServer, AStreamToAnOldCallerEndsInOrder)
+{
+  const auto server =
+    Start([](net::HttpExchange& aExchange) -> awaitable<void> {
+      co_await aExchange.StartStream(200, {});
+      co_await aExchange.WriteChunk("the whole");
+      co_await aExchange.EndStream();
+    });
+  RawCaller caller(context, server->Port());
+  std::string reply;
+  RunIn(context, [&]() -> awaitable<void> {
+    co_await caller.Write("GET / HTTP/1.0\r\n\r\n");
+    reply = co_await caller.ReadAll();
+  });
+  CHECK(reply.ends_with("the whole"));
+  CHECK(caller.End() == boost::asio::error::eof);
+}
+
 TEST(HttpServer, AnswersHeadWithoutABody)
 {
   const auto server = Start(Echo);
--- a/src/jujubehead/net/raw_caller.hpp
+++ b/src/jujubehead/net/raw_caller.hpp
@@ -44,6 +44,7 @@
         boost::asio::as_tuple(boost::asio::use_awaitable));
       all.append(part.data(), bytes);
       if (error) {
+        m_end = error;
         break;
       }
     }
@@ -51,10 +52,13 @@
   }
 
   boost::asio::awaitable<std::string> ReadAll() { return ReadTo({}); }
+  /// @return how the connection ended; no error if it has not.
+  [[nodiscard]] boost::system::error_code End() const { return m_end; }
   void Close() { m_socket.close(); }
 
 private:
   boost::asio::ip::tcp::socket m_socket;
+  boost::system::error_code m_end;
 };
 
 } // namespace jujubehead::net::test
--- a/src/jujubehead/node/forward/caller_session.cpp
+++ b/src/jujubehead/node/forward/caller_session.cpp
@@ -15,6 +15,7 @@
 
 #include "jujubehead/net/deadline.hpp"             // for Deadline
 #include "jujubehead/net/http1/socket_reading.hpp" // for ReadAvailable
+#include "jujubehead/net/reset_on_close.hpp"       // for SetResetOnClose
 
 namespace jujubehead::node {
 namespace {
@@ -328,6 +329,7 @@
   m_is_chunked = m_request.head.version != kHttp10;
   if (!m_is_chunked) {
     m_keep_alive = false;
+    net::SetResetOnClose(m_socket, true);
   }
   m_pending_head = FormatHead(aStatus, aReason, aHeaders);
   if (m_is_chunked) {
@@ -356,7 +358,11 @@
   if (m_is_chunked) {
     text.append("0\r\n\r\n");
   }
-  co_return co_await Write(std::move(text));
+  const bool written = co_await Write(std::move(text));
+  if (written && !m_is_chunked) {
+    net::SetResetOnClose(m_socket, false);
+  }
+  co_return written;
 }
 
 asio::awaitable<bool>
--- a/standin/entry_deployment.cpp
+++ b/standin/entry_deployment.cpp
@@ -293,6 +293,11 @@
     return m_instances.at(aInstance)->Total(aCounter);
   }
 
+  std::uint16_t CallerPort(std::size_t aInstance) override
+  {
+    return m_instances.at(aInstance)->Port();
+  }
+
   std::uint16_t TunnelPort(std::size_t aInstance) override
   {
     return m_instances.at(aInstance)->TunnelPort();
--- a/standin/entry_deployment.hpp
+++ b/standin/entry_deployment.hpp
@@ -88,6 +88,8 @@
   /// @return a counter of the instance of that index.
   virtual std::uint64_t Total(std::size_t aInstance,
                               node::Counter aCounter) = 0;
+  /// @return the port at which an instance takes callers.
+  virtual std::uint16_t CallerPort(std::size_t aInstance) = 0;
   /// @return the port at which an instance opens tunnels for others.
   virtual std::uint16_t TunnelPort(std::size_t aInstance) = 0;
   /// @brief Cuts an instance's paths to all targets, see PathView. Only with
