HTTP: chunk lines, trailers and interim replies are bounded

What callers saw: a target sent a chunk line without an end.

Cause: the library's parser takes a chunk line, an extension or a trailer only when it is whole. What it leaves was bounded nowhere, and the reader appended to it until the route's timeout.

Change: MessageParser::Put() bounds what is left inside a body by the limit of the header, so for callers, targets and tunnels at once; HttpConnection and ClientStream, which use the library's parser directly, likewise. More than 16 interim replies break a reply. A request for a tunnel has no body.

--- a/include/jujubehead/net/http1/message_parser.hpp
+++ b/include/jujubehead/net/http1/message_parser.hpp
@@ -23,9 +23,13 @@
   HttpHeaders headers;
 };
 
+/// Interim replies (1xx) that are skipped before the final one.
+inline constexpr int kMaxInterimReplies = 16;
+
 /// @brief How long a message may be.
 struct MessageLimits
 {
+  /// Of the header; also of each chunk's line and of the trailer.
   std::uint32_t header_bytes = 16U * 1024U;
   std::uint64_t body_bytes = 4UL * 1024UL * 1024UL;
 };
--- a/src/jujubehead/net/client_stream.cpp
+++ b/src/jujubehead/net/client_stream.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/as_tuple.hpp>      // for as_tuple
 #include <boost/asio/use_awaitable.hpp> // for use_awaitable
 
+#include "jujubehead/net/http1/message_parser.hpp" // for kMaxInterimReplies
+
 #include "http_fields.hpp" // for FromFields
 
 namespace jujubehead::net {
@@ -53,9 +55,13 @@
 asio::awaitable<void>
 ClientStream::ReadHead()
 {
+  int interim_replies = 0;
   do {
-    if (m_status != 0) {
-      ResetParser(); // After an interim reply, such as 100.
+    if (m_status != 0) { // After an interim reply, such as 100.
+      if (++interim_replies > kMaxInterimReplies) {
+        Fail("too many interim replies");
+      }
+      ResetParser();
     }
     while (!m_parser->is_header_done()) {
       if (m_connection->buffer.size() != 0) {
@@ -116,6 +122,9 @@
 ClientStream::Fill()
 {
   const auto connection = m_connection;
+  if (m_parser->is_header_done() && connection->buffer.size() > kHeaderLimit) {
+    Fail("the chunk line or the trailer is too long");
+  }
   if (!connection->stream.Socket().is_open()) {
     Fail("was cancelled");
   }
--- a/src/jujubehead/net/http1/message_parser.cpp
+++ b/src/jujubehead/net/http1/message_parser.cpp
@@ -117,6 +117,12 @@
       }
       used += step;
     }
+    // What is left cannot be read yet: the line of a chunk, or a trailer.
+    if (HasHead() && !IsWhole() &&
+        aBytes.size() - used > m_limits.header_bytes) {
+      throw MessageError("the chunk line or the trailer is too long",
+                         kHeadTooLong);
+    }
     return used;
   }
 
--- a/src/jujubehead/net/http1/message_parser_test.cpp
+++ b/src/jujubehead/net/http1/message_parser_test.cpp
@@ -207,3 +207,41 @@
   CHECK(reading.whole);
   STRCMP_EQUAL("HTTP/1.1 200", reading.left.c_str());
 }
+
+// Such a line was kept until it ended, and the process ran out of memory.
+TEST(MessageParser, WhatDoesNotEndInsideABodyIsRefused)
+{
+  constexpr std::size_t kPieceBytes = 32UL * 1024;
+  constexpr std::size_t kMaxPieces = 4;
+  for (const char* const begin : {
+         "000",
+         "5;name=",
+         "5\r\nhello\r\n0;name=",
+         "5\r\nhello\r\n0\r\nX-Trailer: ",
+       }) {
+    for (const bool is_reply : { false, true }) {
+      const std::string head =
+        is_reply ? "HTTP/1.1 200 OK\r\n" : std::string(kHead);
+      const auto parser = is_reply ? MessageParser::ForReply({}, false)
+                                   : MessageParser::ForRequest({});
+      std::vector<std::string> pieces = {
+        head + "Transfer-Encoding: chunked\r\n\r\n" + begin
+      };
+      pieces.resize(1 + kMaxPieces, std::string(kPieceBytes, '0'));
+      const Reading reading = ReadIn(*parser, pieces);
+      CHECK_EQUAL_TEXT(431U, reading.status, begin);
+      CHECK_TEXT(reading.left.size() <= 3 * kPieceBytes, begin);
+    }
+  }
+}
+
+TEST(MessageParser, ATrailerWithinTheLimitIsDropped)
+{
+  const std::string trailer = "X-Trailer: " + std::string(10000, 'a') + "\r\n";
+  const Reading reading =
+    ReadReply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+              "2;name=value\r\nok\r\n0\r\n" +
+              trailer + "\r\n");
+  CHECK(reading.whole);
+  STRCMP_EQUAL("ok", reading.body.c_str());
+}
--- a/src/jujubehead/net/http_client_test.cpp
+++ b/src/jujubehead/net/http_client_test.cpp
@@ -4,8 +4,13 @@
 
 #include <optional> // for optional
 
-#include <boost/asio/io_context.hpp> // for io_context
-#include <boost/asio/ip/tcp.hpp>     // for tcp
+#include <boost/asio/as_tuple.hpp>      // for as_tuple
+#include <boost/asio/co_spawn.hpp>      // for co_spawn
+#include <boost/asio/detached.hpp>      // for detached
+#include <boost/asio/io_context.hpp>    // for io_context
+#include <boost/asio/ip/tcp.hpp>        // for tcp
+#include <boost/asio/use_awaitable.hpp> // for use_awaitable
+#include <boost/asio/write.hpp>         // for async_write
 
 #include "net_test_tools.hpp" // for RunIn, AuthorityOf
 
@@ -196,6 +201,46 @@
   CHECK(FailureOf(call));
 }
 
+// They were read for as long as they came, and what cannot be read yet was
+// kept.
+TEST(HttpClient, AReplyWithAPartThatDoesNotEndFails)
+{
+  constexpr std::size_t kPieceBytes = 16UL * 1024;
+  constexpr std::size_t kMaxPieces = 4000; // More than sockets buffer.
+  const std::string chunked =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string& begin :
+       { chunked + "000", chunked + "5;name=", chunked + "0\r\nX-Trailer: " }) {
+    tcp::acceptor acceptor(context, { tcp::v4(), 0 });
+    bool was_closed = false;
+    bool has_ended = false;
+    boost::asio::co_spawn(
+      context,
+      [&]() -> awaitable<void> {
+        tcp::socket socket =
+          co_await acceptor.async_accept(boost::asio::use_awaitable);
+        boost::system::error_code error;
+        co_await boost::asio::async_write(
+          socket, boost::asio::buffer(begin), boost::asio::use_awaitable);
+        const std::string piece(kPieceBytes, '0');
+        for (std::size_t i = 0; i < kMaxPieces && !error; ++i) {
+          std::tie(error, std::ignore) = co_await boost::asio::async_write(
+            socket,
+            boost::asio::buffer(piece),
+            boost::asio::as_tuple(boost::asio::use_awaitable));
+        }
+        was_closed = error.failed();
+        has_ended = true;
+      },
+      boost::asio::detached);
+    net::HttpCall call =
+      CallTo("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+    CHECK_TEXT(FailureOf(call), begin.c_str());
+    RunUntil(context, [&] { return was_closed || has_ended; });
+    CHECK_TEXT(was_closed, begin.c_str());
+  }
+}
+
 TEST(HttpClient, CancellingEndsACallThatWaitsForItsReply)
 {
   bool caller_gone = false;
--- a/src/jujubehead/net/http_connection.cpp
+++ b/src/jujubehead/net/http_connection.cpp
@@ -153,6 +153,11 @@
   if (error == http::error::need_more) {
     error = {};
   }
+  // What is left of a body cannot be read yet: a chunk's line, or the trailer.
+  if (!error && aParser.is_header_done() && !aParser.is_done() &&
+      m_buffer.size() > m_shared->options.header_limit) {
+    error = http::error::header_limit;
+  }
   aNeedsBytes = !aParser.is_done();
   co_return error;
 }
--- a/src/jujubehead/net/http_server_test.cpp
+++ b/src/jujubehead/net/http_server_test.cpp
@@ -91,6 +91,22 @@
   CHECK(reply.starts_with("HTTP/1.1 413 "));
 }
 
+// They were kept until they ended, and the process ran out of memory.
+TEST(HttpServer, RefusesAChunkLineOrATrailerThatDoesNotEnd)
+{
+  options.header_limit = 1000;
+  options.body_timeout = 5s;
+  const auto server = Start(Echo);
+  for (const char* const begin :
+       { "000", "5;name=", "5\r\nhello\r\n0\r\nX-Trailer: " }) {
+    const std::string reply = Exchange(
+      *server,
+      std::string("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n") +
+        begin + std::string(5000, '0'));
+    CHECK_TEXT(reply.starts_with("HTTP/1.1 431 "), begin);
+  }
+}
+
 TEST(HttpServer, RefusesWhatIsNoHttp)
 {
   const auto server = Start(Echo);
--- a/src/jujubehead/node/forward/target_exchange.cpp
+++ b/src/jujubehead/node/forward/target_exchange.cpp
@@ -153,6 +153,7 @@
 TargetExchange::ReadHead()
 {
   int other_replies = 0;
+  int interim_replies = 0;
   for (;;) {
     if (!Parse()) {
       co_return Broken({});
@@ -165,6 +166,9 @@
       continue;
     }
     if (m_parser->Head().status < kFirstFinalStatus) {
+      if (++interim_replies > net::kMaxInterimReplies) {
+        co_return Broken("too many interim replies");
+      }
       StartReply();
       continue;
     }
--- a/src/jujubehead/node/forward/tunnel_server.cpp
+++ b/src/jujubehead/node/forward/tunnel_server.cpp
@@ -240,7 +240,9 @@
     aInstance.cancel(ignored);
   });
   deadline.Set(kRequestTimeout);
-  const auto parser = net::MessageParser::ForRequest({});
+  net::MessageLimits limits;
+  limits.body_bytes = 0;
+  const auto parser = net::MessageParser::ForRequest(limits);
   std::string input;
   std::string body;
   while (!parser->IsWhole()) {
--- /dev/null
+++ b/standin/endless_reply_test.cpp
@@ -0,0 +1,101 @@
+#include <chrono> // for steady_clock
+#include <limits> // for numeric_limits
+#include <memory> // for unique_ptr
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+#include "standin/entry_deployment.hpp"
+#include "standin/raw_target.hpp"
+
+using namespace jujubehead;
+using nlohmann::json;
+using standin::EntryDeployment;
+using standin::RawReply;
+using standin::RawTarget;
+using std::chrono::steady_clock;
+
+namespace {
+
+constexpr unsigned kOk = 200;
+constexpr std::size_t kMegabyte = 1024UL * 1024;
+/// Bytes that sockets on loopback take beside those that are read.
+constexpr std::size_t kSocketBytes = 16 * kMegabyte;
+/// A part of the route's timeout of 5 s.
+constexpr std::chrono::seconds kMaxTime{ 2 };
+
+constexpr const char* kSigned = "HTTP/1.1 200 OK\r\nX-Response-Seal: seal\r\n"
+                                "Content-Type: text/event-stream\r\n";
+
+RawReply
+EndlessReply(const std::string& aHead, const std::string& aPiece)
+{
+  RawReply reply;
+  reply.head = aHead;
+  reply.piece = aPiece;
+  reply.pieces = std::numeric_limits<std::size_t>::max();
+  return reply;
+}
+
+} // namespace
+
+// A faulty target sends bytes that have no end until its connection is closed.
+TEST_GROUP(EndlessReply)
+{
+  std::unique_ptr<RawTarget> target;
+  std::unique_ptr<EntryDeployment> deployment;
+
+  void Start(const RawReply& aReply)
+  {
+    deployment = EntryDeployment::Start({ .targets = 1 });
+    target = std::make_unique<RawTarget>(aReply);
+    for (const std::string name : { "model0", "service0" }) {
+      json entry = deployment->EntryOf(name);
+      entry["address"] = target->Authority();
+      deployment->PutRow("servers", name, nullptr);
+      deployment->PutRow("servers", "raw-" + name, entry);
+    }
+    CHECK(deployment->AwaitRead());
+  }
+  void teardown() override
+  {
+    deployment.reset();
+    target.reset();
+  }
+  /// Checks that a reply is given up early, after few bytes.
+  void CheckIsGivenUp(const RawReply& aReply, const std::string& aPath)
+  {
+    Start(aReply);
+    net::HttpHeaders lines;
+    lines.Add("X-Attempt-Id", "r1");
+    lines.Add("Authorization", "Token key-1");
+    const auto begin = steady_clock::now();
+    const auto response = deployment->CallAt(0, "POST", aPath, lines, "hello");
+    CHECK(steady_clock::now() - begin < kMaxTime);
+    CHECK(response.status != kOk);
+    CHECK(target->SentBytes() < kSocketBytes + 2 * kMegabyte);
+  }
+};
+
+// The process kept such a line until the route's timeout, and was killed for
+// its memory.
+TEST(EndlessReply, AChunkLineIsGivenUp)
+{
+  const std::string head =
+    std::string(kSigned) + "Transfer-Encoding: chunked\r\n";
+  CheckIsGivenUp(EndlessReply(head, std::string(10000, '0')), "/chat/x");
+}
+
+TEST(EndlessReply, AHeadIsGivenUp)
+{
+  CheckIsGivenUp(EndlessReply("HTTP/1.1 100 Continue\r\n",
+                              "X-Line: " + std::string(1000, 'a')),
+                 "/once/x");
+}
+
+// Each of them is short, and none is the final one.
+TEST(EndlessReply, InterimRepliesAreGivenUp)
+{
+  CheckIsGivenUp(
+    EndlessReply("HTTP/1.1 100 Continue\r\n", "HTTP/1.1 100 Continue\r\n\r\n"),
+    "/once/x");
+}
