Streams: a shorter timeout does not shorten the memory of versions

What callers saw: not seen with callers; found with a model, after a report that streams are joined from two versions when all instances are lost.

Cause: an instance takes the one version in sight for the only one once it has served alone for the longest route's timeout and 5 s, by the configuration in force. A stream lasts by the configuration under which it began. After a change from 15 s to 2 s, a stream of the version that had left went on at the other one from 7 s on, and no record was asked for.

Ruled out: belief right after a start (it waits), and records that are wrong (they end with their process).

Change: StreamLifetime keeps a former timeout until the streams of its time are over, and 20 s at least, for a process that does not know what was in force before it started.

Evidence: StreamLifetime.NoStreamGoesOnAtAnotherVersion (versions and timeouts change, all instances are lost, callers return); the rule of the code before is TheTimeoutInForceAloneJoinsStreams, which joins streams.

--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -51,8 +51,6 @@
 /// without it has left the seconds over which a limit counts.
 constexpr core::Duration kHolderDelay = std::chrono::seconds(10);
 
-/// Time beyond the longest route's, within which a caller retries.
-constexpr core::Duration kCallerReturnTime = std::chrono::seconds(5);
 /// A view of the registry that is older may lack a version that others use.
 constexpr core::Duration kRegistryTtl = std::chrono::seconds(3);
 
@@ -191,13 +189,15 @@
 EntryControl::UpdateSoleVersions()
 {
   const core::Instant now = core::RuntimeClock::now();
-  core::Duration longest{};
   core::SoleVersions sole;
   if (m_configuration) {
+    core::Duration timeout{};
     for (const core::Route& route : m_configuration->All().routes) {
-      longest = std::max(longest, route.timeout + kCallerReturnTime);
+      timeout = std::max(timeout, route.timeout);
     }
+    m_stream_lifetime.SetTimeout(timeout, now);
   }
+  const core::Duration longest = m_stream_lifetime.Longest(now);
   if (m_configuration && now - m_operator_contact <= kRegistryTtl) {
     sole = m_software.Sole(longest, now);
   }
--- a/src/jujubehead/node/control/entry_control.hpp
+++ b/src/jujubehead/node/control/entry_control.hpp
@@ -16,6 +16,7 @@
 #include "jujubehead/core/routing/data_centre_stops.hpp" // for DataCentreStops
 #include "jujubehead/core/routing/quarantine_records.hpp" // for QuarantineRecords
 #include "jujubehead/core/routing/software_versions.hpp" // for SoftwareVersions
+#include "jujubehead/core/routing/stream_lifetime.hpp"   // for StreamLifetime
 #include "jujubehead/core/routing/target_directory.hpp"  // for TargetDirectory
 #include "jujubehead/node/control/platform.hpp"          // for Platform
 #include "jujubehead/node/forward/entry_options.hpp"     // for EntryOptions
@@ -155,6 +156,7 @@
   PoisonExchange m_poison;
   StreamOriginExchange m_streams;
   core::SoftwareVersions m_software;
+  core::StreamLifetime m_stream_lifetime;
   core::SoleVersions m_sole; ///< As last passed on.
   core::Instant m_operator_contact{};
   HubExchange m_hubs;
