Replies: what is held of incomplete ones is bounded over all of them

What callers saw: a target sends events without an end. Each reply stays within the bound of a body (16 MB), and their sum does not. As processes, 60 callers an instance and one faulty target of two: ten kills for memory (260 MB) in 5 s, 31 calls at sound targets lost.

Cause: an unfinished event, or a plain body, is kept until it is whole, and only each reply was bounded.

Change: an event has 1 MB at most; ReplyBuffers bounds the incomplete replies of an instance to 64 MB together and gives up the largest beyond it.

--- a/include/jujubehead/net/http1/event_cutter.hpp
+++ b/include/jujubehead/net/http1/event_cutter.hpp
@@ -17,6 +17,9 @@
 class EventCutter
 {
 public:
+  /// Longest event, in bytes; a stream with a longer one is invalid.
+  static constexpr std::size_t kMaxEventBytes = 1024UL * 1024;
+
   /// @brief Moves the whole events out of bytes as they came.
   /// @param aBytes an event that is not whole yet stays in it.
   /// @return the bytes of the events to pass on; may be empty.
--- a/include/jujubehead/node/forward/entry_options.hpp
+++ b/include/jujubehead/node/forward/entry_options.hpp
@@ -8,6 +8,7 @@
 #include "jujubehead/core/ids.hpp"                     // for InstanceId
 #include "jujubehead/core/routing/homes.hpp"           // for DataCentreRegions
 #include "jujubehead/core/routing/poison_requests.hpp" // for PoisonRequestsOptions
+#include "jujubehead/core/routing/reply_buffers.hpp" // for ReplyBuffers
 #include "jujubehead/core/routing/target_directory.hpp" // for TargetDirectoryOptions
 #include "jujubehead/core/routing/windowed_retry_budget.hpp" // for WindowedRetryBudgetOptions
 #include "jujubehead/core/runtime_clock.hpp"                 // for Duration
@@ -39,6 +40,8 @@
   /// Requests sent to a second target when the first is slow, as a share of
   /// those of a service; 0: none.
   double hedge_share = 0;
+  /// Bytes held of incomplete replies, over all requests together.
+  std::size_t reply_buffer_bytes = core::ReplyBuffers::kDefaultMaxBytes;
   core::TargetDirectoryOptions registry;
   core::PoisonRequestsOptions poison;
   /// Longest time between SIGTERM and exit.
--- a/src/jujubehead/node/forward/forward_attempt.cpp
+++ b/src/jujubehead/node/forward/forward_attempt.cpp
@@ -123,6 +123,7 @@
   TargetExchange exchange(m_session->Executor(),
                           m_state.header_codec,
                           m_state.connector,
+                          m_state.reply_buffers,
                           aTarget,
                           m_homes,
                           OptionsOfExchange());
@@ -642,6 +643,14 @@
     if (aResult != ReadResult::kMore) {
       break;
     }
+    if (aExchange.Body().size() > net::EventCutter::kMaxEventBytes) {
+      m_last_error = "an event of the stream is longer than " +
+                     std::to_string(net::EventCutter::kMaxEventBytes) +
+                     " bytes";
+      aTarget.health.OnFailure(core::RuntimeClock::now());
+      aExchange.Close();
+      co_return AttemptOutcome::kBroken;
+    }
     aResult = co_await aExchange.ReadBody();
   }
   if (aResult == ReadResult::kBroken) {
--- a/src/jujubehead/node/forward/forward_state.hpp
+++ b/src/jujubehead/node/forward/forward_state.hpp
@@ -25,6 +25,7 @@
 #include "jujubehead/core/routing/load_reports.hpp"      // for LoadReports
 #include "jujubehead/core/routing/poison_requests.hpp"   // for PoisonRequests
 #include "jujubehead/core/routing/probe_grants.hpp"      // for ProbeGrants
+#include "jujubehead/core/routing/reply_buffers.hpp"     // for ReplyBuffers
 #include "jujubehead/core/routing/software_versions.hpp" // for SoleVersions
 #include "jujubehead/core/routing/windowed_retry_budget.hpp" // for WindowedRetryBudget
 #include "jujubehead/core/weights/rollout.hpp"       // for DesiredWeights
@@ -59,6 +60,7 @@
     , metrics(aMetrics)
     , log(aLog)
     , connector(aOptions, fleet, aMetrics)
+    , reply_buffers(aOptions.reply_buffer_bytes)
     , poison(aOptions.poison)
     , random(std::random_device{}())
   {
@@ -294,6 +296,7 @@
   std::map<core::ModelId, core::DesiredWeights> wanted_weights;
   TargetFleet fleet;
   TargetConnector connector;
+  core::ReplyBuffers reply_buffers;
   bool shares_loads = false; ///< Whether other instances ask for loads.
   core::LoadReports pending_load_reports; ///< Not sent to them yet.
   core::PoisonRequests poison;
--- a/src/jujubehead/node/forward/hedging.cpp
+++ b/src/jujubehead/node/forward/hedging.cpp
@@ -90,6 +90,7 @@
   m_hedge = std::make_shared<HedgedSend>(m_session->Executor(),
                                          m_state.header_codec,
                                          m_state.connector,
+                                         m_state.reply_buffers,
                                          std::move(target),
                                          m_homes,
                                          OptionsOfExchange());
--- a/src/jujubehead/node/forward/target_exchange.cpp
+++ b/src/jujubehead/node/forward/target_exchange.cpp
@@ -19,6 +19,7 @@
 TargetExchange::TargetExchange(const asio::any_io_executor& aExecutor,
                                const HeaderCodec& aHeaderCodec,
                                TargetConnector& aConnector,
+                               core::ReplyBuffers& aBuffers,
                                std::shared_ptr<FleetTarget> aTarget,
                                core::Homes aHomes,
                                ExchangeOptions aOptions)
@@ -28,6 +29,7 @@
   , m_target(std::move(aTarget))
   , m_homes(std::move(aHomes))
   , m_options(std::move(aOptions))
+  , m_buffered(aBuffers, [this] { OnGivenUp(); })
 {
 }
 
@@ -84,13 +86,18 @@
 {
   const auto connection = m_connection;
   if (!connection) {
-    m_error = "connection closed";
+    if (!m_buffered.IsGivenUp()) {
+      m_error = "connection closed";
+    }
     co_return false;
   }
   const error_code error = co_await connection->Read();
   if (!error) {
     co_return true;
   }
+  if (m_buffered.IsGivenUp()) {
+    co_return false;
+  }
   if (error == asio::error::eof && m_parser->PutEnd()) {
     m_is_clean = false;
     co_return true;
@@ -103,7 +110,9 @@
 TargetExchange::Parse()
 {
   if (!m_connection) {
-    m_error = "connection closed";
+    if (!m_buffered.IsGivenUp()) {
+      m_error = "connection closed";
+    }
     return false;
   }
   std::string& input = m_connection->Input();
@@ -115,7 +124,18 @@
     m_error = std::string("invalid reply: ") + error.what();
     return false;
   }
-  return true;
+  // A complete one is passed on and does not grow.
+  m_buffered.SetSize(m_parser->IsWhole() ? 0 : m_body.size());
+  return !m_buffered.IsGivenUp();
+}
+
+void
+TargetExchange::OnGivenUp()
+{
+  m_error = "replies exceed the memory for them, this one held " +
+            std::to_string(m_body.size()) + " bytes";
+  m_body = std::string();
+  Close();
 }
 
 TargetExchange::Owner
--- a/src/jujubehead/node/forward/target_exchange.hpp
+++ b/src/jujubehead/node/forward/target_exchange.hpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/awaitable.hpp> // for awaitable
 
+#include "jujubehead/core/routing/reply_buffers.hpp"    // for ReplyBuffers
 #include "jujubehead/net/http1/message_parser.hpp"      // for MessageParser
 #include "jujubehead/net/http1/outbound_connection.hpp" // for OutboundConnection
 #include "jujubehead/node/forward/header_codec.hpp"     // for HeaderCodec
@@ -45,9 +46,11 @@
 {
 public:
   /// @param aHomes where the request's data may pass.
+  /// @param aBuffers bounds what is held of incomplete replies together.
   TargetExchange(const boost::asio::any_io_executor& aExecutor,
                  const HeaderCodec& aHeaderCodec,
                  TargetConnector& aConnector,
+                 core::ReplyBuffers& aBuffers,
                  std::shared_ptr<FleetTarget> aTarget,
                  core::Homes aHomes,
                  ExchangeOptions aOptions);
@@ -109,6 +112,8 @@
 
   boost::asio::awaitable<bool> ReadMore();
   bool Parse();
+  /// @brief Frees what is held of the reply, and breaks it.
+  void OnGivenUp();
   void StartReply();
   [[nodiscard]] Owner OwnerOfReply() const;
   ReadResult Broken(std::string aError);
@@ -128,6 +133,7 @@
   std::unique_ptr<net::MessageParser> m_parser;
   ReplyMetadata m_metadata;
   std::string m_body;
+  core::ReplyBuffers::Reply m_buffered;
   std::string m_error;
   bool m_is_new = false;
   bool m_connection_refused = false;
--- a/standin/endless_reply_test.cpp
+++ b/standin/endless_reply_test.cpp
@@ -18,7 +18,8 @@
 
 constexpr unsigned kOk = 200;
 constexpr std::size_t kMegabyte = 1024UL * 1024;
-/// Bytes that sockets on loopback take beside those that are read.
+/// Less than the longest body, and more than sockets on loopback take beside
+/// what is read.
 constexpr std::size_t kSocketBytes = 16 * kMegabyte;
 /// A part of the route's timeout of 5 s.
 constexpr std::chrono::seconds kMaxTime{ 2 };
@@ -43,10 +44,12 @@
 {
   std::unique_ptr<RawTarget> target;
   std::unique_ptr<EntryDeployment> deployment;
+  std::size_t reply_buffer_bytes = core::ReplyBuffers::kDefaultMaxBytes;
 
   void Start(const RawReply& aReply)
   {
-    deployment = EntryDeployment::Start({ .targets = 1 });
+    deployment = EntryDeployment::Start(
+      { .targets = 1, .reply_buffer_bytes = reply_buffer_bytes });
     target = std::make_unique<RawTarget>(aReply);
     for (const std::string name : { "model0", "service0" }) {
       json entry = deployment->EntryOf(name);
@@ -72,7 +75,7 @@
     const auto response = deployment->CallAt(0, "POST", aPath, lines, "hello");
     CHECK(steady_clock::now() - begin < kMaxTime);
     CHECK(response.status != kOk);
-    CHECK(target->SentBytes() < kSocketBytes + 2 * kMegabyte);
+    CHECK(target->SentBytes() < kSocketBytes);
   }
 };
 
@@ -99,3 +102,20 @@
     EndlessReply("HTTP/1.1 100 Continue\r\n", "HTTP/1.1 100 Continue\r\n\r\n"),
     "/once/x");
 }
+
+// Each was bounded by itself, and the process kept the sum of them.
+TEST(EndlessReply, AnEventIsGivenUp)
+{
+  const std::string head =
+    std::string(kSigned) + "Transfer-Encoding: chunked\r\n";
+  const std::string chunk = "3e8\r\n" + std::string(1000, 'a') + "\r\n";
+  CheckIsGivenUp(EndlessReply(head, chunk), "/chat/x");
+}
+
+TEST(EndlessReply, BodiesShareTheMemoryForReplies)
+{
+  reply_buffer_bytes = kMegabyte;
+  CheckIsGivenUp(EndlessReply("HTTP/1.1 200 OK\r\nX-Response-Seal: seal\r\n",
+                              std::string(10000, 'a')),
+                 "/once/x");
+}
