Crashes: the own view counts where no other instance replies

Cause: a refused connection counts as a crash when another instance is refused, too. The own view counted only while no other instance was known; the rows of those that are gone stay for half an hour, and none replies.

Ruled out: lost reports (an instance counts its own crashes).

Change: where the target refuses and no instance that was asked has replied, the own view counts if this instance reaches another target. That is what a peer's view takes. Any reply leaves the decision with the others.

--- a/src/jujubehead/node/forward/connection_attempt.cpp
+++ b/src/jujubehead/node/forward/connection_attempt.cpp
@@ -73,12 +73,20 @@
       tunnel->Close();
     }
   }
+  // Where no other instance replies, this one's own view has to do.
+  const bool is_unconfirmed = m_is_directly_refused && !m_has_peer_replied;
+  if (!m_result.connection && is_unconfirmed && !m_is_cancelled) {
+    m_result.is_refused =
+      m_connector.m_peers->IsEmpty() ||
+      co_await m_connector.ReachesOthers(m_executor, m_target->target.id);
+  }
   co_return std::move(m_result);
 }
 
 void
 ConnectionAttempt::Cancel()
 {
+  m_is_cancelled = true;
   m_has_ended = true;
   m_wake.cancel();
   if (m_direct) {
@@ -153,9 +161,7 @@
   } else if (error == asio::error::timed_out || !m_has_ended) {
     m_direct_loss = error == asio::error::timed_out ? core::PathLoss::kSilent
                                                     : core::PathLoss::kRefused;
-    // Without another instance to ask, this one's own view has to do.
-    m_result.is_refused |= error == asio::error::connection_refused &&
-                           m_connector.m_peers->IsEmpty();
+    m_is_directly_refused = error == asio::error::connection_refused;
     UpdatePath();
     OnFailed("connect: " + error.message());
   }
@@ -187,6 +193,7 @@
 {
   const core::Instant now = core::RuntimeClock::now();
   const bool is_open = aReply.status == TunnelStatus::kOpen;
+  m_has_peer_replied |= aReply.is_from_peer;
   if (is_open || aReply.status == TunnelStatus::kTargetRefused) {
     m_connector.m_peers->OnAnswer(aPeer.id);
   } else if (!m_has_ended) {
--- a/src/jujubehead/node/forward/target_connector.hpp
+++ b/src/jujubehead/node/forward/target_connector.hpp
@@ -87,6 +87,9 @@
   std::string m_reached_by; ///< A peer that reached the target.
   TargetConnection m_result;
   bool m_has_tried_directly = false;
+  bool m_is_directly_refused = false; ///< Nothing listens there, as seen here.
+  bool m_has_peer_replied = false;    ///< Whether or not it opened a tunnel.
+  bool m_is_cancelled = false;
   bool m_has_ended = false;
 };
 
--- a/src/jujubehead/node/forward/tunnel.cpp
+++ b/src/jujubehead/node/forward/tunnel.cpp
@@ -32,6 +32,7 @@
 ReplyOf(unsigned aStatus)
 {
   TunnelReply reply;
+  reply.is_from_peer = true;
   reply.status = static_cast<TunnelStatus>(aStatus);
   switch (reply.status) {
     case TunnelStatus::kOpen:
@@ -62,7 +63,7 @@
            asio::ip::tcp::endpoint aTargetEndpoint)
 {
   const auto failed = [](const std::string& aError) {
-    return TunnelReply{ TunnelStatus::kRejected, aError };
+    return TunnelReply{ TunnelStatus::kRejected, aError, false };
   };
   const auto executor = co_await asio::this_coro::executor;
   net::Deadline deadline(executor, [aConnection] { aConnection->Close(); });
--- a/src/jujubehead/node/forward/tunnel.hpp
+++ b/src/jujubehead/node/forward/tunnel.hpp
@@ -51,7 +51,8 @@
 struct TunnelReply
 {
   TunnelStatus status = TunnelStatus::kRejected;
-  std::string error; ///< Empty if it is open.
+  std::string error;         ///< Empty if it is open.
+  bool is_from_peer = false; ///< The peer replied, and did not just fail.
 };
 
 /// @brief Opens a tunnel over a connection that is not connected yet. When the
--- a/standin/entry_deployment.cpp
+++ b/standin/entry_deployment.cpp
@@ -219,6 +219,11 @@
     std::this_thread::sleep_for(kRowTime);
   }
 
+  void Stop(std::size_t aInstance) override
+  {
+    m_instances.at(aInstance).reset();
+  }
+
   net::HttpResponse Call(const std::string& aMethod,
                          const std::string& aPath,
                          const net::HttpHeaders& aHeaders,
--- a/standin/entry_deployment.hpp
+++ b/standin/entry_deployment.hpp
@@ -80,6 +80,9 @@
   /// @brief The same with one instance; waits until all know its new address.
   virtual void RestartAt(std::size_t aInstance) = 0;
 
+  /// @brief Ends one instance as a kill would, for good.
+  virtual void Stop(std::size_t aInstance) = 0;
+
   /// @param aName `model0`, `model1`, ..., `service0`, ..., `rows`, `parts`.
   /// @return of a target that crashed: of its present run.
   virtual nlohmann::json Stats(const std::string& aName) = 0;
--- a/standin/partitioned_instance_test.cpp
+++ b/standin/partitioned_instance_test.cpp
@@ -277,6 +277,29 @@
   LONGS_EQUAL(1, counted);
 }
 
+// Its row outlives an instance. While none of those in the rows replied, no
+// crash was confirmed, and a poison request went on from target to target.
+TEST(PartitionedInstance, ACrashCountsWhenAllOtherInstancesAreGone)
+{
+  deployment->Stop(1);
+  deployment->Stop(2);
+  SetFaultOfAll("service", "crash_on", { { "body", "poison" } });
+  const std::size_t before = deployment->Crashes();
+  Send("/once/x", "poison");
+  CHECK(deployment->Await([&] { return deployment->Crashes() > before; }));
+  LONGS_EQUAL(1, deployment->Total(0, node::Counter::kTargetCrashes));
+}
+
+// Without another instance either, paths that are cut look like crashes.
+TEST(PartitionedInstance, LostPathsAreNoCrashesWhenAllOtherInstancesAreGone)
+{
+  deployment->Stop(1);
+  deployment->Stop(2);
+  deployment->SetCut(0, "reset");
+  SendWhileNoticing();
+  LONGS_EQUAL(0, deployment->Total(0, node::Counter::kTargetCrashes));
+}
+
 // A peer that ends or is cut off itself must not take the others' requests
 // with it.
 TEST(PartitionedInstance, APeerThatIsCutOffTooIsLeftForAnother)
