Replies: the sum of incomplete ones outlives their requests

Cause: a forwarder's state ends before its event loop, whose coroutines may still hold a reply then; its destructor would use the freed ReplyBuffers. Found by reading; no run has shown it. Nothing seen by callers.

Change: replies share ownership of it, as tunnels do of their peers.

--- a/include/jujubehead/core/routing/reply_buffers.hpp
+++ b/include/jujubehead/core/routing/reply_buffers.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>    // for size_t
 #include <functional> // for function
+#include <memory>     // for shared_ptr
 #include <set>        // for set
 
 namespace jujubehead::core {
@@ -28,8 +29,10 @@
   class Reply
   {
   public:
+    /// @param aBuffers is kept: a reply may outlive what its request used.
     /// @param aOnGivenUp frees what it holds. Must not destroy this.
-    Reply(ReplyBuffers& aBuffers, std::function<void()> aOnGivenUp);
+    Reply(std::shared_ptr<ReplyBuffers> aBuffers,
+          std::function<void()> aOnGivenUp);
     ~Reply();
     Reply(const Reply&) = delete;
     Reply& operator=(const Reply&) = delete;
@@ -42,7 +45,7 @@
 
   private:
     friend class ReplyBuffers;
-    ReplyBuffers& m_buffers;
+    std::shared_ptr<ReplyBuffers> m_buffers;
     std::function<void()> m_on_given_up;
     std::size_t m_bytes = 0;
     bool m_is_given_up = false;
--- a/src/jujubehead/core/routing/reply_buffers.cpp
+++ b/src/jujubehead/core/routing/reply_buffers.cpp
@@ -5,18 +5,18 @@
 
 namespace jujubehead::core {
 
-ReplyBuffers::Reply::Reply(ReplyBuffers& aBuffers,
+ReplyBuffers::Reply::Reply(std::shared_ptr<ReplyBuffers> aBuffers,
                            std::function<void()> aOnGivenUp)
-  : m_buffers(aBuffers)
+  : m_buffers(std::move(aBuffers))
   , m_on_given_up(std::move(aOnGivenUp))
 {
-  m_buffers.m_replies.insert(this);
+  m_buffers->m_replies.insert(this);
 }
 
 ReplyBuffers::Reply::~Reply()
 {
-  m_buffers.m_bytes -= m_bytes;
-  m_buffers.m_replies.erase(this);
+  m_buffers->m_bytes -= m_bytes;
+  m_buffers->m_replies.erase(this);
 }
 
 void
@@ -25,11 +25,11 @@
   if (m_is_given_up) {
     return;
   }
-  m_buffers.m_bytes += aBytes;
-  m_buffers.m_bytes -= m_bytes;
+  m_buffers->m_bytes += aBytes;
+  m_buffers->m_bytes -= m_bytes;
   m_bytes = aBytes;
-  while (m_buffers.m_bytes > m_buffers.m_max_bytes) {
-    m_buffers.GiveUpLargest();
+  while (m_buffers->m_bytes > m_buffers->m_max_bytes) {
+    m_buffers->GiveUpLargest();
   }
 }
 
--- a/src/jujubehead/core/routing/reply_buffers_test.cpp
+++ b/src/jujubehead/core/routing/reply_buffers_test.cpp
@@ -1,7 +1,7 @@
 #include "jujubehead/core/routing/reply_buffers.hpp"
 
 #include <deque>  // for deque
-#include <memory> // for unique_ptr, make_unique
+#include <memory> // for shared_ptr, unique_ptr
 #include <vector> // for vector
 
 #include <CppUTest/TestHarness.h> // for TEST
@@ -16,7 +16,7 @@
 /// A reply and the bytes that it holds.
 struct Received
 {
-  explicit Received(ReplyBuffers& aBuffers)
+  explicit Received(const std::shared_ptr<ReplyBuffers>& aBuffers)
     : reply(aBuffers, [this] { bytes = 0; })
   {
   }
@@ -35,7 +35,8 @@
 
 TEST_GROUP(ReplyBuffers)
 {
-  ReplyBuffers buffers{ kMaxBytes };
+  std::shared_ptr<ReplyBuffers> buffers =
+    std::make_shared<ReplyBuffers>(kMaxBytes);
 };
 
 // Replies without an end, each within its own bound, exceeded the memory of the
@@ -43,7 +44,7 @@
 TEST(ReplyBuffers, TheSumIsBoundedHoweverManyGrow)
 {
   CHECK(rc::check([] {
-    ReplyBuffers all{ kMaxBytes };
+    const auto all = std::make_shared<ReplyBuffers>(kMaxBytes);
     std::vector<std::unique_ptr<Received>> replies;
     const auto steps = *rc::gen::container<std::vector<unsigned>>(
       rc::gen::inRange<unsigned>(0, 400));
@@ -60,7 +61,7 @@
       for (const auto& one : replies) {
         held += one->bytes;
       }
-      RC_ASSERT(held == all.Bytes());
+      RC_ASSERT(held == all->Bytes());
       RC_ASSERT(held <= kMaxBytes);
     }
   }));
@@ -94,5 +95,5 @@
     one.Add(kMaxBytes);
     CHECK_FALSE(one.reply.IsGivenUp());
   }
-  LONGS_EQUAL(0, buffers.Bytes());
+  LONGS_EQUAL(0, buffers->Bytes());
 }
--- a/src/jujubehead/node/forward/forward_state.hpp
+++ b/src/jujubehead/node/forward/forward_state.hpp
@@ -60,7 +60,8 @@
     , metrics(aMetrics)
     , log(aLog)
     , connector(aOptions, fleet, aMetrics)
-    , reply_buffers(aOptions.reply_buffer_bytes)
+    , reply_buffers(
+        std::make_shared<core::ReplyBuffers>(aOptions.reply_buffer_bytes))
     , poison(aOptions.poison)
     , random(std::random_device{}())
   {
@@ -296,7 +297,8 @@
   std::map<core::ModelId, core::DesiredWeights> wanted_weights;
   TargetFleet fleet;
   TargetConnector connector;
-  core::ReplyBuffers reply_buffers;
+  /// Shared with the replies, which may outlive this.
+  std::shared_ptr<core::ReplyBuffers> reply_buffers;
   bool shares_loads = false; ///< Whether other instances ask for loads.
   core::LoadReports pending_load_reports; ///< Not sent to them yet.
   core::PoisonRequests poison;
--- a/src/jujubehead/node/forward/target_exchange.cpp
+++ b/src/jujubehead/node/forward/target_exchange.cpp
@@ -19,7 +19,7 @@
 TargetExchange::TargetExchange(const asio::any_io_executor& aExecutor,
                                const HeaderCodec& aHeaderCodec,
                                TargetConnector& aConnector,
-                               core::ReplyBuffers& aBuffers,
+                               std::shared_ptr<core::ReplyBuffers> aBuffers,
                                std::shared_ptr<FleetTarget> aTarget,
                                core::Homes aHomes,
                                ExchangeOptions aOptions)
@@ -29,7 +29,7 @@
   , m_target(std::move(aTarget))
   , m_homes(std::move(aHomes))
   , m_options(std::move(aOptions))
-  , m_buffered(aBuffers, [this] { OnGivenUp(); })
+  , m_buffered(std::move(aBuffers), [this] { OnGivenUp(); })
 {
 }
 
--- a/src/jujubehead/node/forward/target_exchange.hpp
+++ b/src/jujubehead/node/forward/target_exchange.hpp
@@ -50,7 +50,7 @@
   TargetExchange(const boost::asio::any_io_executor& aExecutor,
                  const HeaderCodec& aHeaderCodec,
                  TargetConnector& aConnector,
-                 core::ReplyBuffers& aBuffers,
+                 std::shared_ptr<core::ReplyBuffers> aBuffers,
                  std::shared_ptr<FleetTarget> aTarget,
                  core::Homes aHomes,
                  ExchangeOptions aOptions);
