Tests: one way to put a raw target in place of a registered one

Three test files registered a RawTarget by the same lines. They call EntryDeployment::ReplaceTarget() now; RawTarget::WholeReplies(), which nothing called, is gone. The assertions are as they were.

--- a/standin/endless_reply_test.cpp
+++ b/standin/endless_reply_test.cpp
@@ -8,7 +8,6 @@
 #include "standin/raw_target.hpp"
 
 using namespace jujubehead;
-using nlohmann::json;
 using standin::EntryDeployment;
 using standin::RawReply;
 using standin::RawTarget;
@@ -51,13 +50,8 @@
     deployment = EntryDeployment::Start(
       { .targets = 1, .reply_buffer_bytes = reply_buffer_bytes });
     target = std::make_unique<RawTarget>(aReply);
-    for (const std::string name : { "model0", "service0" }) {
-      json entry = deployment->EntryOf(name);
-      entry["address"] = target->Authority();
-      deployment->PutRow("servers", name, nullptr);
-      deployment->PutRow("servers", "raw-" + name, entry);
-    }
-    CHECK(deployment->AwaitRead());
+    CHECK(deployment->ReplaceTarget("model0", target->Authority()));
+    CHECK(deployment->ReplaceTarget("service0", target->Authority()));
   }
   void teardown() override
   {
--- a/standin/entry_deployment.cpp
+++ b/standin/entry_deployment.cpp
@@ -358,6 +358,14 @@
     return entry;
   }
 
+  bool ReplaceTarget(const std::string& aName,
+                     const std::string& aAddress) override
+  {
+    PutRow("servers", aName, nullptr);
+    PutRow("servers", "raw-" + aName, EntryAt(aName, aAddress));
+    return AwaitRead();
+  }
+
   json Configuration() override
   {
     const json account = { { "name", "acme" },
--- a/standin/entry_deployment.hpp
+++ b/standin/entry_deployment.hpp
@@ -110,6 +110,11 @@
                           const std::string& aKey) = 0;
   /// @return the entry under which a target registers.
   virtual nlohmann::json EntryOf(const std::string& aName) = 0;
+  /// @brief Registers another address in place of a target, under the id
+  /// `raw-NAME`, and waits until the instances have read it.
+  /// @return whether they have.
+  virtual bool ReplaceTarget(const std::string& aName,
+                             const std::string& aAddress) = 0;
   /// @return the operator's configuration as it was first written.
   virtual nlohmann::json Configuration() = 0;
   /// @brief Waits until the instance has read all rows as they are now.
--- a/standin/http10_caller_test.cpp
+++ b/standin/http10_caller_test.cpp
@@ -11,7 +11,6 @@
 #include "standin/raw_target.hpp"
 
 using namespace jujubehead;
-using nlohmann::json;
 using standin::EntryDeployment;
 using standin::RawReply;
 using standin::RawTarget;
@@ -36,11 +35,7 @@
     reply.pieces = 20;
     reply.interval = aInterval;
     target = std::make_unique<RawTarget>(reply);
-    json entry = deployment->EntryOf("model0");
-    entry["address"] = target->Authority();
-    deployment->PutRow("servers", "model0", nullptr);
-    deployment->PutRow("servers", "raw", entry);
-    CHECK(deployment->AwaitRead());
+    CHECK(deployment->ReplaceTarget("model0", target->Authority()));
     caller.connect(
       { boost::asio::ip::address_v4::loopback(), deployment->CallerPort(0) });
     const std::string request =
--- a/standin/raw_target.cpp
+++ b/standin/raw_target.cpp
@@ -79,7 +79,6 @@
     is_open = co_await Write(aSocket, m_reply.piece);
     co_await Wait(m_reply.interval);
   }
-  m_whole_replies += is_open ? 1 : 0;
 }
 
 asio::awaitable<bool>
--- a/standin/raw_target.hpp
+++ b/standin/raw_target.hpp
@@ -38,8 +38,6 @@
   [[nodiscard]] std::string Authority() const; ///< `address:port`.
   /// @return bytes sent to all connections.
   [[nodiscard]] std::size_t SentBytes() const { return m_sent_bytes; }
-  /// @return requests whose reply was sent whole.
-  [[nodiscard]] std::size_t WholeReplies() const { return m_whole_replies; }
 
 private:
   boost::asio::awaitable<void> Accept();
@@ -52,7 +50,6 @@
   boost::asio::io_context m_context{ 1 };
   boost::asio::ip::tcp::acceptor m_acceptor;
   std::atomic<std::size_t> m_sent_bytes = 0;
-  std::atomic<std::size_t> m_whole_replies = 0;
   std::thread m_thread;
 };
 
--- a/standin/relayed_reply_test.cpp
+++ b/standin/relayed_reply_test.cpp
@@ -1,7 +1,6 @@
 #include <future> // for async
 #include <memory> // for unique_ptr
 #include <thread> // for sleep_for
-#include <vector> // for vector
 
 #include <CppUTest/TestHarness.h>    // for TEST
 #include <boost/asio/io_context.hpp> // for io_context
@@ -14,7 +13,6 @@
 #include "standin/raw_target.hpp"
 
 using namespace jujubehead;
-using nlohmann::json;
 using standin::EntryDeployment;
 using standin::EntryDeploymentOptions;
 using standin::RawReply;
@@ -54,7 +52,7 @@
   std::unique_ptr<EntryDeployment> deployment;
 
   /// Two instances before one target; the first has lost its path to it.
-  void Start(const RawReply& aReply, const char* aService)
+  void Start(const RawReply& aReply, const char* aTarget)
   {
     EntryDeploymentOptions options;
     options.targets = 1;
@@ -62,12 +60,7 @@
     options.has_path_views = true;
     deployment = EntryDeployment::Start(options);
     target = std::make_unique<RawTarget>(aReply);
-    const std::string name = std::string(aService) + "0";
-    json entry = deployment->EntryOf(name);
-    entry["address"] = target->Authority();
-    deployment->PutRow("servers", name, nullptr);
-    deployment->PutRow("servers", "raw", entry);
-    CHECK(deployment->AwaitRead());
+    CHECK(deployment->ReplaceTarget(aTarget, target->Authority()));
     deployment->SetCut(0, "reset");
   }
   void teardown() override
@@ -99,14 +92,14 @@
 // taken for the end of the reply: its caller got a part as the whole.
 TEST(RelayedReply, AStreamIsNotWholeWhenItsRelayEnds)
 {
-  Start(ReplyWithoutLength("text/event-stream"), "model");
+  Start(ReplyWithoutLength("text/event-stream"), "model0");
   const net::HttpResponse response = SendAndEndRelay("/chat/x");
   LONGS_EQUAL(0, response.status);
 }
 
 TEST(RelayedReply, APlainReplyIsNotWholeWhenItsRelayEnds)
 {
-  Start(ReplyWithoutLength(""), "service");
+  Start(ReplyWithoutLength(""), "service0");
   const net::HttpResponse response = SendAndEndRelay("/once/x");
   CHECK(response.status != kOk);
 }
@@ -115,13 +108,13 @@
 // of the reply.
 TEST(RelayedReply, ATunnelWithoutFramesIsResetWhenItsRelayEnds)
 {
-  Start(ReplyWithoutLength("text/event-stream"), "model");
+  Start(ReplyWithoutLength("text/event-stream"), "model0");
   boost::asio::io_context context;
   boost::asio::ip::tcp::socket tunnel(context);
   tunnel.connect(
     { boost::asio::ip::address_v4::loopback(), deployment->TunnelPort(1) });
   const std::string connect =
-    "CONNECT raw HTTP/1.1\r\nHost: raw\r\nTunnel-Target: raw\r\n\r\n";
+    "CONNECT raw HTTP/1.1\r\nHost: raw\r\nTunnel-Target: raw-model0\r\n\r\n";
   const std::string request =
     "POST /chat/x HTTP/1.1\r\nHost: raw\r\nContent-Length: 0\r\n\r\n";
   std::string received;
@@ -148,7 +141,7 @@
   for (std::size_t i = 0; i < kPieces; ++i) {
     whole += reply.piece;
   }
-  Start(reply, "model");
+  Start(reply, "model0");
   for (int i = 0; i < 10; ++i) {
     const auto response = Send("/chat/x", "r" + std::to_string(i));
     LONGS_EQUAL(kOk, response.status);
