Exchange: one place keeps the reason why a reply was given up

ReadMore() and Parse() each asked whether the reply was given up before they set an error. SetError() does it.

--- a/src/jujubehead/node/forward/target_exchange.cpp
+++ b/src/jujubehead/node/forward/target_exchange.cpp
@@ -86,23 +86,18 @@
 {
   const auto connection = m_connection;
   if (!connection) {
-    if (!m_buffered.IsGivenUp()) {
-      m_error = "connection closed";
-    }
+    SetError("connection closed");
     co_return false;
   }
   const error_code error = co_await connection->Read();
   if (!error) {
     co_return true;
   }
-  if (m_buffered.IsGivenUp()) {
-    co_return false;
-  }
   if (error == asio::error::eof && m_parser->PutEnd()) {
     m_is_clean = false;
     co_return true;
   }
-  m_error = "read: " + error.message();
+  SetError("read: " + error.message());
   co_return false;
 }
 
@@ -110,9 +105,7 @@
 TargetExchange::Parse()
 {
   if (!m_connection) {
-    if (!m_buffered.IsGivenUp()) {
-      m_error = "connection closed";
-    }
+    SetError("connection closed");
     return false;
   }
   std::string& input = m_connection->Input();
@@ -129,6 +122,14 @@
   return !m_buffered.IsGivenUp();
 }
 
+void
+TargetExchange::SetError(std::string aError)
+{
+  if (!m_buffered.IsGivenUp()) {
+    m_error = std::move(aError);
+  }
+}
+
 void
 TargetExchange::OnGivenUp()
 {
--- a/src/jujubehead/node/forward/target_exchange.hpp
+++ b/src/jujubehead/node/forward/target_exchange.hpp
@@ -112,6 +112,8 @@
 
   boost::asio::awaitable<bool> ReadMore();
   bool Parse();
+  /// @brief Keeps the reason for which the reply was given up, if it was.
+  void SetError(std::string aError);
   /// @brief Frees what is held of the reply, and breaks it.
   void OnGivenUp();
   void StartReply();
