Net: one function closes a connection with a reset

The tunnel, callers' sessions, the HTTP client and the stand-in's fault proxy each set the linger option and closed the socket; SetResetOnClose() did half of it again. They call CloseWithReset().

--- a/include/jujubehead/net/reset_on_close.hpp
+++ b/include/jujubehead/net/reset_on_close.hpp
@@ -13,6 +13,10 @@
 void
 SetResetOnClose(boost::asio::ip::tcp::socket& aSocket, bool aResets);
 
+/// @brief Closes a connection with a reset.
+void
+CloseWithReset(boost::asio::ip::tcp::socket& aSocket);
+
 } // namespace jujubehead::net
 
 #endif // JUJUBEHEAD_NET_RESET_ON_CLOSE_HPP
--- a/src/jujubehead/net/client_connection.cpp
+++ b/src/jujubehead/net/client_connection.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/buffer.hpp> // for buffer
 
+#include "jujubehead/net/reset_on_close.hpp" // for CloseWithReset
+
 namespace jujubehead::net {
 namespace {
 
@@ -22,10 +24,7 @@
   , deadline(aExecutor, [this] {
     timed_out = true;
     // What is still on its way must not arrive after the call was given up.
-    boost::system::error_code ignored;
-    stream.Socket().set_option(boost::asio::socket_base::linger(true, 0),
-                               ignored);
-    Close();
+    CloseWithReset(stream.Socket());
   })
 {
 }
--- a/src/jujubehead/net/reset_on_close.cpp
+++ b/src/jujubehead/net/reset_on_close.cpp
@@ -13,4 +13,12 @@
     aSocket.native_handle(), SOL_SOCKET, SO_LINGER, &value, sizeof(value));
 }
 
+void
+CloseWithReset(boost::asio::ip::tcp::socket& aSocket)
+{
+  SetResetOnClose(aSocket, true);
+  boost::system::error_code ignored;
+  aSocket.close(ignored);
+}
+
 } // namespace jujubehead::net
--- a/src/jujubehead/node/forward/caller_session.cpp
+++ b/src/jujubehead/node/forward/caller_session.cpp
@@ -404,10 +404,8 @@
 CallerSession::Abort()
 {
   m_keep_alive = false;
-  error_code ignored;
-  // A reset, so that a response without a length does not look complete.
-  m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
-  m_socket.close(ignored);
+  // So that a response without a length does not look complete.
+  net::CloseWithReset(m_socket);
 }
 
 } // namespace jujubehead::node
--- a/src/jujubehead/node/forward/tunnel_server.cpp
+++ b/src/jujubehead/node/forward/tunnel_server.cpp
@@ -14,7 +14,7 @@
 #include "jujubehead/net/http1/message_parser.hpp" // for MessageParser
 #include "jujubehead/net/http1/relay_frames.hpp"   // for RelayFrameHeader
 #include "jujubehead/net/http1/socket_reading.hpp" // for ReadAvailable
-#include "jujubehead/net/reset_on_close.hpp"       // for SetResetOnClose
+#include "jujubehead/net/reset_on_close.hpp"       // for CloseWithReset
 #include "jujubehead/net/timer.hpp"                // for Sleep
 #include "jujubehead/node/endpoint.hpp"            // for ReadEndpoint
 
@@ -37,14 +37,6 @@
   net::OutboundOptions{}.unacknowledged_timeout;
 constexpr std::size_t kChunkBytes = 8UL * 1024;
 
-void
-Reset(tcp::socket& aSocket)
-{
-  error_code ignored;
-  aSocket.set_option(asio::socket_base::linger(true, 0), ignored);
-  aSocket.close(ignored);
-}
-
 /// Relays bytes between an instance and a target until either side ends.
 ///
 /// Without frames, the instance takes the end of its connection for that of the
@@ -155,8 +147,8 @@
 
   void Close()
   {
-    Reset(m_instance);
-    Reset(m_target);
+    net::CloseWithReset(m_instance);
+    net::CloseWithReset(m_target);
   }
 
   tcp::socket m_instance;
--- a/standin/fault_proxy.cpp
+++ b/standin/fault_proxy.cpp
@@ -10,7 +10,8 @@
 #include <boost/asio/use_awaitable.hpp> // for use_awaitable
 #include <boost/asio/write.hpp>         // for async_write
 
-#include "standin/face.hpp" // for NowMs, Wait
+#include "jujubehead/net/reset_on_close.hpp" // for CloseWithReset
+#include "standin/face.hpp"                  // for NowMs, Wait
 
 namespace jujubehead::standin {
 namespace {
@@ -43,15 +44,6 @@
     aFrom.count(), aTo.count())(aRandom));
 }
 
-/// Closes a socket with a reset, not with the usual end of a connection.
-void
-Reset(tcp::socket& aSocket)
-{
-  boost::system::error_code ignored;
-  aSocket.set_option(asio::socket_base::linger(true, 0), ignored);
-  aSocket.close(ignored);
-}
-
 } // namespace
 
 struct FaultProxy::Connection
@@ -62,8 +54,8 @@
 
   void ResetBoth()
   {
-    Reset(caller);
-    Reset(upstream);
+    net::CloseWithReset(caller);
+    net::CloseWithReset(upstream);
   }
 };
 
@@ -207,7 +199,7 @@
     co_await aConnection->upstream.async_connect(m_upstream, kTuple);
   if (error) {
     CloseIfUpstreamIsGone();
-    Reset(aConnection->caller);
+    net::CloseWithReset(aConnection->caller);
     m_connections.erase(aConnection);
     co_return;
   }
