Serve: what is held for callers is bounded over all of them

What callers saw: many large bodies of legal size at once took a process over its memory, so that all calls at it ended.

Cause: limits stood for one request and none for their sum. Besides, a body was held several times (received, copied, as a message), a reply twice, and a JSON body of small values takes some forty times its text once parsed.

A request, its parsed body and its reply are reservations; without room, what makes no progress is revoked, the largest first, else the new demand is refused: 503, not run, with Retry-After. Header and body are written as two buffers; large blocks go back to the system.

--- a/include/jujubehead/net/api_error.hpp
+++ b/include/jujubehead/net/api_error.hpp
@@ -46,6 +46,10 @@
 HttpResponse
 Render(const ApiError& aError);
 
+/// @return the error for a request that there is no memory for: 503, not run.
+ApiError
+OverloadError();
+
 } // namespace jujubehead::net
 
 #endif // JUJUBEHEAD_NET_API_ERROR_HPP
--- a/include/jujubehead/net/http_client.hpp
+++ b/include/jujubehead/net/http_client.hpp
@@ -10,13 +10,17 @@
 #include <boost/asio/awaitable.hpp>  // for awaitable
 #include <boost/asio/io_context.hpp> // for io_context
 
-#include "jujubehead/core/runtime_clock.hpp" // for Duration
-#include "jujubehead/net/call_cancel.hpp"    // for CallCancel
-#include "jujubehead/net/http_message.hpp"   // for HttpHeaders, HttpResponse
-#include "jujubehead/net/tls.hpp"            // for TlsCredentials
+#include "jujubehead/core/overload/memory_budget.hpp" // for MemoryBudget
+#include "jujubehead/core/runtime_clock.hpp"          // for Duration
+#include "jujubehead/net/call_cancel.hpp"             // for CallCancel
+#include "jujubehead/net/http_message.hpp" // for HttpHeaders, HttpResponse
+#include "jujubehead/net/tls.hpp"          // for TlsCredentials
 
 namespace jujubehead::net {
 
+/// Usual limit of a reply's body, in bytes.
+inline constexpr std::size_t kMaxReplyBytes = 64UL * 1024 * 1024;
+
 /// @brief A call to make.
 struct HttpCall
 {
@@ -29,7 +33,9 @@
   /// The longest silence while waiting for the next bytes.
   core::Duration idle_timeout = std::chrono::seconds(30);
   /// The longest body that Fetch() takes; a longer one fails the call.
-  std::size_t reply_limit = 64UL * 1024 * 1024; ///< Bytes.
+  std::size_t reply_limit = kMaxReplyBytes;
+  /// Bounds what Fetch() holds of the reply; null: only the limit above does.
+  std::shared_ptr<core::MemoryBudget> memory = nullptr;
   /// Ends the call, and its stream, from outside; may be null.
   std::shared_ptr<CallCancel> cancel;
   /// Speaks TLS with these, on a connection that is not kept; null: plain.
@@ -67,6 +73,15 @@
   virtual void Cancel() = 0;
 };
 
+/// @brief Reads a whole body.
+/// @param aMemory bounds what is held of it meanwhile; may be null.
+/// @throws HttpCallError when it was cut off, is longer than `aLimit` bytes, or
+/// there is no memory for it.
+boost::asio::awaitable<std::string>
+ReadBody(HttpStream& aStream,
+         std::size_t aLimit,
+         std::shared_ptr<core::MemoryBudget> aMemory);
+
 /// @brief A client with kept-alive connections, on one io_context.
 /// Pooled connections that turn out closed before any byte of the reply are
 /// replaced by a new one only when nothing was written on them.
--- a/include/jujubehead/net/http_message.hpp
+++ b/include/jujubehead/net/http_message.hpp
@@ -1,6 +1,7 @@
 #ifndef JUJUBEHEAD_NET_HTTP_MESSAGE_HPP
 #define JUJUBEHEAD_NET_HTTP_MESSAGE_HPP
 
+#include <cstddef>     // for size_t
 #include <optional>    // for optional
 #include <string>      // for string
 #include <string_view> // for string_view
@@ -27,6 +28,10 @@
   [[nodiscard]] std::optional<std::string_view> Find(
     std::string_view aName) const;
   [[nodiscard]] const std::vector<HttpHeader>& Lines() const { return m_lines; }
+  /// @return bytes of the names and values.
+  [[nodiscard]] std::size_t TextBytes() const;
+  /// @return bytes of memory that the lines take.
+  [[nodiscard]] std::size_t HeldBytes() const;
 
 private:
   std::vector<HttpHeader> m_lines;
--- a/include/jujubehead/net/http_server.hpp
+++ b/include/jujubehead/net/http_server.hpp
@@ -2,7 +2,7 @@
 #define JUJUBEHEAD_NET_HTTP_SERVER_HPP
 
 #include <cstddef>    // for size_t
-#include <cstdint>    // for uint16_t
+#include <cstdint>    // for uint8_t, uint16_t
 #include <functional> // for function
 #include <memory>     // for unique_ptr, shared_ptr
 #include <string>     // for string
@@ -10,9 +10,10 @@
 #include <boost/asio/awaitable.hpp>  // for awaitable
 #include <boost/asio/io_context.hpp> // for io_context
 
-#include "jujubehead/core/runtime_clock.hpp" // for Duration
-#include "jujubehead/net/http_message.hpp"   // for HttpRequest, HttpResponse
-#include "jujubehead/net/tls.hpp"            // for TlsCredentials
+#include "jujubehead/core/overload/memory_budget.hpp" // for MemoryBudget
+#include "jujubehead/core/runtime_clock.hpp"          // for Duration
+#include "jujubehead/net/http_message.hpp" // for HttpRequest, HttpResponse
+#include "jujubehead/net/tls.hpp"          // for TlsCredentials
 
 namespace jujubehead::net {
 
@@ -43,6 +44,18 @@
   virtual void OnCallerGone(std::function<void()> aCallback) = 0;
   /// @brief Closes the connection now, without (the rest of) a reply.
   virtual void Close() = 0;
+  /// @brief Reserves memory for what the handler holds for the request, its
+  /// body included, in place of what was reserved before.
+  /// @return whether there is room.
+  virtual bool Reserve(std::size_t aBytes) = 0;
+};
+
+/// @brief A limit that a server met.
+enum class ServerLimit : std::uint8_t
+{
+  kMemory,          ///< A request was refused for want of memory.
+  kIdleConnection,  ///< A connection was closed to make room for another.
+  kConnectionCount, ///< A new connection was refused.
 };
 
 using HttpHandler = std::function<boost::asio::awaitable<void>(HttpExchange&)>;
@@ -61,6 +74,14 @@
   core::Duration write_timeout = std::chrono::seconds(120);
   /// Several servers on one port, one a traffic thread.
   bool reuse_port = false;
+  /// Bounds what the connections hold together; null: no limit.
+  std::shared_ptr<core::MemoryBudget> memory = nullptr;
+  std::size_t max_connections = 65536;
+  /// What the kernel keeps of a connection's bytes until they are read; 0: its
+  /// default.
+  std::size_t receive_buffer_bytes = 0;
+  /// Called for each request or connection that a limit concerns.
+  std::function<void(ServerLimit)> on_limit = [](ServerLimit) {};
   /// Speaks TLS with these; null: plain.
   std::shared_ptr<const TlsCredentials> tls = nullptr;
 };
--- a/include/jujubehead/node/forward/entry_options.hpp
+++ b/include/jujubehead/node/forward/entry_options.hpp
@@ -6,6 +6,7 @@
 #include <vector>  // for vector
 
 #include "jujubehead/core/ids.hpp"                     // for InstanceId
+#include "jujubehead/core/overload/capacity.hpp"       // for MachineLimits
 #include "jujubehead/core/routing/homes.hpp"           // for DataCentreRegions
 #include "jujubehead/core/routing/poison_requests.hpp" // for PoisonRequestsOptions
 #include "jujubehead/core/routing/reply_buffers.hpp" // for ReplyBuffers
@@ -15,6 +16,11 @@
 
 namespace jujubehead::node {
 
+/// Memory that an instance takes a machine to have at most unless it is told.
+inline constexpr std::size_t kDefaultEntryMemory = 256UL * 1024 * 1024;
+/// The usual limit of a process.
+inline constexpr std::size_t kDefaultDescriptors = 1024;
+
 /// @brief Settings of an instance that forwards callers' requests to targets.
 struct EntryOptions
 {
@@ -42,6 +48,8 @@
   double hedge_share = 0;
   /// Bytes held of incomplete replies, over all requests together.
   std::size_t reply_buffer_bytes = core::ReplyBuffers::kDefaultMaxBytes;
+  /// What the machine grants to this instance.
+  core::MachineLimits machine{ kDefaultEntryMemory, kDefaultDescriptors };
   core::TargetDirectoryOptions registry;
   core::PoisonRequestsOptions poison;
   /// Longest time between SIGTERM and exit.
--- a/include/jujubehead/node/metrics.hpp
+++ b/include/jujubehead/node/metrics.hpp
@@ -25,45 +25,48 @@
 /// @brief What is counted.
 enum class Counter : std::uint8_t
 {
-  kRequests,          ///< Taken from callers.
-  kAnswers,           ///< Answered whole.
-  kCallersGone,       ///< Callers that left before their answer's end.
-  kUnauthenticated,   ///< Requests without a valid key.
-  kBadRequests,       ///< Requests with a 4xx answer for their content.
-  kTokens,            ///< Sent to callers.
-  kPromptTokens,      ///< Of prompts, as the engines count them.
-  kCachedTokens,      ///< Of prompts: found in the engine's cache.
-  kImportedTokens,    ///< Of prompts: imported from a store.
-  kRecomputedTokens,  ///< Of prompts: computed again or for the first time.
-  kLinkBytes,         ///< Moved over the links of stores.
-  kRetries,           ///< Runs begun again elsewhere.
-  kResumes,           ///< Streams that went on elsewhere.
-  kClaims,            ///< Claims written for non-idempotent requests.
-  kDuplicates,        ///< Requests that found another's claim.
-  kTableChanges,      ///< Versions of the table that came in force here.
-  kServiceReads,      ///< Calls to the table service that read.
-  kServiceWrites,     ///< Calls to the table service that write.
-  kServiceFailures,   ///< Calls to the table service that failed.
-  kPassedOverTokens,  ///< Of the recomputed: a store's link was too busy.
-  kTargetRefusals,    ///< Requests that targets refused as not run.
-  kBrokenReplies,     ///< Replies of targets that broke off or were invalid.
-  kTargetCrashes,     ///< Targets that this instance found crashed.
-  kPushbacks,         ///< Refusals by targets that requested backoff.
-  kLimitedRefusals,   ///< Requests refused as all their targets are limited.
-  kBrittleRefusals,   ///< Requests refused as no share of brittle targets is
-                      ///< left.
-  kStreamsFound,      ///< Streams whose version another instance knew.
-  kStreamsUnknown,    ///< Streams refused as nobody knew their version.
-  kDrainingReplies,   ///< Replies of targets that say that they are leaving.
-  kTunnels,           ///< Connections to targets through other instances.
-  kTunnelsServed,     ///< The same, opened for other instances.
-  kPathChecks,        ///< Checks of paths to targets that did not respond.
-  kRoomRefusals,      ///< Requests refused as more urgent ones need the room.
-  kColdSends,         ///< Requests sent to cold targets.
-  kSecondSends,       ///< Slow requests sent to a second target.
-  kSecondSendsWon,    ///< Of these, the second target responded first.
-  kSecondSendsDenied, ///< Slow requests that were not sent again.
-  kTakeovers,         ///< Targets and stores that came to this instance.
+  kRequests,           ///< Taken from callers.
+  kAnswers,            ///< Answered whole.
+  kCallersGone,        ///< Callers that left before their answer's end.
+  kUnauthenticated,    ///< Requests without a valid key.
+  kBadRequests,        ///< Requests with a 4xx answer for their content.
+  kTokens,             ///< Sent to callers.
+  kPromptTokens,       ///< Of prompts, as the engines count them.
+  kCachedTokens,       ///< Of prompts: found in the engine's cache.
+  kImportedTokens,     ///< Of prompts: imported from a store.
+  kRecomputedTokens,   ///< Of prompts: computed again or for the first time.
+  kLinkBytes,          ///< Moved over the links of stores.
+  kRetries,            ///< Runs begun again elsewhere.
+  kResumes,            ///< Streams that went on elsewhere.
+  kClaims,             ///< Claims written for non-idempotent requests.
+  kDuplicates,         ///< Requests that found another's claim.
+  kTableChanges,       ///< Versions of the table that came in force here.
+  kServiceReads,       ///< Calls to the table service that read.
+  kServiceWrites,      ///< Calls to the table service that write.
+  kServiceFailures,    ///< Calls to the table service that failed.
+  kPassedOverTokens,   ///< Of the recomputed: a store's link was too busy.
+  kTargetRefusals,     ///< Requests that targets refused as not run.
+  kBrokenReplies,      ///< Replies of targets that broke off or were invalid.
+  kTargetCrashes,      ///< Targets that this instance found crashed.
+  kPushbacks,          ///< Refusals by targets that requested backoff.
+  kLimitedRefusals,    ///< Requests refused as all their targets are limited.
+  kBrittleRefusals,    ///< Requests refused as no share of brittle targets is
+                       ///< left.
+  kStreamsFound,       ///< Streams whose version another instance knew.
+  kStreamsUnknown,     ///< Streams refused as nobody knew their version.
+  kDrainingReplies,    ///< Replies of targets that say that they are leaving.
+  kTunnels,            ///< Connections to targets through other instances.
+  kTunnelsServed,      ///< The same, opened for other instances.
+  kPathChecks,         ///< Checks of paths to targets that did not respond.
+  kRoomRefusals,       ///< Requests refused as more urgent ones need the room.
+  kColdSends,          ///< Requests sent to cold targets.
+  kSecondSends,        ///< Slow requests sent to a second target.
+  kSecondSendsWon,     ///< Of these, the second target responded first.
+  kSecondSendsDenied,  ///< Slow requests that were not sent again.
+  kMemoryRefusals,     ///< Requests refused for want of memory.
+  kConnectionsClosed,  ///< Idle connections closed to make room for others.
+  kConnectionsRefused, ///< Connections of callers beyond the limit.
+  kTakeovers,          ///< Targets and stores that came to this instance.
 };
 
 /// @brief A value as of now, for the metrics page.
--- a/include/jujubehead/node/serve_options.hpp
+++ b/include/jujubehead/node/serve_options.hpp
@@ -5,11 +5,15 @@
 #include <memory>  // for shared_ptr
 #include <string>  // for string
 
-#include "jujubehead/core/ids.hpp" // for InstanceId, DataCentreId
-#include "jujubehead/net/tls.hpp"  // for TlsCredentials
+#include "jujubehead/core/ids.hpp"               // for InstanceId, DataCentreId
+#include "jujubehead/core/overload/capacity.hpp" // for MachineLimits
+#include "jujubehead/net/tls.hpp"                // for TlsCredentials
 
 namespace jujubehead::node {
 
+/// Memory that an instance takes a machine to have at most unless it is told.
+inline constexpr std::size_t kDefaultServeMemory = 1024UL * 1024 * 1024;
+
 /// @brief The settings of one instance, checked before it starts.
 struct ServeOptions
 {
@@ -24,9 +28,11 @@
   std::string object_store;  ///< `address:port`.
   std::string peer_secret;   ///< Shared by all instances.
   std::uint32_t traffic_threads = 1;
-  std::string ready_file;   ///< Written once the listeners are bound; may be
-                            ///< empty. JSON: `{"listen_port":N,"peer_port":N}`.
-  std::string log_config;   ///< A log4cxx configuration file; may be empty.
+  std::string ready_file; ///< Written once the listeners are bound; may be
+                          ///< empty. JSON: `{"listen_port":N,"peer_port":N}`.
+  std::string log_config; ///< A log4cxx configuration file; may be empty.
+  /// What the machine grants to this instance.
+  core::MachineLimits machine{ kDefaultServeMemory, 1024 };
   std::string operator_key; ///< Bearer key of operators' calls; may be empty.
   /// TLS with callers and operators; null: plain.
   std::shared_ptr<net::TlsCredentials> caller_tls = nullptr;
--- a/src/jujubehead/app/command_line.cpp
+++ b/src/jujubehead/app/command_line.cpp
@@ -1,9 +1,11 @@
 #include "command_line.hpp"
 
-#include <algorithm> // for any_of, find, find_if
+#include <algorithm> // for any_of, find, find_if, min
 #include <optional>  // for optional
 #include <utility>   // for move
 
+#include "jujubehead/node/machine_limits.hpp" // for ReadMachineLimits
+
 #include "command_specs.hpp"  // for FindCommandSpec
 #include "settings_check.hpp" // for SettingsCheck
 
@@ -20,6 +22,12 @@
 constexpr std::uint32_t kMinQuarantine = 2;
 constexpr std::uint32_t kMaxQuarantine = 3600;
 constexpr std::uint32_t kMaxMilliseconds = 3600 * 1000;
+constexpr std::size_t kMebibyte = 1024UL * 1024;
+/// Range of the memory, in MiB. With less, a body of legal size has no room.
+constexpr std::uint32_t kMinMemory = 64;
+constexpr std::uint32_t kMaxMemory = 1024 * 1024;
+constexpr std::uint32_t kMinDescriptors = 64;
+constexpr std::uint32_t kMaxDescriptors = 16 * 1024 * 1024;
 
 /// Builds commands from their flags and the one argument some of them take.
 class Builder
@@ -110,6 +118,7 @@
     options.log_config = m_check.ReadableFile("log_config", values.log_config);
     options.operator_key =
       m_check.LongEnough("operator_key", values.operator_key);
+    options.machine = Machine(node::kDefaultServeMemory);
     return options;
   }
 
@@ -133,6 +142,7 @@
     options.tunnel_address = m_check.Authority("tunnel", values.tunnel, false);
     options.regions = m_check.Regions("regions", values.regions);
     options.capacity = m_check.NotNegative("capacity", values.capacity);
+    options.machine = Machine(node::kDefaultEntryMemory);
     options.repeats.per_request =
       m_check.Share("retry_share", values.retry_share);
     options.hedge_share =
@@ -165,6 +175,24 @@
     return options;
   }
 
+  /// @param aMostMemory bytes of the machine's memory that are used at most
+  /// unless the setting says how many it has.
+  core::MachineLimits Machine(std::size_t aMostMemory)
+  {
+    core::MachineLimits limits = node::ReadMachineLimits();
+    limits.memory_bytes = std::min(limits.memory_bytes, aMostMemory);
+    if (m_values.memory != 0) {
+      limits.memory_bytes =
+        kMebibyte *
+        m_check.Range("memory", m_values.memory, kMinMemory, kMaxMemory);
+    }
+    if (m_values.descriptors != 0) {
+      limits.descriptors = m_check.Range(
+        "descriptors", m_values.descriptors, kMinDescriptors, kMaxDescriptors);
+    }
+    return limits;
+  }
+
   PlatformOptions Platform()
   {
     PlatformOptions options;
--- a/src/jujubehead/app/command_specs.cpp
+++ b/src/jujubehead/app/command_specs.cpp
@@ -21,7 +21,8 @@
         "peer_secret",    "peer_secret_file", "listen_certificate",
         "listen_key",     "peer_certificate", "peer_key",
         "peer_authority", "traffic_threads",  "ready_file",
-        "log_config",     "operator_key" },
+        "log_config",     "operator_key",     "memory",
+        "descriptors" },
       { "jujubehead serve --instance_id=i1 --data_centre=kochi-1 "
         "--listen_port=8080 --peer_port=8081 --members=10.0.0.1:7000 "
         "--table_service=10.0.0.1:7001 --object_store=10.0.0.1:7002 "
@@ -38,7 +39,7 @@
         "tunnel",      "regions",       "capacity",     "retry_share",
         "hedge_share", "retry_fixed",   "retry_window", "first_quarantine",
         "stop_grace",  "lease_time",    "weights_time", "weights_time_in_all",
-        "log_config" },
+        "log_config",  "memory",        "descriptors" },
       { "jujubehead entry --instance_id=i1 --data_centre=kochi-1 "
         "--callers=10.0.0.5:8080 --ready=10.0.0.5:8081 "
         "--table_service=10.0.0.1:7001" } },
--- a/src/jujubehead/app/flags.cpp
+++ b/src/jujubehead/app/flags.cpp
@@ -89,6 +89,16 @@
               "what this machine can bear against those of other instances, "
               "as its share of a core; instances with half of the most or "
               "more watch for the others; 0: not told");
+DEFINE_uint32(memory,
+              0,
+              "MiB of memory that this machine has for the instance; what is "
+              "held for callers is bounded by it; 0: the machine's, at most "
+              "256 for entry and 1024 for serve");
+DEFINE_uint32(descriptors,
+              0,
+              "files and sockets that the instance may have open; the "
+              "connections of callers are bounded by it; 0: the limit of the "
+              "process");
 DEFINE_double(retry_share,
               0.1,
               "requests sent once more, to one service, as a share of its "
@@ -202,6 +212,8 @@
   values.tunnel = FLAGS_tunnel;
   values.regions = FLAGS_regions;
   values.capacity = FLAGS_capacity;
+  values.memory = FLAGS_memory;
+  values.descriptors = FLAGS_descriptors;
   values.retry_share = FLAGS_retry_share;
   values.hedge_share = FLAGS_hedge_share;
   values.retry_fixed = FLAGS_retry_fixed;
--- a/src/jujubehead/app/flags.hpp
+++ b/src/jujubehead/app/flags.hpp
@@ -51,6 +51,8 @@
   std::string tunnel;
   std::string regions;
   double capacity = 0;
+  std::uint32_t memory = 0;
+  std::uint32_t descriptors = 0;
   double retry_share = 0;
   double hedge_share = 0;
   double retry_fixed = 0;
--- a/src/jujubehead/net/api_error.cpp
+++ b/src/jujubehead/net/api_error.cpp
@@ -50,4 +50,16 @@
   return response;
 }
 
+ApiError
+OverloadError()
+{
+  ApiError error;
+  error.status = 503;
+  error.message = "The memory for requests is in use; try again later.";
+  error.code = "overloaded";
+  error.run_state = RunState::kNotRun;
+  error.retry_after = std::chrono::seconds(1);
+  return error;
+}
+
 } // namespace jujubehead::net
--- a/src/jujubehead/net/http_client.cpp
+++ b/src/jujubehead/net/http_client.cpp
@@ -1,7 +1,9 @@
 #include "jujubehead/net/http_client.hpp"
 
+#include <array>    // for array
 #include <charconv> // for from_chars
-#include <utility>  // for move
+#include <optional> // for optional
+#include <utility>  // for exchange, move
 
 #include <boost/asio/as_tuple.hpp>      // for as_tuple
 #include <boost/asio/use_awaitable.hpp> // for use_awaitable
@@ -49,7 +51,7 @@
 }
 
 std::string
-MessageOf(const HttpCall& aCall)
+HeaderOf(const HttpCall& aCall)
 {
   if ((aCall.method + aCall.target).find_first_of(" \r\n") !=
       std::string::npos) {
@@ -67,7 +69,7 @@
   if (!aCall.body.empty() || aCall.method != "GET") {
     AppendLine(text, "Content-Length", std::to_string(aCall.body.size()));
   }
-  return text.append("\r\n").append(aCall.body);
+  return text.append("\r\n");
 }
 
 void
@@ -103,33 +105,28 @@
   asio::awaitable<HttpResponse> Fetch(HttpCall aCall) override
   {
     const std::size_t limit = aCall.reply_limit;
+    const auto memory = aCall.memory;
     const auto stream = co_await Open(std::move(aCall));
     HttpResponse response;
     response.status = stream->Status();
     response.headers = stream->Headers();
-    for (;;) {
-      const std::string_view bytes = co_await stream->ReadSome();
-      if (bytes.empty()) {
-        co_return response;
-      }
-      if (response.body.size() + bytes.size() > limit) {
-        throw HttpCallError("the reply is longer than allowed", true);
-      }
-      response.body += bytes;
-    }
+    response.body = co_await ReadBody(*stream, limit, memory);
+    co_return response;
   }
 
   asio::awaitable<std::unique_ptr<HttpStream>> Open(HttpCall aCall) override
   {
-    std::string message = MessageOf(aCall);
-    aCall.body = std::string();
+    std::string header = HeaderOf(aCall);
+    std::string body = std::exchange(aCall.body, std::string());
+    const Message message = { asio::buffer(header), asio::buffer(body) };
     auto connection = aCall.tls ? nullptr : m_pool->Take(aCall.authority);
     bool sent = connection && co_await SendOnPooled(aCall, message, connection);
     if (!sent) {
       connection = co_await Connect(aCall);
       co_await SendOn(aCall, message, connection, false);
     }
-    message = std::string();
+    header = std::string();
+    body = std::string();
     auto stream = std::make_unique<ClientStream>(
       m_pool, std::move(connection), std::move(aCall));
     co_await stream->ReadHead();
@@ -137,9 +134,11 @@
   }
 
 private:
+  using Message = std::array<asio::const_buffer, 2>; ///< Header and body.
+
   asio::awaitable<bool> SendOnPooled(
     const HttpCall& aCall,
-    std::string_view aMessage,
+    const Message& aMessage,
     const std::shared_ptr<ClientConnection>& aConnection)
   {
     co_return co_await SendOn(aCall, aMessage, aConnection, true);
@@ -183,15 +182,15 @@
   /// new connection may be tried.
   asio::awaitable<bool> SendOn(
     const HttpCall& aCall,
-    std::string_view aMessage,
+    const Message& aMessage,
     const std::shared_ptr<ClientConnection>& aConnection,
     bool aMayRetry)
   {
     CheckNotCancelled(aCall);
     LetCancelClose(aCall, aConnection);
     aConnection->deadline.Set(aCall.idle_timeout);
-    const auto [error, written] = co_await asio::async_write(
-      aConnection->stream, asio::buffer(aMessage), kTuple);
+    const auto [error, written] =
+      co_await asio::async_write(aConnection->stream, aMessage, kTuple);
     aConnection->deadline.Clear();
     if (!error) {
       co_return true;
@@ -210,6 +209,35 @@
 
 } // namespace
 
+asio::awaitable<std::string>
+ReadBody(HttpStream& aStream,
+         std::size_t aLimit,
+         std::shared_ptr<core::MemoryBudget> aMemory)
+{
+  std::string body;
+  std::optional<core::MemoryBudget::Reservation> held;
+  if (aMemory) {
+    held.emplace(
+      std::move(aMemory), core::MemoryBudget::Phase::kReceivingReply, [&] {
+        body = std::string();
+        aStream.Cancel();
+      });
+  }
+  for (;;) {
+    const std::string_view bytes = co_await aStream.ReadSome();
+    if (bytes.empty()) {
+      co_return body;
+    }
+    if (body.size() + bytes.size() > aLimit) {
+      throw HttpCallError("the reply is longer than allowed", true);
+    }
+    body += bytes;
+    if (held && !held->Resize(body.capacity(), core::RuntimeClock::now())) {
+      throw HttpCallError("the memory for replies is in use", true);
+    }
+  }
+}
+
 std::unique_ptr<HttpClient>
 HttpClient::Create(asio::io_context& aContext)
 {
--- a/src/jujubehead/net/http_connection.cpp
+++ b/src/jujubehead/net/http_connection.cpp
@@ -1,6 +1,7 @@
 #include "http_connection.hpp"
 
 #include <algorithm> // for max, min
+#include <iterator>  // for distance
 #include <utility>   // for exchange, move
 
 #include <boost/asio/as_tuple.hpp>      // for as_tuple
@@ -29,6 +30,10 @@
 /// How long a connection at rest stays open once the server stops accepting.
 constexpr core::Duration kDrainTime = std::chrono::seconds(1);
 
+/// Memory of a header line besides its text.
+constexpr std::size_t kHeaderLineBytes = 128;
+/// Memory to handle a request, besides its header and body.
+constexpr std::size_t kHandlingBytes = 32UL * 1024;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
@@ -89,6 +94,8 @@
 HttpConnection::ServeOne()
 {
   m_phase = Phase::kIdle;
+  m_idle_since = core::RuntimeClock::now();
+  m_held.reset();
   std::optional<ApiError> refusal = co_await ReadRequest();
   m_deadline.Clear();
   if (m_closed) {
@@ -111,6 +118,8 @@
 {
   const HttpServerOptions& options = m_shared->options;
   Parser parser;
+  m_body_bytes = 0;
+  m_header_lines = 0;
   parser.header_limit(static_cast<std::uint32_t>(options.header_limit));
   parser.body_limit(options.body_limit);
   parser.eager(true);
@@ -118,7 +127,13 @@
   bool needs_bytes = m_buffer.size() == 0;
   bool body_begun = false;
   while (!parser.is_done()) {
-    if (const Error error = co_await ParseMore(parser, needs_bytes)) {
+    const Error error = co_await ParseMore(parser, needs_bytes);
+    if (m_held && (m_held->IsRevoked() || !ReserveReceived(parser))) {
+      m_caller_gone = false; // It was this side that ended the read.
+      m_shared->options.on_limit(ServerLimit::kMemory);
+      co_return OverloadError();
+    }
+    if (error) {
       const bool between_requests = m_phase == Phase::kIdle;
       if (between_requests || m_caller_gone) {
         Close();
@@ -132,9 +147,74 @@
     }
   }
   TakeRequest(parser);
+  m_held->SetPhase(core::MemoryBudget::Phase::kHandling,
+                   core::RuntimeClock::now());
+  if (!Reserve(m_request.body.capacity())) {
+    co_return OverloadError();
+  }
   co_return std::nullopt;
 }
 
+bool
+HttpConnection::ReserveReceived(const Parser& aParser)
+{
+  const core::Instant now = core::RuntimeClock::now();
+  if (m_header_lines == 0 && aParser.is_header_done()) {
+    const auto& message = aParser.get();
+    m_header_lines =
+      static_cast<std::size_t>(std::distance(message.begin(), message.end()));
+  }
+  return m_held->Resize(aParser.get().body().capacity() + m_buffer.capacity() +
+                          m_header_lines * kHeaderLineBytes,
+                        now);
+}
+
+bool
+HttpConnection::Reserve(std::size_t aBytes)
+{
+  const HttpHeaders& headers = m_request.headers;
+  const bool has_room = m_held->Resize(
+    kHandlingBytes + headers.HeldBytes() + aBytes, core::RuntimeClock::now());
+  if (!has_room) {
+    m_shared->options.on_limit(ServerLimit::kMemory);
+  }
+  return has_room;
+}
+
+core::ConnectionState
+HttpConnection::State() const
+{
+  const bool is_receiving =
+    m_phase == Phase::kReading && m_held && !m_held->IsRevoked();
+  core::ConnectionState state;
+  state.is_idle = m_phase == Phase::kIdle && !m_closed;
+  state.has_sent_request = m_has_sent_request;
+  state.is_slow = is_receiving && m_held->IsSlow(core::RuntimeClock::now());
+  state.idle_since = m_idle_since;
+  return state;
+}
+
+void
+HttpConnection::Yield()
+{
+  if (m_held) {
+    m_held->Revoke();
+  } else {
+    Close();
+  }
+}
+
+void
+HttpConnection::OnRevoked()
+{
+  if (m_phase == Phase::kHandling) {
+    Close();
+    return;
+  }
+  Error ignored;
+  m_stream.Socket().cancel(ignored);
+}
+
 asio::awaitable<HttpConnection::Error>
 HttpConnection::ParseMore(Parser& aParser, bool& aNeedsBytes)
 {
@@ -146,10 +226,16 @@
   }
   if (m_phase == Phase::kIdle) {
     m_phase = Phase::kReading;
+    m_has_sent_request = true;
+    m_held.emplace(m_shared->options.memory,
+                   core::MemoryBudget::Phase::kReceiving,
+                   [this] { OnRevoked(); });
     m_deadline.Set(m_shared->options.header_timeout);
   }
   Error error;
-  m_buffer.consume(aParser.put(m_buffer.data(), error));
+  const std::size_t used = aParser.put(m_buffer.data(), error);
+  m_buffer.consume(used);
+  m_body_bytes += used;
   if (error == http::error::need_more) {
     error = {};
   }
@@ -175,6 +261,9 @@
   const auto space = m_buffer.prepare(std::max(kReadBytes, room));
   const auto [error, bytes] = co_await m_stream.async_read_some(space, kTuple);
   m_buffer.commit(bytes);
+  if (m_held) {
+    m_held->OnProgress(bytes, core::RuntimeClock::now());
+  }
   co_return error;
 }
 
@@ -236,6 +325,8 @@
   m_keep_alive = false;
   m_http_1_0 = false;
   m_request = {};
+  m_buffer = {};
+  m_held.reset();
   co_await Send(Render(aRefusal));
   co_await DiscardInput();
 }
--- a/src/jujubehead/net/http_connection.hpp
+++ b/src/jujubehead/net/http_connection.hpp
@@ -13,9 +13,10 @@
 #include "byte_stream.hpp"             // for ByteStream
 #include "jujubehead/net/deadline.hpp" // for Deadline
 
-#include "jujubehead/net/api_error.hpp"   // for ApiError
-#include "jujubehead/net/http_server.hpp" // for HttpExchange
-#include "jujubehead/net/timer.hpp"       // for Timer
+#include "jujubehead/core/overload/connection_choice.hpp" // for ConnectionState
+#include "jujubehead/net/api_error.hpp"                   // for ApiError
+#include "jujubehead/net/http_server.hpp"                 // for HttpExchange
+#include "jujubehead/net/timer.hpp"                       // for Timer
 
 namespace jujubehead::net {
 
@@ -52,6 +53,12 @@
   boost::asio::awaitable<void> EndStream() override;
   [[nodiscard]] bool HasStarted() const override;
   void OnCallerGone(std::function<void()> aCallback) override;
+  bool Reserve(std::size_t aBytes) override;
+
+  [[nodiscard]] core::ConnectionState State() const;
+  /// @brief Closes an idle connection, and rejects a request that makes no
+  /// progress, so that another connection may be served.
+  void Yield();
 
 private:
   using Parser =
@@ -70,13 +77,20 @@
   boost::asio::awaitable<bool> ServeOne();
   boost::asio::awaitable<std::optional<ApiError>> ReadRequest();
   boost::asio::awaitable<Error> ParseMore(Parser& aParser, bool& aNeedsBytes);
+  /// @brief Reserves memory for a request that is being received.
+  /// @return whether there is room.
+  bool ReserveReceived(const Parser& aParser);
+  void OnRevoked();
   boost::asio::awaitable<Error> Fill();
   boost::asio::awaitable<void> BeginBody(Parser& aParser);
   boost::asio::awaitable<void> Handle();
   boost::asio::awaitable<void> Refuse(ApiError aRefusal);
   boost::asio::awaitable<void> DiscardInput();
   /// @brief Writes m_out whole, and empties it.
-  boost::asio::awaitable<void> WriteOut();
+  /// @param aBody written after it.
+  boost::asio::awaitable<void> WriteOut(const std::string& aBody = {});
+  /// @brief Holds memory for a reply in place of its request.
+  void HoldReply(std::size_t aBytes);
   void BeginHead(unsigned aStatus, const HttpHeaders& aHeaders);
   void TakeRequest(Parser& aParser);
   void Watch();
@@ -90,6 +104,12 @@
   Deadline m_deadline;
   Timer m_watch_done; ///< Cancelled when the pending read of Watch() ends.
   Error m_watch_error;
+  /// From a request's first byte to the end of its reply.
+  std::optional<core::MemoryBudget::Reservation> m_held;
+  core::Instant m_idle_since = core::RuntimeClock::now();
+  std::uint64_t m_body_bytes = 0; ///< Received of a body, with its framing.
+  std::size_t m_header_lines = 0; ///< Of the request that is received.
+  bool m_has_sent_request = false;
   HttpRequest m_request;
   std::string m_out; ///< What is being written.
   std::function<void()> m_on_caller_gone;
--- a/src/jujubehead/net/http_message.cpp
+++ b/src/jujubehead/net/http_message.cpp
@@ -32,6 +32,22 @@
 
 } // namespace
 
+std::size_t
+HttpHeaders::TextBytes() const
+{
+  std::size_t bytes = 0;
+  for (const HttpHeader& line : m_lines) {
+    bytes += line.name.size() + line.value.size();
+  }
+  return bytes;
+}
+
+std::size_t
+HttpHeaders::HeldBytes() const
+{
+  return m_lines.capacity() * sizeof(HttpHeader) + TextBytes();
+}
+
 void
 HttpHeaders::Add(std::string_view aName, std::string_view aValue)
 {
--- a/src/jujubehead/net/http_reply.cpp
+++ b/src/jujubehead/net/http_reply.cpp
@@ -6,7 +6,7 @@
 
 #include <boost/asio/as_tuple.hpp>       // for as_tuple
 #include <boost/asio/use_awaitable.hpp>  // for use_awaitable
-#include <boost/asio/write.hpp>          // for async_write
+#include <boost/asio/write.hpp>          // for async_write, transfer_all
 #include <boost/beast/http/status.hpp>   // for obsolete_reason
 #include <boost/system/system_error.hpp> // for system_error
 
@@ -44,14 +44,24 @@
 } // namespace
 
 asio::awaitable<void>
-HttpConnection::WriteOut()
+HttpConnection::WriteOut(const std::string& aBody)
 {
   if (m_caller_gone || m_closed) {
     throw boost::system::system_error(asio::error::connection_reset);
   }
   m_deadline.Set(m_shared->options.write_timeout);
+  const std::array<asio::const_buffer, 2> buffers = { asio::buffer(m_out),
+                                                      asio::buffer(aBody) };
+  std::size_t reported = 0;
+  const auto on_progress = [&](const Error& aError, std::size_t aSize) {
+    if (m_held && aSize > reported) {
+      m_held->OnProgress(aSize - reported, core::RuntimeClock::now());
+      reported = aSize;
+    }
+    return asio::transfer_all()(aError, aSize);
+  };
   const auto [error, bytes] =
-    co_await asio::async_write(m_stream, asio::buffer(m_out), kTuple);
+    co_await asio::async_write(m_stream, buffers, on_progress, kTuple);
   m_deadline.Clear();
   m_out.clear();
   if (m_out.capacity() > kKeptOutBytes) {
@@ -93,6 +103,22 @@
   return std::exchange(m_request.body, {});
 }
 
+void
+HttpConnection::HoldReply(std::size_t aBytes)
+{
+  m_request.body = std::string();
+  if (!m_held) {
+    return; // A refusal, which is short.
+  }
+  const core::Instant now = core::RuntimeClock::now();
+  m_held->Resize(0, now);
+  m_held->SetPhase(core::MemoryBudget::Phase::kSendingReply, now);
+  if (!m_held->Resize(aBytes, now)) {
+    m_shared->options.on_limit(ServerLimit::kMemory);
+    Close();
+  }
+}
+
 asio::awaitable<void>
 HttpConnection::Send(HttpResponse aResponse)
 {
@@ -101,10 +127,11 @@
   BeginHead(aResponse.status, aResponse.headers);
   AppendLine(m_out, "Content-Length", std::to_string(aResponse.body.size()));
   m_out.append("\r\n");
-  if (m_request.method != "HEAD") {
-    m_out.append(aResponse.body);
+  if (m_request.method == "HEAD") {
+    aResponse.body.clear();
   }
-  co_await WriteOut();
+  HoldReply(aResponse.body.capacity());
+  co_await WriteOut(aResponse.body);
   FinishReply();
 }
 
--- a/src/jujubehead/net/http_server.cpp
+++ b/src/jujubehead/net/http_server.cpp
@@ -12,6 +12,7 @@
 
 #include "http_connection.hpp" // for HttpConnection
 
+
 #include "jujubehead/net/timer.hpp" // for Sleep
 
 namespace jujubehead::net {
@@ -20,6 +21,9 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
+/// More than any machine has.
+constexpr std::size_t kUnlimitedBytes = std::size_t(1) << 48U;
+
 /// The pause after a failed accept, most often for want of descriptors.
 constexpr core::Duration kAcceptPause = std::chrono::milliseconds(20);
 
@@ -37,6 +41,11 @@
   if (aOptions.reuse_port) {
     acceptor.set_option(ReusePort(true));
   }
+  if (aOptions.receive_buffer_bytes != 0) {
+    // Inherited by the connections that are accepted.
+    acceptor.set_option(asio::socket_base::receive_buffer_size(
+      static_cast<int>(aOptions.receive_buffer_bytes)));
+  }
   acceptor.bind(endpoint);
   acceptor.listen();
   return acceptor;
@@ -181,6 +190,10 @@
   tcp::acceptor acceptor = Bind(aContext, aOptions);
   auto shared = std::make_shared<HttpServerShared>();
   shared->options = std::move(aOptions);
+  if (!shared->options.memory) {
+    shared->options.memory =
+      std::make_shared<core::MemoryBudget>(kUnlimitedBytes);
+  }
   shared->handler = std::move(aHandler);
   auto listener =
     std::make_shared<Listener>(std::move(acceptor), std::move(shared));
--- a/src/jujubehead/node/completion_run.cpp
+++ b/src/jujubehead/node/completion_run.cpp
@@ -9,6 +9,7 @@
 
 #include "jujubehead/core/context_key.hpp"     // for ChainKeys, Salt
 #include "jujubehead/net/http_client.hpp"      // for HttpCall, HttpStream
+#include "jujubehead/net/json_memory.hpp"      // for JsonMemoryBound
 #include "jujubehead/net/openai_request.hpp"   // for CompletionRequest
 #include "jujubehead/net/sse_reader.hpp"       // for SseReader
 #include "jujubehead/node/attempts.hpp"        // for Attempts
@@ -29,6 +30,8 @@
 constexpr std::uint32_t kTokensPerBlock = kBlockBytes / kBytesPerToken;
 constexpr double kMicrosecondsPerSecond = 1e6;
 constexpr std::size_t kMinKeptBlocks = 4;
+/// Of a body's text: as received, its prompt, as sent to the target.
+constexpr std::size_t kTextCopies = 3;
 // A stream that is silent for longer is taken for broken.
 constexpr core::Duration kStreamSilence = std::chrono::seconds(30);
 // A whole answer says nothing until it is complete.
@@ -238,14 +241,8 @@
                                           net::HttpStream& aStream)
   {
     const unsigned status = aStream.Status();
-    std::string body;
-    for (;;) {
-      const std::string_view bytes = co_await aStream.ReadSome();
-      if (bytes.empty()) {
-        break;
-      }
-      body += bytes;
-    }
+    std::string body =
+      co_await net::ReadBody(aStream, net::kMaxReplyBytes, m_thread.memory);
     if (status >= kFirstServerError) {
       co_return Retry{ true, TargetFailed("status " + std::to_string(status)) };
     }
@@ -302,13 +299,8 @@
                                                net::HttpStream& aStream)
   {
     net::HttpResponse response;
-    for (;;) {
-      const std::string_view bytes = co_await aStream.ReadSome();
-      if (bytes.empty()) {
-        break;
-      }
-      response.body += bytes;
-    }
+    response.body =
+      co_await net::ReadBody(aStream, net::kMaxReplyBytes, m_thread.memory);
     Complete(aRun, UsageOf(response.body));
     response.headers.Add("Content-Type", "application/json");
     response.headers.Add("X-Request-Id", m_attempts.CurrentId().View());
@@ -435,6 +427,28 @@
   core::Instant m_last_token_at{};
 };
 
+/// @return the error, if there is no memory to parse the body and to send it.
+std::optional<net::ApiError>
+ReserveParsed(TrafficThread& aThread, net::HttpExchange& aExchange)
+{
+  const std::string& body = aExchange.Request().body;
+  // The fields that belong to the context's name are copied.
+  const std::size_t bytes =
+    2 * net::JsonMemoryBound(body) + kTextCopies * body.size();
+  if (aExchange.Reserve(bytes)) {
+    return std::nullopt;
+  }
+  net::ApiError error = net::OverloadError();
+  if (bytes > aThread.memory->MaxRequestBytes()) {
+    error.status = 413;
+    error.message = "The request takes " + std::to_string(bytes) +
+                    " bytes of memory, more than this instance has for one.";
+    error.code = "body_too_large";
+    error.retry_after.reset();
+  }
+  return error;
+}
+
 /// Takes the body away from the exchange: a long prompt is kept once, parsed.
 std::variant<net::CompletionRequest, net::ApiError>
 ParseBody(net::HttpExchange& aExchange)
@@ -450,6 +464,11 @@
                 net::HttpExchange& aExchange,
                 const Caller& aCaller)
 {
+  auto overload = ReserveParsed(aThread, aExchange);
+  if (overload) {
+    co_await SendError(aExchange, std::move(*overload));
+    co_return;
+  }
   auto parsed = ParseBody(aExchange);
   if (auto* error = std::get_if<net::ApiError>(&parsed)) {
     co_await SendError(aExchange, *error);
--- a/src/jujubehead/node/metrics.cpp
+++ b/src/jujubehead/node/metrics.cpp
@@ -235,6 +235,12 @@
     "Of these, those to which the second target responded first." },
   { "second_sends_denied_total",
     "Slow requests that were not sent to a second target." },
+  { "memory_refusals_total",
+    "Requests refused as the memory for requests and replies is in use." },
+  { "connections_closed_total",
+    "Idle connections of callers that were closed to make room for others." },
+  { "connections_refused_total",
+    "Connections refused as too many callers are connected." },
   { "takeovers_total", "Targets and stores that came to this instance." },
 } };
 
--- a/src/jujubehead/node/serve.cpp
+++ b/src/jujubehead/node/serve.cpp
@@ -10,10 +10,11 @@
 
 #include <nlohmann/json.hpp> // for json
 
-#include "jujubehead/net/timer.hpp"    // for Sleep
-#include "jujubehead/node/control.hpp" // for Control
-#include "jujubehead/node/log.hpp"     // for ConfigureLog, LogInfo
-#include "jujubehead/node/traffic.hpp" // for Traffic
+#include "jujubehead/net/timer.hpp"           // for Sleep
+#include "jujubehead/node/control.hpp"        // for Control
+#include "jujubehead/node/log.hpp"            // for ConfigureLog, LogInfo
+#include "jujubehead/node/machine_limits.hpp" // for ReturnLargeBlocks
+#include "jujubehead/node/traffic.hpp"        // for Traffic
 
 namespace jujubehead::node {
 namespace {
@@ -162,6 +163,7 @@
 Serve(const ServeOptions& aOptions)
 {
   ConfigureLog(aOptions.log_config);
+  ReturnLargeBlocks();
   try {
     const auto control = Control::Create(aOptions);
     const auto traffic = Traffic::Create(aOptions, *control);
--- a/src/jujubehead/node/service_run.cpp
+++ b/src/jujubehead/node/service_run.cpp
@@ -210,6 +210,7 @@
     call.body = request.body;
     call.idle_timeout = kServiceSilence;
     call.cancel = m_attempts.Cancel();
+    call.memory = m_thread.memory;
     return call;
   }
 
@@ -240,6 +241,12 @@
     co_await SendError(aExchange, std::move(unknown));
     co_return;
   }
+  // One copy is sent while the other is kept for another attempt.
+  if (!aExchange.Reserve(2 * aExchange.Request().body.capacity())) {
+    net::ApiError overload = net::OverloadError();
+    co_await SendError(aExchange, std::move(overload));
+    co_return;
+  }
   ServiceRun run(aThread, aExchange, aCaller, *row, path->rest);
   co_await run.Serve();
 }
--- a/src/jujubehead/node/traffic.cpp
+++ b/src/jujubehead/node/traffic.cpp
@@ -9,6 +9,7 @@
 #include "jujubehead/net/http_server.hpp"     // for HttpServer
 #include "jujubehead/net/random_text.hpp"     // for RandomText
 #include "jujubehead/node/front.hpp"          // for Front
+#include "jujubehead/node/log.hpp"            // for LogWarning
 #include "jujubehead/node/traffic_thread.hpp" // for TrafficThread
 
 namespace jujubehead::node {
@@ -16,7 +17,11 @@
 
 namespace asio = boost::asio;
 
+constexpr std::string_view kLogger = "traffic";
 constexpr std::size_t kRequestPrefixBytes = 9;
+constexpr std::size_t kReceiveBufferBytes = 64UL * 1024;
+/// Each refusal is counted; the log says that there are some.
+constexpr core::Duration kLimitLogInterval = std::chrono::seconds(1);
 
 /// One thread with its listener.
 class Worker
@@ -34,6 +39,11 @@
     server.port = aPort;
     server.reuse_port = true;
     server.tls = aOptions.caller_tls;
+    server.memory = m_thread_state.memory;
+    server.max_connections =
+      m_thread_state.capacity.callers / aOptions.traffic_threads;
+    server.receive_buffer_bytes = kReceiveBufferBytes;
+    server.on_limit = [this](net::ServerLimit aLimit) { OnLimit(aLimit); };
     m_server = net::HttpServer::Create(
       m_thread_state.context, server, [this](net::HttpExchange& aExchange) {
         return m_front.Handle(aExchange);
@@ -62,7 +72,33 @@
   }
 
 private:
+  void OnLimit(net::ServerLimit aLimit)
+  {
+    ThreadMetrics& metrics = m_thread_state.metrics;
+    if (aLimit == net::ServerLimit::kMemory) {
+      metrics.Add(Counter::kMemoryRefusals);
+      metrics.Refuse("memory", true);
+    } else {
+      metrics.Add(aLimit == net::ServerLimit::kIdleConnection
+                    ? Counter::kConnectionsClosed
+                    : Counter::kConnectionsRefused);
+    }
+    const core::Instant now = core::RuntimeClock::now();
+    if (now - m_limit_logged_at < kLimitLogInterval) {
+      return;
+    }
+    m_limit_logged_at = now;
+    LogWarning(kLogger,
+               "limit reached: requests hold " +
+                 std::to_string(m_thread_state.memory->Bytes()) + " of " +
+                 std::to_string(m_thread_state.memory->MaxBytes()) +
+                 " bytes, connections " +
+                 std::to_string(m_server->OpenConnections()) + " of " +
+                 std::to_string(m_thread_state.capacity.callers));
+  }
+
   TrafficThread m_thread_state;
+  core::Instant m_limit_logged_at{};
   Front m_front;
   asio::executor_work_guard<asio::io_context::executor_type> m_work;
   std::unique_ptr<net::HttpServer> m_server;
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/signal_set.hpp> // for signal_set
 #include <gflags/gflags.h>           // for DEFINE_string
 
+#include "standin/crowd.hpp"        // for Crowd
 #include "standin/face.hpp"         // for NowMs
 #include "standin/fault_proxy.hpp"  // for FaultProxy
 #include "standin/load_callers.hpp" // for LoadCallers
@@ -49,10 +50,15 @@
               "",
               "registered: gets a line for each request: Unix milliseconds, "
               "X-Attempt-Id, id of the target, service, body");
-DEFINE_string(upstream, "", "proxy, paths: `address:port` to relay to");
+DEFINE_string(upstream, "", "proxy, paths, crowd: `address:port` to call");
 DEFINE_int64(mean_calm_ms, 10000, "proxy: mean time between faults; 0: none");
 DEFINE_int64(max_fault_ms, 5000, "proxy: longest fault");
 DEFINE_string(instances, "", "callers: `address:port` of each, by comma");
+DEFINE_string(crowd, "", "crowd: its kind, see MakeCrowdScript()");
+DEFINE_uint64(clients, 40, "crowd: how many");
+DEFINE_uint64(body_bytes, 4U << 20U, "crowd: length of a body");
+DEFINE_string(path, "/", "crowd: of the requests");
+DEFINE_string(lines, "", "crowd: header lines of the requests, by |");
 DEFINE_double(requests_per_second, 20, "callers: without poison requests");
 DEFINE_double(poison_per_second, 0, "callers: copies of the poison request");
 DEFINE_string(poison, "", "callers: body of the poison request");
@@ -88,7 +94,7 @@
 constexpr const char* kUsage =
   "jujubehead-standin "
   "engine|store|table|objects|members|service|rows|parts|registered|proxy|"
-  "paths|callers [flags]";
+  "paths|callers|crowd [flags]";
 
 std::vector<std::string>
 SplitByComma(const std::string& aText)
@@ -304,6 +310,26 @@
   RunUntilSignal(context);
 }
 
+/// Its log, on standard output, says when all clients are at rest.
+void
+RunCrowd()
+{
+  CrowdOptions options;
+  options.server = FLAGS_upstream;
+  options.kind = FLAGS_crowd;
+  options.clients = FLAGS_clients;
+  options.body_bytes = FLAGS_body_bytes;
+  options.path = FLAGS_path;
+  std::istringstream lines(FLAGS_lines);
+  for (std::string line; std::getline(lines, line, '|');) {
+    options.lines += line + "\r\n";
+  }
+  asio::io_context context(1);
+  Crowd crowd(context, options, std::cout);
+  crowd.Start();
+  RunUntilSignal(context);
+}
+
 /// Their log, on standard output, has the requests.
 void
 RunCallers()
@@ -329,6 +355,10 @@
     RunCallers();
     return;
   }
+  if (aKind == "crowd") {
+    RunCrowd();
+    return;
+  }
   asio::io_context context(1);
   StandIn stand_in = Create(context, aKind);
   stand_in.SetOnCrash([] { std::_Exit(kCrashStatus); });
