Entry: what is held for callers is bounded over all of them

What callers saw: a process ended for want of memory under clients that send many bodies of legal size at once, whole or piece by piece, most stopping just short of their end; all calls at it ended with it.

Cause: each request had a limit, their sum had none. A body was copied for each send to a target, a growing one has up to twice its length, short header lines take twenty times their text, and a connection at rest kept the room of its last input. Replies had 64 MB beside that, more than the smallest machines can spare.

Targets are sent the one copy of the body. Memory for a declared length is taken at the header, so that a request without room is refused, not run, with Retry-After, before it sends its body.

--- a/include/jujubehead/net/http1/outbound_connection.hpp
+++ b/include/jujubehead/net/http1/outbound_connection.hpp
@@ -56,7 +56,9 @@
     boost::asio::ip::tcp::endpoint aEndpoint);
   /// @brief Begins to send a message; does not wait. Its failure shows when
   /// reading.
-  void Send(std::string aMessage);
+  /// @param aBody sent after it; kept until it is written. May be null.
+  void Send(std::string aMessage,
+            std::shared_ptr<const std::string> aBody = nullptr);
   /// @brief Waits for bytes and appends them to Input().
   /// @return the error; `eof` when the target ended in order.
   boost::asio::awaitable<boost::system::error_code> Read();
@@ -69,8 +71,10 @@
   void Close();
 
   [[nodiscard]] std::string& Input() { return m_input; }
+  /// @brief Frees the room of an empty Input(), for a connection at rest.
+  void ShrinkInput();
   /// @return whether all that was sent is written.
-  [[nodiscard]] bool IsSent() const { return m_unsent.empty(); }
+  [[nodiscard]] bool IsSent() const { return m_is_sent; }
   /// @return whether nothing came, and no end, while nothing was asked.
   [[nodiscard]] bool IsAtRest();
 
@@ -87,6 +91,8 @@
   boost::asio::ip::tcp::socket m_socket;
   std::string m_input;
   std::string m_unsent;
+  std::shared_ptr<const std::string> m_unsent_body;
+  bool m_is_sent = true;
   RelayMode m_relay_mode = RelayMode::kNone;
   RelayFrameReader m_frames; ///< Only with RelayMode::kFramed.
 };
--- a/include/jujubehead/node/forward/entry_options.hpp
+++ b/include/jujubehead/node/forward/entry_options.hpp
@@ -9,7 +9,6 @@
 #include "jujubehead/core/overload/capacity.hpp"       // for MachineLimits
 #include "jujubehead/core/routing/homes.hpp"           // for DataCentreRegions
 #include "jujubehead/core/routing/poison_requests.hpp" // for PoisonRequestsOptions
-#include "jujubehead/core/routing/reply_buffers.hpp" // for ReplyBuffers
 #include "jujubehead/core/routing/target_directory.hpp" // for TargetDirectoryOptions
 #include "jujubehead/core/routing/windowed_retry_budget.hpp" // for WindowedRetryBudgetOptions
 #include "jujubehead/core/runtime_clock.hpp"                 // for Duration
@@ -46,8 +45,6 @@
   /// Requests sent to a second target when the first is slow, as a share of
   /// those of a service; 0: none.
   double hedge_share = 0;
-  /// Bytes held of incomplete replies, over all requests together.
-  std::size_t reply_buffer_bytes = core::ReplyBuffers::kDefaultMaxBytes;
   /// What the machine grants to this instance.
   core::MachineLimits machine{ kDefaultEntryMemory, kDefaultDescriptors };
   core::TargetDirectoryOptions registry;
--- a/src/jujubehead/net/http1/outbound_connection.cpp
+++ b/src/jujubehead/net/http1/outbound_connection.cpp
@@ -3,6 +3,7 @@
 #include <netinet/tcp.h> // for TCP_USER_TIMEOUT
 #include <sys/socket.h>  // for setsockopt
 
+#include <array>   // for array
 #include <utility> // for move, exchange
 
 #include <boost/asio/as_tuple.hpp>      // for as_tuple
@@ -27,6 +28,8 @@
 constexpr int kProbeAfterSeconds = 1;
 constexpr int kProbeEverySeconds = 1;
 constexpr int kProbesInVain = 2;
+/// Room for input that a connection at rest keeps.
+constexpr std::size_t kMaxRestingInput = 4UL * 1024;
 
 void
 SetTcpOption(int aSocket, int aName, int aValue)
@@ -88,16 +91,23 @@
 }
 
 void
-OutboundConnection::Send(std::string aMessage)
+OutboundConnection::Send(std::string aMessage,
+                         std::shared_ptr<const std::string> aBody)
 {
   m_unsent = std::move(aMessage);
+  m_unsent_body = std::move(aBody);
+  m_is_sent = false;
+  std::array<asio::const_buffer, 2> buffers{ asio::buffer(m_unsent), {} };
+  if (m_unsent_body) {
+    buffers[1] = asio::buffer(*m_unsent_body);
+  }
   asio::async_write(
     m_socket,
-    asio::buffer(m_unsent),
+    buffers,
     [self = shared_from_this()](const error_code& aError, std::size_t) {
-      if (!aError) {
-        self->m_unsent = std::string();
-      }
+      self->m_unsent = std::string();
+      self->m_unsent_body.reset();
+      self->m_is_sent = !aError;
     });
 }
 
@@ -157,6 +167,14 @@
   return std::move(m_socket);
 }
 
+void
+OutboundConnection::ShrinkInput()
+{
+  if (m_input.empty() && m_input.capacity() > kMaxRestingInput) {
+    m_input = std::string();
+  }
+}
+
 void
 OutboundConnection::Close()
 {
--- a/src/jujubehead/node/entry.cpp
+++ b/src/jujubehead/node/entry.cpp
@@ -12,6 +12,7 @@
 #include "jujubehead/node/control/store_relay.hpp" // for StoreRelay
 #include "jujubehead/node/endpoint.hpp"            // for ReadEndpoint
 #include "jujubehead/node/log.hpp"                 // for ConfigureLog, LogError
+#include "jujubehead/node/machine_limits.hpp"      // for ReturnLargeBlocks
 #include "jujubehead/node/metrics.hpp"             // for Metrics
 
 #include "control/entry_control.hpp" // for EntryControl
@@ -31,6 +32,9 @@
 constexpr core::Duration kEndMargin = std::chrono::milliseconds(400);
 constexpr core::Duration kPollTime = std::chrono::milliseconds(50);
 
+/// Requests to the pages for health and metrics have no body.
+constexpr std::size_t kPageBodyBytes = 1024;
+
 net::HttpServerOptions
 ServerAt(const std::string& aAddress)
 {
@@ -50,6 +54,8 @@
            const MakePlatform& aMakePlatform)
     : m_options(aOptions)
     , m_metrics(Metrics::Create())
+    , m_capacity(core::CapacityOf(aOptions.machine))
+    , m_memory(std::make_shared<core::MemoryBudget>(m_capacity.control_bytes))
     , m_forwarder(aOptions, aHeaderCodec, *m_metrics)
     , m_paths(aOptions.table_service, aOptions.instance_id.Text())
     , m_control(m_context,
@@ -62,19 +68,19 @@
   {
     m_ready = net::HttpServer::Create(
       m_context,
-      ServerAt(aOptions.ready_address),
+      PageAt(aOptions.ready_address),
       [this](net::HttpExchange& aExchange) { return TellReady(aExchange); });
     if (!aOptions.relay_address.empty()) {
       m_relay_door =
         net::HttpServer::Create(m_context,
-                                ServerAt(aOptions.relay_address),
+                                RelayAt(aOptions.relay_address),
                                 [this](net::HttpExchange& aExchange) {
                                   return HandleInstance(aExchange);
                                 });
     }
     if (!aOptions.metrics_address.empty()) {
       m_pages = net::HttpServer::Create(m_context,
-                                        ServerAt(aOptions.metrics_address),
+                                        PageAt(aOptions.metrics_address),
                                         [this](net::HttpExchange& aExchange) {
                                           return TellMetrics(aExchange);
                                         });
@@ -91,6 +97,39 @@
   }
 
 private:
+  /// @return options of a page for health or metrics.
+  [[nodiscard]] net::HttpServerOptions PageAt(const std::string& aAddress)
+  {
+    net::HttpServerOptions options = ServerAt(aAddress);
+    options.body_limit = kPageBodyBytes;
+    options.max_connections = m_capacity.probes;
+    LimitMemory(options);
+    return options;
+  }
+
+  [[nodiscard]] net::HttpServerOptions RelayAt(const std::string& aAddress)
+  {
+    net::HttpServerOptions options = ServerAt(aAddress);
+    options.max_connections = m_capacity.instances;
+    LimitMemory(options);
+    return options;
+  }
+
+  void LimitMemory(net::HttpServerOptions& aOptions)
+  {
+    aOptions.memory = m_memory;
+    aOptions.on_limit = [this](net::ServerLimit aLimit) {
+      m_control_metrics.Add(aLimit == net::ServerLimit::kMemory
+                              ? Counter::kMemoryRefusals
+                            : aLimit == net::ServerLimit::kIdleConnection
+                              ? Counter::kConnectionsClosed
+                              : Counter::kConnectionsRefused);
+      m_log.Write(LogLine("control_limit")
+                    .Add("held", std::uint64_t(m_memory->Bytes()))
+                    .Add("limit", std::uint64_t(m_memory->MaxBytes())));
+    };
+  }
+
   /// A question of another instance.
   asio::awaitable<void> HandleInstance(net::HttpExchange& aExchange)
   {
@@ -119,6 +158,12 @@
     gauge("jujubehead_open_requests",
           "Requests under way.",
           static_cast<double>(m_forwarder.OpenRequests()));
+    gauge("jujubehead_caller_connections",
+          "Open connections of callers.",
+          static_cast<double>(m_forwarder.CallerConnectionCount()));
+    gauge("jujubehead_held_bytes",
+          "Memory that requests and replies hold, in bytes.",
+          static_cast<double>(m_forwarder.HeldBytes()));
     gauge("jujubehead_configuration_version",
           "Version of the declarations in force.",
           static_cast<double>(m_control.ConfigurationVersion()));
@@ -216,6 +261,11 @@
   const EntryOptions& m_options;
   asio::io_context m_context{ 1 };
   std::unique_ptr<Metrics> m_metrics;
+  ThreadMetrics& m_control_metrics = m_metrics->ForThread();
+  DecisionLog m_log; ///< Of the control thread.
+  core::Capacity m_capacity;
+  /// Of other instances' calls.
+  std::shared_ptr<core::MemoryBudget> m_memory;
   Forwarder m_forwarder;
   core::StorePaths m_paths;
   EntryControl m_control;
@@ -235,6 +285,7 @@
          const MakePlatform& aMakePlatform)
 {
   ConfigureLog(aOptions.log_config, LogStream::kOut);
+  ReturnLargeBlocks();
   try {
     Instance instance(aOptions, aHeaderCodec, aMakePlatform);
     DecisionLog::WriteUnthrottled(
--- a/src/jujubehead/node/forward/caller_session.cpp
+++ b/src/jujubehead/node/forward/caller_session.cpp
@@ -1,16 +1,16 @@
 #include "caller_session.hpp"
 
-#include <array>    // for array
-#include <charconv> // for to_chars
-#include <utility>  // for move
+#include <algorithm> // for min
+#include <array>     // for array
+#include <charconv>  // for to_chars
+#include <utility>   // for move
 
 #include <boost/asio/as_tuple.hpp>      // for as_tuple
 #include <boost/asio/buffer.hpp>        // for buffer
 #include <boost/asio/co_spawn.hpp>      // for co_spawn
 #include <boost/asio/detached.hpp>      // for detached
 #include <boost/asio/use_awaitable.hpp> // for use_awaitable
-#include <boost/asio/write.hpp>         // for async_write
-#include <boost/beast/core/string.hpp>  // for iequals
+#include <boost/asio/write.hpp>         // for async_write, transfer_all
 #include <boost/beast/http/status.hpp>  // for obsolete_reason
 
 #include "jujubehead/net/deadline.hpp"             // for Deadline
@@ -27,25 +27,14 @@
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 
 constexpr unsigned kHttp10 = 10;
-constexpr unsigned kRequestTimeout = 408;
 constexpr int kHexadecimal = 16;
 /// Bytes read from a caller during a response; more stays in the socket.
-constexpr std::size_t kMaxReadAhead = 64UL * 1024;
+constexpr std::size_t kMaxReadAhead = 16UL * 1024;
+/// A connection between two requests keeps no more room for input.
+constexpr std::size_t kMaxIdleInput = 4UL * 1024;
 /// A caller that has not accepted written data for this long counts as
 /// disconnected.
 constexpr core::Duration kWriteTimeout = std::chrono::seconds(20);
-/// Time for a caller to read a rejection before the connection is closed.
-constexpr core::Duration kLingerTime = std::chrono::milliseconds(500);
-/// Longest wait for more of a body: callers send bodies within a few round
-/// trips.
-constexpr core::Duration kBodyTimeout = std::chrono::seconds(10);
-
-bool
-DeclaresBody(const net::HttpHeaders& aHeaders)
-{
-  return aHeaders.Find("Content-Length") || aHeaders.Find("Transfer-Encoding");
-}
-
 void
 AppendHexadecimal(std::string& aText, std::size_t aNumber)
 {
@@ -64,12 +53,12 @@
   error_code ignored;
   m_socket.set_option(tcp::no_delay(true), ignored);
   m_socket.non_blocking(true, ignored);
-  m_handler.OnSessionBegin(*this);
+  m_handler.Connections().Add(*this);
 }
 
 CallerSession::~CallerSession()
 {
-  m_handler.OnSessionEnd(*this);
+  m_handler.Connections().Remove(*this);
 }
 
 void
@@ -104,136 +93,27 @@
     m_on_disconnect = nullptr;
     m_stream_begun = false;
     m_request = {};
+    m_held.reset();
+    m_idle_since = core::RuntimeClock::now();
+    if (m_input.empty() && m_input.capacity() > kMaxIdleInput) {
+      m_input = std::string();
+    }
   }
   error_code ignored;
   m_socket.shutdown(tcp::socket::shutdown_send, ignored);
   m_socket.close(ignored);
 }
 
-asio::awaitable<bool>
-CallerSession::ReadMore(core::Duration aTimeout)
-{
-  const auto self = shared_from_this();
-  net::Deadline deadline(Executor(), [self] {
-    error_code ignored;
-    self->m_socket.cancel(ignored);
-  });
-  deadline.Set(aTimeout);
-  for (;;) {
-    const error_code now = net::ReadAvailable(m_socket, m_input);
-    if (now != asio::error::would_block) {
-      co_return !now;
-    }
-    const auto [error] =
-      co_await m_socket.async_wait(tcp::socket::wait_read, kTuple);
-    if (error) {
-      // Data that arrived just before is still used.
-      co_return !net::ReadAvailable(m_socket, m_input);
-    }
-  }
-}
-
 void
 CallerSession::CloseIfIdle()
 {
   if (!m_is_handling && m_request.received_at == core::Instant{}) {
+    m_is_closing = true;
     error_code ignored;
     m_socket.cancel(ignored);
   }
 }
 
-asio::awaitable<bool>
-CallerSession::AllowBody(const net::MessageParser& aParser)
-{
-  const auto expects = aParser.Head().headers.Find("Expect");
-  if (!expects || !boost::beast::iequals(*expects, "100-continue")) {
-    co_return true;
-  }
-  std::string line = "HTTP/1.1 100 Continue\r\n\r\n";
-  co_return co_await Write(std::move(line));
-}
-
-asio::awaitable<bool>
-CallerSession::ReadRequest()
-{
-  const core::CallerLimits limits = m_handler.Limits();
-  const auto parser =
-    net::MessageParser::ForRequest({ limits.header_bytes, limits.body_bytes });
-  std::string fault;
-  unsigned status = 0;
-  bool has_head = false;
-  while (!parser->IsWhole()) {
-    try {
-      if (!m_input.empty()) {
-        if (m_request.received_at == core::Instant{}) {
-          m_request.received_at = core::RuntimeClock::now();
-        }
-        m_input.erase(0, parser->Put(m_input, m_request.body));
-      }
-    } catch (const net::MessageError& error) {
-      fault = error.what();
-      status = error.Status();
-    }
-    if (status != 0) {
-      co_await Reject(status, fault);
-      co_return false;
-    }
-    if (parser->IsWhole()) {
-      break;
-    }
-    if (parser->HasHead() && !has_head) {
-      has_head = true;
-      const bool allowed = co_await AllowBody(*parser);
-      if (!allowed) {
-        co_return false;
-      }
-    }
-    const bool has_begun = m_request.received_at != core::Instant{};
-    const core::Duration timeout = parser->HasHead() ? kBodyTimeout
-                                   : has_begun       ? limits.header_timeout
-                                                     : limits.idle_timeout;
-    const bool more = co_await ReadMore(timeout);
-    if (!more) {
-      if (has_begun && m_socket.is_open()) {
-        co_await Reject(kRequestTimeout, "request not received in time");
-      }
-      co_return false;
-    }
-  }
-  m_request.head = parser->Head();
-  m_request.has_body = DeclaresBody(m_request.head.headers);
-  m_keep_alive = parser->KeepsAlive();
-  co_return true;
-}
-
-asio::awaitable<void>
-CallerSession::Reject(unsigned aStatus, std::string aDetail)
-{
-  m_handler.OnRejected(aDetail, aStatus);
-  m_keep_alive = false;
-  FullResponse response;
-  response.status = aStatus;
-  response.headers.Add("Content-Type", "text/plain");
-  response.body = std::move(aDetail) + '\n';
-  const bool written = co_await SendResponse(std::move(response));
-  if (written) {
-    co_await Linger();
-  }
-}
-
-asio::awaitable<void>
-CallerSession::Linger()
-{
-  error_code ignored;
-  m_socket.shutdown(tcp::socket::shutdown_send, ignored);
-  bool more = true;
-  const auto until = core::RuntimeClock::now() + kLingerTime;
-  while (more && core::RuntimeClock::now() < until) {
-    m_input.clear();
-    more = co_await ReadMore(kLingerTime);
-  }
-}
-
 void
 CallerSession::OnDisconnect(std::function<void()> aCallback)
 {
@@ -276,6 +156,13 @@
     NotifyDisconnect();
     return;
   }
+  // What is not read stays in the socket's buffer, up to its size.
+  const std::size_t unread =
+    m_input.size() < kMaxReadAhead ? 0 : kReceiveBufferBytes;
+  if (m_held && !Resize(HandledBytes() + unread)) {
+    Cancel();
+    return;
+  }
   WatchForDisconnect();
 }
 
@@ -306,18 +193,18 @@
 }
 
 asio::awaitable<bool>
-CallerSession::SendResponse(FullResponse aResponse)
+CallerSession::SendResponse(FullResponse aResponse,
+                            core::MemoryBudget::Reservation* aHeld)
 {
   std::string text =
     FormatHead(aResponse.status, aResponse.reason, aResponse.headers);
-  const bool sends_body = m_request.head.method != "HEAD";
   text.append("Content-Length: ")
     .append(std::to_string(aResponse.body.size()))
     .append("\r\n\r\n");
-  if (sends_body) {
-    text.append(aResponse.body);
+  if (m_request.head.method == "HEAD") {
+    aResponse.body.clear();
   }
-  co_return co_await Write(std::move(text));
+  co_return co_await Write(std::move(text), aResponse.body, aHeld);
 }
 
 void
@@ -366,14 +253,22 @@
 }
 
 asio::awaitable<bool>
-CallerSession::Write(std::string aBytes)
+CallerSession::Write(std::string aBytes,
+                     const std::string& aBody,
+                     core::MemoryBudget::Reservation* aHeld)
 {
   if (m_disconnected || !m_socket.is_open()) {
     co_return false;
   }
+  const auto rest = [&](std::size_t aWritten) {
+    const std::size_t first = std::min(aWritten, aBytes.size());
+    const std::size_t second = aWritten - first;
+    return std::array<asio::const_buffer, 2>{ asio::buffer(aBytes) + first,
+                                              asio::buffer(aBody) + second };
+  };
   error_code error;
-  std::size_t written = m_socket.write_some(asio::buffer(aBytes), error);
-  if (!error && written == aBytes.size()) {
+  const std::size_t written = m_socket.write_some(rest(0), error);
+  if (!error && written == aBytes.size() + aBody.size()) {
     co_return true;
   }
   if (error && error != asio::error::would_block) {
@@ -383,10 +278,17 @@
   const auto self = shared_from_this();
   net::Deadline deadline(Executor(), [self] { self->Abort(); });
   deadline.Set(kWriteTimeout);
-  const auto [failure, rest] = co_await asio::async_write(
-    m_socket,
-    asio::buffer(aBytes.data() + written, aBytes.size() - written),
-    kTuple);
+  std::size_t reported = 0;
+  const auto on_progress = [&](const error_code& aError, std::size_t aSize) {
+    if (aHeld != nullptr && aSize > reported) {
+      aHeld->OnProgress(aSize - reported, core::RuntimeClock::now());
+      reported = aSize;
+    }
+    return asio::transfer_all()(aError, aSize);
+  };
+  const auto buffers = rest(written);
+  const auto [failure, size] =
+    co_await asio::async_write(m_socket, buffers, on_progress, kTuple);
   if (failure) {
     NotifyDisconnect();
   }
--- a/src/jujubehead/node/forward/forward_attempt.cpp
+++ b/src/jujubehead/node/forward/forward_attempt.cpp
@@ -6,7 +6,7 @@
 #include "jujubehead/core/routing/stall_timeout.hpp" // for StreamStallTimeout
 #include "jujubehead/net/timer.hpp"                  // for Sleep
 
-#include "target_message.hpp" // for FormatTargetRequest
+#include "target_message.hpp" // for FormatTargetHeader
 #include "transfer_plan.hpp"  // for PlanTransfers
 
 // One attempt of a request at one target: the call, its reply and its
@@ -41,6 +41,9 @@
 /// calls take a fraction of it, and other streams have events meanwhile.
 constexpr Duration kPathCheckTime = std::chrono::milliseconds(200);
 
+/// A longer failure response is not kept while another target is tried.
+constexpr std::size_t kMaxKeptFailure = 64UL * 1024;
+
 /// Interval of the reports of a target's limit, unless it changes: a fraction
 /// of the time after which a limit counts as unconfirmed.
 constexpr Duration kLimitReportInterval = std::chrono::seconds(1);
@@ -123,7 +126,7 @@
   TargetExchange exchange(m_session->Executor(),
                           m_state.header_codec,
                           m_state.connector,
-                          m_state.reply_buffers,
+                          m_state.memory,
                           aTarget,
                           m_homes,
                           OptionsOfExchange());
@@ -226,8 +229,9 @@
   m_sent_version = aTarget.target.software_version;
   LogSuspect(aTarget);
   m_probe.reset(); // From here on it may crash the target.
-  aExchange.Send(
-    FormatTargetRequest(m_state.header_codec, m_session->Request(), call));
+  const CallerRequest& request = m_session->Request();
+  aExchange.Send(FormatTargetHeader(m_state.header_codec, request, call),
+                 request.body);
   ++m_sent_count;
   CountUnanswered();
   StartStallTimer(aTarget);
@@ -575,7 +579,9 @@
     m_last_error = "target returned status " + std::to_string(response.status);
     if (m_session->HasStreamBegun() ||
         aTarget.health.FailureRate() > kSuspectFailureShare) {
-      m_target_failure = std::move(response);
+      if (response.body.size() <= kMaxKeptFailure) {
+        m_target_failure = std::move(response);
+      }
       co_return AttemptOutcome::kFailed;
     }
   } else {
@@ -589,7 +595,10 @@
   if (IsSuccess(status) && !aExchange.EndsWithConnection()) {
     OnCompleted();
   }
-  const bool written = co_await m_session->SendResponse(std::move(response));
+  auto& held =
+    aExchange.BeginRelay([session = m_session] { session->Abort(); });
+  const bool written =
+    co_await m_session->SendResponse(std::move(response), &held);
   if (written) {
     m_state.metrics.Add(Counter::kAnswers);
     LogEnd("answered", status, {});
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -10,6 +10,7 @@
 #include "jujubehead/net/timer.hpp" // for Timer
 
 #include "hedged_send.hpp" // for HedgedSend
+#include "retry_after.hpp" // for FormatRetryAfter
 
 namespace jujubehead::node {
 namespace {
@@ -100,7 +101,7 @@
     input.method = request.head.method;
     input.host = request.head.headers.Find("Host").value_or("");
     input.target = request.head.target;
-    input.body = request.body;
+    input.body = *request.body;
     m_fingerprint = core::FingerprintOf(input);
   }
   return *m_fingerprint;
@@ -569,10 +570,8 @@
     const auto wait =
       is_exact ? available_in.count()
                : std::min(available_in.count() + spread(m_state.random), most);
-    std::string seconds = std::to_string(wait / 1000) + ".";
-    const std::string digits = std::to_string(wait % 1000);
-    seconds.append(3 - digits.size(), '0').append(digits);
-    response.headers.Add("Retry-After", seconds);
+    response.headers.Add("Retry-After",
+                         FormatRetryAfter(std::chrono::milliseconds(wait)));
   }
   response.body = std::move(aReply.message) + '\n';
   co_await m_session->SendResponse(std::move(response));
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -275,9 +275,6 @@
     return m_timed_out || m_session->IsDisconnected();
   }
 
-  /// `Retry-After` is at most the caller's time left divided by this.
-  static constexpr std::int64_t kRetryAfterDivisor = 3;
-
   ForwardState& m_state;
   std::shared_ptr<CallerSession> m_session;
   std::shared_ptr<const core::Configuration> m_configuration;
--- a/src/jujubehead/node/forward/forward_state.hpp
+++ b/src/jujubehead/node/forward/forward_state.hpp
@@ -18,6 +18,8 @@
 #include "jujubehead/core/context/store_link.hpp"        // for StoreLink
 #include "jujubehead/core/membership/holder_ring.hpp"    // for HolderRing
 #include "jujubehead/core/membership/stream_origins.hpp" // for StreamOrigins
+#include "jujubehead/core/overload/capacity.hpp"         // for Capacity
+#include "jujubehead/core/overload/memory_budget.hpp"    // for MemoryBudget
 #include "jujubehead/core/routing/account_shares.hpp"    // for AccountShares
 #include "jujubehead/core/routing/admission.hpp"         // for WaitPredictor
 #include "jujubehead/core/routing/configuration.hpp"     // for Configuration
@@ -25,7 +27,6 @@
 #include "jujubehead/core/routing/load_reports.hpp"      // for LoadReports
 #include "jujubehead/core/routing/poison_requests.hpp"   // for PoisonRequests
 #include "jujubehead/core/routing/probe_grants.hpp"      // for ProbeGrants
-#include "jujubehead/core/routing/reply_buffers.hpp"     // for ReplyBuffers
 #include "jujubehead/core/routing/software_versions.hpp" // for SoleVersions
 #include "jujubehead/core/routing/windowed_retry_budget.hpp" // for WindowedRetryBudget
 #include "jujubehead/core/weights/rollout.hpp"       // for DesiredWeights
@@ -60,8 +61,8 @@
     , metrics(aMetrics)
     , log(aLog)
     , connector(aOptions, fleet, aMetrics)
-    , reply_buffers(
-        std::make_shared<core::ReplyBuffers>(aOptions.reply_buffer_bytes))
+    , capacity(core::CapacityOf(aOptions.machine))
+    , memory(std::make_shared<core::MemoryBudget>(capacity.traffic_bytes))
     , poison(aOptions.poison)
     , random(std::random_device{}())
   {
@@ -297,8 +298,9 @@
   std::map<core::ModelId, core::DesiredWeights> wanted_weights;
   TargetFleet fleet;
   TargetConnector connector;
-  /// Shared with the replies, which may outlive this.
-  std::shared_ptr<core::ReplyBuffers> reply_buffers;
+  core::Capacity capacity; ///< Of this instance.
+  /// Of requests and replies. Shared with these, which may outlive this.
+  std::shared_ptr<core::MemoryBudget> memory;
   bool shares_loads = false; ///< Whether other instances ask for loads.
   core::LoadReports pending_load_reports; ///< Not sent to them yet.
   core::PoisonRequests poison;
--- a/src/jujubehead/node/forward/forwarder.cpp
+++ b/src/jujubehead/node/forward/forwarder.cpp
@@ -1,6 +1,7 @@
 #include "forwarder.hpp"
 
-#include <algorithm> // for max
+#include <algorithm> // for max, min
+#include <random>    // for uniform_int_distribution
 #include <utility>   // for move
 
 #include <boost/asio/as_tuple.hpp>      // for as_tuple
@@ -13,14 +14,29 @@
 #include "jujubehead/node/endpoint.hpp" // for ReadEndpoint
 
 #include "forward_run.hpp" // for ForwardRun
+#include "retry_after.hpp" // for FormatRetryAfter
 
 namespace jujubehead::node {
 namespace {
 
 namespace asio = boost::asio;
 
+constexpr unsigned kUnavailable = 503;
+
 /// Pause after a failed accept, for example when out of file descriptors.
 constexpr core::Duration kAcceptPause = std::chrono::milliseconds(20);
+/// Stalled transfers yield after a second; spread so that callers that are
+/// refused together do not return together.
+constexpr std::int64_t kOverloadDelayMinMs = 300;
+constexpr std::int64_t kOverloadDelayMaxMs = 1000;
+
+std::chrono::milliseconds
+OverloadDelay(std::mt19937_64& aRandom)
+{
+  std::uniform_int_distribution<std::int64_t> spread(kOverloadDelayMinMs,
+                                                     kOverloadDelayMaxMs);
+  return std::chrono::milliseconds(spread(aRandom));
+}
 
 } // namespace
 
@@ -31,7 +47,12 @@
   , m_tunnels(m_context, aOptions.tunnel_address, m_state)
   , m_acceptor(m_context, ReadEndpoint(aOptions.caller_address))
   , m_work_guard(asio::make_work_guard(m_context))
+  , m_connections(m_state.capacity.callers)
 {
+  // Inherited by the connections that are accepted.
+  boost::system::error_code ignored;
+  m_acceptor.set_option(
+    asio::socket_base::receive_buffer_size(kReceiveBufferBytes), ignored);
 }
 
 Forwarder::~Forwarder()
@@ -67,7 +88,7 @@
   boost::system::error_code ignored;
   m_acceptor.close(ignored);
   m_tunnels.Stop();
-  const std::set<CallerSession*> open = m_sessions;
+  const std::set<CallerSession*> open = m_connections.All();
   for (CallerSession* session : open) {
     session->Cancel();
   }
@@ -95,7 +116,7 @@
 Forwarder::CloseIdle()
 {
   asio::post(m_context, [this] {
-    for (CallerSession* session : m_sessions) {
+    for (CallerSession* session : m_connections.All()) {
       session->CloseIfIdle();
     }
   });
@@ -120,6 +141,35 @@
   }
 }
 
+FullResponse
+Forwarder::OnOverload(const net::MessageHead& aHead, std::size_t aBytes)
+{
+  const auto metadata = m_state.header_codec.ParseCallerHeaders(aHead.headers);
+  const std::string request_id =
+    metadata.has_error() ? std::string() : metadata->request_id;
+  std::chrono::milliseconds delay = OverloadDelay(m_state.random);
+  if (!metadata.has_error() && metadata->time_left) {
+    delay = std::min(delay,
+                     std::chrono::duration_cast<std::chrono::milliseconds>(
+                       *metadata->time_left) /
+                       kRetryAfterDivisor);
+  }
+  m_state.metrics.Add(Counter::kMemoryRefusals);
+  m_state.metrics.Refuse("memory", true);
+  m_log.Write(LogLine("overloaded")
+                .Add("request", request_id)
+                .Add("bytes", std::uint64_t(aBytes))
+                .Add("held", std::uint64_t(m_state.memory->Bytes()))
+                .Add("limit", std::uint64_t(m_state.memory->MaxBytes())));
+  FullResponse response;
+  response.status = kUnavailable;
+  response.headers = m_state.header_codec.LocalReplyHeaders(request_id);
+  response.headers.Add("Content-Type", "text/plain");
+  response.headers.Add("Retry-After", FormatRetryAfter(delay));
+  response.body = "the memory for requests is in use, not run\n";
+  return response;
+}
+
 asio::awaitable<void>
 Forwarder::Handle(std::shared_ptr<CallerSession> aSession)
 {
@@ -148,20 +198,6 @@
   return m_state.is_stopping;
 }
 
-void
-Forwarder::OnSessionBegin(CallerSession& aSession)
-{
-  m_sessions.insert(&aSession);
-  m_session_count = m_sessions.size();
-}
-
-void
-Forwarder::OnSessionEnd(CallerSession& aSession)
-{
-  m_sessions.erase(&aSession);
-  m_session_count = m_sessions.size();
-}
-
 void
 Forwarder::OnRejected(const std::string& aDetail, unsigned aStatus)
 {
--- a/src/jujubehead/node/forward/forwarder.hpp
+++ b/src/jujubehead/node/forward/forwarder.hpp
@@ -52,9 +52,18 @@
   /// @return connections of callers, and tunnels of other instances.
   [[nodiscard]] std::size_t Sessions() const
   {
-    return m_session_count + m_tunnels.Tunnels();
+    return m_connections.Size() + m_tunnels.Tunnels();
   }
   [[nodiscard]] std::size_t OpenRequests() const { return m_open_requests; }
+  [[nodiscard]] std::size_t CallerConnectionCount() const
+  {
+    return m_connections.Size();
+  }
+  /// @return memory that requests and replies hold.
+  [[nodiscard]] std::size_t HeldBytes() const
+  {
+    return m_state.memory->Bytes();
+  }
   /// @return this instance's requests in data centres with a planned stop.
   [[nodiscard]] std::uint64_t RequestsInStopped() const
   {
@@ -145,8 +154,13 @@
     std::shared_ptr<CallerSession> aSession) override;
   [[nodiscard]] core::CallerLimits Limits() const override;
   [[nodiscard]] bool IsStopping() const override;
-  void OnSessionBegin(CallerSession& aSession) override;
-  void OnSessionEnd(CallerSession& aSession) override;
+  [[nodiscard]] std::shared_ptr<core::MemoryBudget> Memory() override
+  {
+    return m_state.memory;
+  }
+  CallerConnections& Connections() override { return m_connections; }
+  FullResponse OnOverload(const net::MessageHead& aHead,
+                          std::size_t aBytes) override;
   void OnRejected(const std::string& aDetail, unsigned aStatus) override;
 
 private:
@@ -164,8 +178,7 @@
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
     m_work_guard;
   std::atomic<std::size_t> m_open_requests{ 0 };
-  std::set<CallerSession*> m_sessions;
-  std::atomic<std::size_t> m_session_count{ 0 };
+  CallerConnections m_connections;
   std::thread m_thread;
 };
 
--- a/src/jujubehead/node/forward/hedged_send.hpp
+++ b/src/jujubehead/node/forward/hedged_send.hpp
@@ -19,7 +19,7 @@
   HedgedSend(const boost::asio::any_io_executor& aExecutor,
              const HeaderCodec& aHeaderCodec,
              TargetConnector& aConnector,
-             std::shared_ptr<core::ReplyBuffers> aBuffers,
+             std::shared_ptr<core::MemoryBudget> aMemory,
              std::shared_ptr<FleetTarget> aTarget,
              core::Homes aHomes,
              ExchangeOptions aOptions)
@@ -27,7 +27,7 @@
     , exchange(aExecutor,
                aHeaderCodec,
                aConnector,
-               std::move(aBuffers),
+               std::move(aMemory),
                std::move(aTarget),
                std::move(aHomes),
                std::move(aOptions))
--- a/src/jujubehead/node/forward/hedging.cpp
+++ b/src/jujubehead/node/forward/hedging.cpp
@@ -8,7 +8,7 @@
 #include <boost/asio/use_awaitable.hpp> // for use_awaitable
 
 #include "hedged_send.hpp"    // for HedgedSend
-#include "target_message.hpp" // for FormatTargetRequest
+#include "target_message.hpp" // for FormatTargetHeader
 
 // The second send of a request that is slow at its first target (hedging).
 // Whichever target responds first is relayed, the other send is cancelled.
@@ -90,7 +90,7 @@
   m_hedge = std::make_shared<HedgedSend>(m_session->Executor(),
                                          m_state.header_codec,
                                          m_state.connector,
-                                         m_state.reply_buffers,
+                                         m_state.memory,
                                          std::move(target),
                                          m_homes,
                                          OptionsOfExchange());
@@ -135,8 +135,9 @@
   aHedge.planned = std::exchange(m_planned, planned);
   aHedge.weight_version = call.weight_version;
   aHedge.is_sent = true;
-  aHedge.exchange.Send(
-    FormatTargetRequest(m_state.header_codec, m_session->Request(), call));
+  const CallerRequest& request = m_session->Request();
+  aHedge.exchange.Send(FormatTargetHeader(m_state.header_codec, request, call),
+                       request.body);
   ++m_sent_count;
   ++m_history.sends;
   ++m_history.may_have_run;
--- a/src/jujubehead/node/forward/target_choice.cpp
+++ b/src/jujubehead/node/forward/target_choice.cpp
@@ -7,6 +7,7 @@
 
 #include "jujubehead/core/routing/placement.hpp" // for PlacePrompt
 
+#include "retry_after.hpp"   // for kRetryAfterDivisor
 #include "transfer_plan.hpp" // for StoreDataCentreOf
 
 // Which target a request is sent to, and whether it is admitted.
--- a/src/jujubehead/node/forward/target_exchange.cpp
+++ b/src/jujubehead/node/forward/target_exchange.cpp
@@ -19,7 +19,7 @@
 TargetExchange::TargetExchange(const asio::any_io_executor& aExecutor,
                                const HeaderCodec& aHeaderCodec,
                                TargetConnector& aConnector,
-                               std::shared_ptr<core::ReplyBuffers> aBuffers,
+                               std::shared_ptr<core::MemoryBudget> aMemory,
                                std::shared_ptr<FleetTarget> aTarget,
                                core::Homes aHomes,
                                ExchangeOptions aOptions)
@@ -29,7 +29,9 @@
   , m_target(std::move(aTarget))
   , m_homes(std::move(aHomes))
   , m_options(std::move(aOptions))
-  , m_buffered(std::move(aBuffers), [this] { OnGivenUp(); })
+  , m_held(std::move(aMemory),
+           core::MemoryBudget::Phase::kReceivingReply,
+           [this] { OnRevoked(); })
 {
 }
 
@@ -67,10 +69,11 @@
 }
 
 void
-TargetExchange::Send(std::string aMessage)
+TargetExchange::Send(std::string aHeader,
+                     std::shared_ptr<const std::string> aBody)
 {
   StartReply();
-  m_connection->Send(std::move(aMessage));
+  m_connection->Send(std::move(aHeader), std::move(aBody));
 }
 
 void
@@ -117,28 +120,40 @@
     m_error = std::string("invalid reply: ") + error.what();
     return false;
   }
-  // A complete one is passed on and does not grow.
-  m_buffered.SetSize(m_parser->IsWhole() ? 0 : m_body.size());
-  return !m_buffered.IsGivenUp();
+  return m_held.Resize(m_body.capacity() + input.capacity(),
+                       core::RuntimeClock::now());
 }
 
 void
 TargetExchange::SetError(std::string aError)
 {
-  if (!m_buffered.IsGivenUp()) {
+  if (!m_held.IsRevoked()) {
     m_error = std::move(aError);
   }
 }
 
 void
-TargetExchange::OnGivenUp()
+TargetExchange::OnRevoked()
 {
+  if (m_on_relay_revoked) {
+    m_on_relay_revoked();
+    return;
+  }
   m_error = "replies exceed the memory for them, this one held " +
             std::to_string(m_body.size()) + " bytes";
   m_body = std::string();
   Close();
 }
 
+core::MemoryBudget::Reservation&
+TargetExchange::BeginRelay(std::function<void()> aOnRevoked)
+{
+  m_on_relay_revoked = std::move(aOnRevoked);
+  m_held.SetPhase(core::MemoryBudget::Phase::kSendingReply,
+                  core::RuntimeClock::now());
+  return m_held;
+}
+
 TargetExchange::Owner
 TargetExchange::OwnerOfReply() const
 {
@@ -242,6 +257,7 @@
                         m_parser->KeepsAlive() && connection->Input().empty() &&
                         connection->IsSent();
   if (reusable) {
+    connection->ShrinkInput();
     m_target->PutIdleConnection(connection);
   } else {
     connection->Close();
--- a/src/jujubehead/node/forward/target_exchange.hpp
+++ b/src/jujubehead/node/forward/target_exchange.hpp
@@ -1,13 +1,14 @@
 #ifndef JUJUBEHEAD_NODE_FORWARD_TARGET_EXCHANGE_HPP
 #define JUJUBEHEAD_NODE_FORWARD_TARGET_EXCHANGE_HPP
 
-#include <cstdint> // for uint8_t
-#include <memory>  // for shared_ptr, unique_ptr
-#include <string>  // for string
+#include <cstdint>    // for uint8_t
+#include <functional> // for function
+#include <memory>     // for shared_ptr, unique_ptr
+#include <string>     // for string
 
 #include <boost/asio/awaitable.hpp> // for awaitable
 
-#include "jujubehead/core/routing/reply_buffers.hpp"    // for ReplyBuffers
+#include "jujubehead/core/overload/memory_budget.hpp"   // for MemoryBudget
 #include "jujubehead/net/http1/message_parser.hpp"      // for MessageParser
 #include "jujubehead/net/http1/outbound_connection.hpp" // for OutboundConnection
 #include "jujubehead/node/forward/header_codec.hpp"     // for HeaderCodec
@@ -46,11 +47,11 @@
 {
 public:
   /// @param aHomes where the request's data may pass.
-  /// @param aBuffers bounds what is held of incomplete replies together.
+  /// @param aMemory bounds what is held of requests and replies together.
   TargetExchange(const boost::asio::any_io_executor& aExecutor,
                  const HeaderCodec& aHeaderCodec,
                  TargetConnector& aConnector,
-                 std::shared_ptr<core::ReplyBuffers> aBuffers,
+                 std::shared_ptr<core::MemoryBudget> aMemory,
                  std::shared_ptr<FleetTarget> aTarget,
                  core::Homes aHomes,
                  ExchangeOptions aOptions);
@@ -62,7 +63,7 @@
 
   /// @return whether a connection is open.
   boost::asio::awaitable<bool> Open();
-  void Send(std::string aMessage);
+  void Send(std::string aHeader, std::shared_ptr<const std::string> aBody);
   /// @brief Waits for the header of the reply to this request.
   /// @return kComplete if the body is complete too.
   boost::asio::awaitable<ReadResult> ReadHead();
@@ -78,6 +79,11 @@
   [[nodiscard]] const ReplyMetadata& Metadata() const { return m_metadata; }
   /// @return received bytes of the body that were not consumed yet.
   [[nodiscard]] std::string& Body() { return m_body; }
+  /// @brief From now on the complete reply is sent to the caller.
+  /// @param aOnRevoked called when its memory is revoked, as the caller does
+  /// not read it.
+  /// @return its memory.
+  core::MemoryBudget::Reservation& BeginRelay(std::function<void()> aOnRevoked);
   [[nodiscard]] bool IsOnNewConnection() const { return m_is_new; }
   /// @return whether the body has no length, so that it looks complete even if
   /// the target crashed.
@@ -112,10 +118,10 @@
 
   boost::asio::awaitable<bool> ReadMore();
   bool Parse();
-  /// @brief Keeps the reason for which the reply was given up, if it was.
+  /// @brief Keeps the reason for which the reply was revoked, if it was.
   void SetError(std::string aError);
   /// @brief Frees what is held of the reply, and breaks it.
-  void OnGivenUp();
+  void OnRevoked();
   void StartReply();
   [[nodiscard]] Owner OwnerOfReply() const;
   ReadResult Broken(std::string aError);
@@ -135,7 +141,8 @@
   std::unique_ptr<net::MessageParser> m_parser;
   ReplyMetadata m_metadata;
   std::string m_body;
-  core::ReplyBuffers::Reply m_buffered;
+  core::MemoryBudget::Reservation m_held;
+  std::function<void()> m_on_relay_revoked;
   std::string m_error;
   bool m_is_new = false;
   bool m_connection_refused = false;
--- a/src/jujubehead/node/forward/target_message.cpp
+++ b/src/jujubehead/node/forward/target_message.cpp
@@ -72,9 +72,9 @@
 } // namespace
 
 std::string
-FormatTargetRequest(const HeaderCodec& aHeaderCodec,
-                    const CallerRequest& aRequest,
-                    const TargetCall& aCall)
+FormatTargetHeader(const HeaderCodec& aHeaderCodec,
+                   const CallerRequest& aRequest,
+                   const TargetCall& aCall)
 {
   const net::MessageHead& head = aRequest.head;
   const std::vector<std::string> named = ConnectionOptions(head.headers);
@@ -92,10 +92,10 @@
   AppendHeaders(text, aHeaderCodec.CallHeaders(aCall));
   if (aRequest.has_body) {
     text.append("Content-Length: ")
-      .append(std::to_string(aRequest.body.size()))
+      .append(std::to_string(aRequest.body->size()))
       .append("\r\n");
   }
-  return text.append("\r\n").append(aRequest.body);
+  return text.append("\r\n");
 }
 
 net::HttpHeaders
--- a/src/jujubehead/node/forward/target_message.hpp
+++ b/src/jujubehead/node/forward/target_message.hpp
@@ -9,13 +9,13 @@
 
 namespace jujubehead::node {
 
-/// @brief Formats a caller's request for a target: method, path, query and body
-/// are unchanged; the system's own header lines replace any that the caller
-/// sent under their names.
+/// @brief Formats the header of a caller's request for a target, before its
+/// body: method, path and query are unchanged; the system's own header lines
+/// replace any that the caller sent under their names.
 std::string
-FormatTargetRequest(const HeaderCodec& aHeaderCodec,
-                    const CallerRequest& aRequest,
-                    const TargetCall& aCall);
+FormatTargetHeader(const HeaderCodec& aHeaderCodec,
+                   const CallerRequest& aRequest,
+                   const TargetCall& aCall);
 
 /// @return the header lines of a target's reply that are passed to the caller:
 /// neither hop-by-hop ones nor those that only concern instances.
--- a/standin/entry_deployment.cpp
+++ b/standin/entry_deployment.cpp
@@ -186,7 +186,7 @@
     m_options.repeats.start_delay = core::Duration(0);
     m_options.weights_time = aOptions.weights_time;
     m_options.hedge_share = aOptions.hedge_share;
-    m_options.reply_buffer_bytes = aOptions.reply_buffer_bytes;
+    m_options.machine.memory_bytes = aOptions.memory_bytes;
     m_options.poison.first_quarantine = aOptions.first_quarantine;
     Restart();
   }
--- a/standin/entry_deployment.hpp
+++ b/standin/entry_deployment.hpp
@@ -11,10 +11,9 @@
 
 #include <nlohmann/json.hpp> // for json
 
-#include "jujubehead/core/routing/reply_buffers.hpp" // for ReplyBuffers
-#include "jujubehead/net/http_message.hpp"           // for HttpResponse
-#include "jujubehead/node/metrics.hpp"               // for Counter
-#include "standin/stand_in.hpp"                      // for RegisteredOptions
+#include "jujubehead/net/http_message.hpp" // for HttpResponse
+#include "jujubehead/node/metrics.hpp"     // for Counter
+#include "standin/stand_in.hpp"            // for RegisteredOptions
 
 namespace jujubehead::standin {
 
@@ -30,9 +29,8 @@
   std::vector<std::string> data_centres{};
   /// Software of the models in turn; empty: none is registered.
   std::vector<std::string> software_versions{};
-  double hedge_share = 0; ///< As in node::EntryOptions.
-  /// As in node::EntryOptions.
-  std::size_t reply_buffer_bytes = core::ReplyBuffers::kDefaultMaxBytes;
+  double hedge_share = 0;                         ///< As in node::EntryOptions.
+  std::size_t memory_bytes = 256UL * 1024 * 1024; ///< Of each machine.
   /// Each instance reaches the targets over paths of its own; see SetCut().
   bool has_path_views = false;
 };
--- /dev/null
+++ b/standin/overload_test.cpp
@@ -0,0 +1,70 @@
+#include <chrono> // for milliseconds
+#include <memory> // for unique_ptr
+#include <string> // for string
+#include <thread> // for sleep_for
+
+#include <CppUTest/TestHarness.h>    // for TEST
+#include <boost/asio/io_context.hpp> // for io_context
+#include <boost/asio/ip/tcp.hpp>     // for tcp
+#include <boost/asio/write.hpp>      // for write
+
+#include "standin/entry_deployment.hpp"
+
+using namespace jujubehead;
+using standin::EntryDeployment;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::size_t kMebibyte = 1024UL * 1024;
+constexpr std::size_t kMaxBody = 4 * kMebibyte;
+/// The smallest of the platform's machines.
+constexpr std::size_t kSmallMachine = 88 * kMebibyte;
+constexpr const char* kHead =
+  "POST /once/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: r1\r\n"
+  "Authorization: Token key-1\r\n";
+
+} // namespace
+
+// Callers send more, or more slowly, than an instance can hold.
+TEST_GROUP(Overload)
+{
+  std::unique_ptr<EntryDeployment> deployment;
+
+  void Start(std::size_t aMemoryBytes)
+  {
+    deployment =
+      EntryDeployment::Start({ .targets = 1, .memory_bytes = aMemoryBytes });
+  }
+  void teardown() override
+  {
+    deployment.reset();
+  }
+
+};
+
+// Its body would be read in vain.
+TEST(Overload, ARequestWithoutRoomIsRejectedAtItsHeader)
+{
+  Start(kMaxBody);
+  const std::string reply = deployment->CallRaw(
+    kHead + std::string("Expect: 100-continue\r\nContent-Length: ") +
+    std::to_string(kMaxBody) + "\r\n\r\n");
+  STRCMP_CONTAINS("HTTP/1.1 503", reply.substr(0, 12).c_str());
+  STRCMP_CONTAINS("Retry-After: ", reply.c_str());
+  STRCMP_CONTAINS("X-Attempt-Id: r1", reply.c_str());
+  LONGS_EQUAL(0, deployment->Stats("service0").at("arrived").get<int>());
+  LONGS_EQUAL(1, deployment->Total(0, node::Counter::kMemoryRefusals));
+}
+
+TEST(Overload, TheLargestBodyIsServedInCalm)
+{
+  Start(kSmallMachine);
+  net::HttpHeaders lines;
+  lines.Add("X-Attempt-Id", "r1");
+  lines.Add("Authorization", "Token key-1");
+  const std::string body(kMaxBody, 'a');
+  const auto response = deployment->CallAt(0, "POST", "/once/x", lines, body);
+  LONGS_EQUAL(200, response.status);
+  CHECK(deployment->Stats("service0").at("runs").at(0).at("body") == body);
+}
