Callers' connections are bounded, so that targets have descriptors left

What callers saw: 4,200 connections without a byte took all 4,100 descriptors; the process answered nobody, as it could open none to targets or the store.

Cause: connections were accepted until accept() failed, and the first byte of a request had 15 s (60 s in `serve`).

At the limit a new connection takes the place of one that has sent nothing for a second, then of one whose request makes no progress, then of one that was idle for longer than callers reuse it (core/overload/connection_choice, for both programs). If there is none it gets 503 with Retry-After at once.

--- a/src/jujubehead/net/http_server.cpp
+++ b/src/jujubehead/net/http_server.cpp
@@ -12,6 +12,7 @@
 
 #include "http_connection.hpp" // for HttpConnection
 
+#include "jujubehead/core/overload/connection_choice.hpp" // for ConnectionChoice
 
 #include "jujubehead/net/timer.hpp" // for Sleep
 
@@ -27,6 +28,10 @@
 /// The pause after a failed accept, most often for want of descriptors.
 constexpr core::Duration kAcceptPause = std::chrono::milliseconds(20);
 
+constexpr std::string_view kTooManyConnections =
+  "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+  "Connection: close\r\nContent-Length: 0\r\n\r\n";
+
 using ReusePort =
   asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
@@ -101,6 +106,10 @@
   {
     boost::system::error_code ignored;
     aSocket.set_option(tcp::no_delay(true), ignored);
+    if (!MakeRoom()) {
+      Refuse(std::move(aSocket));
+      return;
+    }
     const auto executor = aSocket.get_executor();
     const auto& tls = m_shared->options.tls;
     auto connection = std::make_shared<HttpConnection>(
@@ -112,6 +121,38 @@
       executor, RunCounted(std::move(connection), m_open), asio::detached);
   }
 
+  /// @return whether one more connection may be served.
+  bool MakeRoom()
+  {
+    const HttpServerOptions& options = m_shared->options;
+    if (*m_open < options.max_connections) {
+      return true;
+    }
+    core::ConnectionChoice<HttpConnection> choice(core::RuntimeClock::now(),
+                                                  options.idle_timeout);
+    const auto open = Open();
+    for (const auto& connection : open) {
+      choice.Consider(*connection, connection->State());
+    }
+    HttpConnection* const chosen = choice.Chosen();
+    options.on_limit(chosen != nullptr ? ServerLimit::kIdleConnection
+                                       : ServerLimit::kConnectionCount);
+    if (chosen != nullptr) {
+      chosen->Yield();
+    }
+    return chosen != nullptr;
+  }
+
+  void Refuse(tcp::socket aSocket)
+  {
+    boost::system::error_code ignored;
+    if (!m_shared->options.tls) {
+      aSocket.non_blocking(true, ignored);
+      aSocket.write_some(asio::buffer(kTooManyConnections), ignored);
+    }
+    aSocket.shutdown(tcp::socket::shutdown_send, ignored);
+  }
+
   static asio::awaitable<void> RunCounted(
     std::shared_ptr<HttpConnection> aConnection,
     std::shared_ptr<std::size_t> aOpen)
--- a/src/jujubehead/node/forward/caller_connections.cpp
+++ b/src/jujubehead/node/forward/caller_connections.cpp
@@ -1,5 +1,7 @@
 #include "caller_connections.hpp"
 
+#include "jujubehead/core/overload/connection_choice.hpp" // for ConnectionChoice
+
 #include "caller_session.hpp" // for CallerSession
 
 namespace jujubehead::node {
@@ -17,4 +19,23 @@
   m_size = m_sessions.size();
 }
 
+CallerConnections::Room
+CallerConnections::MakeRoom(core::Duration aIdleTimeout)
+{
+  if (m_sessions.size() < m_max) {
+    return Room::kFree;
+  }
+  core::ConnectionChoice<CallerSession> choice(core::RuntimeClock::now(),
+                                               aIdleTimeout);
+  for (CallerSession* const session : m_sessions) {
+    choice.Consider(*session, session->State());
+  }
+  CallerSession* const chosen = choice.Chosen();
+  if (chosen == nullptr) {
+    return Room::kNone;
+  }
+  chosen->Yield();
+  return Room::kMade;
+}
+
 } // namespace jujubehead::node
--- a/src/jujubehead/node/forward/caller_connections.hpp
+++ b/src/jujubehead/node/forward/caller_connections.hpp
@@ -3,6 +3,7 @@
 
 #include <atomic>  // for atomic
 #include <cstddef> // for size_t
+#include <cstdint> // for uint8_t
 #include <set>     // for set
 
 #include "jujubehead/core/runtime_clock.hpp" // for Duration
@@ -31,6 +32,19 @@
     return m_sessions;
   }
 
+  /// What became of a new connection.
+  enum class Room : std::uint8_t
+  {
+    kFree,
+    kMade, ///< Another connection is being closed for it.
+    kNone,
+  };
+  /// @brief Finds room for one more connection. At the limit, one is closed
+  /// that has never sent anything, whose request makes no progress, or which
+  /// has been idle for so long that its caller does not use it any more.
+  /// @param aIdleTimeout as the operators declare it for callers.
+  Room MakeRoom(core::Duration aIdleTimeout);
+
 private:
   std::size_t m_max;
   std::set<CallerSession*> m_sessions;
--- a/src/jujubehead/node/forward/caller_session.cpp
+++ b/src/jujubehead/node/forward/caller_session.cpp
@@ -104,6 +104,29 @@
   m_socket.close(ignored);
 }
 
+core::ConnectionState
+CallerSession::State() const
+{
+  const bool is_receiving = !m_is_handling && m_held && !m_held->IsRevoked();
+  core::ConnectionState state;
+  state.is_idle =
+    !m_is_closing && !m_is_handling && m_request.received_at == core::Instant{};
+  state.has_sent_request = m_has_sent_request;
+  state.is_slow = is_receiving && m_held->IsSlow(core::RuntimeClock::now());
+  state.idle_since = m_idle_since;
+  return state;
+}
+
+void
+CallerSession::Yield()
+{
+  if (m_held) {
+    m_held->Revoke();
+  } else {
+    CloseIfIdle();
+  }
+}
+
 void
 CallerSession::CloseIfIdle()
 {
--- a/src/jujubehead/node/forward/caller_session.hpp
+++ b/src/jujubehead/node/forward/caller_session.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/awaitable.hpp> // for awaitable
 #include <boost/asio/ip/tcp.hpp>    // for tcp
 
+#include "jujubehead/core/overload/connection_choice.hpp" // for ConnectionState
 #include "jujubehead/core/overload/memory_budget.hpp"     // for MemoryBudget
 #include "jujubehead/core/routing/configuration.hpp"      // for CallerLimits
 #include "jujubehead/core/runtime_clock.hpp"              // for Instant
@@ -106,6 +107,10 @@
   [[nodiscard]] bool HasStreamBegun() const { return m_stream_begun; }
   /// @brief Closes the connection unless a request is being read or handled.
   void CloseIfIdle();
+  [[nodiscard]] core::ConnectionState State() const;
+  /// @brief Closes an idle connection, and rejects a request that makes no
+  /// progress, so that another connection may be served.
+  void Yield();
   /// @brief Resets the connection, so that a partial response does not look
   /// complete.
   void Abort();
--- a/src/jujubehead/node/forward/forwarder.cpp
+++ b/src/jujubehead/node/forward/forwarder.cpp
@@ -5,6 +5,7 @@
 #include <utility>   // for move
 
 #include <boost/asio/as_tuple.hpp>      // for as_tuple
+#include <boost/asio/buffer.hpp>        // for buffer
 #include <boost/asio/co_spawn.hpp>      // for co_spawn
 #include <boost/asio/detached.hpp>      // for detached
 #include <boost/asio/post.hpp>          // for post
@@ -20,6 +21,7 @@
 namespace {
 
 namespace asio = boost::asio;
+using asio::ip::tcp;
 
 constexpr unsigned kUnavailable = 503;
 
@@ -129,7 +131,7 @@
   for (;;) {
     auto [error, socket] = co_await m_acceptor.async_accept(kTuple);
     if (!error) {
-      CallerSession::Start(std::move(socket), *this);
+      Serve(std::move(socket));
       continue;
     }
     if (!m_acceptor.is_open()) {
@@ -141,6 +143,35 @@
   }
 }
 
+void
+Forwarder::Serve(tcp::socket aSocket)
+{
+  const auto room = m_connections.MakeRoom(Limits().idle_timeout);
+  if (room == CallerConnections::Room::kFree) {
+    CallerSession::Start(std::move(aSocket), *this);
+    return;
+  }
+  const bool is_served = room == CallerConnections::Room::kMade;
+  m_state.metrics.Add(is_served ? Counter::kConnectionsClosed
+                                : Counter::kConnectionsRefused);
+  m_log.Write(LogLine("callers_full")
+                .Add("connections", std::uint64_t(m_connections.Size()))
+                .Add("limit", std::uint64_t(m_connections.Max()))
+                .Add("new", is_served ? "served" : "refused"));
+  if (is_served) {
+    CallerSession::Start(std::move(aSocket), *this);
+    return;
+  }
+  const std::string reply =
+    "HTTP/1.1 503 Service Unavailable\r\nRetry-After: " +
+    FormatRetryAfter(OverloadDelay(m_state.random)) +
+    "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+  boost::system::error_code ignored;
+  aSocket.non_blocking(true, ignored);
+  aSocket.write_some(asio::buffer(reply), ignored);
+  aSocket.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
 FullResponse
 Forwarder::OnOverload(const net::MessageHead& aHead, std::size_t aBytes)
 {
--- a/src/jujubehead/node/forward/forwarder.hpp
+++ b/src/jujubehead/node/forward/forwarder.hpp
@@ -169,6 +169,8 @@
   /// Ends all coroutines while the objects that they refer to still exist.
   void EndSessions();
   boost::asio::awaitable<void> Accept();
+  /// @brief Serves a new connection, or rejects it if there are too many.
+  void Serve(boost::asio::ip::tcp::socket aSocket);
 
   boost::asio::io_context m_context{ 1 };
   DecisionLog m_log;
