Entry: a header and a body have a time limit as a whole

Cause: ReadMore() was given the timeout anew at each call, so that each byte began it again, for headers as for bodies.

Change: a header has its timeout from its first byte, and a second for the network; a body 10 s, and a second more for each KB received, besides the 10 s without a byte. A client inside the operators' limits meets neither: its header is in within the timeout, and no link is as slow.

Tests: Overload.AHeaderThatTricklesIsRejected, ABodyThatTricklesIsRejected; both get their 408 while they still send. Before, neither could: each byte restarted the time that they wait for.

--- a/src/jujubehead/node/forward/caller_reading.cpp
+++ b/src/jujubehead/node/forward/caller_reading.cpp
@@ -23,9 +23,13 @@
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 
 constexpr unsigned kRequestTimeout = 408;
+/// Added to the callers' time for a header, for delays of the network.
+constexpr core::Duration kHeaderTransit = std::chrono::seconds(1);
 /// Longest wait for more of a body: callers send bodies within a few round
 /// trips.
 constexpr core::Duration kBodyTimeout = std::chrono::seconds(10);
+/// Least rate of a whole body, beyond the time above: far below any link's.
+constexpr std::uint64_t kMinBodyBytesPerSecond = 1024;
 /// Time for a caller to read a rejection before the connection is closed.
 constexpr core::Duration kLingerTime = std::chrono::milliseconds(500);
 /// Memory to handle a request, besides its header and body: its coroutines,
@@ -85,10 +89,16 @@
 CallerSession::ReadDeadline(const net::MessageParser& aParser,
                             const core::CallerLimits& aLimits) const
 {
-  const bool has_begun = m_request.received_at != core::Instant{};
-  return core::RuntimeClock::now() + (aParser.HasHead() ? kBodyTimeout
-                                      : has_begun       ? aLimits.header_timeout
-                                                        : aLimits.idle_timeout);
+  const core::Instant now = core::RuntimeClock::now();
+  if (m_request.received_at == core::Instant{}) {
+    return now + aLimits.idle_timeout;
+  }
+  if (!aParser.HasHead()) {
+    return m_request.received_at + aLimits.header_timeout + kHeaderTransit;
+  }
+  const core::Duration whole =
+    kBodyTimeout + std::chrono::seconds(m_body.size() / kMinBodyBytesPerSecond);
+  return std::min(now + kBodyTimeout, m_head_at + whole);
 }
 
 asio::awaitable<bool>
@@ -160,11 +170,15 @@
   if (!ReserveBody(aParser)) {
     return overload();
   }
+  const bool had_head = aParser.HasHead();
   try {
     m_input.erase(0, aParser.Put(m_input, m_body));
   } catch (const net::MessageError& error) {
     return MakeRejection(error.Status(), error.what());
   }
+  if (aParser.HasHead() && !had_head) {
+    m_head_at = now;
+  }
   if (!aParser.IsWhole() && !ReserveBody(aParser)) {
     return overload();
   }
--- a/src/jujubehead/node/forward/caller_session.hpp
+++ b/src/jujubehead/node/forward/caller_session.hpp
@@ -162,6 +162,7 @@
   std::size_t m_new_bytes = 0;     ///< Received since the last Parse().
   std::string m_body;              ///< Of an incomplete request.
   std::size_t m_revoked_bytes = 0; ///< Of it, when its memory was revoked.
+  core::Instant m_head_at{};       ///< When its header was complete.
   /// From a request's first byte to its response.
   std::optional<core::MemoryBudget::Reservation> m_held;
   CallerRequest m_request;
--- a/standin/overload_test.cpp
+++ b/standin/overload_test.cpp
@@ -41,6 +41,30 @@
     deployment.reset();
   }
 
+  /// Sends some bytes, then one more in each interval until a reply comes.
+  /// @return the reply's beginning; empty if none came.
+  std::string Trickle(
+    const std::string& aBytes, milliseconds aInterval, int aPieces)
+  {
+    namespace asio = boost::asio;
+    asio::io_context context;
+    asio::ip::tcp::socket caller(context);
+    caller.connect(
+      { asio::ip::address_v4::loopback(), deployment->CallerPort(0) });
+    boost::system::error_code error;
+    asio::write(caller, asio::buffer(aBytes), error);
+    std::string reply;
+    for (int i = 0; i < aPieces && reply.empty() && !error; ++i) {
+      std::this_thread::sleep_for(aInterval);
+      if (caller.available() > 0) {
+        reply.resize(caller.available());
+        caller.read_some(asio::buffer(reply), error);
+      } else {
+        asio::write(caller, asio::buffer("a", 1), error);
+      }
+    }
+    return reply;
+  }
 };
 
 // Its body would be read in vain.
@@ -68,3 +92,28 @@
   LONGS_EQUAL(200, response.status);
   CHECK(deployment->Stats("service0").at("runs").at(0).at("body") == body);
 }
+
+// Each byte began the timeout anew, so that a header took hours.
+TEST(Overload, AHeaderThatTricklesIsRejected)
+{
+  Start(kSmallMachine);
+  nlohmann::json configuration = deployment->Configuration();
+  configuration["version"] = configuration["version"].get<int>() + 1;
+  configuration["limits"]["header_timeout_ms"] = 200;
+  deployment->PutRow("op", "config", configuration);
+  CHECK(deployment->AwaitRead());
+  const std::string reply =
+    Trickle(kHead + std::string("X-Line: "), milliseconds(100), 50);
+  STRCMP_CONTAINS("HTTP/1.1 408", reply.c_str());
+}
+
+// The same with a body, which took days.
+TEST(Overload, ABodyThatTricklesIsRejected)
+{
+  Start(kSmallMachine);
+  const std::string reply =
+    Trickle(kHead + std::string("Content-Length: 1000\r\n\r\n"),
+            milliseconds(1000),
+            30);
+  STRCMP_CONTAINS("HTTP/1.1 408", reply.c_str());
+}
