Entry: a caller that sends without a pause does not keep the thread

Cause: reads completed at once while bytes were there, without a turn for other connections: a fast sender kept the traffic thread for a whole body, and after a rejection for half a second, as often as it came back.

Change: a caller yields after 64 KB. After a rejection at most 64 connections are read on at a time, 1 MB each; others are closed.

--- a/src/jujubehead/node/forward/caller_connections.cpp
+++ b/src/jujubehead/node/forward/caller_connections.cpp
@@ -5,6 +5,13 @@
 #include "caller_session.hpp" // for CallerSession
 
 namespace jujubehead::node {
+namespace {
+
+/// Each reads for half a second at most.
+constexpr std::size_t kMaxLingering = 64;
+
+} // namespace
+
 void
 CallerConnections::Add(CallerSession& aSession)
 {
@@ -38,4 +45,14 @@
   return Room::kMade;
 }
 
+bool
+CallerConnections::BeginLinger()
+{
+  if (m_lingering >= kMaxLingering) {
+    return false;
+  }
+  ++m_lingering;
+  return true;
+}
+
 } // namespace jujubehead::node
--- a/src/jujubehead/node/forward/caller_connections.hpp
+++ b/src/jujubehead/node/forward/caller_connections.hpp
@@ -45,10 +45,16 @@
   /// @param aIdleTimeout as the operators declare it for callers.
   Room MakeRoom(core::Duration aIdleTimeout);
 
+  /// @brief Begins to read on after a rejection, so that the caller gets to
+  /// read it. @return whether not too many connections do so.
+  bool BeginLinger();
+  void EndLinger() { --m_lingering; }
+
 private:
   std::size_t m_max;
   std::set<CallerSession*> m_sessions;
   std::atomic<std::size_t> m_size{ 0 };
+  std::size_t m_lingering = 0;
 };
 
 } // namespace jujubehead::node
--- a/src/jujubehead/node/forward/caller_reading.cpp
+++ b/src/jujubehead/node/forward/caller_reading.cpp
@@ -4,6 +4,7 @@
 #include <utility>  // for exchange, move
 
 #include <boost/asio/as_tuple.hpp>      // for as_tuple
+#include <boost/asio/post.hpp>          // for post
 #include <boost/asio/use_awaitable.hpp> // for use_awaitable
 #include <boost/beast/core/string.hpp>  // for iequals
 
@@ -23,6 +24,8 @@
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 
 constexpr unsigned kRequestTimeout = 408;
+/// A caller that sends without a pause yields to the others after this.
+constexpr std::size_t kBurstBytes = 64UL * 1024;
 /// Added to the callers' time for a header, for delays of the network.
 constexpr core::Duration kHeaderTransit = std::chrono::seconds(1);
 /// Longest wait for more of a body: callers send bodies within a few round
@@ -30,8 +33,10 @@
 constexpr core::Duration kBodyTimeout = std::chrono::seconds(10);
 /// Least rate of a whole body, beyond the time above: far below any link's.
 constexpr std::uint64_t kMinBodyBytesPerSecond = 1024;
-/// Time for a caller to read a rejection before the connection is closed.
+/// Time for a caller to read a rejection before the connection is closed, and
+/// bytes of its request that are dropped meanwhile.
 constexpr core::Duration kLingerTime = std::chrono::milliseconds(500);
+constexpr std::size_t kMaxLingerBytes = 1024UL * 1024;
 /// Memory to handle a request, besides its header and body: its coroutines,
 /// a connection to a target, a piece of the reply.
 constexpr std::size_t kHandlingBytes = 24UL * 1024;
@@ -64,9 +69,14 @@
 CallerSession::ReadMore(core::Instant aUntil)
 {
   const auto self = shared_from_this();
+  if (m_burst >= kBurstBytes) {
+    m_burst = 0;
+    co_await asio::post(Executor(), asio::use_awaitable);
+  }
   const std::size_t before = m_input.size();
   error_code result = net::ReadAvailable(m_socket, m_input);
   if (result == asio::error::would_block) {
+    m_burst = 0;
     net::Deadline deadline(Executor(), [self] {
       error_code ignored;
       self->m_socket.cancel(ignored);
@@ -81,6 +91,7 @@
       }
     }
   }
+  m_burst += m_input.size() - before;
   m_new_bytes += m_input.size() - before;
   co_return !result || m_input.size() > before;
 }
@@ -274,8 +285,9 @@
   m_input = std::string();
   m_held.reset();
   const bool written = co_await SendResponse(std::move(aResponse));
-  if (written) {
+  if (written && m_handler.Connections().BeginLinger()) {
     co_await Linger();
+    m_handler.Connections().EndLinger();
   }
 }
 
@@ -286,9 +298,11 @@
   m_socket.shutdown(tcp::socket::shutdown_send, ignored);
   const auto until = core::RuntimeClock::now() + kLingerTime;
   bool more = true;
-  while (more && core::RuntimeClock::now() < until) {
-    m_input.clear();
+  for (std::size_t dropped = 0; more && dropped < kMaxLingerBytes;) {
     more = co_await ReadMore(until);
+    more = more && core::RuntimeClock::now() < until;
+    dropped += m_input.size();
+    m_input.clear();
   }
 }
 
--- a/src/jujubehead/node/forward/caller_session.hpp
+++ b/src/jujubehead/node/forward/caller_session.hpp
@@ -160,6 +160,7 @@
   RequestHandler& m_handler;
   std::string m_input;
   std::size_t m_new_bytes = 0;     ///< Received since the last Parse().
+  std::size_t m_burst = 0;         ///< Bytes received without a pause.
   std::string m_body;              ///< Of an incomplete request.
   std::size_t m_revoked_bytes = 0; ///< Of it, when its memory was revoked.
   core::Instant m_head_at{};       ///< When its header was complete.
