HTTP: the framing of a body is bounded as a whole

Cause: a chunk's line was bounded by itself, not the lines of a body together.

Change: a body with its framing may be eight times as long as a body may be (413 beyond). Chunks of one byte without extensions take six times.

Test: MessageParser.FramingBeyondTheBodyIsBounded (such a body was read to its end before); ABodyOfTheLargestSizeInTheSmallestChunksIsRead keeps it from being too strict.

--- a/include/jujubehead/net/http1/message_parser.hpp
+++ b/include/jujubehead/net/http1/message_parser.hpp
@@ -34,6 +34,11 @@
   std::uint64_t body_bytes = 4UL * 1024UL * 1024UL;
 };
 
+/// A body with its framing may be this many times as long as a body may be:
+/// more than chunks of one byte take, so that only chunk extensions and empty
+/// lines exceed it.
+inline constexpr std::uint64_t kMaxFramingFactor = 8;
+
 /// @brief Bytes that are no message, or one that is longer than allowed.
 class MessageError : public std::runtime_error
 {
--- a/src/jujubehead/net/http1/message_parser.cpp
+++ b/src/jujubehead/net/http1/message_parser.cpp
@@ -117,6 +117,11 @@
       }
       used += step;
     }
+    m_used += used;
+    if (m_used > kMaxFramingFactor * m_limits.body_bytes +
+                   2 * std::uint64_t(m_limits.header_bytes)) {
+      throw MessageError("the body has too much framing", kTooLong);
+    }
     // What is left cannot be read yet: the line of a chunk, or a trailer.
     if (HasHead() && !IsWhole() &&
         aBytes.size() - used > m_limits.header_bytes) {
@@ -193,6 +198,7 @@
 
   MessageLimits m_limits;
   Collector<kIsRequest> m_collector;
+  std::uint64_t m_used = 0; ///< Bytes of the message until now.
 };
 
 } // namespace
--- a/src/jujubehead/net/http1/message_parser_test.cpp
+++ b/src/jujubehead/net/http1/message_parser_test.cpp
@@ -245,3 +245,33 @@
   CHECK(reading.whole);
   STRCMP_EQUAL("ok", reading.body.c_str());
 }
+
+// Extensions of chunks, each within the limit of a line, carried gigabytes with
+// a body of some kilobytes.
+TEST(MessageParser, FramingBeyondTheBodyIsBounded)
+{
+  MessageLimits limits;
+  limits.header_bytes = 1000;
+  limits.body_bytes = 1000;
+  const auto parser = MessageParser::ForRequest(limits);
+  const std::string chunk = "1;" + std::string(500, 'x') + "\r\na\r\n";
+  std::vector<std::string> pieces(100, chunk);
+  pieces.insert(pieces.begin(),
+                kHead + std::string("Transfer-Encoding: chunked\r\n\r\n"));
+  LONGS_EQUAL(413, ReadIn(*parser, pieces).status);
+}
+
+TEST(MessageParser, ABodyOfTheLargestSizeInTheSmallestChunksIsRead)
+{
+  MessageLimits limits;
+  limits.header_bytes = 1000;
+  limits.body_bytes = 1000;
+  const auto parser = MessageParser::ForRequest(limits);
+  std::vector<std::string> pieces(1000, "1\r\na\r\n");
+  pieces.insert(pieces.begin(),
+                kHead + std::string("Transfer-Encoding: chunked\r\n\r\n"));
+  pieces.emplace_back("0\r\n\r\n");
+  const Reading reading = ReadIn(*parser, pieces);
+  CHECK(reading.whole);
+  LONGS_EQUAL(1000, reading.body.size());
+}
--- a/src/jujubehead/net/http_connection.cpp
+++ b/src/jujubehead/net/http_connection.cpp
@@ -34,6 +34,9 @@
 constexpr std::size_t kHeaderLineBytes = 128;
 /// Memory to handle a request, besides its header and body.
 constexpr std::size_t kHandlingBytes = 32UL * 1024;
+/// A body with its framing may be this many times as long as a body may be.
+constexpr std::uint64_t kMaxFramingFactor = 8;
+
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
@@ -244,6 +247,11 @@
       m_buffer.size() > m_shared->options.header_limit) {
     error = http::error::header_limit;
   }
+  const HttpServerOptions& options = m_shared->options;
+  if (!error && m_body_bytes > kMaxFramingFactor * options.body_limit +
+                                 2 * options.header_limit) {
+    error = http::error::body_limit;
+  }
   aNeedsBytes = !aParser.is_done();
   co_return error;
 }
