Parts of prompts: the memory of their counted uses is bounded

Read in the code while other kinds of clients were searched: a header of 16 KB names some 2,700 parts, and each one new is kept for 15 to 30 s, some 100 bytes without a bound; a name may itself be 16 KB long. A few hundred requests a second take hundreds of MB. Not measured against a process.

Cause: entries went by age only. Change: 4 MB at most, some 30,000 usual names, where ten requests a second have some hundreds; one that finds no room counts as used once, so that it is not kept in a store for its uses.

Test: PrefixPopularity.TheMemoryIsBounded (without the bound some 135 MB of names).

--- a/include/jujubehead/core/context/prefix_popularity.hpp
+++ b/include/jujubehead/core/context/prefix_popularity.hpp
@@ -15,10 +15,16 @@
 class PrefixPopularity
 {
 public:
-  /// @brief Counts a use by a request.
+  /// Memory of the parts that are counted at once: some 30,000 usual ones. The
+  /// header of one request may name thousands that nobody uses again.
+  static constexpr std::size_t kMaxBytes = 4UL * 1024 * 1024;
+
+  /// @brief Counts a use by a request. A part that is not counted, as too many
+  /// are, has only this one.
   /// @return uses per second, this one included.
   double CountUse(std::string_view aPart, Instant aNow);
   [[nodiscard]] std::size_t Size() const { return m_parts.size(); }
+  [[nodiscard]] std::size_t Bytes() const { return m_bytes; }
 
 private:
   struct Use
@@ -30,6 +36,7 @@
   void EvictUnused(Instant aNow);
 
   std::unordered_map<std::string, Use> m_parts;
+  std::size_t m_bytes = 0; ///< Memory of m_parts.
   Instant m_last_eviction{};
 };
 
--- a/src/jujubehead/core/context/prefix_popularity_test.cpp
+++ b/src/jujubehead/core/context/prefix_popularity_test.cpp
@@ -37,3 +37,18 @@
   // parts of the last 30 s are left.
   CHECK(uses.Size() <= 1500);
 }
+
+// Prompts of thousands of parts each, all new, took memory for as long as their
+// uses were counted.
+TEST(PrefixPopularity, TheMemoryIsBounded)
+{
+  for (int i = 0; i < 100000; ++i) {
+    uses.CountUse("p" + std::to_string(i), now);
+    uses.CountUse(std::string(1000, 'a') + std::to_string(i), now);
+  }
+  CHECK(uses.Bytes() <= PrefixPopularity::kMaxBytes);
+  now += seconds(31);
+  uses.CountUse("new", now);
+  LONGS_EQUAL(1, uses.Size());
+  CHECK(uses.CountUse("new", now) > uses.CountUse("other", now));
+}
