Tunnels: connections that wait for one are bounded in number

Read in the code: 128 tunnels were the limit, but each connection to the listener was served until its request came or half a second was over, so that a burst of them took descriptors and memory that the limit was meant to keep.

Change: 256 such connections at most; another one is closed, counted and logged (tunnels_full), and its instance asks another. Not measured by itself; the tests of partitioned instances pass.

--- a/src/jujubehead/node/forward/tunnel_server.cpp
+++ b/src/jujubehead/node/forward/tunnel_server.cpp
@@ -29,6 +29,8 @@
 /// Bounds the memory and descriptors spent on other instances' requests. One
 /// that is turned away asks another instance.
 constexpr std::size_t kMaxTunnels = 128;
+/// Connections that have asked for no tunnel yet, or wait for one.
+constexpr std::size_t kMaxRequests = 2 * kMaxTunnels;
 /// A request for a tunnel is one packet.
 constexpr core::Duration kRequestTimeout = std::chrono::milliseconds(500);
 constexpr core::Duration kAcceptPause = std::chrono::milliseconds(20);
@@ -293,6 +295,21 @@
 
 asio::awaitable<void>
 TunnelServer::Serve(tcp::socket aInstance)
+{
+  if (m_requests >= kMaxRequests) {
+    m_state.metrics.Add(Counter::kConnectionsRefused);
+    m_state.log.Write(LogLine("tunnels_full")
+                        .Add("requests", std::uint64_t(m_requests))
+                        .Add("tunnels", std::uint64_t(Tunnels())));
+    co_return;
+  }
+  ++m_requests;
+  co_await ServeRequest(std::move(aInstance));
+  --m_requests;
+}
+
+asio::awaitable<void>
+TunnelServer::ServeRequest(tcp::socket aInstance)
 {
   error_code ignored;
   aInstance.set_option(tcp::no_delay(true), ignored);
--- a/src/jujubehead/node/forward/tunnel_server.hpp
+++ b/src/jujubehead/node/forward/tunnel_server.hpp
@@ -44,6 +44,8 @@
 
   boost::asio::awaitable<void> Accept();
   boost::asio::awaitable<void> Serve(boost::asio::ip::tcp::socket aInstance);
+  boost::asio::awaitable<void> ServeRequest(
+    boost::asio::ip::tcp::socket aInstance);
   /// @return the request; without a target if it was not a valid one.
   boost::asio::awaitable<TunnelRequest> ReadRequest(
     boost::asio::ip::tcp::socket& aInstance);
@@ -56,6 +58,7 @@
   boost::asio::ip::tcp::acceptor m_acceptor;
   /// Shared with the tunnels, which may outlive this.
   std::shared_ptr<std::atomic<std::size_t>> m_tunnels;
+  std::size_t m_requests = 0; ///< For tunnels that are not open yet.
 };
 
 } // namespace jujubehead::node
