Overload: other instances have a quarter of the descriptors

Cause: an eighth (487 of 4,100) is less than the instances that exchange crash reports and streams' origins with each other in the largest deployments (984), whose refused calls would have to be sent again.

Change: callers 0.3, other instances 0.25 of the descriptors. A rejected connection does not count as idle while its rejection is read.

--- a/src/jujubehead/core/overload/capacity.cpp
+++ b/src/jujubehead/core/overload/capacity.cpp
@@ -12,8 +12,8 @@
 constexpr std::size_t kReservedDescriptors = 200;
 /// Each request has a connection to its target, so that callers and targets
 /// have the same share.
-constexpr double kCallerShare = 0.375;
-constexpr double kInstanceShare = 0.125;
+constexpr double kCallerShare = 0.3;
+constexpr double kInstanceShare = 0.25;
 constexpr double kProbeShare = 0.015;
 constexpr std::size_t kMinConnections = 8;
 
--- a/src/jujubehead/node/forward/caller_reading.cpp
+++ b/src/jujubehead/node/forward/caller_reading.cpp
@@ -280,7 +280,7 @@
 CallerSession::Reject(FullResponse aResponse)
 {
   m_keep_alive = false;
-  m_request = {};
+  m_request.body = std::make_shared<const std::string>();
   m_body = std::string();
   m_input = std::string();
   m_held.reset();
