--- a/include/jujubehead/node/forward/entry_options.hpp
+++ b/include/jujubehead/node/forward/entry_options.hpp
@@ -15,7 +15,7 @@
 
 namespace jujubehead::node {
 
-/// Memory that an instance takes a machine to have at most unless it is told.
+/// Upper bound of the machine's memory, in bytes, where no setting gives it.
 inline constexpr std::size_t kDefaultEntryMemory = 256UL * 1024 * 1024;
 /// The usual limit of a process.
 inline constexpr std::size_t kDefaultDescriptors = 1024;
--- a/include/jujubehead/node/serve_options.hpp
+++ b/include/jujubehead/node/serve_options.hpp
@@ -11,7 +11,7 @@
 
 namespace jujubehead::node {
 
-/// Memory that an instance takes a machine to have at most unless it is told.
+/// Upper bound of the machine's memory, in bytes, where no setting gives it.
 inline constexpr std::size_t kDefaultServeMemory = 1024UL * 1024 * 1024;
 
 /// @brief The settings of one instance, checked before it starts.
--- a/src/jujubehead/net/http_connection.cpp
+++ b/src/jujubehead/net/http_connection.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/use_awaitable.hpp> // for use_awaitable
 #include <boost/beast/core/string.hpp>  // for iequals
 
+#include "jujubehead/net/http1/message_parser.hpp" // for kMaxFramingFactor
+
 #include "http_fields.hpp"  // for FromFields
 #include "http_refusal.hpp" // for RefusalOf
 
@@ -34,8 +36,6 @@
 constexpr std::size_t kHeaderLineBytes = 128;
 /// Memory to handle a request, besides its header and body.
 constexpr std::size_t kHandlingBytes = 32UL * 1024;
-/// A body with its framing may be this many times as long as a body may be.
-constexpr std::uint64_t kMaxFramingFactor = 8;
 
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
