Serve: a body that came in chunks holds no more than its length

Cause: a string that grows has up to twice its length, and a request's reservation counts what is held: a body of 8 MiB in chunks counted as 32 in two copies, so that it had no room on a machine of 88 MB, where the same body with a length has.

Change: the spare room is given back once the body is complete.

--- a/src/jujubehead/net/http_connection.cpp
+++ b/src/jujubehead/net/http_connection.cpp
@@ -303,6 +303,9 @@
   m_request.target = message.target();
   m_request.headers = FromFields(message);
   m_request.body = std::move(message.body());
+  if (m_request.body.capacity() > kBodyReadBytes + m_request.body.size()) {
+    m_request.body.shrink_to_fit(); // Chunks leave up to its length unused.
+  }
   if (m_buffer.capacity() > kReadBytes) {
     m_buffer.shrink_to_fit();
   }
