Entry: a revoked request is rejected at once, whatever was left of its input

Seen while reading the change: a request whose memory was revoked while part of a chunk's line, or of a header, lay in its input stayed open without a timeout until its caller sent more or left, and kept its descriptor.

Cause: ReadMore() compared the length of the input with that before the wait to find out whether bytes had come; a revocation empties the input meanwhile, so that the end of the wait looked like bytes, and it waited anew, its deadline used up.

Change: what each read brings is counted by itself.

Test: Overload.ARevokedRequestIsRejectedAtOnce, on the code before: no reply within a minute (Await's bound, 61.5 s); now it has its 503 at once, and the whole group passes in 15 s.

--- a/src/jujubehead/node/forward/caller_reading.cpp
+++ b/src/jujubehead/node/forward/caller_reading.cpp
@@ -73,8 +73,15 @@
     m_burst = 0;
     co_await asio::post(Executor(), asio::use_awaitable);
   }
-  const std::size_t before = m_input.size();
-  error_code result = net::ReadAvailable(m_socket, m_input);
+  std::size_t received = 0;
+  // A revocation empties m_input while this waits.
+  const auto read = [&] {
+    const std::size_t before = m_input.size();
+    const error_code result = net::ReadAvailable(m_socket, m_input);
+    received = m_input.size() - before;
+    return result;
+  };
+  error_code result = read();
   if (result == asio::error::would_block) {
     m_burst = 0;
     net::Deadline deadline(Executor(), [self] {
@@ -85,15 +92,15 @@
     while (result == asio::error::would_block) {
       const auto [error] =
         co_await m_socket.async_wait(tcp::socket::wait_read, kTuple);
-      result = net::ReadAvailable(m_socket, m_input);
-      if (error && m_input.size() == before) {
+      result = read();
+      if (error && received == 0) {
         co_return false;
       }
     }
   }
-  m_burst += m_input.size() - before;
-  m_new_bytes += m_input.size() - before;
-  co_return !result || m_input.size() > before;
+  m_burst += received;
+  m_new_bytes += received;
+  co_return received > 0;
 }
 
 core::Instant
--- a/standin/overload_test.cpp
+++ b/standin/overload_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>     // for tcp
 #include <boost/asio/write.hpp>      // for write
 
+#include "jujubehead/core/overload/memory_budget.hpp" // for MemoryBudget
 #include "standin/entry_deployment.hpp"
 
 using namespace jujubehead;
@@ -93,6 +94,34 @@
   CHECK(deployment->Stats("service0").at("runs").at(0).at("body") == body);
 }
 
+// It waited on, without a timeout, when part of a chunk's line had been
+// received.
+TEST(Overload, ARevokedRequestIsRejectedAtOnce)
+{
+  Start(kMaxBody);
+  namespace asio = boost::asio;
+  asio::io_context context;
+  asio::ip::tcp::socket stalled(context);
+  stalled.connect(
+    { asio::ip::address_v4::loopback(), deployment->CallerPort(0) });
+  const std::string chunk = std::string("493e0\r\n") + // 300,000 bytes
+                            std::string(300000, 'a') + "\r\n1";
+  const std::string bytes =
+    kHead + std::string("Transfer-Encoding: chunked\r\n\r\n") + chunk;
+  asio::write(stalled, asio::buffer(bytes));
+  std::this_thread::sleep_for(core::MemoryBudget::kSlowAllowance * 3 / 2);
+  net::HttpHeaders lines;
+  lines.Add("X-Attempt-Id", "r2");
+  lines.Add("Authorization", "Token key-1");
+  const auto response =
+    deployment->CallAt(0, "POST", "/once/x", lines, std::string(600000, 'b'));
+  LONGS_EQUAL(200, response.status);
+  CHECK(deployment->Await([&] { return stalled.available() > 0; }));
+  std::string reply(stalled.available(), ' ');
+  stalled.read_some(asio::buffer(reply));
+  STRCMP_CONTAINS("HTTP/1.1 503", reply.c_str());
+}
+
 // Each byte began the timeout anew, so that a header took hours.
 TEST(Overload, AHeaderThatTricklesIsRejected)
 {
