Crowd: a reset ends a client that does not read

Cause: in the crowd, not the server. A client that does not read has written all of its body to its kernel when the server refuses it and resets the connection; its kernel goes on naming the unacknowledged bytes for the dead socket (shown with a Python client: 3.9 MB before and after the reset, with SO_ERROR set), and the client waits for them to reach 0 for ever.

Change: a reset counts as the end of the connection, as the header says. Nothing else is checked less: memory, descriptors and the two requests are as before.

--- a/standin/crowd.cpp
+++ b/standin/crowd.cpp
@@ -2,6 +2,7 @@
 
 #include <linux/sockios.h> // for SIOCOUTQ
 #include <sys/ioctl.h>     // for ioctl
+#include <sys/socket.h>    // for getsockopt
 
 #include <algorithm> // for min
 #include <array>     // for array
@@ -98,6 +99,17 @@
   return script;
 }
 
+/// @return whether the server reset a connection, which a client that does not
+/// read learns in no other way.
+bool
+WasReset(tcp::socket& aSocket)
+{
+  int error = 0;
+  socklen_t size = sizeof(error);
+  ::getsockopt(aSocket.native_handle(), SOL_SOCKET, SO_ERROR, &error, &size);
+  return error != 0;
+}
+
 CrowdScript
 InPieces(CrowdScript aScript)
 {
@@ -248,7 +260,7 @@
   std::string reply;
   bool is_at_rest = false;
   while (is_open || !is_at_rest) {
-    is_open = is_open && Read(socket, reply);
+    is_open = is_open && Read(socket, reply) && !WasReset(socket);
     const bool has_reply = reply.size() >= kStatusBytes;
     int unacknowledged = 0;
     ::ioctl(socket.native_handle(), SIOCOUTQ, &unacknowledged);
