Overload: one piece for a write's progress, one for the counter of a limit

Found on reading the whole change again: the completion condition that reports a write's progress to its reservation stood in caller_session and in http_reply, and the mapping of a server's limit to its counter in traffic and in entry. Behaviour is as before.

--- a/src/jujubehead/net/http_reply.cpp
+++ b/src/jujubehead/net/http_reply.cpp
@@ -6,11 +6,12 @@
 
 #include <boost/asio/as_tuple.hpp>       // for as_tuple
 #include <boost/asio/use_awaitable.hpp>  // for use_awaitable
-#include <boost/asio/write.hpp>          // for async_write, transfer_all
+#include <boost/asio/write.hpp>          // for async_write
 #include <boost/beast/http/status.hpp>   // for obsolete_reason
 #include <boost/system/system_error.hpp> // for system_error
 
 #include "jujubehead/net/reset_on_close.hpp" // for SetResetOnClose
+#include "jujubehead/net/write_progress.hpp" // for WriteProgress
 
 #include "http_fields.hpp" // for AppendLines
 
@@ -52,16 +53,9 @@
   m_deadline.Set(m_shared->options.write_timeout);
   const std::array<asio::const_buffer, 2> buffers = { asio::buffer(m_out),
                                                       asio::buffer(aBody) };
-  std::size_t reported = 0;
-  const auto on_progress = [&](const Error& aError, std::size_t aSize) {
-    if (m_held && aSize > reported) {
-      m_held->OnProgress(aSize - reported, core::RuntimeClock::now());
-      reported = aSize;
-    }
-    return asio::transfer_all()(aError, aSize);
-  };
+  const WriteProgress progress(m_held ? &*m_held : nullptr);
   const auto [error, bytes] =
-    co_await asio::async_write(m_stream, buffers, on_progress, kTuple);
+    co_await asio::async_write(m_stream, buffers, progress, kTuple);
   m_deadline.Clear();
   m_out.clear();
   if (m_out.capacity() > kKeptOutBytes) {
--- a/src/jujubehead/node/entry.cpp
+++ b/src/jujubehead/node/entry.cpp
@@ -11,6 +11,7 @@
 #include "jujubehead/net/timer.hpp"                // for Sleep
 #include "jujubehead/node/control/store_relay.hpp" // for StoreRelay
 #include "jujubehead/node/endpoint.hpp"            // for ReadEndpoint
+#include "jujubehead/node/limit_counter.hpp"       // for CounterOf
 #include "jujubehead/node/log.hpp"                 // for ConfigureLog, LogError
 #include "jujubehead/node/machine_limits.hpp"      // for ReturnLargeBlocks
 #include "jujubehead/node/metrics.hpp"             // for Metrics
@@ -119,11 +120,7 @@
   {
     aOptions.memory = m_memory;
     aOptions.on_limit = [this](net::ServerLimit aLimit) {
-      m_control_metrics.Add(aLimit == net::ServerLimit::kMemory
-                              ? Counter::kMemoryRefusals
-                            : aLimit == net::ServerLimit::kIdleConnection
-                              ? Counter::kConnectionsClosed
-                              : Counter::kConnectionsRefused);
+      m_control_metrics.Add(CounterOf(aLimit));
       m_log.Write(LogLine("control_limit")
                     .Add("held", std::uint64_t(m_memory->Bytes()))
                     .Add("limit", std::uint64_t(m_memory->MaxBytes())));
--- a/src/jujubehead/node/forward/caller_session.cpp
+++ b/src/jujubehead/node/forward/caller_session.cpp
@@ -10,12 +10,13 @@
 #include <boost/asio/co_spawn.hpp>      // for co_spawn
 #include <boost/asio/detached.hpp>      // for detached
 #include <boost/asio/use_awaitable.hpp> // for use_awaitable
-#include <boost/asio/write.hpp>         // for async_write, transfer_all
+#include <boost/asio/write.hpp>         // for async_write
 #include <boost/beast/http/status.hpp>  // for obsolete_reason
 
 #include "jujubehead/net/deadline.hpp"             // for Deadline
 #include "jujubehead/net/http1/socket_reading.hpp" // for ReadAvailable
 #include "jujubehead/net/reset_on_close.hpp"       // for SetResetOnClose
+#include "jujubehead/net/write_progress.hpp"       // for WriteProgress
 
 namespace jujubehead::node {
 namespace {
@@ -301,17 +302,10 @@
   const auto self = shared_from_this();
   net::Deadline deadline(Executor(), [self] { self->Abort(); });
   deadline.Set(kWriteTimeout);
-  std::size_t reported = 0;
-  const auto on_progress = [&](const error_code& aError, std::size_t aSize) {
-    if (aHeld != nullptr && aSize > reported) {
-      aHeld->OnProgress(aSize - reported, core::RuntimeClock::now());
-      reported = aSize;
-    }
-    return asio::transfer_all()(aError, aSize);
-  };
+  const net::WriteProgress progress(aHeld);
   const auto buffers = rest(written);
   const auto [failure, size] =
-    co_await asio::async_write(m_socket, buffers, on_progress, kTuple);
+    co_await asio::async_write(m_socket, buffers, progress, kTuple);
   if (failure) {
     NotifyDisconnect();
   }
--- a/src/jujubehead/node/traffic.cpp
+++ b/src/jujubehead/node/traffic.cpp
@@ -9,6 +9,7 @@
 #include "jujubehead/net/http_server.hpp"     // for HttpServer
 #include "jujubehead/net/random_text.hpp"     // for RandomText
 #include "jujubehead/node/front.hpp"          // for Front
+#include "jujubehead/node/limit_counter.hpp"  // for CounterOf
 #include "jujubehead/node/log.hpp"            // for LogWarning
 #include "jujubehead/node/traffic_thread.hpp" // for TrafficThread
 
@@ -75,13 +76,9 @@
   void OnLimit(net::ServerLimit aLimit)
   {
     ThreadMetrics& metrics = m_thread_state.metrics;
+    metrics.Add(CounterOf(aLimit));
     if (aLimit == net::ServerLimit::kMemory) {
-      metrics.Add(Counter::kMemoryRefusals);
       metrics.Refuse("memory", true);
-    } else {
-      metrics.Add(aLimit == net::ServerLimit::kIdleConnection
-                    ? Counter::kConnectionsClosed
-                    : Counter::kConnectionsRefused);
     }
     const core::Instant now = core::RuntimeClock::now();
     if (now - m_limit_logged_at < kLimitLogInterval) {
