Entry: what is open at the exit of a planned stop, and how late it began

The record of the incident has no line of the stopped instances, and stop_ended gave only a number, so that the hypotheses (taken late, signal handled late, held at no target, response destroyed by the close) could not be told apart. Now stop_begun has the time from the delivery of SIGTERM to its handling, taken in the signal handler; open_at_exit has the open requests by phase; request_at_exit names each with its age, target and phase.

--- a/src/jujubehead/node/entry.cpp
+++ b/src/jujubehead/node/entry.cpp
@@ -1,6 +1,6 @@
 #include "jujubehead/node/entry.hpp"
 
-#include <csignal> // for SIGTERM, SIGINT, SIGHUP
+#include <csignal> // for SIGHUP
 #include <string>  // for string
 
 #include <boost/asio/co_spawn.hpp>   // for co_spawn
@@ -18,6 +18,7 @@
 
 #include "control/entry_control.hpp" // for EntryControl
 #include "forward/forwarder.hpp"     // for Forwarder
+#include "stop_signal.hpp"           // for StopSignal
 
 namespace jujubehead::node {
 namespace {
@@ -65,8 +66,9 @@
                 m_paths,
                 m_forwarder)
     , m_relay(m_context, m_paths, m_control.CachedRows())
-    , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
+    , m_signals(m_context, SIGHUP)
   {
+    StopSignal::Install();
     m_ready = net::HttpServer::Create(
       m_context,
       PageAt(aOptions.ready_address),
@@ -90,7 +92,8 @@
 
   void Run()
   {
-    WaitForSignal();
+    WaitForReload();
+    asio::co_spawn(m_context, PlannedStop(), asio::detached);
     m_forwarder.Start();
     m_control.Start();
     m_context.run();
@@ -209,31 +212,28 @@
     co_await aExchange.Send(std::move(response));
   }
 
-  void WaitForSignal()
+  void WaitForReload()
   {
-    m_signals.async_wait(
-      [this](const boost::system::error_code& aError, int aSignal) {
-        if (aError) {
-          return;
-        }
-        WaitForSignal();
-        if (aSignal == SIGHUP) {
-          // Nothing that can change while the process lives is in the settings.
-          DecisionLog::WriteUnthrottled(
-            LogLine("reload").Add("outcome", "settings_unchanged"));
-        } else if (!m_stopping) {
-          m_stopping = true;
-          asio::co_spawn(m_context, PlannedStop(), asio::detached);
-        }
-      });
+    m_signals.async_wait([this](const boost::system::error_code& aError, int) {
+      if (aError) {
+        return;
+      }
+      WaitForReload();
+      // Nothing that can change while the process lives is in the settings.
+      DecisionLog::WriteUnthrottled(
+        LogLine("reload").Add("outcome", "settings_unchanged"));
+    });
   }
 
   asio::awaitable<void> PlannedStop()
   {
+    co_await StopSignal::Wait();
+    m_stopping = true;
     const core::Instant begun = core::RuntimeClock::now();
     DecisionLog::WriteUnthrottled(
       LogLine("stop_begun")
-        .Add("open_requests", std::uint64_t(m_forwarder.OpenRequests())));
+        .Add("open_requests", std::uint64_t(m_forwarder.OpenRequests()))
+        .Add("lag", begun - StopSignal::ReceivedAt().value_or(begun)));
     const core::Instant last = begun + m_options.stop_grace - kEndMargin;
     m_forwarder.BeginStop(last);
     m_control.BeginStop();
--- a/src/jujubehead/node/forward/forward_attempt.cpp
+++ b/src/jujubehead/node/forward/forward_attempt.cpp
@@ -597,8 +597,7 @@
   }
   auto& held =
     aExchange.BeginRelay([session = m_session] { session->Abort(); });
-  const bool written =
-    co_await m_session->SendResponse(std::move(response), &held);
+  const bool written = co_await SendResponse(std::move(response), &held);
   if (written) {
     m_state.metrics.Add(Counter::kAnswers);
     LogEnd("answered", status, {});
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -83,6 +83,31 @@
   , m_stall_timer(m_session->Executor(), [this] { OnSilenceTimeout(); })
   , m_path_timer(m_session->Executor(), [this] { OnNoResponse(); })
 {
+  m_state.open_runs.insert(this);
+}
+
+ForwardRun::~ForwardRun()
+{
+  m_state.open_runs.erase(this);
+}
+
+RequestPhase
+ForwardRun::Phase() const
+{
+  if (m_is_responding) {
+    return RequestPhase::kResponding;
+  }
+  if (m_session->HasStreamBegun()) {
+    return RequestPhase::kStreaming;
+  }
+  const bool is_sent = m_exchange != nullptr && !m_exchange->IsOver();
+  return is_sent ? RequestPhase::kAtTarget : RequestPhase::kWaiting;
+}
+
+void
+ForwardRun::LogAtExit()
+{
+  LogEnd("request_at_exit", 0, NameOf(Phase()));
 }
 
 Duration
@@ -522,7 +547,7 @@
     LogEnd(
       "answered", m_target_failure->status, "target returned a server error");
     FullResponse failure = std::move(*m_target_failure);
-    co_await m_session->SendResponse(std::move(failure));
+    co_await SendResponse(std::move(failure));
     co_return;
   }
   LocalReply reply;
@@ -574,7 +599,15 @@
                          FormatRetryAfter(std::chrono::milliseconds(wait)));
   }
   response.body = std::move(aReply.message) + '\n';
-  co_await m_session->SendResponse(std::move(response));
+  co_await SendResponse(std::move(response));
+}
+
+asio::awaitable<bool>
+ForwardRun::SendResponse(FullResponse aResponse,
+                         core::MemoryBudget::Reservation* aHeld)
+{
+  m_is_responding = true;
+  co_return co_await m_session->SendResponse(std::move(aResponse), aHeld);
 }
 
 void
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -21,6 +21,7 @@
 
 #include "caller_session.hpp"  // for CallerSession
 #include "forward_state.hpp"   // for ForwardState
+#include "request_phase.hpp"   // for RequestPhase
 #include "target_exchange.hpp" // for TargetExchange
 #include "transfer_plan.hpp"   // for PlannedTokens
 
@@ -34,9 +35,17 @@
 {
 public:
   ForwardRun(ForwardState& aState, std::shared_ptr<CallerSession> aSession);
+  ~ForwardRun();
+  ForwardRun(const ForwardRun&) = delete;
+  ForwardRun& operator=(const ForwardRun&) = delete;
+  ForwardRun(ForwardRun&&) = delete;
+  ForwardRun& operator=(ForwardRun&&) = delete;
 
   /// @brief Runs until the final response.
   boost::asio::awaitable<void> Run();
+  [[nodiscard]] RequestPhase Phase() const;
+  /// @brief Logs a request that is open when the process ends.
+  void LogAtExit();
 
 private:
   /// How an attempt failed; nothing when the final response was sent or the
@@ -56,6 +65,9 @@
   boost::asio::awaitable<void> Forward();
   boost::asio::awaitable<void> Finish(core::NextStep aStep);
   boost::asio::awaitable<void> SendLocalReply(LocalReply aReply);
+  boost::asio::awaitable<bool> SendResponse(
+    FullResponse aResponse,
+    core::MemoryBudget::Reservation* aHeld = nullptr);
 
   /// @return whether the request would probably meet its objective there.
   [[nodiscard]] bool IsWorthSending(const FleetTarget& aTarget);
@@ -335,6 +347,7 @@
   bool m_timed_out = false;
   bool m_stall_timed_out = false; ///< In the current attempt.
   bool m_is_streaming = false;    ///< Counted in the target's active_streams.
+  bool m_is_responding = false;   ///< With a complete response.
 };
 
 } // namespace jujubehead::node
--- a/src/jujubehead/node/forward/forward_state.hpp
+++ b/src/jujubehead/node/forward/forward_state.hpp
@@ -8,6 +8,7 @@
 #include <memory>        // for shared_ptr
 #include <optional>      // for optional
 #include <random>        // for mt19937_64
+#include <set>           // for set
 #include <string>        // for string
 #include <unordered_map> // for unordered_map
 #include <utility>       // for exchange
@@ -42,6 +43,8 @@
 
 namespace jujubehead::node {
 
+class ForwardRun;
+
 /// @brief Takes the quarantine that was recorded for a probe, if any.
 using ProbeReply = std::function<void(std::optional<core::Quarantine>)>;
 
@@ -367,6 +370,7 @@
   /// Suspects, and requests in quarantine; read by the control thread.
   std::atomic<std::size_t> suspects{ 0 };
   std::atomic<std::size_t> quarantined{ 0 };
+  std::set<ForwardRun*> open_runs; ///< Of requests that were read.
   bool is_stopping = false;
   /// Exit time of a stopping instance.
   core::Instant exits_at = core::Instant::max();
--- a/src/jujubehead/node/forward/forwarder.cpp
+++ b/src/jujubehead/node/forward/forwarder.cpp
@@ -1,6 +1,7 @@
 #include "forwarder.hpp"
 
 #include <algorithm> // for max, min
+#include <array>     // for array
 #include <random>    // for uniform_int_distribution
 #include <utility>   // for move
 
@@ -80,10 +81,38 @@
   m_context.stop();
   if (m_thread.joinable()) {
     m_thread.join();
+    if (m_state.is_stopping) {
+      LogOpenAtExit();
+    }
   }
   EndSessions();
 }
 
+void
+Forwarder::LogOpenAtExit()
+{
+  std::array<std::uint64_t, kRequestPhaseNames.size()> in_phase{};
+  for (ForwardRun* const run : m_state.open_runs) {
+    ++in_phase.at(static_cast<std::size_t>(run->Phase()));
+    run->LogAtExit();
+  }
+  std::uint64_t idle = 0;
+  for (const CallerSession* const session : m_connections.All()) {
+    idle += session->State().is_idle ? 1 : 0;
+  }
+  LogLine line("open_at_exit");
+  for (std::size_t i = 0; i < in_phase.size(); ++i) {
+    line.Add(kRequestPhaseNames.at(i), in_phase.at(i));
+  }
+  line
+    .Add("reading",
+         std::uint64_t(m_connections.Size()) - idle -
+           std::uint64_t(m_state.open_runs.size()))
+    .Add("idle", idle)
+    .Add("tunnels", std::uint64_t(Tunnels()));
+  DecisionLog::WriteUnthrottled(line);
+}
+
 void
 Forwarder::EndSessions()
 {
--- a/src/jujubehead/node/forward/forwarder.hpp
+++ b/src/jujubehead/node/forward/forwarder.hpp
@@ -166,6 +166,8 @@
 private:
   /// @brief Finds out at which services the routes compete for room.
   void UpdateRooms(const core::Declarations& aDeclarations);
+  /// @brief Logs what is open when the process ends.
+  void LogOpenAtExit();
   /// Ends all coroutines while the objects that they refer to still exist.
   void EndSessions();
   boost::asio::awaitable<void> Accept();
