--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -16,6 +16,7 @@
 #include "standin/load_callers.hpp" // for LoadCallers
 #include "standin/path_view.hpp"    // for PathView
 #include "standin/stand_in.hpp"     // for StandIn
+#include "standin/stop_callers.hpp" // for StopCallers
 
 DEFINE_string(address, "127.0.0.1", "Address to listen at");
 DEFINE_int32(port, 0, "Port to listen at; 0: any free one");
@@ -50,12 +51,16 @@
               "",
               "registered: gets a line for each request: Unix milliseconds, "
               "X-Attempt-Id, id of the target, service, body");
-DEFINE_string(upstream, "", "proxy, paths, crowd: `address:port` to call");
+DEFINE_string(upstream,
+              "",
+              "proxy, paths, crowd, stop_callers: `address:port` to call");
 DEFINE_int64(mean_calm_ms, 10000, "proxy: mean time between faults; 0: none");
 DEFINE_int64(max_fault_ms, 5000, "proxy: longest fault");
 DEFINE_string(instances, "", "callers: `address:port` of each, by comma");
 DEFINE_string(crowd, "", "crowd: its kind, see MakeCrowdScript()");
-DEFINE_uint64(clients, 40, "crowd: how many");
+DEFINE_uint64(clients,
+              40,
+              "crowd: how many; stop_callers: of each kind and manner");
 DEFINE_uint64(body_bytes, 4U << 20U, "crowd: length of a body");
 DEFINE_string(path, "/", "crowd: of the requests");
 DEFINE_string(lines, "", "crowd: header lines of the requests, by |");
@@ -82,6 +87,8 @@
               "",
               "registered: ends when it runs a request with this part in its "
               "prompt; empty: never");
+DEFINE_int32(pid, 0, "stop_callers: process that gets SIGTERM");
+DEFINE_int64(warm_up_ms, 8000, "stop_callers: time before SIGTERM");
 DEFINE_int64(crash_after_ms, 0, "registered: time from its begin to the end");
 
 namespace {
@@ -94,7 +101,7 @@
 constexpr const char* kUsage =
   "jujubehead-standin "
   "engine|store|table|objects|members|service|rows|parts|registered|proxy|"
-  "paths|callers|crowd [flags]";
+  "paths|callers|stop_callers|crowd [flags]";
 
 std::vector<std::string>
 SplitByComma(const std::string& aText)
@@ -340,6 +347,22 @@
   RunUntilSignal(context);
 }
 
+/// Their log, on standard output, has the requests.
+void
+RunStopCallers()
+{
+  StopCallersOptions options;
+  options.instance = FLAGS_upstream;
+  options.pid = FLAGS_pid;
+  options.warm_up = std::chrono::milliseconds(FLAGS_warm_up_ms);
+  options.callers = FLAGS_clients;
+  options.seed = FLAGS_seed;
+  asio::io_context context(1);
+  StopCallers callers(context, options, std::cout);
+  callers.Start();
+  context.run();
+}
+
 void
 Serve(const std::string& aKind)
 {
@@ -355,6 +378,10 @@
     RunCallers();
     return;
   }
+  if (aKind == "stop_callers") {
+    RunStopCallers();
+    return;
+  }
   if (aKind == "crowd") {
     RunCrowd();
     return;
