Entry: a stopping instance takes only what ends before it does

Cause: 4.7 s stood for the time that any request takes, whatever its route allows and its requests took, and it was looked at once, before the first send; both thresholds counted from the handling of the signal on the control thread. The class: an assumed duration in place of a known bound.

Now a request is taken during a stop if it ends before the exit by what is known of it. It is looked at before each send, after the waits before it. The stop counts from the delivery of the signal, and the traffic thread looks for that itself.

--- a/src/jujubehead/node/entry.cpp
+++ b/src/jujubehead/node/entry.cpp
@@ -7,14 +7,15 @@
 #include <boost/asio/detached.hpp>   // for detached
 #include <boost/asio/signal_set.hpp> // for signal_set
 
-#include "jujubehead/net/http_server.hpp"          // for HttpServer
-#include "jujubehead/net/timer.hpp"                // for Sleep
-#include "jujubehead/node/control/store_relay.hpp" // for StoreRelay
-#include "jujubehead/node/endpoint.hpp"            // for ReadEndpoint
-#include "jujubehead/node/limit_counter.hpp"       // for CounterOf
-#include "jujubehead/node/log.hpp"                 // for ConfigureLog, LogError
-#include "jujubehead/node/machine_limits.hpp"      // for ReturnLargeBlocks
-#include "jujubehead/node/metrics.hpp"             // for Metrics
+#include "jujubehead/core/overload/stop_schedule.hpp" // for StopSchedule
+#include "jujubehead/net/http_server.hpp"             // for HttpServer
+#include "jujubehead/net/timer.hpp"                   // for Sleep
+#include "jujubehead/node/control/store_relay.hpp"    // for StoreRelay
+#include "jujubehead/node/endpoint.hpp"               // for ReadEndpoint
+#include "jujubehead/node/limit_counter.hpp"          // for CounterOf
+#include "jujubehead/node/log.hpp"            // for ConfigureLog, LogError
+#include "jujubehead/node/machine_limits.hpp" // for ReturnLargeBlocks
+#include "jujubehead/node/metrics.hpp"        // for Metrics
 
 #include "control/entry_control.hpp" // for EntryControl
 #include "forward/forwarder.hpp"     // for Forwarder
@@ -27,11 +28,6 @@
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kUnavailable = 503;
-/// The balancer takes an instance out after two questions in vain, one a
-/// second; connections that were under way then are the third.
-constexpr core::Duration kOutOfRotation = std::chrono::milliseconds(3200);
-/// Kept from the allowed time, for the end of the process itself.
-constexpr core::Duration kEndMargin = std::chrono::milliseconds(400);
 constexpr core::Duration kPollTime = std::chrono::milliseconds(50);
 
 /// Requests to the pages for health and metrics have no body.
@@ -69,6 +65,7 @@
     , m_signals(m_context, SIGHUP)
   {
     StopSignal::Install();
+    m_forwarder.SetStopSource(&StopSignal::ReceivedAt);
     m_ready = net::HttpServer::Create(
       m_context,
       PageAt(aOptions.ready_address),
@@ -142,7 +139,7 @@
   asio::awaitable<void> TellReady(net::HttpExchange& aExchange)
   {
     net::HttpResponse response;
-    const bool ready = !m_stopping && m_control.IsReady();
+    const bool ready = !StopSignal::ReceivedAt() && m_control.IsReady();
     response.status = ready ? kOk : kUnavailable;
     response.body = ready ? "ready\n" : "not ready\n";
     co_await aExchange.Send(std::move(response));
@@ -175,7 +172,7 @@
           m_paths.IsDirect() ? 1 : 0);
     gauge("jujubehead_ready",
           "Whether callers are taken.",
-          !m_stopping && m_control.IsReady() ? 1 : 0);
+          !StopSignal::ReceivedAt() && m_control.IsReady() ? 1 : 0);
     gauge("jujubehead_stopped_data_centres",
           "Data centres with a planned stop.",
           static_cast<double>(m_control.Stops().All().size()));
@@ -228,30 +225,30 @@
   asio::awaitable<void> PlannedStop()
   {
     co_await StopSignal::Wait();
-    m_stopping = true;
     const core::Instant begun = core::RuntimeClock::now();
+    core::StopSchedule schedule(m_options.stop_grace);
+    schedule.Request(StopSignal::ReceivedAt().value_or(begun));
     DecisionLog::WriteUnthrottled(
       LogLine("stop_begun")
         .Add("open_requests", std::uint64_t(m_forwarder.OpenRequests()))
-        .Add("lag", begun - StopSignal::ReceivedAt().value_or(begun)));
-    const core::Instant last = begun + m_options.stop_grace - kEndMargin;
-    m_forwarder.BeginStop(last);
+        .Add("lag", begun - *schedule.RequestedAt()));
+    m_forwarder.BeginStop(*schedule.RequestedAt());
     m_control.BeginStop();
     for (;;) {
       co_await net::Sleep(kPollTime);
       const core::Instant now = core::RuntimeClock::now();
-      const bool is_out = now - begun > kOutOfRotation;
+      const bool is_out = schedule.IsOutOfRotation(now);
       if (is_out) {
         m_forwarder.CloseIdle();
       }
-      if ((is_out && m_forwarder.Sessions() == 0) || now >= last) {
+      if ((is_out && m_forwarder.Sessions() == 0) || now >= schedule.EndsAt()) {
         break;
       }
     }
     DecisionLog::WriteUnthrottled(
       LogLine("stop_ended")
         .Add("open_requests", std::uint64_t(m_forwarder.OpenRequests()))
-        .Add("took", core::RuntimeClock::now() - begun));
+        .Add("took", core::RuntimeClock::now() - *schedule.RequestedAt()));
     m_context.stop();
   }
 
@@ -271,7 +268,6 @@
   std::unique_ptr<net::HttpServer> m_ready;
   std::unique_ptr<net::HttpServer> m_pages;
   std::unique_ptr<net::HttpServer> m_relay_door; ///< For other instances.
-  bool m_stopping = false;
 };
 
 } // namespace
--- a/src/jujubehead/node/forward/caller_session.hpp
+++ b/src/jujubehead/node/forward/caller_session.hpp
@@ -54,7 +54,7 @@
     std::shared_ptr<CallerSession> aSession) = 0;
   [[nodiscard]] virtual core::CallerLimits Limits() const = 0;
   /// @return whether connections should close after the current response.
-  [[nodiscard]] virtual bool IsStopping() const = 0;
+  [[nodiscard]] virtual bool IsStopping() = 0;
   /// @brief Bounds what the thread's connections hold together.
   [[nodiscard]] virtual std::shared_ptr<core::MemoryBudget> Memory() = 0;
   virtual CallerConnections& Connections() = 0;
--- a/src/jujubehead/node/forward/forward_attempt.cpp
+++ b/src/jujubehead/node/forward/forward_attempt.cpp
@@ -219,6 +219,11 @@
     m_last_error = "target no longer takes requests";
     co_return AttemptOutcome::kNotSent;
   }
+  if (m_state.IsStopping() && !m_session->HasStreamBegun() &&
+      !EndsBeforeExit()) {
+    m_last_error = "a stop was requested meanwhile";
+    co_return AttemptOutcome::kNotSent;
+  }
   if (IsQuarantined()) {
     m_last_error = "request was quarantined meanwhile";
     co_return AttemptOutcome::kNotSent;
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -35,9 +35,7 @@
 /// time. Randomized so that refused callers do not return at once.
 constexpr std::int64_t kRetryAfterMinMs = 150;
 constexpr std::int64_t kRetryAfterMaxMs = 450;
-/// Nearly all requests finish within this time, even at loaded targets. A
-/// stopping instance with less time left refuses new ones.
-constexpr Duration kUsualMaxDuration = std::chrono::milliseconds(4700);
+constexpr const char* kShuttingDown = "instance is shutting down";
 /// The operators' store usually answers a claim of a probe within some
 /// milliseconds. One that is granted later is left to the next copy.
 constexpr Duration kClaimTimeout = std::chrono::seconds(1);
@@ -344,10 +342,8 @@
                         m_account != nullptr ? m_account->homes
                                              : std::vector<core::RegionId>(),
                         m_state.options.regions);
-  if (core::RuntimeClock::now() +
-        std::min(m_route->timeout, kUsualMaxDuration) >
-      m_state.exits_at) {
-    return LocalReply{ kUnavailable, "instance is shutting down", true };
+  if (m_state.IsStopping() && !EndsBeforeExit()) {
+    return LocalReply{ kUnavailable, kShuttingDown, true };
   }
   std::vector<double> weights;
   for (const core::RouteShare& share : m_route->shares) {
@@ -374,14 +370,54 @@
   return std::nullopt;
 }
 
+Duration
+ForwardRun::TimeLimit() const
+{
+  return m_metadata.time_left
+           ? std::min(m_route->timeout,
+                      *m_metadata.time_left - kResponseNetworkTime)
+           : m_route->timeout;
+}
+
+bool
+ForwardRun::EndsBeforeExit() const
+{
+  const core::Instant now = core::RuntimeClock::now();
+  const Duration age = now - m_session->Request().received_at;
+  const core::RequestTime time{ TimeLimit() - age, UsualDuration() };
+  return m_state.stop.Allows(time, now);
+}
+
+std::optional<Duration>
+ForwardRun::UsualDuration() const
+{
+  const auto known = m_state.durations.find(m_route->name);
+  if (known == m_state.durations.end()) {
+    return std::nullopt;
+  }
+  const core::Instant now = core::RuntimeClock::now();
+  std::optional<Duration> usual = known->second.UpperBound(now);
+  // Where targets have just become slow, this shows in the open requests first.
+  for (const ForwardRun* const other : m_state.open_runs) {
+    if (usual && other->m_route == m_route) {
+      usual = std::max(*usual, now - other->m_session->Request().received_at);
+    }
+  }
+  return usual;
+}
+
+void
+ForwardRun::RecordDuration()
+{
+  const core::Instant now = core::RuntimeClock::now();
+  m_state.durations[m_route->name].OnEnd(now - m_session->Request().received_at,
+                                         now);
+}
+
 void
 ForwardRun::SetTimeLimit()
 {
-  Duration limit = m_route->timeout;
-  if (m_metadata.time_left) {
-    limit = std::min(limit, *m_metadata.time_left - kResponseNetworkTime);
-  }
-  m_expires_at = m_session->Request().received_at + limit;
+  m_expires_at = m_session->Request().received_at + TimeLimit();
   m_deadline_timer.Set(std::max(TimeLeft(), Duration(1)));
   m_history.is_repeatable = m_route->repeatable;
   m_history.max_targets = m_route->max_targets;
@@ -409,6 +445,9 @@
     co_await Finish(NextStep::kRefuse);
   }
   CountUnanswered();
+  if (m_sent_count > 0) {
+    RecordDuration();
+  }
   if (m_probe) { // It was not sent.
     m_state.probes.Put(*m_probe);
   }
@@ -433,6 +472,13 @@
         co_return;
       }
     }
+    // A stream that has begun is cut if it is not resumed.
+    if (m_state.IsStopping() && !m_session->HasStreamBegun() &&
+        !EndsBeforeExit()) {
+      m_last_error = kShuttingDown;
+      co_await Finish(core::StepWithoutRetry(last, m_history));
+      co_return;
+    }
     m_history.has_time = TimeLeft() > kMinTimeLeft;
     const auto target = m_history.has_time ? ChooseTarget() : nullptr;
     if (!target) {
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -61,7 +61,16 @@
 
   std::optional<LocalReply> Prepare();
   std::optional<LocalReply> Identify();
+  /// @return the time from the request's arrival to its response, at most.
+  [[nodiscard]] core::Duration TimeLimit() const;
   void SetTimeLimit();
+  /// @return whether the request ends before the instance does, if it is sent
+  /// now.
+  [[nodiscard]] bool EndsBeforeExit() const;
+  /// @return an upper bound of the time that requests of the route take, if it
+  /// is known.
+  [[nodiscard]] std::optional<core::Duration> UsualDuration() const;
+  void RecordDuration();
   boost::asio::awaitable<void> Forward();
   boost::asio::awaitable<void> Finish(core::NextStep aStep);
   boost::asio::awaitable<void> SendLocalReply(LocalReply aReply);
--- a/src/jujubehead/node/forward/forward_state.hpp
+++ b/src/jujubehead/node/forward/forward_state.hpp
@@ -21,6 +21,7 @@
 #include "jujubehead/core/membership/stream_origins.hpp" // for StreamOrigins
 #include "jujubehead/core/overload/capacity.hpp"         // for Capacity
 #include "jujubehead/core/overload/memory_budget.hpp"    // for MemoryBudget
+#include "jujubehead/core/overload/stop_schedule.hpp"    // for StopSchedule
 #include "jujubehead/core/routing/account_shares.hpp"    // for AccountShares
 #include "jujubehead/core/routing/admission.hpp"         // for WaitPredictor
 #include "jujubehead/core/routing/configuration.hpp"     // for Configuration
@@ -28,6 +29,7 @@
 #include "jujubehead/core/routing/load_reports.hpp"      // for LoadReports
 #include "jujubehead/core/routing/poison_requests.hpp"   // for PoisonRequests
 #include "jujubehead/core/routing/probe_grants.hpp"      // for ProbeGrants
+#include "jujubehead/core/routing/request_durations.hpp" // for RequestDurations
 #include "jujubehead/core/routing/software_versions.hpp" // for SoleVersions
 #include "jujubehead/core/routing/windowed_retry_budget.hpp" // for WindowedRetryBudget
 #include "jujubehead/core/weights/rollout.hpp"       // for DesiredWeights
@@ -68,6 +70,7 @@
     , memory(std::make_shared<core::MemoryBudget>(capacity.traffic_bytes))
     , poison(aOptions.poison)
     , random(std::random_device{}())
+    , stop(aOptions.stop_grace)
   {
   }
 
@@ -108,6 +111,18 @@
     }
   }
 
+  /// @return whether a planned stop was requested, even if no thread has come
+  /// to handle that yet.
+  bool IsStopping()
+  {
+    if (!stop.IsRequested()) {
+      if (const auto requested_at = stop_requested()) {
+        stop.Request(*requested_at);
+      }
+    }
+    return stop.IsRequested();
+  }
+
   /// @return the gate of a service whose routes compete; null for others.
   RoomGate* RoomOf(const core::ServiceId& aService)
   {
@@ -371,9 +386,13 @@
   std::atomic<std::size_t> suspects{ 0 };
   std::atomic<std::size_t> quarantined{ 0 };
   std::set<ForwardRun*> open_runs; ///< Of requests that were read.
-  bool is_stopping = false;
-  /// Exit time of a stopping instance.
-  core::Instant exits_at = core::Instant::max();
+  /// By route name.
+  std::unordered_map<std::string, core::RequestDurations> durations;
+  core::StopSchedule stop;
+  /// Thread-safe; returns when a planned stop was requested, if it was.
+  std::function<std::optional<core::Instant>()> stop_requested = [] {
+    return std::optional<core::Instant>();
+  };
 };
 
 } // namespace jujubehead::node
--- a/src/jujubehead/node/forward/forwarder.cpp
+++ b/src/jujubehead/node/forward/forwarder.cpp
@@ -81,7 +81,7 @@
   m_context.stop();
   if (m_thread.joinable()) {
     m_thread.join();
-    if (m_state.is_stopping) {
+    if (m_state.IsStopping()) {
       LogOpenAtExit();
     }
   }
@@ -134,11 +134,17 @@
 }
 
 void
-Forwarder::BeginStop(core::Instant aExitsAt)
+Forwarder::SetStopSource(
+  std::function<std::optional<core::Instant>()> aRequestedAt)
 {
-  asio::post(m_context, [this, aExitsAt] {
-    m_state.is_stopping = true;
-    m_state.exits_at = aExitsAt;
+  m_state.stop_requested = std::move(aRequestedAt);
+}
+
+void
+Forwarder::BeginStop(core::Instant aRequestedAt)
+{
+  asio::post(m_context, [this, aRequestedAt] {
+    m_state.stop.Request(aRequestedAt);
     m_tunnels.Stop();
   });
 }
@@ -253,9 +259,9 @@
 }
 
 bool
-Forwarder::IsStopping() const
+Forwarder::IsStopping()
 {
-  return m_state.is_stopping;
+  return m_state.IsStopping();
 }
 
 void
--- a/src/jujubehead/node/forward/forwarder.hpp
+++ b/src/jujubehead/node/forward/forwarder.hpp
@@ -1,12 +1,14 @@
 #ifndef JUJUBEHEAD_NODE_FORWARD_FORWARDER_HPP
 #define JUJUBEHEAD_NODE_FORWARD_FORWARDER_HPP
 
-#include <atomic> // for atomic
-#include <map>    // for map
-#include <memory> // for shared_ptr, unique_ptr
-#include <set>    // for set
-#include <thread> // for thread
-#include <vector> // for vector
+#include <atomic>     // for atomic
+#include <functional> // for function
+#include <map>        // for map
+#include <memory>     // for shared_ptr, unique_ptr
+#include <optional>   // for optional
+#include <set>        // for set
+#include <thread>     // for thread
+#include <vector>     // for vector
 
 #include <boost/asio/executor_work_guard.hpp> // for executor_work_guard
 #include <boost/asio/io_context.hpp>          // for io_context
@@ -44,9 +46,13 @@
   void Start();
   /// @brief Ends the thread; open requests are aborted.
   void Stop();
+  /// @brief Sets what returns when a planned stop was requested, if it was. It
+  /// is called on the traffic thread. Before Start().
+  void SetStopSource(
+    std::function<std::optional<core::Instant>()> aRequestedAt);
   /// @brief From now on, connections are closed after their next response.
-  /// @param aExitsAt latest exit time of the instance.
-  void BeginStop(core::Instant aExitsAt);
+  /// @param aRequestedAt when the stop was requested.
+  void BeginStop(core::Instant aRequestedAt);
   /// @brief Closes the connections without a request in progress.
   void CloseIdle();
   /// @return connections of callers, and tunnels of other instances.
@@ -153,7 +159,7 @@
   boost::asio::awaitable<void> Handle(
     std::shared_ptr<CallerSession> aSession) override;
   [[nodiscard]] core::CallerLimits Limits() const override;
-  [[nodiscard]] bool IsStopping() const override;
+  [[nodiscard]] bool IsStopping() override;
   [[nodiscard]] std::shared_ptr<core::MemoryBudget> Memory() override
   {
     return m_state.memory;
--- a/src/jujubehead/node/forward/tunnel_server.cpp
+++ b/src/jujubehead/node/forward/tunnel_server.cpp
@@ -271,7 +271,7 @@
   if (!target) {
     co_return TunnelStatus::kUnknownTarget;
   }
-  if (m_state.is_stopping || Tunnels() >= kMaxTunnels ||
+  if (m_state.IsStopping() || Tunnels() >= kMaxTunnels ||
       m_state.connector.Paths().IsLost(target->target.id)) {
     co_return TunnelStatus::kRejected;
   }
