Entry: requests that are open when an instance stops get a final response

What callers saw: whatever was still open at the exit ended with a reset: requests that never reached a target, for which 503 would be true, and calls that could have had a response of their own.

Cause: the control thread carried out the stop, and nothing tied a request's deadline to that of its process. The class: an owner that ends before what it owes.

Now the traffic thread carries it out. The deadline of each request is that of the stop if it is earlier, so that it ends as any expired request does: 503, not run, or 504, 200 ms before the exit; targets get no more time than that. Waits for a claim or a record, and for a connection that shows whether a target has crashed, end with it.

--- a/src/jujubehead/node/entry.cpp
+++ b/src/jujubehead/node/entry.cpp
@@ -5,17 +5,16 @@
 
 #include <boost/asio/co_spawn.hpp>   // for co_spawn
 #include <boost/asio/detached.hpp>   // for detached
+#include <boost/asio/post.hpp>       // for post
 #include <boost/asio/signal_set.hpp> // for signal_set
 
-#include "jujubehead/core/overload/stop_schedule.hpp" // for StopSchedule
-#include "jujubehead/net/http_server.hpp"             // for HttpServer
-#include "jujubehead/net/timer.hpp"                   // for Sleep
-#include "jujubehead/node/control/store_relay.hpp"    // for StoreRelay
-#include "jujubehead/node/endpoint.hpp"               // for ReadEndpoint
-#include "jujubehead/node/limit_counter.hpp"          // for CounterOf
-#include "jujubehead/node/log.hpp"            // for ConfigureLog, LogError
-#include "jujubehead/node/machine_limits.hpp" // for ReturnLargeBlocks
-#include "jujubehead/node/metrics.hpp"        // for Metrics
+#include "jujubehead/net/http_server.hpp"          // for HttpServer
+#include "jujubehead/node/control/store_relay.hpp" // for StoreRelay
+#include "jujubehead/node/endpoint.hpp"            // for ReadEndpoint
+#include "jujubehead/node/limit_counter.hpp"       // for CounterOf
+#include "jujubehead/node/log.hpp"                 // for ConfigureLog, LogError
+#include "jujubehead/node/machine_limits.hpp"      // for ReturnLargeBlocks
+#include "jujubehead/node/metrics.hpp"             // for Metrics
 
 #include "control/entry_control.hpp" // for EntryControl
 #include "forward/forwarder.hpp"     // for Forwarder
@@ -28,7 +27,6 @@
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kUnavailable = 503;
-constexpr core::Duration kPollTime = std::chrono::milliseconds(50);
 
 /// Requests to the pages for health and metrics have no body.
 constexpr std::size_t kPageBodyBytes = 1024;
@@ -65,7 +63,7 @@
     , m_signals(m_context, SIGHUP)
   {
     StopSignal::Install();
-    m_forwarder.SetStopSource(&StopSignal::ReceivedAt);
+    m_forwarder.SetStopHooks(MakeStopHooks());
     m_ready = net::HttpServer::Create(
       m_context,
       PageAt(aOptions.ready_address),
@@ -90,7 +88,7 @@
   void Run()
   {
     WaitForReload();
-    asio::co_spawn(m_context, PlannedStop(), asio::detached);
+    asio::co_spawn(m_context, StopControl(), asio::detached);
     m_forwarder.Start();
     m_control.Start();
     m_context.run();
@@ -222,34 +220,28 @@
     });
   }
 
-  asio::awaitable<void> PlannedStop()
+  [[nodiscard]] Forwarder::StopHooks MakeStopHooks()
+  {
+    Forwarder::StopHooks hooks;
+    hooks.requested_at = &StopSignal::ReceivedAt;
+    hooks.wait = &StopSignal::Wait;
+    hooks.on_ended = [this] {
+      asio::post(m_context, [this] {
+        const core::Instant now = core::RuntimeClock::now();
+        DecisionLog::WriteUnthrottled(
+          LogLine("stop_ended")
+            .Add("open_requests", std::uint64_t(m_forwarder.OpenRequests()))
+            .Add("took", now - StopSignal::ReceivedAt().value_or(now)));
+        m_context.stop();
+      });
+    };
+    return hooks;
+  }
+
+  asio::awaitable<void> StopControl()
   {
     co_await StopSignal::Wait();
-    const core::Instant begun = core::RuntimeClock::now();
-    core::StopSchedule schedule(m_options.stop_grace);
-    schedule.Request(StopSignal::ReceivedAt().value_or(begun));
-    DecisionLog::WriteUnthrottled(
-      LogLine("stop_begun")
-        .Add("open_requests", std::uint64_t(m_forwarder.OpenRequests()))
-        .Add("lag", begun - *schedule.RequestedAt()));
-    m_forwarder.BeginStop(*schedule.RequestedAt());
     m_control.BeginStop();
-    for (;;) {
-      co_await net::Sleep(kPollTime);
-      const core::Instant now = core::RuntimeClock::now();
-      const bool is_out = schedule.IsOutOfRotation(now);
-      if (is_out) {
-        m_forwarder.CloseIdle();
-      }
-      if ((is_out && m_forwarder.Sessions() == 0) || now >= schedule.EndsAt()) {
-        break;
-      }
-    }
-    DecisionLog::WriteUnthrottled(
-      LogLine("stop_ended")
-        .Add("open_requests", std::uint64_t(m_forwarder.OpenRequests()))
-        .Add("took", core::RuntimeClock::now() - *schedule.RequestedAt()));
-    m_context.stop();
   }
 
   const EntryOptions& m_options;
--- a/src/jujubehead/node/forward/forward_attempt.cpp
+++ b/src/jujubehead/node/forward/forward_attempt.cpp
@@ -465,7 +465,7 @@
   if (m_session->IsDisconnected()) {
     co_return std::nullopt;
   }
-  m_last_error = m_timed_out         ? "request timed out"
+  m_last_error = m_timed_out         ? ExpiryReason()
                  : m_stall_timed_out ? "target stopped responding"
                                      : aExchange.Error();
   if (!m_timed_out && !m_stall_timed_out) {
@@ -507,9 +507,11 @@
   bool is_refused = false;
   // A process that is ending may still accept a connection, once.
   for (int i = 0; i < 2 && !is_refused; ++i) {
-    const auto attempt =
+    m_crash_check =
       m_state.connector.Begin(m_session->Executor(), m_awaited_target, m_homes);
+    const auto attempt = m_crash_check;
     const TargetConnection opened = co_await attempt->Wait();
+    m_crash_check = nullptr;
     is_refused = opened.is_refused;
     if (!opened.connection) {
       break;
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -73,11 +73,7 @@
   : m_state(aState)
   , m_session(std::move(aSession))
   , m_homes({}, {}, aState.options.regions)
-  , m_deadline_timer(m_session->Executor(),
-                     [this] {
-                       m_timed_out = true;
-                       CancelExchange();
-                     })
+  , m_deadline_timer(m_session->Executor(), [this] { OnExpired(); })
   , m_stall_timer(m_session->Executor(), [this] { OnSilenceTimeout(); })
   , m_path_timer(m_session->Executor(), [this] { OnNoResponse(); })
 {
@@ -203,8 +199,8 @@
       !m_state.probes.TryToClaim(suspect, now)) {
     co_return false;
   }
-  auto timeout =
-    std::make_shared<net::Timer>(m_session->Executor(), kClaimTimeout);
+  auto timeout = std::make_shared<net::Timer>(
+    m_session->Executor(), std::min(kClaimTimeout, TimeLeft()));
   m_state.claim_probe(
     *next, [&state = m_state, timeout](std::optional<core::Quarantine> aBegun) {
       if (aBegun) {
@@ -237,8 +233,8 @@
   if (m_stream_version) {
     co_return true;
   }
-  const auto timeout =
-    std::make_shared<net::Timer>(m_session->Executor(), kFindStreamTimeout);
+  const auto timeout = std::make_shared<net::Timer>(
+    m_session->Executor(), std::min(kFindStreamTimeout, TimeLeft()));
   const auto found = std::make_shared<std::optional<std::string>>();
   m_state.find_stream(
     stream, m_service, [timeout, found](std::optional<std::string> aVersion) {
@@ -312,6 +308,32 @@
   }
 }
 
+void
+ForwardRun::OnStopRequested()
+{
+  if (m_state.stop.AnswersUntil() < m_expires_at) {
+    m_expires_at = m_state.stop.AnswersUntil();
+    m_deadline_timer.Set(std::max(TimeLeft(), Duration(1)));
+  }
+}
+
+void
+ForwardRun::OnExpired()
+{
+  m_timed_out = true;
+  CancelExchange();
+  if (m_crash_check && m_state.IsStopping()) {
+    m_crash_check->Cancel();
+  }
+}
+
+std::string_view
+ForwardRun::ExpiryReason() const
+{
+  return m_expires_at == m_state.stop.AnswersUntil() ? kShuttingDown
+                                                     : "request timed out";
+}
+
 std::optional<ForwardRun::LocalReply>
 ForwardRun::Prepare()
 {
@@ -417,7 +439,8 @@
 void
 ForwardRun::SetTimeLimit()
 {
-  m_expires_at = m_session->Request().received_at + TimeLimit();
+  m_expires_at = std::min(m_session->Request().received_at + TimeLimit(),
+                          m_state.stop.AnswersUntil());
   m_deadline_timer.Set(std::max(TimeLeft(), Duration(1)));
   m_history.is_repeatable = m_route->repeatable;
   m_history.max_targets = m_route->max_targets;
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -44,6 +44,8 @@
   /// @brief Runs until the final response.
   boost::asio::awaitable<void> Run();
   [[nodiscard]] RequestPhase Phase() const;
+  /// @brief The instance stops: the request gets its final response before.
+  void OnStopRequested();
   /// @brief Logs a request that is open when the process ends.
   void LogAtExit();
 
@@ -282,6 +284,9 @@
   [[nodiscard]] core::Duration TimeUntilWeightsExpire(
     const TargetCall& aCall) const;
   void CancelExchange();
+  /// @brief There is no time left for the request.
+  void OnExpired();
+  [[nodiscard]] std::string_view ExpiryReason() const;
   void LogEnd(std::string_view aEvent,
               unsigned aStatus,
               std::string_view aDetail);
@@ -351,6 +356,8 @@
   bool m_has_ended_first_send = false;        ///< Of the current attempt.
 
   TargetExchange* m_exchange = nullptr; ///< In progress.
+  /// Whether a target has crashed, while that is being found out.
+  std::shared_ptr<ConnectionAttempt> m_crash_check;
   std::shared_ptr<FleetTarget> m_awaited_target;
   core::Instant m_awaiting_since{};
   bool m_timed_out = false;
--- a/src/jujubehead/node/forward/forwarder.cpp
+++ b/src/jujubehead/node/forward/forwarder.cpp
@@ -1,7 +1,6 @@
 #include "forwarder.hpp"
 
 #include <algorithm> // for max, min
-#include <array>     // for array
 #include <random>    // for uniform_int_distribution
 #include <utility>   // for move
 
@@ -71,6 +70,9 @@
     [this]() -> asio::awaitable<void> { co_await Accept(); },
     asio::detached);
   m_tunnels.Start();
+  if (m_stop_hooks.wait) {
+    asio::co_spawn(m_context, PlannedStop(), asio::detached);
+  }
   m_thread = std::thread([this] { m_context.run(); });
 }
 
@@ -88,31 +90,6 @@
   EndSessions();
 }
 
-void
-Forwarder::LogOpenAtExit()
-{
-  std::array<std::uint64_t, kRequestPhaseNames.size()> in_phase{};
-  for (ForwardRun* const run : m_state.open_runs) {
-    ++in_phase.at(static_cast<std::size_t>(run->Phase()));
-    run->LogAtExit();
-  }
-  std::uint64_t idle = 0;
-  for (const CallerSession* const session : m_connections.All()) {
-    idle += session->State().is_idle ? 1 : 0;
-  }
-  LogLine line("open_at_exit");
-  for (std::size_t i = 0; i < in_phase.size(); ++i) {
-    line.Add(kRequestPhaseNames.at(i), in_phase.at(i));
-  }
-  line
-    .Add("reading",
-         std::uint64_t(m_connections.Size()) - idle -
-           std::uint64_t(m_state.open_runs.size()))
-    .Add("idle", idle)
-    .Add("tunnels", std::uint64_t(Tunnels()));
-  DecisionLog::WriteUnthrottled(line);
-}
-
 void
 Forwarder::EndSessions()
 {
@@ -133,32 +110,6 @@
   return m_acceptor.local_endpoint().port();
 }
 
-void
-Forwarder::SetStopSource(
-  std::function<std::optional<core::Instant>()> aRequestedAt)
-{
-  m_state.stop_requested = std::move(aRequestedAt);
-}
-
-void
-Forwarder::BeginStop(core::Instant aRequestedAt)
-{
-  asio::post(m_context, [this, aRequestedAt] {
-    m_state.stop.Request(aRequestedAt);
-    m_tunnels.Stop();
-  });
-}
-
-void
-Forwarder::CloseIdle()
-{
-  asio::post(m_context, [this] {
-    for (CallerSession* session : m_connections.All()) {
-      session->CloseIfIdle();
-    }
-  });
-}
-
 asio::awaitable<void>
 Forwarder::Accept()
 {
--- a/src/jujubehead/node/forward/forwarder.hpp
+++ b/src/jujubehead/node/forward/forwarder.hpp
@@ -46,15 +46,19 @@
   void Start();
   /// @brief Ends the thread; open requests are aborted.
   void Stop();
-  /// @brief Sets what returns when a planned stop was requested, if it was. It
-  /// is called on the traffic thread. Before Start().
-  void SetStopSource(
-    std::function<std::optional<core::Instant>()> aRequestedAt);
-  /// @brief From now on, connections are closed after their next response.
-  /// @param aRequestedAt when the stop was requested.
-  void BeginStop(core::Instant aRequestedAt);
-  /// @brief Closes the connections without a request in progress.
-  void CloseIdle();
+  /// Called on the traffic thread.
+  struct StopHooks
+  {
+    /// @return when a planned stop was requested, if it was.
+    std::function<std::optional<core::Instant>()> requested_at;
+    /// Waits for the request.
+    std::function<boost::asio::awaitable<void>()> wait;
+    /// Nothing is open any more, or there is no time left.
+    std::function<void()> on_ended;
+  };
+  /// @brief Carries out a planned stop, as core::StopSchedule says, once it is
+  /// requested. Before Start().
+  void SetStopHooks(StopHooks aHooks);
   /// @return connections of callers, and tunnels of other instances.
   [[nodiscard]] std::size_t Sessions() const
   {
@@ -172,6 +176,11 @@
 private:
   /// @brief Finds out at which services the routes compete for room.
   void UpdateRooms(const core::Declarations& aDeclarations);
+  // The planned stop, in planned_stop.cpp.
+  boost::asio::awaitable<void> PlannedStop();
+  void BeginStop();
+  /// @brief Closes the connections without a request in progress.
+  void CloseIdle();
   /// @brief Logs what is open when the process ends.
   void LogOpenAtExit();
   /// Ends all coroutines while the objects that they refer to still exist.
@@ -189,6 +198,7 @@
     m_work_guard;
   std::atomic<std::size_t> m_open_requests{ 0 };
   CallerConnections m_connections;
+  StopHooks m_stop_hooks;
   std::thread m_thread;
 };
 
--- /dev/null
+++ b/src/jujubehead/node/forward/planned_stop.cpp
@@ -0,0 +1,97 @@
+#include "forwarder.hpp"
+
+#include <array>   // for array
+#include <utility> // for move
+
+#include "jujubehead/net/timer.hpp" // for Sleep
+
+#include "forward_run.hpp" // for ForwardRun
+
+// The planned stop of an instance, as far as callers see it. It is up to the
+// traffic thread alone, so it does not depend on how busy the control thread
+// is.
+
+namespace jujubehead::node {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr core::Duration kPollTime = std::chrono::milliseconds(50);
+
+} // namespace
+
+void
+Forwarder::SetStopHooks(StopHooks aHooks)
+{
+  m_stop_hooks = std::move(aHooks);
+  m_state.stop_requested = m_stop_hooks.requested_at;
+}
+
+asio::awaitable<void>
+Forwarder::PlannedStop()
+{
+  co_await m_stop_hooks.wait();
+  BeginStop();
+  for (;;) {
+    co_await net::Sleep(kPollTime);
+    const core::Instant now = core::RuntimeClock::now();
+    const bool is_out = m_state.stop.IsOutOfRotation(now);
+    if (is_out) {
+      CloseIdle();
+    }
+    if ((is_out && Sessions() == 0) || now >= m_state.stop.EndsAt()) {
+      break;
+    }
+  }
+  m_stop_hooks.on_ended();
+}
+
+void
+Forwarder::BeginStop()
+{
+  const core::Instant now = core::RuntimeClock::now();
+  m_state.stop.Request(m_stop_hooks.requested_at().value_or(now));
+  DecisionLog::WriteUnthrottled(
+    LogLine("stop_begun")
+      .Add("open_requests", std::uint64_t(m_open_requests))
+      .Add("lag", now - *m_state.stop.RequestedAt()));
+  m_tunnels.Stop();
+  for (ForwardRun* const run : m_state.open_runs) {
+    run->OnStopRequested();
+  }
+}
+
+void
+Forwarder::CloseIdle()
+{
+  for (CallerSession* const session : m_connections.All()) {
+    session->CloseIfIdle();
+  }
+}
+
+void
+Forwarder::LogOpenAtExit()
+{
+  std::array<std::uint64_t, kRequestPhaseNames.size()> in_phase{};
+  for (ForwardRun* const run : m_state.open_runs) {
+    ++in_phase.at(static_cast<std::size_t>(run->Phase()));
+    run->LogAtExit();
+  }
+  std::uint64_t idle = 0;
+  for (const CallerSession* const session : m_connections.All()) {
+    idle += session->State().is_idle ? 1 : 0;
+  }
+  LogLine line("open_at_exit");
+  for (std::size_t i = 0; i < in_phase.size(); ++i) {
+    line.Add(kRequestPhaseNames.at(i), in_phase.at(i));
+  }
+  line
+    .Add("reading",
+         std::uint64_t(m_connections.Size()) - idle -
+           std::uint64_t(m_state.open_runs.size()))
+    .Add("idle", idle)
+    .Add("tunnels", std::uint64_t(Tunnels()));
+  DecisionLog::WriteUnthrottled(line);
+}
+
+} // namespace jujubehead::node
--- a/standin/entry_deployment.cpp
+++ b/standin/entry_deployment.cpp
@@ -1,6 +1,7 @@
 #include "standin/entry_deployment.hpp"
 
 #include <algorithm> // for all_of
+#include <atomic>    // for atomic
 #include <future>    // for promise
 #include <iostream>  // for cerr
 #include <map>       // for map
@@ -93,9 +94,11 @@
     , m_metrics(node::Metrics::Create())
     , m_paths(m_options.table_service, m_options.instance_id.Text())
     , m_forwarder(m_options, m_header_codec, *m_metrics)
+    , m_port(m_forwarder.Port())
   {
     m_options.tunnel_address =
       "127.0.0.1:" + std::to_string(m_forwarder.TunnelPort());
+    m_forwarder.SetStopHooks(MakeStopHooks());
     m_forwarder.Start();
     m_own.Do([&] {
       if (!aIsAlone) {
@@ -125,7 +128,12 @@
   RunningInstance(RunningInstance&&) = delete;
   RunningInstance& operator=(RunningInstance&&) = delete;
 
-  [[nodiscard]] std::uint16_t Port() const { return m_forwarder.Port(); }
+  void RequestStop()
+  {
+    m_stop_requested_at = core::RuntimeClock::now().time_since_epoch().count();
+  }
+  [[nodiscard]] bool HasStopped() const { return m_has_stopped; }
+  [[nodiscard]] std::uint16_t Port() const { return m_port; }
   [[nodiscard]] std::uint16_t TunnelPort() const
   {
     return m_forwarder.TunnelPort();
@@ -142,6 +150,23 @@
   }
 
 private:
+  [[nodiscard]] node::Forwarder::StopHooks MakeStopHooks()
+  {
+    node::Forwarder::StopHooks hooks;
+    hooks.requested_at = [this]() -> std::optional<core::Instant> {
+      const core::Instant::rep at = m_stop_requested_at;
+      return at == 0 ? std::nullopt
+                     : std::optional(core::Instant(core::Duration(at)));
+    };
+    hooks.wait = [this]() -> asio::awaitable<void> {
+      while (m_stop_requested_at == 0) {
+        co_await Wait(kLookTime);
+      }
+    };
+    hooks.on_ended = [this] { m_has_stopped = true; };
+    return hooks;
+  }
+
   asio::awaitable<void> Handle(net::HttpExchange& aExchange)
   {
     const bool is_handled =
@@ -156,7 +181,10 @@
   platform::PlatformHeaderCodec m_header_codec;
   std::unique_ptr<node::Metrics> m_metrics;
   core::StorePaths m_paths;
+  std::atomic<core::Instant::rep> m_stop_requested_at{ 0 };
+  std::atomic<bool> m_has_stopped{ false };
   node::Forwarder m_forwarder;
+  std::uint16_t m_port; ///< Also once it no longer listens.
   std::unique_ptr<node::EntryControl> m_control;
   std::unique_ptr<net::HttpServer> m_door; ///< For other instances.
 };
@@ -186,6 +214,7 @@
     m_options.repeats.start_delay = core::Duration(0);
     m_options.weights_time = aOptions.weights_time;
     m_options.hedge_share = aOptions.hedge_share;
+    m_options.stop_grace = aOptions.stop_grace;
     m_options.machine.memory_bytes = aOptions.memory_bytes;
     m_options.poison.first_quarantine = aOptions.first_quarantine;
     Restart();
@@ -224,6 +253,19 @@
     m_instances.at(aInstance).reset();
   }
 
+  void RequestStop(std::size_t aInstance) override
+  {
+    m_instances.at(aInstance)->RequestStop();
+  }
+
+  bool AwaitStop(std::size_t aInstance) override
+  {
+    const bool has_stopped =
+      Await([&] { return m_instances.at(aInstance)->HasStopped(); });
+    m_instances.at(aInstance).reset();
+    return has_stopped;
+  }
+
   net::HttpResponse Call(const std::string& aMethod,
                          const std::string& aPath,
                          const net::HttpHeaders& aHeaders,
--- a/standin/entry_deployment.hpp
+++ b/standin/entry_deployment.hpp
@@ -31,6 +31,7 @@
   std::vector<std::string> software_versions{};
   double hedge_share = 0;                         ///< As in node::EntryOptions.
   std::size_t memory_bytes = 256UL * 1024 * 1024; ///< Of each machine.
+  std::chrono::milliseconds stop_grace{ 8000 };   ///< As in node::EntryOptions.
   /// Each instance reaches the targets over paths of its own; see SetCut().
   bool has_path_views = false;
 };
@@ -81,6 +82,12 @@
   /// @brief Ends one instance as a kill would, for good.
   virtual void Stop(std::size_t aInstance) = 0;
 
+  /// @brief Requests a planned stop of an instance, as SIGTERM does.
+  virtual void RequestStop(std::size_t aInstance) = 0;
+  /// @brief Waits until its planned stop is over, and ends it.
+  /// @return whether that came about.
+  virtual bool AwaitStop(std::size_t aInstance) = 0;
+
   /// @param aName `model0`, `model1`, ..., `service0`, ..., `rows`, `parts`.
   /// @return of a target that crashed: of its present run.
   virtual nlohmann::json Stats(const std::string& aName) = 0;
