Entry: connections of a stopping instance end in order

Cause: the listener stayed open until the process was gone, so that callers connected up to the last moment; connections were closed as idle that had just been opened; incomplete requests had no end of their own. A connection that is closed with unread input is reset by the kernel.

Now the listener is closed once the balancer has taken the instance out, after what is pending was accepted: whoever connects later is refused, which is unambiguous. Connections that had a request within the last half second, or are as new, stay open; incomplete requests get 503, not run, when open requests get their final responses; a connection with unread input is read on before it is closed.

--- a/src/jujubehead/net/raw_caller.hpp
+++ b/src/jujubehead/net/raw_caller.hpp
@@ -1,6 +1,8 @@
 #ifndef JUJUBEHEAD_NET_RAW_CALLER_HPP
 #define JUJUBEHEAD_NET_RAW_CALLER_HPP
 
+#include <sys/socket.h> // for getsockopt
+
 #include <array>       // for array
 #include <cstdint>     // for uint16_t
 #include <string>      // for string
@@ -54,6 +56,15 @@
   boost::asio::awaitable<std::string> ReadAll() { return ReadTo({}); }
   /// @return how the connection ended; no error if it has not.
   [[nodiscard]] boost::system::error_code End() const { return m_end; }
+  /// @return whether the other side has reset the connection, also after an
+  /// orderly end.
+  [[nodiscard]] bool WasReset()
+  {
+    int error = 0;
+    socklen_t size = sizeof(error);
+    ::getsockopt(m_socket.native_handle(), SOL_SOCKET, SO_ERROR, &error, &size);
+    return error != 0;
+  }
   void Close() { m_socket.close(); }
 
 private:
--- a/src/jujubehead/node/forward/caller_reading.cpp
+++ b/src/jujubehead/node/forward/caller_reading.cpp
@@ -141,7 +141,9 @@
         co_return false;
       }
     }
-    const bool more = co_await ReadMore(ReadDeadline(*parser, limits));
+    const bool more =
+      co_await ReadMore(m_is_shut_down ? core::RuntimeClock::now()
+                                       : ReadDeadline(*parser, limits));
     if (m_held && m_held->IsRevoked()) {
       FullResponse overload =
         m_handler.OnOverload(parser->Head(), m_revoked_bytes);
@@ -152,7 +154,9 @@
       const bool has_begun = m_request.received_at != core::Instant{};
       if (has_begun && m_socket.is_open()) {
         FullResponse late =
-          MakeRejection(kRequestTimeout, "request not received in time");
+          m_is_shut_down
+            ? m_handler.OnShutdown(parser->Head())
+            : MakeRejection(kRequestTimeout, "request not received in time");
         co_await Reject(std::move(late));
       }
       co_return false;
--- a/src/jujubehead/node/forward/caller_session.cpp
+++ b/src/jujubehead/node/forward/caller_session.cpp
@@ -100,11 +100,31 @@
       m_input = std::string();
     }
   }
+  co_await Close();
+}
+
+asio::awaitable<void>
+CallerSession::Close()
+{
   error_code ignored;
   m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+  // With unread input the kernel resets the connection, which can destroy a
+  // response that its caller has not read.
+  if (!m_disconnected && HasUnreadInput() &&
+      m_handler.Connections().BeginLinger()) {
+    co_await Linger();
+    m_handler.Connections().EndLinger();
+  }
   m_socket.close(ignored);
 }
 
+bool
+CallerSession::HasUnreadInput() const
+{
+  error_code ignored;
+  return m_socket.is_open() && m_socket.available(ignored) > 0;
+}
+
 core::ConnectionState
 CallerSession::State() const
 {
@@ -129,15 +149,27 @@
 }
 
 void
-CallerSession::CloseIfIdle()
+CallerSession::CloseIfIdle(core::Duration aMinIdle)
 {
-  if (!m_is_handling && m_request.received_at == core::Instant{}) {
+  const bool is_idle =
+    !m_is_handling && m_request.received_at == core::Instant{};
+  if (is_idle && core::RuntimeClock::now() - m_idle_since >= aMinIdle) {
     m_is_closing = true;
     error_code ignored;
     m_socket.cancel(ignored);
   }
 }
 
+void
+CallerSession::RejectIncomplete()
+{
+  if (!m_is_handling && m_request.received_at != core::Instant{}) {
+    m_is_shut_down = true;
+    error_code ignored;
+    m_socket.cancel(ignored);
+  }
+}
+
 void
 CallerSession::OnDisconnect(std::function<void()> aCallback)
 {
--- a/src/jujubehead/node/forward/caller_session.hpp
+++ b/src/jujubehead/node/forward/caller_session.hpp
@@ -64,6 +64,11 @@
   /// @return the response to it.
   virtual FullResponse OnOverload(const net::MessageHead& aHead,
                                   std::size_t aBytes) = 0;
+  /// @brief Called when a request is incomplete as the instance ends. It has
+  /// not run.
+  /// @param aHead of the request, as far as it was read.
+  /// @return the response to it.
+  virtual FullResponse OnShutdown(const net::MessageHead& aHead) = 0;
   /// @brief Called when a request is rejected as malformed or late.
   virtual void OnRejected(const std::string& aDetail, unsigned aStatus) = 0;
 };
@@ -106,7 +111,11 @@
   boost::asio::awaitable<bool> EndStream();
   [[nodiscard]] bool HasStreamBegun() const { return m_stream_begun; }
   /// @brief Closes the connection unless a request is being read or handled.
-  void CloseIfIdle();
+  /// @param aMinIdle a connection with a more recent request, or a new one, is
+  /// left open.
+  void CloseIfIdle(core::Duration aMinIdle = core::Duration(0));
+  /// @brief The instance ends: rejects a request that is incomplete.
+  void RejectIncomplete();
   [[nodiscard]] core::ConnectionState State() const;
   /// @brief Closes an idle connection, and rejects a request that makes no
   /// progress, so that another connection may be served.
@@ -144,6 +153,10 @@
   FullResponse MakeRejection(unsigned aStatus, std::string aDetail);
   boost::asio::awaitable<void> Reject(FullResponse aResponse);
   boost::asio::awaitable<void> Linger();
+  /// @brief Ends the connection in order.
+  boost::asio::awaitable<void> Close();
+  /// @return whether the caller has sent more than was read.
+  [[nodiscard]] bool HasUnreadInput() const;
 
   boost::asio::awaitable<bool> Write(
     std::string aBytes,
@@ -174,6 +187,7 @@
   bool m_disconnected = false;
   bool m_has_sent_request = false;
   bool m_is_closing = false;
+  bool m_is_shut_down = false; ///< Reads no more of an incomplete request.
   bool m_is_handling = false;
   bool m_is_watching = false;
   bool m_stream_begun = false;
--- a/src/jujubehead/node/forward/forwarder.cpp
+++ b/src/jujubehead/node/forward/forwarder.cpp
@@ -178,12 +178,37 @@
                 .Add("bytes", std::uint64_t(aBytes))
                 .Add("held", std::uint64_t(m_state.memory->Bytes()))
                 .Add("limit", std::uint64_t(m_state.memory->MaxBytes())));
+  return RefuseUnread(
+    request_id, delay, "the memory for requests is in use, not run\n");
+}
+
+FullResponse
+Forwarder::OnShutdown(const net::MessageHead& aHead)
+{
+  const auto metadata = m_state.header_codec.ParseCallerHeaders(aHead.headers);
+  const std::string request_id =
+    metadata.has_error() ? std::string() : metadata->request_id;
+  m_state.metrics.Refuse("shutdown", true);
+  m_log.Write(LogLine("refused")
+                .Add("request", request_id)
+                .Add("status", std::uint64_t(kUnavailable))
+                .Add("why", "instance is shutting down, request incomplete"));
+  return RefuseUnread(request_id,
+                      OverloadDelay(m_state.random),
+                      "instance is shutting down, not run\n");
+}
+
+FullResponse
+Forwarder::RefuseUnread(const std::string& aRequestId,
+                        std::chrono::milliseconds aDelay,
+                        std::string aBody) const
+{
   FullResponse response;
   response.status = kUnavailable;
-  response.headers = m_state.header_codec.LocalReplyHeaders(request_id);
+  response.headers = m_state.header_codec.LocalReplyHeaders(aRequestId);
   response.headers.Add("Content-Type", "text/plain");
-  response.headers.Add("Retry-After", FormatRetryAfter(delay));
-  response.body = "the memory for requests is in use, not run\n";
+  response.headers.Add("Retry-After", FormatRetryAfter(aDelay));
+  response.body = std::move(aBody);
   return response;
 }
 
--- a/src/jujubehead/node/forward/forwarder.hpp
+++ b/src/jujubehead/node/forward/forwarder.hpp
@@ -171,6 +171,7 @@
   CallerConnections& Connections() override { return m_connections; }
   FullResponse OnOverload(const net::MessageHead& aHead,
                           std::size_t aBytes) override;
+  FullResponse OnShutdown(const net::MessageHead& aHead) override;
   void OnRejected(const std::string& aDetail, unsigned aStatus) override;
 
 private:
@@ -179,13 +180,20 @@
   // The planned stop, in planned_stop.cpp.
   boost::asio::awaitable<void> PlannedStop();
   void BeginStop();
+  /// @brief Takes the connections that are pending, and no more.
+  void StopAccepting();
   /// @brief Closes the connections without a request in progress.
   void CloseIdle();
+  void RejectIncomplete();
   /// @brief Logs what is open when the process ends.
   void LogOpenAtExit();
   /// Ends all coroutines while the objects that they refer to still exist.
   void EndSessions();
   boost::asio::awaitable<void> Accept();
+  /// @return the response to a request that was not read to its end.
+  [[nodiscard]] FullResponse RefuseUnread(const std::string& aRequestId,
+                                          std::chrono::milliseconds aDelay,
+                                          std::string aBody) const;
   /// @brief Serves a new connection, or rejects it if there are too many.
   void Serve(boost::asio::ip::tcp::socket aSocket);
 
--- a/src/jujubehead/node/forward/planned_stop.cpp
+++ b/src/jujubehead/node/forward/planned_stop.cpp
@@ -17,6 +17,9 @@
 namespace asio = boost::asio;
 
 constexpr core::Duration kPollTime = std::chrono::milliseconds(50);
+/// A connection without a request for this long is closed: its caller is not
+/// about to send one that would cross the close.
+constexpr core::Duration kMinIdle = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -37,8 +40,12 @@
     const core::Instant now = core::RuntimeClock::now();
     const bool is_out = m_state.stop.IsOutOfRotation(now);
     if (is_out) {
+      StopAccepting();
       CloseIdle();
     }
+    if (now >= m_state.stop.AnswersUntil()) {
+      RejectIncomplete();
+    }
     if ((is_out && Sessions() == 0) || now >= m_state.stop.EndsAt()) {
       break;
     }
@@ -61,11 +68,35 @@
   }
 }
 
+void
+Forwarder::StopAccepting()
+{
+  // The kernel resets what is pending when a listener is closed.
+  boost::system::error_code error;
+  m_acceptor.non_blocking(true, error);
+  while (m_acceptor.is_open() && !error) {
+    asio::ip::tcp::socket socket(m_context);
+    m_acceptor.accept(socket, error);
+    if (!error) {
+      Serve(std::move(socket));
+    }
+  }
+  m_acceptor.close(error);
+}
+
 void
 Forwarder::CloseIdle()
 {
   for (CallerSession* const session : m_connections.All()) {
-    session->CloseIfIdle();
+    session->CloseIfIdle(kMinIdle);
+  }
+}
+
+void
+Forwarder::RejectIncomplete()
+{
+  for (CallerSession* const session : m_connections.All()) {
+    session->RejectIncomplete();
   }
 }
 
--- a/standin/planned_stop_test.cpp
+++ b/standin/planned_stop_test.cpp
@@ -1,10 +1,15 @@
 #include "standin/entry_deployment.hpp"
 
 #include <future> // for async
+#include <thread> // for sleep_for
 
 #include <CppUTest/TestHarness.h> // for TEST
+#include <boost/asio/error.hpp>   // for eof
 
+#include "jujubehead/core/overload/stop_schedule.hpp"    // for StopSchedule
 #include "jujubehead/core/routing/request_durations.hpp" // for RequestDurations
+#include "jujubehead/net/raw_caller.hpp"                 // for RawCaller
+#include "jujubehead/net/run_awaitable.hpp"              // for RunAwaitable
 
 using namespace jujubehead;
 using nlohmann::json;
@@ -18,10 +23,20 @@
 constexpr unsigned kOk = 200;
 constexpr unsigned kUnavailable = 503;
 constexpr unsigned kGatewayTimeout = 504;
+const std::string kCall = "POST /calls/x HTTP/1.1\r\nHost: a.example\r\n"
+                          "X-Attempt-Id: r1\r\n"
+                          "Authorization: Token key-1\r\n";
 /// Of all routes: longer than any grace period here.
 constexpr int kTimeoutMs = 12000;
 constexpr milliseconds kShortGrace{ 2000 };
 
+boost::asio::awaitable<bool>
+WriteAll(net::test::RawCaller& aCaller, std::string aBytes)
+{
+  co_await aCaller.Write(aBytes);
+  co_return true;
+}
+
 } // namespace
 
 // One instance gets a request for a planned stop, as from SIGTERM.
@@ -49,6 +64,22 @@
     lines.Add("X-Model", "m1");
     return deployment->Call("POST", aPath, lines, "rice");
   }
+  /// A connection of its own on which bytes are sent.
+  std::unique_ptr<net::test::RawCaller> Connect(const std::string& aBytes)
+  {
+    auto caller = std::make_unique<net::test::RawCaller>(
+      context, deployment->CallerPort(0));
+    context.restart();
+    net::RunAwaitable(context, WriteAll(*caller, aBytes));
+    return caller;
+  }
+  std::string ReadAll(net::test::RawCaller & aCaller)
+  {
+    context.restart();
+    return net::RunAwaitable(context, aCaller.ReadAll());
+  }
+  boost::asio::io_context context{ 1 };
+
   void Mute(const std::string& aKind)
   {
     for (const char* number : { "0", "1" }) {
@@ -104,3 +135,49 @@
   CHECK(response.body.find("shutting down") != std::string::npos);
   CHECK(deployment->AwaitStop(0));
 }
+
+// A request whose body was not complete at the exit was cut, too.
+TEST(PlannedStop, AnIncompleteRequestIsRefusedBeforeTheExit)
+{
+  Start(kShortGrace);
+  const auto caller =
+    Connect(kCall + "Transfer-Encoding: chunked\r\n\r\n4\r\nrice\r\n");
+  std::this_thread::sleep_for(milliseconds(200)); // It has been read.
+  deployment->RequestStop(0);
+  const std::string response = ReadAll(*caller);
+  CHECK(response.starts_with("HTTP/1.1 503 "));
+  CHECK(response.find("Retry-After: ") != std::string::npos);
+  CHECK(deployment->AwaitStop(0));
+}
+
+// Callers connected until the process was gone, and what was pending then was
+// reset.
+TEST(PlannedStop, NobodyConnectsToAnInstanceThatIsOutOfRotation)
+{
+  Start(seconds(8));
+  deployment->RequestStop(0);
+  const auto caller = Connect({});
+  LONGS_EQUAL(kUnavailable, Send("/once/x").status);
+  std::this_thread::sleep_for(core::StopSchedule::kOutOfRotation +
+                              milliseconds(500));
+  CHECK_THROWS(boost::system::system_error, Connect({}));
+  // An idle connection ends in order.
+  CHECK(ReadAll(*caller).empty());
+  CHECK(caller->End() == boost::asio::error::eof);
+  CHECK(deployment->AwaitStop(0));
+}
+
+// The kernel reset a connection that was closed with unread input, which can
+// destroy the response before its caller has read it.
+TEST(PlannedStop, ACallerThatSendsOnGetsItsResponseInFull)
+{
+  Start(seconds(8));
+  constexpr std::size_t kMoreBytes = 256UL * 1024;
+  const auto caller =
+    Connect(kCall + "Connection: close\r\nContent-Length: 4\r\n\r\nrice" +
+            std::string(kMoreBytes, 'a'));
+  CHECK(ReadAll(*caller).find("done by service") != std::string::npos);
+  CHECK(caller->End() == boost::asio::error::eof);
+  std::this_thread::sleep_for(milliseconds(100));
+  CHECK_FALSE(caller->WasReset());
+}
--- a/standin/stop_callers.cpp
+++ b/standin/stop_callers.cpp
@@ -38,6 +38,18 @@
 constexpr int kMaxChunkPauseMs = 300; ///< Before each chunk.
 constexpr int kMaxWaitMs = 3000;      ///< On an open connection.
 
+/// @return whether the server has closed a connection between two requests.
+bool
+WasClosed(tcp::socket& aSocket)
+{
+  char byte = 0;
+  boost::system::error_code error;
+  aSocket.non_blocking(true, error);
+  aSocket.receive(
+    asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+  return error != asio::error::would_block;
+}
+
 milliseconds
 Pause(std::mt19937_64& aRandom, int aMaxMs)
 {
@@ -129,6 +141,11 @@
         co_await Wait(Pause(aCaller.random, kMaxWaitMs));
       }
     }
+    if (WasClosed(socket)) {
+      boost::system::error_code ignored;
+      socket.close(ignored);
+      continue;
+    }
     std::string id = "r" + std::to_string(++m_last_id);
     const Result result = co_await Call(socket, aCaller, id);
     m_log << "call " << id << ' ' << aCaller.kind << ' '
