Streams: an instance's own view of the versions proves nothing by itself

Cause: the traffic thread took its copy of the versions that alone have served for the truth, however old it was; the control thread withdraws it 3 s after its last contact, but it may stand still itself, or come later than the request after the process was stopped. Its age was that of the operators' declarations, not of the registry, which is read by a feed of its own. And the own view went before a record that others keep of the stream. The class: a cached view without its own age.

Now a stream that a caller takes up is looked for by the control thread: a record first, the own one or another instance's; then another instance's view; its own view last, only if the registry was read within 3 s. If it does not answer, the stream is refused, as an unknown one is. A question costs two small requests, also where one version alone has served; streams that the instance itself goes on with are not affected.

--- a/include/jujubehead/node/control/platform.hpp
+++ b/include/jujubehead/node/control/platform.hpp
@@ -72,6 +72,7 @@
 {
   std::uint64_t cursor = 0;
   bool is_from_cache = false;                    ///< As in OperatorUpdate.
+  core::Instant answered_at{};                   ///< As in OperatorUpdate.
   std::vector<core::RegistrationChange> changes; ///< In their order.
   std::vector<std::string> skipped_rows;
 };
--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -181,6 +181,7 @@
                          core::ServiceId aService,
                          VersionReply aReply)
 {
+  UpdateSoleVersions();
   const auto version = co_await m_streams.Find(aStream, std::move(aService));
   aReply(version);
 }
@@ -198,7 +199,7 @@
     m_stream_lifetime.SetTimeout(timeout, now);
   }
   const core::Duration longest = m_stream_lifetime.Longest(now);
-  if (m_configuration && now - m_operator_contact <= kRegistryTtl) {
+  if (m_configuration && now - m_registry_contact <= kRegistryTtl) {
     sole = m_software.Sole(longest, now);
   }
   if (sole == m_sole) {
@@ -262,6 +263,7 @@
 {
   HubHooks hooks;
   hooks.on_synced = [this](core::Instant aAsOf) {
+    m_registry_contact = std::max(m_registry_contact, aAsOf);
     m_operator_contact = std::max(m_operator_contact, aAsOf);
     m_forwarder.OnOperatorContact(aAsOf);
   };
@@ -389,6 +391,7 @@
   } else if (path == kStreamOriginsPath) {
     co_await m_streams.HandleReport(aExchange);
   } else if (path == kStreamOriginPath) {
+    UpdateSoleVersions();
     co_await m_streams.HandleFind(aExchange);
   } else {
     co_return false;
@@ -472,6 +475,7 @@
   LogSkippedRows("registry", aUpdate.skipped_rows);
   const core::Instant now = core::RuntimeClock::now();
   if (!aUpdate.is_from_cache) {
+    m_registry_contact = std::max(m_registry_contact, aUpdate.answered_at);
     m_book.OnAnswer(now);
   }
   if (aIsAll) {
--- a/src/jujubehead/node/control/entry_control.hpp
+++ b/src/jujubehead/node/control/entry_control.hpp
@@ -159,6 +159,7 @@
   core::StreamLifetime m_stream_lifetime;
   core::SoleVersions m_sole; ///< As last passed on.
   core::Instant m_operator_contact{};
+  core::Instant m_registry_contact{}; ///< As of which the registry was read.
   HubExchange m_hubs;
 };
 
--- a/src/jujubehead/node/control/stream_origin_exchange.cpp
+++ b/src/jujubehead/node/control/stream_origin_exchange.cpp
@@ -208,7 +208,11 @@
   if (question->pending > 0) {
     co_await question->wake.async_wait(asio::as_tuple(asio::use_awaitable));
   }
-  co_return question->recorded ? question->recorded : question->sole;
+  if (question->recorded || question->sole) {
+    co_return question->recorded ? question->recorded : question->sole;
+  }
+  const auto own = m_sole.find(aService);
+  co_return own == m_sole.end() ? std::nullopt : std::optional(own->second);
 }
 
 asio::awaitable<void>
--- a/src/jujubehead/node/control/stream_origin_exchange.hpp
+++ b/src/jujubehead/node/control/stream_origin_exchange.hpp
@@ -47,7 +47,9 @@
   /// @brief Passes on origins of this instance's streams.
   void Report(const std::vector<core::StreamOrigin>& aOrigins);
   /// @return the version at which a stream of a service began; nothing if
-  /// nobody knows it.
+  /// nobody knows it. A record goes before any instance's view that one version
+  /// alone has served, this one's included: views lag, and where no other
+  /// version is left, streams begin at a new one at once.
   boost::asio::awaitable<std::optional<std::string>> Find(
     core::StreamKey aStream,
     core::ServiceId aService);
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -220,19 +220,17 @@
     co_return true;
   }
   const core::StreamKey stream = core::StreamKeyOf(m_metadata.resumed_request);
-  const auto sole = m_state.sole_versions.find(m_service);
-  if (sole != m_state.sole_versions.end()) {
-    m_stream_version = sole->second;
-    co_return true;
-  }
-  if (m_metadata.resumed_request.empty()) {
+  const bool is_named = !m_metadata.resumed_request.empty();
+  if (!is_named && !m_state.sole_versions.contains(m_service)) {
     co_return false;
   }
   m_stream_version =
     m_state.origins.VersionOf(stream, core::RuntimeClock::now());
-  if (m_stream_version) {
+  if (is_named && m_stream_version) {
     co_return true;
   }
+  // The control thread knows whether its view of the versions is fresh; this
+  // thread's copy may be older after the process stood still.
   const auto timeout = std::make_shared<net::Timer>(
     m_session->Executor(), std::min(kFindStreamTimeout, TimeLeft()));
   const auto found = std::make_shared<std::optional<std::string>>();
--- a/standin/entry_deployment.cpp
+++ b/standin/entry_deployment.cpp
@@ -132,6 +132,10 @@
   {
     m_stop_requested_at = core::RuntimeClock::now().time_since_epoch().count();
   }
+  void HoldControl(std::chrono::milliseconds aTime)
+  {
+    asio::post(m_own.context, [aTime] { std::this_thread::sleep_for(aTime); });
+  }
   [[nodiscard]] bool HasStopped() const { return m_has_stopped; }
   [[nodiscard]] std::uint16_t Port() const { return m_port; }
   [[nodiscard]] std::uint16_t TunnelPort() const
@@ -253,6 +257,12 @@
     m_instances.at(aInstance).reset();
   }
 
+  void HoldControl(std::size_t aInstance,
+                   std::chrono::milliseconds aTime) override
+  {
+    m_instances.at(aInstance)->HoldControl(aTime);
+  }
+
   void RequestStop(std::size_t aInstance) override
   {
     m_instances.at(aInstance)->RequestStop();
@@ -400,6 +410,12 @@
     return entry;
   }
 
+  void AddTarget(const std::string& aName) override
+  {
+    m_world.Do([&] { StartTarget(aName, aName, 0); });
+    PutRow("servers", aName, EntryOf(aName));
+  }
+
   bool ReplaceTarget(const std::string& aName,
                      const std::string& aAddress) override
   {
--- a/standin/entry_deployment.hpp
+++ b/standin/entry_deployment.hpp
@@ -79,6 +79,11 @@
   /// @brief The same with one instance; waits until all know its new address.
   virtual void RestartAt(std::size_t aInstance) = 0;
 
+  /// @brief Lets the control thread of an instance stand still for a time that
+  /// begins now; its traffic thread goes on.
+  virtual void HoldControl(std::size_t aInstance,
+                           std::chrono::milliseconds aTime) = 0;
+
   /// @brief Ends one instance as a kill would, for good.
   virtual void Stop(std::size_t aInstance) = 0;
 
@@ -115,6 +120,8 @@
                           const std::string& aKey) = 0;
   /// @return the entry under which a target registers.
   virtual nlohmann::json EntryOf(const std::string& aName) = 0;
+  /// @brief Starts one more target, and registers it.
+  virtual void AddTarget(const std::string& aName) = 0;
   /// @brief Registers another address in place of a target, under the id
   /// `raw-NAME`, and waits until the instances have read it.
   /// @return whether they have.
--- a/standin/software_versions_test.cpp
+++ b/standin/software_versions_test.cpp
@@ -18,6 +18,10 @@
 /// Events until a stream breaks, and its last one.
 constexpr int kBreakAfter = 2;
 constexpr const char* kLastEvent = "id: 8";
+/// Until a version counts as the only one, and until streams begin at one that
+/// has joined.
+constexpr std::chrono::seconds kSoleTime{ 21 };
+constexpr milliseconds kSettleTime{ 4500 };
 /// Time in which instances pass on what they know of a stream.
 constexpr milliseconds kExchangeTime{ 300 };
 
@@ -168,3 +172,34 @@
   }
   CHECK(2 * gone_on >= kStreams);
 }
+
+// A release while one instance stands still: its copy of the versions still
+// names the former one as the only one, and it went on there with a stream that
+// had begun at the new one.
+TEST(SoftwareVersions, AnInstanceThatStoodStillDoesNotGoOnAtAFormerVersion)
+{
+  deployment = EntryDeployment::Start({ .targets = 1,
+                                        .instances = kInstances,
+                                        .software_versions = { "v1", "v2" } });
+  std::this_thread::sleep_for(kSoleTime);
+  constexpr std::size_t kLate = kInstances - 1;
+  deployment->HoldControl(kLate, 3 * kSettleTime);
+  deployment->AddTarget("model1");
+  std::this_thread::sleep_for(kSettleTime);
+  SetBreaks("model1", true);
+  bool has_broken = false;
+  for (int i = 0; i < 200 && !has_broken; ++i) {
+    const net::HttpResponse response = SendAt(0, {});
+    has_broken = response.status == 0 && Has(response, " of v2");
+  }
+  CHECK(has_broken);
+  const std::string id = lines_id;
+  std::this_thread::sleep_for(kExchangeTime);
+  SetBreaks("model1", false);
+  net::HttpHeaders lines;
+  lines.Add("Last-Event-Id", std::to_string(kBreakAfter));
+  lines.Add("Resumes", id);
+  const net::HttpResponse response = SendAt(kLate, lines);
+  CHECK_FALSE(Has(response, " of v1"));
+  CHECK(response.status == kOk || response.status == kUnavailable);
+}
