Entry: a stopping instance refuses late callers, and sends failed calls again

Now the listener stays open until the end, and what is pending then is accepted and refused. A call that may have run is sent again, as it gets a final response in any case; a stream, if those of its route usually end.

--- a/include/jujubehead/core/overload/stop_schedule.hpp
+++ b/include/jujubehead/core/overload/stop_schedule.hpp
@@ -14,6 +14,9 @@
   Duration limit{};
   /// Requests like it almost certainly end within this time, if known.
   std::optional<Duration> usual;
+  /// A target has had it: not to send it again would be a failure, and no
+  /// refusal with which its caller can go elsewhere.
+  bool may_have_run = false;
 };
 
 /// @brief When what happens in a planned stop of an instance.
@@ -22,8 +25,9 @@
 ///    callers cannot avoid it, so it takes what will almost certainly end.
 /// 2. Callers that still come use open connections, and reach another instance
 ///    with their next request. It takes what ends in any case.
-/// 3. Nobody connects any more: the listener and idle connections are closed.
-/// 4. What is still open gets its final response.
+/// 3. Hardly anybody connects any more: idle connections are closed, and the
+///    process may end. Whoever does connect is refused with a response.
+/// 4. What is still open gets its final response; the listener is closed.
 /// 5. The process ends.
 class StopSchedule
 {
@@ -31,7 +35,7 @@
   /// The balancer sends no new requests after two failed health checks, one a
   /// second, and the time for what was under way then.
   static constexpr Duration kInRotation = std::chrono::milliseconds(2200);
-  /// From here on nobody connects any more, late ones included.
+  /// From here on only callers connect whose balancer has not noticed.
   static constexpr Duration kOutOfRotation = std::chrono::milliseconds(3200);
   /// Kept from the grace period for the end of the process itself.
   static constexpr Duration kExitMargin = std::chrono::milliseconds(400);
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -399,12 +399,25 @@
            : m_route->timeout;
 }
 
+bool
+ForwardRun::MayBeSentInStop() const
+{
+  // A stream that has begun is cut if it is not resumed. A call that may have
+  // run gets a final response in any case; one that is not sent again has
+  // failed.
+  const bool may_have_run = m_history.may_have_run > 0;
+  return m_session->HasStreamBegun() || (may_have_run && !m_route->streams) ||
+         EndsBeforeExit();
+}
+
 bool
 ForwardRun::EndsBeforeExit() const
 {
   const core::Instant now = core::RuntimeClock::now();
   const Duration age = now - m_session->Request().received_at;
-  const core::RequestTime time{ TimeLimit() - age, UsualDuration() };
+  const core::RequestTime time{ TimeLimit() - age,
+                                UsualDuration(),
+                                m_history.may_have_run > 0 };
   return m_state.stop.Allows(time, now);
 }
 
@@ -493,9 +506,7 @@
         co_return;
       }
     }
-    // A stream that has begun is cut if it is not resumed.
-    if (m_state.IsStopping() && !m_session->HasStreamBegun() &&
-        !EndsBeforeExit()) {
+    if (m_state.IsStopping() && !MayBeSentInStop()) {
       m_last_error = kShuttingDown;
       co_await Finish(core::StepWithoutRetry(last, m_history));
       co_return;
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -66,6 +66,8 @@
   /// @return the time from the request's arrival to its response, at most.
   [[nodiscard]] core::Duration TimeLimit() const;
   void SetTimeLimit();
+  /// @return whether a stopping instance sends the request to a target now.
+  [[nodiscard]] bool MayBeSentInStop() const;
   /// @return whether the request ends before the instance does, if it is sent
   /// now.
   [[nodiscard]] bool EndsBeforeExit() const;
--- a/src/jujubehead/node/forward/planned_stop.cpp
+++ b/src/jujubehead/node/forward/planned_stop.cpp
@@ -35,20 +35,20 @@
 {
   co_await m_stop_hooks.wait();
   BeginStop();
-  for (;;) {
+  const core::StopSchedule& stop = m_state.stop;
+  bool is_over = false;
+  while (!is_over) {
     co_await net::Sleep(kPollTime);
     const core::Instant now = core::RuntimeClock::now();
-    const bool is_out = m_state.stop.IsOutOfRotation(now);
-    if (is_out) {
-      StopAccepting();
+    if (stop.IsOutOfRotation(now)) {
       CloseIdle();
     }
-    if (now >= m_state.stop.AnswersUntil()) {
+    const bool has_ended = stop.IsOutOfRotation(now) && Sessions() == 0;
+    if (has_ended || now >= stop.AnswersUntil()) {
+      StopAccepting();
       RejectIncomplete();
     }
-    if ((is_out && Sessions() == 0) || now >= m_state.stop.EndsAt()) {
-      break;
-    }
+    is_over = (has_ended && Sessions() == 0) || now >= stop.EndsAt();
   }
   m_stop_hooks.on_ended();
 }
