Entry: only answered and expired requests tell how long requests take

What callers would see: where targets refuse most requests, the refusals count as requests that ended within milliseconds, so that after a hundred of them a stopping instance takes streams on the word of one.

Now a request counts if a target has answered it completely or its time was up.

--- a/src/jujubehead/core/overload/stop_schedule.cpp
+++ b/src/jujubehead/core/overload/stop_schedule.cpp
@@ -23,10 +23,10 @@
     return true;
   }
   const bool is_in_rotation = aNow - *m_requested_at < kInRotation;
-  const bool is_refusal_dear = is_in_rotation || aTime.may_have_run;
+  const bool is_refusal_costly = is_in_rotation || aTime.may_have_run;
   const Duration expected =
-    is_refusal_dear ? std::min(aTime.usual.value_or(aTime.limit), aTime.limit)
-                    : aTime.limit;
+    is_refusal_costly ? std::min(aTime.usual.value_or(aTime.limit), aTime.limit)
+                      : aTime.limit;
   return aNow + expected <= AnswersUntil();
 }
 
--- a/src/jujubehead/node/forward/forward_attempt.cpp
+++ b/src/jujubehead/node/forward/forward_attempt.cpp
@@ -605,6 +605,7 @@
     aExchange.BeginRelay([session = m_session] { session->Abort(); });
   const bool written = co_await SendResponse(std::move(response), &held);
   if (written) {
+    m_was_answered = true;
     m_state.metrics.Add(Counter::kAnswers);
     LogEnd("answered", status, {});
   }
@@ -687,6 +688,7 @@
   }
   const bool written = co_await m_session->EndStream();
   if (written) {
+    m_was_answered = true;
     m_state.metrics.Add(Counter::kAnswers);
     const std::string_view account =
       m_account != nullptr ? m_account->id.View() : std::string_view("-");
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -479,7 +479,8 @@
     co_await Finish(NextStep::kRefuse);
   }
   CountUnanswered();
-  if (m_sent_count > 0) {
+  // Refused ones say nothing of how long a request takes.
+  if (m_was_answered || m_timed_out) {
     RecordDuration();
   }
   if (m_probe) { // It was not sent.
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -366,6 +366,7 @@
   bool m_stall_timed_out = false; ///< In the current attempt.
   bool m_is_streaming = false;    ///< Counted in the target's active_streams.
   bool m_is_responding = false;   ///< With a complete response.
+  bool m_was_answered = false;    ///< By a target, completely.
 };
 
 } // namespace jujubehead::node
--- a/standin/planned_stop_test.cpp
+++ b/standin/planned_stop_test.cpp
@@ -118,6 +118,23 @@
   LONGS_EQUAL(kUnavailable, Send("/once/x").status);
 }
 
+// Refusals of targets are short, whatever the requests take.
+TEST(PlannedStop, RefusalsDoNotCountAsShortRequests)
+{
+  Start(seconds(8));
+  for (const char* target : { "service0", "service1" }) {
+    deployment->SetFault(target, "refuse", { { "count", 1000 } });
+  }
+  for (std::size_t i = 0; i < core::RequestDurations::kMinRequests; ++i) {
+    LONGS_EQUAL(kUnavailable, Send("/calls/x").status);
+  }
+  for (const char* target : { "service0", "service1" }) {
+    deployment->SetFault(target, "refuse", { { "count", 0 } });
+  }
+  deployment->RequestStop(0);
+  LONGS_EQUAL(kUnavailable, Send("/calls/x").status);
+}
+
 // Requests that were still at their targets when the process ended were cut
 // without a response.
 TEST(PlannedStop, ARequestAtASilentTargetGetsAFinalResponse)
