Entry: the traffic thread ends a stopped process

No caller saw it: every request had its response, and open_at_exit has nothing open.

Cause: the traffic thread was done in time, but posted the end to the control thread, where it came behind all other work (stop_begun lag 0 ms, stop_ended at 8317 ms).

Now it stops the control thread's context itself, which is thread-safe and takes effect after the handler that runs.

--- a/src/jujubehead/node/entry.cpp
+++ b/src/jujubehead/node/entry.cpp
@@ -5,7 +5,6 @@
 
 #include <boost/asio/co_spawn.hpp>   // for co_spawn
 #include <boost/asio/detached.hpp>   // for detached
-#include <boost/asio/post.hpp>       // for post
 #include <boost/asio/signal_set.hpp> // for signal_set
 
 #include "jujubehead/net/http_server.hpp"          // for HttpServer
@@ -226,14 +225,13 @@
     hooks.requested_at = &StopSignal::ReceivedAt;
     hooks.wait = &StopSignal::Wait;
     hooks.on_ended = [this] {
-      asio::post(m_context, [this] {
-        const core::Instant now = core::RuntimeClock::now();
-        DecisionLog::WriteUnthrottled(
-          LogLine("stop_ended")
-            .Add("open_requests", std::uint64_t(m_forwarder.OpenRequests()))
-            .Add("took", now - StopSignal::ReceivedAt().value_or(now)));
-        m_context.stop();
-      });
+      const core::Instant now = core::RuntimeClock::now();
+      DecisionLog::WriteUnthrottled(
+        LogLine("stop_ended")
+          .Add("open_requests", std::uint64_t(m_forwarder.OpenRequests()))
+          .Add("took", now - StopSignal::ReceivedAt().value_or(now)));
+      // Not posted: what else waits for the control thread may take long.
+      m_context.stop();
     };
     return hooks;
   }
