--- a/standin/planned_stop_test.cpp
+++ b/standin/planned_stop_test.cpp
@@ -81,6 +81,12 @@
   }
   boost::asio::io_context context{ 1 };
 
+  /// Requests that the plain targets have run.
+  std::size_t Runs()
+  {
+    return deployment->Stats("service0")["runs"].size() +
+           deployment->Stats("service1")["runs"].size();
+  }
   void Mute(const std::string& aKind)
   {
     for (const char* number : { "0", "1" }) {
@@ -142,11 +148,7 @@
   Start(kShortGrace);
   Mute("service");
   auto once = std::async(std::launch::async, [&] { return Send("/once/x"); });
-  CHECK(deployment->Await([&] {
-    return deployment->Stats("service0")["runs"].size() +
-             deployment->Stats("service1")["runs"].size() ==
-           1;
-  }));
+  CHECK(deployment->Await([&] { return Runs() == 1; }));
   deployment->RequestStop(0);
   const net::HttpResponse response = once.get();
   LONGS_EQUAL(kGatewayTimeout, response.status);
@@ -161,9 +163,10 @@
   Start(seconds(8));
   deployment->SetFault("service0", "mute", { { "ms", 2 * kTimeoutMs } });
   for (int i = 0; i < 4; ++i) {
+    const std::size_t before = Runs();
     auto call =
       std::async(std::launch::async, [&] { return Send("/calls/x"); });
-    std::this_thread::sleep_for(milliseconds(100)); // It has been sent.
+    CHECK(deployment->Await([&] { return Runs() > before; }));
     if (i == 3) {
       deployment->RequestStop(0);
     }
@@ -195,7 +198,7 @@
   // Not a call that may be repeated: that would go on elsewhere.
   auto open = std::async(std::launch::async, [&] { return Send("/once/x"); });
   const auto idle = Connect({});
-  std::this_thread::sleep_for(milliseconds(200)); // Both are accepted.
+  CHECK(deployment->Await([&] { return Runs() == 1; }));
   deployment->RequestStop(0);
   std::this_thread::sleep_for(core::StopSchedule::kOutOfRotation +
                               milliseconds(800));
