Requests: replies of the control thread hold a wait weakly

Cause: the reply's function owns the timer on which the request waits, and a coroutine of the control thread owns the function; the traffic thread's context, which the timer needs, is destroyed before.

Now the function holds the wait weakly; the request owns it.

--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm> // for any_of, min, max, clamp
 #include <cmath>     // for lround
+#include <memory>    // for weak_ptr
 #include <utility>   // for move
 
 #include <boost/asio/as_tuple.hpp>      // for as_tuple
@@ -48,6 +49,16 @@
 /// its target crashed; the next one would cost another target.
 constexpr std::uint32_t kMaxRetriedCrashes = 1;
 
+/// Ends a wait, if it has not ended. Replies of the control thread hold a wait
+/// weakly: they may outlive the traffic thread's context, which it needs.
+void
+Wake(const std::weak_ptr<net::Timer>& aWait)
+{
+  if (const auto wait = aWait.lock()) {
+    wait->cancel();
+  }
+}
+
 std::string_view
 NameOf(AttemptOutcome aEnd)
 {
@@ -201,13 +212,14 @@
   }
   auto timeout = std::make_shared<net::Timer>(
     m_session->Executor(), std::min(kClaimTimeout, TimeLeft()));
-  m_state.claim_probe(
-    *next, [&state = m_state, timeout](std::optional<core::Quarantine> aBegun) {
-      if (aBegun) {
-        state.OnQuarantineRecorded(*aBegun);
-      }
-      timeout->cancel();
-    });
+  m_state.claim_probe(*next,
+                      [&state = m_state, wake = std::weak_ptr(timeout)](
+                        std::optional<core::Quarantine> aBegun) {
+                        if (aBegun) {
+                          state.OnQuarantineRecorded(*aBegun);
+                        }
+                        Wake(wake);
+                      });
   co_await timeout->async_wait(asio::as_tuple(asio::use_awaitable));
   m_probe = m_state.probes.Take(suspect, core::RuntimeClock::now());
   co_return m_probe.has_value();
@@ -234,11 +246,13 @@
   const auto timeout = std::make_shared<net::Timer>(
     m_session->Executor(), std::min(kFindStreamTimeout, TimeLeft()));
   const auto found = std::make_shared<std::optional<std::string>>();
-  m_state.find_stream(
-    stream, m_service, [timeout, found](std::optional<std::string> aVersion) {
-      *found = std::move(aVersion);
-      timeout->cancel();
-    });
+  m_state.find_stream(stream,
+                      m_service,
+                      [wake = std::weak_ptr(timeout),
+                       found](std::optional<std::string> aVersion) {
+                        *found = std::move(aVersion);
+                        Wake(wake);
+                      });
   co_await timeout->async_wait(asio::as_tuple(asio::use_awaitable));
   m_stream_version = *found;
   m_state.metrics.Add(m_stream_version ? Counter::kStreamsFound
