--- a/src/jujubehead/node/entry.cpp
+++ b/src/jujubehead/node/entry.cpp
@@ -47,8 +47,7 @@
   Instance(const EntryOptions& aOptions,
            const HeaderCodec& aHeaderCodec,
            const MakePlatform& aMakePlatform)
-    : m_options(aOptions)
-    , m_metrics(Metrics::Create())
+    : m_metrics(Metrics::Create())
     , m_capacity(core::CapacityOf(aOptions.machine))
     , m_memory(std::make_shared<core::MemoryBudget>(m_capacity.control_bytes))
     , m_forwarder(aOptions, aHeaderCodec, *m_metrics)
@@ -242,7 +241,6 @@
     m_control.BeginStop();
   }
 
-  const EntryOptions& m_options;
   asio::io_context m_context{ 1 };
   std::unique_ptr<Metrics> m_metrics;
   ThreadMetrics& m_control_metrics = m_metrics->ForThread();
