Requests: one question whether a request may be sent in a stop, in a file of its own

Cause: three places asked whether the instance stops and then whether the request ends before it does, one of them by another function, though all three mean the same. FindStream looked a record up also for a stream that its caller did not name, and dropped the result.

Change: ForwardRun::MayBeSent() holds the whole question; before the first send it has no earlier attempt to look at, so it is the same as EndsBeforeExit(). Behaviour is as before.

--- a/src/jujubehead/node/forward/forward_attempt.cpp
+++ b/src/jujubehead/node/forward/forward_attempt.cpp
@@ -219,7 +219,7 @@
     m_last_error = "target no longer takes requests";
     co_return AttemptOutcome::kNotSent;
   }
-  if (m_state.IsStopping() && !MayBeSentInStop()) {
+  if (!MayBeSent()) {
     m_last_error = "a stop was requested meanwhile";
     co_return AttemptOutcome::kNotSent;
   }
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -36,7 +36,6 @@
 /// time. Randomized so that refused callers do not return at once.
 constexpr std::int64_t kRetryAfterMinMs = 150;
 constexpr std::int64_t kRetryAfterMaxMs = 450;
-constexpr const char* kShuttingDown = "instance is shutting down";
 /// The operators' store usually answers a claim of a probe within some
 /// milliseconds. One that is granted later is left to the next copy.
 constexpr Duration kClaimTimeout = std::chrono::seconds(1);
@@ -96,25 +95,6 @@
   m_state.open_runs.erase(this);
 }
 
-RequestPhase
-ForwardRun::Phase() const
-{
-  if (m_is_responding) {
-    return RequestPhase::kResponding;
-  }
-  if (m_session->HasStreamBegun()) {
-    return RequestPhase::kStreaming;
-  }
-  const bool is_sent = m_exchange != nullptr && !m_exchange->IsOver();
-  return is_sent ? RequestPhase::kAtTarget : RequestPhase::kWaiting;
-}
-
-void
-ForwardRun::LogAtExit()
-{
-  LogEnd("request_at_exit", 0, NameOf(Phase()));
-}
-
 Duration
 ForwardRun::TimeLeft() const
 {
@@ -236,9 +216,11 @@
   if (!is_named && !m_state.sole_versions.contains(m_service)) {
     co_return false;
   }
-  m_stream_version =
-    m_state.origins.VersionOf(stream, core::RuntimeClock::now());
-  if (is_named && m_stream_version) {
+  if (is_named) {
+    m_stream_version =
+      m_state.origins.VersionOf(stream, core::RuntimeClock::now());
+  }
+  if (m_stream_version) {
     co_return true;
   }
   // The control thread knows whether its view of the versions is fresh; this
@@ -320,15 +302,6 @@
   }
 }
 
-void
-ForwardRun::OnStopRequested()
-{
-  if (m_state.stop.AnswersUntil() < m_expires_at) {
-    m_expires_at = m_state.stop.AnswersUntil();
-    m_deadline_timer.Set(std::max(TimeLeft(), Duration(1)));
-  }
-}
-
 void
 ForwardRun::OnExpired()
 {
@@ -339,13 +312,6 @@
   }
 }
 
-std::string_view
-ForwardRun::ExpiryReason() const
-{
-  return m_expires_at == m_state.stop.AnswersUntil() ? kShuttingDown
-                                                     : "request timed out";
-}
-
 std::optional<ForwardRun::LocalReply>
 ForwardRun::Prepare()
 {
@@ -376,8 +342,8 @@
                         m_account != nullptr ? m_account->homes
                                              : std::vector<core::RegionId>(),
                         m_state.options.regions);
-  if (m_state.IsStopping() && !EndsBeforeExit()) {
-    return LocalReply{ kUnavailable, kShuttingDown, true };
+  if (!MayBeSent()) {
+    return LocalReply{ kUnavailable, std::string(kShuttingDown), true };
   }
   std::vector<double> weights;
   for (const core::RouteShare& share : m_route->shares) {
@@ -413,54 +379,6 @@
            : m_route->timeout;
 }
 
-bool
-ForwardRun::MayBeSentInStop() const
-{
-  // A stream that has begun is cut if it is not resumed. A call that may have
-  // run gets a final response in any case; one that is not sent again has
-  // failed.
-  const bool may_have_run = m_history.may_have_run > 0;
-  return m_session->HasStreamBegun() || (may_have_run && !m_route->streams) ||
-         EndsBeforeExit();
-}
-
-bool
-ForwardRun::EndsBeforeExit() const
-{
-  const core::Instant now = core::RuntimeClock::now();
-  const Duration age = now - m_session->Request().received_at;
-  const core::RequestTime time{ TimeLimit() - age,
-                                UsualDuration(),
-                                m_history.may_have_run > 0 };
-  return m_state.stop.Allows(time, now);
-}
-
-std::optional<Duration>
-ForwardRun::UsualDuration() const
-{
-  const auto known = m_state.durations.find(m_route->name);
-  if (known == m_state.durations.end()) {
-    return std::nullopt;
-  }
-  const core::Instant now = core::RuntimeClock::now();
-  std::optional<Duration> usual = known->second.UpperBound(now);
-  // Where targets have just become slow, this shows in the open requests first.
-  for (const ForwardRun* const other : m_state.open_runs) {
-    if (usual && other->m_route == m_route) {
-      usual = std::max(*usual, now - other->m_session->Request().received_at);
-    }
-  }
-  return usual;
-}
-
-void
-ForwardRun::RecordDuration()
-{
-  const core::Instant now = core::RuntimeClock::now();
-  m_state.durations[m_route->name].OnEnd(now - m_session->Request().received_at,
-                                         now);
-}
-
 void
 ForwardRun::SetTimeLimit()
 {
@@ -521,7 +439,7 @@
         co_return;
       }
     }
-    if (m_state.IsStopping() && !MayBeSentInStop()) {
+    if (!MayBeSent()) {
       m_last_error = kShuttingDown;
       co_await Finish(core::StepWithoutRetry(last, m_history));
       co_return;
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -1,13 +1,14 @@
 #ifndef JUJUBEHEAD_NODE_FORWARD_FORWARD_RUN_HPP
 #define JUJUBEHEAD_NODE_FORWARD_FORWARD_RUN_HPP
 
-#include <cstdint>  // for uint64_t
-#include <memory>   // for shared_ptr
-#include <optional> // for optional
-#include <set>      // for set
-#include <span>     // for span
-#include <string>   // for string
-#include <vector>   // for vector
+#include <cstdint>     // for uint64_t
+#include <memory>      // for shared_ptr
+#include <optional>    // for optional
+#include <set>         // for set
+#include <span>        // for span
+#include <string>      // for string
+#include <string_view> // for string_view
+#include <vector>      // for vector
 
 #include <boost/asio/awaitable.hpp> // for awaitable
 
@@ -29,6 +30,9 @@
 
 struct HedgedSend;
 
+/// Why a stopping instance refuses a request.
+inline constexpr std::string_view kShuttingDown = "instance is shutting down";
+
 /// @brief Forwards one caller's request: finds its route and account, sends it
 /// to a target, retries where that is allowed, and relays the response.
 class ForwardRun
@@ -66,8 +70,10 @@
   /// @return the time from the request's arrival to its response, at most.
   [[nodiscard]] core::Duration TimeLimit() const;
   void SetTimeLimit();
-  /// @return whether a stopping instance sends the request to a target now.
-  [[nodiscard]] bool MayBeSentInStop() const;
+  // In request_in_stop.cpp.
+  /// @return whether the request may be sent to a target now: always, unless
+  /// the instance stops.
+  [[nodiscard]] bool MayBeSent() const;
   /// @return whether the request ends before the instance does, if it is sent
   /// now.
   [[nodiscard]] bool EndsBeforeExit() const;
