Tests: what the callers of a planned stop and two tests had written again

Cause: StopCallers and Crowd each took an address apart in place of FaultProxy's EndpointOf(); a test took a stream up in the words of GoOnAt(); one described the same instance twice; StopCallers worked out a wait that its options name.

Change: EndpointOf() stands in standin/face; TakeUpAt() and Holder() serve both sides. All assertions are kept.

--- a/src/jujubehead/node/control/stream_origin_exchange_test.cpp
+++ b/src/jujubehead/node/control/stream_origin_exchange_test.cpp
@@ -31,18 +31,19 @@
   {
     core::KnownInstance self;
     self.id = "a";
-    core::KnownInstance other;
-    other.id = "b";
-    other.address = "127.0.0.1:" + std::to_string(door->Port());
-    asking.SetInstances({ self, other });
+    asking.SetInstances({ self, Holder() });
+  }
+  [[nodiscard]] core::KnownInstance Holder() const
+  {
+    core::KnownInstance instance;
+    instance.id = "b";
+    instance.address = "127.0.0.1:" + std::to_string(door->Port());
+    return instance;
   }
   void Record(const std::string& aVersion)
   {
     StreamOriginExchange beginning(context, "c");
-    core::KnownInstance other;
-    other.id = "b";
-    other.address = "127.0.0.1:" + std::to_string(door->Port());
-    beginning.SetInstances({ other });
+    beginning.SetInstances({ Holder() });
     beginning.Report({ { kStream, kService, aVersion } });
     context.restart();
     context.run_for(std::chrono::milliseconds(400));
--- a/standin/crowd.cpp
+++ b/standin/crowd.cpp
@@ -18,7 +18,7 @@
 #include <boost/asio/use_awaitable.hpp> // for use_awaitable
 #include <boost/asio/write.hpp>         // for async_write
 
-#include "standin/face.hpp" // for Wait
+#include "standin/face.hpp" // for EndpointOf, Wait
 
 namespace jujubehead::standin {
 namespace {
@@ -244,11 +244,8 @@
 asio::awaitable<void>
 Crowd::RunClient()
 {
-  const std::size_t colon = m_server.find(':');
-  const tcp::endpoint server(
-    asio::ip::make_address(m_server.substr(0, colon)),
-    static_cast<std::uint16_t>(std::stoi(m_server.substr(colon + 1))));
   tcp::socket socket(m_context);
+  const tcp::endpoint server = EndpointOf(m_server);
   const auto [error] = co_await socket.async_connect(server, kTuple);
   bool is_open = !error;
   bool is_sent = false;
--- a/standin/face.cpp
+++ b/standin/face.cpp
@@ -28,6 +28,15 @@
   }
 }
 
+asio::ip::tcp::endpoint
+EndpointOf(const std::string& aAuthority)
+{
+  const std::size_t colon = aAuthority.rfind(':');
+  const auto port = std::stoul(aAuthority.substr(colon + 1));
+  return { asio::ip::make_address(aAuthority.substr(0, colon)),
+           static_cast<std::uint16_t>(port) };
+}
+
 asio::awaitable<void>
 Reply(net::HttpExchange& aExchange, unsigned aStatus, const json& aBody)
 {
--- a/standin/face.hpp
+++ b/standin/face.hpp
@@ -11,6 +11,7 @@
 
 #include <boost/asio/awaitable.hpp>  // for awaitable
 #include <boost/asio/io_context.hpp> // for io_context
+#include <boost/asio/ip/tcp.hpp>     // for tcp
 #include <nlohmann/json.hpp>         // for json
 
 #include "jujubehead/net/http_server.hpp" // for HttpExchange, HttpServer
@@ -27,6 +28,10 @@
 boost::asio::awaitable<void>
 Wait(std::chrono::microseconds aTime);
 
+/// @return the endpoint that `ip:port` names.
+[[nodiscard]] boost::asio::ip::tcp::endpoint
+EndpointOf(const std::string& aAuthority);
+
 /// @brief Sends a JSON reply.
 boost::asio::awaitable<void>
 Reply(net::HttpExchange& aExchange,
--- a/standin/fault_proxy.cpp
+++ b/standin/fault_proxy.cpp
@@ -11,7 +11,7 @@
 #include <boost/asio/write.hpp>         // for async_write
 
 #include "jujubehead/net/reset_on_close.hpp" // for CloseWithReset
-#include "standin/face.hpp"                  // for NowMs, Wait
+#include "standin/face.hpp"                  // for EndpointOf, NowMs, Wait
 
 namespace jujubehead::standin {
 namespace {
@@ -28,15 +28,6 @@
 constexpr milliseconds kMinDelay{ 5 };
 constexpr milliseconds kMaxDelay{ 300 };
 
-tcp::endpoint
-EndpointOf(const std::string& aAuthority)
-{
-  const std::size_t colon = aAuthority.rfind(':');
-  const auto port = std::stoul(aAuthority.substr(colon + 1));
-  return { asio::ip::make_address(aAuthority.substr(0, colon)),
-           static_cast<std::uint16_t>(port) };
-}
-
 milliseconds
 Between(std::mt19937_64& aRandom, milliseconds aFrom, milliseconds aTo)
 {
--- a/standin/software_versions_test.cpp
+++ b/standin/software_versions_test.cpp
@@ -85,16 +85,23 @@
     std::this_thread::sleep_for(kExchangeTime);
     return lines_id;
   }
-  /// The caller goes on with a stream at another instance.
-  /// @return whether the rest came; the stream was refused if not.
-  bool GoOnAt(std::size_t aInstance, const std::string& aId)
+  /// The caller takes a stream up at another instance, which goes on with it or
+  /// refuses it.
+  net::HttpResponse TakeUpAt(std::size_t aInstance, const std::string& aId)
   {
     net::HttpHeaders lines;
     lines.Add("Last-Event-Id", std::to_string(kBreakAfter));
     lines.Add("Resumes", aId);
-    const net::HttpResponse response = SendAt(aInstance, lines);
-    CHECK_FALSE(Has(response, " of v2"));
+    net::HttpResponse response = SendAt(aInstance, lines);
     CHECK(response.status == kOk || response.status == kUnavailable);
+    return response;
+  }
+  /// The caller goes on with a stream of v1 at another instance.
+  /// @return whether the rest came; the stream was refused if not.
+  bool GoOnAt(std::size_t aInstance, const std::string& aId)
+  {
+    const net::HttpResponse response = TakeUpAt(aInstance, aId);
+    CHECK_FALSE(Has(response, " of v2"));
     return response.status == kOk && Has(response, kLastEvent);
   }
   std::string lines_id; ///< Of the last request.
@@ -196,10 +203,5 @@
   const std::string id = lines_id;
   std::this_thread::sleep_for(kExchangeTime);
   SetBreaks("model1", false);
-  net::HttpHeaders lines;
-  lines.Add("Last-Event-Id", std::to_string(kBreakAfter));
-  lines.Add("Resumes", id);
-  const net::HttpResponse response = SendAt(kLate, lines);
-  CHECK_FALSE(Has(response, " of v1"));
-  CHECK(response.status == kOk || response.status == kUnavailable);
+  CHECK_FALSE(Has(TakeUpAt(kLate, id), " of v1"));
 }
--- a/standin/stop_callers.cpp
+++ b/standin/stop_callers.cpp
@@ -15,7 +15,7 @@
 #include <boost/asio/write.hpp>         // for async_write
 
 #include "jujubehead/net/http1/message_parser.hpp" // for MessageParser
-#include "standin/face.hpp"                        // for Wait
+#include "standin/face.hpp"                        // for EndpointOf, Wait
 
 namespace jujubehead::standin {
 namespace {
@@ -88,10 +88,7 @@
 asio::awaitable<void>
 StopCallers::Stop()
 {
-  co_await Wait(
-    m_stop_at - Clock::now() > Clock::duration(0)
-      ? std::chrono::duration_cast<milliseconds>(m_stop_at - Clock::now())
-      : milliseconds(0));
+  co_await Wait(m_options.warm_up);
   m_stop_at = Clock::now();
   ::kill(m_options.pid, SIGTERM);
 }
@@ -112,11 +109,7 @@
 asio::awaitable<bool>
 StopCallers::Connect(tcp::socket& aSocket)
 {
-  const std::size_t colon = m_options.instance.find(':');
-  const tcp::endpoint instance(
-    asio::ip::make_address(m_options.instance.substr(0, colon)),
-    static_cast<std::uint16_t>(
-      std::stoi(m_options.instance.substr(colon + 1))));
+  const tcp::endpoint instance = EndpointOf(m_options.instance);
   const auto [error] = co_await aSocket.async_connect(instance, kTuple);
   if (!error) {
     aSocket.set_option(tcp::no_delay(true));
