--- a/src/jujubehead/node/forward/forward_attempt.cpp
+++ b/src/jujubehead/node/forward/forward_attempt.cpp
@@ -3,14 +3,14 @@
 #include <algorithm> // for max, min
 #include <utility>   // for move
 
-#include "jujubehead/core/routing/stall_timeout.hpp" // for StreamStallTimeout
-#include "jujubehead/net/timer.hpp"                  // for Sleep
+#include "jujubehead/net/timer.hpp" // for Sleep
 
 #include "target_message.hpp" // for FormatTargetHeader
 #include "transfer_plan.hpp"  // for PlanTransfers
 
-// One attempt of a request at one target: the call, its reply and its
-// time-outs. Routing, retries and the final response are in forward_run.cpp.
+// One attempt of a request at one target: the call and its reply. Silence of
+// the target is in silent_target.cpp; routing, retries and the final response
+// are in forward_run.cpp.
 
 namespace jujubehead::node {
 namespace {
@@ -29,18 +29,11 @@
 /// twice: the target's own idle time-out is seconds away by then.
 constexpr Duration kMaxIdleNonRepeatable = std::chrono::milliseconds(500);
 constexpr Duration kMaxIdleRepeatable = std::chrono::seconds(60);
-/// A non-streaming call without a reply after this multiple of its objective
-/// counts as hung: replies usually take a tenth of the objective.
-constexpr double kCallTimeoutFactor = 2.5;
 /// Share of failed replies above which a failure is blamed on the target and
 /// retried elsewhere. Below it the request itself is the likely cause, and
 /// would fail again: services usually fail one request in seven.
 constexpr double kSuspectFailureShare = 0.3;
 
-/// A request without a response for this long has its path checked: most plain
-/// calls take a fraction of it, and other streams have events meanwhile.
-constexpr Duration kPathCheckTime = std::chrono::milliseconds(200);
-
 /// A longer failure response is not kept while another target is tried.
 constexpr std::size_t kMaxKeptFailure = 64UL * 1024;
 
@@ -240,7 +233,7 @@
   CountUnanswered();
   StartStallTimer(aTarget);
   if (m_last_peer.empty()) {
-    m_path_timer.Set(kPathCheckTime);
+    StartPathTimer();
   }
   StartHedgeTimer();
   const ReadResult result = co_await aExchange.ReadHead();
@@ -714,81 +707,4 @@
                                        : until - core::RuntimeClock::now();
 }
 
-bool
-ForwardRun::MayGoOnElsewhere() const
-{
-  return m_route->repeatable &&
-         m_history.may_have_run + 1 < m_route->max_targets;
-}
-
-void
-ForwardRun::StartStallTimer(const FleetTarget& aTarget)
-{
-  if (!MayGoOnElsewhere()) {
-    return;
-  }
-  m_awaiting_since = core::RuntimeClock::now();
-  if (m_route->streams) {
-    core::StallTimeoutInput input;
-    input.objective = m_route->objective;
-    input.predicted = m_state.waits[m_route->name].At(m_load_at_send);
-    const std::uint32_t own = m_is_streaming ? 1 : 0;
-    input.has_other_streams = aTarget.active_streams > own;
-    m_stall_timer.Set(core::StreamStallTimeout(input));
-    return;
-  }
-  const Duration timeout(static_cast<Duration::rep>(
-    kCallTimeoutFactor * static_cast<double>(m_route->objective.count())));
-  m_stall_timer.Set(std::min(timeout, TimeLeft() / 2));
-}
-
-void
-ForwardRun::OnSilenceTimeout()
-{
-  if (m_exchange == nullptr || !m_awaited_target) {
-    return;
-  }
-  if (m_route->streams &&
-      m_awaited_target->last_response_at > m_awaiting_since) {
-    // It responds to other requests, so it is busy, not hung.
-    StartStallTimer(*m_awaited_target);
-    return;
-  }
-  m_awaited_target->health.OnUnreachable(core::RuntimeClock::now());
-  m_state.connector.Check(m_session->Executor(), m_awaited_target);
-  OnStalled();
-}
-
-void
-ForwardRun::OnStalled()
-{
-  m_stall_timed_out = true;
-  m_exchange->Close();
-}
-
-void
-ForwardRun::OnNoResponse()
-{
-  if (m_exchange == nullptr || !m_awaited_target) {
-    return;
-  }
-  const core::Instant now = core::RuntimeClock::now();
-  const FleetTarget& target = *m_awaited_target;
-  if (m_state.connector.Paths().IsSilent(target.target.id)) {
-    if (MayGoOnElsewhere()) {
-      OnStalled();
-    }
-    return;
-  }
-  if (target.last_response_at < m_sent_at) {
-    // Busy targets are silent for as long as the objective; all of them at once
-    // only if it is the instance's own paths.
-    const bool is_late = now - m_sent_at >= m_route->objective;
-    if (is_late || m_state.connector.IsSilent(now)) {
-      m_state.connector.Check(m_session->Executor(), m_awaited_target);
-    }
-  }
-  m_path_timer.Set(kPathCheckTime);
-}
-
 } // namespace jujubehead::node
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -277,16 +277,19 @@
   /// @brief Counts the sends that targets may read later against the budget of
   /// the retries, once the request has been sent twice.
   void CountUnanswered();
+  // In silent_target.cpp.
   /// @return whether the request may go on at another target if this one does
   /// not respond.
   [[nodiscard]] bool MayGoOnElsewhere() const;
   void StartStallTimer(const FleetTarget& aTarget);
+  void StartPathTimer();
   /// @brief The target has not responded at all: finds out whether the path to
   /// it is lost, and gives the attempt up if so.
   void OnNoResponse();
   /// @brief Gives the current attempt up, as the target does not respond.
   void OnStalled();
   void OnSilenceTimeout();
+
   /// @return the time until no request may start on a target's weights. The
   /// target enforces it, as this instance may have exited by then.
   [[nodiscard]] core::Duration TimeUntilWeightsExpire(
--- /dev/null
+++ b/src/jujubehead/node/forward/silent_target.cpp
@@ -0,0 +1,106 @@
+#include "forward_run.hpp"
+
+#include <algorithm> // for min
+
+#include "jujubehead/core/routing/stall_timeout.hpp" // for StreamStallTimeout
+
+// What becomes of a request whose target is silent.
+
+namespace jujubehead::node {
+namespace {
+
+using core::Duration;
+
+/// A non-streaming call without a reply after this multiple of its objective
+/// counts as hung: replies usually take a tenth of the objective.
+constexpr double kCallTimeoutFactor = 2.5;
+/// A request without a response for this long has its path checked: most plain
+/// calls take a fraction of it, and other streams have events meanwhile.
+constexpr Duration kPathCheckTime = std::chrono::milliseconds(200);
+
+} // namespace
+
+bool
+ForwardRun::MayGoOnElsewhere() const
+{
+  return m_route->repeatable &&
+         m_history.may_have_run + 1 < m_route->max_targets;
+}
+
+void
+ForwardRun::StartStallTimer(const FleetTarget& aTarget)
+{
+  if (!MayGoOnElsewhere()) {
+    return;
+  }
+  m_awaiting_since = core::RuntimeClock::now();
+  if (m_route->streams) {
+    core::StallTimeoutInput input;
+    input.objective = m_route->objective;
+    input.predicted = m_state.waits[m_route->name].At(m_load_at_send);
+    const std::uint32_t own = m_is_streaming ? 1 : 0;
+    input.has_other_streams = aTarget.active_streams > own;
+    m_stall_timer.Set(core::StreamStallTimeout(input));
+    return;
+  }
+  const Duration timeout(static_cast<Duration::rep>(
+    kCallTimeoutFactor * static_cast<double>(m_route->objective.count())));
+  m_stall_timer.Set(std::min(timeout, TimeLeft() / 2));
+}
+
+void
+ForwardRun::OnSilenceTimeout()
+{
+  if (m_exchange == nullptr || !m_awaited_target) {
+    return;
+  }
+  if (m_route->streams &&
+      m_awaited_target->last_response_at > m_awaiting_since) {
+    // It responds to other requests, so it is busy, not hung.
+    StartStallTimer(*m_awaited_target);
+    return;
+  }
+  m_awaited_target->health.OnUnreachable(core::RuntimeClock::now());
+  m_state.connector.Check(m_session->Executor(), m_awaited_target);
+  OnStalled();
+}
+
+void
+ForwardRun::OnStalled()
+{
+  m_stall_timed_out = true;
+  m_exchange->Close();
+}
+
+void
+ForwardRun::StartPathTimer()
+{
+  m_path_timer.Set(kPathCheckTime);
+}
+
+void
+ForwardRun::OnNoResponse()
+{
+  if (m_exchange == nullptr || !m_awaited_target) {
+    return;
+  }
+  const core::Instant now = core::RuntimeClock::now();
+  const FleetTarget& target = *m_awaited_target;
+  if (m_state.connector.Paths().IsSilent(target.target.id)) {
+    if (MayGoOnElsewhere()) {
+      OnStalled();
+    }
+    return;
+  }
+  if (target.last_response_at < m_sent_at) {
+    // Busy targets are silent for as long as the objective; all of them at once
+    // only if it is the instance's own paths.
+    const bool is_late = now - m_sent_at >= m_route->objective;
+    if (is_late || m_state.connector.IsSilent(now)) {
+      m_state.connector.Check(m_session->Executor(), m_awaited_target);
+    }
+  }
+  StartPathTimer();
+}
+
+} // namespace jujubehead::node
