Entry: how long a silent target was silent, and lines of cut streams of their own

In a play of scripts/planned_stop with targets that stand still for 2.5 s, 17 streams were cut and one line said so: 2932 refusals used up the lines of the log. Streams that have begun and fail now have a limit of their own, two counters tell of cut streams and silent targets, and a line about a silent target says for how long it was silent and by how much this instance was late to notice (its own pause).

With it the hypotheses of docs/incidents/silent-targets.md can be told apart.

--- a/include/jujubehead/node/metrics.hpp
+++ b/include/jujubehead/node/metrics.hpp
@@ -54,6 +54,8 @@
                        ///< left.
   kStreamsFound,       ///< Streams whose version another instance knew.
   kStreamsUnknown,     ///< Streams refused as nobody knew their version.
+  kStreamsCut,         ///< Streams that ended within the response.
+  kSilentTargets,      ///< Requests whose target did not respond in time.
   kDrainingReplies,    ///< Replies of targets that say that they are leaving.
   kTunnels,            ///< Connections to targets through other instances.
   kTunnelsServed,      ///< The same, opened for other instances.
--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -482,22 +482,7 @@
     const NextStep step = may_crash_more
                             ? core::StepWithoutRetry(last, m_history)
                             : core::StepAfterAttempt(last, m_history);
-    LogLine line("attempt_ended");
-    line.Add("request", m_metadata.request_id)
-      .Add("target", m_last_target)
-      .Add("end", NameOf(last))
-      .Add("why", m_last_error)
-      .Add("again", step == NextStep::kRetry ? "yes" : "no");
-    if (last == AttemptOutcome::kBroken) {
-      line.Add("fingerprint", core::ToText(Fingerprint()))
-        .Add("target_crashed", m_target_crashed ? "yes" : "no");
-      AddParts(line);
-    }
-    if (m_requested_backoff) {
-      line.Add("backoff", *m_requested_backoff);
-    }
-    AddWeights(line);
-    m_state.log.Write(line);
+    LogAttempt(last, step == NextStep::kRetry);
     if (step != NextStep::kRetry) {
       co_await Finish(step);
       co_return;
@@ -505,6 +490,38 @@
   }
 }
 
+void
+ForwardRun::LogAttempt(AttemptOutcome aEnd, bool aIsRetried)
+{
+  LogLine line("attempt_ended");
+  line.Add("request", m_metadata.request_id)
+    .Add("target", m_last_target)
+    .Add("end", NameOf(aEnd))
+    .Add("why", m_last_error)
+    .Add("again", aIsRetried ? "yes" : "no");
+  if (aEnd == AttemptOutcome::kBroken) {
+    line.Add("fingerprint", core::ToText(Fingerprint()))
+      .Add("target_crashed", m_target_crashed ? "yes" : "no");
+    AddParts(line);
+  }
+  if (m_stall_timed_out) {
+    line.Add("silence", m_silence).Add("delay", m_stall_delay);
+  }
+  if (m_requested_backoff) {
+    line.Add("backoff", *m_requested_backoff);
+  }
+  AddWeights(line);
+  Log().Write(line);
+}
+
+DecisionLog&
+ForwardRun::Log() const
+{
+  const bool is_at_risk = m_session->HasStreamBegun() && !m_was_answered &&
+                          !m_session->IsDisconnected();
+  return is_at_risk ? m_state.stream_log : m_state.log;
+}
+
 void
 ForwardRun::AddParts(LogLine& aLine) const
 {
@@ -550,6 +567,7 @@
     co_return;
   }
   if (m_session->HasStreamBegun()) {
+    m_state.metrics.Add(Counter::kStreamsCut);
     LogEnd("stream_cut", 0, m_last_error);
     m_session->Abort();
     co_return;
@@ -648,7 +666,7 @@
   if (!aDetail.empty()) {
     line.Add("why", aDetail);
   }
-  m_state.log.Write(line);
+  Log().Write(line);
 }
 
 void
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -282,6 +282,7 @@
   /// not respond.
   [[nodiscard]] bool MayGoOnElsewhere() const;
   void StartStallTimer(const FleetTarget& aTarget);
+  void SetStallTimer(core::Duration aTimeout);
   void StartPathTimer();
   /// @brief The target has not responded at all: finds out whether the path to
   /// it is lost, and gives the attempt up if so.
@@ -301,6 +302,10 @@
   void LogEnd(std::string_view aEvent,
               unsigned aStatus,
               std::string_view aDetail);
+  /// @brief Logs an attempt that did not lead to a response.
+  void LogAttempt(core::AttemptOutcome aEnd, bool aIsRetried);
+  /// @return the log for lines about this request.
+  [[nodiscard]] DecisionLog& Log() const;
   void AddWeights(LogLine& aLine) const;
   void AddPlacement(LogLine& aLine) const;
   /// @brief Logs the ids of the prompt's parts.
@@ -371,6 +376,9 @@
   std::shared_ptr<ConnectionAttempt> m_crash_check;
   std::shared_ptr<FleetTarget> m_awaited_target;
   core::Instant m_awaiting_since{};
+  core::Instant m_stall_due{};    ///< When m_stall_timer is to expire.
+  core::Duration m_silence{};     ///< Of the target that was given up.
+  core::Duration m_stall_delay{}; ///< Of the timer: this thread's own delay.
   bool m_timed_out = false;
   bool m_stall_timed_out = false; ///< In the current attempt.
   bool m_is_streaming = false;    ///< Counted in the target's active_streams.
--- a/src/jujubehead/node/forward/forward_state.hpp
+++ b/src/jujubehead/node/forward/forward_state.hpp
@@ -312,6 +312,9 @@
   const HeaderCodec& header_codec;
   ThreadMetrics& metrics;
   DecisionLog& log;
+  /// Of streams that are cut or go on elsewhere. Its lines are counted apart,
+  /// so that refusals do not use them up.
+  DecisionLog stream_log;
   std::shared_ptr<const core::Configuration> configuration;
   std::map<core::ModelId, core::DesiredWeights> wanted_weights;
   TargetFleet fleet;
--- a/src/jujubehead/node/forward/silent_target.cpp
+++ b/src/jujubehead/node/forward/silent_target.cpp
@@ -40,12 +40,19 @@
     input.predicted = m_state.waits[m_route->name].At(m_load_at_send);
     const std::uint32_t own = m_is_streaming ? 1 : 0;
     input.has_other_streams = aTarget.active_streams > own;
-    m_stall_timer.Set(core::StreamStallTimeout(input));
+    SetStallTimer(core::StreamStallTimeout(input));
     return;
   }
   const Duration timeout(static_cast<Duration::rep>(
     kCallTimeoutFactor * static_cast<double>(m_route->objective.count())));
-  m_stall_timer.Set(std::min(timeout, TimeLeft() / 2));
+  SetStallTimer(std::min(timeout, TimeLeft() / 2));
+}
+
+void
+ForwardRun::SetStallTimer(Duration aTimeout)
+{
+  m_stall_due = core::RuntimeClock::now() + aTimeout;
+  m_stall_timer.Set(aTimeout);
 }
 
 void
@@ -60,7 +67,11 @@
     StartStallTimer(*m_awaited_target);
     return;
   }
-  m_awaited_target->health.OnUnreachable(core::RuntimeClock::now());
+  const core::Instant now = core::RuntimeClock::now();
+  m_silence = now - m_awaiting_since;
+  m_stall_delay = now - m_stall_due;
+  m_state.metrics.Add(Counter::kSilentTargets);
+  m_awaited_target->health.OnUnreachable(now);
   m_state.connector.Check(m_session->Executor(), m_awaited_target);
   OnStalled();
 }
--- a/src/jujubehead/node/metrics.cpp
+++ b/src/jujubehead/node/metrics.cpp
@@ -221,6 +221,10 @@
   { "streams_unknown_total",
     "Streams refused as no instance knew the software version that began "
     "them." },
+  { "streams_cut_total",
+    "Streams whose connection was ended within the response." },
+  { "silent_targets_total",
+    "Requests whose target was silent for longer than it usually is." },
   { "draining_replies_total",
     "Replies of targets that say that they are leaving." },
   { "tunnels_total", "Connections to targets through other instances." },
