Requests: a silent target keeps its request unless another one can take it

Cause: after 1.5 to 3 objectives of silence the connection to the target was closed first, and only then it was found out whether the stream could go on elsewhere: no other target, the retry budget used up, or a process younger than its window, which has none. The class: something is given up for a replacement that nobody has secured.

Now the request is taken from the target only with the retry in hand and a candidate there. Else it stays and is looked at again. A stream that was taken and then refused elsewhere waits for room until its deadline; after two refusals it was cut. Calls stay too if no target of the service has responded meanwhile; with others responding they fail as before, so that their callers can try another instance.

--- a/src/jujubehead/node/forward/forward_run.cpp
+++ b/src/jujubehead/node/forward/forward_run.cpp
@@ -431,63 +431,78 @@
 {
   AttemptOutcome last = AttemptOutcome::kNotSent;
   for (;;) {
-    if (IsQuarantined()) {
-      const bool is_probe = m_history.sends == 0 && co_await BecomeProbe();
-      if (!is_probe || IsQuarantined()) {
-        m_last_error = ExplainQuarantine();
-        co_await Finish(core::StepWithoutRetry(last, m_history));
-        co_return;
-      }
-    }
-    if (!MayBeSent()) {
-      m_last_error = kShuttingDown;
-      co_await Finish(core::StepWithoutRetry(last, m_history));
-      co_return;
-    }
-    m_history.has_time = TimeLeft() > kMinTimeLeft;
-    const auto target = m_history.has_time ? ChooseTarget() : nullptr;
-    if (!target) {
-      ExplainNoTarget();
-      co_await Finish(core::StepWithoutRetry(last, m_history));
-      co_return;
-    }
-    if (!IsWorthSending(*target)) {
-      m_last_target = target->target.id.Text();
-      co_await Finish(NextStep::kRefuse);
+    const std::optional<NextStep> next = co_await SendOnce(last);
+    if (!next) {
       co_return;
     }
-    const bool is_repeat = m_history.sends > 0;
-    if (is_repeat) {
-      if (!m_state.BudgetOf(m_service).TryToRetry(core::RuntimeClock::now())) {
-        m_last_error += ", retry budget exhausted";
-        co_await Finish(core::StepWithoutRetry(last, m_history));
-        co_return;
-      }
-      m_state.metrics.Add(m_session->HasStreamBegun() ? Counter::kResumes
-                                                      : Counter::kRetries);
+    bool goes_on = *next == NextStep::kRetry;
+    if (!goes_on) {
+      goes_on = co_await AwaitAnotherTarget();
     }
-    const auto now = core::RuntimeClock::now();
-    if (!target->limit.TryToSend(m_state.RankOf(*target, now), now)) {
-      m_last_error = "limit of the target is used up";
-      co_await Finish(core::StepWithoutRetry(last, m_history));
+    if (!goes_on) {
+      co_await Finish(*next);
       co_return;
     }
-    const AttemptFailure ended = co_await Attempt(target);
-    if (!ended || m_session->IsDisconnected()) {
-      co_return;
+  }
+}
+
+asio::awaitable<std::optional<NextStep>>
+ForwardRun::SendOnce(AttemptOutcome& aLast)
+{
+  if (IsQuarantined()) {
+    const bool is_probe = m_history.sends == 0 && co_await BecomeProbe();
+    if (!is_probe || IsQuarantined()) {
+      m_last_error = ExplainQuarantine();
+      co_return core::StepWithoutRetry(aLast, m_history);
     }
-    last = *ended;
-    RecordAttempt(last);
-    const bool may_crash_more = m_target_crashed && HoldsCrashingPart();
-    const NextStep step = may_crash_more
-                            ? core::StepWithoutRetry(last, m_history)
-                            : core::StepAfterAttempt(last, m_history);
-    LogAttempt(last, step == NextStep::kRetry);
-    if (step != NextStep::kRetry) {
-      co_await Finish(step);
-      co_return;
+  }
+  if (!MayBeSent()) {
+    m_last_error = kShuttingDown;
+    co_return core::StepWithoutRetry(aLast, m_history);
+  }
+  m_history.has_time = TimeLeft() > kMinTimeLeft;
+  const auto target = m_history.has_time ? ChooseTarget() : nullptr;
+  if (!target) {
+    ExplainNoTarget();
+    co_return core::StepWithoutRetry(aLast, m_history);
+  }
+  if (!IsWorthSending(*target)) {
+    m_last_target = target->target.id.Text();
+    co_return NextStep::kRefuse;
+  }
+  const bool is_repeat = m_history.sends > 0;
+  if (is_repeat) {
+    if (!TakeRetry()) {
+      m_last_error += ", retry budget exhausted";
+      co_return core::StepWithoutRetry(aLast, m_history);
     }
+    m_state.metrics.Add(m_session->HasStreamBegun() ? Counter::kResumes
+                                                    : Counter::kRetries);
+  }
+  const auto now = core::RuntimeClock::now();
+  if (!target->limit.TryToSend(m_state.RankOf(*target, now), now)) {
+    m_last_error = "limit of the target is used up";
+    co_return core::StepWithoutRetry(aLast, m_history);
+  }
+  const AttemptFailure ended = co_await Attempt(target);
+  if (!ended || m_session->IsDisconnected()) {
+    co_return std::nullopt;
   }
+  aLast = *ended;
+  RecordAttempt(aLast, target->target.id);
+  const bool may_crash_more = m_target_crashed && HoldsCrashingPart();
+  const NextStep step = may_crash_more
+                          ? core::StepWithoutRetry(aLast, m_history)
+                          : core::StepAfterAttempt(aLast, m_history);
+  LogAttempt(aLast, step == NextStep::kRetry);
+  co_return step;
+}
+
+bool
+ForwardRun::TakeRetry()
+{
+  return std::exchange(m_has_retry, false) ||
+         m_state.BudgetOf(m_service).TryToRetry(core::RuntimeClock::now());
 }
 
 void
@@ -549,13 +564,14 @@
 }
 
 void
-ForwardRun::RecordAttempt(AttemptOutcome aEnd)
+ForwardRun::RecordAttempt(AttemptOutcome aEnd, const core::TargetId& aTarget)
 {
   if (aEnd != AttemptOutcome::kNotSent) {
     ++m_history.sends;
   }
   if (aEnd != AttemptOutcome::kNotSent && aEnd != AttemptOutcome::kRefused) {
     ++m_history.may_have_run;
+    m_may_have_run_at.insert(aTarget);
   }
   m_history.has_time = !m_timed_out && TimeLeft() > kMinTimeLeft;
 }
--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -81,7 +81,16 @@
   /// is known.
   [[nodiscard]] std::optional<core::Duration> UsualDuration() const;
   void RecordDuration();
+  /// @brief Sends the request until a target has answered it, or none may.
   boost::asio::awaitable<void> Forward();
+  /// @brief Sends it to one target.
+  /// @param aLast how the attempt before ended; set to how this one did.
+  /// @return what follows; nothing when the final response was sent or the
+  /// caller has disconnected.
+  boost::asio::awaitable<std::optional<core::NextStep>> SendOnce(
+    core::AttemptOutcome& aLast);
+  /// @return whether the retry budget allows one more send.
+  [[nodiscard]] bool TakeRetry();
   boost::asio::awaitable<void> Finish(core::NextStep aStep);
   boost::asio::awaitable<void> SendLocalReply(LocalReply aReply);
   boost::asio::awaitable<bool> SendResponse(
@@ -273,7 +282,7 @@
   void OnDraining(FleetTarget& aTarget);
   /// @brief A target refused the request and requested backoff.
   void OnPushback(FleetTarget& aTarget, core::Duration aTime);
-  void RecordAttempt(core::AttemptOutcome aEnd);
+  void RecordAttempt(core::AttemptOutcome aEnd, const core::TargetId& aTarget);
   /// @brief Counts the sends that targets may read later against the budget of
   /// the retries, once the request has been sent twice.
   void CountUnanswered();
@@ -290,6 +299,17 @@
   /// @brief Gives the current attempt up, as the target does not respond.
   void OnStalled();
   void OnSilenceTimeout();
+  /// @brief Gives the current attempt up if the request can go on at another
+  /// target at this moment. Else its target keeps it: it may still respond.
+  /// @return whether it was given up.
+  bool LeaveSilentTarget();
+  /// @return whether another target of the service has responded since this one
+  /// is silent, so that not all of them, or this instance, stand still.
+  [[nodiscard]] bool HasAnotherResponded() const;
+  /// @brief A stream that was taken from its target waits until another one
+  /// takes it.
+  /// @return whether it is to be sent once more.
+  boost::asio::awaitable<bool> AwaitAnotherTarget();
 
   /// @return the time until no request may start on a target's weights. The
   /// target enforces it, as this instance may have exited by then.
@@ -328,6 +348,9 @@
   core::Instant m_expires_at{};
   core::AttemptHistory m_history;
   std::set<core::TargetId> m_tried_targets;
+  std::set<core::TargetId> m_may_have_run_at;
+  bool m_has_retry = false;       ///< Of the retry budget, for the next send.
+  bool m_has_left_target = false; ///< One that was silent.
   std::uint32_t m_sent_count = 0;
   /// Targets that did not respond and are not counted yet.
   std::vector<core::TargetId> m_unanswered;
--- a/src/jujubehead/node/forward/silent_target.cpp
+++ b/src/jujubehead/node/forward/silent_target.cpp
@@ -1,14 +1,16 @@
 #include "forward_run.hpp"
 
-#include <algorithm> // for min
+#include <algorithm> // for any_of, min
 
 #include "jujubehead/core/routing/stall_timeout.hpp" // for StreamStallTimeout
+#include "jujubehead/net/timer.hpp"                  // for Sleep
 
 // What becomes of a request whose target is silent.
 
 namespace jujubehead::node {
 namespace {
 
+namespace asio = boost::asio;
 using core::Duration;
 
 /// A non-streaming call without a reply after this multiple of its objective
@@ -17,6 +19,9 @@
 /// A request without a response for this long has its path checked: most plain
 /// calls take a fraction of it, and other streams have events meanwhile.
 constexpr Duration kPathCheckTime = std::chrono::milliseconds(200);
+/// Between two looks whether the request of a silent target can go on at
+/// another one.
+constexpr Duration kSilencePollInterval = std::chrono::milliseconds(250);
 
 } // namespace
 
@@ -34,6 +39,7 @@
     return;
   }
   m_awaiting_since = core::RuntimeClock::now();
+  m_silence = Duration(0);
   if (m_route->streams) {
     core::StallTimeoutInput input;
     input.objective = m_route->objective;
@@ -68,12 +74,45 @@
     return;
   }
   const core::Instant now = core::RuntimeClock::now();
+  if (m_silence == Duration(0)) {
+    m_stall_delay = now - m_stall_due;
+    m_state.metrics.Add(Counter::kSilentTargets);
+    m_awaited_target->health.OnUnreachable(now);
+    m_state.connector.Check(m_session->Executor(), m_awaited_target);
+  }
   m_silence = now - m_awaiting_since;
-  m_stall_delay = now - m_stall_due;
-  m_state.metrics.Add(Counter::kSilentTargets);
-  m_awaited_target->health.OnUnreachable(now);
-  m_state.connector.Check(m_session->Executor(), m_awaited_target);
+  if (LeaveSilentTarget()) {
+    return;
+  }
+  // A failure lets the caller try another instance, which helps if it is only
+  // this target. A stream that has begun would be cut.
+  if (m_session->HasStreamBegun() || !HasAnotherResponded()) {
+    SetStallTimer(kSilencePollInterval);
+  } else {
+    OnStalled();
+  }
+}
+
+bool
+ForwardRun::HasAnotherResponded() const
+{
+  const auto targets = m_state.fleet.Of(m_service);
+  return std::any_of(targets.begin(), targets.end(), [&](const auto& aTarget) {
+    return aTarget != m_awaited_target &&
+           aTarget->last_response_at > m_awaiting_since;
+  });
+}
+
+bool
+ForwardRun::LeaveSilentTarget()
+{
+  if (!MayBeSent() || IsQuarantined() || Candidates().empty() || !TakeRetry()) {
+    return false;
+  }
+  m_has_retry = true; // So that no other request takes it meanwhile.
+  m_has_left_target = true;
   OnStalled();
+  return true;
 }
 
 void
@@ -83,6 +122,21 @@
   m_exchange->Close();
 }
 
+asio::awaitable<bool>
+ForwardRun::AwaitAnotherTarget()
+{
+  const bool may_wait = m_has_left_target && m_session->HasStreamBegun() &&
+                        !m_quarantined &&
+                        m_history.may_have_run < m_history.max_targets;
+  if (!may_wait || IsCancelled()) {
+    co_return false;
+  }
+  co_await net::Sleep(kSilencePollInterval);
+  // One that has refused the request may have room by now.
+  m_tried_targets = m_may_have_run_at;
+  co_return !IsCancelled() && TimeLeft() > kSilencePollInterval;
+}
+
 void
 ForwardRun::StartPathTimer()
 {
--- a/standin/entry_deployment.cpp
+++ b/standin/entry_deployment.cpp
@@ -214,7 +214,7 @@
     m_options.caller_address = "127.0.0.1:0";
     m_options.tunnel_address = "127.0.0.1:0";
     m_options.table_service = m_stand_ins.at("rows")->Authority();
-    m_options.repeats.per_request = 100;
+    m_options.repeats.per_request = aOptions.retries_per_request;
     m_options.repeats.start_delay = core::Duration(0);
     m_options.weights_time = aOptions.weights_time;
     m_options.hedge_share = aOptions.hedge_share;
--- a/standin/entry_deployment.hpp
+++ b/standin/entry_deployment.hpp
@@ -29,6 +29,8 @@
   std::vector<std::string> data_centres{};
   /// Software of the models in turn; empty: none is registered.
   std::vector<std::string> software_versions{};
+  /// As in core::WindowedRetryBudgetOptions.
+  double retries_per_request = 100;
   double hedge_share = 0;                         ///< As in node::EntryOptions.
   std::size_t memory_bytes = 256UL * 1024 * 1024; ///< Of each machine.
   std::chrono::milliseconds stop_grace{ 8000 };   ///< As in node::EntryOptions.
--- a/standin/registered_face.cpp
+++ b/standin/registered_face.cpp
@@ -298,6 +298,10 @@
     const json* const breaks = Fault("break_after");
     const std::uint64_t break_at =
       breaks != nullptr ? breaks->value("events", std::uint64_t(0)) : 0;
+    const json* const pause = Fault("pause_after");
+    const json held = pause != nullptr ? *pause : json::object();
+    const auto hold_at = held.value("events", std::uint64_t(0));
+    const std::chrono::milliseconds hold(held.value("ms", 0));
     co_await aExchange.StartStream(200, std::move(aHeaders));
     for (; next <= m_options.events && !aGone; ++next) {
       const std::string event = EventText(next, m_options.software_version);
@@ -308,6 +312,9 @@
       }
       co_await aExchange.WriteChunk(event);
       co_await Wait(std::chrono::milliseconds(m_options.work_ms));
+      if (next == hold_at) {
+        co_await Wait(hold);
+      }
     }
     if (!aGone) {
       co_await KeepParts(aExchange.Request());
