--- a/src/jujubehead/net/http1/message_parser_test.cpp
+++ b/src/jujubehead/net/http1/message_parser_test.cpp
@@ -275,3 +275,24 @@
   CHECK(reading.whole);
   LONGS_EQUAL(1000, reading.body.size());
 }
+
+// A reply whose head was cut, and whose connection ended in order, must not
+// count as whole with an empty body.
+TEST(MessageParser, AReplyIsNotWholeBeforeItsHead)
+{
+  for (const char* line : { "Content-Length: 4\r\n",
+                            "Content-Length: 0\r\n",
+                            "Transfer-Encoding: chunked\r\n",
+                            "Connection: close\r\n",
+                            "" }) {
+    const std::string head =
+      std::string("HTTP/1.1 200 OK\r\nX-A: b\r\n") + line + "\r\n";
+    for (std::size_t size = 0; size < head.size(); ++size) {
+      const auto parser = MessageParser::ForReply({}, false);
+      const auto reading = ReadIn(*parser, { head.substr(0, size) });
+      LONGS_EQUAL(0, reading.status);
+      CHECK_FALSE(parser->HasHead());
+      CHECK_FALSE(parser->PutEnd());
+    }
+  }
+}
--- a/src/jujubehead/net/http_client_test.cpp
+++ b/src/jujubehead/net/http_client_test.cpp
@@ -241,6 +241,30 @@
   }
 }
 
+// The server ended its connection in order within the head.
+TEST(HttpClient, AReplyWhoseHeadIsCutFails)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+                           "Content-Length: 0\r\n\r\n";
+  tcp::acceptor acceptor(context, { tcp::v4(), 0 });
+  const net::HttpCall call =
+    CallTo("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+  for (std::size_t size = 1; size < head.size(); ++size) {
+    boost::asio::co_spawn(
+      context,
+      [&, size]() -> awaitable<void> {
+        tcp::socket socket =
+          co_await acceptor.async_accept(boost::asio::use_awaitable);
+        co_await boost::asio::async_write(
+          socket,
+          boost::asio::buffer(head.data(), size),
+          boost::asio::use_awaitable);
+      },
+      boost::asio::detached);
+    CHECK(FailureOf(call));
+  }
+}
+
 TEST(HttpClient, CancellingEndsACallThatWaitsForItsReply)
 {
   bool caller_gone = false;
--- a/standin/raw_target.cpp
+++ b/standin/raw_target.cpp
@@ -74,6 +74,13 @@
   const auto id = parser->Head().headers.Find("X-Attempt-Id");
   std::string head = m_reply.head;
   head.append("X-Attempt-Id: ").append(id.value_or("")).append("\r\n\r\n");
+  ++m_replies;
+  const std::size_t cut_at = m_replies * m_reply.cut_step;
+  if (cut_at != 0 && cut_at < head.size()) {
+    head.resize(cut_at);
+    co_await Write(aSocket, head);
+    co_return;
+  }
   bool is_open = co_await Write(aSocket, head);
   for (std::size_t i = 0; is_open && i < m_reply.pieces; ++i) {
     is_open = co_await Write(aSocket, m_reply.piece);
--- a/standin/raw_target.hpp
+++ b/standin/raw_target.hpp
@@ -18,6 +18,8 @@
 {
   /// Status line and headers; that of the request id is added to them.
   std::string head;
+  /// The nth reply ends after n times as many bytes of its head; 0: none does.
+  std::size_t cut_step = 0;
   std::string piece;      ///< Sent again and again after the head.
   std::size_t pieces = 0; ///< How often.
   std::chrono::milliseconds interval{ 0 }; ///< Between two pieces.
@@ -50,6 +52,7 @@
   boost::asio::io_context m_context{ 1 };
   boost::asio::ip::tcp::acceptor m_acceptor;
   std::atomic<std::size_t> m_sent_bytes = 0;
+  std::size_t m_replies = 0;
   std::thread m_thread;
 };
 
