--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -72,7 +72,7 @@
               "",
               "callers: part of the prompts of the poison requests, each of "
               "which is like no other; empty: none");
-DEFINE_string(id_prefix, "r", "callers: of the ids of requests");
+DEFINE_string(id_prefix, "r", "callers, stop_callers: of the ids of requests");
 DEFINE_bool(resumes, false, "callers: take broken streams up again");
 DEFINE_string(software_version, "", "registered: part of each event");
 DEFINE_string(brittle,
@@ -357,6 +357,7 @@
   options.warm_up = std::chrono::milliseconds(FLAGS_warm_up_ms);
   options.callers = FLAGS_clients;
   options.seed = FLAGS_seed;
+  options.id_prefix = FLAGS_id_prefix;
   asio::io_context context(1);
   StopCallers callers(context, options, std::cout);
   callers.Start();
--- a/standin/stop_callers.cpp
+++ b/standin/stop_callers.cpp
@@ -139,7 +139,7 @@
       socket.close(ignored);
       continue;
     }
-    std::string id = "r" + std::to_string(++m_last_id);
+    std::string id = m_options.id_prefix + std::to_string(++m_last_id);
     const Result result = co_await Call(socket, aCaller, id);
     m_log << "call " << id << ' ' << aCaller.kind << ' '
           << kManners[static_cast<std::size_t>(aCaller.manner)] << ' '
--- a/standin/stop_callers.hpp
+++ b/standin/stop_callers.hpp
@@ -26,6 +26,7 @@
   std::chrono::milliseconds grace{ 9500 };
   std::size_t callers = 4; ///< Of each kind and manner.
   std::uint64_t seed = 1;
+  std::string id_prefix = "r"; ///< Of the requests' ids.
 };
 
 /// @brief Callers of an instance that gets SIGTERM, until its process is gone.
