--- a/src/jujubehead/node/forward/silent_target.cpp
+++ b/src/jujubehead/node/forward/silent_target.cpp
@@ -39,7 +39,7 @@
     return;
   }
   m_awaiting_since = core::RuntimeClock::now();
-  m_silence = Duration(0);
+  m_is_known_silent = false;
   if (m_route->streams) {
     core::StallTimeoutInput input;
     input.objective = m_route->objective;
@@ -74,13 +74,13 @@
     return;
   }
   const core::Instant now = core::RuntimeClock::now();
-  if (m_silence == Duration(0)) {
+  if (!m_is_known_silent) {
+    m_is_known_silent = true;
     m_stall_delay = now - m_stall_due;
     m_state.metrics.Add(Counter::kSilentTargets);
     m_awaited_target->health.OnUnreachable(now);
     m_state.connector.Check(m_session->Executor(), m_awaited_target);
   }
-  m_silence = now - m_awaiting_since;
   if (LeaveSilentTarget()) {
     return;
   }
@@ -119,6 +119,7 @@
 ForwardRun::OnStalled()
 {
   m_stall_timed_out = true;
+  m_silence = core::RuntimeClock::now() - m_awaiting_since;
   m_exchange->Close();
 }
 
