--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -401,6 +401,7 @@
   core::Instant m_awaiting_since{};
   core::Instant m_stall_due{};    ///< When m_stall_timer is to expire.
   bool m_is_known_silent = false; ///< Since m_awaiting_since.
+  bool m_was_stall_late = false;  ///< The timer, since m_awaiting_since.
   core::Duration m_silence{};     ///< Of the target that was given up.
   core::Duration m_stall_delay{}; ///< Of the timer: this thread's own delay.
   bool m_timed_out = false;
--- a/src/jujubehead/node/forward/silent_target.cpp
+++ b/src/jujubehead/node/forward/silent_target.cpp
@@ -1,6 +1,7 @@
 #include "forward_run.hpp"
 
 #include <algorithm> // for any_of, min
+#include <utility>   // for exchange
 
 #include "jujubehead/core/routing/stall_timeout.hpp" // for StreamStallTimeout
 #include "jujubehead/net/timer.hpp"                  // for Sleep
@@ -40,6 +41,7 @@
   }
   m_awaiting_since = core::RuntimeClock::now();
   m_is_known_silent = false;
+  m_was_stall_late = false;
   if (m_route->streams) {
     core::StallTimeoutInput input;
     input.objective = m_route->objective;
@@ -74,9 +76,15 @@
     return;
   }
   const core::Instant now = core::RuntimeClock::now();
+  m_stall_delay = now - m_stall_due;
+  if (m_stall_delay >= kSilencePollInterval &&
+      !std::exchange(m_was_stall_late, true)) {
+    // This thread stood still itself, and its targets may have, too.
+    SetStallTimer(kSilencePollInterval);
+    return;
+  }
   if (!m_is_known_silent) {
     m_is_known_silent = true;
-    m_stall_delay = now - m_stall_due;
     m_state.metrics.Add(Counter::kSilentTargets);
     m_awaited_target->health.OnUnreachable(now);
     m_state.connector.Check(m_session->Executor(), m_awaited_target);
