--- a/src/jujubehead/node/forward/forward_run.hpp
+++ b/src/jujubehead/node/forward/forward_run.hpp
@@ -306,7 +306,7 @@
   /// @return whether it was given up.
   bool LeaveSilentTarget();
   /// @return whether another target of the service has responded since this one
-  /// is silent, so that not all of them, or this instance, stand still.
+  /// did. If none has, all of them, or this instance, may stand still.
   [[nodiscard]] bool HasAnotherResponded() const;
   /// @brief A stream that was taken from its target waits until another one
   /// takes it.
@@ -350,9 +350,9 @@
   core::Instant m_expires_at{};
   core::AttemptHistory m_history;
   std::set<core::TargetId> m_tried_targets;
-  std::set<core::TargetId> m_may_have_run_at;
+  std::set<core::TargetId> m_may_have_run_at; ///< Targets that got it.
   bool m_has_retry = false;       ///< Of the retry budget, for the next send.
-  bool m_has_left_target = false; ///< One that was silent.
+  bool m_has_left_target = false; ///< A silent one, see LeaveSilentTarget().
   std::uint32_t m_sent_count = 0;
   /// Targets that did not respond and are not counted yet.
   std::vector<core::TargetId> m_unanswered;
