--- a/standin/silent_target_test.cpp
+++ b/standin/silent_target_test.cpp
@@ -25,7 +25,8 @@
   std::string text;
   for (int i = 1; i <= aLast; ++i) {
     const std::string number = std::to_string(i);
-    text += "id: " + number + "\ndata: token" + number + "\n\n";
+    text.append("id: ").append(number);
+    text.append("\ndata: token").append(number).append("\n\n");
   }
   return text;
 }
@@ -83,6 +84,7 @@
   Hold("model1", kLongSilenceMs);
   constexpr int kStreams = 20;
   std::vector<std::future<net::HttpResponse>> streams;
+  streams.reserve(kStreams);
   for (int i = 0; i < kStreams; ++i) {
     streams.push_back(std::async(std::launch::async, [this, i] {
       return Stream("s" + std::to_string(i));
