Tests: a stream whose target is hung surely is at that target

DoesNotKeepAStreamThatAnotherTargetTakes sent four streams and wanted one of them at the hung target, which is up to chance in one run of sixteen. Now both targets are hung until one has the stream.

--- a/standin/silent_target_test.cpp
+++ b/standin/silent_target_test.cpp
@@ -49,6 +49,18 @@
     deployment->SetFault(
       aTarget, "pause_after", { { "events", 3 }, { "ms", aMs } });
   }
+  void HoldAll(int aMs)
+  {
+    Hold("model0", aMs);
+    Hold("model1", aMs);
+  }
+  /// Waits until one of two targets has the stream. @return the other one.
+  std::string AwaitOther()
+  {
+    CHECK(
+      deployment->Await([&] { return Runs("model0") + Runs("model1") > 0; }));
+    return Runs("model0") > 0 ? "model1" : "model0";
+  }
   net::HttpResponse Stream(const std::string& aId)
   {
     net::HttpHeaders lines;
@@ -80,8 +92,7 @@
 TEST(SilentTarget, KeepsTheStreamsThatTheRetryBudgetDoesNotCover)
 {
   Start(2, 0.2);
-  Hold("model0", kLongSilenceMs);
-  Hold("model1", kLongSilenceMs);
+  HoldAll(kLongSilenceMs);
   constexpr int kStreams = 20;
   std::vector<std::future<net::HttpResponse>> streams;
   streams.reserve(kStreams);
@@ -103,11 +114,9 @@
 TEST(SilentTarget, AStreamTakenFromItWaitsForAnotherOne)
 {
   Start(2);
-  Hold("model0", kForeverMs);
-  Hold("model1", kForeverMs);
+  HoldAll(kForeverMs);
   auto stream = std::async(std::launch::async, [this] { return Stream("s1"); });
-  CHECK(deployment->Await([&] { return Runs("model0") + Runs("model1") > 0; }));
-  const std::string other = Runs("model0") > 0 ? "model1" : "model0";
+  const std::string other = AwaitOther();
   deployment->SetFault(other, "pause_after", json::object());
   deployment->SetFault(other, "refuse", { { "count", 4 } });
   const net::HttpResponse response = stream.get();
@@ -119,13 +128,14 @@
 TEST(SilentTarget, DoesNotKeepAStreamThatAnotherTargetTakes)
 {
   Start(2);
-  Hold("model0", kForeverMs);
-  for (int i = 0; i < 4; ++i) {
-    const net::HttpResponse response = Stream("s" + std::to_string(i));
-    LONGS_EQUAL(200, response.status);
-    STRCMP_EQUAL(Events(8).c_str(), response.body.c_str());
-  }
-  CHECK(Runs("model0") > 0);
+  HoldAll(kForeverMs);
+  auto stream = std::async(std::launch::async, [this] { return Stream("s1"); });
+  const std::string other = AwaitOther();
+  deployment->SetFault(other, "pause_after", json::object());
+  const net::HttpResponse response = stream.get();
+  LONGS_EQUAL(200, response.status);
+  STRCMP_EQUAL(Events(8).c_str(), response.body.c_str());
+  LONGS_EQUAL(1, Runs(other));
 }
 
 // All targets stood still for a moment, and calls that they would have answered
