--- a/standin/silent_target_test.cpp
+++ b/standin/silent_target_test.cpp
@@ -54,12 +54,20 @@
     Hold("model0", aMs);
     Hold("model1", aMs);
   }
-  /// Waits until one of two targets has the stream. @return the other one.
-  std::string AwaitOther()
+  /// Waits until one of two targets has the stream, and ends the hold of the
+  /// other one. @return its name.
+  std::string ReleaseOther()
   {
     CHECK(
       deployment->Await([&] { return Runs("model0") + Runs("model1") > 0; }));
-    return Runs("model0") > 0 ? "model1" : "model0";
+    std::string other = Runs("model0") > 0 ? "model1" : "model0";
+    deployment->SetFault(other, "pause_after", json::object());
+    return other;
+  }
+  static void CheckIsWhole(const net::HttpResponse& aResponse)
+  {
+    LONGS_EQUAL(200, aResponse.status);
+    STRCMP_EQUAL(Events(8).c_str(), aResponse.body.c_str());
   }
   net::HttpResponse Stream(const std::string& aId)
   {
@@ -81,9 +89,7 @@
 {
   Start(1);
   Hold("model0", kSilenceMs);
-  const net::HttpResponse response = Stream("s1");
-  LONGS_EQUAL(200, response.status);
-  STRCMP_EQUAL(Events(8).c_str(), response.body.c_str());
+  CheckIsWhole(Stream("s1"));
   LONGS_EQUAL(1, Runs("model0"));
 }
 
@@ -102,9 +108,7 @@
     }));
   }
   for (auto& stream : streams) {
-    const net::HttpResponse response = stream.get();
-    LONGS_EQUAL(200, response.status);
-    STRCMP_EQUAL(Events(8).c_str(), response.body.c_str());
+    CheckIsWhole(stream.get());
   }
   LONGS_EQUAL(0, deployment->Total(0, node::Counter::kStreamsCut));
 }
@@ -116,12 +120,9 @@
   Start(2);
   HoldAll(kForeverMs);
   auto stream = std::async(std::launch::async, [this] { return Stream("s1"); });
-  const std::string other = AwaitOther();
-  deployment->SetFault(other, "pause_after", json::object());
+  const std::string other = ReleaseOther();
   deployment->SetFault(other, "refuse", { { "count", 4 } });
-  const net::HttpResponse response = stream.get();
-  LONGS_EQUAL(200, response.status);
-  STRCMP_EQUAL(Events(8).c_str(), response.body.c_str());
+  CheckIsWhole(stream.get());
 }
 
 // A target that is hung must not hold a stream that can go on elsewhere.
@@ -130,11 +131,8 @@
   Start(2);
   HoldAll(kForeverMs);
   auto stream = std::async(std::launch::async, [this] { return Stream("s1"); });
-  const std::string other = AwaitOther();
-  deployment->SetFault(other, "pause_after", json::object());
-  const net::HttpResponse response = stream.get();
-  LONGS_EQUAL(200, response.status);
-  STRCMP_EQUAL(Events(8).c_str(), response.body.c_str());
+  const std::string other = ReleaseOther();
+  CheckIsWhole(stream.get());
   LONGS_EQUAL(1, Runs(other));
 }
 
