--- a/scripts/lib/entry_processes.sh
+++ b/scripts/lib/entry_processes.sh
@@ -14,26 +14,6 @@
   local us=${EPOCHREALTIME//[.,]/}
   echo $((us / 1000))
 }
-port=$((20000 + RANDOM % 9000))
-# A port is claimed before its process listens: scripts that run side by side
-# would else choose the same one. A claim is a link to the script's process id.
-port_claims=/tmp/jujubehead-ports
-claim_port() { # claim_port PORT: for this script, until it ends
-  local claim=$port_claims/$1 owner
-  if ln -s "$$" "$claim" 2>/dev/null; then
-    return 0
-  fi
-  owner=$(readlink "$claim") || return 1
-  ! kill -0 "$owner" 2>/dev/null && ln -sfn "$$" "$claim"
-}
-next_port() { # sets `port` to one of loopback on which nobody listens
-  mkdir -p "$port_claims"
-  while port=$((port + 1)); do
-    if claim_port "$port" && ! (: <"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
-      return 0
-    fi
-  done
-}
 
 # Targets. `ends` has a line for each process that ended: time, id, status.
 write_rows() { # write_rows JSON-OF-PUTS JSON-OF-REMOVALS
--- a/scripts/lib/processes.sh
+++ b/scripts/lib/processes.sh
@@ -116,3 +116,22 @@
   started_pids=()
   started_names=()
 }
+
+port=$((20000 + RANDOM % 9000))
+# A port is claimed before its process listens: scripts that run side by side
+# would else choose the same one. A claim is a link to the script's process id.
+port_claims=/tmp/jujubehead-ports
+claim_port() ( # claim_port PORT: for this script, until it ends
+  exec 9>"$port_claims/lock"
+  flock 9
+  owner=$(readlink "$port_claims/$1") && kill -0 "$owner" 2>/dev/null && exit 1
+  ln -sfn "$$" "$port_claims/$1"
+)
+next_port() { # sets `port` to one of loopback on which nobody listens
+  mkdir -p "$port_claims"
+  while port=$((port + 1)); do
+    if claim_port "$port" && ! (: <"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
+      return 0
+    fi
+  done
+}
