Tests: broken replies that are handled already, and sound ones

RawTarget replies early, while the upload fills its small receive buffer, and ends a connection in several ways.

--- a/src/jujubehead/net/http1/message_parser_test.cpp
+++ b/src/jujubehead/net/http1/message_parser_test.cpp
@@ -296,3 +296,38 @@
     }
   }
 }
+
+TEST(MessageParser, AnInterimReplyIsRead)
+{
+  for (const char* status : { "100", "102", "103", "199" }) {
+    const Reading reading =
+      ReadReply("HTTP/1.1 " + std::string(status) + " Odd\r\n\r\nHTTP");
+    CHECK_TEXT(reading.whole, status);
+    STRCMP_EQUAL_TEXT("HTTP", reading.left.c_str(), status);
+  }
+}
+
+TEST(MessageParser, AReplyWithABrokenHeadIsRefused)
+{
+  for (const char* lines : { "X Y: z\r\n",
+                             "X\tY: z\r\n",
+                             "X\x01: z\r\n",
+                             "X\x7f: z\r\n",
+                             "X\xe9: z\r\n",
+                             ": z\r\n",
+                             "no colon\r\n",
+                             "Content-Length : 3\r\n",
+                             "Transfer-Encoding : chunked\r\n",
+                             "X-A: 1\nX-B: 2\r\n",
+                             "X-A: 1\rX-B: 2\r\n",
+                             "X-A: \x01\r\n",
+                             "Content-Length: 2\r\nContent-Length: 3\r\n",
+                             "Content-Length: 2, 3\r\n",
+                             "Content-Length: +2\r\n",
+                             "Content-Length: 2\r\n"
+                             "Transfer-Encoding: chunked\r\n" }) {
+    const Reading reading =
+      ReadReply("HTTP/1.1 200 OK\r\n" + std::string(lines) + "\r\nok");
+    CHECK_EQUAL_TEXT(400U, reading.status, lines);
+  }
+}
--- a/standin/raw_target.cpp
+++ b/standin/raw_target.cpp
@@ -1,16 +1,20 @@
 #include "standin/raw_target.hpp"
 
+#include <future>  // for packaged_task
+#include <tuple>   // for tie
 #include <utility> // for move
 
 #include <boost/asio/as_tuple.hpp>      // for as_tuple
 #include <boost/asio/buffer.hpp>        // for buffer
 #include <boost/asio/co_spawn.hpp>      // for co_spawn
 #include <boost/asio/detached.hpp>      // for detached
+#include <boost/asio/post.hpp>          // for post
 #include <boost/asio/use_awaitable.hpp> // for use_awaitable
 #include <boost/asio/write.hpp>         // for async_write
 
 #include "jujubehead/net/http1/message_parser.hpp" // for MessageParser
 #include "jujubehead/net/http1/socket_reading.hpp" // for ReadAvailable
+#include "jujubehead/net/reset_on_close.hpp"       // for CloseWithReset
 #include "standin/face.hpp"                        // for Wait
 
 namespace jujubehead::standin {
@@ -21,12 +25,21 @@
 
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 
+/// Receive buffer of a connection, which an upload fills.
+constexpr int kSmallBufferBytes = 16 * 1024;
+/// Of it, what holds unread bytes before an early reply.
+constexpr std::size_t kUnreadBytes = 4UL * 1024;
+constexpr std::chrono::milliseconds kPoll{ 1 };
+
 } // namespace
 
 RawTarget::RawTarget(RawReply aReply)
   : m_reply(std::move(aReply))
   , m_acceptor(m_context, { asio::ip::address_v4::loopback(), 0 })
 {
+  // Connections inherit it.
+  m_acceptor.set_option(
+    asio::socket_base::receive_buffer_size(kSmallBufferBytes));
   asio::co_spawn(m_context, Accept(), asio::detached);
   m_thread = std::thread([this] { m_context.run(); });
 }
@@ -37,6 +50,14 @@
   m_thread.join();
 }
 
+void
+RawTarget::SetReply(RawReply aReply)
+{
+  std::packaged_task<void()> task([&] { m_reply = std::move(aReply); });
+  asio::post(m_context, [&task] { task(); });
+  task.get_future().get();
+}
+
 std::string
 RawTarget::Authority() const
 {
@@ -59,32 +80,75 @@
 RawTarget::Serve(tcp::socket aSocket)
 {
   aSocket.non_blocking(true);
+  const std::optional<std::string> id = co_await ReadRequest(aSocket);
+  if (!id) {
+    co_return;
+  }
+  const RawReply reply = m_reply;
+  std::string head = reply.head;
+  head.append("X-Attempt-Id: ").append(*id).append("\r\n\r\n");
+  ++m_replies;
+  const std::size_t cut_at = m_replies * reply.cut_step;
+  if (cut_at != 0 && cut_at < head.size()) {
+    head.resize(cut_at);
+    co_await Write(aSocket, head);
+    co_return;
+  }
+  bool is_open = co_await Write(aSocket, head);
+  for (std::size_t i = 0; is_open && i < reply.pieces; ++i) {
+    is_open = co_await Write(aSocket, reply.piece);
+    co_await Wait(reply.interval);
+  }
+  co_await End(aSocket, reply);
+}
+
+asio::awaitable<std::optional<std::string>>
+RawTarget::ReadRequest(tcp::socket& aSocket)
+{
   const auto parser = net::MessageParser::ForRequest({});
   std::string input;
   std::string body;
-  while (!parser->IsWhole()) {
+  while (!parser->IsWhole() && !(m_reply.is_early && parser->HasHead())) {
     const auto [error] =
       co_await aSocket.async_wait(tcp::socket::wait_read, kTuple);
     const auto failure = error ? error : net::ReadAvailable(aSocket, input);
     if (failure && failure != asio::error::would_block) {
-      co_return;
+      co_return std::nullopt;
     }
     input.erase(0, parser->Put(input, body));
   }
+  boost::system::error_code error;
+  while (m_reply.is_early && !error &&
+         aSocket.available(error) < kUnreadBytes) {
+    co_await Wait(kPoll);
+  }
   const auto id = parser->Head().headers.Find("X-Attempt-Id");
-  std::string head = m_reply.head;
-  head.append("X-Attempt-Id: ").append(id.value_or("")).append("\r\n\r\n");
-  ++m_replies;
-  const std::size_t cut_at = m_replies * m_reply.cut_step;
-  if (cut_at != 0 && cut_at < head.size()) {
-    head.resize(cut_at);
-    co_await Write(aSocket, head);
-    co_return;
+  co_return std::string(id.value_or(""));
+}
+
+asio::awaitable<void>
+RawTarget::End(tcp::socket& aSocket, const RawReply& aReply)
+{
+  if (aReply.end == RawEnd::kHalfClosed ||
+      aReply.end == RawEnd::kHalfClosedThenReset) {
+    boost::system::error_code ignored;
+    aSocket.shutdown(tcp::socket::shutdown_send, ignored);
   }
-  bool is_open = co_await Write(aSocket, head);
-  for (std::size_t i = 0; is_open && i < m_reply.pieces; ++i) {
-    is_open = co_await Write(aSocket, m_reply.piece);
-    co_await Wait(m_reply.interval);
+  if (aReply.end == RawEnd::kOpen || aReply.end == RawEnd::kHalfClosed) {
+    std::string rest;
+    boost::system::error_code error;
+    while (!error || error == asio::error::would_block) {
+      std::tie(error) =
+        co_await aSocket.async_wait(tcp::socket::wait_read, kTuple);
+      error = error ? error : net::ReadAvailable(aSocket, rest);
+    }
+  }
+  if (aReply.end == RawEnd::kHalfClosedThenReset) {
+    co_await Wait(aReply.before_reset);
+  }
+  if (aReply.end == RawEnd::kReset ||
+      aReply.end == RawEnd::kHalfClosedThenReset) {
+    net::CloseWithReset(aSocket);
   }
 }
 
