Entry: a reply without a length that is reset during the upload is broken

What callers saw: a target answered a long upload with a 200 without a length, sent a part of the body and reset the connection. Callers got the part as the whole reply, calls and streams alike, also with HTTP/1.0, Connection: close or status 500, and where the target just closed over unread bytes.

Cause: the kernel reports a reset once, to the call that comes first. While the upload is written, that is mostly the write; the read after it returns an end of the input, which completes a body without a length.

The change: OutboundConnection::Read() returns eof only if the connection has ended in order (net/http1/connection_end): its state tells a reset from an orderly end whichever call has taken the error, and as long as what was sent is not written and acknowledged, an orderly end may still be followed by a reset, as by a target that was killed with nothing left to read. So the reader waits until the request was taken or the connection is reset.

Evidence: four tests of BrokenReply fail before, each at its first request ("/once/x 200": status 200), and pass with the change; the early replies whose target reads on stay whole.

--- a/include/jujubehead/net/http1/outbound_connection.hpp
+++ b/include/jujubehead/net/http1/outbound_connection.hpp
@@ -60,7 +60,8 @@
   void Send(std::string aMessage,
             std::shared_ptr<const std::string> aBody = nullptr);
   /// @brief Waits for bytes and appends them to Input().
-  /// @return the error; `eof` when the target ended in order.
+  /// @return the error; `eof` when the target ended in order and has got all
+  /// that was sent.
   boost::asio::awaitable<boost::system::error_code> Read();
   /// @brief From now on the bytes are relayed, those that were received already
   /// included.
@@ -84,6 +85,8 @@
 private:
   OutboundConnection(const boost::asio::any_io_executor& aExecutor,
                      const OutboundOptions& aOptions);
+  /// @return `eof`, or `connection_reset` if the end is no orderly one.
+  boost::asio::awaitable<boost::system::error_code> EndOfInput();
   /// @return `would_block` if nothing was added to Input().
   boost::system::error_code ReadAvailable();
 
--- a/src/jujubehead/net/http1/outbound_connection.cpp
+++ b/src/jujubehead/net/http1/outbound_connection.cpp
@@ -3,8 +3,9 @@
 #include <netinet/tcp.h> // for TCP_USER_TIMEOUT
 #include <sys/socket.h>  // for setsockopt
 
-#include <array>   // for array
-#include <utility> // for move, exchange
+#include <array>      // for array
+#include <functional> // for function
+#include <utility>    // for move, exchange
 
 #include <boost/asio/as_tuple.hpp>      // for as_tuple
 #include <boost/asio/buffer.hpp>        // for buffer
@@ -12,6 +13,7 @@
 #include <boost/asio/write.hpp>         // for async_write
 
 #include "jujubehead/net/deadline.hpp"             // for Deadline
+#include "jujubehead/net/http1/connection_end.hpp" // for HasEndedInOrder
 #include "jujubehead/net/http1/socket_reading.hpp" // for ReadAvailable
 
 namespace jujubehead::net {
@@ -117,7 +119,7 @@
   const auto self = shared_from_this();
   for (;;) {
     if (m_frames.HasEnded()) {
-      co_return asio::error::eof;
+      co_return co_await EndOfInput();
     }
     const auto [error] =
       co_await m_socket.async_wait(tcp::socket::wait_read, kTuple);
@@ -125,12 +127,30 @@
       co_return error;
     }
     const error_code result = ReadAvailable();
+    if (result == asio::error::eof) {
+      co_return co_await EndOfInput();
+    }
     if (result != asio::error::would_block) {
       co_return result;
     }
   }
 }
 
+asio::awaitable<error_code>
+OutboundConnection::EndOfInput()
+{
+  // The relaying instance has seen the target's end.
+  if (m_frames.HasEnded() && IsSent()) {
+    co_return asio::error::eof;
+  }
+  const std::function<bool()> is_sent = [this] { return IsSent(); };
+  const bool is_orderly = co_await HasEndedInOrder(m_socket, is_sent);
+  if (is_orderly) {
+    co_return asio::error::eof;
+  }
+  co_return asio::error::connection_reset;
+}
+
 error_code
 OutboundConnection::ReadAvailable()
 {
--- a/standin/broken_reply_test.cpp
+++ b/standin/broken_reply_test.cpp
@@ -166,6 +166,47 @@
   }
 };
 
+// The write of the upload took the reset, so that the next read returned an end
+// of the input: callers got the part as a whole reply.
+TEST(BrokenReply, WithoutALengthIsNotWholeWhenItIsResetDuringTheUpload)
+{
+  body_bytes = kUploadBytes;
+  Start(EarlyReply(kOkLine, RawEnd::kReset));
+  CheckIsBroken("200", kRequests);
+}
+
+TEST(BrokenReply, WithoutALengthIsNotWholeWhenItIsClosedDuringTheUpload)
+{
+  body_bytes = kUploadBytes;
+  Start(EarlyReply(kOkLine, RawEnd::kClosed));
+  CheckIsBroken("200", kRequests);
+}
+
+TEST(BrokenReply, OfAnyStatusOrVersionIsNotWholeWhenItIsResetDuringTheUpload)
+{
+  body_bytes = kUploadBytes;
+  for (const char* status : { "HTTP/1.1 200 OK\r\nConnection: close\r\n",
+                              "HTTP/1.0 200 OK\r\n",
+                              "HTTP/1.1 500 Oops\r\n" }) {
+    Start(EarlyReply(status, RawEnd::kReset));
+    CheckIsBroken(status);
+  }
+}
+
+// A target that is killed ends its connection in order if it has read all that
+// had come, and resets it when more comes.
+TEST(BrokenReply, WithoutALengthIsNotWholeWhenAResetFollowsDuringTheUpload)
+{
+  body_bytes = kUploadBytes;
+  for (const milliseconds before_reset :
+       { milliseconds(0), milliseconds(50) }) {
+    RawReply reply = EarlyReply(kOkLine, RawEnd::kHalfClosedThenReset);
+    reply.before_reset = before_reset;
+    Start(reply);
+    CheckIsBroken("reset after an orderly end", 2);
+  }
+}
+
 TEST(BrokenReply, WithoutALengthIsNotWholeWhenItIsReset)
 {
   RawReply reply = ReplyOf(kOkLine);
