Stand-in: FaultProxy passes a reset on that a write has taken

Found by reading: where the write of one direction takes the reset, the other one reads an end of the input, and the proxy ended its other connection in order. Tests behind it would blame the product, or miss its faults.

--- a/standin/fault_proxy.cpp
+++ b/standin/fault_proxy.cpp
@@ -10,8 +10,9 @@
 #include <boost/asio/use_awaitable.hpp> // for use_awaitable
 #include <boost/asio/write.hpp>         // for async_write
 
-#include "jujubehead/net/reset_on_close.hpp" // for CloseWithReset
-#include "standin/face.hpp"                  // for EndpointOf, NowMs, Wait
+#include "jujubehead/net/http1/connection_end.hpp" // for EndOf
+#include "jujubehead/net/reset_on_close.hpp"       // for CloseWithReset
+#include "standin/face.hpp" // for EndpointOf, NowMs, Wait
 
 namespace jujubehead::standin {
 namespace {
@@ -210,6 +211,10 @@
     std::size_t size = 0;
     std::tie(error, size) =
       co_await from.async_read_some(asio::buffer(chunk), kTuple);
+    if (error == asio::error::eof &&
+        net::EndOf(from) == net::ConnectionEnd::kReset) {
+      error = asio::error::connection_reset;
+    }
     if (error && !aIsToUpstream) {
       CloseIfUpstreamIsGone();
     }
