Tunnels: a target's reset during the upload is passed on as a reset

What callers saw: behind an instance that relays, a part of a reply without a length as the whole one, now and then.

Tunnel's write to the target takes the reset, its other half reads an end of the input and sends the frame of an orderly end, unless the handler of the write runs first.

The change: the frame is sent once the target's end is known to be orderly and all that has come from the instance was written to it.

--- a/src/jujubehead/node/forward/tunnel_server.cpp
+++ b/src/jujubehead/node/forward/tunnel_server.cpp
@@ -1,7 +1,8 @@
 #include "tunnel_server.hpp"
 
-#include <array>   // for array
-#include <utility> // for move
+#include <array>      // for array
+#include <functional> // for function
+#include <utility>    // for move
 
 #include <boost/asio/as_tuple.hpp>      // for as_tuple
 #include <boost/asio/buffer.hpp>        // for buffer
@@ -11,6 +12,7 @@
 #include <boost/asio/write.hpp>         // for async_write
 
 #include "jujubehead/net/deadline.hpp"             // for Deadline
+#include "jujubehead/net/http1/connection_end.hpp" // for HasEndedInOrder
 #include "jujubehead/net/http1/message_parser.hpp" // for MessageParser
 #include "jujubehead/net/http1/relay_frames.hpp"   // for RelayFrameHeader
 #include "jujubehead/net/http1/socket_reading.hpp" // for ReadAvailable
@@ -90,8 +92,10 @@
       std::tie(error, size) =
         co_await m_instance.async_read_some(asio::buffer(chunk), kTuple);
       if (!error) {
+        m_is_writing = true;
         std::tie(error, size) = co_await asio::async_write(
           m_target, asio::buffer(chunk.data(), size), kTuple);
+        m_is_writing = false;
       }
     }
     Close(); // The instance has gone, so the request is cancelled.
@@ -99,6 +103,7 @@
 
   asio::awaitable<void> PumpToInstance()
   {
+    const std::function<bool()> is_sent = [this] { return HasRelayedInput(); };
     std::array<char, kChunkBytes> chunk{};
     error_code error;
     while (!error) {
@@ -108,8 +113,12 @@
       if (!error) {
         error = co_await WriteToInstance({ chunk.data(), size });
       } else if (error == asio::error::eof) {
-        error = co_await WriteEnd();
-        if (!error) {
+        const bool is_orderly =
+          co_await net::HasEndedInOrder(m_target, is_sent);
+        if (is_orderly) {
+          error = co_await WriteEnd();
+        }
+        if (is_orderly && !error) {
           co_return;
         }
       }
@@ -117,6 +126,13 @@
     Close();
   }
 
+  /// @return whether all that has come from the instance was written.
+  [[nodiscard]] bool HasRelayedInput()
+  {
+    error_code ignored;
+    return !m_is_writing && m_instance.available(ignored) == 0;
+  }
+
   asio::awaitable<error_code> WriteToInstance(std::string_view aBytes)
   {
     net::RelayFrameHeader header{};
@@ -156,6 +172,7 @@
   tcp::socket m_instance;
   tcp::socket m_target;
   bool m_is_framed;
+  bool m_is_writing = false; ///< To the target.
   std::shared_ptr<std::atomic<std::size_t>> m_count;
 };
 
--- a/standin/broken_reply_test.cpp
+++ b/standin/broken_reply_test.cpp
@@ -193,6 +193,27 @@
   }
 }
 
+TEST(BrokenReply, WithoutALengthIsNotWholeWhenItIsResetBehindATunnel)
+{
+  body_bytes = kUploadBytes;
+  StartBehindTunnel(EarlyReply(kOkLine, RawEnd::kReset));
+  CheckIsBroken("behind a tunnel", kRequests);
+  CHECK(deployment->Total(0, node::Counter::kTunnels) > 0);
+}
+
+// The tunnel sent the frame of an orderly end, as the write of the upload had
+// taken the reset.
+TEST(BrokenReply, ATunnelPassesAResetDuringTheUploadOn)
+{
+  body_bytes = kUploadBytes;
+  for (const RawEnd end : { RawEnd::kReset, RawEnd::kClosed }) {
+    Start(EarlyReply(kOkLine, end));
+    for (int i = 0; i < kTunnels; ++i) {
+      CHECK(EndBehindTunnel() == asio::error::connection_reset);
+    }
+  }
+}
+
 // A target that is killed ends its connection in order if it has read all that
 // had come, and resets it when more comes.
 TEST(BrokenReply, WithoutALengthIsNotWholeWhenAResetFollowsDuringTheUpload)
