HttpClient: a reset after an orderly end breaks a reply without a length

What was missed: a request that is still in the socket's buffer when the server ends in order with a part of its reply, and resets the connection as more comes. The part was taken for the whole. It goes by the rule of the direct path now.

--- a/src/jujubehead/net/client_stream.cpp
+++ b/src/jujubehead/net/client_stream.cpp
@@ -1,10 +1,12 @@
 #include "client_stream.hpp"
 
-#include <utility> // for move
+#include <functional> // for function
+#include <utility>    // for move
 
 #include <boost/asio/as_tuple.hpp>      // for as_tuple
 #include <boost/asio/use_awaitable.hpp> // for use_awaitable
 
+#include "jujubehead/net/http1/connection_end.hpp" // for HasEndedInOrder
 #include "jujubehead/net/http1/message_parser.hpp" // for kMaxInterimReplies
 
 #include "http_fields.hpp" // for FromFields
@@ -130,22 +132,37 @@
   }
   connection->deadline.Set(m_call.idle_timeout);
   const auto space = connection->buffer.prepare(kBufferBytes);
-  const auto [error, bytes] = co_await connection->stream.async_read_some(
+  auto [error, bytes] = co_await connection->stream.async_read_some(
     space, asio::as_tuple(asio::use_awaitable));
   connection->deadline.Clear();
   connection->buffer.commit(bytes);
-  if (error == asio::error::eof && m_parser->got_some()) {
-    boost::system::error_code end;
-    m_parser->put_eof(end);
-    if (!end && m_parser->is_done()) {
+  if (error == asio::error::eof && m_parser->need_eof()) {
+    const bool is_orderly = co_await EndsInOrder(*connection);
+    if (is_orderly) {
+      m_parser->put_eof(error);
       co_return; // A body without a length ends with the connection.
     }
+    error = asio::error::connection_reset;
   }
   if (error) {
     Fail(connection->timed_out ? "sent nothing for too long" : error.message());
   }
 }
 
+asio::awaitable<bool>
+ClientStream::EndsInOrder(ClientConnection& aConnection)
+{
+  if (aConnection.stream.Tls() != nullptr) {
+    co_return true; // TLS has an end of its own, which a reset lacks.
+  }
+  aConnection.deadline.Set(m_call.idle_timeout);
+  const std::function<bool()> is_sent = [] { return true; };
+  const bool is_orderly =
+    co_await HasEndedInOrder(aConnection.stream.Socket(), is_sent);
+  aConnection.deadline.Clear();
+  co_return is_orderly;
+}
+
 void
 ClientStream::Parse()
 {
--- a/src/jujubehead/net/client_stream.hpp
+++ b/src/jujubehead/net/client_stream.hpp
@@ -43,6 +43,8 @@
 
   void ResetParser();
   boost::asio::awaitable<void> Fill();
+  /// @return whether an end of the connection completes the body.
+  boost::asio::awaitable<bool> EndsInOrder(ClientConnection& aConnection);
   void Parse();
   void Release();
   [[noreturn]] void Fail(const std::string& aWhy);
