Replies with a status that does not exist are broken

What callers saw: a reply with status 000 or 099 ended in a 504 at their deadline, or in the reply after it. 600 and 999 were passed on.

Cause: a status below 200 counted as that of an interim reply; of 000 the body was read as a part of it and lost. The library's parser takes any three digits.

The change: a reply whose status is not within 100 to 599 is no reply (RFC 9110, section 15): 502, or the next target where the request may repeat.

Evidence: OfAStatusThatDoesNotExist (3 s exceeded) and AReplyWithAStatusThatDoesNotExistIsRefused fail before.

--- a/include/jujubehead/net/http1/message_parser.hpp
+++ b/include/jujubehead/net/http1/message_parser.hpp
@@ -39,6 +39,12 @@
 /// lines exceed it.
 inline constexpr std::uint64_t kMaxFramingFactor = 8;
 
+/// @return what is wrong with the status and the headers of a reply, interim
+/// ones included, of which the library's parser accepts more than there are;
+/// empty: nothing.
+[[nodiscard]] std::string_view
+FaultOfReplyHead(unsigned aStatus, const HttpHeaders& aHeaders);
+
 /// @brief Bytes that are no message, or one that is longer than allowed.
 class MessageError : public std::runtime_error
 {
@@ -57,8 +63,9 @@
 
 /// @brief Reads one message from bytes as they come, with one reading of them:
 /// what could be read in two ways is refused (two lengths, a length beside
-/// chunks, lines that end otherwise than by CR LF, folded lines). Header lines
-/// after a body in chunks are dropped.
+/// chunks, lines that end otherwise than by CR LF, folded lines), and so is a
+/// body in a transfer coding other than chunks, or a status that does not
+/// exist. Header lines after a body in chunks are dropped.
 ///
 /// @code
 /// auto parser = MessageParser::ForRequest(limits);
--- a/src/jujubehead/net/http1/message_parser.cpp
+++ b/src/jujubehead/net/http1/message_parser.cpp
@@ -172,9 +172,25 @@
     if (error && error != http::error::need_more) {
       throw MessageError(error.message(), StatusOf(error));
     }
+    if constexpr (!kIsRequest) {
+      CheckReplyHead();
+    }
     return used;
   }
 
+  /// @throws MessageError.
+  void CheckReplyHead()
+  {
+    if (m_is_head_checked || !HasHead()) {
+      return;
+    }
+    m_is_head_checked = true;
+    const auto fault = FaultOfReplyHead(Head().status, Head().headers);
+    if (!fault.empty()) {
+      throw MessageError(std::string(fault), kBadRequest);
+    }
+  }
+
   /// @return whether the whole head has come. @throws MessageError.
   [[nodiscard]] bool HeadIsIn(std::string_view aBytes) const
   {
@@ -198,6 +214,7 @@
 
   MessageLimits m_limits;
   Collector<kIsRequest> m_collector;
+  bool m_is_head_checked = false;
   std::uint64_t m_used = 0; ///< Bytes of the message until now.
 };
 
--- a/src/jujubehead/net/http1/message_parser_test.cpp
+++ b/src/jujubehead/net/http1/message_parser_test.cpp
@@ -297,6 +297,15 @@
   }
 }
 
+TEST(MessageParser, AReplyWithAStatusThatDoesNotExistIsRefused)
+{
+  for (const char* status : { "000", "001", "099", "600", "999" }) {
+    const Reading reading = ReadReply("HTTP/1.1 " + std::string(status) +
+                                      " Odd\r\nContent-Length: 2\r\n\r\nok");
+    CHECK_EQUAL_TEXT(400U, reading.status, status);
+  }
+}
+
 TEST(MessageParser, AnInterimReplyIsRead)
 {
   for (const char* status : { "100", "102", "103", "199" }) {
--- a/standin/broken_reply_test.cpp
+++ b/standin/broken_reply_test.cpp
@@ -255,6 +255,23 @@
   CheckIsWhole(kOk, "behind a tunnel");
 }
 
+// A status below 200 was taken for that of an interim reply: callers got the
+// next reply, or none before their deadline.
+TEST(BrokenReply, OfAStatusThatDoesNotExist)
+{
+  const std::string ok = "\r\nHTTP/1.1 200 OK\r\nContent-Length: 22\r\n";
+  for (const std::string& lines :
+       { std::string("HTTP/1.1 000 Odd\r\nContent-Length: 22\r\n"),
+         "HTTP/1.1 000 Odd\r\n" + ok,
+         "HTTP/1.1 099 Odd\r\n" + ok,
+         std::string("HTTP/1.1 600 Odd\r\nContent-Length: 22\r\n") }) {
+    RawReply reply = ReplyOf(lines);
+    reply.end = RawEnd::kOpen;
+    Start(reply);
+    CheckIsBroken(lines.c_str());
+  }
+}
+
 TEST(BrokenReply, WithAHeaderNameThatIsNoToken)
 {
   for (const char* line : { "X Y: z\r\n",
