A reply that switches protocols unasked is broken

What callers saw: the reply after a 101 that no request had asked for.

Cause: 101 was skipped as an interim reply. Instances ask no target for another protocol, and what follows a switch is in that protocol (RFC 9110, section 15.2.2).

Evidence: ThatSwitchesProtocolsUnasked ("/once/x 101": status 200) and AReplyThatSwitchesProtocolsIsRefused fail before.

--- a/src/jujubehead/net/http1/message_parser_test.cpp
+++ b/src/jujubehead/net/http1/message_parser_test.cpp
@@ -306,6 +306,12 @@
   }
 }
 
+TEST(MessageParser, AReplyThatSwitchesProtocolsIsRefused)
+{
+  LONGS_EQUAL(400,
+              ReadReply("HTTP/1.1 101 Switching Protocols\r\n\r\n").status);
+}
+
 TEST(MessageParser, AnInterimReplyIsRead)
 {
   for (const char* status : { "100", "102", "103", "199" }) {
--- a/src/jujubehead/net/http1/reply_head_check.cpp
+++ b/src/jujubehead/net/http1/reply_head_check.cpp
@@ -5,6 +5,7 @@
 
 constexpr unsigned kMinStatus = 100;
 constexpr unsigned kMaxStatus = 599;
+constexpr unsigned kSwitchingProtocols = 101;
 
 } // namespace
 
@@ -14,6 +15,10 @@
   if (aStatus < kMinStatus || aStatus > kMaxStatus) {
     return "a status that does not exist";
   }
+  // No request asks for it, and what follows is in another protocol.
+  if (aStatus == kSwitchingProtocols) {
+    return "a switch to another protocol";
+  }
   return {};
 }
 
--- a/standin/broken_reply_test.cpp
+++ b/standin/broken_reply_test.cpp
@@ -272,6 +272,15 @@
   }
 }
 
+// It was skipped like any other interim reply, although what follows it belongs
+// to another protocol.
+TEST(BrokenReply, ThatSwitchesProtocolsUnasked)
+{
+  Start(ReplyOf("HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n"
+                "HTTP/1.1 200 OK\r\nContent-Length: 22\r\n"));
+  CheckIsBroken("101");
+}
+
 TEST(BrokenReply, WithAHeaderNameThatIsNoToken)
 {
   for (const char* line : { "X Y: z\r\n",
