A reply in a transfer coding other than chunks is broken

What callers saw: with `chunked, identity` the raw chunks as the body, with `squeeze` or `gzip, chunked` bytes in that coding, without a header that says so.

Cause: the library's parser reads the body up to the end of the connection unless `chunked` is the last coding, and Transfer-Encoding concerns one hop, so it was dropped. Requests were checked, replies not. No request allows another coding by TE.

Evidence: InATransferCodingOtherThanChunks ("/once/x chunked, identity": status 200) and AReplyInATransferCodingOtherThanChunksIsRefused fail before.

--- a/src/jujubehead/net/http1/message_parser_test.cpp
+++ b/src/jujubehead/net/http1/message_parser_test.cpp
@@ -322,6 +322,23 @@
   }
 }
 
+// Its body was passed on in that coding.
+TEST(MessageParser, AReplyInATransferCodingOtherThanChunksIsRefused)
+{
+  for (const char* lines : { "Transfer-Encoding: chunked, identity\r\n",
+                             "Transfer-Encoding: gzip, chunked\r\n",
+                             "Transfer-Encoding: squeeze\r\n",
+                             "Transfer-Encoding:\r\n",
+                             "Transfer-Encoding: gzip\r\n"
+                             "Transfer-Encoding: chunked\r\n",
+                             "Transfer-Encoding: gzip\r\n"
+                             "Content-Length: 2\r\n" }) {
+    const Reading reading = ReadReply(
+      "HTTP/1.1 200 OK\r\n" + std::string(lines) + "\r\n2\r\nok\r\n0\r\n\r\n");
+    CHECK_EQUAL_TEXT(400U, reading.status, lines);
+  }
+}
+
 TEST(MessageParser, AReplyWithABrokenHeadIsRefused)
 {
   for (const char* lines : { "X Y: z\r\n",
--- a/standin/broken_reply_test.cpp
+++ b/standin/broken_reply_test.cpp
@@ -281,6 +281,20 @@
   CheckIsBroken("101");
 }
 
+// Callers got the body in that coding, or in raw chunks, without a header that
+// says so.
+TEST(BrokenReply, InATransferCodingOtherThanChunks)
+{
+  for (const char* coding :
+       { "chunked, identity", "squeeze", "gzip, chunked" }) {
+    RawReply reply = ReplyOf(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + std::string(coding) + "\r\n");
+    reply.piece = "16\r\n" + std::string(kEvents) + "\r\n0\r\n\r\n";
+    Start(reply);
+    CheckIsBroken(coding);
+  }
+}
+
 TEST(BrokenReply, WithAHeaderNameThatIsNoToken)
 {
   for (const char* line : { "X Y: z\r\n",
