HttpClient: a reply with status 000 does not stop its thread

It checks heads by FaultOfReplyHead() now, as MessageParser does.

Header names with a blank or a control byte, which it checks too, were refused before.

--- a/src/jujubehead/net/broken_reply_test.cpp
+++ b/src/jujubehead/net/broken_reply_test.cpp
@@ -94,6 +94,27 @@
   }
 };
 
+// A status below 200 was taken for that of an interim reply, and the body was
+// read in any transfer coding.
+TEST(BrokenReply, AReplyWithABrokenHeadFails)
+{
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string body = "Content-Length: 2\r\n\r\nok";
+  for (const std::string& reply :
+       { "HTTP/1.1 000 Odd\r\n" + body,
+         "HTTP/1.1 099 Odd\r\n\r\n" + ok + body,
+         "HTTP/1.1 600 Odd\r\n" + body,
+         "HTTP/1.1 101 Switching Protocols\r\n\r\n" + ok + body,
+         ok + "Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n",
+         ok + "Transfer-Encoding: squeeze\r\n\r\nok",
+         ok + "X Y: z\r\n" + body,
+         ok + "X\x01: z\r\n" + body,
+         ok + "Content-Length : 1\r\n\r\nok",
+         ok + "no colon\r\n" + body }) {
+    CHECK_THROWS(net::HttpCallError, Fetch(reply, End::kClosed));
+  }
+}
+
 // A part looked whole where the reset came after the end of the connection.
 TEST(BrokenReply, AReplyWithoutALengthThatIsResetFails)
 {
--- a/src/jujubehead/net/client_stream.cpp
+++ b/src/jujubehead/net/client_stream.cpp
@@ -7,7 +7,7 @@
 #include <boost/asio/use_awaitable.hpp> // for use_awaitable
 
 #include "jujubehead/net/http1/connection_end.hpp" // for HasEndedInOrder
-#include "jujubehead/net/http1/message_parser.hpp" // for kMaxInterimReplies
+#include "jujubehead/net/http1/message_parser.hpp" // for FaultOfReplyHead
 
 #include "http_fields.hpp" // for FromFields
 
@@ -75,8 +75,12 @@
       }
     }
     m_status = m_parser->get().result_int();
+    m_headers = FromFields(m_parser->get());
+    const auto fault = FaultOfReplyHead(m_status, m_headers);
+    if (!fault.empty()) {
+      Fail(std::string(fault));
+    }
   } while (m_status < kFirstFinalStatus);
-  m_headers = FromFields(m_parser->get());
 }
 
 unsigned
