Broken replies: wording; FaultProxy examines ends of open connections only

Found on reading: once the proxy has shut one side down, an orderly end of the other closes the socket too, which EndOf() cannot tell from a reset.

--- a/include/jujubehead/net/http1/connection_end.hpp
+++ b/include/jujubehead/net/http1/connection_end.hpp
@@ -24,6 +24,8 @@
 /// Such a read alone proves no orderly end: the kernel reports a reset once, to
 /// the call that comes first. If that is a write, the next read returns an end
 /// of the input.
+/// @param aSocket not shut down on this side; orderly ends on both sides look
+/// like a reset.
 [[nodiscard]] ConnectionEnd
 EndOf(boost::asio::ip::tcp::socket& aSocket);
 
--- a/src/jujubehead/net/http1/outbound_connection.cpp
+++ b/src/jujubehead/net/http1/outbound_connection.cpp
@@ -139,7 +139,7 @@
 asio::awaitable<error_code>
 OutboundConnection::EndOfInput()
 {
-  // The relaying instance has seen the target's end.
+  // With frames, the relaying instance has examined the target's end.
   if (m_frames.HasEnded() && IsSent()) {
     co_return asio::error::eof;
   }
--- a/src/jujubehead/net/http1/reply_head_check.cpp
+++ b/src/jujubehead/net/http1/reply_head_check.cpp
@@ -17,7 +17,7 @@
 FaultOfReplyHead(unsigned aStatus, const HttpHeaders& aHeaders)
 {
   if (aStatus < kMinStatus || aStatus > kMaxStatus) {
-    return "a status that does not exist";
+    return "a status outside 100 to 599";
   }
   // No request asks for it, and what follows is in another protocol.
   if (aStatus == kSwitchingProtocols) {
--- a/standin/fault_proxy.cpp
+++ b/standin/fault_proxy.cpp
@@ -211,7 +211,8 @@
     std::size_t size = 0;
     std::tie(error, size) =
       co_await from.async_read_some(asio::buffer(chunk), kTuple);
-    if (error == asio::error::eof &&
+    const bool is_open = aConnection->open_directions == 2;
+    if (error == asio::error::eof && is_open &&
         net::EndOf(from) == net::ConnectionEnd::kReset) {
       error = asio::error::connection_reset;
     }
--- a/standin/raw_target.cpp
+++ b/standin/raw_target.cpp
@@ -27,7 +27,7 @@
 
 /// Receive buffer of a connection, which an upload fills.
 constexpr int kSmallBufferBytes = 16 * 1024;
-/// Of it, what holds unread bytes before an early reply.
+/// Unread bytes of the upload at which an early reply is sent.
 constexpr std::size_t kUnreadBytes = 4UL * 1024;
 constexpr std::chrono::milliseconds kPoll{ 1 };
 
