Tests of silent targets: the instance knows its targets before the streams

Traced: before its first response an instance cannot know whether a service is brittle, and sends targets no more than their slots (SharingMode::kCautious, docs/design/0140). Two targets have 16. Here all 20 streams came before the first response, 7 ms after the first was sent. With targets that take 100 ms to respond it happens each time (2 of 2, 4 refused), and not when a request was answered before (2 of 2).

The test is about streams that are silent, so one stream is answered first; what it checks stays.

--- a/standin/silent_target_test.cpp
+++ b/standin/silent_target_test.cpp
@@ -98,6 +98,9 @@
 TEST(SilentTarget, KeepsTheStreamsThatTheRetryBudgetDoesNotCover)
 {
   Start(2, 0.2);
+  // Before its first response an instance sends targets no more than their
+  // slots, which are fewer than the streams.
+  CheckIsWhole(Stream("first"));
   HoldAll(kLongSilenceMs);
   constexpr int kStreams = 20;
   std::vector<std::future<net::HttpResponse>> streams;
