--- a/src/jujubehead/net/broken_reply_test.cpp
+++ b/src/jujubehead/net/broken_reply_test.cpp
@@ -3,6 +3,7 @@
 #include <cstdint> // for uint8_t
 #include <memory>  // for unique_ptr
 #include <string>  // for string
+#include <vector>  // for vector
 
 #include <CppUTest/TestHarness.h>       // for TEST
 #include <boost/asio/buffer.hpp>        // for buffer
@@ -100,17 +101,19 @@
 {
   const std::string ok = "HTTP/1.1 200 OK\r\n";
   const std::string body = "Content-Length: 2\r\n\r\nok";
-  for (const std::string& reply :
-       { "HTTP/1.1 000 Odd\r\n" + body,
-         "HTTP/1.1 099 Odd\r\n\r\n" + ok + body,
-         "HTTP/1.1 600 Odd\r\n" + body,
-         "HTTP/1.1 101 Switching Protocols\r\n\r\n" + ok + body,
-         ok + "Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n",
-         ok + "Transfer-Encoding: squeeze\r\n\r\nok",
-         ok + "X Y: z\r\n" + body,
-         ok + "X\x01: z\r\n" + body,
-         ok + "Content-Length : 1\r\n\r\nok",
-         ok + "no colon\r\n" + body }) {
+  const std::vector<std::string> replies = {
+    "HTTP/1.1 000 Odd\r\n" + body,
+    "HTTP/1.1 099 Odd\r\n\r\n" + ok + body,
+    "HTTP/1.1 600 Odd\r\n" + body,
+    "HTTP/1.1 101 Switching Protocols\r\n\r\n" + ok + body,
+    ok + "Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n",
+    ok + "Transfer-Encoding: squeeze\r\n\r\nok",
+    ok + "X Y: z\r\n" + body,
+    ok + "X\x01: z\r\n" + body,
+    ok + "Content-Length : 1\r\n\r\nok",
+    ok + "no colon\r\n" + body
+  };
+  for (const std::string& reply : replies) {
     CHECK_THROWS(net::HttpCallError, Fetch(reply, End::kClosed));
   }
 }
--- a/src/jujubehead/net/http1/message_parser_test.cpp
+++ b/src/jujubehead/net/http1/message_parser_test.cpp
@@ -341,6 +341,8 @@
 
 TEST(MessageParser, AReplyWithABrokenHeadIsRefused)
 {
+  const char* const two_lengths =
+    "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n";
   for (const char* lines : { "X Y: z\r\n",
                              "X\tY: z\r\n",
                              "X\x01: z\r\n",
@@ -356,8 +358,7 @@
                              "Content-Length: 2\r\nContent-Length: 3\r\n",
                              "Content-Length: 2, 3\r\n",
                              "Content-Length: +2\r\n",
-                             "Content-Length: 2\r\n"
-                             "Transfer-Encoding: chunked\r\n" }) {
+                             two_lengths }) {
     const Reading reading =
       ReadReply("HTTP/1.1 200 OK\r\n" + std::string(lines) + "\r\nok");
     CHECK_EQUAL_TEXT(400U, reading.status, lines);
