Review cases 6 and 7: poison requests reach servers after the third crash

Cause: copies at servers of one data centre count as one crash (6); crash counts are in memory only, so a kill of all forgets them (7). Change: the case of copies sent at once is 6, the kills are 7; crashes are counted by the ends of servers; ports outside the range of outgoing connections.

--- a/review/6/poison_kill.cpp
+++ b/review/7/poison_kill.cpp
@@ -11,6 +11,7 @@
 constexpr std::int64_t kContactMs = 3000;
 constexpr std::int64_t kBackAfterMs = 2000; ///< "back after some seconds"
 constexpr std::int64_t kDownMs = 1000;
+constexpr std::int64_t kRunMs = 50; ///< From the begin of the run to the end.
 constexpr const char* kPoison = "the request that crashes its server";
 
 /// A server of a plain service; it ends when it begins to run the poison, and
@@ -30,7 +31,8 @@
     Register();
   }
 
-  std::function<void()> on_poison;
+  std::function<void()> on_poison; ///< It begins to run the poison.
+  std::function<void()> on_crash;
 
 private:
   std::string Id() const
@@ -54,8 +56,8 @@
     }
     m_record.Line("server " + Id() + " runs " + attempt);
     if (aRequest.body == kPoison) {
-      m_record.Line("server " + Id() + " crashes");
       on_poison();
+      SleepMs(kRunMs);
       m_has_crashed = true;
       SleepMs(10000); // The connection ends with the process.
       return false;
@@ -74,6 +76,8 @@
       if (!m_has_crashed) {
         continue;
       }
+      m_record.Line("server " + Id() + " crashes");
+      on_crash();
       m_server.Stop();
       m_registry.Silence(Id());
       const std::string old = Id();
@@ -118,8 +122,7 @@
     servers.push_back(std::make_unique<PlainServer>(i + 1, registry, record));
     servers.back()->on_poison = [&] {
       const std::lock_guard lock(mutex);
-      crashes.push_back(NowMs());
-      const bool counts = crashes.size() > 3 &&
+      const bool counts = crashes.size() >= 3 &&
                           NowMs() > crashes[2] + kContactMs &&
                           NowMs() > in_touch_from;
       if (counts) {
@@ -128,6 +131,10 @@
                     " later than contact_ms after the third crash");
       }
     };
+    servers.back()->on_crash = [&] {
+      const std::lock_guard lock(mutex);
+      crashes.push_back(NowMs());
+    };
   }
   const json config = {
     { "version", 7 },
--- a/review/standin-2/http.hpp
+++ b/review/standin-2/http.hpp
@@ -285,20 +285,28 @@
   return address;
 }
 
-/// @return a port that was free a moment ago.
+/// @return a port that was free a moment ago, below those that the system gives
+/// to outgoing connections, so that a process can be started there again.
 inline int
 FreePort()
 {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address = Loopback(0);
-  socklen_t size = sizeof(address);
-  int port = 0;
-  if (bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0 &&
-      getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) == 0) {
-    port = ntohs(address.sin_port);
+  static std::mutex mutex;
+  static std::set<int> given;
+  static unsigned next = unsigned(getpid()) * 37U;
+  const std::lock_guard lock(mutex);
+  for (int i = 0; i < 2000; ++i) {
+    const int port = 12000 + int(next++ % 20000U);
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = Loopback(port);
+    const bool is_free =
+      bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) ==
+      0;
+    close(fd);
+    if (is_free && given.insert(port).second) {
+      return port;
+    }
   }
-  close(fd);
-  return port;
+  return 0;
 }
 
 /// @return a connection to a port of loopback; null if there is none.
--- a/review/standin-2/platform.hpp
+++ b/review/standin-2/platform.hpp
@@ -349,16 +349,19 @@
   pid_t m_pid = -1;
 };
 
-/// Some instances in two zones.
+/// Some instances in two zones, or in one of them.
 inline std::vector<std::unique_ptr<Instance>>
-StartInstances(int aCount, const std::string& aStore, const std::string& aDir)
+StartInstances(int aCount,
+               const std::string& aStore,
+               const std::string& aDir,
+               bool aIsOneZone = false)
 {
   std::vector<std::unique_ptr<Instance>> all;
   std::string seeds;
   for (int i = 0; i < aCount; ++i) {
     Instance::Options options;
     options.id = "front-" + std::to_string(i + 1);
-    options.zone = i % 2 == 0 ? "zone-a" : "zone-b";
+    options.zone = i % 2 == 0 || aIsOneZone ? "zone-a" : "zone-b";
     options.regions = "zone-a=north,zone-b=north";
     options.store = aStore;
     options.log = aDir + "/" + options.id + ".log";
