--- a/review/4/store_restart.cpp
+++ b/review/4/store_restart.cpp
@@ -25,12 +25,18 @@
 json
 Route(const std::string& aName, int aPriority)
 {
-  return { { "name", "r-" + aName }, { "host", "a.example" },
-           { "path_prefix", "/" + aName + "/" }, { "kind", "streaming" },
-           { "timeout_ms", kTimeoutMs }, { "target_latency_ms", 1500 },
-           { "priority", aPriority }, { "service", "models" },
-           { "max_attempts", 2 }, { "anonymous", false },
-           { "sticky", true }, { "resumable", true },
+  return { { "name", "r-" + aName },
+           { "host", "a.example" },
+           { "path_prefix", "/" + aName + "/" },
+           { "kind", "streaming" },
+           { "timeout_ms", kTimeoutMs },
+           { "target_latency_ms", 1500 },
+           { "priority", aPriority },
+           { "service", "models" },
+           { "max_attempts", 2 },
+           { "anonymous", false },
+           { "sticky", true },
+           { "resumable", true },
            { "gap_target_ms", 300 } };
 }
 
@@ -43,7 +49,9 @@
     , m_store("cache-1", "zone-b", m_figures)
     , m_registry(m_rows)
   {
-    m_hooks.on_line = [this](const std::string& aLine) { m_record.Line(aLine); };
+    m_hooks.on_line = [this](const std::string& aLine) {
+      m_record.Line(aLine);
+    };
     m_hooks.on_not_whole = [this](const Message& aRequest,
                                   const PartName& aPart) {
       ++m_broken;
@@ -51,14 +59,17 @@
                     aPart.second +
                     " from the store while it was being written there");
     };
-    m_hooks.on_run = [this](const Message& aRequest, const std::string& aServer) {
+    m_hooks.on_run = [this](const Message& aRequest,
+                            const std::string& aServer) {
       const std::lock_guard lock(m_mutex);
       m_server_of[aRequest.Header("X-Attempt-Id")] = aServer;
     };
     for (int i = 0; i < kServers; ++i) {
       m_servers.push_back(
-        std::make_unique<Engine>("i-" + std::to_string(i + 1), "zone-a",
-                                 m_figures, std::vector<KvStore*>{ &m_store },
+        std::make_unique<Engine>("i-" + std::to_string(i + 1),
+                                 "zone-a",
+                                 m_figures,
+                                 std::vector<KvStore*>{ &m_store },
                                  m_hooks));
     }
   }
@@ -104,25 +115,33 @@
       { "routes", json::array({ Route("digest", 2), Route("query", 0) }) },
       { "services",
         json::array(
-          { { { "name", "models" }, { "health_path", "/healthz" },
+          { { { "name", "models" },
+              { "health_path", "/healthz" },
               { "max_connections", 370 },
               { "engine",
                 { { "slots", m_figures.slots },
                   { "kv_capacity_tokens", m_figures.kv_tokens },
                   { "kv_token_bytes", m_figures.token_bytes },
-                  { "link_mbps", 1100000.0 }, { "managed", true },
+                  { "link_mbps", 1100000.0 },
+                  { "managed", true },
                   { "max_inflight", 12 },
                   { "models", json::array({ { { "name", "m0" } } }) } } } },
-            { { "name", "cache-1" }, { "kv_store_addr", m_store.Address() },
+            { { "name", "cache-1" },
+              { "kv_store_addr", m_store.Address() },
               { "zone", "zone-b" },
               { "kv_capacity_tokens", m_figures.store_tokens },
-              { "link_mbps", m_figures.store_mbps }, { "max_inflight", 12 },
-              { "managed", true }, { "first_ms", m_figures.first_ms } } }) },
+              { "link_mbps", m_figures.store_mbps },
+              { "max_inflight", 12 },
+              { "managed", true },
+              { "first_ms", m_figures.first_ms } } }) },
       { "limits",
-        { { "max_header_bytes", 16384 }, { "max_body_bytes", 4194304 },
-          { "header_timeout_ms", 3000 }, { "idle_timeout_ms", 15000 } } },
-      { "tenants", json::array({ { { "name", "acme" },
-                                   { "api_keys", json::array({ "key-1" }) } } }) }
+        { { "max_header_bytes", 16384 },
+          { "max_body_bytes", 4194304 },
+          { "header_timeout_ms", 3000 },
+          { "idle_timeout_ms", 15000 } } },
+      { "tenants",
+        json::array({ { { "name", "acme" },
+                        { "api_keys", json::array({ "key-1" }) } } }) }
     };
   }
 
@@ -130,7 +149,9 @@
   std::string Send(const std::string& aRoute, int aSession, int aInstance)
   {
     char attempt[32];
-    snprintf(attempt, sizeof(attempt), "%016llx",
+    snprintf(attempt,
+             sizeof(attempt),
+             "%016llx",
              static_cast<unsigned long long>(++m_number) * 0x9e3779b97f4aULL);
     const bool is_long = aSession < kLongSessions;
     const long kept = is_long ? kSessionTokens : kShortSessionTokens;
@@ -142,13 +163,17 @@
       "\r\nX-Model: m0\r\nX-Token-Usage: " +
       std::to_string(kSystemTokens + kept + own) +
       ",10\r\nX-Prompt-Prefix: 5c1e07a2:" + std::to_string(kSystemTokens) +
-      ",5e55" + std::to_string(1000 + aSession) + ":" +
-      std::to_string(kept) + ",0a" + attempt + ":" +
-      std::to_string(own) + "\r\nX-Deadline-Ms: " + std::to_string(kTimeoutMs) +
+      ",5e55" + std::to_string(1000 + aSession) + ":" + std::to_string(kept) +
+      ",0a" + attempt + ":" + std::to_string(own) +
+      "\r\nX-Deadline-Ms: " + std::to_string(kTimeoutMs) +
       "\r\nAuthorization: Token key-1\r\n";
     const Outcome outcome =
-      SendRequest(m_instances[std::size_t(aInstance)]->options.front, "POST",
-                  "/" + aRoute + "/x", headers, "{}", kTimeoutMs);
+      SendRequest(m_instances[std::size_t(aInstance)]->options.front,
+                  "POST",
+                  "/" + aRoute + "/x",
+                  headers,
+                  "{}",
+                  kTimeoutMs);
     const bool is_answer = outcome.status == 200 && outcome.complete;
     ++(is_answer ? m_answered : outcome.status == 503 ? m_refused : m_failed);
     m_record.Line("client: " + aRoute + " " + attempt + " of session " +
@@ -250,9 +275,10 @@
     }
     std::vector<std::thread> threads;
     for (int i = 0; !aEnds; ++i) {
-      threads.emplace_back([this, i, session = others[std::size_t(i) % others.size()]] {
-        Send("query", session, i % kInstances);
-      });
+      threads.emplace_back(
+        [this, i, session = others[std::size_t(i) % others.size()]] {
+          Send("query", session, i % kInstances);
+        });
       SleepMs(60);
     }
     for (std::thread& one : threads) {
--- a/review/5/dedicated.cpp
+++ b/review/6/dedicated.cpp
@@ -14,35 +14,48 @@
 Configuration(int aVersion, bool aIsDedicated, const EngineFigures& aFigures)
 {
   const auto tenant = [](const char* aName, const char* aKey, bool aIs) {
-    return json{ { "name", aName }, { "api_keys", json::array({ aKey }) },
-                 { "priority", 1 }, { "dedicated", aIs } };
+    return json{ { "name", aName },
+                 { "api_keys", json::array({ aKey }) },
+                 { "priority", 1 },
+                 { "dedicated", aIs } };
   };
   return {
     { "version", aVersion },
     { "routes",
-      json::array({ { { "name", "r-digest" }, { "host", "a.example" },
-                      { "path_prefix", "/digest/" }, { "kind", "streaming" },
-                      { "timeout_ms", 5000 }, { "target_latency_ms", 600 },
-                      { "priority", 1 }, { "service", "models" },
-                      { "max_attempts", 2 }, { "anonymous", false },
-                      { "sticky", true }, { "resumable", true },
+      json::array({ { { "name", "r-digest" },
+                      { "host", "a.example" },
+                      { "path_prefix", "/digest/" },
+                      { "kind", "streaming" },
+                      { "timeout_ms", 5000 },
+                      { "target_latency_ms", 600 },
+                      { "priority", 1 },
+                      { "service", "models" },
+                      { "max_attempts", 2 },
+                      { "anonymous", false },
+                      { "sticky", true },
+                      { "resumable", true },
                       { "gap_target_ms", 300 } } }) },
     { "services",
-      json::array({ { { "name", "models" }, { "health_path", "/healthz" },
-                      { "max_connections", 370 },
-                      { "engine",
-                        { { "slots", aFigures.slots },
-                          { "kv_capacity_tokens", aFigures.kv_tokens },
-                          { "kv_token_bytes", aFigures.token_bytes },
-                          { "link_mbps", 1100000.0 }, { "managed", true },
-                          { "max_inflight", 12 },
-                          { "models",
-                            json::array({ { { "name", "m0" } } }) } } } } }) },
+      json::array(
+        { { { "name", "models" },
+            { "health_path", "/healthz" },
+            { "max_connections", 370 },
+            { "engine",
+              { { "slots", aFigures.slots },
+                { "kv_capacity_tokens", aFigures.kv_tokens },
+                { "kv_token_bytes", aFigures.token_bytes },
+                { "link_mbps", 1100000.0 },
+                { "managed", true },
+                { "max_inflight", 12 },
+                { "models", json::array({ { { "name", "m0" } } }) } } } } }) },
     { "limits",
-      { { "max_header_bytes", 16384 }, { "max_body_bytes", 4194304 },
-        { "header_timeout_ms", 3000 }, { "idle_timeout_ms", 15000 } } },
-    { "tenants", json::array({ tenant("clinic", "key-1", aIsDedicated),
-                               tenant("brewery", "key-2", false) }) }
+      { { "max_header_bytes", 16384 },
+        { "max_body_bytes", 4194304 },
+        { "header_timeout_ms", 3000 },
+        { "idle_timeout_ms", 15000 } } },
+    { "tenants",
+      json::array({ tenant("clinic", "key-1", aIsDedicated),
+                    tenant("brewery", "key-2", false) }) }
   };
 }
 
@@ -62,7 +75,8 @@
   std::atomic<int> broken{ 0 }, answered{ 0 }, failed{ 0 };
   EngineHooks hooks;
   hooks.on_line = [&](const std::string& aLine) { record.Line(aLine); };
-  hooks.on_use = [&](const Message& aRequest, const PartName& aPart,
+  hooks.on_use = [&](const Message& aRequest,
+                     const PartName& aPart,
                      const std::string& aMaker) {
     const std::string user = aRequest.Header("X-Tenant");
     const bool is_other = aMaker != user;
@@ -75,12 +89,13 @@
   };
   std::vector<std::unique_ptr<Engine>> servers;
   for (int i = 0; i < kServers; ++i) {
-    servers.push_back(std::make_unique<Engine>(
-      "i-" + std::to_string(i + 1), i % 2 == 0 ? "zone-a" : "zone-b", figures,
-      std::vector<KvStore*>{}, hooks));
-    registry.Add(servers.back()->id, [&one = *servers.back()] {
-      return one.Entry("models");
-    });
+    servers.push_back(std::make_unique<Engine>("i-" + std::to_string(i + 1),
+                                               i % 2 == 0 ? "zone-a" : "zone-b",
+                                               figures,
+                                               std::vector<KvStore*>{},
+                                               hooks));
+    registry.Add(servers.back()->id,
+                 [&one = *servers.back()] { return one.Entry("models"); });
   }
   rows.Put("op", "config", Configuration(7, false, figures).dump());
   rows.Put("op", "version/m0", R"({"model":"m0","version":1})");
@@ -94,7 +109,9 @@
   const auto send = [&](const std::string& aTenant, int aDocument) {
     ++number;
     char attempt[32];
-    snprintf(attempt, sizeof(attempt), "%016llx",
+    snprintf(attempt,
+             sizeof(attempt),
+             "%016llx",
              static_cast<unsigned long long>(number) * 0x9e3779b97f4aULL);
     const std::string headers =
       std::string("Host: a.example\r\nX-Attempt-Id: ") + attempt +
@@ -103,9 +120,13 @@
       std::to_string(aDocument) + ":2000,0a" + attempt +
       ":480\r\nX-Deadline-Ms: 5000\r\nAuthorization: Token " +
       (aTenant == "clinic" ? "key-1" : "key-2") + "\r\n";
-    const Outcome outcome = SendRequest(
-      instances[std::size_t(number) % kInstances]->options.front, "POST",
-      "/digest/x", headers, "{}", 5000);
+    const Outcome outcome =
+      SendRequest(instances[std::size_t(number) % kInstances]->options.front,
+                  "POST",
+                  "/digest/x",
+                  headers,
+                  "{}",
+                  5000);
     ++(outcome.status == 200 && outcome.complete ? answered : failed);
     record.Line(std::string("client: ") + attempt + " of " + aTenant +
                 ", sent at " + std::to_string(outcome.sent) + " ms: status " +
--- a/review/6/poison_copies.cpp
+++ b/review/7/poison_copies.cpp
@@ -43,9 +43,12 @@
   void Register()
   {
     m_registry.Add(Id(), [this] {
-      return json{ { "service", "desk" }, { "address", m_server.Address() },
+      return json{ { "service", "desk" },
+                   { "address", m_server.Address() },
                    { "zone", "zone-a" },
-                   { "version", "v1" }, { "slots", 6 }, { "state", "ready" },
+                   { "version", "v1" },
+                   { "slots", 6 },
+                   { "state", "ready" },
                    { "cold_remaining_ms", 0 } };
     });
   }
@@ -122,8 +125,8 @@
     servers.push_back(std::make_unique<PlainServer>(i + 1, registry, record));
     servers.back()->on_poison = [&] {
       const std::lock_guard lock(mutex);
-      const bool counts = crashes.size() >= 3 &&
-                          NowMs() > crashes[2] + kContactMs;
+      const bool counts =
+        crashes.size() >= 3 && NowMs() > crashes[2] + kContactMs;
       if (counts) {
         ++retries;
         record.Line("BUDGET: retry " + std::to_string(retries) +
@@ -138,19 +141,28 @@
   const json config = {
     { "version", 7 },
     { "routes",
-      json::array({ { { "name", "r-book" }, { "host", "a.example" },
-                      { "path_prefix", "/book/" }, { "kind", "non_idempotent" },
-                      { "timeout_ms", 1500 }, { "target_latency_ms", 300 },
-                      { "priority", 2 }, { "service", "desk" },
-                      { "max_attempts", 1 }, { "anonymous", false } } }) },
-    { "services", json::array({ { { "name", "desk" },
-                                  { "health_path", "/healthz" },
-                                  { "max_connections", 110 } } }) },
+      json::array({ { { "name", "r-book" },
+                      { "host", "a.example" },
+                      { "path_prefix", "/book/" },
+                      { "kind", "non_idempotent" },
+                      { "timeout_ms", 1500 },
+                      { "target_latency_ms", 300 },
+                      { "priority", 2 },
+                      { "service", "desk" },
+                      { "max_attempts", 1 },
+                      { "anonymous", false } } }) },
+    { "services",
+      json::array({ { { "name", "desk" },
+                      { "health_path", "/healthz" },
+                      { "max_connections", 110 } } }) },
     { "limits",
-      { { "max_header_bytes", 16384 }, { "max_body_bytes", 4194304 },
-        { "header_timeout_ms", 3000 }, { "idle_timeout_ms", 15000 } } },
-    { "tenants", json::array({ { { "name", "acme" },
-                                 { "api_keys", json::array({ "key-1" }) } } }) }
+      { { "max_header_bytes", 16384 },
+        { "max_body_bytes", 4194304 },
+        { "header_timeout_ms", 3000 },
+        { "idle_timeout_ms", 15000 } } },
+    { "tenants",
+      json::array(
+        { { { "name", "acme" }, { "api_keys", json::array({ "key-1" }) } } }) }
   };
   rows.Put("op", "config", config.dump());
   auto instances = StartInstances(kInstances, rows.Address(), aWords[2], true);
@@ -162,13 +174,18 @@
   std::atomic<int> answered{ 0 }, number{ 0 };
   const auto send = [&](const std::string& aBody, int aInstance) {
     char attempt[32];
-    snprintf(attempt, sizeof(attempt), "%016llx",
+    snprintf(attempt,
+             sizeof(attempt),
+             "%016llx",
              static_cast<unsigned long long>(++number) * 0x9e3779b97f4aULL);
-    const Outcome outcome = SendRequest(
-      instances[std::size_t(aInstance)]->options.front, "POST", "/book/x",
-      std::string("Host: a.example\r\nX-Attempt-Id: ") + attempt +
-        "\r\nX-Deadline-Ms: 3000\r\nAuthorization: Token key-1\r\n",
-      aBody, 3000);
+    const Outcome outcome =
+      SendRequest(instances[std::size_t(aInstance)]->options.front,
+                  "POST",
+                  "/book/x",
+                  std::string("Host: a.example\r\nX-Attempt-Id: ") + attempt +
+                    "\r\nX-Deadline-Ms: 3000\r\nAuthorization: Token key-1\r\n",
+                  aBody,
+                  3000);
     answered += outcome.status == 200 && outcome.complete ? 1 : 0;
     if (aBody == kPoison || outcome.status != 200) {
       record.Line(std::string("client: ") +
@@ -207,9 +224,10 @@
     one->Kill();
   }
   record.Line("answered " + std::to_string(answered) + "; the poison crashed " +
-              std::to_string(crashes.size()) + " servers; retries that count: " +
-              std::to_string(retries) + ", 3 are allowed");
-  const int status = retries > 3 ? 1
+              std::to_string(crashes.size()) +
+              " servers; retries that count: " + std::to_string(retries) +
+              ", 3 are allowed");
+  const int status = retries > 3                                        ? 1
                      : has_ended || answered < 50 || crashes.size() < 3 ? 2
                                                                         : 0;
   record.Line("exit status " + std::to_string(status));
--- a/review/7/poison_kill.cpp
+++ b/review/8/poison_kill.cpp
@@ -42,9 +42,12 @@
   void Register()
   {
     m_registry.Add(Id(), [this] {
-      return json{ { "service", "desk" }, { "address", m_server.Address() },
+      return json{ { "service", "desk" },
+                   { "address", m_server.Address() },
                    { "zone", m_number % 2 == 0 ? "zone-a" : "zone-b" },
-                   { "version", "v1" }, { "slots", 6 }, { "state", "ready" },
+                   { "version", "v1" },
+                   { "slots", 6 },
+                   { "state", "ready" },
                    { "cold_remaining_ms", 0 } };
     });
   }
@@ -139,19 +142,28 @@
   const json config = {
     { "version", 7 },
     { "routes",
-      json::array({ { { "name", "r-book" }, { "host", "a.example" },
-                      { "path_prefix", "/book/" }, { "kind", "non_idempotent" },
-                      { "timeout_ms", 1500 }, { "target_latency_ms", 300 },
-                      { "priority", 2 }, { "service", "desk" },
-                      { "max_attempts", 1 }, { "anonymous", false } } }) },
-    { "services", json::array({ { { "name", "desk" },
-                                  { "health_path", "/healthz" },
-                                  { "max_connections", 110 } } }) },
+      json::array({ { { "name", "r-book" },
+                      { "host", "a.example" },
+                      { "path_prefix", "/book/" },
+                      { "kind", "non_idempotent" },
+                      { "timeout_ms", 1500 },
+                      { "target_latency_ms", 300 },
+                      { "priority", 2 },
+                      { "service", "desk" },
+                      { "max_attempts", 1 },
+                      { "anonymous", false } } }) },
+    { "services",
+      json::array({ { { "name", "desk" },
+                      { "health_path", "/healthz" },
+                      { "max_connections", 110 } } }) },
     { "limits",
-      { { "max_header_bytes", 16384 }, { "max_body_bytes", 4194304 },
-        { "header_timeout_ms", 3000 }, { "idle_timeout_ms", 15000 } } },
-    { "tenants", json::array({ { { "name", "acme" },
-                                 { "api_keys", json::array({ "key-1" }) } } }) }
+      { { "max_header_bytes", 16384 },
+        { "max_body_bytes", 4194304 },
+        { "header_timeout_ms", 3000 },
+        { "idle_timeout_ms", 15000 } } },
+    { "tenants",
+      json::array(
+        { { { "name", "acme" }, { "api_keys", json::array({ "key-1" }) } } }) }
   };
   rows.Put("op", "config", config.dump());
   auto instances = StartInstances(kInstances, rows.Address(), aWords[2]);
@@ -163,13 +175,18 @@
   std::atomic<int> answered{ 0 }, number{ 0 };
   const auto send = [&](const std::string& aBody, int aInstance) {
     char attempt[32];
-    snprintf(attempt, sizeof(attempt), "%016llx",
+    snprintf(attempt,
+             sizeof(attempt),
+             "%016llx",
              static_cast<unsigned long long>(++number) * 0x9e3779b97f4aULL);
-    const Outcome outcome = SendRequest(
-      instances[std::size_t(aInstance)]->options.front, "POST", "/book/x",
-      std::string("Host: a.example\r\nX-Attempt-Id: ") + attempt +
-        "\r\nX-Deadline-Ms: 3000\r\nAuthorization: Token key-1\r\n",
-      aBody, 3000);
+    const Outcome outcome =
+      SendRequest(instances[std::size_t(aInstance)]->options.front,
+                  "POST",
+                  "/book/x",
+                  std::string("Host: a.example\r\nX-Attempt-Id: ") + attempt +
+                    "\r\nX-Deadline-Ms: 3000\r\nAuthorization: Token key-1\r\n",
+                  aBody,
+                  3000);
     answered += outcome.status == 200 && outcome.complete ? 1 : 0;
     if (aBody == kPoison || outcome.status != 200) {
       record.Line(std::string("client: ") +
@@ -226,9 +243,10 @@
     one->Kill();
   }
   record.Line("answered " + std::to_string(answered) + "; the poison crashed " +
-              std::to_string(crashes.size()) + " servers; retries that count: " +
-              std::to_string(retries) + ", 3 are allowed");
-  const int status = retries > 3 ? 1
+              std::to_string(crashes.size()) +
+              " servers; retries that count: " + std::to_string(retries) +
+              ", 3 are allowed");
+  const int status = retries > 3                                        ? 1
                      : has_ended || answered < 50 || crashes.size() < 3 ? 2
                                                                         : 0;
   record.Line("exit status " + std::to_string(status));
--- a/review/standin-2/engine.hpp
+++ b/review/standin-2/engine.hpp
@@ -60,8 +60,9 @@
     : name(std::move(aName))
     , zone(std::move(aZone))
     , m_figures(aFigures)
-    , m_server(
-        [this](Conn& aConn, Message& aRequest) { return Handle(aConn, aRequest); })
+    , m_server([this](Conn& aConn, Message& aRequest) {
+      return Handle(aConn, aRequest);
+    })
   {
   }
 
@@ -184,8 +185,12 @@
   }
   void AddEvent(const char* aSign, const PartName& aPart, long aTokens)
   {
-    m_events.push_back({ json::array({ m_events.size() + 1, aSign, aPart.first,
-                                       aPart.second, aTokens, "m0" }),
+    m_events.push_back({ json::array({ m_events.size() + 1,
+                                       aSign,
+                                       aPart.first,
+                                       aPart.second,
+                                       aTokens,
+                                       "m0" }),
                          NowMs() + 60 });
   }
   bool Handle(Conn& aConn, Message& aRequest)
@@ -216,8 +221,10 @@
       for (std::size_t i = since; i < count; ++i) {
         events.push_back(m_events[i].text);
       }
-      answer = { { "boot_epoch", 77000 + m_epoch }, { "next", count },
-                 { "lost", false }, { "clock_ms", NowMs() + 900000 },
+      answer = { { "boot_epoch", 77000 + m_epoch },
+                 { "next", count },
+                 { "lost", false },
+                 { "clock_ms", NowMs() + 900000 },
                  { "events", events } };
     } else if (aRequest.path == "/kv-free") {
       const json order = json::parse(aRequest.body);
@@ -279,8 +286,9 @@
     , m_figures(aFigures)
     , m_stores(std::move(aStores))
     , m_hooks(std::move(aHooks))
-    , m_server(
-        [this](Conn& aConn, Message& aRequest) { return Handle(aConn, aRequest); })
+    , m_server([this](Conn& aConn, Message& aRequest) {
+      return Handle(aConn, aRequest);
+    })
   {
   }
 
@@ -288,13 +296,18 @@
   std::string Address() const { return m_server.Address(); }
   json Entry(const std::string& aService) const
   {
-    return { { "service", aService }, { "address", Address() },
-             { "zone", zone }, { "version", "v1" },
-             { "slots", m_figures.slots }, { "state", "ready" },
-             { "cold_remaining_ms", 0 }, { "stage", "both" },
-             { "models", json::array({ { { "name", "m0" },
-                                         { "version", 1 },
-                                         { "adapters", json::array() } } }) } };
+    return { { "service", aService },
+             { "address", Address() },
+             { "zone", zone },
+             { "version", "v1" },
+             { "slots", m_figures.slots },
+             { "state", "ready" },
+             { "cold_remaining_ms", 0 },
+             { "stage", "both" },
+             { "models",
+               json::array({ { { "name", "m0" },
+                               { "version", 1 },
+                               { "adapters", json::array() } } }) } };
   }
   int Waiting()
   {
@@ -307,7 +320,7 @@
   {
     long tokens = 0;
     std::int64_t used = 0;
-    int runs = 0; ///< That use it now.
+    int runs = 0;       ///< That use it now.
     std::string tenant; ///< Whose request made it.
   };
   struct PromptPart
@@ -352,9 +365,12 @@
     if (aRequest.path == "/report") {
       const std::lock_guard lock(m_mutex);
       const json report = {
-        { "stage", "both" }, { "busy", false }, { "sequence", 0 },
+        { "stage", "both" },
+        { "busy", false },
+        { "sequence", 0 },
         { "models", json::array({ { { "name", "m0" }, { "version", 1 } } }) },
-        { "queued", m_waiting.size() }, { "active", m_running }
+        { "queued", m_waiting.size() },
+        { "active", m_running }
       };
       return aConn.Reply(
         200, "Content-Type: application/json\r\n", report.dump());
@@ -375,7 +391,8 @@
     const auto from = Split(aRequest.Header("X-Kv-Fetch"), ',');
     const auto to = Split(aRequest.Header("X-Kv-Save"), ',');
     std::vector<PromptPart> parts;
-    for (const std::string& one : Split(aRequest.Header("X-Prompt-Prefix"), ',')) {
+    for (const std::string& one :
+         Split(aRequest.Header("X-Prompt-Prefix"), ',')) {
       const std::size_t colon = one.find(':');
       PromptPart part;
       part.name = { salt, one.substr(0, colon) };
@@ -392,8 +409,8 @@
   bool Admit(Conn& aConn, const Message& aRequest, long aTokens)
   {
     const std::string text = aRequest.Header("X-Request-Priority");
-    const std::pair<int, std::uint64_t> turn(
-      text.empty() ? 5 : std::stoi(text), ++m_turns);
+    const std::pair<int, std::uint64_t> turn(text.empty() ? 5 : std::stoi(text),
+                                             ++m_turns);
     std::unique_lock lock(m_mutex);
     m_waiting.insert(turn);
     for (;;) {
@@ -497,8 +514,8 @@
         continue;
       }
       if (is_prefix && one.from != nullptr) {
-        const Fetched got = one.from->Fetch(
-          one.name, one.tokens, one.from->zone != zone, maker);
+        const Fetched got =
+          one.from->Fetch(one.name, one.tokens, one.from->zone != zone, maker);
         const bool is_late =
           !until.empty() && NowMs() + 900000 > std::stoll(until);
         if (got != Fetched::kMiss && !is_late) {
@@ -529,10 +546,14 @@
       told += " " + one.name.second + "=read";
       Keep(one, tenant);
       if (one.to != nullptr) {
-        std::thread([one, attempt, tenant, far = one.to->zone != zone,
-                     on_line = m_hooks.on_line, server = id] {
-          const bool is_whole = one.to->Save(
-            one.name, one.tokens, far, tenant, [&] {
+        std::thread([one,
+                     attempt,
+                     tenant,
+                     far = one.to->zone != zone,
+                     on_line = m_hooks.on_line,
+                     server = id] {
+          const bool is_whole =
+            one.to->Save(one.name, one.tokens, far, tenant, [&] {
               on_line("store " + one.to->name + ": " + one.name.second +
                       " is being written by " + server + " for " + attempt);
             });
@@ -565,8 +586,8 @@
       SleepUntilMs(std::int64_t(begun + step * double(i - first + 1)));
       if (i % 6 == 0 || i == aOut || i == first) {
         is_open = !aConn.IsGone() &&
-                  aConn.WriteChunk("id: " + std::to_string(i) + "\ndata: " +
-                                   std::to_string(i) + "\n\n");
+                  aConn.WriteChunk("id: " + std::to_string(i) +
+                                   "\ndata: " + std::to_string(i) + "\n\n");
       }
     }
     return is_open && aConn.Write("0\r\n\r\n");
--- a/review/standin-2/http.hpp
+++ b/review/standin-2/http.hpp
@@ -84,7 +84,8 @@
     std::string text;
     for (std::size_t i = 0; i < aText.size(); ++i) {
       if (aText[i] == '%' && i + 2 < aText.size()) {
-        text += static_cast<char>(std::stoi(aText.substr(i + 1, 2), nullptr, 16));
+        text +=
+          static_cast<char>(std::stoi(aText.substr(i + 1, 2), nullptr, 16));
         i += 2;
       } else {
         text += aText[i];
@@ -188,7 +189,8 @@
             return false;
           }
         }
-        const std::size_t size = std::stoul(m_input.substr(0, end), nullptr, 16);
+        const std::size_t size =
+          std::stoul(m_input.substr(0, end), nullptr, 16);
         while (m_input.size() < end + 2 + size + 2) {
           if (!Fill(aUntilMs)) {
             return false;
@@ -232,9 +234,7 @@
     }
     return true;
   }
-  bool Reply(int aStatus,
-             const std::string& aHeaders,
-             const std::string& aBody)
+  bool Reply(int aStatus, const std::string& aHeaders, const std::string& aBody)
   {
     return Write("HTTP/1.1 " + std::to_string(aStatus) + " -\r\n" + aHeaders +
                  "Content-Length: " + std::to_string(aBody.size()) +
@@ -315,8 +315,9 @@
 {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const sockaddr_in address = Loopback(aPort);
-  if (connect(
-        fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0) {
+  if (connect(fd,
+              reinterpret_cast<const sockaddr*>(&address),
+              sizeof(address)) != 0) {
     close(fd);
     return nullptr;
   }
@@ -337,10 +338,7 @@
   }
   ~Server() { Stop(); }
   int Port() const { return m_port; }
-  std::string Address() const
-  {
-    return "127.0.0.1:" + std::to_string(m_port);
-  }
+  std::string Address() const { return "127.0.0.1:" + std::to_string(m_port); }
 
   /// Ends as a process that is killed: no listener, all connections reset.
   void Stop()
--- a/review/standin-2/platform.hpp
+++ b/review/standin-2/platform.hpp
@@ -6,11 +6,11 @@
 #include <sys/prctl.h>
 #include <sys/wait.h>
 
-#include <fcntl.h>
 #include <condition_variable>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <fcntl.h>
 #include <map>
 #include <optional>
 #include <stdexcept>
@@ -116,8 +116,10 @@
           (row.is_gone && !aWithGone)) {
         continue;
       }
-      json one = { { "table", aTable }, { "part", "" },
-                   { "key", name.second }, { "value", row.value },
+      json one = { { "table", aTable },
+                   { "part", "" },
+                   { "key", name.second },
+                   { "value", row.value },
                    { "ver", row.version } };
       if (row.is_gone) {
         one["tombstone"] = true;
@@ -130,8 +132,10 @@
         list.push_back(one);
       }
     }
-    return { { "rows", list }, { "truncated", false },
-             { "ver", m_version }, { "now_ms", NowMs() + 50000 } };
+    return { { "rows", list },
+             { "truncated", false },
+             { "ver", m_version },
+             { "now_ms", NowMs() + 50000 } };
   }
   bool Handle(Conn& aConn, Message& aRequest)
   {
@@ -162,16 +166,17 @@
       if (status == 200) {
         ++m_version;
         for (const json& one : body.value("put", json::array())) {
-          m_rows[{ one.at("table"), one.at("key") }] = {
-            one.at("value"), m_version, false
-          };
+          m_rows[{ one.at("table"), one.at("key") }] = { one.at("value"),
+                                                         m_version,
+                                                         false };
         }
         for (const json& one : body.value("remove", json::array())) {
           m_rows[{ one.at("table"), one.at("key") }] = { "", m_version, true };
         }
         m_changed.notify_all();
       }
-      page = { { "ver", m_version }, { "now_ms", NowMs() + 50000 },
+      page = { { "ver", m_version },
+               { "now_ms", NowMs() + 50000 },
                { "rows", json::array() } };
     } else {
       status = 404;
@@ -283,17 +288,28 @@
     const char* root = getenv("REVIEW_ROOT");
     const std::string program =
       std::string(root == nullptr ? "." : root) + "/target/bin/jujubehead";
-    const std::vector<std::string> words = {
-      program, "entry", "--instance_id=" + options.id,
-      "--data_centre=" + options.zone, "--callers=" + at(options.front),
-      "--ready=" + at(options.ready), "--metrics=" + at(options.metrics),
-      "--table_service=" + options.store, "--relay=" + at(options.control),
-      "--relay_seeds=" + options.seeds, "--tunnel=" + at(options.tunnel),
-      "--regions=" + options.regions, "--capacity=0.25", "--memory=260",
-      "--descriptors=4100", "--retry_share=0.2", "--retry_fixed=58",
-      "--retry_window=10", "--stop_grace=8", "--lease_time=3000",
-      "--weights_time=10000", "--weights_time_in_all=14000"
-    };
+    const std::vector<std::string> words = { program,
+                                             "entry",
+                                             "--instance_id=" + options.id,
+                                             "--data_centre=" + options.zone,
+                                             "--callers=" + at(options.front),
+                                             "--ready=" + at(options.ready),
+                                             "--metrics=" + at(options.metrics),
+                                             "--table_service=" + options.store,
+                                             "--relay=" + at(options.control),
+                                             "--relay_seeds=" + options.seeds,
+                                             "--tunnel=" + at(options.tunnel),
+                                             "--regions=" + options.regions,
+                                             "--capacity=0.25",
+                                             "--memory=260",
+                                             "--descriptors=4100",
+                                             "--retry_share=0.2",
+                                             "--retry_fixed=58",
+                                             "--retry_window=10",
+                                             "--stop_grace=8",
+                                             "--lease_time=3000",
+                                             "--weights_time=10000",
+                                             "--weights_time_in_all=14000" };
     std::vector<char*> argv;
     for (const std::string& word : words) {
       argv.push_back(const_cast<char*>(word.c_str()));
