A restarted store is written to once earlier reads have ended

Cause: a read that was planned before the restart may wait at its target for 3 s; instances wrote the same part to the restarted store meanwhile.

Ruled out: reads by a page of the old epoch (bounded by trust_time), parts reported before they are complete.

Change: PartDirectory::AcceptsWrites() holds writes back for trust_time, kPartReadTime and a margin after an upper bound of the store's start. Hubs pass the store's uptime on, so that an instance that starts below a hub does not wait anew; an instance that reads the stores itself does.

Open: a write that was sent before the restart and waits at its target until after it (docs/incidents/parts-of-a-restarted-store.md).

--- a/bench/placement_bench.cpp
+++ b/bench/placement_bench.cpp
@@ -75,6 +75,7 @@
   for (int i = 0; i < aSize.stores; ++i) {
     core::PartEventPage page;
     page.epoch = 1;
+    page.started_by = core::Instant{};
     for (int part = i; part < aSize.parts; part += aSize.stores) {
       page.events.push_back(
         { core::ToText(kScope), PartName(part), kTokens, true });
--- a/include/jujubehead/core/context/part_directory.hpp
+++ b/include/jujubehead/core/context/part_directory.hpp
@@ -33,9 +33,10 @@
 /// @brief A store's events since the previous read.
 struct PartEventPage
 {
-  std::uint64_t epoch = 0;  ///< Changes when the store restarts, empty.
-  std::uint64_t next = 0;   ///< Cursor of the next read.
-  bool has_gap = false;     ///< Earlier events were lost.
+  std::uint64_t epoch = 0; ///< Changes when the store restarts, empty.
+  Instant started_by = Instant::max(); ///< Upper bound of the epoch's start.
+  std::uint64_t next = 0;              ///< Cursor of the next read.
+  bool has_gap = false;                ///< Earlier events were lost.
   bool is_snapshot = false; ///< A snapshot: parts without an event are absent.
   /// Clock shared by targets and stores at the time of the answer, in ms.
   std::optional<std::int64_t> clock_ms;
@@ -51,6 +52,10 @@
   Instant as_of{};
 };
 
+/// A target gives up a read from a store that has not ended this long after it
+/// was planned: the wait in a loaded target's queue, and the transfer.
+inline constexpr Duration kPartReadTime = std::chrono::milliseconds(3000);
+
 /// @brief How long a store's entries stay valid without an answer.
 struct PartDirectoryOptions
 {
@@ -58,6 +63,9 @@
   /// poll, its time-out and a round trip. A part read after that could be one
   /// that is being written again.
   Duration trust_time = std::chrono::milliseconds(900);
+  Duration read_time = kPartReadTime;
+  /// Covers clock drift and rounding.
+  Duration margin = std::chrono::milliseconds(300);
 };
 
 /// @brief Which prompt parts are completely written at which store, as reported
@@ -66,6 +74,11 @@
 ///
 /// Lost events can only hide parts that are there. Stores free nothing by
 /// themselves, so a reported part stays until its store restarts.
+///
+/// After a restart, any instance may still plan reads by the old epoch for
+/// `trust_time`, and each may wait at its target for `read_time`. A part that
+/// is written again meanwhile could be read before it is complete, so nothing
+/// is written to the store until then.
 class PartDirectory
 {
 public:
@@ -92,6 +105,9 @@
                                        Instant aNow) const;
   /// @return whether a store answered within PartDirectoryOptions::trust_time.
   [[nodiscard]] bool IsReachable(const StoreId& aStore, Instant aNow) const;
+  /// @return whether parts may be written to a store: it is reachable, and all
+  /// reads that were planned before it started have ended, at any instance.
+  [[nodiscard]] bool AcceptsWrites(const StoreId& aStore, Instant aNow) const;
   /// @return the current epoch of a store; 0 if the store is unknown.
   [[nodiscard]] std::uint64_t EpochOf(const StoreId& aStore) const;
   /// @return at most `aMost` parts at a store whose scope matches.
@@ -106,6 +122,7 @@
   struct Store
   {
     std::uint64_t epoch = 0;
+    Instant started_by = Instant::max(); ///< As in PartEventPage.
     std::optional<Instant> last_answer;
     std::unordered_map<std::string, std::uint64_t> tokens;
     std::uint64_t total_tokens = 0;
--- a/include/jujubehead/core/context/part_log.hpp
+++ b/include/jujubehead/core/context/part_log.hpp
@@ -34,7 +34,8 @@
 {
   StoreId store;
   std::uint64_t epoch = 0;
-  Duration age{}; ///< Since its last answer; kUnreachableAge: unreachable.
+  Duration age{};    ///< Since its last answer; kUnreachableAge: unreachable.
+  Duration uptime{}; ///< The epoch has lasted for this long or longer.
 };
 
 /// @brief A reader's position in a PartLog.
@@ -112,6 +113,7 @@
   struct Store
   {
     std::uint64_t epoch = 0;
+    Instant started_by = Instant::max(); ///< As in PartEventPage.
     std::optional<Instant> last_answer;
     std::unordered_map<std::string, Entry> entries; ///< By scope and part.
   };
--- a/src/jujubehead/core/context/part_directory.cpp
+++ b/src/jujubehead/core/context/part_directory.cpp
@@ -1,6 +1,6 @@
 #include "jujubehead/core/context/part_directory.hpp"
 
-#include <algorithm> // for find
+#include <algorithm> // for find, min
 
 namespace jujubehead::core {
 namespace {
@@ -32,10 +32,15 @@
                       Instant aAnswered)
 {
   Store& store = m_stores[aStore];
-  if (store.epoch != aPage.epoch || aPage.is_snapshot) {
+  if (store.epoch != aPage.epoch) {
     store = Store{};
     store.epoch = aPage.epoch;
   }
+  if (aPage.is_snapshot) {
+    store.tokens.clear();
+    store.total_tokens = 0;
+  }
+  store.started_by = std::min(store.started_by, aPage.started_by);
   store.last_answer = aAnswered;
   for (const PartEvent& event : aPage.events) {
     const std::string key = KeyOf(event.scope, event.part);
@@ -122,6 +127,15 @@
          aNow - *found->second.last_answer <= m_options.trust_time;
 }
 
+bool
+PartDirectory::AcceptsWrites(const StoreId& aStore, Instant aNow) const
+{
+  const Duration drain =
+    m_options.trust_time + m_options.read_time + m_options.margin;
+  return IsReachable(aStore, aNow) &&
+         aNow - m_stores.at(aStore).started_by >= drain;
+}
+
 std::uint64_t
 PartDirectory::EpochOf(const StoreId& aStore) const
 {
--- a/src/jujubehead/core/context/part_directory_test.cpp
+++ b/src/jujubehead/core/context/part_directory_test.cpp
@@ -66,6 +66,67 @@
   LONGS_EQUAL(0, Tokens());
 }
 
+// A part that is written again at a restarted store must not be read, before it
+// is complete, by a request that was sent before the restart and waited at its
+// target.
+TEST(PartDirectory, RestartedStoreAcceptsNoWritesWhileEarlierReadsMayRun)
+{
+  const PartDirectoryOptions options;
+  const Duration drain =
+    options.trust_time + options.read_time + options.margin;
+  PartEventPage page = Page(2, {});
+  page.started_by = now;
+  directory.OnPage(store, page, now);
+  CHECK_FALSE(directory.AcceptsWrites(store, now));
+  page.started_by = now + drain - milliseconds(1);
+  now = page.started_by;
+  directory.OnPage(store, page, now);
+  CHECK_FALSE(directory.AcceptsWrites(store, now));
+  page.is_snapshot = true;
+  directory.OnPage(store, page, now);
+  CHECK(directory.AcceptsWrites(store, now + milliseconds(1)));
+}
+
+// The same for any instances, with pages of any age, and any number of
+// restarts.
+TEST(PartDirectory, ReadsHaveEndedBeforePartsAreWrittenAgain)
+{
+  CHECK(rc::check([] {
+    constexpr std::size_t kInstances = 3;
+    constexpr int kSteps = 400;
+    const PartDirectoryOptions options;
+    const StoreId id("s1");
+    std::vector<PartDirectory> instances(kInstances);
+    std::uint64_t epoch = 1;
+    Instant time{ std::chrono::seconds(10) };
+    Instant started = time;
+    Instant reads_end{}; // Of all epochs before.
+    for (int step = 0; step < kSteps; ++step) {
+      time += milliseconds(*rc::gen::inRange(0, 200));
+      if (*rc::gen::inRange(0, 60) == 0) {
+        ++epoch;
+        started = time;
+      }
+      PartDirectory& one =
+        instances[*rc::gen::inRange<std::size_t>(0, kInstances)];
+      if (*rc::gen::inRange(0, 3) == 0) {
+        // A bound of the start that is known here may be any later time.
+        PartEventPage page = Page(epoch, { { "scope", "part", 800, true } });
+        page.started_by =
+          *rc::gen::element(time, started + (time - started) / 2);
+        one.OnPage(id, page, time);
+      }
+      const bool is_old = one.EpochOf(id) != epoch;
+      if (is_old && one.TokensAt(id, "scope", "part", time) > 0) {
+        reads_end = std::max(reads_end, time + options.read_time);
+      }
+      if (!is_old && one.AcceptsWrites(id, time)) {
+        RC_ASSERT(time >= reads_end);
+      }
+    }
+  }));
+}
+
 TEST(PartDirectory, PartsOfUnreachableStoreAreHidden)
 {
   directory.OnPage(store, Page(1, { { "scope", "part", 800, true } }), now);
--- a/src/jujubehead/core/context/part_log.cpp
+++ b/src/jujubehead/core/context/part_log.cpp
@@ -1,8 +1,9 @@
 #include "jujubehead/core/context/part_log.hpp"
 
-#include <iterator> // for prev
-#include <set>      // for set
-#include <utility>  // for move
+#include <algorithm> // for max, min
+#include <iterator>  // for prev
+#include <set>       // for set
+#include <utility>   // for move
 
 namespace jujubehead::core {
 namespace {
@@ -28,7 +29,9 @@
     // Readers clear their own entries of the store when they see the epoch.
     Clear(store);
     store.epoch = aPage.epoch;
+    store.started_by = Instant::max();
   }
+  store.started_by = std::min(store.started_by, aPage.started_by);
   store.last_answer = aNow;
   std::set<std::string> reported;
   for (const PartEvent& event : aPage.events) {
@@ -156,7 +159,8 @@
   for (const auto& [id, store] : m_stores) {
     const Duration age =
       store.last_answer ? aNow - *store.last_answer : kUnreachableAge;
-    page.stores.push_back({ id, store.epoch, age });
+    const Duration uptime = std::max(aNow - store.started_by, Duration(0));
+    page.stores.push_back({ id, store.epoch, age, uptime });
   }
   page.cursor.next = m_last;
   auto change =
--- a/src/jujubehead/core/context/part_log_test.cpp
+++ b/src/jujubehead/core/context/part_log_test.cpp
@@ -233,6 +233,24 @@
   CHECK(holds);
 }
 
+// A follower that took a store for started later than it was would leave it
+// unused, and one that took it for started earlier would write to it too soon.
+TEST(PartLog, ReportsForHowLongAStoreHasRun)
+{
+  PartLog log;
+  PartEventPage page = Page(7, {});
+  page.started_by = kNow;
+  log.OnPage(store, page, kNow);
+  page.started_by = kNow + milliseconds(500);
+  log.OnPage(store, page, kNow + milliseconds(500));
+  const Instant later = kNow + milliseconds(900);
+  CHECK(log.ReadAfter({}, later).stores.at(0).uptime == milliseconds(900));
+  page.epoch = 8;
+  page.started_by = later;
+  log.OnPage(store, page, later);
+  CHECK(log.ReadAfter({}, later).stores.at(0).uptime == Duration(0));
+}
+
 // Metastable overload: when weights are replaced, all parts of the old version
 // go at once. Logging each removal would make every reader start over with a
 // snapshot.
--- a/src/jujubehead/node/control/block_reclaimer.cpp
+++ b/src/jujubehead/node/control/block_reclaimer.cpp
@@ -9,7 +9,7 @@
 #include "jujubehead/net/timer.hpp" // for Sleep
 
 #include "../forward/decision_log.hpp" // for DecisionLog
-#include "../reading_times.hpp"        // for kHearTime, kReadTime
+#include "../reading_times.hpp"        // for kHearTime
 
 namespace jujubehead::node {
 namespace {
@@ -26,7 +26,8 @@
 constexpr std::size_t kMaxBatch = 400;
 
 /// Blocks superseded for this long have no readers.
-constexpr core::Duration kUnreadAfter = kHearTime + kReadTime + kMargin;
+constexpr core::Duration kUnreadAfter =
+  kHearTime + core::kPartReadTime + kMargin;
 
 } // namespace
 
--- a/src/jujubehead/node/control/block_reclaimer.hpp
+++ b/src/jujubehead/node/control/block_reclaimer.hpp
@@ -33,9 +33,9 @@
 /// No coordination is needed to know that such a block has no readers: an
 /// instance reads blocks only if its last response from the operators' store is
 /// at most `kHearTime` old, only those of the newest weights that it knows, and
-/// each read ends within `kReadTime`. So a block is freed no earlier than the
-/// sum of both and a margin after this instance learned of newer weights.
-/// Freeing a block twice is harmless.
+/// each read ends within `core::kPartReadTime`. So a block is freed no earlier
+/// than the sum of both and a margin after this instance learned of newer
+/// weights. Freeing a block twice is harmless.
 ///
 /// By the same rule every instance drops these blocks from its directory, so
 /// that freed blocks need not be announced.
--- a/src/jujubehead/node/control/hub_update_codec.cpp
+++ b/src/jujubehead/node/control/hub_update_codec.cpp
@@ -26,6 +26,7 @@
   kId,
   kEpoch,
   kAgeMs,
+  kUptimeMs, ///< Instances of an older version do not send it.
 };
 /// Layout of a load: the little-endian target key, then these bytes.
 enum LoadByte : std::size_t
@@ -225,9 +226,12 @@
   std::map<core::StoreId, std::size_t> places;
   for (const core::StoreStatus& store : aUpdate.parts.stores) {
     places.emplace(store.store, stores.size());
-    // Rounded up, so that data never appears newer than it is.
-    stores.push_back(json::array(
-      { store.store.Text(), store.epoch, Milliseconds(store.age) + 1 }));
+    // The age is rounded up, so that data never appears newer than it is; the
+    // uptime down, so that a store never appears older.
+    stores.push_back(json::array({ store.store.Text(),
+                                   store.epoch,
+                                   Milliseconds(store.age) + 1,
+                                   Milliseconds(store.uptime) }));
   }
   json scopes = json::array();
   std::map<std::string_view, std::size_t> scope_places;
@@ -305,10 +309,13 @@
     result.next_loads = message.value("next_loads", std::uint64_t(0));
   }
   for (const json& store : message.at("stores")) {
+    const std::int64_t uptime_ms =
+      store.size() > kUptimeMs ? store.at(kUptimeMs).get<std::int64_t>() : 0;
     result.parts.stores.push_back(
       { core::StoreId(store.at(kId).get<std::string>()),
         store.at(kEpoch).get<std::uint64_t>(),
-        std::chrono::milliseconds(store.at(kAgeMs).get<std::int64_t>()) });
+        std::chrono::milliseconds(store.at(kAgeMs).get<std::int64_t>()),
+        std::chrono::milliseconds(uptime_ms) });
   }
   const json& scopes = message.at("scopes");
   for (const json& change : message.at("changes")) {
--- a/src/jujubehead/node/control/hub_update_codec_test.cpp
+++ b/src/jujubehead/node/control/hub_update_codec_test.cpp
@@ -23,8 +23,11 @@
     message.parts.cursor = { 42, 40 };
     message.parts.has_more = true;
     message.parts.stores = {
-      { core::StoreId("s1"), 7, core::kUnreachableAge },
-      { core::StoreId("s2"), 8, std::chrono::milliseconds(30) }
+      { core::StoreId("s1"), 7, core::kUnreachableAge, {} },
+      { core::StoreId("s2"),
+        8,
+        std::chrono::milliseconds(30),
+        std::chrono::microseconds(2500999) }
     };
     message.parts.changes = { { core::StoreId("s2"), "w1", "a", 800 },
                               { core::StoreId("s1"), "w2", "b", 100 },
@@ -58,8 +61,9 @@
   CHECK(back.rows->age >= message.rows->age);
   CHECK(back.rows->has_more);
   LONGS_EQUAL(17, back.next_loads);
-  // Ages are rounded up.
+  // Ages are rounded up, uptimes down.
   CHECK(back.parts.stores.at(1).age >= message.parts.stores.at(1).age);
+  CHECK(back.parts.stores.at(1).uptime == std::chrono::milliseconds(2500));
   CHECK(back.parts.changes.at(0).store == core::StoreId("s2"));
   LONGS_EQUAL(800, back.parts.changes.at(0).tokens);
   STRCMP_EQUAL("w1", back.parts.changes.at(0).scope.c_str());
--- a/src/jujubehead/node/control/store_watch.cpp
+++ b/src/jujubehead/node/control/store_watch.cpp
@@ -77,13 +77,24 @@
     if (m_role.HasFollowers()) {
       pacing.default_wait = kHubWait;
     }
-    const core::Duration wait = core::WatchTimeout(aWatchers, pacing);
+    // A store that was silent may have restarted. It answers soonest if it need
+    // not wait for events.
+    const core::Duration wait = aCursor.last_outcome == PollOutcome::kSilent
+                                  ? pacing.contended_wait
+                                  : core::WatchTimeout(aWatchers, pacing);
     core::PartEventPage page =
       co_await m_calls.Read(aStore.address, aCursor.since, wait);
     const core::Instant now = core::RuntimeClock::now();
+    page.started_by = now;
     // A restarted store numbers its events from the start again.
     const bool is_new = page.epoch != aCursor.epoch;
-    aCursor.since = is_new && aCursor.epoch != 0 ? 0 : page.next;
+    const bool is_restart = is_new && aCursor.epoch != 0;
+    if (is_restart) {
+      DecisionLog::WriteUnthrottled(LogLine("store_restarted")
+                                      .Add("store", aStore.id.View())
+                                      .Add("epoch", page.epoch));
+    }
+    aCursor.since = is_restart ? 0 : page.next;
     aCursor.epoch = page.epoch;
     if (page.clock_ms) {
       m_clock.OnReading(*page.clock_ms, now);
@@ -146,10 +157,12 @@
                         std::optional<std::int64_t> aClockMs,
                         core::Instant aSentAt)
 {
+  const core::Instant received_at = core::RuntimeClock::now();
   std::map<core::StoreId, core::PartEventPage> pages;
   for (const core::StoreStatus& store : aUpdate.stores) {
     core::PartEventPage& page = pages[store.store];
     page.epoch = store.epoch;
+    page.started_by = received_at - store.uptime;
     page.clock_ms = aClockMs;
   }
   for (const core::PartChange& change : aUpdate.changes) {
@@ -179,7 +192,7 @@
     m_is_snapshot_open = false;
   }
   if (aClockMs) {
-    m_clock.OnReading(*aClockMs, core::RuntimeClock::now());
+    m_clock.OnReading(*aClockMs, received_at);
   }
 }
 
--- a/src/jujubehead/node/forward/store_index.cpp
+++ b/src/jujubehead/node/forward/store_index.cpp
@@ -87,7 +87,7 @@
 {
   const auto tokens =
     static_cast<double>(m_state.parts.TokensStored(aStore.id) + aPart.tokens);
-  return m_state.parts.IsReachable(aStore.id, m_now) &&
+  return m_state.parts.AcceptsWrites(aStore.id, m_now) &&
          tokens <= kFullFraction * static_cast<double>(aStore.capacity_tokens);
 }
 
--- a/src/jujubehead/node/forward/transfer_plan.cpp
+++ b/src/jujubehead/node/forward/transfer_plan.cpp
@@ -6,7 +6,7 @@
 
 #include "jujubehead/core/routing/placement.hpp" // for WeightedOwner
 
-#include "../reading_times.hpp" // for kHearTime, kReadTime
+#include "../reading_times.hpp" // for kHearTime
 #include "store_index.hpp"      // for StoreIndex
 
 namespace jujubehead::node {
@@ -187,7 +187,7 @@
               TargetCall& aCall)
 {
   const core::Instant now = core::RuntimeClock::now();
-  const auto read_until = aState.target_clock.At(now + kReadTime);
+  const auto read_until = aState.target_clock.At(now + core::kPartReadTime);
   if (!HasSharedParts(aState, aPrompt) || !read_until ||
       !MayUseStores(aState, aScope, now)) {
     return {};
--- a/src/jujubehead/node/forward/transfer_plan_test.cpp
+++ b/src/jujubehead/node/forward/transfer_plan_test.cpp
@@ -106,6 +106,7 @@
   {
     core::PartEventPage page;
     page.epoch = 1;
+    page.started_by = core::Instant{};
     page.events = std::move(aEvents);
     state.parts.OnPage(kStore, page, core::RuntimeClock::now());
   }
@@ -171,6 +172,18 @@
   CHECK(call.store_at[0].address.empty());
 }
 
+// Requests that read from the store before it restarted may still be waiting at
+// their targets, and would get parts that are being written again.
+TEST(TransferPlan, DoesNotWriteToAStoreThatHasJustRestarted)
+{
+  core::PartEventPage page;
+  page.epoch = 2;
+  page.started_by = now;
+  state.parts.OnPage(kStore, page, now);
+  Plan();
+  CHECK(call.store_at.at(0).address.empty());
+}
+
 TEST(TransferPlan, DoesNotWriteToFullStore)
 {
   ReportEvents({ { core::ToText(kScope), "x", 99950, true } });
@@ -209,6 +222,7 @@
   target.target.data_centre = core::DataCentreId("e");
   core::PartEventPage page;
   page.epoch = 1;
+  page.started_by = core::Instant{};
   state.parts.OnPage(other, page, core::RuntimeClock::now());
   ReportCompletePart();
   CHECK(Reads());
--- a/src/jujubehead/node/reading_times.hpp
+++ b/src/jujubehead/node/reading_times.hpp
@@ -10,10 +10,6 @@
 /// frees parts that newer weights replaced waits for it.
 inline constexpr core::Duration kHearTime = std::chrono::milliseconds(1800);
 
-/// A read from a store that has not ended by then is thrown away by the target:
-/// the wait in a loaded target's queue, and the transfer.
-inline constexpr core::Duration kReadTime = std::chrono::milliseconds(3000);
-
 } // namespace jujubehead::node
 
 #endif // JUJUBEHEAD_NODE_READING_TIMES_HPP
