Rows of hubs count from the operators' store's confirmation

Cause: an instance puts its own read of the store off while a hub feeds it. A reply with rows that were 1.7 s old renewed that by 1.9 s from its receipt, and so again at the next level. Silent hubs cost a time-out each on top.

Ruled out: shorter limits of age alone (rows are 1.2 s old in steady state, so instances change hubs all the time), leaving silent hubs sooner (no bound if several are lost, and polls pile up at the next one).

Change: the feed ends HubRole::RowsLifetime() after the store's confirmation, which rows carry, 0.85, 1.15 and 1.45 s by level, spread over 0.2 s. The first read after it does not wait for changes, so that it confirms at once. Readers with followers ask each 0.45 s, so that rows are half as old in steady state.

--- a/include/jujubehead/core/membership/hubs.hpp
+++ b/include/jujubehead/core/membership/hubs.hpp
@@ -143,10 +143,10 @@
   [[nodiscard]] std::size_t Relays() const { return m_plan.relays; }
   /// @return the number of known instances, this one included.
   [[nodiscard]] std::size_t Known() const { return m_known; }
-  /// @return how long rows from an upstream count as fresh; then the operators'
-  /// store is read directly. Instances further down wait longer, so that the
-  /// upstream gets there first and they need not all read the store (thundering
-  /// herd).
+  /// @return how long rows count as fresh after the operators' store confirmed
+  /// them; then they are not passed on, and the store is read directly.
+  /// Instances further down wait longer, so that the upstream gets there first
+  /// and they need not all read the store (thundering herd).
   [[nodiscard]] Duration RowsLifetime() const;
 
   /// @return whether this instance has left it to a hub for long enough to send
--- a/include/jujubehead/core/membership/store_paths.hpp
+++ b/include/jujubehead/core/membership/store_paths.hpp
@@ -1,6 +1,7 @@
 #ifndef JUJUBEHEAD_CORE_MEMBERSHIP_STORE_PATHS_HPP
 #define JUJUBEHEAD_CORE_MEMBERSHIP_STORE_PATHS_HPP
 
+#include <algorithm>   // for max
 #include <cstddef>     // for size_t
 #include <cstdint>     // for uint64_t
 #include <optional>    // for optional
@@ -53,14 +54,19 @@
   void OnAnswer(std::string_view aAddress);
   void OnFailure(std::string_view aAddress, Instant aNow);
 
-  /// @brief A hub sent the changes that it read from the store, and continues
-  /// to do so until the given time.
-  void OnHubFeed(Instant aUntil) { m_fed_until = aUntil; }
+  /// @brief A hub sent the changes that it read from the store. They need not
+  /// be read until the given time.
+  void OnHubFeed(Instant aUntil)
+  {
+    m_fed_until = std::max(m_fed_until, aUntil);
+  }
   /// @return whether a hub sends changes, so that they need not be read.
   [[nodiscard]] bool HasHubFeed(Instant aNow) const
   {
-    return m_fed_until && aNow < *m_fed_until;
+    return aNow < m_fed_until;
   }
+  /// @return when changes have to be read unless a hub sends more.
+  [[nodiscard]] Instant HubFeedEnd() const { return m_fed_until; }
 
   /// @return whether the direct path works. Only then does an instance relay
   /// the calls of others, so that no call is relayed in a circle.
@@ -75,7 +81,7 @@
   std::size_t m_current = 0;            ///< An index into m_instances.
   /// Set while the direct path is down: when to probe it.
   std::optional<Instant> m_next_direct;
-  std::optional<Instant> m_fed_until;
+  Instant m_fed_until{};
 };
 
 } // namespace jujubehead::core
--- a/src/jujubehead/core/membership/hubs.cpp
+++ b/src/jujubehead/core/membership/hubs.cpp
@@ -235,17 +235,18 @@
 Duration
 HubRole::RowsLifetime() const
 {
-  constexpr Duration kPerLevel = std::chrono::milliseconds(500);
+  constexpr Duration kOfReader = std::chrono::milliseconds(850);
+  constexpr Duration kPerLevel = std::chrono::milliseconds(300);
   switch (m_plan.level) {
     case HubLevel::kReader:
     case HubLevel::kStandby:
-      return kStandbyDelay;
+      return kOfReader;
     case HubLevel::kRelay:
-      return kStandbyDelay + kPerLevel;
+      return kOfReader + kPerLevel;
     case HubLevel::kFollower:
       break;
   }
-  return kStandbyDelay + 2 * kPerLevel;
+  return kOfReader + 2 * kPerLevel;
 }
 
 } // namespace jujubehead::core
--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/detached.hpp> // for detached
 #include <boost/asio/post.hpp>     // for post
 
+#include "jujubehead/core/membership/hub_timing.hpp" // for kHubReadWait
+
 #include "follow.hpp" // for Follow
 
 namespace jujubehead::node {
@@ -24,8 +26,6 @@
 /// Batches the reports of many targets into one page; a third of the time in
 /// which a leaving target may still receive requests.
 constexpr core::Duration kRegistryPause = std::chrono::milliseconds(650);
-/// With the pause, below the age at which hubs no longer pass rows on: targets
-/// may report all at once, and not at all for the rest of their interval.
 constexpr core::Duration kRegistryWait = std::chrono::milliseconds(500);
 /// Shared rows change with roll-outs only; a connection that hangs meanwhile
 /// costs requests that targets refuse.
@@ -305,6 +305,10 @@
   };
   FollowOptions operator_options;
   operator_options.name = "operator";
+  operator_options.timing = [this] {
+    return ReadsForOthers() ? FollowTiming{ core::kHubReadWait, {} }
+                            : FollowTiming();
+  };
   operator_options.may_read_all = [this] { return MayReadAll(); };
   // Without a settling pause: deadlines count from when a change was first
   // received.
@@ -323,8 +327,11 @@
   FollowOptions registry_options;
   registry_options.name = "registry";
   registry_options.may_read_all = [this] { return MayReadAll(); };
-  registry_options.wait = kRegistryWait;
-  registry_options.pause = kRegistryPause;
+  registry_options.timing = [this] {
+    return ReadsForOthers()
+             ? FollowTiming{ core::kHubRegistryWait, core::kHubRegistryPause }
+             : FollowTiming{ kRegistryWait, kRegistryPause };
+  };
   registry_options.settle = core::kHubSettleTime;
   registry_options.is_settled = [this] { return IsSettled(); };
   asio::co_spawn(m_context,
@@ -337,8 +344,9 @@
   shared.on_failure = [this](PlatformFault) { m_has_shared_failed = true; };
   FollowOptions shared_options;
   shared_options.name = "shared";
-  shared_options.wait = kSharedWait;
-  shared_options.pause = kSharedPause;
+  shared_options.timing = [] {
+    return FollowTiming{ kSharedWait, kSharedPause };
+  };
   shared_options.settle = kRowsSettle;
   shared_options.is_settled = [this] { return IsSettled(); };
   shared_options.unsettled_pause = kUnsettledPause;
@@ -364,6 +372,13 @@
   return m_role.Watches(now) || m_paths.HasHubFeed(now);
 }
 
+bool
+EntryControl::ReadsForOthers() const
+{
+  return m_role.HasFollowers() &&
+         !m_paths.HasHubFeed(core::RuntimeClock::now());
+}
+
 bool
 EntryControl::MayReadAll() const
 {
--- a/src/jujubehead/node/control/entry_control.hpp
+++ b/src/jujubehead/node/control/entry_control.hpp
@@ -91,6 +91,9 @@
   /// @return true once this instance either watches the operators' store itself
   /// or receives its rows from a hub.
   [[nodiscard]] bool IsSettled() const;
+  /// @return whether this instance reads the operators' store, and others poll
+  /// it for what it reads.
+  [[nodiscard]] bool ReadsForOthers() const;
   /// @return whether all rows may be read from the operators' store. An
   /// instance that starts waits for a hub to send them.
   [[nodiscard]] bool MayReadAll() const;
--- a/src/jujubehead/node/control/follow.hpp
+++ b/src/jujubehead/node/control/follow.hpp
@@ -19,15 +19,22 @@
 
 namespace jujubehead::node {
 
-/// @brief Options of Follow().
-struct FollowOptions
+/// @brief Timing of the reads of changes.
+struct FollowTiming
 {
-  std::string name; ///< For log lines.
   /// Longest wait for a change. A connection can hang for good without an
   /// error, so each wait is short and has its own timeout.
   core::Duration wait = std::chrono::milliseconds(1200);
   /// Pause after an update, so that small changes are batched.
   core::Duration pause{};
+};
+
+/// @brief Options of Follow().
+struct FollowOptions
+{
+  std::string name; ///< For log lines.
+  /// Called before each read.
+  std::function<FollowTiming()> timing = [] { return FollowTiming(); };
   /// Longest pause after the first read. When all instances start at once,
   /// their own rows appear one by one, and each would be read by all of them
   /// (thundering herd); those that find a hub meanwhile need not read at all.
@@ -105,11 +112,13 @@
   std::uint64_t newest = 0;
   bool is_lost = true;
   bool is_start = true;
+  FollowTiming timing;
   for (;;) {
     std::optional<PlatformFault> fault;
     std::string why;
     try {
       const bool reads_all = !cursor;
+      timing = aOptions.timing();
       Update update;
       if (reads_all) {
         co_await WaitUntil(aOptions.may_read_all);
@@ -117,8 +126,7 @@
       } else {
         // Changes made during the start-up pause are read without a wait:
         // others may be waiting for this instance to confirm them.
-        const core::Duration wait =
-          is_start ? core::Duration(0) : aOptions.wait;
+        const core::Duration wait = is_start ? core::Duration(0) : timing.wait;
         is_start = false;
         update = co_await aFeed.ReadChanges(*cursor, wait);
       }
@@ -149,8 +157,8 @@
       } else if (!aFeed.IsFree()) {
         const core::Duration pause =
           aOptions.is_settled()
-            ? aOptions.pause
-            : std::max(aOptions.pause, aOptions.unsettled_pause);
+            ? timing.pause
+            : std::max(timing.pause, aOptions.unsettled_pause);
         if (pause > core::Duration(0)) {
           co_await net::Sleep(pause);
         }
--- a/src/jujubehead/node/control/follow_test.cpp
+++ b/src/jujubehead/node/control/follow_test.cpp
@@ -59,7 +59,9 @@
 {
   node::FollowOptions options;
   options.name = "test";
-  options.pause = milliseconds(50);
+  options.timing = [] {
+    return node::FollowTiming{ milliseconds(0), milliseconds(50) };
+  };
   options.is_settled = [] { return false; };
   CHECK(ReadsWith(options) <= 7);
   options.unsettled_pause = milliseconds(100);
@@ -70,7 +72,9 @@
 {
   node::FollowOptions options;
   options.name = "test";
-  options.pause = milliseconds(50);
+  options.timing = [] {
+    return node::FollowTiming{ milliseconds(0), milliseconds(50) };
+  };
   options.unsettled_pause = std::chrono::seconds(10);
   const int reads = ReadsWith(options);
   CHECK(reads >= 2 && reads <= 7);
--- a/src/jujubehead/node/control/hub_exchange.cpp
+++ b/src/jujubehead/node/control/hub_exchange.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp> // for use_awaitable
 
 #include "jujubehead/core/membership/hub_selector.hpp" // for HubSelector
+#include "jujubehead/core/membership/hub_timing.hpp"   // for kHubTimeout
 #include "jujubehead/net/random_text.hpp"              // for RandomText
 #include "jujubehead/net/timer.hpp"                    // for Sleep
 #include "jujubehead/node/control/platform.hpp"        // for PlatformError
@@ -28,29 +29,12 @@
 /// Version of the loads encoding; an older instance uses another one, and
 /// neither accepts the other's.
 constexpr const char* kLoadsEncoding = "2";
-/// Poll interval of followers. Together with the polls of the relay and the
-/// reader above it stays below the time after which a store's state counts as
-/// stale.
-constexpr core::Duration kFollowerPollInterval = std::chrono::milliseconds(220);
-/// Poll interval of relays, which are few.
-constexpr core::Duration kRelayPollInterval = std::chrono::milliseconds(110);
-/// A hub answers from memory; one that takes longer is hung or unreachable.
-constexpr core::Duration kHubTimeout = std::chrono::milliseconds(300);
-/// Older rows are not sent; the polling instance then asks another hub. Covers
-/// a reader's own wait for changes, network transit and a late wake-up.
-constexpr core::Duration kMaxRowAge = std::chrono::milliseconds(1400);
-/// The same at a relay: two polls of its upstream later.
-constexpr core::Duration kMaxRelayedRowAge = std::chrono::milliseconds(1700);
-/// Polls in a row without rows after which another hub is polled. A hub may
-/// wait for the operators' store for a moment longer than its rows are fresh,
-/// and what else it sends is current.
-constexpr int kMaxStalePolls = 3;
 /// Pause between two pages of parts. When many instances start at once, all
 /// their relays' time would go into pages, and polls would time out.
 constexpr core::Duration kPartPagePause = std::chrono::milliseconds(60);
 /// Rows in one reply to an instance that starts, of some 300 bytes each: a
-/// small instance's link transfers them within kHubTimeout, and a relay sends
-/// them to dozens at once.
+/// small instance's link transfers them within the time-out of a poll, and a
+/// relay sends them to dozens at once.
 constexpr std::size_t kMaxRowsInReply = 800;
 
 } // namespace
@@ -72,6 +56,8 @@
   , m_start(net::RandomText(kStartBytes))
   , m_client(net::HttpClient::Create(aContext))
 {
+  m_direct_read_delay = core::Duration(static_cast<core::Duration::rep>(
+    m_jitter(m_random) * static_cast<double>(core::kDirectReadSpread.count())));
 }
 
 bool
@@ -106,7 +92,7 @@
       const PollResult result = co_await PollHub(hub, m_cursors[hub.id]);
       pause = PauseAfter(result);
       stale_polls = result == PollResult::kStale ? stale_polls + 1 : 0;
-      if (stale_polls > kMaxStalePolls) {
+      if (stale_polls > core::kMaxStalePolls) {
         stale_polls = 0;
         why = "its rows are stale";
         failure = core::HubFailure::kNotServing;
@@ -161,8 +147,9 @@
     co_await SyncOwnLoads();
     ForwardLoads();
   }
-  const core::Duration pause =
-    m_role.HasFollowers() ? kRelayPollInterval : RoleCheckInterval(m_role);
+  const core::Duration pause = m_role.HasFollowers()
+                                 ? core::kRelayPollInterval
+                                 : RoleCheckInterval(m_role);
   co_await net::Sleep(pause);
 }
 
@@ -175,7 +162,8 @@
   if (aResult == PollResult::kHasMoreParts) {
     return m_role.HasFollowers() ? core::Duration(0) : kPartPagePause;
   }
-  return m_role.HasFollowers() ? kRelayPollInterval : kFollowerPollInterval;
+  return m_role.HasFollowers() ? core::kRelayPollInterval
+                               : core::kFollowerPollInterval;
 }
 
 asio::awaitable<std::vector<core::TargetLoadReport>>
@@ -231,7 +219,7 @@
 asio::awaitable<void>
 HubExchange::ForwardLoadsSoon()
 {
-  co_await net::Sleep(kRelayPollInterval);
+  co_await net::Sleep(core::kRelayPollInterval);
   m_is_forwarding_soon = false;
   ForwardLoads();
 }
@@ -261,8 +249,8 @@
   call.method = "POST";
   call.target = std::string(kHubLoadsPath);
   call.body = std::move(aLoads);
-  call.connect_timeout = kHubTimeout;
-  call.idle_timeout = kHubTimeout;
+  call.connect_timeout = core::kHubTimeout;
+  call.idle_timeout = core::kHubTimeout;
   m_counters.loads_sent += call.body.size();
   try {
     co_await m_client->Fetch(std::move(call));
@@ -310,8 +298,8 @@
                 "&loads=" + std::to_string(aCursor.loads) +
                 "&poison=" + std::to_string(aCursor.poison_reports) +
                 "&paged=1&rows=" + m_rows.Cursors();
-  call.connect_timeout = kHubTimeout;
-  call.idle_timeout = kHubTimeout;
+  call.connect_timeout = core::kHubTimeout;
+  call.idle_timeout = core::kHubTimeout;
   // The hub's data is at most as old as the request.
   const core::Instant requested_at = core::RuntimeClock::now();
   const net::HttpResponse response = co_await m_client->Fetch(std::move(call));
@@ -348,9 +336,10 @@
   if (!has_unread) {
     m_hooks.on_synced(as_of);
   }
-  const core::Instant now = core::RuntimeClock::now();
-  m_role.OnUpstreamAnswer(now);
-  m_paths.OnHubFeed(now + m_role.RowsLifetime());
+  m_role.OnUpstreamAnswer(core::RuntimeClock::now());
+  // Counted from the store's confirmation: otherwise rows that hubs pass on
+  // would be renewed at each level.
+  m_paths.OnHubFeed(as_of + m_role.RowsLifetime() + m_direct_read_delay);
   co_return update.parts.has_more ? PollResult::kHasMoreParts
                                   : PollResult::kComplete;
 }
@@ -421,10 +410,8 @@
   update.rows = m_rows.UpdateSince(aRequest.Query("rows").value_or(""),
                                    is_paged ? kMaxRowsInReply : kAllRows,
                                    now);
-  const core::Duration max_age =
-    m_role.Upstreams().empty() ? kMaxRowAge : kMaxRelayedRowAge;
-  if (update.rows && update.rows->age > max_age) {
-    update.rows.reset();
+  if (update.rows && update.rows->age > m_role.RowsLifetime()) {
+    update.rows.reset(); // The polling instance then asks another hub.
   }
   return update;
 }
--- a/src/jujubehead/node/control/hub_exchange.hpp
+++ b/src/jujubehead/node/control/hub_exchange.hpp
@@ -151,6 +151,8 @@
   std::map<std::string, Cursor> m_cursors;
   std::minstd_rand m_random{ std::random_device{}() };
   std::uniform_real_distribution<> m_jitter{ 0, 1 };
+  /// This instance's own part of core::kDirectReadSpread.
+  core::Duration m_direct_read_delay{};
   core::LoadReports m_loads;         ///< Reported to this instance as a hub.
   std::uint64_t m_own_next_load = 0; ///< Of these, not yet applied here.
   core::LoadReports m_unsent_loads;  ///< Of these, not yet sent upwards.
