--- a/src/jujubehead/core/membership/hub_loss_model_test.cpp
+++ b/src/jujubehead/core/membership/hub_loss_model_test.cpp
@@ -286,7 +286,7 @@
 // as if they were new, and applied changes of the operators too late.
 TEST(HubLossModel, ChangesAreInForceInTimeWhicheverHubsAreLost)
 {
-  for (const std::size_t count : { 13, 26, 101, 370 }) {
+  for (const std::size_t count : std::vector<std::size_t>{ 13, 26, 101, 370 }) {
     for (const Loss loss : { Loss::kNone,
                              Loss::kReaders,
                              Loss::kReadersAndStandbys,
