Crashes of requests outlast a loss of all instances

Cause: crash_count was kept in the instances' memory only; the operators' store got a row once a quarantine began. All instances were killed after the second and after the fourth crash, so no verdict was reached.

Ruled out: a quarantine's row that is read too late at a start (there was none), reports lost between instances (all of them counted two crashes).

Change: each instance records the crashes of its own requests in one row of the table jujubehead-crashes, at once, and takes out a second later what was answered. Nobody follows the table; all rows are read at a start and apply like reports. A crash costs each instance that had a request there two writes, whatever the fleet's size.

Evidence: PoisonRequestsModel.LossesOfAllInstancesForgetNoCrash (3, 9 and 36 instances, killed every 4 or 7 s) breaks the bound in its variant without the rows.

Open: crashes of parts of prompts are not recorded; an instance that is lost before its write, or while the store is away, forgets its own crash.

--- a/include/jujubehead/node/control/platform.hpp
+++ b/include/jujubehead/node/control/platform.hpp
@@ -128,6 +128,21 @@
   [[nodiscard]] virtual std::optional<core::Instant> CurrentAsOf() const = 0;
 };
 
+/// @brief Rows that instances write for those that start later. They are not
+/// followed.
+class CrashRows
+{
+public:
+  virtual ~CrashRows() = default;
+  /// @throws PlatformError.
+  virtual boost::asio::awaitable<std::vector<SharedRow>> ReadAll() = 0;
+  /// @brief As SharedRows::Put().
+  virtual boost::asio::awaitable<std::optional<std::uint64_t>> Put(
+    std::string aKey,
+    std::optional<std::string> aValue,
+    std::uint64_t aExpectedVersion) = 0;
+};
+
 /// @brief A target's report on its weights; a few hundred ms old.
 struct WeightsReport
 {
@@ -205,6 +220,7 @@
   std::unique_ptr<OperatorFeed> operators;
   std::unique_ptr<RegistryFeed> registry;
   std::unique_ptr<SharedRows> shared;
+  std::unique_ptr<CrashRows> crashes;
   std::unique_ptr<TargetOrders> orders;
   std::unique_ptr<StoreCalls> stores;
   std::shared_ptr<RowCache> row_cache; ///< Cache of the row client.
--- a/src/jujubehead/core/routing/poison_requests_model_test.cpp
+++ b/src/jujubehead/core/routing/poison_requests_model_test.cpp
@@ -47,7 +47,8 @@
   kExchange,    ///< Instances report nothing to each other.
   kCompletions, ///< Complete answers do not clear suspects.
   kOrder,       ///< Crashes count even if they are at the same time.
-  kRecords,     ///< Quarantines are not recorded.
+  kRecords,     ///< Neither quarantines nor crashes are recorded.
+  kCrashRows,   ///< Crashes are not recorded.
   kClaims,      ///< A copy that comes after a quarantine's end is sent.
   kSeparation,  ///< Suspects are placed as all other requests.
 };
@@ -68,6 +69,8 @@
   bool has_disturbance = true; ///< Of single instances.
   bool loses_racks = false;
   bool restarts_all = false;
+  /// Of further restarts of all; 0: none.
+  Duration restart_interval{};
   Duration day = kDay;
   Duration first_quarantine = core::PoisonRequestsOptions().first_quarantine;
 };
@@ -117,6 +120,8 @@
   Instant next_send{};
   Instant next_poll{};
   Instant reads_records_at{};
+  std::vector<core::CrashReport> crashes; ///< Of its own row.
+  bool has_read_crashes = true;
   std::size_t sent = 0;
   std::size_t received = 0;
   core::ProbeGrants probes;
@@ -215,6 +220,7 @@
     Instance& instance = m_instances[aInstance];
     instance = Started(instance.plan);
     instance.reads_records_at = m_now + Between(100, 1000);
+    instance.has_read_crashes = false;
     instance.disturbed_until = m_now + kTimeToKnow;
     for (Target& target : m_targets) {
       std::erase_if(target.runs, [&](const auto& aRun) {
@@ -231,6 +237,14 @@
         Restart(i);
       }
     }
+    const bool restarts_again =
+      m_options.restart_interval > Duration(0) && m_now >= m_next_restart;
+    if (restarts_again) {
+      m_next_restart = m_now + m_options.restart_interval;
+      for (std::size_t i = 0; i < m_instances.size(); ++i) {
+        Restart(i);
+      }
+    }
     if (m_options.loses_racks && m_now >= m_next_rack) {
       m_next_rack = m_now + Between(5000, 9000);
       const std::size_t first = Below(m_targets.size());
@@ -446,10 +460,42 @@
     }
     Apply(instance, aReport);
     instance.log.Put(aReport, core::ReportOrigin::kBelow, m_now);
+    if (const auto* const crash = std::get_if<core::CrashReport>(&aReport)) {
+      instance.crashes.push_back(*crash);
+    }
+  }
+
+  void ReadCrashes(std::size_t aIndex)
+  {
+    Instance& instance = m_instances[aIndex];
+    instance.has_read_crashes = true;
+    for (const auto& [writer, crashes] : m_crash_rows) {
+      for (const core::CrashReport& crash : crashes) {
+        Apply(instance, crash);
+      }
+    }
+    const auto& own = m_crash_rows[aIndex];
+    instance.crashes.insert(instance.crashes.begin(), own.begin(), own.end());
+  }
+
+  void WriteCrashes(std::size_t aIndex)
+  {
+    const Instance& instance = m_instances[aIndex];
+    const bool are_recorded = m_options.without != Without::kCrashRows &&
+                              m_options.without != Without::kRecords;
+    if (are_recorded && instance.has_read_crashes && CanExchange(instance)) {
+      m_crash_rows[aIndex] = instance.crashes;
+    }
   }
 
   void Apply(Instance& aInstance, const core::PoisonReport& aReport)
   {
+    if (const auto* const one = std::get_if<core::CompletionReport>(&aReport)) {
+      std::erase_if(aInstance.crashes, [one](const auto& aCrash) {
+        return aCrash.fingerprint == one->fingerprint &&
+               aCrash.crashed <= one->completed;
+      });
+    }
     const auto outcome = aInstance.poison.OnReport(aReport, m_now);
     if (outcome.quarantine && m_options.without != Without::kRecords) {
       Record(*outcome.quarantine);
@@ -506,7 +552,11 @@
       for (const auto& entry : m_records) {
         instance.poison.OnRecorded(entry.second, m_now);
       }
+      if (!instance.has_read_crashes) {
+        ReadCrashes(aIndex);
+      }
     }
+    WriteCrashes(aIndex);
     if (m_options.without == Without::kExchange || !CanExchange(instance)) {
       return;
     }
@@ -592,8 +642,10 @@
   std::vector<Target> m_targets;
   std::multimap<Instant, Message> m_messages;
   std::map<RequestFingerprint, core::Quarantine> m_records;
+  std::map<std::size_t, std::vector<core::CrashReport>> m_crash_rows;
   Instant m_next_poison{ seconds(2) };
   Instant m_next_rack{ seconds(2) };
+  Instant m_next_restart{ seconds(4) };
   std::multimap<Instant, std::size_t> m_losses; ///< Of a rack's targets.
   Instant m_third_crash{};
   int m_poison_crashes = 0;
@@ -690,6 +742,29 @@
   }));
 }
 
+// The crashes of a request were counted in memory only, so that each loss of
+// all instances between them allowed as many again.
+TEST(PoisonRequestsModel, LossesOfAllInstancesForgetNoCrash)
+{
+  Options options;
+  options.shortest_pause = 1700;
+  options.longest_pause = 1900;
+  options.day = seconds(120);
+  options.first_quarantine = std::chrono::minutes(10);
+  int most_forgotten = 0;
+  for (const int instances : { 3, 9, 36 }) {
+    for (const Duration interval : { milliseconds(4000), milliseconds(7000) }) {
+      options.instances = instances;
+      options.restart_interval = interval;
+      options.without = Without::kNothing;
+      CHECK(RunDay(options).late <= kAllowedLate);
+      options.without = Without::kCrashRows;
+      most_forgotten = std::max(most_forgotten, RunDay(options).late);
+    }
+  }
+  CHECK(most_forgotten > kAllowedLate);
+}
+
 // Targets that are lost by other causes must not make their requests suspects
 // for long, whatever their content.
 TEST(PoisonRequestsModel, WithoutAPoisonRequestNothingIsRefused)
--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -125,8 +125,14 @@
   , m_poison(aContext,
              m_role,
              [this](std::vector<core::PoisonReport> aReports) {
+               m_crashes.OnOthersReports(aReports);
                m_forwarder.OnPoisonReports(std::move(aReports));
              })
+  , m_crashes(aContext,
+              *m_platform.crashes,
+              aOptions.instance_id.Text(),
+              m_platform.row_cache->StoreClock(),
+              MakeCrashHooks())
   , m_streams(aContext, aOptions.instance_id.Text())
   , m_hubs(aContext,
            m_role,
@@ -143,7 +149,10 @@
 {
   Forwarder::PoisonHooks hooks;
   hooks.on_report = [this](const core::PoisonReport& aReport) {
-    asio::post(m_context, [this, aReport] { m_poison.Report(aReport); });
+    asio::post(m_context, [this, aReport] {
+      m_poison.Report(aReport);
+      m_crashes.OnOwnReport(aReport);
+    });
   };
   hooks.on_quarantine = [this](const core::Quarantine& aQuarantine) {
     asio::post(m_context, [this, aQuarantine] {
@@ -258,6 +267,19 @@
   return hooks;
 }
 
+CrashRecorderHooks
+EntryControl::MakeCrashHooks()
+{
+  CrashRecorderHooks hooks;
+  hooks.on_read = [this](std::vector<core::PoisonReport> aReports) {
+    m_forwarder.OnPoisonReports(std::move(aReports));
+  };
+  hooks.rank = [this](std::string_view aKey) {
+    return core::RankOf(m_instances.All(), m_options.instance_id.View(), aKey);
+  };
+  return hooks;
+}
+
 HubHooks
 EntryControl::MakeHubHooks()
 {
@@ -363,6 +385,7 @@
   m_deadlines.Start();
   m_rollout.Start();
   m_reclaimer.Start();
+  m_crashes.Start();
 }
 
 bool
--- a/src/jujubehead/node/control/entry_control.hpp
+++ b/src/jujubehead/node/control/entry_control.hpp
@@ -23,6 +23,7 @@
 
 #include "../forward/forwarder.hpp"   // for Forwarder
 #include "block_reclaimer.hpp"        // for BlockReclaimer
+#include "crash_recorder.hpp"         // for CrashRecorder
 #include "hub_exchange.hpp"           // for HubExchange
 #include "poison_exchange.hpp"        // for PoisonExchange
 #include "rollout_coordinator.hpp"    // for RolloutCoordinator
@@ -121,6 +122,7 @@
   void PublishTargets();
   StoreWatchHooks MakeStoreHooks();
   BlockReclaimerHooks MakeReclaimerHooks();
+  CrashRecorderHooks MakeCrashHooks();
   HubHooks MakeHubHooks();
   WeightsDeadlinesHooks MakeDeadlineHooks();
   void ApplyStops(const OperatorUpdate& aUpdate, bool aIsAll);
@@ -157,6 +159,7 @@
   bool m_is_writing_quarantine = false;
   core::Instant m_next_poison_tick{};
   PoisonExchange m_poison;
+  CrashRecorder m_crashes;
   StreamOriginExchange m_streams;
   core::SoftwareVersions m_software;
   core::StreamLifetime m_stream_lifetime;
