The scope of shared parts depends on which accounts are dedicated

Cause: the cache scope names an account while it is dedicated; all others have one scope, whose text did not change. What the account had left there was found on.

Ruled out: instances that apply the change late (the first use counted is 4 s after it), parts that the account still makes there (its requests have a scope of their own by then).

Change: the scope of those that share has a digest of the dedicated accounts, none while there are none. No state and no messages: it follows from the configuration. A retry takes the scope of the configuration in force; an account that is not declared any more shares with none.

--- a/include/jujubehead/core/context/cache_scope.hpp
+++ b/include/jujubehead/core/context/cache_scope.hpp
@@ -14,11 +14,17 @@
 /// one model's weights and, where an account does not share its cache, of that
 /// account. The scope is part of the cache key, so parts computed with other
 /// weights or for another account cannot be addressed.
+///
+/// An account that is dedicated now may have shared before. The scope of those
+/// that share therefore depends on which accounts are dedicated: none of these
+/// can have made a part of it.
 struct CacheScope
 {
   ModelId model;
   std::uint64_t weight_version = 0;
   AccountId account; ///< Empty: all accounts that share their cache.
+  /// Digest of the dedicated accounts; 0: there are none, or `account` is set.
+  std::uint64_t dedicated_accounts = 0;
 
   friend bool operator==(const CacheScope&, const CacheScope&) = default;
 };
--- a/include/jujubehead/core/routing/configuration.hpp
+++ b/include/jujubehead/core/routing/configuration.hpp
@@ -6,10 +6,12 @@
 #include <string>        // for string
 #include <string_view>   // for string_view
 #include <unordered_map> // for unordered_map
+#include <unordered_set> // for unordered_set
 #include <vector>        // for vector
 
-#include "jujubehead/core/ids.hpp"           // for AccountId, ServiceId
-#include "jujubehead/core/runtime_clock.hpp" // for Duration
+#include "jujubehead/core/context/cache_scope.hpp" // for CacheScope
+#include "jujubehead/core/ids.hpp"                 // for AccountId, ServiceId
+#include "jujubehead/core/runtime_clock.hpp"       // for Duration
 
 namespace jujubehead::core {
 
@@ -118,6 +120,12 @@
   /// @return the account that a key belongs to; null when there is none.
   [[nodiscard]] const DeclaredAccount* AccountOf(std::string_view aKey) const;
   [[nodiscard]] const DeclaredService* ServiceOf(const ServiceId& aId) const;
+  /// @param aAccount empty: the caller has none.
+  /// @return the scope of the cached parts that its prompts may use. An account
+  /// that is not declared shares none.
+  [[nodiscard]] CacheScope CacheScopeOf(const AccountId& aAccount,
+                                        ModelId aModel,
+                                        std::uint64_t aWeightVersion) const;
   /// @return whether requests need keys.
   [[nodiscard]] bool HasAccounts() const { return !m_all.accounts.empty(); }
 
@@ -126,6 +134,8 @@
   std::unordered_map<std::string, std::size_t> m_routes; ///< By host and path.
   std::unordered_map<std::string, std::size_t> m_keys;
   std::unordered_map<ServiceId, std::size_t> m_services;
+  std::unordered_set<AccountId> m_sharing; ///< Accounts.
+  std::uint64_t m_dedicated_digest = 0;    ///< 0: no account is dedicated.
 };
 
 } // namespace jujubehead::core
--- a/src/jujubehead/core/context/cache_scope.cpp
+++ b/src/jujubehead/core/context/cache_scope.cpp
@@ -8,6 +8,27 @@
 /// Separates version, length of the model name, and names. The version has only
 /// digits, so the first slash ends it even if a name contains slashes.
 constexpr char kSeparator = '/';
+/// Precedes the digest of the dedicated accounts, in place of an account.
+constexpr char kDigestSeparator = '-';
+
+/// @return whether the text was valid.
+bool
+ParseOwner(std::string_view aText, CacheScope& aScope)
+{
+  if (aText.empty()) {
+    return true;
+  }
+  const std::string_view value = aText.substr(1);
+  if (aText.front() == kSeparator) {
+    aScope.account = AccountId(std::string(value));
+    return !value.empty();
+  }
+  const char* const end = value.data() + value.size();
+  const auto digest =
+    std::from_chars(value.data(), end, aScope.dedicated_accounts);
+  return aText.front() == kDigestSeparator && digest.ec == std::errc() &&
+         digest.ptr == end && aScope.dedicated_accounts != 0;
+}
 
 } // namespace
 
@@ -22,6 +43,9 @@
   if (!aScope.account.IsEmpty()) {
     text += kSeparator;
     text += aScope.account.Text();
+  } else if (aScope.dedicated_accounts != 0) {
+    text += kDigestSeparator;
+    text += std::to_string(aScope.dedicated_accounts);
   }
   return text;
 }
@@ -47,14 +71,8 @@
     return std::nullopt;
   }
   scope.model = ModelId(std::string(rest.substr(0, size)));
-  const std::string_view account = rest.substr(size);
-  if (!account.empty()) {
-    if (account.front() != kSeparator || account.size() == 1) {
-      return std::nullopt;
-    }
-    scope.account = AccountId(std::string(account.substr(1)));
-  }
-  return scope;
+  return ParseOwner(rest.substr(size), scope) ? std::optional(scope)
+                                              : std::nullopt;
 }
 
 } // namespace jujubehead::core
--- a/src/jujubehead/core/context/part_directory_test.cpp
+++ b/src/jujubehead/core/context/part_directory_test.cpp
@@ -158,21 +158,34 @@
 
 TEST(CacheScope, TextRoundTrips)
 {
-  CHECK(rc::check(
-    "text round trip",
-    [](const std::string& aModel,
-       std::uint64_t aVersion,
-       const std::string& aAccount) {
-      const CacheScope scope{ ModelId(aModel), aVersion, AccountId(aAccount) };
-      const auto parsed = CacheScopeOf(ToText(scope));
-      RC_ASSERT(parsed.has_value());
-      RC_ASSERT(*parsed == scope);
-    }));
+  CHECK(rc::check("text round trip",
+                  [](const std::string& aModel,
+                     std::uint64_t aVersion,
+                     const std::string& aAccount,
+                     std::uint64_t aDigest) {
+                    const CacheScope scope{ ModelId(aModel),
+                                            aVersion,
+                                            AccountId(aAccount),
+                                            aAccount.empty() ? aDigest : 0 };
+                    const auto parsed = CacheScopeOf(ToText(scope));
+                    RC_ASSERT(parsed.has_value());
+                    RC_ASSERT(*parsed == scope);
+                  }));
 }
 
 TEST(CacheScope, InvalidTextIsRejected)
 {
-  for (const char* text : { "", "x", "1", "1/", "1/9/m", "1/1/mx", "1/1/m/" }) {
+  for (const char* text : { "",
+                            "x",
+                            "1",
+                            "1/",
+                            "1/9/m",
+                            "1/1/mx",
+                            "1/1/m/",
+                            "1/1/m-",
+                            "1/1/m-0",
+                            "1/1/m-7x",
+                            "1/1/mx7" }) {
     CHECK_TEXT(!CacheScopeOf(text).has_value(), text);
   }
 }
--- a/src/jujubehead/core/routing/configuration.cpp
+++ b/src/jujubehead/core/routing/configuration.cpp
@@ -1,9 +1,12 @@
 #include "jujubehead/core/routing/configuration.hpp"
 
-#include <algorithm> // for transform
+#include <algorithm> // for transform, max
 #include <cctype>    // for tolower
+#include <set>       // for set
 #include <utility>   // for move
 
+#include "jujubehead/core/routing/placement.hpp" // for PlacementHash
+
 namespace jujubehead::core {
 namespace {
 
@@ -20,6 +23,28 @@
   return host;
 }
 
+/// @return 0 if no account is dedicated; all instances compute the same value.
+std::uint64_t
+DigestOfDedicated(const std::vector<DeclaredAccount>& aAccounts)
+{
+  std::set<std::string> ids;
+  for (const DeclaredAccount& account : aAccounts) {
+    if (account.dedicated) {
+      ids.insert(account.id.Text());
+    }
+  }
+  if (ids.empty()) {
+    return 0;
+  }
+  std::string text;
+  for (const std::string& id : ids) {
+    text += std::to_string(id.size());
+    text += kSeparator;
+    text += id;
+  }
+  return std::max<std::uint64_t>(PlacementHash(text), 1);
+}
+
 } // namespace
 
 Configuration::Configuration(Declarations aDeclarations)
@@ -33,10 +58,14 @@
     for (const std::string& key : m_all.accounts[i].keys) {
       m_keys.emplace(key, i);
     }
+    if (!m_all.accounts[i].dedicated) {
+      m_sharing.insert(m_all.accounts[i].id);
+    }
   }
   for (std::size_t i = 0; i < m_all.services.size(); ++i) {
     m_services.emplace(m_all.services[i].id, i);
   }
+  m_dedicated_digest = DigestOfDedicated(m_all.accounts);
 }
 
 const Route*
@@ -74,4 +103,18 @@
   return found == m_services.end() ? nullptr : &m_all.services[found->second];
 }
 
+CacheScope
+Configuration::CacheScopeOf(const AccountId& aAccount,
+                            ModelId aModel,
+                            std::uint64_t aWeightVersion) const
+{
+  CacheScope scope{ std::move(aModel), aWeightVersion, {}, 0 };
+  if (aAccount.IsEmpty() || m_sharing.contains(aAccount)) {
+    scope.dedicated_accounts = m_dedicated_digest;
+  } else {
+    scope.account = aAccount;
+  }
+  return scope;
+}
+
 } // namespace jujubehead::core
--- a/src/jujubehead/core/routing/configuration_test.cpp
+++ b/src/jujubehead/core/routing/configuration_test.cpp
@@ -1,6 +1,11 @@
 #include "jujubehead/core/routing/configuration.hpp"
 
+#include <algorithm> // for reverse
+#include <map>       // for map
+#include <set>       // for set
+
 #include <CppUTest/TestHarness.h> // for TEST
+#include <rapidcheck.h>           // for rc::check
 
 using namespace jujubehead::core;
 
@@ -73,3 +78,59 @@
   CHECK(sample.AccountOf("k3") == nullptr);
   CHECK(sample.AccountOf("") == nullptr);
 }
+
+// An account's parts stayed in the scope that all others share when it became
+// dedicated, and were used on.
+TEST(Configuration, PartsOfAnAccountThatBecomesDedicatedAreNotShared)
+{
+  const AccountId anonymous;
+  CHECK(rc::check("dedicated", [&] {
+    Declarations all;
+    std::vector<AccountId> callers{ anonymous };
+    const int count = *rc::gen::inRange(2, 40);
+    for (int i = 0; i < count; ++i) {
+      DeclaredAccount account;
+      account.id = AccountId("a" + std::to_string(i));
+      callers.push_back(account.id);
+      all.accounts.push_back(account);
+    }
+    // Parts with the same scope text are found by each other's requests.
+    std::map<std::string, std::set<std::string>> makers;
+    bool has_shared = false;
+    for (int change = 0; change < 30; ++change) {
+      const auto changed =
+        static_cast<std::size_t>(*rc::gen::inRange(0, count));
+      all.accounts[changed].dedicated = !all.accounts[changed].dedicated;
+      std::reverse(all.accounts.begin(), all.accounts.end());
+      const Configuration configuration(all);
+      std::set<std::string> dedicated;
+      for (const DeclaredAccount& account : all.accounts) {
+        if (account.dedicated) {
+          dedicated.insert(account.id.Text());
+        }
+      }
+      for (const AccountId& caller : callers) {
+        auto& made =
+          makers[ToText(configuration.CacheScopeOf(caller, ModelId("m"), 3))];
+        made.insert(caller.Text());
+        for (const std::string& maker : made) {
+          const bool is_own = maker == caller.Text();
+          has_shared |= !is_own;
+          RC_ASSERT(is_own || !dedicated.contains(maker));
+          RC_ASSERT(is_own || !dedicated.contains(caller.Text()));
+        }
+      }
+    }
+    RC_ASSERT(has_shared);
+  }));
+}
+
+TEST(Configuration, AnAccountThatIsNoLongerDeclaredSharesNoParts)
+{
+  const Configuration sample = Sample();
+  const CacheScope scope =
+    sample.CacheScopeOf(AccountId("removed"), ModelId("m"), 3);
+  STRCMP_EQUAL("removed", scope.account.Text().c_str());
+  CHECK(
+    sample.CacheScopeOf(AccountId("acme"), ModelId("m"), 3).account.IsEmpty());
+}
--- a/src/jujubehead/core/weights/superseded_versions_test.cpp
+++ b/src/jujubehead/core/weights/superseded_versions_test.cpp
@@ -71,7 +71,7 @@
   versions.OnWanted(kModel, 2, kStart);
   SupersededScopes scopes(versions, kStart);
   const auto scope = [](const char* aModel, std::uint64_t aVersion) {
-    return ToText(CacheScope{ ModelId(aModel), aVersion, {} });
+    return ToText(CacheScope{ ModelId(aModel), aVersion, {}, 0 });
   };
   CHECK(scopes.Contains(scope("m", 1)));
   CHECK_FALSE(scopes.Contains(scope("m", 2)));
--- a/src/jujubehead/node/forward/target_choice.cpp
+++ b/src/jujubehead/node/forward/target_choice.cpp
@@ -361,11 +361,12 @@
 core::CacheScope
 ForwardRun::ScopeFor(std::uint64_t aWeightVersion) const
 {
-  core::CacheScope scope{ m_metadata.prompt->model, aWeightVersion, {} };
-  if (m_account != nullptr && m_account->dedicated) {
-    scope.account = m_account->id;
-  }
-  return scope;
+  // A retry must not use what an account that has become dedicated since the
+  // first attempt may have made.
+  return m_state.configuration->CacheScopeOf(
+    m_account != nullptr ? m_account->id : core::AccountId(),
+    m_metadata.prompt->model,
+    aWeightVersion);
 }
 
 std::optional<std::size_t>
--- a/src/jujubehead/node/forward/transfer_plan_test.cpp
+++ b/src/jujubehead/node/forward/transfer_plan_test.cpp
@@ -50,7 +50,7 @@
 
 const core::StoreId kStore("s1");
 constexpr core::Duration kObjective = milliseconds(600);
-const core::CacheScope kScope{ core::ModelId("m1"), 2, {} };
+const core::CacheScope kScope{ core::ModelId("m1"), 2, {}, 0 };
 
 core::RegisteredTarget
 TargetAt(const std::string& aId)
