--- a/include/jujubehead/core/routing/configuration.hpp
+++ b/include/jujubehead/core/routing/configuration.hpp
@@ -123,9 +123,9 @@
   /// @param aAccount empty: the caller has none.
   /// @return the scope of the cached parts that its prompts may use. An account
   /// that is not declared shares none.
-  [[nodiscard]] CacheScope CacheScopeOf(const AccountId& aAccount,
-                                        ModelId aModel,
-                                        std::uint64_t aWeightVersion) const;
+  [[nodiscard]] CacheScope CacheScopeFor(const AccountId& aAccount,
+                                         ModelId aModel,
+                                         std::uint64_t aWeightVersion) const;
   /// @return whether requests need keys.
   [[nodiscard]] bool HasAccounts() const { return !m_all.accounts.empty(); }
 
--- a/src/jujubehead/core/routing/configuration.cpp
+++ b/src/jujubehead/core/routing/configuration.cpp
@@ -104,9 +104,9 @@
 }
 
 CacheScope
-Configuration::CacheScopeOf(const AccountId& aAccount,
-                            ModelId aModel,
-                            std::uint64_t aWeightVersion) const
+Configuration::CacheScopeFor(const AccountId& aAccount,
+                             ModelId aModel,
+                             std::uint64_t aWeightVersion) const
 {
   CacheScope scope{ std::move(aModel), aWeightVersion, {}, 0 };
   if (aAccount.IsEmpty() || m_sharing.contains(aAccount)) {
--- a/src/jujubehead/core/routing/configuration_test.cpp
+++ b/src/jujubehead/core/routing/configuration_test.cpp
@@ -111,7 +111,7 @@
       }
       for (const AccountId& caller : callers) {
         auto& made =
-          makers[ToText(configuration.CacheScopeOf(caller, ModelId("m"), 3))];
+          makers[ToText(configuration.CacheScopeFor(caller, ModelId("m"), 3))];
         made.insert(caller.Text());
         for (const std::string& maker : made) {
           const bool is_own = maker == caller.Text();
@@ -129,8 +129,8 @@
 {
   const Configuration sample = Sample();
   const CacheScope scope =
-    sample.CacheScopeOf(AccountId("removed"), ModelId("m"), 3);
+    sample.CacheScopeFor(AccountId("removed"), ModelId("m"), 3);
   STRCMP_EQUAL("removed", scope.account.Text().c_str());
   CHECK(
-    sample.CacheScopeOf(AccountId("acme"), ModelId("m"), 3).account.IsEmpty());
+    sample.CacheScopeFor(AccountId("acme"), ModelId("m"), 3).account.IsEmpty());
 }
--- a/src/jujubehead/node/forward/target_choice.cpp
+++ b/src/jujubehead/node/forward/target_choice.cpp
@@ -363,7 +363,7 @@
 {
   // A retry must not use what an account that has become dedicated since the
   // first attempt may have made.
-  return m_state.configuration->CacheScopeOf(
+  return m_state.configuration->CacheScopeFor(
     m_account != nullptr ? m_account->id : core::AccountId(),
     m_metadata.prompt->model,
     aWeightVersion);
