BrokenReply: targets that close after a sound reply say so

Cause: the stand-in closes the connection after a reply with a length, without saying so. The instance keeps the connection, and may send the next request on it before it sees the end; that request is lost and may have run, so its caller gets 502. With a wait of 20 ms before the close (trial) the test fails in the same way at the first reply.

The replies with a length and in chunks say `Connection: close` now; what is checked is unchanged.

--- a/standin/broken_reply_test.cpp
+++ b/standin/broken_reply_test.cpp
@@ -308,15 +308,19 @@
 
 TEST(BrokenReply, SoundOnesAreWhole)
 {
-  Start(ReplyOf("HTTP/1.1 200 OK\r\nContent-Length: 22\r\n"));
+  // The target closes each connection. Unless it says so, the next request may
+  // be sent on one that is being closed, and is lost.
+  const std::string closes = "Connection: close\r\n";
+  Start(ReplyOf("HTTP/1.1 200 OK\r\nContent-Length: 22\r\n" + closes));
   CheckIsWhole(kOk, "with a length");
   Start(ReplyOf(kOkLine));
   CheckIsWhole(kOk, "to the end of the connection");
   Start(ReplyOf("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n"
-                "HTTP/1.1 200 OK\r\nContent-Length: 22\r\n"));
+                "HTTP/1.1 200 OK\r\nContent-Length: 22\r\n" +
+                closes));
   CheckIsWhole(kOk, "after interim replies");
   RawReply chunked =
-    ReplyOf("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n");
+    ReplyOf("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n" + closes);
   chunked.piece = "16\r\n" + std::string(kEvents) + "\r\n0\r\n\r\n";
   Start(chunked);
   CheckIsWhole(kOk, "in chunks");
