CrashRecorder: a row that is read again does not bring back answered crashes

Found by reading. Cause: after a write that failed, the instance's own row was merged into what it knows, as at a start. Crashes that had been answered since were recorded anew and stayed until suspect_ttl (10 min), so that requests that crash nothing had a count after a loss of all instances. Callers saw nothing.

Change: only the first read of the own row is merged; later ones tell the row's version (OnVersion(), formerly OnWritten()). Nothing is lost: what is known in memory includes all that the row had. AnsweredRequestsStayOutIfTheirRowIsReadAgain shows the removal to be repeated; the recorder's part has no test of its own.

--- a/include/jujubehead/core/routing/crash_records.hpp
+++ b/include/jujubehead/core/routing/crash_records.hpp
@@ -51,13 +51,14 @@
   void OnCrash(const CrashReport& aReport);
   /// @brief A request was answered completely, here or elsewhere.
   void OnCompletion(const CompletionReport& aReport, Instant aNow);
-  /// @brief This instance's own row was read.
+  /// @brief This instance's own row was read for the first time.
   /// @param aVersion of the row; 0: it does not exist.
   /// @param aCrashes that it records.
   void OnOwnRow(std::uint64_t aVersion, std::vector<CrashReport> aCrashes);
-  /// @brief The write that was taken last had effect.
-  /// @param aVersion of the row; 0: it was removed.
-  void OnWritten(std::uint64_t aVersion) { m_version = aVersion; }
+  /// @brief The write that was taken last had effect, or the own row was read
+  /// again. What is known here is newer than the row.
+  /// @param aVersion of the row; 0: it does not exist.
+  void OnVersion(std::uint64_t aVersion) { m_version = aVersion; }
   /// @return when the next write is due; Instant::max() if none is.
   [[nodiscard]] Instant NextWriteAt() const;
   /// @return the write that is due, if any. It counts as written until
--- a/src/jujubehead/core/routing/crash_records_test.cpp
+++ b/src/jujubehead/core/routing/crash_records_test.cpp
@@ -74,7 +74,7 @@
 {
   records.OnCrash(Crash(kRequest));
   records.TakeWrite(now);
-  records.OnWritten(7);
+  records.OnVersion(7);
   records.OnCompletion({ kRequest, now + milliseconds(10) }, now);
   CHECK_FALSE(records.TakeWrite(now + milliseconds(500)).has_value());
   const auto write = records.TakeWrite(now + CrashRecords::kCleanUpDelay);
@@ -95,6 +95,23 @@
   LONGS_EQUAL(1, records.Parse(*again->value, now).size());
 }
 
+// After a failed write the row was read again, and crashes that had been
+// answered meanwhile were recorded anew.
+TEST(CrashRecords, AnsweredRequestsStayOutIfTheirRowIsReadAgain)
+{
+  records.OnCrash(Crash(kRequest));
+  records.TakeWrite(now);
+  records.OnVersion(7);
+  records.OnCompletion({ kRequest, now + milliseconds(10) }, now);
+  const core::Instant later = now + CrashRecords::kCleanUpDelay;
+  records.TakeWrite(later);
+  records.OnWriteFailed();
+  records.OnVersion(7);
+  const auto again = records.TakeWrite(later);
+  CHECK(again.has_value());
+  CHECK_FALSE(again->value.has_value());
+}
+
 TEST(CrashRecords, ARowHasABoundAndWhatIsNoRecordIsLeftOut)
 {
   for (std::size_t i = 0; i < 2 * CrashRecords::kMaxCrashes; ++i) {
--- a/src/jujubehead/node/control/crash_recorder.cpp
+++ b/src/jujubehead/node/control/crash_recorder.cpp
@@ -140,11 +140,12 @@
       m_expired.push_back(row);
     }
   }
-  m_records.OnOwnRow(own_version, std::move(own));
   if (!m_is_first_read) {
+    m_records.OnVersion(own_version);
     return; // Others have reported theirs since.
   }
   m_is_first_read = false;
+  m_records.OnOwnRow(own_version, std::move(own));
   if (!all.empty()) {
     DecisionLog::WriteUnthrottled(
       LogLine("crash_rows_read").Add("crashes", std::uint64_t(all.size())));
@@ -161,7 +162,7 @@
     const auto version = co_await m_rows.Put(
       m_instance, std::move(aWrite.value), aWrite.expected_version);
     if (version) {
-      m_records.OnWritten(is_removal ? 0 : *version);
+      m_records.OnVersion(is_removal ? 0 : *version);
       co_return true;
     }
   } catch (const PlatformError& error) {
