--- a/src/jujubehead/node/control/entry_control.cpp
+++ b/src/jujubehead/node/control/entry_control.cpp
@@ -241,8 +241,7 @@
 {
   BlockReclaimerHooks hooks;
   hooks.rank = [this](const core::StoreId& aStore) {
-    return core::RankOf(
-      m_instances.All(), m_options.instance_id.View(), aStore.View());
+    return RankFor(aStore.View());
   };
   hooks.on_unused = [this](core::SupersededScopes aScopes) {
     m_stores.Forget(aScopes);
@@ -274,12 +273,16 @@
   hooks.on_read = [this](std::vector<core::PoisonReport> aReports) {
     m_forwarder.OnPoisonReports(std::move(aReports));
   };
-  hooks.rank = [this](std::string_view aKey) {
-    return core::RankOf(m_instances.All(), m_options.instance_id.View(), aKey);
-  };
+  hooks.rank = [this](std::string_view aKey) { return RankFor(aKey); };
   return hooks;
 }
 
+std::size_t
+EntryControl::RankFor(std::string_view aKey) const
+{
+  return core::RankOf(m_instances.All(), m_options.instance_id.View(), aKey);
+}
+
 HubHooks
 EntryControl::MakeHubHooks()
 {
@@ -671,9 +674,7 @@
   if (m_is_writing_quarantine) {
     return;
   }
-  const auto rank_of = [this](std::string_view aKey) {
-    return core::RankOf(m_instances.All(), m_options.instance_id.View(), aKey);
-  };
+  const auto rank_of = [this](std::string_view aKey) { return RankFor(aKey); };
   if (auto write = m_quarantines.NextWrite(rank_of, now)) {
     m_is_writing_quarantine = true;
     asio::co_spawn(
--- a/src/jujubehead/node/control/entry_control.hpp
+++ b/src/jujubehead/node/control/entry_control.hpp
@@ -1,11 +1,12 @@
 #ifndef JUJUBEHEAD_NODE_CONTROL_ENTRY_CONTROL_HPP
 #define JUJUBEHEAD_NODE_CONTROL_ENTRY_CONTROL_HPP
 
-#include <algorithm> // for min
-#include <cstddef>   // for size_t
-#include <cstdint>   // for uint64_t
-#include <memory>    // for unique_ptr
-#include <vector>    // for vector
+#include <algorithm>   // for min
+#include <cstddef>     // for size_t
+#include <cstdint>     // for uint64_t
+#include <memory>      // for unique_ptr
+#include <string_view> // for string_view
+#include <vector>      // for vector
 
 #include <boost/asio/awaitable.hpp>  // for awaitable
 #include <boost/asio/io_context.hpp> // for io_context
@@ -123,6 +124,8 @@
   StoreWatchHooks MakeStoreHooks();
   BlockReclaimerHooks MakeReclaimerHooks();
   CrashRecorderHooks MakeCrashHooks();
+  /// @return this instance's rank, from 0, in an order of all by a key.
+  [[nodiscard]] std::size_t RankFor(std::string_view aKey) const;
   HubHooks MakeHubHooks();
   WeightsDeadlinesHooks MakeDeadlineHooks();
   void ApplyStops(const OperatorUpdate& aUpdate, bool aIsAll);
